--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# Targets a person runs. Each installs what it needs and builds on its own.
+SHELL := /bin/bash
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+export CCACHE_SLOPPINESS := time_macros
+JOBS ?= $(shell nproc)
+CONFIGURE := cmake -S . -G Ninja
+
+.PHONY: help packages build test format format-check lint check check-sanitize demo bench package clean
+
+help:
+	@echo "make demo            build, run a daemon with embedded stand-ins, submit jobs"
+	@echo "make check           install packages, build, check format and lint, run all tests"
+	@echo "make check-sanitize  run all tests under address and undefined-behaviour sanitizers"
+	@echo "make bench           print the measurements"
+	@echo "make package         build the Debian package"
+
+packages:
+	@tools/install_packages
+
+build: packages
+	@$(CONFIGURE) -B build/release -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build build/release -j $(JOBS)
+
+test: build
+	@ctest --test-dir build/release --output-on-failure -j $(JOBS)
+
+format:
+	@git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs -r clang-format -i
+
+format-check: packages
+	@git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs -r clang-format --dry-run -Werror
+	@echo "format: clean"
+
+lint: packages
+	@$(CONFIGURE) -B build/lint -DCMAKE_BUILD_TYPE=Debug -DCACTUSLOOM_LINT=ON >/dev/null
+	@cmake --build build/lint -j $(JOBS)
+	@echo "lint: clean"
+
+check: format-check lint test
+
+check-sanitize: packages
+	@$(CONFIGURE) -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DCACTUSLOOM_SANITIZE=ON >/dev/null
+	@cmake --build build/sanitize -j $(JOBS)
+	@ctest --test-dir build/sanitize --output-on-failure -j $(JOBS)
+
+demo: build
+	@tools/demo build/release
+
+bench: build
+	@tools/bench build/release
+
+package: build
+	@cd build/release && cpack -G DEB
+
+clean:
+	@rm -rf build
--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,7 @@
+include(GNUInstallDirs)
+install(TARGETS cactusloomd cactusloomctl RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+install(DIRECTORY examples/ DESTINATION ${CMAKE_INSTALL_DOCDIR}/examples OPTIONAL)
+set(CPACK_PACKAGE_CONTACT "cactusloom maintainers")
+set(CPACK_PACKAGE_DESCRIPTION_SUMMARY "dispatcher for sub-second tasks")
+set(CPACK_DEBIAN_PACKAGE_SHLIBDEPS ON)
+include(CPack)
--- /dev/null
+++ b/include/base/error.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+
+namespace cactusloom {
+
+// Says what kind of failure an operation met, so that callers can choose a reaction.
+enum class errc {
+    invalid_argument,
+    not_found,
+    conflict,
+    unavailable, // certainly had no effect
+    reply_lost,  // may have taken effect
+    limit_exceeded,
+    timed_out,
+    not_ready,
+    internal,
+};
+
+// A failure with a message for a person.
+struct error {
+    errc code = errc::internal;
+    std::string message;
+};
+
+// Returns the stable lower-case name of a code, as used in JSON replies and logs.
+const char* to_string(errc code);
+
+} // namespace cactusloom
--- /dev/null
+++ b/tools/cactusloomctl/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
