--- /dev/null
+++ b/src/submission/submission_registry.cpp
@@ -0,0 +1,135 @@
+#include "submission/submission_registry.h"
+
+#include <algorithm>
+
+namespace cactusloom {
+namespace {
+
+// Short spans drop expired ids soon; 31 tables cover the validity.
+constexpr duration span_length = std::chrono::seconds{4};
+constexpr std::size_t min_places = 16;
+
+std::int64_t span_of(monotonic_time time)
+{
+    return time.time_since_epoch() / span_length;
+}
+
+// Zero marks a free place.
+std::uint64_t to_key(std::uint64_t id_hash)
+{
+    return id_hash == 0 ? ~std::uint64_t{0} : id_hash;
+}
+
+} // namespace
+
+submission_registry::verdict submission_registry::find(std::uint64_t id_hash,
+                                                       std::uint64_t body_digest,
+                                                       monotonic_time issued,
+                                                       monotonic_time now) const
+{
+    if (issued > now) {
+        return verdict::invalid;
+    }
+    // The age is checked first, so the answer does not depend on when tables are dropped.
+    if (now - issued > prefix_validity) {
+        return verdict::expired;
+    }
+    const entry* it = find_entry(to_key(id_hash), issued);
+    if (it == nullptr) {
+        return verdict::fresh;
+    }
+    return it->body_digest == body_digest ? verdict::known : verdict::conflict;
+}
+
+submission_registry::verdict submission_registry::claim(std::uint64_t id_hash,
+                                                        std::uint64_t body_digest,
+                                                        monotonic_time issued, monotonic_time now)
+{
+    drop_expired(now);
+    const verdict found = find(id_hash, body_digest, issued, now);
+    if (found != verdict::fresh) {
+        return found;
+    }
+    if (size_ >= max_ids_) {
+        return verdict::full;
+    }
+    table& home = table_at(span_of(issued));
+    // At three quarters full the expected probe length is still below three.
+    if (home.used * 4 >= home.entries.size() * 3) {
+        std::vector<entry> larger(std::max(min_places, home.entries.size() * 2));
+        for (const entry& old : home.entries) {
+            if (old.id_hash != 0) {
+                larger[find_place(larger, old.id_hash)] = old;
+            }
+        }
+        home.entries = std::move(larger);
+    }
+    home.entries[find_place(home.entries, to_key(id_hash))] = {to_key(id_hash), body_digest};
+    ++home.used;
+    ++size_;
+    return verdict::fresh;
+}
+
+std::size_t submission_registry::bytes() const
+{
+    std::size_t sum = sizeof(*this);
+    for (const table& it : tables_) {
+        sum += sizeof(it) + it.entries.capacity() * sizeof(entry);
+    }
+    return sum;
+}
+
+// Returns the place that holds the id, or the free place where it belongs. The size is a power of
+// two and at least one place is free.
+std::size_t submission_registry::find_place(const std::vector<entry>& entries,
+                                            std::uint64_t id_hash)
+{
+    const std::size_t mask = entries.size() - 1;
+    std::size_t n = id_hash & mask;
+    while (entries[n].id_hash != 0 && entries[n].id_hash != id_hash) {
+        n = (n + 1) & mask;
+    }
+    return n;
+}
+
+const submission_registry::entry* submission_registry::find_entry(std::uint64_t id_hash,
+                                                                  monotonic_time issued) const
+{
+    const std::int64_t n = span_of(issued) - first_span_;
+    if (n < 0 || n >= static_cast<std::int64_t>(tables_.size())) {
+        return nullptr;
+    }
+    const table& home = tables_[static_cast<std::size_t>(n)];
+    if (home.entries.empty()) {
+        return nullptr;
+    }
+    const entry& found = home.entries[find_place(home.entries, id_hash)];
+    return found.id_hash == 0 ? nullptr : &found;
+}
+
+submission_registry::table& submission_registry::table_at(std::int64_t span)
+{
+    if (tables_.empty()) {
+        first_span_ = span;
+    }
+    while (span < first_span_) {
+        tables_.emplace_front();
+        --first_span_;
+    }
+    while (span >= first_span_ + static_cast<std::int64_t>(tables_.size())) {
+        tables_.emplace_back();
+    }
+    return tables_[static_cast<std::size_t>(span - first_span_)];
+}
+
+void submission_registry::drop_expired(monotonic_time now)
+{
+    const std::int64_t oldest = span_of(now - prefix_validity);
+    while (!tables_.empty() && first_span_ < oldest) {
+        size_ -= tables_.front().used;
+        tables_.pop_front();
+        ++first_span_;
+    }
+}
+
+} // namespace cactusloom
