--- /dev/null
+++ b/include/admission/fair_queue.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace cactusloom {
+
+// Position of a team in deployment::teams.
+using team_index = std::uint32_t;
+
+// Number of a job as the owner of the queue uses it. Small numbers, reused after removal.
+using queued_job = std::uint32_t;
+
+// Tasks that wait for a worker. Teams share the service by weight (deficit round robin over
+// expected run time) and the jobs of a team take turns, one task each, so that a large job does
+// not hold back small ones. Teams inside their quota go first; the others take what is left over.
+// All tasks of a job are alike, so a job is one entry with a count and every operation takes
+// constant time.
+class fair_queue {
+public:
+    // One positive weight for each team. At most `max_tasks` tasks wait, except that each team
+    // always has its share by weight of that number, so the hard bound is twice `max_tasks`.
+    fair_queue(std::span<const double> weights, std::size_t max_tasks);
+
+    // True if `count` more tasks of the team may wait.
+    bool has_room(team_index team, std::size_t count) const;
+
+    // Adds tasks of a job. `cost` is the expected run time of one task. The job goes behind the
+    // other jobs of its team unless it has tasks here already.
+    void push(queued_job job, team_index team, duration cost, std::uint32_t count);
+
+    // Adds one task that was started and did not run; its job goes before the others of its team.
+    void push_again(queued_job job, team_index team, duration cost);
+
+    // The job whose task is next. Stays the same until the queue or a quota state changes.
+    std::optional<queued_job> front();
+
+    // Takes one task of the front job. Must follow front().
+    void pop();
+
+    // Takes all tasks of a job and returns how many there were.
+    std::uint32_t remove(queued_job job);
+
+    // Tells whether a team has reached its quota.
+    void set_over_quota(team_index team, bool is_over);
+
+    // Estimated number of tasks that are served before the last of `count` new tasks of a team.
+    std::size_t estimate_position(team_index team, std::size_t count) const;
+
+    std::size_t size() const { return size_; }
+    std::size_t tasks_of(team_index team) const { return teams_[team].tasks; }
+
+private:
+    static constexpr std::uint32_t none = ~std::uint32_t{0};
+
+    struct job_entry {
+        std::uint32_t count = 0;
+        std::uint32_t cost = 0; // microseconds
+        team_index team = 0;
+        std::uint32_t previous = none;
+        std::uint32_t next = none;
+    };
+
+    struct team_entry {
+        double weight = 1.0;
+        double share = 0.0;   // of all weights
+        double quantum = 0.0; // microseconds of run time for each turn
+        double deficit = 0.0;
+        std::size_t tasks = 0;
+        std::uint32_t jobs = 0;
+        std::uint32_t first = none; // job
+        std::uint32_t last = none;  // job
+        std::uint32_t previous = none;
+        std::uint32_t next = none;
+        bool is_over_quota = false;
+        bool had_quantum = false; // in its current turn
+    };
+
+    // A list of teams that have tasks, linked through team_entry.
+    struct ring {
+        std::uint32_t first = none;
+        std::uint32_t last = none;
+    };
+
+    job_entry& entry_of(queued_job job, team_index team, duration cost);
+    void link_job(queued_job job, bool at_front);
+    void unlink_job(queued_job job);
+    void link_team(team_index team);
+    void unlink_team(team_index team);
+    ring& ring_of(team_index team) { return teams_[team].is_over_quota ? over_ : within_; }
+    ring& served_ring() { return within_.first != none ? within_ : over_; }
+
+    std::vector<team_entry> teams_;
+    std::vector<job_entry> jobs_; // by job number
+    ring within_;
+    ring over_;
+    double active_weight_ = 0.0;
+    std::size_t size_ = 0;
+    std::size_t max_tasks_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/admission/team_quotas.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "admission/fair_queue.h"
+#include "config/deployment.h"
+
+#include <span>
+#include <vector>
+
+namespace cactusloom {
+
+// Counts the running tasks of each team against this instance's part of its quota. A team at its
+// quota may still run tasks while no team inside its quota has any waiting (see fair_queue).
+class team_quotas {
+public:
+    // `share` is this instance's part of the total load, 0 to 1.
+    team_quotas(std::span<const team_quota> teams, double share);
+
+    void record_start(team_index team) { ++teams_[team].running; }
+    void record_end(team_index team) { --teams_[team].running; }
+
+    bool is_over(team_index team) const
+    {
+        return teams_[team].limit != 0 && teams_[team].running >= teams_[team].limit;
+    }
+
+    std::uint32_t running(team_index team) const { return teams_[team].running; }
+
+    // Changes the limits, when members come and go. The caller must ask is_over() again.
+    void set_share(double share);
+
+private:
+    struct entry {
+        std::uint32_t total_limit = 0; // over all instances; 0 for none
+        std::uint32_t limit = 0;       // of this instance; 0 for none
+        std::uint32_t running = 0;
+    };
+
+    std::vector<entry> teams_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/dispatch/engine.cpp
@@ -0,0 +1,708 @@
+#include "engine.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <cassert>
+#include <fmt/format.h>
+
+namespace cactusloom {
+namespace {
+
+// Waiting tasks are offered to the router again this often, because room can also appear without
+// a reply: a load report ages, a worker returns from ejection.
+constexpr duration pump_interval = std::chrono::milliseconds{10};
+
+// Bound on starts in one turn of the loop.
+constexpr int max_starts_per_turn = 256;
+
+// Completed tasks of a kind from which on its learned run time decides about shedding. Declared
+// run times are often far off, and shedding by them would keep the true ones from being learned.
+constexpr std::uint64_t min_samples = 20;
+
+constexpr duration refresh_interval = std::chrono::milliseconds{50};
+constexpr duration shortest_deadline = std::chrono::milliseconds{1};
+
+// Digest of what a repeated submission must have in common with the first one. The deadline is
+// not part of it, since a caller that repeats a submission has less time left.
+std::uint64_t digest_of(const job_request& request)
+{
+    std::uint64_t digest = hash64(request.customer, request.payloads.size());
+    digest = hash64(request.kind, digest);
+    for (const std::string& payload : request.payloads) {
+        digest = hash64(payload, digest);
+    }
+    return digest;
+}
+
+std::vector<double> weights_of(const deployment& settings)
+{
+    constexpr double least_weight = 0.001;
+    std::vector<double> weights;
+    for (const team_quota& it : settings.teams) {
+        weights.push_back(std::max(it.weight, least_weight));
+    }
+    if (weights.empty()) {
+        weights.push_back(1.0);
+    }
+    return weights;
+}
+
+std::vector<team_quota> teams_of(const deployment& settings)
+{
+    return settings.teams.empty() ? std::vector<team_quota>{{"default", 1.0, 0}} : settings.teams;
+}
+
+} // namespace
+
+dispatcher::engine::engine(const deployment& settings, dispatcher_options options,
+                           const parts& with)
+    : settings_(settings), options_(std::move(options)), workers_(with.workers),
+      routes_(with.routes), timers_(with.timers), observer_(with.observer),
+      counts_(with.metrics != nullptr ? *with.metrics : own_counters_),
+      quotas_(teams_of(settings_), options_.share),
+      retries_(settings_.profile.retry_ratio, static_cast<std::uint32_t>(options_.seed) + 1),
+      hedges_(settings_.profile), registry_(options_.max_remembered_ids),
+      wheel_(with.timers, [this](std::uint64_t key) { on_due(key); })
+{
+    const auto weights = weights_of(settings_);
+    std::vector<std::vector<std::string>> needs;
+    for (const request_kind& kind : settings_.kinds) {
+        kinds_by_name_.emplace(kind.name, static_cast<kind_index>(kinds_.size()));
+        const auto it = std::find(needs.begin(), needs.end(), kind.needs);
+        kinds_.push_back({static_cast<std::size_t>(it - needs.begin()), 0, {}, {}, {}, {}});
+        if (it == needs.end()) {
+            needs.push_back(kind.needs);
+            queues_.emplace_back(weights, settings_.limits.max_queued_tasks);
+        }
+    }
+    for (const customer_settings& customer : settings_.customers) {
+        const auto it = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                     [&](const auto& team) { return team.name == customer.team; });
+        const auto team = it == settings_.teams.end() ? 0 : it - settings_.teams.begin();
+        teams_by_customer_.emplace(customer.id, static_cast<team_index>(team));
+    }
+}
+
+dispatcher::engine::~engine()
+{
+    timers_.cancel(turn_);
+}
+
+result<void> dispatcher::engine::submit(job_request request)
+{
+    const auto parsed = parse_submission_id(request.id, options_.checksum_key);
+    if (!parsed) {
+        return refuse(request, parsed.error());
+    }
+    const submission_prefix& prefix = parsed.value().prefix;
+    if (prefix.instance != options_.instance || prefix.incarnation != options_.incarnation) {
+        return refuse(request, {errc::not_found, "the id was issued by another instance"});
+    }
+    const std::uint64_t id_hash = hash64(request.id);
+    const std::uint64_t digest = digest_of(request);
+    if (const auto it = jobs_by_id_.find(id_hash); it != jobs_by_id_.end()) {
+        const job_record& job = jobs_[it->second];
+        if (job.id != request.id) {
+            return refuse(request, {errc::not_found, "the id cannot be told from another one"});
+        }
+        if (job.body_digest != digest) {
+            return refuse(request, {errc::conflict, "the id was used with other content"});
+        }
+        ++counts_.jobs_joined;
+        return boost::outcome_v2::success();
+    }
+    using verdict = submission_registry::verdict;
+    switch (registry_.find(id_hash, digest, prefix.issued, now())) {
+    case verdict::known:
+        return refuse(request, {errc::not_found, "the answer is no longer kept"});
+    case verdict::conflict:
+        return refuse(request, {errc::conflict, "the id was used with other content"});
+    case verdict::expired:
+        return refuse(request, {errc::not_found, "the prefix has expired"});
+    case verdict::invalid:
+        return refuse(request, {errc::invalid_argument, "the prefix was not issued yet"});
+    case verdict::fresh:
+    case verdict::full:
+        break;
+    }
+    if (auto checked = check(request); !checked) {
+        return refuse(request, checked.error());
+    }
+    // Refused submissions are not remembered: nothing of them ran, so they may be tried again.
+    if (registry_.claim(id_hash, digest, prefix.issued, now()) != verdict::fresh) {
+        return refuse(request, {errc::unavailable, "too many submissions are remembered"});
+    }
+    accept(std::move(request), id_hash, digest);
+    return boost::outcome_v2::success();
+}
+
+// Looks for a reason not to run a new submission.
+result<void> dispatcher::engine::check(const job_request& request) const
+{
+    const auto kind = kinds_by_name_.find(request.kind);
+    if (kind == kinds_by_name_.end()) {
+        return failure(errc::invalid_argument, fmt::format("unknown kind '{}'", request.kind));
+    }
+    const auto team = teams_by_customer_.find(request.customer);
+    if (team == teams_by_customer_.end()) {
+        return failure(errc::invalid_argument,
+                       fmt::format("unknown customer '{}'", request.customer));
+    }
+    const std::size_t tasks = request.payloads.size();
+    if (tasks == 0 || tasks > settings_.limits.max_tasks_per_job) {
+        return failure(errc::invalid_argument,
+                       fmt::format("a job has 1 to {} tasks, not {}",
+                                   settings_.limits.max_tasks_per_job, tasks));
+    }
+    if (request.deadline != duration::zero() &&
+        (request.deadline < shortest_deadline ||
+         request.deadline > settings_.limits.max_deadline)) {
+        return failure(errc::invalid_argument,
+                       fmt::format("a deadline is 1 to {} ms",
+                                   settings_.limits.max_deadline / std::chrono::milliseconds{1}));
+    }
+    const request_kind& settings = settings_.kinds[kind->second];
+    if (!routes_.can_ever_run(kind->second)) {
+        return failure(errc::invalid_argument,
+                       fmt::format("no worker can ever run '{}', which needs [{}]", settings.name,
+                                   fmt::join(settings.needs, ", ")));
+    }
+    if (is_shutting_down_) {
+        return failure(errc::unavailable, "the instance is shutting down");
+    }
+    const kind_state& state = kinds_[kind->second];
+    const fair_queue& queue = queues_[state.queue];
+    if (!queue.has_room(team->second, tasks)) {
+        return failure(errc::unavailable, "the queue is full");
+    }
+    if (queue.size() > 0 || tasks > 1) {
+        const duration deadline =
+            request.deadline != duration::zero() ? request.deadline : settings.default_deadline;
+        const duration limit =
+            deadline != duration::zero() ? deadline : settings_.limits.max_deadline;
+        const auto position = queue.estimate_position(team->second, tasks);
+        const duration margin =
+            state.samples < min_samples ? duration::zero() : std::min(state.p99, limit / 2);
+        const duration start = routes_.expected_wait(position);
+        if (start > duration::zero() && start + margin > limit) {
+            return failure(errc::unavailable,
+                           fmt::format("overload: predicted start after {} ms, deadline {} ms",
+                                       start / std::chrono::milliseconds{1},
+                                       limit / std::chrono::milliseconds{1}));
+        }
+    }
+    return boost::outcome_v2::success();
+}
+
+result<void> dispatcher::engine::refuse(const job_request& request, error reason)
+{
+    ++counts_.jobs_refused;
+    if (observer_ != nullptr) {
+        observer_->job_refused({request.id, request.customer, request.kind, request.payloads.size(),
+                                timers_.wall_now()},
+                               reason);
+    }
+    return boost::outcome_v2::failure(std::move(reason));
+}
+
+void dispatcher::engine::accept(job_request request, std::uint64_t id_hash, std::uint64_t digest)
+{
+    const std::uint32_t slot = add_job();
+    job_record& job = jobs_[slot];
+    const kind_index kind = kinds_by_name_.find(request.kind)->second;
+    const request_kind& settings = settings_.kinds[kind];
+    duration limit = request.deadline;
+    if (limit == duration::zero()) {
+        limit = settings.default_deadline;
+    }
+    if (limit == duration::zero()) {
+        limit = settings_.limits.max_deadline;
+    }
+    job.number = ++last_job_;
+    job.id_hash = id_hash;
+    job.body_digest = digest;
+    job.received = now();
+    job.received_wall = timers_.wall_now();
+    job.deadline = job.received + limit;
+    job.kind = kind;
+    job.team = teams_by_customer_.find(request.customer)->second;
+    job.size = static_cast<std::uint32_t>(request.payloads.size());
+    job.tasks.resize(job.size);
+    job.timer = wheel_.add(job.deadline, to_key(event::job, slot));
+    ++open_jobs_;
+    ++counts_.jobs_accepted;
+    if (observer_ != nullptr) {
+        observer_->job_received(
+            job.number, {request.id, request.customer, request.kind, job.size, job.received_wall});
+    }
+    job.id = std::move(request.id);
+    job.texts = std::move(request.payloads);
+    jobs_by_id_.emplace(id_hash, slot);
+    queues_[kinds_[kind].queue].push(slot, job.team, learned(kind, job.received).median, job.size);
+    pump();
+    if (!deliveries_.empty()) {
+        schedule_turn();
+    }
+}
+
+std::uint32_t dispatcher::engine::find(std::string_view id) const
+{
+    const auto it = jobs_by_id_.find(hash64(id));
+    return it != jobs_by_id_.end() && jobs_[it->second].id == id ? it->second : no_index;
+}
+
+std::uint32_t dispatcher::engine::add_job()
+{
+    if (free_jobs_.empty()) {
+        jobs_.emplace_back();
+        return static_cast<std::uint32_t>(jobs_.size() - 1);
+    }
+    const std::uint32_t slot = free_jobs_.back();
+    free_jobs_.pop_back();
+    return slot;
+}
+
+void dispatcher::engine::wait(std::string_view id, duration limit, answer_callback done)
+{
+    const std::uint32_t slot = find(id);
+    if (slot == no_index) {
+        auto answer = std::make_shared<job_answer>();
+        answer->reason = "the id is not known here";
+        deliveries_.push_back({std::move(done), std::move(answer)});
+        schedule_turn();
+        return;
+    }
+    job_record& job = jobs_[slot];
+    if (job.is_finished()) {
+        deliveries_.push_back({std::move(done), job.answer});
+        schedule_turn();
+        return;
+    }
+    // The number is unique among the waiters of a job and fits into the key of its timer.
+    constexpr std::uint32_t number_mask = (1U << 28U) - 1;
+    const std::uint32_t number = ++job.last_waiter & number_mask;
+    const auto timer = wheel_.add(now() + limit, to_key(event::wait, slot, number));
+    job.waiters.push_back({number, timer, std::move(done)});
+}
+
+result<job_status> dispatcher::engine::status(std::string_view id) const
+{
+    const std::uint32_t slot = find(id);
+    if (slot == no_index) {
+        return failure(errc::not_found, "the id is not known here");
+    }
+    const job_record& job = jobs_[slot];
+    job_status status;
+    status.state = job.is_finished() ? job.answer->state : job_state::running;
+    status.tasks = job.size;
+    status.started = job.started;
+    status.finished = job.completed;
+    status.reason = job.reason;
+    return status;
+}
+
+result<void> dispatcher::engine::cancel(std::string_view id)
+{
+    const std::uint32_t slot = find(id);
+    if (slot == no_index) {
+        return failure(errc::not_found, "the id is not known here");
+    }
+    job_record& job = jobs_[slot];
+    if (job.is_finished() || job.is_failing) {
+        return boost::outcome_v2::success();
+    }
+    ++counts_.jobs_cancelled;
+    // The stops are sent in later turns, a bounded number in each, so that a wave of
+    // cancellations does not hold up the loop.
+    for (const task_record& task : job.tasks) {
+        for (const std::uint32_t index : task.attempts) {
+            if (index != no_index) {
+                stops_.emplace_back(index, attempts_[index].generation);
+            }
+        }
+    }
+    wheel_.cancel(job.timer);
+    job.timer = wheel_.add(now() + options_.reply_grace, to_key(event::job, slot));
+    fail(slot, "cancelled");
+    schedule_turn();
+    return boost::outcome_v2::success();
+}
+
+std::string dispatcher::engine::issue_prefix() const
+{
+    return make_prefix({options_.instance, options_.data_centre, options_.incarnation, now()},
+                       options_.checksum_key);
+}
+
+void dispatcher::engine::shut_down(std::function<void()> drained)
+{
+    is_shutting_down_ = true;
+    drained_ = std::move(drained);
+    schedule_turn();
+}
+
+void dispatcher::engine::set_share(double share)
+{
+    quotas_.set_share(share);
+    for (team_index team = 0; team < std::max<std::size_t>(settings_.teams.size(), 1); ++team) {
+        update_quota(team);
+    }
+}
+
+std::size_t dispatcher::engine::queued_tasks() const
+{
+    std::size_t sum = 0;
+    for (const fair_queue& queue : queues_) {
+        sum += queue.size();
+    }
+    return sum;
+}
+
+std::size_t dispatcher::engine::bytes() const
+{
+    constexpr std::size_t map_node = 40; // next pointer, value and the overhead of malloc
+    std::size_t sum = sizeof(*this) + registry_.bytes() + wheel_.bytes() +
+                      jobs_.size() * sizeof(job_record) + jobs_by_id_.size() * map_node +
+                      jobs_by_id_.bucket_count() * sizeof(void*) +
+                      attempts_.capacity() * sizeof(attempt_record);
+    for (const job_record& job : jobs_) {
+        sum += job.id.capacity() + job.texts.capacity() * sizeof(std::string) +
+               (job.tasks.capacity() > 1 ? job.tasks.capacity() * sizeof(task_record) : 0) +
+               job.waiters.capacity() * sizeof(answer_waiter) +
+               (job.answer ? sizeof(job_answer) : 0);
+        const auto& texts = job.answer ? job.answer->answers : job.texts;
+        for (const std::string& text : texts) {
+            sum += text.capacity();
+        }
+    }
+    return sum;
+}
+
+// Starts waiting tasks while the router finds workers with room, up to the bound of a turn.
+void dispatcher::engine::pump()
+{
+    int starts_left = max_starts_per_turn;
+    bool is_waiting = false;
+    for (fair_queue& queue : queues_) {
+        is_waiting = pump_queue(queue, starts_left) || is_waiting;
+    }
+    if (starts_left == 0) {
+        schedule_turn();
+    }
+    else if (is_waiting && pump_timer_ == timer_wheel::none) {
+        pump_timer_ = wheel_.add(now() + pump_interval, to_key(event::pump, 0));
+    }
+}
+
+// Returns whether tasks are left waiting.
+bool dispatcher::engine::pump_queue(fair_queue& queue, int& starts_left)
+{
+    while (const auto slot = queue.front()) {
+        if (starts_left == 0) {
+            return true;
+        }
+        const job_record& job = jobs_[*slot];
+        if (is_hopeless(job, now())) {
+            fail(*slot, "shed: would not finish within its deadline");
+            --starts_left;
+            continue;
+        }
+        routing_query query{job.kind, job.number, std::nullopt};
+        if (!job.again.empty()) {
+            query.excluded = job.tasks[job.again.back()].last_worker;
+        }
+        const auto worker = routes_.pick(query);
+        if (!worker) {
+            return true;
+        }
+        queue.pop();
+        start_next(*slot, *worker);
+        --starts_left;
+    }
+    return false;
+}
+
+void dispatcher::engine::start_next(std::uint32_t slot, worker_id worker)
+{
+    job_record& job = jobs_[slot];
+    std::uint32_t task = 0;
+    if (job.again.empty()) {
+        task = job.next_waiting++;
+        ++job.started;
+        retries_.record_first_start();
+        hedges_.record_first_start();
+        if (job.started == 1) {
+            job.first_start = now();
+        }
+    }
+    else {
+        task = job.again.back();
+        job.again.pop_back();
+        ++counts_.task_retries;
+        hedges_.record_extra_messages(hedge_policy::messages_per_retry);
+    }
+    start_attempt(slot, task, worker);
+}
+
+void dispatcher::engine::start_attempt(std::uint32_t slot, std::uint32_t task_number,
+                                       worker_id worker)
+{
+    job_record& job = jobs_[slot];
+    task_record& task = job.tasks[task_number];
+    const request_kind& kind = settings_.kinds[job.kind];
+    const monotonic_time time = now();
+    std::uint32_t index = 0;
+    if (free_attempts_.empty()) {
+        index = static_cast<std::uint32_t>(attempts_.size());
+        attempts_.emplace_back();
+    }
+    else {
+        index = free_attempts_.back();
+        free_attempts_.pop_back();
+    }
+    if (!task.is_open()) {
+        ++job.open;
+    }
+    task.attempts[task.attempts[0] == no_index ? 0 : 1] = index;
+    task.state = task_state::running;
+    task.last_worker = worker;
+    ++task.starts;
+
+    attempt_record& attempt = attempts_[index];
+    attempt.job = slot;
+    attempt.task = task_number;
+    attempt.worker = worker;
+    attempt.start_number = task.starts;
+    attempt.is_open = true;
+    attempt.holds_slot = true;
+    attempt.was_stopped = false;
+    attempt.started = time;
+    attempt.lease_end = time + settings_.lease;
+    attempt.renew_at = time + settings_.lease / 2;
+    attempt.hedge_at = monotonic_time::max();
+    task.lease_end_ms = static_cast<std::uint32_t>((attempt.lease_end - job.received) /
+                                                   std::chrono::milliseconds{1});
+    if (task.starts == 1 && kind.second_start) {
+        const kind_state& state = learned(job.kind, time);
+        if (const auto delay = hedges_.delay(kind, state.hedge_after, state.samples)) {
+            attempt.hedge_at = time + *delay;
+        }
+    }
+    arm(attempt, index);
+
+    ++counts_.task_starts;
+    quotas_.record_start(job.team);
+    update_quota(job.team);
+    routes_.record_start(worker, job.kind);
+    if (observer_ != nullptr) {
+        observer_->task_started(job.number, task_number, worker);
+    }
+    const start_request request{task_id(job, attempt), kind.name, job.texts[task_number],
+                                settings_.lease, std::max(job.deadline - time, duration::zero())};
+    // The capture fits into the function's own storage, so a start allocates nothing here.
+    const std::uint32_t generation = attempt.generation;
+    workers_.start(worker, request, [this, index, generation](start_reply reply) {
+        on_reply(index, generation, std::move(reply));
+    });
+}
+
+// True if a task that had to wait would start too late to finish within its deadline. Tasks that
+// start without waiting always get their chance.
+bool dispatcher::engine::is_hopeless(const job_record& job, monotonic_time time)
+{
+    if (time == job.received) {
+        return false;
+    }
+    const duration left = job.deadline - time;
+    const kind_state& state = learned(job.kind, time);
+    const duration margin = state.samples < min_samples
+                                ? duration::zero()
+                                : std::min(state.p99, (job.deadline - job.received) / 2);
+    return left <= duration::zero() || left < margin;
+}
+
+const dispatcher::engine::kind_state& dispatcher::engine::learned(kind_index kind,
+                                                                  monotonic_time time)
+{
+    kind_state& state = kinds_[kind];
+    // Quantiles change slowly and are looked up for each task, so they are kept for a while.
+    if (state.median == duration::zero() || time - state.refreshed >= refresh_interval) {
+        state.refreshed = time;
+        state.median = routes_.run_time_quantile(kind, 0.5);
+        state.p99 = routes_.run_time_quantile(kind, 0.99);
+        state.hedge_after = routes_.run_time_quantile(kind, hedges_.quantile());
+    }
+    return state;
+}
+
+void dispatcher::engine::on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply)
+{
+    ++counts_.replies;
+    if (!attempts_[index].is_open || attempts_[index].generation != generation) {
+        ++counts_.late_replies;
+        return;
+    }
+    attempt_record& attempt = attempts_[index];
+    const std::uint32_t slot = attempt.job;
+    const std::uint32_t task = attempt.task;
+    const monotonic_time lease_end = attempt.lease_end;
+    const bool is_hedge = attempt.start_number > 1 && jobs_[slot].tasks[task].attempts[1] == index;
+    release_slot(attempt, reply);
+    close(index);
+    if (reply.status == start_status::completed) {
+        counts_.hedges_won += is_hedge ? 1 : 0;
+        complete_task(slot, task, std::move(reply.payload));
+    }
+    else {
+        attempt_failed(slot, task, reply, lease_end);
+    }
+    settle(slot);
+    pump();
+    deliver();
+}
+
+void dispatcher::engine::complete_task(std::uint32_t slot, std::uint32_t task_number,
+                                       std::string answer)
+{
+    job_record& job = jobs_[slot];
+    task_record& task = job.tasks[task_number];
+    task.state = task_state::completed;
+    ++job.completed;
+    ++kinds_[job.kind].samples;
+    job.texts[task_number] = std::move(answer);
+    for (const std::uint32_t other : task.attempts) {
+        if (other != no_index) {
+            give_up(other);
+        }
+    }
+}
+
+// Decides what becomes of a task after an attempt that did not complete it.
+void dispatcher::engine::attempt_failed(std::uint32_t slot, std::uint32_t task_number,
+                                        const start_reply& reply, monotonic_time lease_end)
+{
+    job_record& job = jobs_[slot];
+    task_record& task = job.tasks[task_number];
+    const request_kind& kind = settings_.kinds[job.kind];
+    bool may_retry = false;
+    switch (reply.status) {
+    case start_status::refused_busy:
+    case start_status::refused_leaving:
+    case start_status::not_sent:
+        may_retry = !task.has_run;
+        break;
+    case start_status::task_failed:
+    case start_status::lease_lapsed:
+    case start_status::stopped:
+        task.has_run = true;
+        break;
+    case start_status::completed:
+    case start_status::reply_lost:
+    default: // a status that no version of the protocol has proves nothing
+        task.is_unknown = true;
+        may_retry = kind.second_start && !task.has_run &&
+                    hedges_.can_afford(hedge_policy::messages_per_retry);
+        break;
+    }
+    if (task.is_open()) {
+        return; // its other attempt may still complete
+    }
+    const monotonic_time time = now();
+    if (may_retry && !job.is_failing && task.starts < max_starts_per_task && time < lease_end &&
+        time < job.deadline) {
+        retry_later(slot, task_number);
+        return;
+    }
+    task.state = task_state::ended;
+    if (!job.is_failing) {
+        const std::string_view what = task.is_unknown ? "no reply from the worker"
+                                      : task.has_run  ? "the task failed"
+                                                      : "no worker took the task";
+        fail(slot, reply.payload.empty() ? std::string{what}
+                                         : fmt::format("{}: {}", what, reply.payload));
+    }
+}
+
+// Ends an attempt without its reply, which will be ignored. The worker is asked to stop.
+void dispatcher::engine::give_up(std::uint32_t index)
+{
+    send_stop(attempts_[index]);
+    close(index);
+}
+
+// Sends the stop and counts the worker's slot as free at once. If the stop is slow, the worker
+// refuses the next task as busy, and that task has certainly not run.
+void dispatcher::engine::send_stop(attempt_record& attempt)
+{
+    if (!attempt.was_stopped) {
+        attempt.was_stopped = true;
+        ++counts_.stops;
+        hedges_.record_extra_messages(1.0);
+        workers_.stop(attempt.worker, task_id(jobs_[attempt.job], attempt));
+    }
+    start_reply reply;
+    reply.status = start_status::stopped;
+    release_slot(attempt, reply);
+}
+
+void dispatcher::engine::release_slot(attempt_record& attempt, const start_reply& reply)
+{
+    if (!attempt.holds_slot) {
+        return;
+    }
+    attempt.holds_slot = false;
+    const job_record& job = jobs_[attempt.job];
+    routes_.record_end(attempt.worker, job.kind, reply, now() - attempt.started);
+    quotas_.record_end(job.team);
+    update_quota(job.team);
+}
+
+// Frees the record of an attempt. The new generation makes a later reply to it recognisable.
+void dispatcher::engine::close(std::uint32_t index)
+{
+    attempt_record& attempt = attempts_[index];
+    assert(attempt.is_open && !attempt.holds_slot);
+    job_record& job = jobs_[attempt.job];
+    task_record& task = job.tasks[attempt.task];
+    for (std::uint32_t& it : task.attempts) {
+        if (it == index) {
+            it = no_index;
+        }
+    }
+    if (!task.is_open()) {
+        --job.open;
+    }
+    wheel_.cancel(attempt.timer);
+    attempt.is_open = false;
+    ++attempt.generation;
+    free_attempts_.push_back(index);
+}
+
+// Marks a job as failed: what waits is dropped at once, what runs is waited for, so that the
+// answer can tell truthfully what ran.
+void dispatcher::engine::fail(std::uint32_t slot, std::string_view reason)
+{
+    job_record& job = jobs_[slot];
+    if (job.is_failing) {
+        return;
+    }
+    job.is_failing = true;
+    job.reason = reason;
+    counts_.tasks_shed += queues_[kinds_[job.kind].queue].remove(slot);
+    for (task_record& task : job.tasks) {
+        wheel_.cancel(task.retry_timer);
+    }
+    settle(slot);
+}
+
+void dispatcher::engine::settle(std::uint32_t slot)
+{
+    const job_record& job = jobs_[slot];
+    if (job.number != 0 && !job.is_finished() &&
+        (job.completed == job.size || (job.is_failing && job.open == 0))) {
+        finish(slot);
+    }
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/dispatch/engine.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "admission/team_quotas.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/hedge_policy.h"
+#include "dispatch/retry_budget.h"
+#include "dispatch_counts.h"
+#include "job_record.h"
+#include "submission/submission_id.h"
+#include "submission/submission_registry.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace cactusloom {
+
+// State and rules of the dispatcher. One record for each job, task and open start; all are found
+// by index.
+class dispatcher::engine {
+public:
+    engine(const deployment& settings, dispatcher_options options, const parts& with);
+    ~engine();
+
+    result<void> submit(job_request request);
+    void wait(std::string_view id, duration limit, answer_callback done);
+    result<job_status> status(std::string_view id) const;
+    result<void> cancel(std::string_view id);
+    std::string issue_prefix() const;
+    void shut_down(std::function<void()> drained);
+    void set_share(double share);
+    std::size_t open_jobs() const { return open_jobs_; }
+    std::size_t queued_tasks() const;
+    std::size_t bytes() const;
+
+private:
+    // What a timer of the wheel is for.
+    enum class event : std::uint8_t { job, attempt, retry, wait, pump, retention };
+
+    // A task is started at most this often, however large the retry budget is.
+    static constexpr unsigned max_starts_per_task = 5;
+
+    static constexpr std::uint64_t to_key(event what, std::uint32_t first, std::uint32_t second = 0)
+    {
+        return static_cast<std::uint64_t>(what) << 60U | std::uint64_t{second} << 32U | first;
+    }
+
+    // What is known of a request kind, with run times as the router has learned them.
+    struct kind_state {
+        std::size_t queue = 0; // kinds with the same needs wait in the same queue
+        std::uint64_t samples = 0;
+        monotonic_time refreshed;
+        duration median{};
+        duration p99{};
+        duration hedge_after{};
+    };
+
+    struct delivery {
+        answer_callback done;
+        std::shared_ptr<const job_answer> answer;
+    };
+
+    // Submissions.
+    result<void> check(const job_request& request) const;
+    result<void> refuse(const job_request& request, error reason);
+    void accept(job_request request, std::uint64_t id_hash, std::uint64_t digest);
+    std::uint32_t find(std::string_view id) const;
+    std::uint32_t add_job();
+
+    // Starting tasks.
+    void pump();
+    bool pump_queue(fair_queue& queue, int& starts_left);
+    void start_next(std::uint32_t slot, worker_id worker);
+    void start_attempt(std::uint32_t slot, std::uint32_t task, worker_id worker);
+    bool is_hopeless(const job_record& job, monotonic_time now);
+    const kind_state& learned(kind_index kind, monotonic_time now);
+
+    // Ends of attempts.
+    void on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply);
+    void complete_task(std::uint32_t slot, std::uint32_t task, std::string answer);
+    void attempt_failed(std::uint32_t slot, std::uint32_t task, const start_reply& reply,
+                        monotonic_time lease_end);
+    void give_up(std::uint32_t index);
+    void send_stop(attempt_record& attempt);
+    void release_slot(attempt_record& attempt, const start_reply& reply);
+    void close(std::uint32_t index);
+
+    // Ends of jobs.
+    void fail(std::uint32_t slot, std::string_view reason);
+    void settle(std::uint32_t slot);
+    void finish(std::uint32_t slot);
+    void drop(std::uint32_t slot);
+    void drop_old_answers(bool only_excess);
+
+    // Timers.
+    void on_due(std::uint64_t key);
+    void on_job_due(std::uint32_t slot);
+    void on_attempt_due(std::uint32_t index);
+    void on_retry_due(std::uint32_t slot, std::uint32_t task);
+    void on_wait_due(std::uint32_t slot, std::uint32_t number);
+    void try_hedge(std::uint32_t index);
+    void arm(attempt_record& attempt, std::uint32_t index);
+    void retry_later(std::uint32_t slot, std::uint32_t task);
+
+    // Work that is left to a later turn of the loop.
+    void schedule_turn();
+    void run_turn();
+    void deliver();
+
+    std::string_view task_id(const job_record& job, const attempt_record& attempt);
+    void update_quota(team_index team);
+    monotonic_time now() const { return timers_.monotonic_now(); }
+
+    const deployment settings_;
+    const dispatcher_options options_;
+    worker_client& workers_;
+    router& routes_;
+    timer_service& timers_;
+    job_observer* observer_;
+    counters own_counters_; // used when the owner wants none
+    dispatch_counts counts_;
+
+    std::unordered_map<std::string_view, kind_index> kinds_by_name_;
+    std::unordered_map<std::string_view, team_index> teams_by_customer_;
+    std::vector<kind_state> kinds_;
+    std::vector<fair_queue> queues_;
+    team_quotas quotas_;
+    retry_budget retries_;
+    hedge_policy hedges_;
+    submission_registry registry_;
+
+    std::deque<job_record> jobs_;
+    std::vector<std::uint32_t> free_jobs_;
+    std::unordered_map<std::uint64_t, std::uint32_t> jobs_by_id_;
+    std::vector<attempt_record> attempts_;
+    std::vector<std::uint32_t> free_attempts_;
+    std::size_t open_jobs_ = 0;
+    job_number last_job_ = 0;
+
+    std::deque<std::uint32_t> retained_; // finished jobs, oldest first
+    std::size_t retained_bytes_ = 0;
+    timer_wheel::handle retention_timer_ = timer_wheel::none;
+
+    std::deque<std::pair<std::uint32_t, std::uint32_t>> stops_; // attempt and generation
+    std::vector<delivery> deliveries_;
+    std::function<void()> drained_;
+    bool is_shutting_down_ = false;
+    timer_id turn_ = 0;
+    timer_wheel::handle pump_timer_ = timer_wheel::none;
+    std::string task_id_; // reused buffer
+    timer_wheel wheel_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/dispatch/engine_timers.cpp
@@ -0,0 +1,361 @@
+#include "engine.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cactusloom {
+namespace {
+
+// A timer that runs this much too late shows that the process was paused.
+constexpr duration pause_threshold = std::chrono::milliseconds{100};
+
+constexpr std::size_t max_stops_per_turn = 256;
+constexpr std::size_t max_drops_per_turn = 512;
+constexpr duration retention_interval = std::chrono::milliseconds{100};
+
+template<typename Container>
+void release_memory(Container& items)
+{
+    Container().swap(items);
+}
+
+std::size_t retained_size(const job_record& job)
+{
+    std::size_t sum = sizeof(job_record) + job.id.capacity() + sizeof(job_answer) +
+                      job.answer->answers.capacity() * sizeof(std::string);
+    for (const std::string& text : job.answer->answers) {
+        sum += text.capacity();
+    }
+    return sum;
+}
+
+} // namespace
+
+void dispatcher::engine::on_due(std::uint64_t key)
+{
+    const auto first = static_cast<std::uint32_t>(key);
+    const std::uint32_t second = static_cast<std::uint32_t>(key >> 32U) & ((1U << 28U) - 1);
+    switch (static_cast<event>(key >> 60U)) {
+    case event::job:
+        on_job_due(first);
+        break;
+    case event::attempt:
+        on_attempt_due(first);
+        break;
+    case event::retry:
+        on_retry_due(first, second);
+        break;
+    case event::wait:
+        on_wait_due(first, second);
+        break;
+    case event::pump:
+        pump_timer_ = timer_wheel::none;
+        pump();
+        break;
+    case event::retention:
+        retention_timer_ = timer_wheel::none;
+        drop_old_answers(false);
+        break;
+    }
+    deliver();
+}
+
+// The deadline of a job has passed, or the time that its last replies were given.
+void dispatcher::engine::on_job_due(std::uint32_t slot)
+{
+    job_record& job = jobs_[slot];
+    job.timer = timer_wheel::none;
+    const monotonic_time time = now();
+    const monotonic_time limit = job.deadline + options_.reply_grace;
+    const bool is_cancelled = job.is_failing && time < job.deadline;
+    if (!is_cancelled && !job.is_failing && job.completed + job.open < job.size) {
+        fail(slot, "the deadline passed before a worker took the task");
+        if (job.is_finished() || job.number == 0) {
+            return;
+        }
+    }
+    // After a pause the replies may be waiting in the sockets, so they get their time once more.
+    const bool was_paused = time > limit + pause_threshold && !job.had_pause;
+    job.had_pause = job.had_pause || was_paused;
+    if (!is_cancelled && (time < limit || was_paused)) {
+        job.timer =
+            wheel_.add(was_paused ? time + options_.reply_grace : limit, to_key(event::job, slot));
+        return;
+    }
+    for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+        task_record& task = job.tasks[n];
+        for (const std::uint32_t index : task.attempts) {
+            if (index == no_index) {
+                continue;
+            }
+            ++counts_.replies_missing;
+            task.is_unknown = true;
+            task.state = task_state::ended;
+            // The router learns that the worker was silent, unless it was asked to stop.
+            release_slot(attempts_[index], {});
+            give_up(index);
+        }
+    }
+    if (job.is_failing) {
+        settle(slot);
+    }
+    else {
+        fail(slot, "no reply from the worker within the deadline");
+    }
+    pump();
+}
+
+void dispatcher::engine::on_attempt_due(std::uint32_t index)
+{
+    attempt_record& attempt = attempts_[index];
+    attempt.timer = timer_wheel::none;
+    if (attempt.was_stopped) {
+        return;
+    }
+    const monotonic_time time = now();
+    if (time >= attempt.lease_end) {
+        // The process was paused past the lease. The worker has stopped the task or will, and
+        // another holder may act on it, so this one only waits for the reply.
+        ++counts_.leases_lapsed;
+        return;
+    }
+    if (time >= attempt.hedge_at) {
+        attempt.hedge_at = monotonic_time::max();
+        try_hedge(index);
+    }
+    // A hedge may have moved the records.
+    attempt_record& it = attempts_[index];
+    if (time >= it.renew_at) {
+        ++counts_.lease_renewals;
+        hedges_.record_extra_messages(1.0);
+        workers_.renew(it.worker, task_id(jobs_[it.job], it), settings_.lease);
+        it.lease_end = time + settings_.lease;
+        it.renew_at = time + settings_.lease / 2;
+    }
+    arm(it, index);
+}
+
+void dispatcher::engine::try_hedge(std::uint32_t index)
+{
+    const attempt_record& attempt = attempts_[index];
+    const job_record& job = jobs_[attempt.job];
+    // Tasks that have not run at all need a free slot more than a second start does.
+    if (job.is_failing || job.tasks[attempt.task].starts >= max_starts_per_task ||
+        now() >= job.deadline || queues_[kinds_[job.kind].queue].size() > 0 ||
+        !hedges_.can_afford(hedge_policy::messages_per_hedge)) {
+        return;
+    }
+    const auto worker = routes_.pick({job.kind, job.number, attempt.worker});
+    if (!worker || *worker == attempt.worker) {
+        return;
+    }
+    ++counts_.task_hedges;
+    hedges_.record_extra_messages(hedge_policy::messages_per_retry);
+    start_attempt(attempt.job, attempt.task, *worker);
+}
+
+void dispatcher::engine::arm(attempt_record& attempt, std::uint32_t index)
+{
+    attempt.timer =
+        wheel_.add(std::min(attempt.renew_at, attempt.hedge_at), to_key(event::attempt, index));
+}
+
+void dispatcher::engine::retry_later(std::uint32_t slot, std::uint32_t task_number)
+{
+    task_record& task = jobs_[slot].tasks[task_number];
+    task.state = task_state::backing_off;
+    task.backoffs = static_cast<std::uint8_t>(std::min(task.backoffs + 1, 255));
+    task.retry_timer = wheel_.add(now() + retries_.backoff(task.backoffs),
+                                  to_key(event::retry, slot, task_number));
+}
+
+void dispatcher::engine::on_retry_due(std::uint32_t slot, std::uint32_t task_number)
+{
+    job_record& job = jobs_[slot];
+    task_record& task = job.tasks[task_number];
+    task.retry_timer = timer_wheel::none;
+    const monotonic_time time = now();
+    if (time >= job.deadline) {
+        return; // the timer of the job deals with it
+    }
+    if (time >= job.received + std::chrono::milliseconds{task.lease_end_ms}) {
+        task.state = task_state::ended;
+        fail(slot, "not retried after the end of the lease");
+        return;
+    }
+    // Waiting for a token sends nothing, so it cannot add to an overload.
+    if (!retries_.take()) {
+        ++counts_.retry_budget_empty;
+        retry_later(slot, task_number);
+        return;
+    }
+    task.state = task_state::waiting;
+    job.again.push_back(task_number);
+    queues_[kinds_[job.kind].queue].push_again(slot, job.team, learned(job.kind, time).median);
+    pump();
+}
+
+void dispatcher::engine::on_wait_due(std::uint32_t slot, std::uint32_t number)
+{
+    job_record& job = jobs_[slot];
+    const auto it = std::find_if(job.waiters.begin(), job.waiters.end(),
+                                 [number](const auto& waiter) { return waiter.number == number; });
+    if (it == job.waiters.end()) {
+        return;
+    }
+    auto answer = std::make_shared<job_answer>();
+    answer->state = job_state::running;
+    deliveries_.push_back({std::move(it->done), std::move(answer)});
+    job.waiters.erase(it);
+}
+
+void dispatcher::engine::finish(std::uint32_t slot)
+{
+    job_record& job = jobs_[slot];
+    auto answer = std::make_shared<job_answer>();
+    if (job.completed == job.size) {
+        answer->state = job_state::completed;
+        answer->answers = std::move(job.texts);
+        job.reason.clear();
+        ++counts_.jobs_completed;
+    }
+    else {
+        bool has_run = false;
+        bool is_unknown = false;
+        for (const task_record& task : job.tasks) {
+            has_run = has_run || task.has_run || task.state == task_state::completed;
+            is_unknown = is_unknown || (task.is_unknown && task.state != task_state::completed);
+        }
+        answer->state = is_unknown ? job_state::unknown
+                        : has_run  ? job_state::failed_after_run
+                                   : job_state::failed_not_run;
+        answer->reason = job.reason;
+        ++(is_unknown ? counts_.jobs_unknown
+           : has_run  ? counts_.jobs_failed_after_run
+                      : counts_.jobs_failed_not_run);
+    }
+    // Only the answer is kept; a retained job must be small.
+    release_memory(job.texts);
+    release_memory(job.again);
+    job.tasks.clear();
+    job.tasks.shrink_to_fit();
+    wheel_.cancel(job.timer);
+    job.finished_at = now();
+    job.answer = std::move(answer);
+    for (answer_waiter& it : job.waiters) {
+        wheel_.cancel(it.timer);
+        deliveries_.push_back({std::move(it.done), job.answer});
+    }
+    release_memory(job.waiters);
+    --open_jobs_;
+    if (observer_ != nullptr) {
+        const auto to_wall = [&job](monotonic_time time) {
+            return job.received_wall + (time - job.received);
+        };
+        observer_->job_finished(job.number,
+                                {job.id, job.answer->state, job.answer->reason, job.received_wall,
+                                 job.started > 0 ? to_wall(job.first_start) : wall_time{},
+                                 to_wall(job.finished_at)});
+    }
+    retained_.push_back(slot);
+    retained_bytes_ += retained_size(job);
+    drop_old_answers(true);
+    if (is_shutting_down_ && open_jobs_ == 0) {
+        schedule_turn();
+    }
+}
+
+// Forgets answers whose retention has ended, or only those that exceed the bound of memory. The
+// registry still knows their ids, so they are never run again.
+void dispatcher::engine::drop_old_answers(bool only_excess)
+{
+    const monotonic_time time = now();
+    const duration retention = settings_.limits.answer_retention;
+    for (std::size_t n = 0; n < max_drops_per_turn && !retained_.empty(); ++n) {
+        const job_record& oldest = jobs_[retained_.front()];
+        const bool is_excess = retained_bytes_ > options_.max_retained_bytes;
+        if (!is_excess && (only_excess || time < oldest.finished_at + retention)) {
+            break;
+        }
+        counts_.answers_dropped += is_excess ? 1 : 0;
+        drop(retained_.front());
+        retained_.pop_front();
+    }
+    if (!retained_.empty() && retention_timer_ == timer_wheel::none) {
+        const monotonic_time due = jobs_[retained_.front()].finished_at + retention;
+        retention_timer_ =
+            wheel_.add(std::max(due, time + retention_interval), to_key(event::retention, 0));
+    }
+}
+
+void dispatcher::engine::drop(std::uint32_t slot)
+{
+    job_record& job = jobs_[slot];
+    retained_bytes_ -= retained_size(job);
+    jobs_by_id_.erase(job.id_hash);
+    job = job_record{};
+    free_jobs_.push_back(slot);
+}
+
+void dispatcher::engine::schedule_turn()
+{
+    if (turn_ == 0) {
+        turn_ = timers_.schedule(duration::zero(), [this] { run_turn(); });
+    }
+}
+
+void dispatcher::engine::run_turn()
+{
+    turn_ = 0;
+    for (std::size_t n = 0; n < max_stops_per_turn && !stops_.empty(); ++n) {
+        const auto [index, generation] = stops_.front();
+        stops_.pop_front();
+        if (attempts_[index].is_open && attempts_[index].generation == generation) {
+            send_stop(attempts_[index]);
+        }
+    }
+    pump();
+    deliver();
+    if (!stops_.empty()) {
+        schedule_turn();
+    }
+    if (is_shutting_down_ && open_jobs_ == 0 && deliveries_.empty() && drained_) {
+        std::exchange(drained_, nullptr)();
+    }
+}
+
+// Hands out what was ready when it was called; what callers cause meanwhile waits for a later
+// turn, so that a caller that waits again at once cannot hold up the loop.
+void dispatcher::engine::deliver()
+{
+    if (deliveries_.empty()) {
+        return;
+    }
+    std::vector<delivery> ready;
+    ready.swap(deliveries_);
+    for (const delivery& it : ready) {
+        it.done(*it.answer);
+    }
+    if (!deliveries_.empty()) {
+        schedule_turn();
+    }
+}
+
+std::string_view dispatcher::engine::task_id(const job_record& job, const attempt_record& attempt)
+{
+    // A suffix may contain dots too, but exactly two fields follow it, so no two starts share one.
+    task_id_.clear();
+    fmt::format_to(std::back_inserter(task_id_), "{}.{}.{}", job.id, attempt.task,
+                   attempt.start_number);
+    return task_id_;
+}
+
+void dispatcher::engine::update_quota(team_index team)
+{
+    const bool is_over = quotas_.is_over(team);
+    for (fair_queue& queue : queues_) {
+        queue.set_over_quota(team, is_over);
+    }
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/dispatch/hedge_policy.cpp
@@ -0,0 +1,42 @@
+#include "dispatch/hedge_policy.h"
+
+#include <algorithm>
+
+namespace cactusloom {
+namespace {
+
+// Bounds how much of the budget quiet times can save up for a burst, in messages.
+constexpr double max_tokens = 300.0;
+
+// A quantile of fewer samples says little, and a declared run time is often far off.
+constexpr std::uint64_t min_samples = 100;
+
+} // namespace
+
+hedge_policy::hedge_policy(const dispatch_profile& profile)
+    : tokens_per_task_(std::max(0.0, profile.message_budget - 2.0)),
+      quantile_(profile.hedge_quantile)
+{
+}
+
+void hedge_policy::record_first_start()
+{
+    tokens_ = std::min(max_tokens, tokens_ + tokens_per_task_);
+}
+
+void hedge_policy::record_extra_messages(double count)
+{
+    // Retries and renewals are not asked for here, so the account may be overdrawn.
+    tokens_ = std::max(-max_tokens, tokens_ - count);
+}
+
+std::optional<duration> hedge_policy::delay(const request_kind& kind, duration learned,
+                                            std::uint64_t samples) const
+{
+    if (!kind.second_start || !kind.idempotent || samples < min_samples) {
+        return std::nullopt;
+    }
+    return learned;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/metrics/latency_recorder.cpp
@@ -0,0 +1,54 @@
+#include "metrics/latency_recorder.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cmath>
+
+namespace cactusloom {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 5> marks{0.25, 0.5, 0.75, 0.9, 0.99};
+
+// The estimator never forgets, so two windows take turns to follow a change of load.
+constexpr std::uint64_t window_size = 10000;
+
+} // namespace
+
+struct latency_recorder::window {
+    using accumulator =
+        acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>>;
+
+    accumulator samples{acc::tag::extended_p_square::probabilities = marks};
+};
+
+latency_recorder::latency_recorder() : current_(std::make_unique<window>()) {}
+
+latency_recorder::~latency_recorder() = default;
+
+void latency_recorder::record(duration latency)
+{
+    if (acc::count(current_->samples) >= window_size) {
+        previous_ = std::move(current_);
+        current_ = std::make_unique<window>();
+    }
+    current_->samples(static_cast<double>(latency.count()));
+    ++count_;
+}
+
+latency_recorder::summary latency_recorder::read() const
+{
+    // The estimator is only exact enough once its window has some hundred samples.
+    const bool is_young = previous_ && acc::count(current_->samples) < window_size / 10;
+    const auto values = acc::extended_p_square((is_young ? previous_ : current_)->samples);
+    const auto at = [&](std::size_t n) {
+        return duration{static_cast<duration::rep>(std::lround(values[n]))};
+    };
+    return {count_, at(1), at(3), at(4)};
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/tests/dispatch/dispatch_fixture.h
@@ -0,0 +1,254 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "metrics/counters.h"
+#include "routing/router.h"
+#include "stand_in/virtual_timer_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+namespace cactusloom::dispatch_test {
+
+using namespace std::chrono_literals;
+
+// Gives tasks to the first worker with a free slot and knows nothing else.
+class fake_router final : public router {
+public:
+    std::vector<int> running;
+    int slots = 8;
+    bool runnable = true;
+    duration run_time = 50ms;
+    duration wait_per_task{};
+
+    std::optional<worker_id> pick(const routing_query& query) override
+    {
+        for (worker_id n = 0; n < running.size(); ++n) {
+            if (running[n] < slots && query.excluded != n) {
+                return n;
+            }
+        }
+        return std::nullopt;
+    }
+    bool can_ever_run(kind_index /*kind*/) const override { return runnable; }
+    void record_start(worker_id worker, kind_index /*kind*/) override { ++running[worker]; }
+    void record_end(worker_id worker, kind_index /*kind*/, const start_reply& /*reply*/,
+                    duration /*elapsed*/) override
+    {
+        BOOST_TEST(--running[worker] >= 0);
+    }
+    void record_load(worker_id /*worker*/, const worker_load& /*load*/) override {}
+    void set_leaving(worker_id /*worker*/, bool /*leaving*/) override {}
+    void set_share(double /*share*/) override {}
+    duration run_time_quantile(kind_index /*kind*/, double /*quantile*/) const override
+    {
+        return run_time;
+    }
+    duration expected_wait(std::size_t position) const override
+    {
+        return wait_per_task * static_cast<duration::rep>(position);
+    }
+};
+
+// What a worker does with one start.
+struct behaviour {
+    start_status status = start_status::completed;
+    duration after = 50ms;
+    int replies = 1;
+    bool runs = true; // for reply_lost: whether the lost reply belongs to a task that ran
+};
+
+// Follows a script and remembers what truly happened to each task.
+class fake_workers final : public worker_client {
+public:
+    explicit fake_workers(virtual_timer_service& timers) : timers_(timers) {}
+
+    std::vector<behaviour> script;                   // by number of the start; the last one repeats
+    std::map<std::string, int, std::less<>> ran;     // by id of job and task
+    std::map<std::string, bool, std::less<>> unsafe; // tasks whose last start may have run
+    std::set<std::string> second_starts;             // tasks started although they may have run
+    std::size_t starts = 0;
+    std::size_t stops = 0;
+    std::size_t renewals = 0;
+    std::size_t most_stops_at_once = 0;
+    std::vector<duration> times_left;
+    std::vector<std::string> order; // payloads as started
+
+    void start(worker_id /*worker*/, const start_request& request, callback done) override
+    {
+        const std::string id{request.task_id};
+        const std::string task = id.substr(0, id.rfind('.'));
+        BOOST_TEST(ids_.insert(id).second, id);
+        if (unsafe[task]) {
+            second_starts.insert(task);
+        }
+        const behaviour it = script[std::min(starts++, script.size() - 1)];
+        unsafe[task] = !is_certainly_not_run(it.status);
+        ran[task] += unsafe[task] && it.runs ? 1 : 0;
+        times_left.push_back(request.time_left);
+        order.emplace_back(request.payload);
+        start_reply reply;
+        reply.status = it.status;
+        reply.payload =
+            it.status == start_status::completed ? "answer to " + std::string{request.payload} : "";
+        for (int n = 0; n < it.replies; ++n) {
+            open_[id] = timers_.schedule(it.after + n * 1ms, [this, id, done, reply] {
+                open_.erase(id);
+                done(reply);
+            });
+        }
+        callbacks_[id] = std::move(done);
+    }
+    void renew(worker_id /*worker*/, std::string_view /*id*/, duration /*lease*/) override
+    {
+        ++renewals;
+    }
+    void stop(worker_id /*worker*/, std::string_view id) override
+    {
+        ++stops;
+        stops_now_ = last_stop_ == timers_.monotonic_now() && stops > 1 ? stops_now_ + 1 : 1;
+        last_stop_ = timers_.monotonic_now();
+        most_stops_at_once = std::max(most_stops_at_once, stops_now_);
+        const auto it = open_.find(std::string{id});
+        if (it == open_.end() || ignores_stops) {
+            return;
+        }
+        timers_.cancel(it->second);
+        timers_.schedule(1ms, [done = callbacks_[it->first]] {
+            start_reply reply;
+            reply.status = start_status::stopped;
+            done(reply);
+        });
+        open_.erase(it);
+    }
+
+    bool ignores_stops = false;
+
+private:
+    virtual_timer_service& timers_;
+    std::set<std::string> ids_;
+    std::map<std::string, timer_id> open_;
+    std::map<std::string, callback> callbacks_;
+    monotonic_time last_stop_{};
+    std::size_t stops_now_ = 0;
+};
+
+// A dispatcher with fakes around it. Kinds: "once", "idem" (idempotent), "twice" (second_start).
+struct fixture {
+    explicit fixture(std::size_t workers = 2, deployment changed = base())
+        : settings(std::move(changed)), client(timers)
+    {
+        routes.running.resize(workers);
+        client.script = {{}};
+        timers.advance(1s);
+        service = make();
+    }
+
+    static deployment base()
+    {
+        deployment it;
+        it.profile.message_budget = 2.2;
+        it.kinds = {{"once", false, false, 50ms, 2s, {}},
+                    {"idem", true, false, 50ms, 2s, {}},
+                    {"twice", true, true, 50ms, 2s, {}}};
+        it.teams = {{"a", 1.0, 0}, {"b", 1.0, 0}};
+        it.customers = {{"anna", "a"}, {"ben", "b"}};
+        return it;
+    }
+
+    std::unique_ptr<dispatcher> make(std::uint64_t incarnation = 1)
+    {
+        dispatcher_options options;
+        options.instance = "one";
+        options.data_centre = "dc";
+        options.incarnation = incarnation;
+        return std::make_unique<dispatcher>(
+            settings, options, dispatcher::parts{client, routes, timers, nullptr, &metrics});
+    }
+
+    job_request request(std::string kind, std::size_t tasks = 1, duration deadline = 2s,
+                        const std::string& customer = "anna")
+    {
+        job_request it{service->issue_prefix() + ".s" + std::to_string(++last_),
+                       customer,
+                       std::move(kind),
+                       {},
+                       deadline};
+        for (std::size_t n = 0; n < tasks; ++n) {
+            it.payloads.push_back(customer + std::to_string(last_) + "/" + std::to_string(n));
+        }
+        return it;
+    }
+
+    // Submits, waits for the answer and remembers it.
+    result<void> send(const job_request& it)
+    {
+        auto outcome = service->submit(it);
+        if (outcome) {
+            sent[it.id] = it;
+            listen(it.id);
+        }
+        return outcome;
+    }
+
+    void listen(const std::string& id)
+    {
+        service->wait(id, 120s,
+                      [this, id](const job_answer& answer) { answers[id].push_back(answer); });
+    }
+
+    // Compares every answer with what the workers saw.
+    void check(std::string_view what)
+    {
+        for (const auto& [id, job] : sent) {
+            const auto& all = answers[id];
+            BOOST_TEST(!all.empty(), what << ": no answer");
+            for (const job_answer& it : all) {
+                BOOST_TEST((it.state == all.front().state), what << ": two different answers");
+                check_answer(what, job, it);
+            }
+        }
+        for (const std::string& task : client.second_starts) {
+            const std::string id = task.substr(0, task.rfind('.'));
+            BOOST_TEST(sent[id].kind == "twice", what << ": started twice " << task);
+        }
+        for (const int running : routes.running) {
+            BOOST_TEST(running == 0, what << ": a slot was not freed");
+        }
+        BOOST_TEST(service->open_jobs() == 0U, what);
+        BOOST_TEST(service->queued_tasks() == 0U, what);
+    }
+
+    void check_answer(std::string_view what, const job_request& job, const job_answer& it)
+    {
+        const bool is_complete = it.state == job_state::completed;
+        BOOST_TEST(it.answers.size() == (is_complete ? job.payloads.size() : 0U), what);
+        for (std::size_t n = 0; n < job.payloads.size(); ++n) {
+            const auto task = job.id + "." + std::to_string(n);
+            if (is_complete) {
+                BOOST_TEST(it.answers[n] == "answer to " + job.payloads[n], what);
+            }
+            if (it.state == job_state::failed_not_run) {
+                BOOST_TEST(client.ran[task] == 0, what << ": says not run, but it ran");
+            }
+        }
+        BOOST_TEST((is_complete || !it.reason.empty()), what);
+    }
+
+    std::uint64_t count(std::string_view name) { return metrics.get(name); }
+
+    virtual_timer_service timers;
+    deployment settings;
+    fake_router routes;
+    fake_workers client;
+    counters metrics;
+    std::map<std::string, job_request> sent;
+    std::map<std::string, std::vector<job_answer>> answers;
+    std::unique_ptr<dispatcher> service;
+
+private:
+    int last_ = 0;
+};
+
+} // namespace cactusloom::dispatch_test
--- /dev/null
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -0,0 +1,271 @@
+#include "dispatch_fixture.h"
+
+#include <functional>
+
+using namespace cactusloom;
+using namespace cactusloom::dispatch_test;
+
+namespace {
+
+using status = start_status;
+
+job_state state_of(fixture& it, const std::string& id)
+{
+    return it.answers[id].empty() ? job_state::running : it.answers[id].front().state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(dispatching)
+
+// Each row is what the workers do with the starts of one task, and what the caller must then see.
+// Guards against second starts, false "not run" and lost or doubled answers.
+BOOST_AUTO_TEST_CASE(one_task_under_each_fault)
+{
+    struct row {
+        const char* what;
+        const char* kind;
+        std::vector<behaviour> script;
+        job_state expected;
+        std::size_t starts;
+        std::uint64_t late_replies = 0;
+    };
+    const behaviour good{status::completed, 50ms};
+    const row rows[] = {
+        {"completed", "once", {good}, job_state::completed, 1},
+        {"busy, then completed",
+         "once",
+         {{status::refused_busy, 1ms}, good},
+         job_state::completed,
+         2},
+        {"leaving, then completed",
+         "once",
+         {{status::refused_leaving, 1ms}, good},
+         job_state::completed,
+         2},
+        {"not sent, then completed",
+         "once",
+         {{status::not_sent, 1ms}, good},
+         job_state::completed,
+         2},
+        {"always busy", "once", {{status::refused_busy, 1ms}}, job_state::failed_not_run, 5},
+        {"busy until the deadline",
+         "once",
+         {{status::refused_busy, 1100ms}},
+         job_state::failed_not_run,
+         2},
+        {"busy, last reply after the grace",
+         "once",
+         {{status::refused_busy, 900ms}},
+         job_state::unknown,
+         3,
+         1},
+        {"task failed", "once", {{status::task_failed, 5ms}, good}, job_state::failed_after_run, 1},
+        {"task failed, second start allowed",
+         "twice",
+         {{status::task_failed, 5ms}, good},
+         job_state::failed_after_run,
+         1},
+        {"lease lapsed",
+         "once",
+         {{status::lease_lapsed, 5ms}, good},
+         job_state::failed_after_run,
+         1},
+        {"stopped by the platform",
+         "idem",
+         {{status::stopped, 5ms}, good},
+         job_state::failed_after_run,
+         1},
+        {"reply lost, ran", "once", {{status::reply_lost, 5ms}, good}, job_state::unknown, 1},
+        {"reply lost, did not run",
+         "once",
+         {{status::reply_lost, 5ms, 1, false}, good},
+         job_state::unknown,
+         1},
+        {"reply lost, idempotent",
+         "idem",
+         {{status::reply_lost, 5ms}, good},
+         job_state::unknown,
+         1},
+        {"reply lost, second start, no message budget yet",
+         "twice",
+         {{status::reply_lost, 5ms}, good},
+         job_state::unknown,
+         1},
+        {"busy, then reply lost",
+         "once",
+         {{status::refused_busy, 1ms}, {status::reply_lost, 5ms}, good},
+         job_state::unknown,
+         2},
+        {"status of no known version",
+         "once",
+         {{static_cast<status>(99), 5ms}, good},
+         job_state::unknown,
+         1},
+        {"reply comes twice", "once", {{status::completed, 50ms, 2}}, job_state::completed, 1, 1},
+        {"busy comes twice",
+         "once",
+         {{status::refused_busy, 1ms, 2}, good},
+         job_state::completed,
+         2,
+         1},
+        {"reply within the grace", "once", {{status::completed, 2100ms}}, job_state::completed, 1},
+        {"reply after the grace", "once", {{status::completed, 2500ms}}, job_state::unknown, 1, 1},
+        {"refusal after the grace",
+         "once",
+         {{status::refused_busy, 2500ms}},
+         job_state::unknown,
+         1,
+         1},
+    };
+    for (const row& it : rows) {
+        fixture f;
+        f.client.script = it.script;
+        f.client.ignores_stops = true;
+        const auto job = f.request(it.kind);
+        BOOST_TEST(f.send(job).has_value(), it.what);
+        f.timers.advance(10s);
+        BOOST_TEST((state_of(f, job.id) == it.expected), it.what);
+        BOOST_TEST(f.answers[job.id].size() == 1U, it.what);
+        BOOST_TEST(f.client.starts == it.starts, it.what);
+        BOOST_TEST(f.count("late_replies") == it.late_replies, it.what);
+        f.check(it.what);
+    }
+}
+
+// Each row does something to a job of three tasks on one worker with two slots at a given time.
+// Guards against answers that are partial or untrue when a job is cut short.
+BOOST_AUTO_TEST_CASE(jobs_cut_short)
+{
+    struct row {
+        const char* what;
+        duration at;
+        std::function<void(fixture&, const std::string&)> act;
+        job_state expected;
+        std::size_t starts;
+        bool ignores_stops = false;
+    };
+    const auto cancel = [](fixture& f, const std::string& id) {
+        BOOST_TEST(f.service->cancel(id).has_value());
+    };
+    const auto shut_down = [](fixture& f, const std::string& /*id*/) {
+        f.service->shut_down([] {});
+    };
+    const row rows[] = {
+        {"cancelled while all run or wait", 10ms, cancel, job_state::failed_after_run, 2},
+        {"cancelled, stops ignored", 10ms, cancel, job_state::failed_after_run, 2, true},
+        {"cancelled while the last runs", 120ms, cancel, job_state::failed_after_run, 3},
+        {"cancelled after the end", 300ms, cancel, job_state::completed, 3},
+        {"shut down while running", 10ms, shut_down, job_state::completed, 3},
+    };
+    for (const row& it : rows) {
+        fixture f{1};
+        f.routes.slots = 2;
+        f.client.script = {{status::completed, 100ms}};
+        f.client.ignores_stops = it.ignores_stops;
+        const auto job = f.request("once", 3);
+        BOOST_TEST(f.send(job).has_value());
+        f.timers.advance(it.at);
+        it.act(f, job.id);
+        f.timers.advance(10s);
+        BOOST_TEST((state_of(f, job.id) == it.expected), it.what);
+        BOOST_TEST(f.client.starts == it.starts, it.what);
+        f.check(it.what);
+    }
+}
+
+// Guards against a cancelled job that still starts, or that is not reported as not run.
+BOOST_AUTO_TEST_CASE(cancel_before_start_never_starts)
+{
+    fixture f{1};
+    f.routes.slots = 0;
+    const auto job = f.request("once", 3);
+    BOOST_TEST(f.send(job).has_value());
+    BOOST_TEST(f.service->cancel(job.id).has_value());
+    BOOST_TEST(f.service->queued_tasks() == 0U);
+    f.routes.slots = 8;
+    f.timers.advance(1s);
+    BOOST_TEST((state_of(f, job.id) == job_state::failed_not_run));
+    BOOST_TEST(f.client.starts == 0U);
+    f.check("cancel before start");
+}
+
+// Guards against waiting tasks that outlive their deadline or carry a stale one to the worker.
+BOOST_AUTO_TEST_CASE(deadline_is_kept_and_carried_along)
+{
+    fixture f{1};
+    f.routes.slots = 1;
+    f.client.script = {{status::completed, 300ms}};
+    const auto first = f.request("once", 1, 1s);
+    const auto second = f.request("once", 1, 400ms);
+    const auto third = f.request("once", 1, 500ms);
+    for (const auto* it : {&first, &second, &third}) {
+        BOOST_TEST(f.send(*it).has_value());
+    }
+    f.timers.advance(502ms);
+    BOOST_TEST((state_of(f, third.id) == job_state::failed_not_run));
+    f.timers.advance(5s);
+    BOOST_TEST((state_of(f, second.id) == job_state::completed));
+    BOOST_TEST((f.client.times_left == std::vector<duration>{1s, 100ms}));
+    f.check("deadline");
+}
+
+// Each row submits twice, or to the wrong place. Guards against a second run and against an
+// answer that belongs to something else.
+BOOST_AUTO_TEST_CASE(resubmission)
+{
+    struct row {
+        const char* what;
+        duration pause; // between the two
+        std::function<void(fixture&, job_request&)> change;
+        std::optional<errc> expected;
+        std::size_t starts;
+    };
+    const auto same = [](fixture& /*f*/, job_request& /*it*/) {};
+    const auto new_suffix = [](fixture& /*f*/, job_request& it) { it.id += "x"; };
+    const auto other_body = [](fixture& /*f*/, job_request& it) { it.payloads[0] += "x"; };
+    const auto other_split = [](fixture& /*f*/, job_request& it) {
+        it.payloads = {it.payloads[0] + it.payloads[1], ""};
+    };
+    const auto mangled = [](fixture& /*f*/, job_request& it) { it.id[0] = 'x'; };
+    const auto restarted = [](fixture& f, job_request& /*it*/) { f.service = f.make(2); };
+    const auto shut_down = [](fixture& f, job_request& /*it*/) { f.service->shut_down([] {}); };
+    const row rows[] = {
+        {"same while running", 10ms, same, std::nullopt, 2},
+        {"same when finished", 1s, same, std::nullopt, 2},
+        {"same, shorter deadline", 10ms,
+         [](fixture& /*f*/, job_request& it) { it.deadline = 500ms; }, std::nullopt, 2},
+        {"same at the end of the retention", 60s, same, std::nullopt, 2},
+        {"same after the retention", 65s, same, errc::not_found, 2},
+        {"same after the prefix expired", 130s, same, errc::not_found, 2},
+        {"other body while running", 10ms, other_body, errc::conflict, 2},
+        {"bytes moved between payloads", 10ms, other_split, errc::conflict, 2},
+        {"other body after the retention", 65s, other_body, errc::conflict, 2},
+        {"other id, expired prefix", 121s, new_suffix, errc::not_found, 2},
+        {"other id, valid prefix", 119s, new_suffix, std::nullopt, 4},
+        {"mangled id", 10ms, mangled, errc::invalid_argument, 2},
+        {"id of an earlier incarnation", 1s, restarted, errc::not_found, 2},
+        {"same while shutting down", 10ms, shut_down, std::nullopt, 2},
+        {"other id while shutting down", 10ms,
+         [](fixture& f, job_request& it) {
+             f.service->shut_down([] {});
+             it.id += "x";
+         },
+         errc::unavailable, 2},
+    };
+    for (const row& it : rows) {
+        fixture f;
+        auto job = f.request("once", 2);
+        BOOST_TEST(f.send(job).has_value(), it.what);
+        f.timers.advance(it.pause);
+        it.change(f, job);
+        const auto outcome = f.send(job);
+        BOOST_TEST(((outcome ? std::nullopt : std::optional{outcome.error().code}) == it.expected),
+                   it.what);
+        f.timers.advance(10s);
+        BOOST_TEST(f.client.starts == it.starts, it.what);
+        f.check(it.what);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
