--- a/include/config/deployment.h
+++ b/include/config/deployment.h
@@ -18,6 +18,7 @@
     duration declared_run_time{};   // often far off; only used until run times are learned
     duration default_deadline{};    // used when the caller names none
     std::vector<std::string> needs; // worker features, for example "accelerator"
+    bool retired = false;           // no longer in the document; see stable_positions.h
 };
 
 // A worker that tasks can be started on.
@@ -29,6 +30,7 @@
     std::uint32_t slots = 0;
     std::uint32_t max_connections = 0;
     std::vector<std::string> features;
+    bool retired = false; // no longer in the document; see stable_positions.h
 };
 
 // A team with a share of the capacity.
