Add apply() to the router and the job service

A new configuration document must take effect without a restart. Both receive the settings with stable positions, so running tasks still refer to the same workers and kinds.

--- a/include/dispatch/job_service.h
+++ b/include/dispatch/job_service.h
@@ -12,6 +12,8 @@
 
 namespace cactusloom {
 
+struct deployment;
+
 // A submission as it reaches the owning instance, already checked for size limits.
 struct job_request {
     std::string id; // whole submission id, "<prefix>.<suffix>"
@@ -57,6 +59,10 @@
     job_service& operator=(const job_service&) = delete;
     virtual ~job_service() = default;
 
+    // Takes a new document into force, with stable positions (config/stable_positions.h). Jobs that
+    // were accepted before go on under the rules that they were accepted with.
+    virtual void apply(const deployment& settings) = 0;
+
     // Accepts a job, or joins the running or finished one with the same id and the same content.
     // Errors: `conflict` (same id, other content), `invalid_argument` (unknown kind or customer,
     // can never run), `unavailable` (refused and certainly not run: overload, quota, shutting
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -43,6 +43,11 @@
     router& operator=(const router&) = delete;
     virtual ~router() = default;
 
+    // Takes a new document into force. Kinds and workers keep their positions and new ones are
+    // appended (config/stable_positions.h); retired ones get no new work. What was learned about
+    // the others is kept, and outcomes of running tasks may still be recorded.
+    virtual void apply(const deployment& settings) = 0;
+
     // Picks a worker that has room for the task, or nothing if the task should wait.
     virtual std::optional<worker_id> pick(const routing_query& query) = 0;
 
