--- a/include/config/deployment.h
+++ b/include/config/deployment.h
@@ -46,12 +46,20 @@
 
 // The weights of the two measures and the limits that follow from them.
 struct dispatch_profile {
+    double response_time_weight = 1.0;  // importance of response time, 0 to 1
+    double wasted_message_weight = 1.0; // importance of messages beyond the two needed, 0 to 1
     std::string routing = "predicted_finish"; // name of the routing strategy
     double message_budget = 2.02;             // messages a task on average, two being the minimum
     double hedge_quantile = 0.95; // run-time quantile after which a second start may be made
     double retry_ratio = 0.1;     // retries allowed for each first start
 };
 
+// The team that may edit a section of the configuration document.
+struct section_owner {
+    std::string section;
+    std::string team;
+};
+
 // Limits of the caller API and of the queues of an instance.
 struct admission_limits {
     std::uint32_t max_tasks_per_job = 700;
@@ -72,6 +80,7 @@
     std::vector<team_quota> teams;
     std::vector<customer_settings> customers;
     std::uint32_t account_appends_per_second = 100; // over all instances
+    std::vector<section_owner> owners;              // one for each section
 };
 
 } // namespace cactusloom
