--- /dev/null
+++ b/include/membership/failure_detector.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/timer_service.h"
+#include "membership/data_centre_watch.h"
+#include "membership/member_table.h"
+#include "membership/membership_codec.h"
+#include "membership/peer_transport.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusloom {
+
+struct failure_detector_settings {
+    duration period = std::chrono::seconds{1};
+    // A direct and an indirect probe fit into one period.
+    duration ping_timeout = std::chrono::milliseconds{300};
+    duration indirect_timeout = std::chrono::milliseconds{650};
+    unsigned indirect_peers = 3;
+    unsigned suspicion_periods = 4;
+    // A member that is gone stays known for this long, so that late gossip does not revive it and
+    // so that two sides that declared each other dead meet again.
+    duration dead_retention = std::chrono::minutes{10};
+    // Members of a data centre that stays cut off are given up after this time.
+    duration cut_off_retention = std::chrono::hours{1};
+    // A member that was steady for this long counts as steady again.
+    duration flap_memory = std::chrono::minutes{5};
+    duration hint_retry = std::chrono::seconds{10};
+};
+
+// An instance as the platform's list names it. Only tells where to look: what members say about
+// themselves takes precedence.
+struct peer_hint {
+    std::string name;
+    std::string data_centre;
+    std::string address;
+    bool leaving = false;
+};
+
+// Messages of this instance, requests and replies, without the transport's own framing.
+struct membership_traffic {
+    std::uint64_t messages_sent = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t messages_received = 0;
+    std::uint64_t bytes_received = 0;
+    std::uint64_t rejected = 0; // texts that could not be decoded
+};
+
+// SWIM-style failure detector. Pings one member each period, asks three others to ping it when it
+// is silent, suspects it before declaring it dead, and spreads changes on the same messages.
+class failure_detector {
+public:
+    using reply_callback = std::function<void(std::string)>;
+    using change_callback = std::function<void(const member_change&)>;
+    using reach_callback = std::function<void(std::string_view data_centre, bool reachable)>;
+    using summary_callback = std::function<void(const member& from, std::string_view summary)>;
+
+    // `self.incarnation` must be greater than that of every earlier process of the same name.
+    // Timer service and transport must outlive the detector.
+    failure_detector(timer_service& timers, peer_transport& transport, member self,
+                     std::uint32_t seed, failure_detector_settings settings = {});
+    ~failure_detector();
+    failure_detector(const failure_detector&) = delete;
+    failure_detector& operator=(const failure_detector&) = delete;
+
+    void start();
+
+    // Replaces the hints with the platform's newest list, which may be stale.
+    void set_hints(std::vector<peer_hint> hints);
+
+    // Text that every message of this instance carries, at most `max_summary` bytes.
+    void set_summary(std::string summary);
+
+    // Changes this instance's capacity weight.
+    void set_weight(double weight);
+
+    // Tells the others that this instance takes no new work. It stays a live member.
+    void announce_leaving();
+
+    // Says goodbye to a few members and stops. `done` runs once they replied or timed out.
+    void leave(std::function<void()> done);
+
+    // Answers one JSON-RPC request text from a peer. `reply` runs once with the reply text; for a
+    // ping before handle() returns, for a ping request after the probe of the target.
+    void handle(std::string_view request, reply_callback reply);
+
+    const member_table& members() const { return table_; }
+
+    // True once a later incarnation of this instance's name was seen. This process must then take
+    // no more work, since others no longer regard it as the owner of the name.
+    bool is_superseded() const { return superseded_; }
+
+    // True once the table was copied from a member.
+    bool has_joined() const { return joined_; }
+
+    void on_change(change_callback fn) { change_callbacks_.push_back(std::move(fn)); }
+    void on_reach(reach_callback fn) { reach_callbacks_.push_back(std::move(fn)); }
+    // Runs for every direct message that carries a summary.
+    void on_summary(summary_callback fn) { summary_callbacks_.push_back(std::move(fn)); }
+
+    const membership_traffic& traffic() const { return traffic_; }
+
+private:
+    struct rumour {
+        std::string name; // the table's entry is sent, so a rumour is never stale
+        unsigned sent = 0;
+    };
+    // One probe of one member: direct, then indirect.
+    struct probe {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        unsigned open = 0;
+        bool reached = false;
+    };
+    using reply_handler = std::function<void(result<membership_reply>)>;
+
+    void tick();
+    void extend_after_pause(duration lost);
+    void expire_suspicions();
+    void forget_gone();
+    void probe_next();
+    void probe_doubtful();
+    void verify_data_centres();
+    void probe_seeds();
+
+    void send(std::string_view address, membership_request request, duration limit,
+              reply_handler done);
+    void ping(std::string_view address, std::string_view name, reply_handler done);
+    void probe_member(const std::string& name);
+    void probe_indirectly(const std::shared_ptr<probe>& it);
+    void finish_probe(const probe& it, bool reached);
+    void copy_table(const std::string& address, const std::string& name, const std::string& after);
+
+    void receive(const gossip& news);
+    void apply(const member& update, bool is_own_word);
+    void note_heard(std::string_view name);
+    void suspect(member_entry& entry);
+    void declare_dead(member_entry& entry);
+    void refute(const member& claim);
+    void spread(std::string_view name);
+    gossip make_gossip(std::string_view receiver);
+    gossip make_page(std::string_view after) const;
+    void tell_successor(const member& sender, gossip& news) const;
+    void publish(const member_change& change);
+    std::vector<std::string> choose_helpers(const member& target);
+    duration suspicion_time(const member_entry& entry) const;
+    unsigned tolerated_misses(const member_entry& entry) const;
+    unsigned rumour_limit() const;
+    bool was_late(monotonic_time sent, duration limit) const;
+
+    timer_service& timers_;
+    peer_transport& transport_;
+    failure_detector_settings settings_;
+    member_table table_;
+    data_centre_watch watch_;
+    random_engine random_;
+
+    std::vector<rumour> rumours_;
+    std::vector<std::string> round_; // names still to be pinged in this round, last first
+    std::string repeat_cursor_;      // where the repetition of known members goes on
+    std::vector<peer_hint> hints_;
+    std::map<std::string, monotonic_time, std::less<>> hint_tries_;
+    std::size_t hint_cursor_ = 0;
+    std::string summary_;
+
+    std::vector<change_callback> change_callbacks_;
+    std::vector<reach_callback> reach_callbacks_;
+    std::vector<summary_callback> summary_callbacks_;
+    membership_traffic traffic_;
+
+    timer_id tick_timer_ = 0;
+    monotonic_time last_tick_{};
+    std::uint64_t ticks_ = 0;
+    std::uint64_t last_request_ = 0;
+    bool joined_ = false;
+    bool joining_ = false;
+    bool stopped_ = false;
+    bool superseded_ = false;
+    // Callbacks of the transport hold a weak reference, so a late one does nothing.
+    std::shared_ptr<failure_detector*> alive_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/membership/member_table.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/time.h"
+#include "membership/member.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusloom {
+
+// What this instance knows about another member beyond the shared description.
+struct member_entry {
+    member info;
+    std::string summary;       // opaque text of the member's last direct message
+    monotonic_time heard{};    // last reply or request from it, also through a third member
+    monotonic_time changed{};  // last change of state
+    monotonic_time deadline{}; // end of a suspicion
+    monotonic_time flapped{};  // last return from suspect or dead
+    unsigned flaps = 0;        // returns within one incarnation
+    unsigned misses = 0;       // probes of our own that failed in a row
+    bool was_heard = false;
+};
+
+// A change of one member, as subscribers see it.
+struct member_change {
+    const member& now;
+    std::optional<member_state> before; // none for a new member
+    bool restarted = false;             // the incarnation is a later one
+};
+
+// The members known to one instance and the rules by which updates are merged. Pure state: time
+// comes with the calls.
+class member_table {
+public:
+    // Bounds the memory that wrong or hostile updates can take.
+    static constexpr std::size_t max_members = 2048;
+
+    explicit member_table(member self);
+
+    const member& self() const { return self_; }
+    member& self() { return self_; }
+
+    // Merges an update about another member. Returns the change, or nothing if the update is not
+    // newer. Updates about this instance are not merged here.
+    std::optional<member_change> apply(const member& update, monotonic_time now);
+
+    member_entry* find(std::string_view name);
+    // The member of that name, whatever its state, or null. This instance itself is not in the
+    // table.
+    const member_entry* find(std::string_view name) const;
+    // The member only if its known incarnation is this one. Null means that the process that
+    // issued the incarnation is not known, or is gone and has been replaced.
+    const member_entry* find(std::string_view name, std::uint64_t incarnation) const;
+
+    // All other members in order of name, of any state.
+    const std::map<std::string, member_entry, std::less<>>& others() const { return others_; }
+    std::map<std::string, member_entry, std::less<>>& others() { return others_; }
+
+    // Live members (alive or suspect), this instance included, in order of name. Members of an
+    // unreachable data centre are kept in this list.
+    std::vector<const member*> live_members() const;
+    std::size_t live_count() const;
+
+    // This instance's part of the weight of all live members that are not leaving, in [0, 1].
+    // Members of an unreachable data centre count, so that the shares of both sides of a
+    // partition never sum to more than one. Zero once this instance is leaving.
+    double capacity_share() const;
+
+    // Number of live, reachable, staying members whose name sorts before this instance's.
+    std::size_t rank() const;
+
+    // False while the data centre is cut off from this instance.
+    bool is_reachable(std::string_view data_centre) const;
+    void set_reachable(std::string_view data_centre, bool reachable);
+
+private:
+    member self_;
+    std::map<std::string, member_entry, std::less<>> others_;
+    std::set<std::string, std::less<>> unreachable_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/membership/failure_detector.cpp
@@ -0,0 +1,776 @@
+#include "membership/failure_detector.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+#include <utility>
+
+namespace cactusloom {
+namespace {
+
+// Updates beyond recent changes that a message repeats from the table. They repair what lost
+// messages left out, at a fixed cost for any number of members.
+constexpr std::size_t repeated_updates = 2;
+
+// Members with unconfirmed misses that are probed again each period, beside the regular one.
+constexpr std::size_t doubtful_probes = 2;
+
+// One dead member is pinged every so many periods, so that the sides of a long partition that
+// declared each other dead meet again without the platform's list.
+constexpr std::uint64_t dead_probe_interval = 5;
+
+// Each update is sent this many times the logarithm of the number of members, which reaches all
+// of them with high probability in a push protocol.
+constexpr unsigned rumour_factor = 3;
+
+// Members that are told of a goodbye directly.
+constexpr std::size_t goodbye_messages = 5;
+
+// Hints tried each period until one answers. A stale list may name many that are gone.
+constexpr unsigned seeds_while_joining = 4;
+
+// A member that came back this often is as unsteady as it gets.
+constexpr unsigned max_flaps = 3;
+
+} // namespace
+
+failure_detector::failure_detector(timer_service& timers, peer_transport& transport, member self,
+                                   std::uint32_t seed, failure_detector_settings settings)
+    : timers_(timers), transport_(transport), settings_(settings), table_(std::move(self)),
+      watch_(settings.period * settings.suspicion_periods),
+      random_(seed ^ static_cast<std::uint32_t>(hash64(table_.self().name))),
+      alive_(std::make_shared<failure_detector*>(this))
+{
+    assert(!table_.self().name.empty());
+}
+
+failure_detector::~failure_detector()
+{
+    timers_.cancel(tick_timer_);
+}
+
+void failure_detector::start()
+{
+    last_tick_ = timers_.monotonic_now();
+    // A random phase keeps instances that start together from pinging in step.
+    const auto phase =
+        duration{draw_below(random_, static_cast<std::uint32_t>(settings_.period.count()))};
+    tick_timer_ = timers_.schedule(phase, [this] { tick(); });
+}
+
+void failure_detector::set_hints(std::vector<peer_hint> hints)
+{
+    hints_ = std::move(hints);
+    std::erase_if(hint_tries_, [this](const auto& it) {
+        return std::none_of(hints_.begin(), hints_.end(),
+                            [&](const peer_hint& hint) { return hint.name == it.first; });
+    });
+}
+
+void failure_detector::set_summary(std::string summary)
+{
+    assert(summary.size() <= max_summary);
+    summary_ = std::move(summary);
+}
+
+void failure_detector::set_weight(double weight)
+{
+    auto& self = table_.self();
+    if (self.weight != weight) {
+        self.weight = weight;
+        ++self.refutation;
+        spread(self.name);
+    }
+}
+
+void failure_detector::announce_leaving()
+{
+    auto& self = table_.self();
+    if (!self.leaving) {
+        self.leaving = true;
+        ++self.refutation;
+        spread(self.name);
+    }
+}
+
+void failure_detector::leave(std::function<void()> done)
+{
+    timers_.cancel(tick_timer_);
+    stopped_ = true;
+    auto& self = table_.self();
+    self.leaving = true;
+    self.state = member_state::left;
+    ++self.refutation;
+
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : table_.others()) {
+        if (entry.info.state == member_state::alive &&
+            table_.is_reachable(entry.info.data_centre)) {
+            names.push_back(name);
+        }
+    }
+    const auto n = std::min(names.size(), goodbye_messages);
+    for (std::size_t i = 0; i < n; ++i) {
+        const auto rest = static_cast<std::uint32_t>(names.size() - i);
+        std::swap(names[i], names[i + draw_below(random_, rest)]);
+    }
+    names.resize(n);
+    if (names.empty()) {
+        timers_.schedule(duration::zero(), std::move(done));
+        return;
+    }
+    auto open = std::make_shared<std::size_t>(n);
+    auto finish = std::make_shared<std::function<void()>>(std::move(done));
+    for (const auto& name : names) {
+        ping(table_.find(name)->info.address, name, [open, finish](const auto&) {
+            if (--*open == 0) {
+                (*finish)();
+            }
+        });
+    }
+}
+
+void failure_detector::tick()
+{
+    const auto now = timers_.monotonic_now();
+    const auto elapsed = now - last_tick_;
+    last_tick_ = now;
+    tick_timer_ = timers_.schedule(settings_.period, [this] { tick(); });
+    if (elapsed > 2 * settings_.period) {
+        extend_after_pause(elapsed);
+    }
+    ++ticks_;
+    expire_suspicions();
+    forget_gone();
+    probe_next();
+    probe_doubtful();
+    verify_data_centres();
+    probe_seeds();
+}
+
+// After a pause of this process the silence of others is its own. Suspicions get the lost time
+// back.
+void failure_detector::extend_after_pause(duration lost)
+{
+    for (auto& [name, entry] : table_.others()) {
+        if (entry.info.state == member_state::suspect) {
+            entry.deadline += lost;
+        }
+        entry.misses = 0;
+    }
+}
+
+void failure_detector::expire_suspicions()
+{
+    const auto now = timers_.monotonic_now();
+    struct count {
+        std::size_t live = 0;
+        std::size_t suspects = 0;
+    };
+    std::map<std::string, count, std::less<>> counts;
+    std::vector<member_entry*> expired;
+    for (auto& [name, entry] : table_.others()) {
+        if (!is_live(entry.info.state)) {
+            continue;
+        }
+        auto& it = counts[entry.info.data_centre];
+        ++it.live;
+        if (entry.info.state == member_state::suspect) {
+            ++it.suspects;
+            if (entry.deadline <= now) {
+                expired.push_back(&entry);
+            }
+        }
+    }
+    const bool isolated = table_.live_count() > 2 && !watch_.any_heard(now);
+    for (auto* entry : expired) {
+        const auto& data_centre = entry->info.data_centre;
+        if (watch_.is_cut_off(data_centre)) {
+            if (watch_.cut_off_for(data_centre, now) > settings_.cut_off_retention) {
+                declare_dead(*entry);
+            }
+            continue;
+        }
+        const auto& it = counts[data_centre];
+        // This instance is itself an answering member of its own data centre.
+        const bool is_own = data_centre == table_.self().data_centre;
+        switch (is_own ? data_centre_watch::verdict::members_died
+                       : watch_.judge(data_centre, it.live, it.suspects, now)) {
+        case data_centre_watch::verdict::members_died:
+            // Without an own failed probe the suspicion is hearsay; the next period probes it. An
+            // instance that hears nobody is itself cut off and declares nobody dead.
+            if (!isolated && entry->misses > 0) {
+                declare_dead(*entry);
+            }
+            break;
+        case data_centre_watch::verdict::cut_off:
+            watch_.set_cut_off(data_centre, now);
+            table_.set_reachable(data_centre, false);
+            for (const auto& fn : reach_callbacks_) {
+                fn(data_centre, false);
+            }
+            break;
+        case data_centre_watch::verdict::unclear:
+            break;
+        }
+    }
+}
+
+void failure_detector::forget_gone()
+{
+    const auto now = timers_.monotonic_now();
+    for (auto& [name, entry] : table_.others()) {
+        if (entry.flaps > 0 && now - entry.flapped > settings_.flap_memory) {
+            entry.flaps = 0;
+        }
+    }
+    std::erase_if(table_.others(), [&](const auto& it) {
+        return !is_live(it.second.info.state) && now - it.second.changed > settings_.dead_retention;
+    });
+}
+
+// Shuffled round-robin: every member is pinged once a round, so the time until a dead member is
+// noticed by somebody is bounded.
+void failure_detector::probe_next()
+{
+    for (int rounds = 0; rounds < 2; ++rounds) {
+        while (!round_.empty()) {
+            const auto name = std::move(round_.back());
+            round_.pop_back();
+            const auto* entry = table_.find(name);
+            if (entry != nullptr && is_live(entry->info.state)) {
+                probe_member(name);
+                return;
+            }
+        }
+        for (const auto& [name, entry] : table_.others()) {
+            if (is_live(entry.info.state)) {
+                round_.push_back(name);
+            }
+        }
+        for (std::size_t i = round_.size(); i > 1; --i) {
+            std::swap(round_[i - 1], round_[draw_below(random_, static_cast<std::uint32_t>(i))]);
+        }
+    }
+}
+
+// Probes suspects and members with misses again, longest unheard first. A live suspect is told
+// about the suspicion by the ping itself and refutes it in the reply.
+void failure_detector::probe_doubtful()
+{
+    std::vector<const member_entry*> doubtful;
+    for (const auto& [name, entry] : table_.others()) {
+        if (is_live(entry.info.state) &&
+            (entry.info.state == member_state::suspect || entry.misses > 0) &&
+            table_.is_reachable(entry.info.data_centre)) {
+            doubtful.push_back(&entry);
+        }
+    }
+    // Members without an own miss go first: their suspicion is hearsay until they are probed.
+    std::sort(doubtful.begin(), doubtful.end(), [](const auto* a, const auto* b) {
+        return std::pair(a->misses, a->heard) < std::pair(b->misses, b->heard);
+    });
+    for (std::size_t i = 0; i < std::min(doubtful.size(), doubtful_probes); ++i) {
+        probe_member(doubtful[i]->info.name);
+    }
+}
+
+// Pings one member beside a suspect in its data centre, to tell a death from a cut before the
+// suspicion ends.
+void failure_detector::verify_data_centres()
+{
+    std::vector<std::string_view> in_question;
+    for (const auto& [name, entry] : table_.others()) {
+        if (entry.info.state == member_state::suspect &&
+            table_.is_reachable(entry.info.data_centre) &&
+            std::find(in_question.begin(), in_question.end(), entry.info.data_centre) ==
+                in_question.end()) {
+            in_question.emplace_back(entry.info.data_centre);
+        }
+    }
+    if (in_question.empty()) {
+        return;
+    }
+    const auto data_centre = in_question[ticks_ % in_question.size()];
+    std::vector<const std::string*> names;
+    for (const auto& [name, entry] : table_.others()) {
+        if (entry.info.state == member_state::alive && entry.misses == 0 &&
+            entry.info.data_centre == data_centre) {
+            names.push_back(&name);
+        }
+    }
+    if (!names.empty()) {
+        probe_member(*names[draw_below(random_, static_cast<std::uint32_t>(names.size()))]);
+    }
+}
+
+void failure_detector::probe_seeds()
+{
+    const auto now = timers_.monotonic_now();
+    auto budget = joined_ ? 1U : seeds_while_joining;
+    for (std::size_t i = 0; i < hints_.size() && budget > 0; ++i) {
+        const auto& hint = hints_[hint_cursor_++ % hints_.size()];
+        if (hint.name == table_.self().name || table_.find(hint.name) != nullptr) {
+            continue;
+        }
+        const auto tried = hint_tries_.find(hint.name);
+        if (tried != hint_tries_.end() && now - tried->second < settings_.hint_retry) {
+            continue;
+        }
+        hint_tries_[hint.name] = now;
+        ping(hint.address, hint.name, [](const auto&) {});
+        --budget;
+    }
+    if (ticks_ % dead_probe_interval != 0) {
+        return;
+    }
+    std::vector<const member*> dead;
+    for (const auto& [name, entry] : table_.others()) {
+        if (entry.info.state == member_state::dead) {
+            dead.push_back(&entry.info);
+        }
+    }
+    if (!dead.empty()) {
+        const auto* it = dead[draw_below(random_, static_cast<std::uint32_t>(dead.size()))];
+        ping(it->address, it->name, [](const auto&) {});
+    }
+}
+
+void failure_detector::send(std::string_view address, membership_request request, duration limit,
+                            reply_handler done)
+{
+    request.id = ++last_request_;
+    auto text = encode_request(request);
+    ++traffic_.messages_sent;
+    traffic_.bytes_sent += text.size();
+    transport_.send(address, std::move(text), limit,
+                    [weak = std::weak_ptr(alive_), id = request.id,
+                     done = std::move(done)](result<std::string> reply) {
+                        const auto alive = weak.lock();
+                        if (!alive) {
+                            return;
+                        }
+                        auto& self = **alive;
+                        if (!reply) {
+                            done(reply.as_failure());
+                            return;
+                        }
+                        ++self.traffic_.messages_received;
+                        self.traffic_.bytes_received += reply.value().size();
+                        auto decoded = decode_reply(reply.value());
+                        if (!decoded || decoded.value().id != id) {
+                            ++self.traffic_.rejected;
+                            done(failure(errc::invalid_argument, "reply does not fit the request"));
+                            return;
+                        }
+                        self.receive(decoded.value().news);
+                        done(std::move(decoded));
+                    });
+}
+
+void failure_detector::ping(std::string_view address, std::string_view name, reply_handler done)
+{
+    membership_request request;
+    request.news = make_gossip(name);
+    request.target = name;
+    send(address, std::move(request), settings_.ping_timeout, std::move(done));
+}
+
+void failure_detector::probe_member(const std::string& name)
+{
+    const auto& entry = *table_.find(name);
+    auto it = std::make_shared<probe>(probe{name, entry.info.incarnation, 0, false});
+    const auto sent = timers_.monotonic_now();
+    ping(entry.info.address, name, [this, it, sent](const result<membership_reply>& reply) {
+        // The address may have passed to another instance, whose answer proves nothing.
+        if (reply && reply.value().news.from.name == it->name) {
+            finish_probe(*it, true);
+        }
+        else if (!was_late(sent, settings_.ping_timeout)) {
+            probe_indirectly(it);
+        }
+    });
+}
+
+void failure_detector::probe_indirectly(const std::shared_ptr<probe>& it)
+{
+    const auto* entry = table_.find(it->name);
+    if (stopped_ || entry == nullptr) {
+        return;
+    }
+    // Indirect probes into a data centre that is cut off would cost six messages a period for
+    // hours without a new finding.
+    const auto helpers = table_.is_reachable(entry->info.data_centre) ? choose_helpers(entry->info)
+                                                                      : std::vector<std::string>{};
+    if (helpers.empty()) {
+        finish_probe(*it, false);
+        return;
+    }
+    it->open = static_cast<unsigned>(helpers.size());
+    const auto sent = timers_.monotonic_now();
+    for (const auto& helper : helpers) {
+        membership_request request;
+        request.call = membership_request::method::ping_request;
+        request.news = make_gossip(helper);
+        request.target = it->name;
+        request.target_address = entry->info.address;
+        send(table_.find(helper)->info.address, std::move(request), settings_.indirect_timeout,
+             [this, it, sent](const result<membership_reply>& reply) {
+                 --it->open;
+                 if (reply && reply.value().reached) {
+                     if (reply.value().target && reply.value().target->name == it->name) {
+                         apply(*reply.value().target, true);
+                     }
+                     if (!it->reached) {
+                         it->reached = true;
+                         finish_probe(*it, true);
+                     }
+                 }
+                 else if (it->open == 0 && !it->reached &&
+                          !was_late(sent, settings_.indirect_timeout)) {
+                     finish_probe(*it, false);
+                 }
+             });
+    }
+}
+
+void failure_detector::finish_probe(const probe& it, bool reached)
+{
+    auto* entry = table_.find(it.name);
+    if (entry == nullptr || entry->info.incarnation != it.incarnation) {
+        return;
+    }
+    if (reached) {
+        note_heard(it.name);
+        return;
+    }
+    watch_.missed(entry->info.data_centre);
+    ++entry->misses;
+    if (entry->info.state == member_state::alive && entry->misses > tolerated_misses(*entry)) {
+        suspect(*entry);
+    }
+}
+
+// Reads the whole table of a member in order of name. Pages keep each message bounded.
+void failure_detector::copy_table(const std::string& address, const std::string& name,
+                                  const std::string& after)
+{
+    joining_ = true;
+    membership_request request;
+    request.news = make_gossip(name);
+    request.target = name;
+    request.after = after;
+    send(address, std::move(request), settings_.ping_timeout,
+         [this, address, name, after](const result<membership_reply>& reply) {
+             if (!reply) {
+                 joining_ = false; // the next contact starts over
+                 return;
+             }
+             const auto& updates = reply.value().news.updates;
+             if (updates.size() < max_updates_per_message || updates.back().name <= after) {
+                 joined_ = true;
+                 joining_ = false;
+                 return;
+             }
+             copy_table(address, name, updates.back().name);
+         });
+}
+
+void failure_detector::handle(std::string_view text, reply_callback reply)
+{
+    ++traffic_.messages_received;
+    traffic_.bytes_received += text.size();
+    const auto answer = [this](const reply_callback& to, std::string content) {
+        ++traffic_.messages_sent;
+        traffic_.bytes_sent += content.size();
+        to(std::move(content));
+    };
+    auto decoded = decode_request(text);
+    if (!decoded) {
+        ++traffic_.rejected;
+        const int code = decoded.error().code == errc::not_found ? -32601 : -32600;
+        answer(reply, encode_rpc_error(0, code, decoded.error().message));
+        return;
+    }
+    const auto& request = decoded.value();
+    receive(request.news);
+    if (request.call == membership_request::method::ping) {
+        membership_reply out;
+        out.id = request.id;
+        out.news = request.after ? make_page(*request.after) : make_gossip(request.news.from.name);
+        tell_successor(request.news.from, out.news);
+        answer(reply, encode_reply(out));
+        return;
+    }
+    ping(request.target_address, request.target,
+         [this, answer, id = request.id, asker = request.news.from.name, target = request.target,
+          reply = std::move(reply)](const result<membership_reply>& found) {
+             membership_reply out;
+             out.id = id;
+             out.news = make_gossip(asker);
+             out.reached = found && found.value().news.from.name == target;
+             if (out.reached) {
+                 out.target = found.value().news.from;
+             }
+             answer(reply, encode_reply(out));
+         });
+}
+
+void failure_detector::receive(const gossip& news)
+{
+    for (const auto& update : news.updates) {
+        apply(update, false);
+    }
+    apply(news.from, true);
+    if (news.from.name == table_.self().name) {
+        return;
+    }
+    const auto* entry = table_.find(news.from.name);
+    if (entry == nullptr || entry->info.incarnation != news.from.incarnation) {
+        return;
+    }
+    note_heard(news.from.name);
+    if (!news.summary.empty()) {
+        table_.find(news.from.name)->summary = news.summary;
+        for (const auto& fn : summary_callbacks_) {
+            fn(news.from, news.summary);
+        }
+    }
+    if (!joined_ && !joining_ && !stopped_ && news.from.state == member_state::alive) {
+        copy_table(news.from.address, news.from.name, "");
+    }
+}
+
+void failure_detector::apply(const member& update, bool is_own_word)
+{
+    if (update.name == table_.self().name) {
+        refute(update);
+        return;
+    }
+    const auto* known = table_.find(update.name);
+    if (!is_own_word) {
+        // Hearsay about a data centre that is cut off cannot come from its members.
+        if (update.state == member_state::dead && known != nullptr &&
+            watch_.is_cut_off(known->info.data_centre)) {
+            return;
+        }
+        // An unknown member that is gone needs no entry.
+        if (known == nullptr && !is_live(update.state)) {
+            return;
+        }
+    }
+    if (const auto change = table_.apply(update, timers_.monotonic_now())) {
+        auto& entry = *table_.find(update.name);
+        if (entry.info.state == member_state::suspect) {
+            entry.deadline = timers_.monotonic_now() + suspicion_time(entry);
+        }
+        spread(update.name);
+        publish(*change);
+    }
+}
+
+void failure_detector::note_heard(std::string_view name)
+{
+    auto& entry = *table_.find(name);
+    const auto now = timers_.monotonic_now();
+    entry.heard = now;
+    entry.was_heard = true;
+    entry.misses = 0;
+    const auto& data_centre = entry.info.data_centre;
+    if (!watch_.heard(data_centre, now)) {
+        return;
+    }
+    table_.set_reachable(data_centre, true);
+    for (auto& [other, it] : table_.others()) {
+        if (it.info.data_centre == data_centre && it.info.state == member_state::suspect) {
+            it.misses = 0;
+            it.deadline = now + suspicion_time(it);
+        }
+    }
+    for (const auto& fn : reach_callbacks_) {
+        fn(data_centre, true);
+    }
+}
+
+void failure_detector::suspect(member_entry& entry)
+{
+    auto update = entry.info;
+    update.state = member_state::suspect;
+    apply(update, false);
+}
+
+void failure_detector::declare_dead(member_entry& entry)
+{
+    auto update = entry.info;
+    update.state = member_state::dead;
+    apply(update, true);
+}
+
+// Contradicts a claim about this instance. Two processes with one name are told apart by the
+// incarnation; the earlier one gives way.
+void failure_detector::refute(const member& claim)
+{
+    auto& self = table_.self();
+    if (claim.incarnation > self.incarnation) {
+        superseded_ = true;
+        return;
+    }
+    if (stopped_) {
+        return;
+    }
+    if (claim.incarnation < self.incarnation || claim.state == member_state::left) {
+        spread(self.name);
+        return;
+    }
+    if (supersedes(claim, self)) {
+        self.refutation = claim.refutation + 1;
+        spread(self.name);
+    }
+}
+
+void failure_detector::spread(std::string_view name)
+{
+    std::erase_if(rumours_, [&](const rumour& it) { return it.name == name; });
+    rumours_.push_back({std::string(name), 0});
+}
+
+unsigned failure_detector::rumour_limit() const
+{
+    return rumour_factor * static_cast<unsigned>(std::bit_width(table_.live_count()));
+}
+
+gossip failure_detector::make_gossip(std::string_view receiver)
+{
+    gossip news{table_.self(), summary_, {}};
+    const auto add = [&](std::string_view name) {
+        // The message names this instance anyway, and the receiver knows itself.
+        if (name == table_.self().name || name == receiver) {
+            return false;
+        }
+        const auto* entry = table_.find(name);
+        if (entry == nullptr) {
+            return false;
+        }
+        news.updates.push_back(entry->info);
+        return true;
+    };
+    // The receiver learns at once what is believed about it, so that it can refute.
+    const auto* believed = table_.find(receiver);
+    if (believed != nullptr && believed->info.state != member_state::alive) {
+        news.updates.push_back(believed->info);
+    }
+    // Least spread first; a stable order keeps newer changes behind older ones of equal count.
+    std::stable_sort(rumours_.begin(), rumours_.end(),
+                     [](const rumour& a, const rumour& b) { return a.sent < b.sent; });
+    const auto limit = rumour_limit();
+    for (auto& it : rumours_) {
+        if (news.updates.size() >= max_updates_per_message) {
+            break;
+        }
+        if (it.name == table_.self().name) {
+            ++it.sent;
+            continue;
+        }
+        if (it.name == receiver) {
+            continue;
+        }
+        it.sent += add(it.name) ? 1 : limit;
+    }
+    std::erase_if(rumours_, [&](const rumour& it) { return it.sent >= limit; });
+
+    const auto& others = table_.others();
+    const auto room = std::min(repeated_updates, max_updates_per_message - news.updates.size());
+    for (std::size_t i = 0; i < room && !others.empty(); ++i) {
+        auto it = others.upper_bound(repeat_cursor_);
+        if (it == others.end()) {
+            it = others.begin();
+        }
+        repeat_cursor_ = it->first;
+        const bool already =
+            std::any_of(news.updates.begin(), news.updates.end(),
+                        [&](const member& update) { return update.name == repeat_cursor_; });
+        if (is_live(it->second.info.state) && !already) {
+            add(it->first);
+        }
+    }
+    return news;
+}
+
+// An earlier process whose name has been taken over learns that from the first answer.
+void failure_detector::tell_successor(const member& sender, gossip& news) const
+{
+    const auto* entry = table_.find(sender.name);
+    if (entry != nullptr && entry->info.incarnation > sender.incarnation) {
+        if (news.updates.size() == max_updates_per_message) {
+            news.updates.pop_back();
+        }
+        news.updates.push_back(entry->info);
+    }
+}
+
+gossip failure_detector::make_page(std::string_view after) const
+{
+    gossip page{table_.self(), summary_, {}};
+    for (auto it = table_.others().upper_bound(after);
+         it != table_.others().end() && page.updates.size() < max_updates_per_message; ++it) {
+        page.updates.push_back(it->second.info);
+    }
+    return page;
+}
+
+void failure_detector::publish(const member_change& change)
+{
+    for (const auto& fn : change_callbacks_) {
+        fn(change);
+    }
+}
+
+// One helper stands in the target's own data centre if possible: it can tell a dead member from a
+// cut between data centres.
+std::vector<std::string> failure_detector::choose_helpers(const member& target)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : table_.others()) {
+        if (entry.info.state == member_state::alive && entry.misses == 0 && name != target.name &&
+            table_.is_reachable(entry.info.data_centre)) {
+            (entry.info.data_centre == target.data_centre ? near : names).push_back(name);
+        }
+    }
+    std::vector<std::string> helpers;
+    const auto draw = [&](std::vector<std::string>& from) {
+        const auto i = draw_below(random_, static_cast<std::uint32_t>(from.size()));
+        helpers.push_back(std::move(from[i]));
+        from.erase(from.begin() + i);
+    };
+    if (!near.empty()) {
+        draw(near);
+    }
+    names.insert(names.end(), near.begin(), near.end());
+    while (helpers.size() < settings_.indirect_peers && !names.empty()) {
+        draw(names);
+    }
+    return helpers;
+}
+
+// A member that returned from suspicion or death is given more time at the next silence, so that
+// a link that flaps does not move its state back and forth.
+duration failure_detector::suspicion_time(const member_entry& entry) const
+{
+    return settings_.period * settings_.suspicion_periods * (1 + std::min(entry.flaps, max_flaps));
+}
+
+unsigned failure_detector::tolerated_misses(const member_entry& entry) const
+{
+    return 2 * std::min(entry.flaps, max_flaps);
+}
+
+// A loss reported much later than its limit means that this process was paused.
+bool failure_detector::was_late(monotonic_time sent, duration limit) const
+{
+    return timers_.monotonic_now() - sent > limit + settings_.period / 2;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/tests/membership/cluster.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "membership/failure_detector.h"
+#include "stand_in/memory_peer_network.h"
+#include "stand_in/virtual_timer_service.h"
+
+#include <fmt/format.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactusloom {
+
+// Timers of one instance, which can be paused while time goes on for the others.
+class pausable_timer_service final : public timer_service {
+public:
+    explicit pausable_timer_service(timer_service& inner) : inner_(inner) {}
+
+    monotonic_time monotonic_now() const override { return inner_.monotonic_now(); }
+    wall_time wall_now() const override { return inner_.wall_now(); }
+    timer_id schedule(duration delay, std::function<void()> fn) override
+    {
+        return inner_.schedule(delay, [this, fn = std::move(fn)]() mutable {
+            if (paused_) {
+                held_.push_back(std::move(fn));
+            }
+            else {
+                fn();
+            }
+        });
+    }
+    void cancel(timer_id id) override { inner_.cancel(id); }
+
+    void pause() { paused_ = true; }
+    void resume()
+    {
+        paused_ = false;
+        for (auto& fn : std::exchange(held_, {})) {
+            inner_.schedule(duration::zero(), std::move(fn));
+        }
+    }
+
+private:
+    timer_service& inner_;
+    bool paused_ = false;
+    std::vector<std::function<void()>> held_;
+};
+
+// Instances of several data centres in virtual time.
+class cluster {
+public:
+    struct node {
+        std::string name;
+        std::string data_centre;
+        std::string address;
+        std::unique_ptr<pausable_timer_service> timers;
+        std::unique_ptr<peer_transport> transport;
+        std::unique_ptr<failure_detector> detector;
+        unsigned deaths_seen = 0; // changes of any member to dead, as this node saw them
+    };
+
+    explicit cluster(std::uint32_t seed) : seed_(seed) {}
+
+    // Starts an instance "i<number>" that finds the others through the current list.
+    node& start(unsigned number, unsigned data_centre, std::uint64_t incarnation = 1)
+    {
+        const auto name = fmt::format("i{:03}", number);
+        list_[name] = {name, fmt::format("dc{}", data_centre), fmt::format("10.0.0.{}:80", number),
+                       false};
+        return start_unlisted(list_[name], incarnation);
+    }
+
+    node& start_unlisted(const peer_hint& place, std::uint64_t incarnation)
+    {
+        auto& it = nodes_[place.name];
+        if (it) {
+            network_.disconnect(it->address);
+            retired_.push_back(std::move(it)); // its timers may still be held by others
+        }
+        it = std::make_unique<node>();
+        it->name = place.name;
+        it->data_centre = place.data_centre;
+        it->address = place.address;
+        it->timers = std::make_unique<pausable_timer_service>(timers_);
+        it->transport = network_.connect(it->address, *it->timers);
+        member self;
+        self.name = place.name;
+        self.data_centre = place.data_centre;
+        self.address = place.address;
+        self.incarnation = incarnation;
+        it->detector = std::make_unique<failure_detector>(*it->timers, *it->transport, self, seed_);
+        auto* detector = it->detector.get();
+        network_.listen(it->address, [detector](std::string_view request, auto reply) {
+            detector->handle(request, std::move(reply));
+        });
+        it->detector->on_change([node = it.get()](const member_change& change) {
+            node->deaths_seen += change.now.state == member_state::dead ? 1 : 0;
+        });
+        it->detector->set_hints(hints());
+        it->detector->start();
+        return *it;
+    }
+
+    // Ends a process without a goodbye.
+    void kill(const std::string& name)
+    {
+        auto it = std::move(nodes_[name]);
+        nodes_.erase(name);
+        network_.disconnect(it->address);
+        it->detector.reset();
+        retired_.push_back(std::move(it));
+    }
+
+    // Announces, says goodbye and ends.
+    void leave(const std::string& name)
+    {
+        (*this)[name].detector->announce_leaving();
+        run(std::chrono::seconds{2});
+        (*this)[name].detector->leave([] {});
+        run(std::chrono::seconds{1});
+        kill(name);
+    }
+
+    void unlist(const std::string& name) { list_.erase(name); }
+    void publish_list()
+    {
+        for (auto& [name, it] : nodes_) {
+            it->detector->set_hints(hints());
+        }
+    }
+
+    void run(duration span) { timers_.advance(span); }
+    monotonic_time now() const { return timers_.monotonic_now(); }
+    memory_peer_network& network() { return network_; }
+    node& operator[](const std::string& name) { return *nodes_.at(name); }
+    std::map<std::string, std::unique_ptr<node>>& nodes() { return nodes_; }
+
+    // What `observer` holds of `name`: a state, or "unknown".
+    std::string view(const std::string& observer, const std::string& name)
+    {
+        const auto* entry = (*this)[observer].detector->members().find(name);
+        return entry == nullptr ? "unknown" : to_string(entry->info.state);
+    }
+
+    // True if every running node sees exactly the running nodes as live, all of them alive.
+    bool agrees()
+    {
+        for (auto& [name, it] : nodes_) {
+            const auto& table = it->detector->members();
+            if (table.live_count() != nodes_.size()) {
+                return false;
+            }
+            for (const auto* other : table.live_members()) {
+                if (!nodes_.contains(other->name) || other->state != member_state::alive) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    unsigned deaths_seen() const
+    {
+        unsigned n = 0;
+        for (const auto& [name, it] : nodes_) {
+            n += it->deaths_seen;
+        }
+        return n;
+    }
+
+private:
+    std::vector<peer_hint> hints() const
+    {
+        std::vector<peer_hint> all;
+        for (const auto& [name, it] : list_) {
+            all.push_back(it);
+        }
+        return all;
+    }
+
+    std::uint32_t seed_;
+    virtual_timer_service timers_;
+    memory_peer_network network_{std::chrono::milliseconds{1}};
+    std::map<std::string, peer_hint> list_;
+    std::vector<std::unique_ptr<node>> retired_;
+    std::map<std::string, std::unique_ptr<node>> nodes_;
+};
+
+} // namespace cactusloom
