Restart suspicions when a data centre's silence ends

Cause: with a data centre that flaps every 15 s, a suspicion lengthened by earlier flaps ended in the first period after the link came back. Change: the first answer after a silent window clears the misses of the data centre's suspects and restarts their suspicions. Conclusion: misses from before a silence ends prove nothing about one member.

--- a/include/membership/data_centre_watch.h
+++ b/include/membership/data_centre_watch.h
@@ -21,8 +21,9 @@
     // `window` is the time within which an answer counts as recent.
     explicit data_centre_watch(duration window) : window_(window) {}
 
-    // A member of the data centre answered or sent a request. Returns true if a data centre that
-    // was cut off counts as reachable again.
+    // A member of the data centre answered or sent a request. Returns true if that ends a silence
+    // of the whole data centre, marked as a cut or not: misses from before then prove nothing about
+    // single members.
     bool heard(std::string_view data_centre, monotonic_time now);
 
     // A probe into the data centre failed.
--- a/src/membership/data_centre_watch.cpp
+++ b/src/membership/data_centre_watch.cpp
@@ -22,13 +22,17 @@
         it = contacts_.emplace(data_centre, contact{}).first;
     }
     auto& found = it->second;
+    const bool was_silent = !heard_recently(found, now);
     found.last = now;
     found.was_heard = true;
-    if (found.cut_off && ++found.answers >= answers_to_return) {
+    if (found.cut_off) {
+        if (++found.answers < answers_to_return) {
+            return false;
+        }
         found.cut_off = false;
         return true;
     }
-    return false;
+    return was_silent;
 }
 
 void data_centre_watch::missed(std::string_view data_centre)
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -582,6 +582,7 @@
     if (!watch_.heard(data_centre, now)) {
         return;
     }
+    const bool was_cut_off = !table_.is_reachable(data_centre);
     table_.set_reachable(data_centre, true);
     for (auto& [other, it] : table_.others()) {
         if (it.info.data_centre == data_centre && it.info.state == member_state::suspect) {
@@ -590,7 +591,9 @@
         }
     }
     for (const auto& fn : reach_callbacks_) {
-        fn(data_centre, true);
+        if (was_cut_off) {
+            fn(data_centre, true);
+        }
     }
 }
 
