Add the entry module with the submission locator

Only the incarnation that issued a prefix may start tasks of its ids; every other instance forwards or answers unknown. The job observer now also learns how each start ended, since an account must not count a refused start as a run.

--- a/include/dispatch/job_observer.h
+++ b/include/dispatch/job_observer.h
@@ -45,7 +45,12 @@
     // Called for every start message, so a retried task is reported more than once.
     virtual void task_started(job_number job, std::uint32_t task, worker_id worker) = 0;
 
-    // Called once for each job that was reported as received.
+    // Called once for each task_started, with how that start ended. Certainly-not-run statuses tell
+    // that the start does not count against the limit of one.
+    virtual void task_ended(job_number job, std::uint32_t task, worker_id worker,
+                            start_status status) = 0;
+
+    // Called once for each job that was reported as received. Starts may still end later.
     virtual void job_finished(job_number job, const finished_job& details) = 0;
 
     // A submission that was refused; nothing of it ran under this submission.
--- /dev/null
+++ b/tests/entry/submission_locator_test.cpp
@@ -0,0 +1,96 @@
+#include "entry/submission_locator.h"
+
+#include "membership/member_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cactusloom;
+
+namespace {
+
+constexpr std::uint64_t key = 7;
+
+member make_member(std::string name, std::string data_centre, std::uint64_t incarnation)
+{
+    member it;
+    it.name = std::move(name);
+    it.data_centre = std::move(data_centre);
+    it.address = "127.0.0.1:1";
+    it.incarnation = incarnation;
+    return it;
+}
+
+std::string make_id(std::string instance, std::uint64_t incarnation)
+{
+    return make_prefix({.instance = std::move(instance),
+                        .data_centre = "north",
+                        .incarnation = incarnation,
+                        .issued = monotonic_time{std::chrono::seconds{5}}},
+                       key) +
+           ".a1";
+}
+
+// One state of knowledge about the owner "b" with incarnation 20, and where its id is served.
+struct location_case {
+    const char* name;
+    std::string id;
+    void (*prepare)(member_table&);
+    submission_place expected;
+};
+
+void know_owner(member_table& table)
+{
+    table.apply(make_member("b", "south", 20), monotonic_time{});
+}
+
+void owner_died(member_table& table)
+{
+    member it = make_member("b", "south", 20);
+    it.state = member_state::dead;
+    table.apply(it, monotonic_time{});
+}
+
+void owner_restarted(member_table& table)
+{
+    table.apply(make_member("b", "south", 21), monotonic_time{});
+}
+
+void owner_cut_off(member_table& table)
+{
+    know_owner(table);
+    table.set_reachable("south", false);
+}
+
+const location_case cases[] = {
+    {"own id", make_id("a", 10), know_owner, submission_place::local},
+    {"own name, earlier incarnation", make_id("a", 9), know_owner, submission_place::gone},
+    {"live owner", make_id("b", 20), know_owner, submission_place::remote},
+    {"dead owner", make_id("b", 20), owner_died, submission_place::gone},
+    {"restarted owner", make_id("b", 20), owner_restarted, submission_place::gone},
+    {"owner in a cut-off data centre", make_id("b", 20), owner_cut_off,
+     submission_place::unreachable},
+    {"owner never heard of", make_id("c", 5), know_owner, submission_place::unreachable},
+    {"damaged id", make_id("a", 10).replace(0, 1, "b"), know_owner, submission_place::malformed},
+    {"no prefix", "plain", know_owner, submission_place::malformed},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(submission_locator)
+
+// Guards against starting tasks of an id that another incarnation issued, whatever is known of it.
+BOOST_AUTO_TEST_CASE(only_the_issuing_incarnation_is_local)
+{
+    for (const location_case& it : cases) {
+        BOOST_TEST_CONTEXT(it.name)
+        {
+            member_table table(make_member("a", "north", 10));
+            it.prepare(table);
+            const auto found = locate_submission(it.id, table, key);
+            BOOST_TEST(static_cast<int>(found.place) == static_cast<int>(it.expected));
+            BOOST_TEST((found.place == submission_place::remote) == !found.address.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
