--- /dev/null
+++ b/stand_in/log_link.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "platform/log_service.h"
+
+#include <memory>
+
+namespace cactusloom {
+
+// One instance's way to the log. Cutting it off does not touch the others, as in a partition.
+class log_link final : public log_service {
+public:
+    explicit log_link(log_service& log) : log_(log) {}
+
+    // While cut off, requests are never answered, and replies under way are lost.
+    void set_cut_off(bool cut_off) { *cut_off_ = cut_off; }
+
+    void append(std::string_view stream, std::string content, append_callback done) override;
+    void read(std::string_view stream, log_offset from, std::size_t max_records,
+              read_callback done) override;
+
+    std::size_t bytes_sent() const { return bytes_sent_; }
+    std::size_t bytes_received() const { return *bytes_received_; }
+
+private:
+    log_service& log_;
+    // Shared with callbacks that may outlive the link.
+    std::shared_ptr<bool> cut_off_ = std::make_shared<bool>(false);
+    std::shared_ptr<std::size_t> bytes_received_ = std::make_shared<std::size_t>(0);
+    std::size_t bytes_sent_ = 0;
+};
+
+} // namespace cactusloom
