--- a/include/config/document.h
+++ b/include/config/document.h
@@ -16,6 +16,10 @@
     // Lines of findings count from the start of `text`.
     static checked<document> parse(std::string_view text);
 
+    // Composes a document from the text of each section. Lines of findings count from the start of
+    // the text of the section that they name.
+    static checked<document> from_sections(std::span<const std::string, section_count> texts);
+
     // Checks the whole document with the text of one section replaced. Lines of findings count from
     // the start of the text of the section that they name.
     checked<document> with_section(std::string_view section, std::string_view text) const;
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -125,6 +125,7 @@
     void set_text(std::size_t section, std::string_view text) { document_.texts_[section] = text; }
 
     void read_section(std::string_view name, const toml::node& node);
+    void read_section_text(std::size_t index, std::string_view text);
     void check_across_sections();
 
     checked<document> finish()
@@ -463,43 +464,57 @@
     return reader.finish();
 }
 
-checked<document> document::with_section(std::string_view section, std::string_view text) const
+void document_reader::read_section_text(std::size_t index, std::string_view text)
 {
-    document_reader reader(*this);
-    const auto index = section_index(section);
-    if (index == section_count) {
-        reader.findings().push_back({std::string(section), "", 0, "unknown section"});
-        return reader.finish();
-    }
+    const auto section = section_names[index];
     try {
         const auto root = toml::parse(text);
         for (const auto& [key, node] : root) {
             if (key.str() != section) {
-                reader.findings().push_back({std::string(section), std::string(key.str()),
-                                             key.source().begin.line,
-                                             "belongs to no or another section"});
+                report(section, std::string(key.str()), key.source().begin.line,
+                       "is outside the section");
             }
         }
         const auto parts = split_text(text);
         if (const auto* node = root.get(section); node == nullptr) {
-            reader.findings().push_back({std::string(section), "", 0, "section is missing"});
+            report(section, "", 0, "section is missing");
         }
         else if (parts.size() != 1 || parts.front().section != section) {
             // Composed documents put sections one after another, which needs a header on each.
-            reader.findings().push_back({std::string(section), "", node->source().begin.line,
-                                         "must be written as a table with a header"});
+            report(section, "", node->source().begin.line,
+                   "must be written as a table with a header");
         }
         else {
-            reader.read_section(section, *node);
+            read_section(section, *node);
         }
     }
     catch (const toml::parse_error& e) {
-        reader.findings().push_back(
-            {std::string(section), "", e.source().begin.line, std::string(e.description())});
+        report(section, "", e.source().begin.line, std::string(e.description()));
+    }
+    set_text(index, text);
+}
+
+checked<document> document::from_sections(std::span<const std::string, section_count> texts)
+{
+    const document empty;
+    document_reader reader(empty);
+    for (std::size_t n = 0; n < section_count; ++n) {
+        reader.read_section_text(n, texts[n]);
+    }
+    reader.check_across_sections();
+    return reader.finish();
+}
+
+checked<document> document::with_section(std::string_view section, std::string_view text) const
+{
+    document_reader reader(*this);
+    const auto index = section_index(section);
+    if (index == section_count) {
+        reader.findings().push_back({std::string(section), "", 0, "unknown section"});
         return reader.finish();
     }
+    reader.read_section_text(index, text);
     reader.check_across_sections();
-    reader.set_text(index, text);
     return reader.finish();
 }
 
