--- /dev/null
+++ b/include/config/config_follower.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/timer_service.h"
+#include "config/config_ledger.h"
+#include "config/config_peer_source.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cactusloom {
+
+struct config_follower_options {
+    std::string stream = "config";
+    std::uint64_t seed = 0; // of the jitter; instances should differ
+
+    duration poll_interval = std::chrono::seconds{1};
+    // With the log down, polls back off to this. Edits must be in force within 7 s of the log's
+    // return, so the backoff stays well under that.
+    duration max_backoff = std::chrono::seconds{4};
+    duration read_timeout = std::chrono::seconds{3};
+    duration append_timeout = std::chrono::seconds{5};
+    // How often the last known record is read again while nothing is appended, to notice a log that
+    // was rewritten. Before new records are applied it is read again in any case. A record may have
+    // a few hundred KB, which rules out reading it with every poll.
+    duration verify_interval = std::chrono::minutes{5};
+    duration peer_timeout = std::chrono::seconds{1};
+    // A reply to an edit that has no verdict by then says so.
+    duration edit_timeout = std::chrono::seconds{30};
+
+    // Retention of the log. A snapshot is due when the newest is older than a quarter of it.
+    duration retention = std::chrono::hours{24 * 7};
+    // A snapshot is also due after this many records, which bounds the work of a cold start.
+    std::size_t records_between_snapshots = 1000;
+    // Each rank among the live members waits this much longer before it writes a snapshot, so that
+    // usually only the first writes one.
+    duration snapshot_delay_per_rank = std::chrono::seconds{2};
+
+    // Folding one record takes up to a few ms, so few are taken in one turn of the loop.
+    std::size_t records_per_read = 32;
+};
+
+// How the log looks to an instance.
+enum class config_log_state {
+    unknown,   // not read yet
+    following, // read to its end
+    down,
+    regressed, // rewound or rewritten; nothing is applied until the known record is back
+    gap,       // retention dropped records that are needed, and no snapshot replaces them
+};
+
+const char* to_string(config_log_state state);
+
+// The configuration that decisions use.
+struct config_in_force {
+    std::shared_ptr<const deployment> settings;
+    log_offset version = 0; // offset of the newest accepted edit
+};
+
+// Keeps an instance's configuration up to date with the log, and with peers while the log is down.
+class config_follower {
+public:
+    using subscriber = std::function<void(const config_in_force&)>;
+    // Outcome by the log, or an error: `unavailable` (certainly not stored), `reply_lost` (may be
+    // stored and accepted later), `conflict` (the same edit is under way), `not_ready`.
+    using edit_callback = std::function<void(result<edit_outcome>)>;
+
+    // `peers` may be null. All three must outlive the follower.
+    config_follower(log_service& log, timer_service& timers, config_peer_source* peers,
+                    config_follower_options options);
+    ~config_follower();
+    config_follower(const config_follower&) = delete;
+    config_follower& operator=(const config_follower&) = delete;
+
+    void start();
+
+    // Calls `fn` whenever a new document is in force, and from now on if there is one already.
+    void subscribe(subscriber fn);
+
+    // Puts an edit into the log, repeats it under the same id as long as its fate is open, and
+    // reports the verdict. Never calls back from inside the call.
+    void submit_edit(config_edit edit, edit_callback done);
+
+    // This instance's position among the live members, from 0. Until set, snapshots wait long.
+    void set_rank(std::size_t rank) { rank_ = rank; }
+
+    // True once a document is in force.
+    bool is_ready() const { return in_force_.settings != nullptr; }
+    const config_in_force& in_force() const { return in_force_; }
+    const config_ledger& ledger() const { return ledger_; }
+    config_log_state log_state() const { return log_state_; }
+
+    // State for another instance, empty if there is nothing newer than offset `newer_than`.
+    std::string state_for_peer(log_offset newer_than) const;
+
+    struct counters {
+        std::uint64_t records_applied = 0;
+        std::uint64_t malformed_records = 0;
+        std::uint64_t differing_snapshots = 0; // alarm: instances disagree about the same log
+        std::uint64_t refused_states = 0;      // alarm: a peer's or snapshot's state contradicts
+        std::uint64_t adopted_states = 0;
+        std::uint64_t snapshots_written = 0;
+        std::uint64_t edits_repeated = 0;
+    };
+    const counters& counts() const { return counts_; }
+
+private:
+    struct pending_edit {
+        std::string id;
+        std::string record;
+        edit_callback done;
+        monotonic_time deadline;
+        bool may_be_stored = false;
+        std::uint64_t attempt = 0;
+        timer_id timer = 0;
+    };
+
+    // A search for a snapshot in the retained records, with the records that come after it.
+    struct scan {
+        log_offset start = 0;
+        log_offset next = 0;
+        std::vector<log_record> buffered;
+        std::optional<config_ledger> candidate;
+    };
+
+    void poll();
+    void poll_after(duration delay);
+    void on_read(std::uint64_t poll_number, const result<log_page>& reply);
+    void on_read_failed(std::string_view reason);
+    void take_page(const log_page& page);
+    void take_known_record(const log_page& page);
+    void take_new_records(const log_page& page);
+    void end_page(log_offset reached, log_offset end);
+    bool is_known_record_checkable(const log_page& page) const;
+    void report_regression(std::string_view reason);
+    void fold(const log_page& page);
+    bool start_scan_near_end(const log_page& page);
+    void scan_page(const log_page& page);
+    void end_scan();
+    void scan_record(const log_record& record);
+    void count(const record_effect& effect);
+
+    void ask_peers();
+    void on_peer_states(const std::vector<std::string>& states);
+    bool adopt(config_ledger later, const char* source);
+    void put_in_force();
+    void set_log_state(config_log_state state, std::string_view reason);
+
+    void attempt_edit(const std::string& id);
+    void on_append(const std::string& id, std::uint64_t attempt, const result<log_offset>& reply);
+    void retry_edit(pending_edit& edit);
+    void finish_edits();
+    void finish_edit(const std::string& id, result<edit_outcome> outcome);
+
+    bool is_snapshot_due() const;
+    void plan_snapshot();
+    void write_snapshot();
+
+    duration jittered(duration span);
+
+    log_service& log_;
+    timer_service& timers_;
+    config_peer_source* peers_;
+    config_follower_options options_;
+    random_engine random_;
+
+    config_ledger ledger_;
+    std::optional<scan> scan_;
+    log_offset first_retained_ = 0;
+    config_in_force in_force_;
+    std::vector<subscriber> subscribers_;
+    config_log_state log_state_ = config_log_state::unknown;
+    counters counts_;
+
+    // Readiness: peers answer first, so that a rewound log cannot bring an old document in force.
+    bool peers_answered_ = false;
+    bool peer_state_seen_ = false;
+    bool log_read_to_end_ = false;
+    bool log_failed_ = false;
+
+    std::uint64_t poll_number_ = 0;
+    bool poll_open_ = false;
+    bool poll_again_ = false;    // a poll was asked for while one was open
+    bool poll_is_check_ = false; // the open poll reads the last known record
+    log_offset poll_known_ = 0;  // next offset when the open poll was sent
+    timer_id poll_timer_ = 0;
+    timer_id read_timer_ = 0;
+    std::optional<log_page> held_page_; // new records that wait for the check
+    std::optional<monotonic_time> checked_at_;
+    bool scanned_near_end_ = false;
+    std::uint32_t failed_polls_ = 0;
+    std::uint64_t peer_request_ = 0;
+    bool peer_request_open_ = false;
+    timer_id peer_timer_ = 0;
+
+    std::map<std::string, pending_edit, std::less<>> edits_;
+    std::map<std::string, edit_outcome, std::less<>> fresh_outcomes_;
+
+    std::size_t rank_ = 10;
+    timer_id snapshot_timer_ = 0;
+    monotonic_time next_snapshot_allowed_{};
+
+    // Replies may arrive after the follower is gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cactusloom
