--- a/include/config/config_follower.h
+++ b/include/config/config_follower.h
@@ -83,7 +83,7 @@
 
     // Puts an edit into the log, repeats it under the same id as long as its fate is open, and
     // reports the verdict. Never calls back from inside the call.
-    void submit_edit(config_edit edit, edit_callback done);
+    void submit_edit(const config_edit& edit, edit_callback done);
 
     // This instance's position among the live members, from 0. Until set, snapshots wait long.
     void set_rank(std::size_t rank) { rank_ = rank; }
--- a/include/config/config_ledger.h
+++ b/include/config/config_ledger.h
@@ -61,6 +61,7 @@
     // Newest snapshot record, if there was one.
     struct snapshot_mark {
         log_offset offset = 0;
+        log_offset next = 0; // first offset that the snapshot does not cover
         wall_time time;
     };
     const std::optional<snapshot_mark>& newest_snapshot() const { return newest_snapshot_; }
--- a/include/config/config_record.h
+++ b/include/config/config_record.h
@@ -81,6 +81,7 @@
     // Newest earlier snapshot record; has_snapshot says whether there is one.
     bool has_snapshot = false;
     log_offset snapshot_offset = 0;
+    log_offset snapshot_next = 0; // first offset that it does not cover
     wall_time snapshot_time;
     std::vector<config_section> sections; // in the order of document_sections()
     std::vector<config_change> history;   // oldest first
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -454,7 +454,7 @@
 
 // Edits.
 
-void config_follower::submit_edit(config_edit edit, edit_callback done)
+void config_follower::submit_edit(const config_edit& edit, edit_callback done)
 {
     const auto refuse = [&](errc code, const char* message) {
         timers_.schedule(duration::zero(), [done, code, message, alive = alive_] {
@@ -587,7 +587,8 @@
         return false;
     }
     const auto& newest = ledger_.newest_snapshot();
-    if (!newest || newest->offset < first_retained_) {
+    // A snapshot is of no use once a record that it does not cover has been dropped.
+    if (!newest || newest->next < first_retained_) {
         return true;
     }
     // The age is read from wall clocks. A wrong one makes snapshots too frequent or leaves them to
--- a/src/config/config_ledger.cpp
+++ b/src/config/config_ledger.cpp
@@ -105,7 +105,8 @@
     ledger.chain_digest_ = snapshot.chain_digest;
     ledger.history_.assign(snapshot.history.begin(), snapshot.history.end());
     if (snapshot.has_snapshot) {
-        ledger.newest_snapshot_ = {snapshot.snapshot_offset, snapshot.snapshot_time};
+        ledger.newest_snapshot_ = {snapshot.snapshot_offset, snapshot.snapshot_next,
+                                   snapshot.snapshot_time};
     }
     ledger.marks_.push_back({ledger.next_, ledger.chain_digest_, ledger.sections_digest()});
     return ledger;
@@ -130,14 +131,13 @@
         remember(*edit, outcome, record.time);
         effect.edit = std::move(outcome);
     }
-    else if (const auto& it = std::get<config_snapshot>(decoded.value()); it.next > next_) {
-        effect.malformed = true;
-    }
-    else if (contradicts(it)) {
-        effect.snapshot_differs = true;
-    }
     else {
-        newest_snapshot_ = {record.offset, record.time};
+        const auto& snapshot = std::get<config_snapshot>(decoded.value());
+        effect.malformed = snapshot.next > next_;
+        effect.snapshot_differs = !effect.malformed && contradicts(snapshot);
+        if (!effect.malformed && !effect.snapshot_differs) {
+            newest_snapshot_ = {record.offset, snapshot.next, record.time};
+        }
     }
     last_digest_ = hash64(record.content);
     chain_digest_ = hash64(record.content, chain_digest_);
@@ -291,6 +291,7 @@
     if (newest_snapshot_) {
         all.has_snapshot = true;
         all.snapshot_offset = newest_snapshot_->offset;
+        all.snapshot_next = newest_snapshot_->next;
         all.snapshot_time = newest_snapshot_->time;
     }
     for (std::size_t n = 0; n < sections_.size(); ++n) {
--- a/src/config/config_record_codec.cpp
+++ b/src/config/config_record_codec.cpp
@@ -224,6 +224,7 @@
     json["chain_digest"] = to_hex(snapshot.chain_digest);
     json["has_snapshot"] = snapshot.has_snapshot;
     json["snapshot_offset"] = Json::UInt64{snapshot.snapshot_offset};
+    json["snapshot_next"] = Json::UInt64{snapshot.snapshot_next};
     json["snapshot_time_us"] = to_json(snapshot.snapshot_time);
     auto& sections = json["sections"] = Json::Value(Json::arrayValue);
     for (const auto& it : snapshot.sections) {
@@ -265,6 +266,7 @@
         reader.read_hex("chain_digest", snapshot.chain_digest);
         reader.read("has_snapshot", snapshot.has_snapshot);
         reader.read("snapshot_offset", snapshot.snapshot_offset);
+        reader.read("snapshot_next", snapshot.snapshot_next);
         reader.read("snapshot_time_us", snapshot.snapshot_time);
         reader.read("sections", snapshot.sections);
         reader.read("history", snapshot.history);
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -461,7 +461,13 @@
         }
         reader.set_text(index, part.text);
     }
-    return reader.finish();
+    auto whole = reader.finish();
+    if (!whole) {
+        return whole;
+    }
+    // Lines are kept relative to their sections, so that later findings do not depend on whether
+    // the document came as a whole or from a snapshot.
+    return from_sections(whole.value().texts_);
 }
 
 void document_reader::read_section_text(std::size_t index, std::string_view text)
