--- /dev/null
+++ b/include/account/account_record.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusloom {
+
+// Name of the log stream that holds account batches.
+constexpr std::string_view account_stream = "account";
+
+// Starts that one request made on one worker.
+struct worker_use {
+    std::string worker;
+    std::uint32_t starts = 0; // starts that ran or may have run
+    friend bool operator==(const worker_use&, const worker_use&) = default;
+};
+
+enum class account_outcome : std::uint8_t {
+    completed,
+    failed_not_run,
+    failed_after_run,
+    unknown, // the instance lost a reply and could not tell
+    open,    // received, no end recorded; never written as an end
+};
+
+const char* to_string(account_outcome outcome);
+
+// What is known of a request when it is received.
+struct account_receipt {
+    std::string customer;
+    std::string submission_id;
+    std::string kind;
+    std::uint32_t tasks = 0;
+    wall_time received;
+};
+
+// What happened to one request. The owning instance writes one record when the request ends, and
+// before that a receipt if the request outlives the batch interval.
+struct account_record {
+    account_receipt receipt;
+    wall_time decided;  // first start sent, or refusal decided
+    wall_time answered; // the answer was handed to the caller's connection or kept for it
+    std::vector<worker_use> workers;
+    account_outcome outcome = account_outcome::open;
+    std::string reason; // empty if completed
+    std::uint64_t configuration_version = 0;
+    std::uint32_t answers = 0;       // times the answer was sent, repeated submissions included
+    std::uint32_t second_starts = 0; // starts that the kind allowed beyond one a task
+
+    // Starts that ran or may have run, over all workers.
+    std::uint64_t starts() const;
+    // True if more starts may have run than tasks and allowed second starts explain.
+    bool has_doubled_start() const
+    {
+        return starts() > std::uint64_t{receipt.tasks} + second_starts;
+    }
+    // Memory that the record takes, for bounding a buffer.
+    std::size_t memory_size() const;
+};
+
+// Records that a writer could not keep.
+struct dropped_records {
+    std::uint64_t count = 0;
+    wall_time from;
+    wall_time until;
+
+    // Adds one record received at `first` and dropped at `last`.
+    void add(wall_time first, wall_time last);
+};
+
+} // namespace cactusloom
--- a/include/membership/membership_codec.h
+++ b/include/membership/membership_codec.h
@@ -15,7 +15,7 @@
 // Updates that one message may carry. Bounds the bytes of a message for any number of members.
 constexpr std::size_t max_updates_per_message = 8;
 // Longest request or reply that is parsed.
-constexpr std::size_t max_membership_text = 16U * 1024U;
+constexpr std::size_t max_membership_text = 16384;
 // Longest summary that a message may carry.
 constexpr std::size_t max_summary = 64;
 
