--- /dev/null
+++ b/tests/account/account_test.cpp
@@ -0,0 +1,546 @@
+#include "account/fake_log.h"
+
+#include "account/account_reader.h"
+#include "account/account_writer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fmt/format.h>
+#include <fstream>
+#include <memory>
+#include <optional>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+using cause = account_gap::cause;
+
+// One instance with a writer, its log, and an archive file that is removed at the end.
+struct bench {
+    virtual_timer_service timers;
+    fake_log log{timers};
+    std::unique_ptr<account_writer> writer;
+    std::string path = fmt::format("account_test_{}.jsonl", ++runs);
+    std::unique_ptr<account_archive> archive;
+    static inline unsigned runs = 0;
+
+    bench() { start(1); }
+    ~bench() { std::remove(path.c_str()); }
+    bench(const bench&) = delete;
+    bench& operator=(const bench&) = delete;
+
+    void start(std::uint64_t incarnation, std::size_t max_buffer = std::size_t{8} << 20U)
+    {
+        account_writer_settings settings;
+        settings.instance = "i1";
+        settings.incarnation = incarnation;
+        settings.max_buffer_bytes = max_buffer;
+        writer = std::make_unique<account_writer>(log, timers, settings);
+        writer->start();
+    }
+
+    account_receipt receipt(const std::string& id, const std::string& customer = "amina")
+    {
+        return {customer, id, "stamp_check", 1, timers.wall_now()};
+    }
+
+    account_record end(const std::string& id, const std::string& customer = "amina",
+                       account_outcome outcome = account_outcome::completed)
+    {
+        account_record it;
+        it.receipt = receipt(id, customer);
+        it.decided = timers.wall_now() + 1ms;
+        it.answered = timers.wall_now() + 50ms;
+        it.workers = {{"w1", 1}};
+        it.outcome = outcome;
+        it.configuration_version = 17;
+        it.answers = 1;
+        return it;
+    }
+
+    // Receives and ends `n` requests "<prefix>0" and on, 100 ms apart.
+    void serve(unsigned n, const std::string& prefix = "a.", const std::string& customer = "amina")
+    {
+        for (unsigned i = 0; i < n; ++i) {
+            const auto id = prefix + std::to_string(i);
+            writer->received(receipt(id, customer));
+            writer->ended(end(id, customer));
+            timers.advance(100ms);
+        }
+    }
+
+    void close()
+    {
+        writer->close(10s, [](const auto&) {});
+        timers.advance(11s);
+    }
+
+    result<account_export> run_export()
+    {
+        archive.reset();
+        auto opened = account_archive::open(path, account_archive::mode::append);
+        BOOST_REQUIRE(opened.has_value());
+        archive = std::move(opened).value();
+        std::optional<result<account_export>> out;
+        export_account(log, *archive, [&](auto done) { out = std::move(done); });
+        BOOST_REQUIRE(out.has_value());
+        return *out;
+    }
+
+    account_statement read(const std::string& customer = "amina")
+    {
+        std::optional<result<account_statement>> out;
+        read_account(log, timers, archive.get(), customer,
+                     [&](auto done) { out = std::move(done); });
+        BOOST_REQUIRE(out.has_value());
+        BOOST_REQUIRE(out->has_value());
+        return out->value();
+    }
+};
+
+std::size_t count(const account_statement& it, cause why)
+{
+    return static_cast<std::size_t>(std::count_if(it.gaps.begin(), it.gaps.end(),
+                                                  [&](const auto& gap) { return gap.why == why; }));
+}
+
+const account_gap& gap_of(const account_statement& it, cause why)
+{
+    const auto found = std::find_if(it.gaps.begin(), it.gaps.end(),
+                                    [&](const auto& gap) { return gap.why == why; });
+    BOOST_REQUIRE((found != it.gaps.end()));
+    return *found;
+}
+
+// A fault, what is done, and what the statement of customer "amina" must show.
+struct fault_case {
+    const char* fault;
+    void (*act)(bench&);
+    void (*check)(bench&, const account_statement&);
+};
+
+const fault_case cases[] = {
+    {"none",
+     [](bench& it) {
+         it.serve(20);
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 20U);
+         BOOST_TEST((seen.totals.at({"stamp_check", account_outcome::completed}) == 20U));
+         const auto& first = seen.records.front();
+         BOOST_TEST((first.workers == std::vector<worker_use>{{"w1", 1}}));
+         BOOST_TEST(first.configuration_version == 17U);
+         BOOST_TEST((first.answered - first.receipt.received == 50ms));
+         // Requests that end within a batch interval cost no receipt.
+         BOOST_TEST(it.writer->stats().receipts == 0U);
+         BOOST_TEST(it.log.max_open_appends == 1U);
+     }},
+    {"append reply lost, batch repeated",
+     [](bench& it) {
+         it.log.lose_replies = 3;
+         it.serve(20);
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(it.writer->stats().appends == it.writer->stats().batches + 3);
+         BOOST_TEST(it.log.records.size() == it.writer->stats().appends);
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 20U);
+         BOOST_TEST(seen.doubled_answers.empty());
+     }},
+    {"a copy of an old batch is stored late",
+     [](bench& it) {
+         it.serve(10);
+         it.log.put(it.log.records[1].content);
+         it.serve(10, "b.");
+         it.close();
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 20U);
+         BOOST_TEST(seen.doubled_answers.empty());
+     }},
+    {"log down for an hour and back",
+     [](bench& it) {
+         it.serve(10);
+         it.log.is_down = true;
+         it.serve(10, "b.");
+         it.timers.advance(1h);
+         it.log.is_down = false;
+         it.timers.advance(30s);
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 20U);
+         BOOST_TEST(it.writer->buffered_bytes() == 0U);
+     }},
+    {"buffer overflows while the log is down",
+     [](bench& it) {
+         it.start(2, 4000);
+         it.timers.advance(1s);
+         it.log.is_down = true;
+         it.serve(200);
+         BOOST_TEST(it.writer->buffered_bytes() <= 4000U);
+         it.log.is_down = false;
+         it.timers.advance(30s);
+         it.serve(1, "after.");
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         const auto& gap = gap_of(seen, cause::dropped_by_writer);
+         BOOST_TEST(gap.count == it.writer->stats().dropped);
+         BOOST_TEST(gap.count + seen.records.size() == 201U);
+         BOOST_TEST((gap.until - gap.from >= 15s));
+         BOOST_TEST((gap.until - gap.from <= 20s));
+         BOOST_TEST(!seen.is_complete());
+         BOOST_TEST(seen.records.back().receipt.submission_id == "after.0");
+     }},
+    {"log refuses a batch for its size",
+     [](bench& it) {
+         it.serve(5);
+         it.log.refuse = 1;
+         it.serve(5, "b.");
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(gap_of(seen, cause::dropped_by_writer).count + seen.records.size() == 10U);
+         BOOST_TEST(it.writer->stats().refused_batches == 1U);
+     }},
+    {"records beyond retention",
+     [](bench& it) {
+         it.serve(30);
+         it.close();
+         it.log.drop_before(4);
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(!seen.is_complete());
+         BOOST_TEST(seen.gaps.size() == 1U);
+         BOOST_TEST(gap_of(seen, cause::not_retained).count == 4U);
+         BOOST_TEST((gap_of(seen, cause::not_retained).from == wall_time{}));
+     }},
+    {"everything beyond retention",
+     [](bench& it) {
+         it.serve(5);
+         it.close();
+         it.log.records.clear();
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(count(seen, cause::not_retained) == 1U);
+         BOOST_TEST(!seen.is_complete());
+     }},
+    {"instance killed with open and unwritten records, and replaced",
+     [](bench& it) {
+         it.writer->received(it.receipt("open.1"));
+         it.timers.advance(2s);
+         it.writer->received(it.receipt("lost.1"));
+         it.writer.reset();
+         it.timers.advance(1s);
+         it.start(2);
+         it.timers.advance(2s);
+         it.serve(3, "b.");
+         it.close();
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(!seen.is_complete());
+         BOOST_TEST(seen.records.size() == 4U);
+         BOOST_TEST(seen.unknowns.size() == 1U);
+         BOOST_TEST(seen.unknowns.front().receipt.submission_id == "open.1");
+         BOOST_TEST(seen.unknowns.front().why == "the instance ended before it recorded the end");
+         BOOST_TEST(count(seen, cause::writer_ended) == 1U);
+     }},
+    {"instance killed while idle and never replaced",
+     [](bench& it) {
+         it.serve(3);
+         it.writer.reset();
+         it.timers.advance(10min);
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(count(seen, cause::writer_ended) == 1U);
+     }},
+    {"instance idle for long and alive",
+     [](bench& it) {
+         it.serve(3);
+         it.timers.advance(1h);
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(seen.gaps.empty());
+         BOOST_TEST(it.writer->stats().appends < 70U);
+     }},
+    {"request outlives the batch interval and ends",
+     [](bench& it) {
+         it.writer->received(it.receipt("slow.1"));
+         it.timers.advance(5s);
+         BOOST_TEST(it.read().unknowns.front().why ==
+                    "still running, or its end is not written yet");
+         it.writer->ended(it.end("slow.1"));
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 1U);
+         BOOST_TEST(it.writer->stats().receipts == 1U);
+     }},
+    {"two customers interleaved, one id a prefix of the other",
+     [](bench& it) {
+         for (unsigned i = 0; i < 10; ++i) {
+             it.serve(1, fmt::format("a{}.", i), "amina");
+             it.serve(1, fmt::format("b{}.", i), "amina2");
+         }
+         it.close();
+     },
+     [](bench& it, const account_statement& seen) {
+         BOOST_TEST(seen.records.size() == 10U);
+         for (const auto& record : seen.records) {
+             BOOST_TEST(record.receipt.customer == "amina");
+         }
+         BOOST_TEST(it.read("amina2").records.size() == 10U);
+         BOOST_TEST(it.read("amin").records.empty());
+     }},
+    {"archive and log overlap",
+     [](bench& it) {
+         it.serve(15);
+         it.timers.advance(1s);
+         const auto exported = it.run_export();
+         BOOST_TEST(exported.value().reached == it.log.end);
+         it.serve(15, "b.");
+         it.close();
+         it.log.drop_before(2);
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 30U);
+         BOOST_TEST(seen.doubled_answers.empty());
+     }},
+    {"export is late: a hole between archive and log",
+     [](bench& it) {
+         it.serve(10);
+         it.timers.advance(1s);
+         const auto reached = it.run_export().value().reached;
+         it.serve(30, "b.");
+         it.close();
+         it.log.drop_before(reached + 3);
+         BOOST_TEST(it.run_export().value().missed == 3U);
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(!seen.is_complete());
+         BOOST_TEST(seen.gaps.size() == 1U);
+         BOOST_TEST(gap_of(seen, cause::not_retained).count == 3U);
+         BOOST_TEST((gap_of(seen, cause::not_retained).from != wall_time{}));
+     }},
+    {"archive's last line cut short by a crash of the export",
+     [](bench& it) {
+         it.serve(10);
+         it.close();
+         it.run_export().value();
+         it.archive.reset();
+         std::ifstream in(it.path, std::ios::binary);
+         const std::string text{std::istreambuf_iterator<char>(in), {}};
+         std::ofstream(it.path, std::ios::binary) << text.substr(0, text.size() - 40);
+         BOOST_TEST(it.run_export().value().exported == 1U);
+         BOOST_TEST(it.archive->damaged_lines() == 1U);
+         it.log.records.clear();
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 10U);
+     }},
+    {"log rewound behind the archive",
+     [](bench& it) {
+         it.serve(10);
+         it.close();
+         it.run_export().value();
+         it.log.records.resize(1);
+         it.log.end = 1;
+         it.archive.reset();
+         BOOST_TEST((it.run_export().error().code == errc::conflict));
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(count(seen, cause::log_regressed) == 1U);
+         BOOST_TEST(seen.records.size() == 10U);
+     }},
+    {"log down when the account is read",
+     [](bench& it) {
+         it.serve(10);
+         it.close();
+         it.run_export().value();
+         it.log.is_down = true;
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(count(seen, cause::log_not_read) == 1U);
+         BOOST_TEST(seen.records.size() == 10U);
+     }},
+    {"batch number missing and unreadable batch",
+     [](bench& it) {
+         it.serve(40);
+         it.close();
+         it.log.records[2].content = "{}\n";
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(count(seen, cause::unreadable_batch) == 1U);
+         BOOST_TEST(count(seen, cause::batch_missing) == 1U);
+         BOOST_TEST(gap_of(seen, cause::batch_missing).count == 1U);
+     }},
+    {"missing batch arrives late",
+     [](bench& it) {
+         it.serve(20);
+         it.close();
+         auto& records = it.log.records;
+         std::swap(records[1].content, records[3].content);
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(seen.is_complete());
+         BOOST_TEST(seen.records.size() == 20U);
+     }},
+    {"doubled answer and doubled start",
+     [](bench& it) {
+         it.writer->ended(it.end("twice.1"));
+         it.timers.advance(1s);
+         it.writer->ended(it.end("twice.1"));
+         auto started = it.end("started.1");
+         started.workers = {{"w1", 1}, {"w2", 1}};
+         it.writer->ended(started);
+         auto hedged = it.end("hedged.1");
+         hedged.workers = {{"w1", 1}, {"w2", 1}};
+         hedged.second_starts = 1;
+         it.writer->ended(hedged);
+         it.close();
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(seen.doubled_answers == std::vector<std::string>{"twice.1"});
+         BOOST_TEST(seen.doubled_starts == std::vector<std::string>{"started.1"});
+     }},
+    {"an id is owned by two incarnations",
+     [](bench& it) {
+         it.serve(1);
+         it.close();
+         it.start(2);
+         it.serve(1);
+         it.close();
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(seen.doubled_starts == std::vector<std::string>{"a.0"});
+     }},
+    {"instance reports an unknown outcome",
+     [](bench& it) {
+         it.writer->ended(it.end("u.1", "amina", account_outcome::unknown));
+         it.close();
+     },
+     [](bench&, const account_statement& seen) { BOOST_TEST(seen.unknowns.size() == 1U); }},
+    {"log down and reply lost, killed, replaced, archive late",
+     [](bench& it) {
+         it.serve(10);
+         it.timers.advance(1s);
+         const auto reached = it.run_export().value().reached;
+         it.log.is_down = true;
+         it.serve(10, "b.");
+         it.log.is_down = false;
+         it.log.lose_replies = 1;
+         it.timers.advance(20s);
+         it.writer.reset();
+         it.start(2);
+         it.serve(10, "c.");
+         it.close();
+         it.log.drop_before(reached + 1);
+     },
+     [](bench&, const account_statement& seen) {
+         BOOST_TEST(count(seen, cause::not_retained) == 1U);
+         BOOST_TEST(seen.doubled_answers.empty());
+         BOOST_TEST(!seen.is_complete());
+         BOOST_TEST(seen.records.size() == 30U);
+     }},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(account)
+
+// Guards against records that are lost, counted twice or given to another customer, and against
+// an account that calls itself complete when it is not.
+BOOST_AUTO_TEST_CASE(faults)
+{
+    for (const auto& row : cases) {
+        BOOST_TEST_CONTEXT(row.fault)
+        {
+            bench it;
+            row.act(it);
+            const auto seen = it.read();
+            BOOST_TEST_INFO(to_text(seen));
+            row.check(it, seen);
+        }
+    }
+}
+
+// Guards against a shutdown that hangs while the log is down, or that reports success.
+BOOST_AUTO_TEST_CASE(close_reports_what_it_could_not_write)
+{
+    bench it;
+    it.timers.advance(1s);
+    it.log.is_down = true;
+    it.serve(3);
+    std::optional<result<void>> closed;
+    it.writer->close(10s, [&](auto done) { closed = std::move(done); });
+    it.timers.advance(9s);
+    BOOST_TEST(!closed.has_value());
+    it.timers.advance(2s);
+    BOOST_REQUIRE(closed.has_value());
+    BOOST_TEST((closed->error().code == errc::timed_out));
+}
+
+// Guards against instances that exceed the append budget of the deployment.
+BOOST_AUTO_TEST_CASE(interval_follows_from_instances_and_budget)
+{
+    bench it;
+    const std::pair<std::size_t, duration> rows[] = {
+        {1, 250ms}, {9, 250ms}, {50, 500ms}, {200, 2s}};
+    for (const auto& [instances, interval] : rows) {
+        it.writer->set_instances(instances);
+        BOOST_TEST((it.writer->interval() == interval));
+    }
+    const auto before = it.writer->stats().appends;
+    it.serve(600);
+    BOOST_TEST(it.writer->stats().appends - before <= 31U);
+}
+
+// Guards against two exports that write to one archive.
+BOOST_AUTO_TEST_CASE(archive_is_locked)
+{
+    bench it;
+    it.run_export().value();
+    const auto second = account_archive::open(it.path, account_archive::mode::append);
+    BOOST_TEST((second.error().code == errc::conflict));
+}
+
+// Guards against texts that a decoder accepts although they do not fit, or that end the process.
+BOOST_AUTO_TEST_CASE(codec_rejects_wrong_texts)
+{
+    account_batch batch;
+    batch.instance = "i\"1\n";
+    batch.ends.emplace_back();
+    batch.ends.back().receipt.customer = "Zahra \xc3\xa9 \"q\"";
+    batch.ends.back().outcome = account_outcome::failed_after_run;
+    batch.ends.back().workers = {{"w\\1", 3}};
+    const auto good = encode_batch(batch);
+    const auto decoded = decode_batch(good);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded.value().instance == batch.instance);
+    BOOST_TEST(decoded.value().ends[0].receipt.customer == batch.ends[0].receipt.customer);
+    BOOST_TEST((decoded.value().ends[0].workers == batch.ends[0].workers));
+    const auto line = good.find('\n') + 1;
+    const std::string wrong[] = {"",
+                                 "{}\n",
+                                 good.substr(0, good.size() - 1),
+                                 good.substr(line),
+                                 good + "[]\n",
+                                 good + "[\"e\",1]\n",
+                                 good + std::string(50, '[') + "\n"};
+    for (const auto& text : wrong) {
+        BOOST_TEST(!decode_batch(text).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
