Spread table copies over all seeds and do not repeat them as rumours

Cause: instances that start together tried the list's entries in the same order, so all copied the table of the first one, and then sent every copied entry on as if it were new. Change: hints are tried from a random position; entries of a copied page are not spread again.

--- a/include/membership/failure_detector.h
+++ b/include/membership/failure_detector.h
@@ -118,6 +118,12 @@
         unsigned open = 0;
         bool reached = false;
     };
+    // Where an update comes from.
+    enum class origin : std::uint8_t {
+        rumour,
+        own_word, // of the member itself, or a finding of this instance
+        page,     // of a table that is copied at the start
+    };
     using reply_handler = std::function<void(result<membership_reply>)>;
 
     void tick();
@@ -137,8 +143,8 @@
     void finish_probe(const probe& it, bool reached);
     void copy_table(const std::string& address, const std::string& name, const std::string& after);
 
-    void receive(const gossip& news);
-    void apply(const member& update, bool is_own_word);
+    void receive(const gossip& news, bool is_page);
+    void apply(const member& update, origin from);
     void note_heard(std::string_view name);
     void suspect(member_entry& entry);
     void declare_dead(member_entry& entry);
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -63,6 +63,9 @@
 void failure_detector::set_hints(std::vector<peer_hint> hints)
 {
     hints_ = std::move(hints);
+    // Instances that start together would otherwise all copy the table of the list's first entry.
+    hint_cursor_ =
+        hints_.empty() ? 0 : draw_below(random_, static_cast<std::uint32_t>(hints_.size()));
     std::erase_if(hint_tries_, [this](const auto& it) {
         return std::none_of(hints_.begin(), hints_.end(),
                             [&](const peer_hint& hint) { return hint.name == it.first; });
@@ -347,6 +350,7 @@
     traffic_.bytes_sent += text.size();
     transport_.send(address, std::move(text), limit,
                     [weak = std::weak_ptr(alive_), id = request.id,
+                     is_page = request.after.has_value(),
                      done = std::move(done)](result<std::string> reply) {
                         const auto alive = weak.lock();
                         if (!alive) {
@@ -365,7 +369,7 @@
                             done(failure(errc::invalid_argument, "reply does not fit the request"));
                             return;
                         }
-                        self.receive(decoded.value().news);
+                        self.receive(decoded.value().news, is_page);
                         done(std::move(decoded));
                     });
 }
@@ -421,7 +425,7 @@
                  --it->open;
                  if (reply && reply.value().reached) {
                      if (reply.value().target && reply.value().target->name == it->name) {
-                         apply(*reply.value().target, true);
+                         apply(*reply.value().target, origin::own_word);
                      }
                      if (!it->reached) {
                          it->reached = true;
@@ -495,7 +499,7 @@
         return;
     }
     const auto& request = decoded.value();
-    receive(request.news);
+    receive(request.news, false);
     if (request.call == membership_request::method::ping) {
         membership_reply out;
         out.id = request.id;
@@ -518,12 +522,15 @@
          });
 }
 
-void failure_detector::receive(const gossip& news)
+void failure_detector::receive(const gossip& news, bool is_page)
 {
+    // What a page brings is known to the others already. Spreading it again from every joining
+    // instance would fill their messages for minutes.
+    const auto how = is_page ? origin::page : origin::rumour;
     for (const auto& update : news.updates) {
-        apply(update, false);
+        apply(update, how);
     }
-    apply(news.from, true);
+    apply(news.from, origin::own_word);
     if (news.from.name == table_.self().name) {
         return;
     }
@@ -543,14 +550,14 @@
     }
 }
 
-void failure_detector::apply(const member& update, bool is_own_word)
+void failure_detector::apply(const member& update, origin from)
 {
     if (update.name == table_.self().name) {
         refute(update);
         return;
     }
     const auto* known = table_.find(update.name);
-    if (!is_own_word) {
+    if (from != origin::own_word) {
         // Hearsay about a data centre that is cut off cannot come from its members.
         if (update.state == member_state::dead && known != nullptr &&
             watch_.is_cut_off(known->info.data_centre)) {
@@ -566,7 +573,9 @@
         if (entry.info.state == member_state::suspect) {
             entry.deadline = timers_.monotonic_now() + suspicion_time(entry);
         }
-        spread(update.name);
+        if (from != origin::page) {
+            spread(update.name);
+        }
         publish(*change);
     }
 }
@@ -601,14 +610,14 @@
 {
     auto update = entry.info;
     update.state = member_state::suspect;
-    apply(update, false);
+    apply(update, origin::rumour);
 }
 
 void failure_detector::declare_dead(member_entry& entry)
 {
     auto update = entry.info;
     update.state = member_state::dead;
-    apply(update, true);
+    apply(update, origin::own_word);
 }
 
 // Contradicts a claim about this instance. Two processes with one name are told apart by the
