--- /dev/null
+++ b/include/entry/entry_instance.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "config/config_follower.h"
+#include "dispatch/dispatcher.h"
+#include "entry/submission_locator.h"
+#include "membership/failure_detector.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace cactusloom {
+
+class account_writer;
+class config_peer_source;
+class counters;
+class instance_list;
+class log_service;
+class peer_transport;
+class timer_service;
+class worker_client;
+
+struct entry_options {
+    member self; // name, data centre, address, incarnation and capacity weight
+    std::uint64_t checksum_key = 0;
+    std::uint64_t seed = 0;
+    config_follower_options config;
+    failure_detector_settings detector;
+    std::vector<peer_hint> seeds; // used until the platform's list answers
+    bool keep_accounts = true;
+    duration list_interval = std::chrono::seconds{5};
+    duration account_close_limit = std::chrono::seconds{10};
+};
+
+// What an entry instance works with. All must outlive it; `list`, `config_peers` and `metrics` may
+// be null.
+struct entry_parts {
+    timer_service& timers;
+    log_service& log;
+    worker_client& workers;
+    peer_transport& peers;
+    instance_list* list = nullptr;
+    config_peer_source* config_peers = nullptr;
+    counters* metrics = nullptr;
+};
+
+// One entry instance over the interfaces to its surroundings. It owns the modules and passes on
+// what concerns more than one of them: a new document, a change of members, a shutdown.
+class entry_instance {
+public:
+    using settings_callback = std::function<void(const deployment&)>;
+
+    entry_instance(entry_options options, const entry_parts& parts);
+    ~entry_instance();
+    entry_instance(const entry_instance&) = delete;
+    entry_instance& operator=(const entry_instance&) = delete;
+
+    void start();
+
+    // True while the instance can take submissions: a document is in force, it is not shutting
+    // down, and no later incarnation of its name was seen.
+    bool is_ready() const;
+
+    // The dispatcher, or null until the first document is in force.
+    job_service* jobs() const { return jobs_.get(); }
+
+    // Settings in force with stable positions, or null until there are any.
+    const deployment* settings() const { return settings_.get(); }
+
+    // Calls `fn` before the modules see a new document, so that the worker client knows the
+    // address of every worker by then.
+    void on_settings(settings_callback fn) { settings_callbacks_.push_back(std::move(fn)); }
+
+    submission_location locate(std::string_view id) const;
+
+    config_follower& configuration() { return follower_; }
+    failure_detector& membership() { return detector_; }
+    const account_writer* accounts() const { return accounts_.get(); }
+
+    // Refuses new submissions, finishes what runs, writes the remaining account records, says
+    // goodbye to the peers and calls `stopped`.
+    void shut_down(std::function<void()> stopped);
+
+private:
+    void apply(const config_in_force& document);
+    void build(const deployment& settings);
+    void members_changed();
+    void data_centre_changed(std::string_view data_centre, bool reachable);
+    void poll_list();
+    void leave_group(const std::function<void()>& stopped);
+
+    entry_options options_;
+    entry_parts parts_;
+    config_follower follower_;
+    failure_detector detector_;
+    std::unique_ptr<account_writer> accounts_;
+    std::unique_ptr<class account_recorder> recorder_;
+    std::shared_ptr<const deployment> settings_;
+    std::unique_ptr<class router> router_;
+    std::unique_ptr<dispatcher> jobs_;
+    std::vector<settings_callback> settings_callbacks_;
+    timer_id list_timer_ = 0;
+    bool shutting_down_ = false;
+    std::shared_ptr<entry_instance*> alive_;
+};
+
+} // namespace cactusloom
