--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -21,7 +21,7 @@
     target_link_libraries(cactusloom_stand_in PUBLIC ${ARGN})
 endfunction()
 
-# One Boost.Test program for each folder tests/<name>/ that holds *_test.cpp. Cases listed in
+# One Boost.Test program for each folder tests/<name>/ that holds *.cpp. Cases listed in
 # KNOWN-RED.txt as "test: <folder>/<suite>/<case>" are left out of the run; make test prints them.
 function(cactusloom_tests)
     set(known_red_file ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
@@ -30,7 +30,7 @@
     file(STRINGS ${known_red_file} known_red REGEX "^test: ")
     file(GLOB folders LIST_DIRECTORIES true CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/*)
     foreach(folder ${folders})
-        file(GLOB sources CONFIGURE_DEPENDS ${folder}/*_test.cpp)
+        file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
         if(NOT sources)
             continue()
         endif()
