--- /dev/null
+++ b/src/routing/run_time_model.cpp
@@ -0,0 +1,84 @@
+#include "run_time_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusloom {
+namespace {
+
+constexpr float lowest = 1e-4F;
+constexpr float buckets_per_octave = 8;
+// Runs that the histogram holds before all counts are halved, so that it follows changes.
+constexpr float histogram_runs = 4096;
+// Runs that a mean covers. Kinds mix short and long tasks, so fewer would make the mean wander.
+constexpr float mean_runs = 1000;
+// Used when a kind declares no run time: the middle of the usual 50 ms to 1 s.
+constexpr float undeclared = 0.2F;
+
+} // namespace
+
+run_time_model::run_time_model(const deployment& settings)
+{
+    kinds_.resize(settings.kinds.size());
+    for (std::size_t i = 0; i < kinds_.size(); ++i) {
+        const auto declared = settings.kinds[i].declared_run_time;
+        const float seconds = static_cast<float>(declared.count()) * 1e-6F;
+        kinds_[i].mean = seconds > 0 ? seconds : undeclared;
+        kinds_[i].log_mean = std::log(kinds_[i].mean);
+        kinds_[i].declared = duration{static_cast<std::int64_t>(kinds_[i].mean * 1e6F)};
+        mean_ += kinds_[i].mean / static_cast<float>(kinds_.size());
+    }
+    if (kinds_.empty()) {
+        mean_ = undeclared;
+    }
+    observed_mean_ = mean_;
+}
+
+void run_time_model::learn(std::uint32_t kind, float seconds, float inverse_speed)
+{
+    seconds = std::max(seconds, lowest);
+    kind_state& state = kinds_[kind];
+    const float normalised = seconds / inverse_speed;
+    // The declaration counts as one run.
+    state.runs = std::min(state.runs + 1, mean_runs);
+    const float gain = 1 / (state.runs + 1);
+    state.mean += (normalised - state.mean) * gain;
+    state.log_mean += (std::log(normalised) - state.log_mean) * gain;
+
+    runs_ = std::min(runs_ + 1, mean_runs);
+    mean_ += (normalised - mean_) / (runs_ + 1);
+    observed_mean_ += (seconds - observed_mean_) / (runs_ + 1);
+
+    if (state.counted >= histogram_runs) {
+        state.counted = 0;
+        for (float& count : state.counts) {
+            count /= 2;
+            state.counted += count;
+        }
+    }
+    const float position = std::log2(seconds / lowest) * buckets_per_octave;
+    const auto bucket = std::min(static_cast<std::size_t>(position), buckets - 1);
+    state.counts[bucket] += 1;
+    state.counted += 1;
+}
+
+duration run_time_model::quantile(std::uint32_t kind, double quantile) const
+{
+    const kind_state& state = kinds_[kind];
+    if (state.counted < 10) {
+        return state.declared;
+    }
+    const float wanted = state.counted * static_cast<float>(std::clamp(quantile, 0.0, 1.0));
+    float below = 0;
+    for (std::size_t i = 0; i < buckets; ++i) {
+        if (below + state.counts[i] >= wanted && state.counts[i] > 0) {
+            const float part = (wanted - below) / state.counts[i];
+            const float octaves = (static_cast<float>(i) + part) / buckets_per_octave;
+            return duration{static_cast<std::int64_t>(lowest * std::exp2(octaves) * 1e6F)};
+        }
+        below += state.counts[i];
+    }
+    return state.declared;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/routing/strategy.cpp
@@ -0,0 +1,252 @@
+#include "strategy.h"
+
+#include "base/random.h"
+#include "finish_estimate.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <utility>
+
+namespace cactusloom {
+namespace {
+
+// Workers looked at for one decision. With more workers than this a random part is looked at,
+// which keeps the cost of a decision flat.
+constexpr std::uint32_t most_candidates = 64;
+
+// Room without knowledge of others' load: as many own tasks as the worker has slots.
+float plain_room(const placement& task, worker_id worker)
+{
+    const worker_table& table = *task.workers;
+    return std::min(table.slots[worker], task.limits[worker]) - table.outstanding[worker];
+}
+
+bool has_plain_room(const placement& task, worker_id worker)
+{
+    return task.is_allowed(worker) && plain_room(task, worker) >= 1;
+}
+
+// Visits up to `most` distinct workers from a random one on. Stops when `fn` returns true.
+template<typename Fn>
+void visit(random_engine& random, std::uint32_t n, std::uint32_t most, const Fn& fn)
+{
+    std::uint32_t id = draw_below(random, n);
+    for (std::uint32_t i = 0; i < most; ++i) {
+        if (fn(id)) {
+            return;
+        }
+        id = id + 1 < n ? id + 1 : 0;
+    }
+}
+
+class random_strategy final : public strategy {
+public:
+    explicit random_strategy(std::uint32_t seed) : random_(seed) {}
+
+    std::optional<worker_id> choose(const placement& task) override
+    {
+        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        for (int i = 0; i < 4; ++i) {
+            const worker_id id = draw_below(random_, n);
+            if (has_plain_room(task, id)) {
+                return id;
+            }
+        }
+        std::optional<worker_id> found;
+        visit(random_, n, n, [&](worker_id id) {
+            if (has_plain_room(task, id)) {
+                found = id;
+            }
+            return found.has_value();
+        });
+        return found;
+    }
+
+    float room(const placement& task, worker_id worker) const override
+    {
+        return plain_room(task, worker);
+    }
+
+private:
+    random_engine random_;
+};
+
+class round_robin_strategy final : public strategy {
+public:
+    explicit round_robin_strategy(std::uint32_t seed) : next_(seed) {}
+
+    std::optional<worker_id> choose(const placement& task) override
+    {
+        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        for (std::uint32_t i = 0; i < n; ++i) {
+            next_ = next_ + 1 < n ? next_ + 1 : 0;
+            if (has_plain_room(task, next_)) {
+                return next_;
+            }
+        }
+        return std::nullopt;
+    }
+
+    float room(const placement& task, worker_id worker) const override
+    {
+        return plain_room(task, worker);
+    }
+
+private:
+    worker_id next_;
+};
+
+class fewest_outstanding_strategy final : public strategy {
+public:
+    explicit fewest_outstanding_strategy(std::uint32_t seed) : random_(seed) {}
+
+    std::optional<worker_id> choose(const placement& task) override
+    {
+        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        std::optional<worker_id> best;
+        float fewest = std::numeric_limits<float>::infinity();
+        visit(random_, n, std::min(n, most_candidates), [&](worker_id id) {
+            if (task.workers->outstanding[id] < fewest && has_plain_room(task, id)) {
+                fewest = task.workers->outstanding[id];
+                best = id;
+            }
+            return fewest == 0;
+        });
+        return best;
+    }
+
+    float room(const placement& task, worker_id worker) const override
+    {
+        return plain_room(task, worker);
+    }
+
+private:
+    random_engine random_;
+};
+
+// Two random workers, the one with fewer own tasks.
+class two_choices_strategy final : public strategy {
+public:
+    explicit two_choices_strategy(std::uint32_t seed) : random_(seed) {}
+
+    std::optional<worker_id> choose(const placement& task) override
+    {
+        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        for (int i = 0; i < 4; ++i) {
+            const worker_id a = draw_below(random_, n);
+            const worker_id b = draw_below(random_, n);
+            const bool has_a = has_plain_room(task, a);
+            const bool has_b = has_plain_room(task, b);
+            if (has_a || has_b) {
+                const auto& outstanding = task.workers->outstanding;
+                return has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b;
+            }
+        }
+        return std::nullopt;
+    }
+
+    float room(const placement& task, worker_id worker) const override
+    {
+        return plain_room(task, worker);
+    }
+
+private:
+    random_engine random_;
+};
+
+// The predicted finish over two random workers or over all of them.
+class finish_strategy final : public strategy {
+public:
+    finish_strategy(std::uint32_t seed, std::uint32_t candidates, int attempts)
+        : random_(seed), candidates_(candidates), attempts_(attempts)
+    {
+    }
+
+    std::optional<worker_id> choose(const placement& task) override
+    {
+        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        const finish_estimate estimate(task);
+        std::optional<worker_id> best;
+        float earliest = std::numeric_limits<float>::infinity();
+        const auto consider = [&](worker_id id) {
+            const float others = estimate.others(id);
+            if (task.is_allowed(id) && estimate.room(id, others) >= 1) {
+                const float finish = estimate.finish(id, others);
+                if (finish < earliest) {
+                    earliest = finish;
+                    best = id;
+                }
+            }
+            return false;
+        };
+        for (int i = 0; i < attempts_ && !best; ++i) {
+            if (candidates_ < most_candidates) {
+                for (std::uint32_t k = 0; k < candidates_; ++k) {
+                    consider(draw_below(random_, n));
+                }
+            }
+            else {
+                visit(random_, n, std::min(n, candidates_), consider);
+            }
+            if (n <= candidates_) {
+                break;
+            }
+        }
+        return best;
+    }
+
+    float room(const placement& task, worker_id worker) const override
+    {
+        return finish_estimate(task).room(worker);
+    }
+
+private:
+    random_engine random_;
+    std::uint32_t candidates_;
+    int attempts_;
+};
+
+template<typename T>
+std::unique_ptr<strategy> make_plain(std::uint32_t seed)
+{
+    return std::make_unique<T>(seed);
+}
+
+std::unique_ptr<strategy> make_two_choices_finish(std::uint32_t seed)
+{
+    return std::make_unique<finish_strategy>(seed, 2, 4);
+}
+
+std::unique_ptr<strategy> make_predicted_finish(std::uint32_t seed)
+{
+    return std::make_unique<finish_strategy>(seed, most_candidates, 2);
+}
+
+using maker = std::unique_ptr<strategy> (*)(std::uint32_t seed);
+
+constexpr std::array<std::pair<std::string_view, maker>, 6> makers{{
+    {"random", make_plain<random_strategy>},
+    {"round_robin", make_plain<round_robin_strategy>},
+    {"fewest_outstanding", make_plain<fewest_outstanding_strategy>},
+    {"two_choices", make_plain<two_choices_strategy>},
+    {"two_choices_finish", make_two_choices_finish},
+    {"predicted_finish", make_predicted_finish},
+}};
+
+} // namespace
+
+bool placement::is_allowed(worker_id worker) const
+{
+    return fits[worker] != 0 && workers->leaving[worker] == 0 && worker != excluded;
+}
+
+std::unique_ptr<strategy> strategy::make(std::string_view name, std::uint64_t seed)
+{
+    const auto it = std::find_if(makers.begin(), makers.end(),
+                                 [name](const auto& entry) { return entry.first == name; });
+    // taus88 needs seeds of at least 4096.
+    return it == makers.end() ? nullptr : it->second(static_cast<std::uint32_t>(seed) | 4096U);
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/routing/table_router.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "job_spread.h"
+#include "routing/router.h"
+#include "run_time_model.h"
+#include "strategy.h"
+#include "worker_health.h"
+#include "worker_table.h"
+
+#include <vector>
+
+namespace cactusloom {
+
+// The router of one instance: what it knows, and the strategy that decides from it.
+class table_router final : public router {
+public:
+    table_router(const deployment& settings, const clock& time, router_options options,
+                 std::unique_ptr<strategy> chooser);
+
+    std::optional<worker_id> pick(const routing_query& query) override;
+    bool can_ever_run(kind_index kind) const override;
+    void record_start(worker_id worker, kind_index kind) override;
+    void record_end(worker_id worker, kind_index kind, const start_reply& reply,
+                    duration elapsed) override;
+    void record_load(worker_id worker, const worker_load& load) override;
+    void set_leaving(worker_id worker, bool leaving) override;
+    void set_share(double share) override { workers_.set_share(share); }
+    duration run_time_quantile(kind_index kind, double quantile) const override
+    {
+        return run_times_.quantile(kind, quantile);
+    }
+    duration expected_wait(std::size_t position) const override;
+
+    const worker_health& health() const { return health_; }
+
+private:
+    placement make_placement(const routing_query& query, double now) const;
+    void learn_run(worker_id worker, kind_index kind, duration run_time);
+
+    const clock* time_;
+    worker_table workers_;
+    run_time_model run_times_;
+    worker_health health_;
+    job_spread spread_;
+    std::unique_ptr<strategy> strategy_;
+    std::vector<std::vector<std::uint8_t>> fits_; // by kind and worker
+    std::vector<float> no_penalty_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/routing/worker_health.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "base/random.h"
+#include "platform/worker_client.h"
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace cactusloom {
+
+enum class task_outcome { success, failure, loss };
+
+// Judges workers against the rest of the fleet. A worker that is much worse than the others is
+// ejected and comes back through probation with single tasks; a rack whose workers are lost
+// together is taken out as one event. At most a tenth of the workers are ejected, not counting
+// lost racks. Times are seconds on any monotonic line.
+class worker_health {
+public:
+    worker_health(std::vector<std::uint16_t> rack_of_worker, std::size_t racks, std::uint64_t seed);
+
+    void record(worker_id worker, task_outcome outcome, double now);
+
+    // Judges what was recorded since the last call. Call before reading limits: outcomes that
+    // arrive together are then judged together, so a fleet-wide fault is seen as such.
+    void judge(double now)
+    {
+        if (dirty_) {
+            judge_changes(now);
+        }
+    }
+
+    // Own tasks that the worker may hold: 0 while ejected, 1 while in doubt, else unlimited.
+    const std::vector<float>& limits() const { return limits_; }
+
+    bool is_probe_due(double now) const { return now >= next_probe_; }
+
+    // Workers to be probed with a single task, one call each, until nothing is returned.
+    // `fits` tells whether the worker can take the task at hand.
+    template<typename Fits>
+    std::optional<worker_id> take_probe(double now, const Fits& fits);
+
+    std::size_t ejected() const { return ejected_; }
+    std::size_t lost_racks() const { return lost_racks_; }
+    std::uint64_t rack_events() const { return rack_events_; }
+
+private:
+    enum class standing : std::uint8_t { trusted, ejected, rack_lost, returning };
+
+    struct record_of_worker {
+        standing state = standing::trusted;
+        bool last_failed = false;
+        bool last_lost = false;
+        bool probing = false;
+        std::uint32_t failures_in_row = 0;
+        std::uint32_t successes_in_row = 0;
+        double failures = 0; // decayed
+        double tasks = 0;    // decayed
+        double updated_at = 0;
+        double lost_at = 0;
+        double probe_at = 0;
+        double probe_interval = 0;
+    };
+
+    struct record_of_rack {
+        std::uint32_t workers = 0;
+        bool lost = false;
+        bool doubtful = false;
+        double probe_at = 0;
+        double probe_interval = 0;
+    };
+
+    void judge_changes(double now);
+    bool is_outlier(const record_of_worker& worker) const;
+    void eject(worker_id worker, double now);
+    void lose_rack(std::size_t rack, double now);
+    void restore_rack(std::size_t rack);
+    void set_standing(worker_id worker, standing state);
+    void update_limit(worker_id worker);
+    void update_next_probe();
+    void decay_fleet(double now);
+
+    std::vector<std::uint16_t> rack_of_worker_;
+    std::vector<record_of_worker> workers_;
+    std::vector<record_of_rack> racks_;
+    std::vector<float> limits_;
+    std::vector<worker_id> suspects_; // workers that failed since the last judgement
+    random_engine random_;
+    double failures_ = 0; // decayed, over the fleet
+    double tasks_ = 0;
+    double updated_at_ = 0;
+    double next_probe_ = std::numeric_limits<double>::infinity();
+    std::size_t last_failed_ = 0;
+    std::size_t ejected_ = 0;
+    std::size_t lost_racks_ = 0;
+    std::uint64_t rack_events_ = 0;
+    bool fleet_fault_ = false;
+    bool dirty_ = false;
+};
+
+template<typename Fits>
+std::optional<worker_id> worker_health::take_probe(double now, const Fits& fits)
+{
+    const auto n = static_cast<std::uint32_t>(workers_.size());
+    const std::uint32_t first = draw_below(random_, n);
+    for (std::uint32_t i = 0; i < n; ++i) {
+        const worker_id id = first + i < n ? first + i : first + i - n;
+        record_of_worker& worker = workers_[id];
+        record_of_rack& rack = racks_[rack_of_worker_[id]];
+        const bool rack_due = worker.state == standing::rack_lost && rack.probe_at <= now;
+        const bool worker_due = worker.state == standing::ejected && worker.probe_at <= now;
+        if (!(rack_due || worker_due) || !fits(id)) {
+            continue;
+        }
+        // The next probe is due after a whole interval even if this one is never answered.
+        (rack_due ? rack.probe_at : worker.probe_at) =
+            now + (rack_due ? rack.probe_interval : worker.probe_interval);
+        worker.probing = true;
+        update_next_probe();
+        return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/routing/worker_table.cpp
@@ -0,0 +1,105 @@
+#include "worker_table.h"
+
+#include "base/random.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string_view>
+
+namespace cactusloom {
+namespace {
+
+// Part of a new report in the long-term mean of the others' load.
+constexpr float usual_gain = 0.1F;
+// Runs that a speed covers. Run times of one kind vary by a factor of two or so, and the mean
+// of 100 of them is then known within about 6 %.
+constexpr float speed_runs = 100;
+constexpr float fast_gain = 0.125F;
+// A difference of ln speed that chance does not explain: three standard errors of the fast mean.
+constexpr float speed_change = 0.7F;
+// First speeds are drawn towards the fleet's mean as if this many runs had shown it.
+constexpr float prior_runs = 3;
+// Own tasks that a worker may hold before its first reply.
+constexpr float first_tasks = 2;
+
+} // namespace
+
+worker_table::worker_table(const deployment& settings, std::uint64_t seed, double share)
+{
+    const std::size_t n = settings.workers.size();
+    std::map<std::string_view, std::uint16_t> numbers;
+    random_engine random(static_cast<std::uint32_t>(seed ^ (seed >> 32U)) | 4096U);
+    float all_slots = 0;
+    for (const worker_settings& worker : settings.workers) {
+        slots.push_back(static_cast<float>(worker.slots));
+        all_slots += slots.back();
+        const auto number = static_cast<std::uint16_t>(numbers.size());
+        rack.push_back(numbers.emplace(worker.rack, number).first->second);
+        rounding_.push_back(static_cast<float>(draw_below(random, 1U << 20U)) / (1U << 20U));
+    }
+    racks = numbers.size();
+    rack_slots.assign(racks, 0);
+    for (std::size_t i = 0; i < n; ++i) {
+        rack_slots[rack[i]] += slots[i] / std::max(all_slots, 1.0F);
+    }
+    outstanding.assign(n, 0);
+    others.assign(n, 0);
+    usual.assign(n, 0);
+    assumed.assign(n, 0);
+    quota.assign(n, 0);
+    reported_at.assign(n, 0);
+    inverse_speed.assign(n, 1);
+    cold_limit.assign(n, first_tasks);
+    leaving.assign(n, 0);
+    speeds_.resize(n);
+    set_share(share);
+    others = assumed;
+    usual = assumed;
+}
+
+void worker_table::set_share(double share)
+{
+    const float part = std::clamp(static_cast<float>(share), 0.001F, 1.0F);
+    for (std::size_t i = 0; i < size(); ++i) {
+        // Rounding at random, and not always up, makes the quotas of all instances add up to
+        // about the worker's slots even when each has less than one of them.
+        quota[i] = std::floor(slots[i] * part + rounding_[i]);
+        assumed[i] = slots[i] * (1 - part);
+    }
+}
+
+double worker_table::seconds(monotonic_time now) const
+{
+    return static_cast<double>((now - origin_).count()) * 1e-6;
+}
+
+void worker_table::take_report(worker_id worker, const worker_load& load, monotonic_time now)
+{
+    const float total = static_cast<float>(load.running) + static_cast<float>(load.queued);
+    others[worker] = std::max(total - outstanding[worker], 0.0F);
+    usual[worker] += (others[worker] - usual[worker]) * usual_gain;
+    reported_at[worker] = seconds(now);
+}
+
+void worker_table::take_refusal(worker_id worker, monotonic_time now)
+{
+    // Twice the slots: the report's age then decides when the worker is tried again.
+    others[worker] = std::max(others[worker], 2 * slots[worker]);
+    reported_at[worker] = seconds(now);
+}
+
+void worker_table::learn_speed(worker_id worker, float log_ratio)
+{
+    speed_state& state = speeds_[worker];
+    state.runs = std::min(state.runs + 1, speed_runs);
+    state.slow += (log_ratio - state.slow) / (state.runs + prior_runs);
+    state.fast += (log_ratio - state.fast) * fast_gain;
+    if (state.runs >= 16 && std::abs(state.fast - state.slow) > speed_change) {
+        state.slow = state.fast;
+        state.runs = 4;
+    }
+    inverse_speed[worker] = std::exp(-state.slow);
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/routing/worker_table.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/time.h"
+#include "config/deployment.h"
+#include "platform/worker_client.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace cactusloom {
+
+// What one instance knows about every worker, as a struct of arrays so that a scan over all
+// workers reads few cache lines. Positions are worker ids.
+struct worker_table {
+    worker_table(const deployment& settings, std::uint64_t seed, double share);
+
+    std::size_t size() const { return slots.size(); }
+
+    // Recomputes this instance's part of each worker's slots.
+    void set_share(double share);
+
+    // Takes in a load report. Its own tasks are subtracted, what remains is the others' load.
+    void take_report(worker_id worker, const worker_load& load, monotonic_time now);
+
+    // A refusal proves that the worker is full, whatever an older report says.
+    void take_refusal(worker_id worker, monotonic_time now);
+
+    // Learns from one run: `log_ratio` is ln(expected normalised run time / observed run time).
+    void learn_speed(worker_id worker, float log_ratio);
+
+    std::vector<float> slots;
+    std::vector<float> outstanding;  // own tasks started and not ended
+    std::vector<float> others;       // other instances' tasks when last reported
+    std::vector<float> usual;        // long-term mean of `others`
+    std::vector<float> assumed;      // `others` while nothing was reported
+    std::vector<float> quota;        // own slots, a whole number
+    std::vector<double> reported_at; // as seconds() counts
+    std::vector<float> inverse_speed;
+    std::vector<float> cold_limit; // bound on own outstanding tasks until replies have come
+    std::vector<std::uint16_t> rack;
+    std::vector<std::uint8_t> leaving;
+    std::size_t racks = 0;
+    std::vector<float> rack_slots; // part of all slots, by rack
+    double total_outstanding = 0;
+
+    // Seconds since the table was made.
+    double seconds(monotonic_time now) const;
+
+private:
+    struct speed_state {
+        float slow = 0; // ln speed, averaged over up to 100 runs
+        float fast = 0; // ln speed, averaged over about 8 runs
+        float runs = 0;
+    };
+
+    std::vector<speed_state> speeds_;
+    std::vector<float> rounding_; // fixed random number of each worker, rounds its quota
+    monotonic_time origin_{};
+};
+
+} // namespace cactusloom
