--- a/bench/decision_ideal.h
+++ b/bench/decision_ideal.h
@@ -6,8 +6,9 @@
 
 namespace cactusloom::bench {
 
-// One queue with full and instant knowledge: each task in order of arrival goes to the slot on
-// which it finishes first. Faults are known at the moment they happen.
+// One queue with full and instant knowledge of workers and run times: each task in order of arrival
+// goes to the slot with the least wait, faster workers and longer tasks first among near equals.
+// Faults are known at the moment they happen.
 class ideal_run {
 public:
     ideal_run(const scenario& settings, const trace& input, double round_trip)
@@ -44,6 +45,11 @@
 
 private:
     static constexpr double never = 1e18;
+    // Weight of the run time against the wait when a slot is chosen. With 1 each task takes the
+    // slot where it finishes first, which fills the fast workers' queues at the cost of all later
+    // tasks: at 80 % load the mean is then 18 % and p99 14 % higher than with 0.1. With 0 the
+    // mean is 1 % lower but p99 31 % higher, since long tasks start on slow workers.
+    static constexpr double run_weight = 0.1;
 
     struct assignment {
         std::uint32_t task;
@@ -53,19 +59,21 @@
 
     void place(std::uint32_t task, double now)
     {
-        double earliest = std::numeric_limits<double>::infinity();
+        double least = std::numeric_limits<double>::infinity();
         std::size_t best = 0;
         for (std::size_t slot = 0; slot < free_at_.size(); ++slot) {
             const double start = std::max(free_at_[slot], now);
-            const double finish = start + trace_->work[task] / speed_[slot / slots_per_worker];
-            if (finish < earliest) {
-                earliest = finish;
+            const double run = trace_->work[task] / speed_[slot / slots_per_worker];
+            const double cost = start - now + run_weight * run;
+            if (cost < least) {
+                least = cost;
                 best = slot;
             }
         }
         const double start = std::max(free_at_[best], now);
-        free_at_[best] = earliest;
-        finish_[task] = earliest;
+        const double finish = start + trace_->work[task] / speed_[best / slots_per_worker];
+        free_at_[best] = finish;
+        finish_[task] = finish;
         if (now < trace_->fault_at) {
             assignments_.push_back({task, static_cast<std::uint32_t>(best), start});
         }
--- a/src/routing/finish_estimate.h
+++ b/src/routing/finish_estimate.h
@@ -13,7 +13,8 @@
 public:
     explicit finish_estimate(const placement& task)
         : task_(&task), workers_(task.workers), mean_run_(task.run_times->mean()),
-          run_(task.run_times->mean(task.kind)), spread_cost_(rack_weight * task.run_times->mean())
+          forgetting_(1 / mean_run_), run_(task.run_times->mean(task.kind)),
+          spread_cost_(rack_weight * task.run_times->mean())
     {
     }
 
@@ -23,14 +24,15 @@
         const worker_table& table = *workers_;
         const auto age = static_cast<float>(task_->now - table.reported_at[worker]);
         // A worker's load forgets its state within about one run time, so an old report says
-        // little beyond the usual load.
-        const float fresh = 1 / (1 + age / (mean_run_ * table.inverse_speed[worker]));
-        const float recent =
-            table.usual[worker] + (table.others[worker] - table.usual[worker]) * fresh;
-        // Without any reply for seconds even the usual load is in doubt. This also ends a state
-        // in which nothing is sent because all workers once looked full.
-        const float trust = 1 / (1 + age * age * 0.1F);
-        return table.assumed[worker] + (recent - table.assumed[worker]) * trust;
+        // little beyond the usual load: weight 1 / recency. Without any reply for seconds even
+        // the usual load is in doubt: weight 1 / doubt. This also ends a state in which nothing
+        // is sent because all workers once looked full.
+        const float recency = 1 + age * forgetting_ / table.inverse_speed[worker];
+        const float doubt = 1 + age * age * 0.1F;
+        const float both = 1 / (recency * doubt);
+        return table.assumed[worker] +
+               both * (recency * (table.usual[worker] - table.assumed[worker]) +
+                       (table.others[worker] - table.usual[worker]));
     }
 
     float room(worker_id worker) const { return room(worker, others(worker)); }
@@ -55,7 +57,7 @@
         // it: the expected excess of a spread of +-2 tasks around the estimate.
         const float low = std::clamp(excess + 2, 0.0F, 4.0F);
         const float waiting = low * low * 0.125F + std::max(excess - 2, 0.0F);
-        const float wait = waiting * mean_run_ / table.slots[worker];
+        const float wait = waiting * mean_run_ * table.inverse_slots[worker];
         return (wait + run_) * inverse_speed +
                task_->rack_penalty[table.rack[worker]] * spread_cost_;
     }
@@ -70,6 +72,7 @@
     const placement* task_;
     const worker_table* workers_;
     float mean_run_;
+    float forgetting_;
     float run_;
     float spread_cost_;
 };
--- a/src/routing/strategy.cpp
+++ b/src/routing/strategy.cpp
@@ -143,7 +143,15 @@
                 return has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b;
             }
         }
-        return std::nullopt;
+        // Most workers are full: take any that is not.
+        std::optional<worker_id> found;
+        visit(random_, n, n, [&](worker_id id) {
+            if (has_plain_room(task, id)) {
+                found = id;
+            }
+            return found.has_value();
+        });
+        return found;
     }
 
     float room(const placement& task, worker_id worker) const override
@@ -158,8 +166,8 @@
 // The predicted finish over two random workers or over all of them.
 class finish_strategy final : public strategy {
 public:
-    finish_strategy(std::uint32_t seed, std::uint32_t candidates, int attempts)
-        : random_(seed), candidates_(candidates), attempts_(attempts)
+    finish_strategy(std::uint32_t seed, std::uint32_t candidates)
+        : random_(seed), candidates_(candidates)
     {
     }
 
@@ -180,19 +188,14 @@
             }
             return false;
         };
-        for (int i = 0; i < attempts_ && !best; ++i) {
-            if (candidates_ < most_candidates) {
-                for (std::uint32_t k = 0; k < candidates_; ++k) {
-                    consider(draw_below(random_, n));
-                }
-            }
-            else {
-                visit(random_, n, std::min(n, candidates_), consider);
-            }
-            if (n <= candidates_) {
-                break;
+        if (candidates_ < n) {
+            for (std::uint32_t i = 0; i < candidates_; ++i) {
+                consider(draw_below(random_, n));
             }
         }
+        if (!best) {
+            visit(random_, n, std::min(n, most_candidates), consider);
+        }
         return best;
     }
 
@@ -204,7 +207,6 @@
 private:
     random_engine random_;
     std::uint32_t candidates_;
-    int attempts_;
 };
 
 template<typename T>
@@ -215,12 +217,12 @@
 
 std::unique_ptr<strategy> make_two_choices_finish(std::uint32_t seed)
 {
-    return std::make_unique<finish_strategy>(seed, 2, 4);
+    return std::make_unique<finish_strategy>(seed, 2);
 }
 
 std::unique_ptr<strategy> make_predicted_finish(std::uint32_t seed)
 {
-    return std::make_unique<finish_strategy>(seed, most_candidates, 2);
+    return std::make_unique<finish_strategy>(seed, most_candidates);
 }
 
 using maker = std::unique_ptr<strategy> (*)(std::uint32_t seed);
@@ -238,7 +240,8 @@
 
 bool placement::is_allowed(worker_id worker) const
 {
-    return fits[worker] != 0 && workers->leaving[worker] == 0 && worker != excluded;
+    return fits[worker] != 0 && workers->leaving[worker] == 0 && worker != excluded &&
+           now >= workers->busy_until[worker];
 }
 
 std::unique_ptr<strategy> strategy::make(std::string_view name, std::uint64_t seed)
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -9,6 +9,11 @@
 namespace cactusloom {
 namespace {
 
+// Pause after a refusal, in mean run times. A full worker with eight slots frees one within an
+// eighth of a run time and then has its own queue to serve; asking again sooner costs two
+// messages each time.
+constexpr float refusal_pause = 0.25F;
+
 std::vector<std::uint8_t> workers_that_fit(const deployment& settings, const request_kind& kind)
 {
     std::vector<std::uint8_t> fits;
@@ -121,7 +126,7 @@
     }
     switch (reply.status) {
     case start_status::refused_busy:
-        workers_.take_refusal(worker, now);
+        workers_.take_refusal(worker, now, run_times_.observed_mean() * refusal_pause);
         return; // says nothing about health: the worker is only full
     case start_status::refused_leaving:
         workers_.leaving[worker] = 1;
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -33,6 +33,7 @@
     float all_slots = 0;
     for (const worker_settings& worker : settings.workers) {
         slots.push_back(static_cast<float>(worker.slots));
+        inverse_slots.push_back(1 / std::max(slots.back(), 1.0F));
         all_slots += slots.back();
         const auto number = static_cast<std::uint16_t>(numbers.size());
         rack.push_back(numbers.emplace(worker.rack, number).first->second);
@@ -49,6 +50,7 @@
     assumed.assign(n, 0);
     quota.assign(n, 0);
     reported_at.assign(n, 0);
+    busy_until.assign(n, 0);
     inverse_speed.assign(n, 1);
     cold_limit.assign(n, first_tasks);
     leaving.assign(n, 0);
@@ -82,11 +84,11 @@
     reported_at[worker] = seconds(now);
 }
 
-void worker_table::take_refusal(worker_id worker, monotonic_time now)
+void worker_table::take_refusal(worker_id worker, monotonic_time now, float pause)
 {
-    // Twice the slots: the report's age then decides when the worker is tried again.
-    others[worker] = std::max(others[worker], 2 * slots[worker]);
+    others[worker] = std::max(others[worker], slots[worker]);
     reported_at[worker] = seconds(now);
+    busy_until[worker] = seconds(now) + pause;
 }
 
 void worker_table::learn_speed(worker_id worker, float log_ratio)
--- a/src/routing/worker_table.h
+++ b/src/routing/worker_table.h
@@ -22,8 +22,9 @@
     // Takes in a load report. Its own tasks are subtracted, what remains is the others' load.
     void take_report(worker_id worker, const worker_load& load, monotonic_time now);
 
-    // A refusal proves that the worker is full, whatever an older report says.
-    void take_refusal(worker_id worker, monotonic_time now);
+    // A refusal proves that the worker is full, whatever an older report says. It gets no task
+    // for `pause` seconds.
+    void take_refusal(worker_id worker, monotonic_time now, float pause);
 
     // Learns from one run: `log_ratio` is ln(expected normalised run time / observed run time).
     void learn_speed(worker_id worker, float log_ratio);
@@ -35,7 +36,9 @@
     std::vector<float> assumed;      // `others` while nothing was reported
     std::vector<float> quota;        // own slots, a whole number
     std::vector<double> reported_at; // as seconds() counts
+    std::vector<double> busy_until;  // after a refusal
     std::vector<float> inverse_speed;
+    std::vector<float> inverse_slots;
     std::vector<float> cold_limit; // bound on own outstanding tasks until replies have come
     std::vector<std::uint16_t> rack;
     std::vector<std::uint8_t> leaving;
