--- a/include/admission/fair_queue.h
+++ b/include/admission/fair_queue.h
@@ -27,6 +27,9 @@
     // always has its share by weight of that number, so the hard bound is twice `max_tasks`.
     fair_queue(std::span<const double> weights, std::size_t max_tasks);
 
+    // Changes the weights and the bound. Teams keep their positions; there may be more of them.
+    void update(std::span<const double> weights, std::size_t max_tasks);
+
     // True if `count` more tasks of the team may wait.
     bool has_room(team_index team, std::size_t count) const;
 
--- a/include/admission/team_quotas.h
+++ b/include/admission/team_quotas.h
@@ -28,6 +28,10 @@
     // Changes the limits, when members come and go. The caller must ask is_over() again.
     void set_share(double share);
 
+    // Changes the quotas. Teams keep their positions; there may be more of them. The caller must
+    // ask is_over() again.
+    void update(std::span<const team_quota> teams);
+
 private:
     struct entry {
         std::uint32_t total_limit = 0; // over all instances; 0 for none
@@ -36,6 +40,7 @@
     };
 
     std::vector<entry> teams_;
+    double share_;
 };
 
 } // namespace cactusloom
--- a/include/dispatch/dispatcher.h
+++ b/include/dispatch/dispatcher.h
@@ -43,6 +43,8 @@
     dispatcher(const deployment& settings, dispatcher_options options, const parts& with);
     ~dispatcher() override;
 
+    // The router must have taken the document before, since it is asked about new kinds at once.
+    void apply(const deployment& settings) override;
     result<void> submit(job_request request) override;
     void wait(std::string_view id, duration limit, answer_callback done) override;
     result<job_status> status(std::string_view id) const override;
--- a/include/dispatch/hedge_policy.h
+++ b/include/dispatch/hedge_policy.h
@@ -19,6 +19,9 @@
 
     explicit hedge_policy(const dispatch_profile& profile);
 
+    // Changes the budget and the quantile and keeps the tokens.
+    void apply(const dispatch_profile& profile);
+
     // A task was started for the first time: two messages that every task needs.
     void record_first_start();
 
@@ -35,8 +38,8 @@
     double quantile() const { return quantile_; }
 
 private:
-    double tokens_per_task_;
-    double quantile_;
+    double tokens_per_task_ = 0.0;
+    double quantile_ = 1.0;
     double tokens_ = 0.0;
 };
 
--- a/include/dispatch/retry_budget.h
+++ b/include/dispatch/retry_budget.h
@@ -12,6 +12,9 @@
     // `ratio` is the number of retries allowed for each first start, for example 0.1.
     retry_budget(double ratio, std::uint32_t seed);
 
+    // Changes the ratio and keeps the tokens.
+    void set_ratio(double ratio) { ratio_ = ratio; }
+
     void record_first_start();
 
     // Takes a token for one retry. False if the budget is used up.
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -18,9 +18,16 @@
 } // namespace
 
 fair_queue::fair_queue(std::span<const double> weights, std::size_t max_tasks)
-    : teams_(weights.size()), max_tasks_(max_tasks)
+    : max_tasks_(max_tasks)
 {
-    assert(!weights.empty());
+    update(weights, max_tasks);
+}
+
+void fair_queue::update(std::span<const double> weights, std::size_t max_tasks)
+{
+    assert(!weights.empty() && weights.size() >= teams_.size());
+    max_tasks_ = max_tasks;
+    teams_.resize(weights.size());
     const double least = *std::min_element(weights.begin(), weights.end());
     const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
     assert(least > 0.0);
@@ -30,6 +37,10 @@
         teams_[n].quantum =
             weights[n] / least * static_cast<double>(max_cost.count()) / turns_for_max_cost;
     }
+    active_weight_ = 0.0;
+    for (const team_entry& it : teams_) {
+        active_weight_ += it.jobs > 0 ? it.weight : 0.0;
+    }
 }
 
 bool fair_queue::has_room(team_index team, std::size_t count) const
--- a/src/admission/team_quotas.cpp
+++ b/src/admission/team_quotas.cpp
@@ -5,17 +5,23 @@
 
 namespace cactusloom {
 
-team_quotas::team_quotas(std::span<const team_quota> teams, double share)
+team_quotas::team_quotas(std::span<const team_quota> teams, double share) : share_(share)
 {
-    teams_.reserve(teams.size());
-    for (const team_quota& it : teams) {
-        teams_.push_back({it.max_in_flight, 0, 0});
+    update(teams);
+}
+
+void team_quotas::update(std::span<const team_quota> teams)
+{
+    teams_.resize(std::max(teams_.size(), teams.size()));
+    for (std::size_t n = 0; n < teams.size(); ++n) {
+        teams_[n].total_limit = teams[n].max_in_flight;
     }
-    set_share(share);
+    set_share(share_);
 }
 
 void team_quotas::set_share(double share)
 {
+    share_ = share;
     for (entry& it : teams_) {
         // At least one, because zero stands for no limit and a team must get somewhere.
         const double part = std::ceil(it.total_limit * std::clamp(share, 0.0, 1.0));
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -28,6 +28,11 @@
 
 dispatcher::~dispatcher() = default;
 
+void dispatcher::apply(const deployment& settings)
+{
+    engine_->apply(settings);
+}
+
 result<void> dispatcher::submit(job_request request)
 {
     return engine_->submit(std::move(request));
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -35,52 +35,82 @@
     return digest;
 }
 
-std::vector<double> weights_of(const deployment& settings)
+std::vector<double> weights_of(const std::vector<team_quota>& teams)
 {
     constexpr double least_weight = 0.001;
     std::vector<double> weights;
-    for (const team_quota& it : settings.teams) {
+    weights.reserve(teams.size());
+    for (const team_quota& it : teams) {
         weights.push_back(std::max(it.weight, least_weight));
     }
-    if (weights.empty()) {
-        weights.push_back(1.0);
-    }
     return weights;
 }
 
-std::vector<team_quota> teams_of(const deployment& settings)
-{
-    return settings.teams.empty() ? std::vector<team_quota>{{"default", 1.0, 0}} : settings.teams;
-}
-
 } // namespace
 
 dispatcher::engine::engine(const deployment& settings, dispatcher_options options,
                            const parts& with)
-    : settings_(settings), options_(std::move(options)), workers_(with.workers),
-      routes_(with.routes), timers_(with.timers), observer_(with.observer),
-      counts_(with.metrics != nullptr ? *with.metrics : own_counters_),
-      quotas_(teams_of(settings_), options_.share),
-      retries_(settings_.profile.retry_ratio, static_cast<std::uint32_t>(options_.seed) + 1),
-      hedges_(settings_.profile), registry_(options_.max_remembered_ids),
+    : options_(std::move(options)), workers_(with.workers), routes_(with.routes),
+      timers_(with.timers), observer_(with.observer),
+      counts_(with.metrics != nullptr ? *with.metrics : own_counters_), quotas_({}, options_.share),
+      retries_(settings.profile.retry_ratio, static_cast<std::uint32_t>(options_.seed) + 1),
+      hedges_(settings.profile), registry_(options_.max_remembered_ids),
       wheel_(with.timers, [this](std::uint64_t key) { on_due(key); })
 {
-    const auto weights = weights_of(settings_);
-    std::vector<std::vector<std::string>> needs;
-    for (const request_kind& kind : settings_.kinds) {
-        kinds_by_name_.emplace(kind.name, static_cast<kind_index>(kinds_.size()));
-        const auto it = std::find(needs.begin(), needs.end(), kind.needs);
-        kinds_.push_back({static_cast<std::size_t>(it - needs.begin()), 0, {}, {}, {}, {}});
-        if (it == needs.end()) {
-            needs.push_back(kind.needs);
-            queues_.emplace_back(weights, settings_.limits.max_queued_tasks);
+    apply(settings);
+}
+
+void dispatcher::engine::apply(const deployment& settings)
+{
+    settings_ = std::make_shared<const deployment>(settings);
+    retries_.set_ratio(settings.profile.retry_ratio);
+    hedges_.apply(settings.profile);
+
+    // Waiting and running tasks refer to teams by position, so positions are kept.
+    std::unordered_map<std::string_view, team_index> positions;
+    const auto place = [this](const team_quota& team) {
+        const auto it = std::find_if(teams_.begin(), teams_.end(),
+                                     [&](const auto& known) { return known.name == team.name; });
+        const auto n = static_cast<team_index>(it - teams_.begin());
+        if (it == teams_.end()) {
+            teams_.push_back(team);
+        }
+        else {
+            *it = team;
+        }
+        return n;
+    };
+    for (const team_quota& team : settings_->teams) {
+        positions.emplace(team.name, place(team));
+    }
+    const team_index fallback = settings_->teams.empty() ? place({}) : 0;
+    quotas_.update(teams_);
+    const auto weights = weights_of(teams_);
+    for (fair_queue& queue : queues_) {
+        queue.update(weights, settings_->limits.max_queued_tasks);
+    }
+
+    kinds_by_name_.clear();
+    kinds_.resize(settings_->kinds.size());
+    for (kind_index n = 0; n < settings_->kinds.size(); ++n) {
+        const request_kind& kind = settings_->kinds[n];
+        if (!kind.retired) {
+            kinds_by_name_.emplace(kind.name, n);
+        }
+        const auto it = std::find(queue_needs_.begin(), queue_needs_.end(), kind.needs);
+        kinds_[n].queue = static_cast<std::uint32_t>(it - queue_needs_.begin());
+        if (it == queue_needs_.end()) {
+            queue_needs_.push_back(kind.needs);
+            queues_.emplace_back(weights, settings_->limits.max_queued_tasks);
         }
     }
-    for (const customer_settings& customer : settings_.customers) {
-        const auto it = std::find_if(settings_.teams.begin(), settings_.teams.end(),
-                                     [&](const auto& team) { return team.name == customer.team; });
-        const auto team = it == settings_.teams.end() ? 0 : it - settings_.teams.begin();
-        teams_by_customer_.emplace(customer.id, static_cast<team_index>(team));
+    teams_by_customer_.clear();
+    for (const customer_settings& customer : settings_->customers) {
+        const auto it = positions.find(customer.team);
+        teams_by_customer_.emplace(customer.id, it == positions.end() ? fallback : it->second);
+    }
+    for (team_index team = 0; team < teams_.size(); ++team) {
+        update_quota(team);
     }
 }
 
@@ -150,19 +180,19 @@
                        fmt::format("unknown customer '{}'", request.customer));
     }
     const std::size_t tasks = request.payloads.size();
-    if (tasks == 0 || tasks > settings_.limits.max_tasks_per_job) {
+    if (tasks == 0 || tasks > settings_->limits.max_tasks_per_job) {
         return failure(errc::invalid_argument,
                        fmt::format("a job has 1 to {} tasks, not {}",
-                                   settings_.limits.max_tasks_per_job, tasks));
+                                   settings_->limits.max_tasks_per_job, tasks));
     }
     if (request.deadline != duration::zero() &&
         (request.deadline < shortest_deadline ||
-         request.deadline > settings_.limits.max_deadline)) {
+         request.deadline > settings_->limits.max_deadline)) {
         return failure(errc::invalid_argument,
                        fmt::format("a deadline is 1 to {} ms",
-                                   settings_.limits.max_deadline / std::chrono::milliseconds{1}));
+                                   settings_->limits.max_deadline / std::chrono::milliseconds{1}));
     }
-    const request_kind& settings = settings_.kinds[kind->second];
+    const request_kind& settings = settings_->kinds[kind->second];
     if (!routes_.can_ever_run(kind->second)) {
         return failure(errc::invalid_argument,
                        fmt::format("no worker can ever run '{}', which needs [{}]", settings.name,
@@ -180,7 +210,7 @@
         const duration deadline =
             request.deadline != duration::zero() ? request.deadline : settings.default_deadline;
         const duration limit =
-            deadline != duration::zero() ? deadline : settings_.limits.max_deadline;
+            deadline != duration::zero() ? deadline : settings_->limits.max_deadline;
         const auto position = queue.estimate_position(team->second, tasks);
         const duration margin =
             state.samples < min_samples ? duration::zero() : std::min(state.p99, limit / 2);
@@ -211,13 +241,13 @@
     const std::uint32_t slot = add_job();
     job_record& job = jobs_[slot];
     const kind_index kind = kinds_by_name_.find(request.kind)->second;
-    const request_kind& settings = settings_.kinds[kind];
+    const request_kind& settings = settings_->kinds[kind];
     duration limit = request.deadline;
     if (limit == duration::zero()) {
         limit = settings.default_deadline;
     }
     if (limit == duration::zero()) {
-        limit = settings_.limits.max_deadline;
+        limit = settings_->limits.max_deadline;
     }
     job.number = ++last_job_;
     job.id_hash = id_hash;
@@ -226,6 +256,8 @@
     job.received_wall = timers_.wall_now();
     job.deadline = job.received + limit;
     job.kind = kind;
+    job.queue = kinds_[kind].queue;
+    job.rules = settings_;
     job.team = teams_by_customer_.find(request.customer)->second;
     job.size = static_cast<std::uint32_t>(request.payloads.size());
     job.tasks.resize(job.size);
@@ -239,7 +271,7 @@
     job.id = std::move(request.id);
     job.texts = std::move(request.payloads);
     jobs_by_id_.emplace(id_hash, slot);
-    queues_[kinds_[kind].queue].push(slot, job.team, learned(kind, job.received).median, job.size);
+    queues_[job.queue].push(slot, job.team, learned(kind, job.received).median, job.size);
     pump();
     if (!deliveries_.empty()) {
         schedule_turn();
@@ -345,7 +377,7 @@
 void dispatcher::engine::set_share(double share)
 {
     quotas_.set_share(share);
-    for (team_index team = 0; team < std::max<std::size_t>(settings_.teams.size(), 1); ++team) {
+    for (team_index team = 0; team < teams_.size(); ++team) {
         update_quota(team);
     }
 }
@@ -450,7 +482,7 @@
 {
     job_record& job = jobs_[slot];
     task_record& task = job.tasks[task_number];
-    const request_kind& kind = settings_.kinds[job.kind];
+    const request_kind& kind = job.rules->kinds[job.kind];
     const monotonic_time time = now();
     std::uint32_t index = 0;
     if (free_attempts_.empty()) {
@@ -478,8 +510,8 @@
     attempt.holds_slot = true;
     attempt.was_stopped = false;
     attempt.started = time;
-    attempt.lease_end = time + settings_.lease;
-    attempt.renew_at = time + settings_.lease / 2;
+    attempt.lease_end = time + job.rules->lease;
+    attempt.renew_at = time + job.rules->lease / 2;
     attempt.hedge_at = monotonic_time::max();
     task.lease_end_ms = static_cast<std::uint32_t>((attempt.lease_end - job.received) /
                                                    std::chrono::milliseconds{1});
@@ -499,7 +531,7 @@
         observer_->task_started(job.number, task_number, worker);
     }
     const start_request request{task_id(job, attempt), kind.name, job.texts[task_number],
-                                settings_.lease, std::max(job.deadline - time, duration::zero())};
+                                job.rules->lease, std::max(job.deadline - time, duration::zero())};
     // The capture fits into the function's own storage, so a start allocates nothing here.
     const std::uint32_t generation = attempt.generation;
     workers_.start(worker, request, [this, index, generation](start_reply reply) {
@@ -584,7 +616,7 @@
 {
     job_record& job = jobs_[slot];
     task_record& task = job.tasks[task_number];
-    const request_kind& kind = settings_.kinds[job.kind];
+    const request_kind& kind = job.rules->kinds[job.kind];
     bool may_retry = false;
     switch (reply.status) {
     case start_status::refused_busy:
@@ -689,7 +721,7 @@
     }
     job.is_failing = true;
     job.reason = reason;
-    counts_.tasks_shed += queues_[kinds_[job.kind].queue].remove(slot);
+    counts_.tasks_shed += queues_[job.queue].remove(slot);
     for (task_record& task : job.tasks) {
         wheel_.cancel(task.retry_timer);
     }
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -21,6 +21,7 @@
     engine(const deployment& settings, dispatcher_options options, const parts& with);
     ~engine();
 
+    void apply(const deployment& settings);
     result<void> submit(job_request request);
     void wait(std::string_view id, duration limit, answer_callback done);
     result<job_status> status(std::string_view id) const;
@@ -46,7 +47,7 @@
 
     // What is known of a request kind, with run times as the router has learned them.
     struct kind_state {
-        std::size_t queue = 0; // kinds with the same needs wait in the same queue
+        std::uint32_t queue = 0; // kinds with the same needs wait in the same queue
         std::uint64_t samples = 0;
         monotonic_time refreshed;
         duration median{};
@@ -110,7 +111,7 @@
     void update_quota(team_index team);
     monotonic_time now() const { return timers_.monotonic_now(); }
 
-    const deployment settings_;
+    std::shared_ptr<const deployment> settings_; // replaced as a whole
     const dispatcher_options options_;
     worker_client& workers_;
     router& routes_;
@@ -122,7 +123,9 @@
     std::unordered_map<std::string_view, kind_index> kinds_by_name_;
     std::unordered_map<std::string_view, team_index> teams_by_customer_;
     std::vector<kind_state> kinds_;
+    std::vector<team_quota> teams_; // by position; a team that is no longer listed keeps its place
     std::vector<fair_queue> queues_;
+    std::vector<std::vector<std::string>> queue_needs_; // of the kinds that wait in each queue
     team_quotas quotas_;
     retry_budget retries_;
     hedge_policy hedges_;
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -128,9 +128,10 @@
     if (time >= it.renew_at) {
         ++counts_.lease_renewals;
         hedges_.record_extra_messages(1.0);
-        workers_.renew(it.worker, task_id(jobs_[it.job], it), settings_.lease);
-        it.lease_end = time + settings_.lease;
-        it.renew_at = time + settings_.lease / 2;
+        const duration lease = jobs_[it.job].rules->lease;
+        workers_.renew(it.worker, task_id(jobs_[it.job], it), lease);
+        it.lease_end = time + lease;
+        it.renew_at = time + lease / 2;
     }
     arm(it, index);
 }
@@ -141,7 +142,7 @@
     const job_record& job = jobs_[attempt.job];
     // Tasks that have not run at all need a free slot more than a second start does.
     if (job.is_failing || job.tasks[attempt.task].starts >= max_starts_per_task ||
-        now() >= job.deadline || queues_[kinds_[job.kind].queue].size() > 0 ||
+        now() >= job.deadline || queues_[job.queue].size() > 0 ||
         !hedges_.can_afford(hedge_policy::messages_per_hedge)) {
         return;
     }
@@ -191,7 +192,7 @@
     }
     task.state = task_state::waiting;
     job.again.push_back(task_number);
-    queues_[kinds_[job.kind].queue].push_again(slot, job.team, learned(job.kind, time).median);
+    queues_[job.queue].push_again(slot, job.team, learned(job.kind, time).median);
     pump();
 }
 
@@ -237,6 +238,7 @@
     // Only the answer is kept; a retained job must be small.
     release_memory(job.texts);
     release_memory(job.again);
+    job.rules.reset();
     job.tasks.clear();
     job.tasks.shrink_to_fit();
     wheel_.cancel(job.timer);
@@ -270,7 +272,7 @@
 void dispatcher::engine::drop_old_answers(bool only_excess)
 {
     const monotonic_time time = now();
-    const duration retention = settings_.limits.answer_retention;
+    const duration retention = settings_->limits.answer_retention;
     for (std::size_t n = 0; n < max_drops_per_turn && !retained_.empty(); ++n) {
         const job_record& oldest = jobs_[retained_.front()];
         const bool is_excess = retained_bytes_ > options_.max_retained_bytes;
--- a/src/dispatch/hedge_policy.cpp
+++ b/src/dispatch/hedge_policy.cpp
@@ -14,9 +14,14 @@
 } // namespace
 
 hedge_policy::hedge_policy(const dispatch_profile& profile)
-    : tokens_per_task_(std::max(0.0, profile.message_budget - 2.0)),
-      quantile_(profile.hedge_quantile)
 {
+    apply(profile);
+}
+
+void hedge_policy::apply(const dispatch_profile& profile)
+{
+    tokens_per_task_ = std::max(0.0, profile.message_budget - 2.0);
+    quantile_ = profile.hedge_quantile;
 }
 
 void hedge_policy::record_first_start()
--- a/src/dispatch/job_record.h
+++ b/src/dispatch/job_record.h
@@ -53,13 +53,15 @@
     // Payloads; the payload of a completed task is replaced by its answer.
     std::vector<std::string> texts;
     boost::container::small_vector<task_record, 1> tasks;
-    std::vector<std::uint32_t> again; // tasks that wait to be started again
+    std::shared_ptr<const deployment> rules; // in force when the job was accepted
+    std::vector<std::uint32_t> again;        // tasks that wait to be started again
     std::vector<answer_waiter> waiters;
     std::shared_ptr<const job_answer> answer; // set when the job is finished
     std::string reason;                       // why it failed, if it did
     timer_wheel::handle timer = timer_wheel::none;
     kind_index kind = 0;
     team_index team = 0;
+    std::uint32_t queue = 0;        // position of the queue its tasks wait in
     std::uint32_t size = 0;         // tasks
     std::uint32_t next_waiting = 0; // first task that was never started
     std::uint32_t started = 0;      // tasks
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -17,6 +17,7 @@
     table_router(const deployment& settings, const clock& time, router_options options,
                  std::unique_ptr<strategy> chooser);
 
+    void apply(const deployment& /*settings*/) override {}
     std::optional<worker_id> pick(const routing_query& query) override;
     bool can_ever_run(kind_index kind) const override;
     void record_start(worker_id worker, kind_index kind) override;
--- /dev/null
+++ b/tests/system/callers.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "fleet.h"
+
+namespace cactusloom::system_test {
+
+inline constexpr std::size_t instances = 6;
+
+// What one caller asked for, and everything that it was told.
+struct submission {
+    std::string id;
+    std::string customer;
+    std::string kind;
+    std::vector<std::string> payloads;
+    std::size_t resubmissions = 0;
+    bool is_settled = false;
+    std::vector<fleet::outcome> told;
+};
+
+// Callers that submit through random instances and resubmit what they believe lost, and the checks
+// of what must hold whatever happens to the instances meanwhile.
+class callers {
+public:
+    callers(fleet& entry, std::uint32_t seed) : fleet_(entry), random_(seed * 7919 + 4096) {}
+
+    // Up to `most` new submissions, each with a prefix from the instance that it reaches first.
+    void submit_some(std::uint32_t most);
+
+    // One submission by way of instance `door`; returns its number, or nothing if no prefix is had.
+    std::optional<std::size_t> submit(std::size_t door, std::string kind, std::uint32_t tasks);
+
+    // Sends a submission again, with the same id.
+    void resubmit(std::size_t number, std::size_t door) { send(number, door); }
+
+    // With this off, each submission is sent once and no reply is lost.
+    void set_impatient(bool impatient) { impatient_ = impatient; }
+
+    const submission& operator[](std::size_t number) const { return submissions_[number]; }
+    std::size_t size() const { return submissions_.size(); }
+    std::size_t count_told(job_state state) const;
+    int starts_of(const std::string& payload) const;
+
+    // Returns every broken invariant: a task that started twice, an answer that is partial or not
+    // the caller's own, a false "not run", a configuration that went back, an account that differs
+    // from what the workers saw.
+    std::vector<std::string> check();
+
+    std::uint32_t draw(std::uint32_t bound) { return draw_below(random_, bound); }
+
+private:
+    using record_map = std::map<std::string, const account_record*>;
+
+    void send(std::size_t number, std::size_t door);
+    void check_starts();
+    void check_answer(const submission& it, const fleet::outcome& told);
+    void check_accounts();
+    void check_account(const submission& it, const record_map& records, bool is_complete);
+
+    fleet& fleet_;
+    random_engine random_;
+    bool impatient_ = true;
+    std::vector<submission> submissions_;
+    std::vector<std::string> faults_;
+};
+
+} // namespace cactusloom::system_test
