Limit the time that an account append may take, and say until when an account is settled

Cause: the writer waited for the reply to its one append in flight. A log behind a cut link never answers, so the writer stopped for good after the link came back, and a reader called the account complete although the writer had gone silent less than its idle time ago. Seen in the row "data centre is cut off while one instance is paused": 14 requests that ran were missing from an account called complete. Change: an append without a reply within 5 s counts as lost and is repeated under its number; the statement names the time until which every live writer has written.

--- a/include/account/account_statement.h
+++ b/include/account/account_statement.h
@@ -46,12 +46,15 @@
     std::map<std::pair<std::string, account_outcome>, std::uint64_t> totals; // by kind and outcome
     wall_time from; // of the first and last batch read
     wall_time until;
+    // Requests received later may still be in the memory of an instance that goes on writing.
+    wall_time settled_until;
     std::vector<account_gap> gaps;
     std::vector<account_unknown> unknowns;
     std::vector<std::string> doubled_answers; // ids with more than one recorded end
     std::vector<std::string> doubled_starts;  // ids with more starts than allowed, or two owners
 
-    // True if no request can be missing and each one has its end recorded.
+    // True if no request received before settled_until can be missing and each one has its end
+    // recorded.
     bool is_complete() const;
 };
 
--- a/include/account/account_writer.h
+++ b/include/account/account_writer.h
@@ -25,6 +25,8 @@
     duration min_interval = std::chrono::milliseconds{250};
     // A quiet instance appends an empty batch this often, so that a reader can tell that it lives.
     duration idle_interval = std::chrono::seconds{60};
+    // A log behind a cut link never answers; without a limit the writer would wait for good.
+    duration append_timeout = std::chrono::seconds{5};
     duration max_backoff = std::chrono::seconds{10};
     std::size_t max_batch_bytes = std::size_t{256} << 10U;
     std::size_t max_buffer_bytes = std::size_t{8} << 20U;
@@ -95,6 +97,7 @@
     bool has_work() const;
     sent_batch make_batch();
     void send();
+    void finish_attempt(std::uint64_t attempt, const result<log_offset>& stored);
     void finish(const result<log_offset>& stored);
     void give_up_batch();
     void finish_close(result<void> outcome);
@@ -122,6 +125,7 @@
     done_callback close_done_;
     timer_id timer_ = 0;
     timer_id close_timer_ = 0;
+    timer_id append_timer_ = 0;
     account_writer_stats stats_;
     std::shared_ptr<account_writer*> alive_;
 };
--- a/src/account/account_statement.cpp
+++ b/src/account/account_statement.cpp
@@ -73,6 +73,7 @@
     line("customer: {}", statement.customer);
     line("complete: {}", statement.is_complete() ? "yes" : "no, requests or ends may be missing");
     line("span: {} to {}", format_time(statement.from), format_time(statement.until));
+    line("settled until: {}", format_time(statement.settled_until));
     line("requests: {}", statement.records.size());
     for (const auto& [key, n] : statement.totals) {
         line("total: {} {} {}", key.first, to_string(key.second), n);
@@ -262,7 +263,11 @@
 account_statement account_fold::finish(wall_time now) &&
 {
     auto& out = statement_;
+    out.settled_until = out.until;
     for (const auto& [key, it] : writers_) {
+        if (!it.is_closed && !has_ended(key, it, now)) {
+            out.settled_until = std::min(out.settled_until, it.last_written);
+        }
         for (const auto& gap : it.missing) {
             out.gaps.push_back(
                 {account_gap::cause::batch_missing, gap.from, gap.until, gap.last - gap.first + 1,
--- a/src/account/account_writer.cpp
+++ b/src/account/account_writer.cpp
@@ -30,6 +30,7 @@
 {
     timers_.cancel(timer_);
     timers_.cancel(close_timer_);
+    timers_.cancel(append_timer_);
 }
 
 void account_writer::start()
@@ -176,15 +177,27 @@
 void account_writer::send()
 {
     awaiting_reply_ = true;
-    ++stats_.appends;
+    const std::uint64_t attempt = ++stats_.appends;
+    append_timer_ = timers_.schedule(settings_.append_timeout, [this, attempt] {
+        finish_attempt(attempt, failure(errc::reply_lost, "no reply to the append"));
+    });
     log_.append(account_stream, in_flight_->content,
-                [weak = std::weak_ptr(alive_)](const result<log_offset>& stored) {
+                [weak = std::weak_ptr(alive_), attempt](const result<log_offset>& stored) {
                     if (const auto alive = weak.lock()) {
-                        (*alive)->finish(stored);
+                        (*alive)->finish_attempt(attempt, stored);
                     }
                 });
 }
 
+void account_writer::finish_attempt(std::uint64_t attempt, const result<log_offset>& stored)
+{
+    // A reply that comes after its time limit is ignored: the batch is repeated under its number.
+    if (awaiting_reply_ && attempt == stats_.appends) {
+        timers_.cancel(append_timer_);
+        finish(stored);
+    }
+}
+
 void account_writer::finish(const result<log_offset>& stored)
 {
     awaiting_reply_ = false;
