--- /dev/null
+++ b/tests/system/random_faults_test.cpp
@@ -0,0 +1,245 @@
+#include "callers.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+using namespace cactusloom;
+using namespace cactusloom::system_test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One run: a fleet, callers that resubmit what they believe lost, and faults drawn from the seed.
+class random_run {
+public:
+    explicit random_run(std::uint32_t seed) : fleet_(seed), callers_(fleet_, seed)
+    {
+        for (std::size_t n = 0; n < instances; ++n) {
+            fleet_.start(n);
+        }
+        fleet_.run(5s);
+    }
+
+    void run(std::size_t steps)
+    {
+        for (std::size_t n = 0; n < steps; ++n) {
+            callers_.submit_some(3);
+            if (draw(4) == 0) {
+                disturb();
+            }
+            fleet_.run(250ms);
+        }
+        heal();
+        fleet_.run(90s);
+    }
+
+    callers& load() { return callers_; }
+    const std::vector<std::string>& events() const { return events_; }
+
+private:
+    std::uint32_t draw(std::uint32_t bound) { return callers_.draw(bound); }
+
+    void note(std::string event)
+    {
+        events_.push_back(fmt::format(
+            "{:8.2f} s {}",
+            static_cast<double>(fleet_.timers().monotonic_now().time_since_epoch().count()) / 1e6,
+            std::move(event)));
+    }
+
+    void disturb()
+    {
+        using event = void (random_run::*)();
+        static constexpr event events[] = {
+            &random_run::kill_one,     &random_run::pause_one,    &random_run::replace_one,
+            &random_run::cut_centre,   &random_run::cut_platform, &random_run::stop_log,
+            &random_run::lose_replies, &random_run::break_worker, &random_run::race_edits,
+            &random_run::race_edits,   &random_run::lose_appends,
+        };
+        (this->*events[draw(std::size(events))])();
+    }
+
+    void restart_later(std::size_t number)
+    {
+        fleet_.timers().schedule(duration{1s} * (1 + draw(8)), [this, number] {
+            if (!fleet_.is_running(number)) {
+                note(fmt::format("start i{}", number));
+                fleet_.start(number);
+            }
+        });
+    }
+
+    void kill_one()
+    {
+        const std::size_t number = draw(instances);
+        if (fleet_.is_running(number)) {
+            note(fmt::format("kill i{}", number));
+            fleet_.kill(number);
+            restart_later(number);
+        }
+    }
+
+    void pause_one()
+    {
+        const std::size_t number = draw(instances);
+        if (!fleet_.is_running(number) || fleet_[number].paused) {
+            return;
+        }
+        note(fmt::format("pause i{}", number));
+        fleet_.set_paused(number, true);
+        const auto* paused = &fleet_[number];
+        fleet_.timers().schedule(duration{1s} * (1 + draw(15)), [this, number, paused] {
+            if (fleet_.is_running(number) && &fleet_[number] == paused && paused->paused) {
+                note(fmt::format("resume i{}", number));
+                fleet_.set_paused(number, false);
+            }
+        });
+    }
+
+    void replace_one()
+    {
+        const std::size_t number = draw(instances);
+        if (!fleet_.is_running(number) || fleet_[number].paused) {
+            return;
+        }
+        note(fmt::format("shut down i{}", number));
+        fleet_.shut_down(number);
+        const auto* leaving = &fleet_[number];
+        fleet_.timers().schedule(20s, [this, number, leaving] {
+            if (fleet_.is_running(number) && &fleet_[number] == leaving) {
+                fleet_.kill(number);
+                restart_later(number);
+            }
+        });
+    }
+
+    void cut_centre()
+    {
+        const std::size_t centre = draw(data_centres);
+        note(fmt::format("cut dc{}", centre));
+        fleet_.set_data_centre_cut(centre, true);
+        fleet_.timers().schedule(duration{1s} * (1 + draw(20)), [this, centre] {
+            note(fmt::format("join dc{}", centre));
+            fleet_.set_data_centre_cut(centre, false);
+        });
+    }
+
+    void cut_platform()
+    {
+        const std::size_t centre = draw(data_centres);
+        note(fmt::format("cut dc{} from the log", centre));
+        fleet_.set_platform_cut(centre, true);
+        fleet_.timers().schedule(duration{1s} * (1 + draw(30)),
+                                 [this, centre] { fleet_.set_platform_cut(centre, false); });
+    }
+
+    void stop_log()
+    {
+        const bool silent = draw(2) == 0;
+        note(silent ? "log silent" : "log down");
+        silent ? fleet_.log().set_silent(true) : fleet_.log().set_down(true);
+        fleet_.timers().schedule(duration{1s} * (1 + draw(20)), [this] {
+            fleet_.log().set_silent(false);
+            fleet_.log().set_down(false);
+        });
+    }
+
+    void lose_replies()
+    {
+        note("lose append replies");
+        fleet_.log().lose_append_replies(1 + draw(4));
+    }
+
+    void lose_appends()
+    {
+        note("lose append requests");
+        fleet_.log().lose_append_requests(1 + draw(4));
+    }
+
+    void break_worker()
+    {
+        const worker_id id = draw(worker_count);
+        const bool dies = draw(2) == 0;
+        note(fmt::format("worker w{} {}", id, dies ? "dies" : "fails all tasks"));
+        fleet_.workers()[id].state =
+            dies ? fake_workers::health::dead : fake_workers::health::fails_all;
+        fleet_.timers().schedule(duration{1s} * (1 + draw(10)), [this, id] {
+            fleet_.workers()[id].state = fake_workers::health::good;
+        });
+    }
+
+    void race_edits()
+    {
+        note("two instances edit the profile");
+        for (int n = 0; n < 2; ++n) {
+            fleet_.edit(draw(instances), "profile", "dispatch",
+                        fmt::format("[profile]\nresponse_time_weight = 0.5\n"
+                                    "wasted_message_weight = 0.5\nrouting = \"predicted_finish\"\n"
+                                    "message_budget = 2.2\nhedge_quantile = 0.95\n"
+                                    "retry_ratio = 0.{}\n",
+                                    1 + draw(9)));
+        }
+    }
+
+    void heal()
+    {
+        note("heal everything");
+        fleet_.log().set_silent(false);
+        fleet_.log().set_down(false);
+        for (std::size_t n = 0; n < data_centres; ++n) {
+            fleet_.set_data_centre_cut(n, false);
+        }
+        for (worker_id id = 0; id < worker_count; ++id) {
+            fleet_.workers()[id].state = fake_workers::health::good;
+        }
+    }
+
+    fleet fleet_;
+    callers callers_;
+    std::vector<std::string> events_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(system_test)
+
+// Guards the five invariants that no fault may break: no task starts twice, no partial answer, no
+// configuration goes back, no false "not run", and an account that matches what the workers saw.
+// CACTUSLOOM_TEST_SEED runs one seed alone.
+BOOST_AUTO_TEST_CASE(invariants_hold_under_random_faults)
+{
+    std::vector<std::uint32_t> seeds;
+    if (const char* seed = std::getenv("CACTUSLOOM_TEST_SEED")) {
+        seeds.push_back(static_cast<std::uint32_t>(std::strtoul(seed, nullptr, 10)));
+    }
+    else {
+        for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+            seeds.push_back(seed);
+        }
+    }
+    std::size_t completed = 0;
+    for (const std::uint32_t seed : seeds) {
+        random_run it(seed);
+        it.run(240);
+        const callers& load = it.load();
+        completed += load.count_told(job_state::completed);
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << load.count_told(job_state::completed)
+                                   << " completed, " << load.count_told(job_state::failed_not_run)
+                                   << " not run, " << load.count_told(job_state::failed_after_run)
+                                   << " failed after run, " << load.count_told(job_state::unknown)
+                                   << " unknown");
+        const std::vector<std::string> faults = it.load().check();
+        for (const std::string& fault : faults) {
+            BOOST_ERROR("seed " << seed << ": " << fault);
+        }
+        if (!faults.empty()) {
+            for (const std::string& event : it.events()) {
+                BOOST_TEST_MESSAGE("seed " << seed << ": " << event);
+            }
+        }
+    }
+    // A run in which little is served would hold the invariants without testing them.
+    BOOST_TEST(completed > seeds.size() * 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
