--- /dev/null
+++ b/include/http/http_client.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/timer_service.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cactusloom {
+
+// One request. The client never sends it a second time by itself.
+struct http_call {
+    std::string method = "GET";
+    std::string address; // "ip:port"
+    std::string target;  // path and query, encoded
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    duration limit = std::chrono::seconds{10}; // for the whole exchange
+    bool fresh_connection = false;
+};
+
+enum class http_end {
+    replied,
+    not_sent,   // no byte of the request left this process
+    reply_lost, // the request may have arrived
+};
+
+struct http_reply {
+    http_end end = http_end::reply_lost;
+    unsigned status = 0;
+    std::string body;
+    std::string reason;                             // why there is no reply
+    std::function<std::string(const char*)> header; // only callable inside the callback
+};
+
+struct http_client_options {
+    std::size_t max_connections = 4096;
+    std::size_t max_connections_per_address = 64;
+};
+
+// Non-blocking HTTP/1.1 client on the loop of the calling thread, with kept-alive connections.
+// A connection whose request passes its limit is closed.
+class http_client {
+public:
+    using callback = std::function<void(const http_reply&)>;
+
+    // `timers` must outlive the client. Calls still open at destruction are not reported.
+    http_client(timer_service& timers, http_client_options options);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    // `done` runs exactly once and never from inside send().
+    void send(const http_call& call, callback done);
+
+    struct state;
+
+private:
+    std::shared_ptr<state> state_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/http/http_worker_client.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "http/http_client.h"
+#include "platform/worker_client.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactusloom {
+
+struct worker_settings;
+
+// Sends tasks to workers by HTTP, as docs/platform.md describes. Worker ids are positions in the
+// list of addresses.
+class http_worker_client final : public worker_client {
+public:
+    // `timers` must outlive the client.
+    http_worker_client(timer_service& timers, const std::vector<worker_settings>& workers);
+
+    // Takes the list of a new document. Open calls keep the address that they were sent to.
+    void set_workers(const std::vector<worker_settings>& workers);
+
+    void start(worker_id worker, const start_request& request, callback done) override;
+    void renew(worker_id worker, std::string_view task_id, duration lease) override;
+    void stop(worker_id worker, std::string_view task_id) override;
+
+private:
+    http_client client_;
+    std::vector<std::string> addresses_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/http/json_text.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <json/value.h>
+#include <string>
+#include <string_view>
+
+namespace cactusloom {
+
+// Parses a whole JSON text. Duplicate keys, trailing text and deep nesting are errors.
+result<Json::Value> parse_json(std::string_view text);
+
+// Writes JSON without white space.
+std::string write_json(const Json::Value& value);
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,141 @@
+#include "http/http_client.h"
+
+#include "http/glib_ptr.h"
+
+#include <fmt/format.h>
+#include <gio/gio.h>
+#include <libsoup/soup.h>
+#include <utility>
+
+namespace cactusloom {
+
+struct http_client::state {
+    timer_service* timers = nullptr;
+    object_ptr<SoupSession> session;
+    bool open = true;
+};
+
+namespace {
+
+struct open_call {
+    std::shared_ptr<http_client::state> owner;
+    object_ptr<SoupMessage> message;
+    object_ptr<GCancellable> cancellable;
+    http_client::callback done;
+    timer_id limit_timer = 0;
+    bool started = false; // a byte may have left this process
+    bool timed_out = false;
+};
+
+// The library sends an idempotent request again when a kept-alive connection breaks. A start must
+// not go out twice, so the second sending is cancelled before the library picks a connection.
+void forbid_second_sending(SoupMessage* /*message*/, gpointer data)
+{
+    g_cancellable_cancel(static_cast<open_call*>(data)->cancellable.get());
+}
+
+void note_start(SoupMessage* /*message*/, gpointer data)
+{
+    static_cast<open_call*>(data)->started = true;
+}
+
+void finish(GObject* source, GAsyncResult* outcome, gpointer data)
+{
+    const std::unique_ptr<open_call> call(static_cast<open_call*>(data));
+    glib_error ec;
+    GBytes* bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), outcome, ec.out());
+    call->owner->timers->cancel(call->limit_timer);
+    g_signal_handlers_disconnect_by_data(call->message.get(), call.get());
+    http_reply reply;
+    if (bytes != nullptr && !ec) {
+        gsize size = 0;
+        const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+        reply.end = http_end::replied;
+        reply.status = soup_message_get_status(call->message.get());
+        reply.body.assign(text == nullptr ? "" : text, size);
+    }
+    else {
+        reply.end = call->started ? http_end::reply_lost : http_end::not_sent;
+        reply.reason = call->timed_out ? "no reply within the limit" : ec.message();
+    }
+    reply.header = [&call](const char* name) -> std::string {
+        const char* value = soup_message_headers_get_one(
+            soup_message_get_response_headers(call->message.get()), name);
+        return value == nullptr ? "" : value;
+    };
+    if (bytes != nullptr) {
+        g_bytes_unref(bytes);
+    }
+    if (call->owner->open) {
+        call->done(reply);
+    }
+}
+
+} // namespace
+
+http_client::http_client(timer_service& timers, http_client_options options)
+    : state_(std::make_shared<state>())
+{
+    state_->timers = &timers;
+    state_->session.reset(soup_session_new_with_options(
+        "max-conns", static_cast<int>(options.max_connections), "max-conns-per-host",
+        static_cast<int>(options.max_connections_per_address), "timeout", 0U, "idle-timeout", 30U,
+        "user-agent", "cactusloom", nullptr));
+    // Addresses are IP numbers of our own settings: no proxies and no decoding of replies.
+    soup_session_set_proxy_resolver(state_->session.get(), nullptr);
+    soup_session_remove_feature_by_type(state_->session.get(), SOUP_TYPE_CONTENT_DECODER);
+}
+
+http_client::~http_client()
+{
+    state_->open = false;
+    soup_session_abort(state_->session.get());
+}
+
+void http_client::send(const http_call& call, callback done)
+{
+    const std::string uri = fmt::format("http://{}{}", call.address, call.target);
+    auto open = std::make_unique<open_call>();
+    open->owner = state_;
+    open->done = std::move(done);
+    open->message.reset(soup_message_new(call.method.c_str(), uri.c_str()));
+    if (!open->message) {
+        state_->timers->schedule(duration::zero(),
+                                 [open = std::shared_ptr<open_call>(std::move(open))] {
+                                     http_reply reply;
+                                     reply.end = http_end::not_sent;
+                                     reply.reason = "not a valid address";
+                                     reply.header = [](const char*) { return std::string{}; };
+                                     if (open->owner->open) {
+                                         open->done(reply);
+                                     }
+                                 });
+        return;
+    }
+    SoupMessage* message = open->message.get();
+    // Only messages with this flag use kept-alive connections.
+    soup_message_add_flags(message, call.fresh_connection ? SOUP_MESSAGE_NEW_CONNECTION
+                                                          : SOUP_MESSAGE_IDEMPOTENT);
+    soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+    for (const auto& [name, value] : call.headers) {
+        soup_message_headers_replace(soup_message_get_request_headers(message), name.c_str(),
+                                     value.c_str());
+    }
+    if (!call.body.empty() || call.method == "POST") {
+        GBytes* bytes = g_bytes_new(call.body.data(), call.body.size());
+        soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+        g_bytes_unref(bytes);
+    }
+    open->cancellable.reset(g_cancellable_new());
+    g_signal_connect(message, "starting", G_CALLBACK(note_start), open.get());
+    g_signal_connect(message, "restarted", G_CALLBACK(forbid_second_sending), open.get());
+    auto* raw = open.release();
+    raw->limit_timer = state_->timers->schedule(call.limit, [raw] {
+        raw->timed_out = true;
+        g_cancellable_cancel(raw->cancellable.get());
+    });
+    soup_session_send_and_read_async(state_->session.get(), message, G_PRIORITY_DEFAULT,
+                                     raw->cancellable.get(), finish, raw);
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,374 @@
+#include "http/http_server.h"
+
+#include "http/glib_ptr.h"
+
+#include <cstdlib>
+#include <cstring>
+#include <fmt/format.h>
+#include <gio/gio.h>
+#include <libsoup/soup.h>
+#include <unordered_map>
+#include <utility>
+
+namespace cactusloom {
+namespace {
+
+// How often connections that are too slow are looked for. It adds at most this to each limit.
+constexpr duration sweep_interval = std::chrono::seconds{1};
+constexpr int listen_backlog = 1024;
+
+enum class connection_phase { header, body, answering };
+
+struct connection {
+    connection_phase phase = connection_phase::header;
+    monotonic_time since{};
+    GSocketConnection* stream = nullptr;
+};
+
+object_ptr<GSocketAddress> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return nullptr;
+    }
+    char* end = nullptr;
+    const unsigned long port = std::strtoul(text.c_str() + colon + 1, &end, 10);
+    if (end == text.c_str() + colon + 1 || *end != '\0' || port > 65535) {
+        return nullptr;
+    }
+    return object_ptr<GSocketAddress>(g_inet_socket_address_new_from_string(
+        text.substr(0, colon).c_str(), static_cast<guint>(port)));
+}
+
+class soup_exchange final : public http_exchange {
+public:
+    explicit soup_exchange(SoupServerMessage* message)
+        : message_(static_cast<SoupServerMessage*>(g_object_ref(message)))
+    {
+        finished_handler_ = g_signal_connect(
+            message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
+                static_cast<soup_exchange*>(data)->finished_ = true;
+            }),
+            this);
+        soup_server_message_pause(message);
+        auto* buf = soup_message_body_flatten(soup_server_message_get_request_body(message));
+        body_.reset(buf);
+    }
+
+    ~soup_exchange() override
+    {
+        if (!replied_) {
+            reply(500, R"({"state":"unknown","reason":"the request was dropped"})",
+                  "application/json");
+        }
+        g_signal_handler_disconnect(message_.get(), finished_handler_);
+    }
+
+    std::string_view method() const override
+    {
+        return soup_server_message_get_method(message_.get());
+    }
+    std::string_view path() const override
+    {
+        return g_uri_get_path(soup_server_message_get_uri(message_.get()));
+    }
+    std::string_view body() const override
+    {
+        gsize size = 0;
+        const auto* data = static_cast<const char*>(g_bytes_get_data(body_.get(), &size));
+        return {data == nullptr ? "" : data, size};
+    }
+    std::string_view header(const char* name) const override
+    {
+        const char* value = soup_message_headers_get_one(
+            soup_server_message_get_request_headers(message_.get()), name);
+        return value == nullptr ? "" : value;
+    }
+    std::string query(const char* name) const override
+    {
+        const char* text = g_uri_get_query(soup_server_message_get_uri(message_.get()));
+        if (text == nullptr) {
+            return "";
+        }
+        GHashTable* form = soup_form_decode(text);
+        const auto* value = static_cast<const char*>(g_hash_table_lookup(form, name));
+        std::string found = value == nullptr ? "" : value;
+        g_hash_table_unref(form);
+        return found;
+    }
+    std::string raw_query() const override
+    {
+        const char* text = g_uri_get_query(soup_server_message_get_uri(message_.get()));
+        return text == nullptr ? "" : text;
+    }
+    void set_header(const char* name, const std::string& value) override
+    {
+        soup_message_headers_replace(soup_server_message_get_response_headers(message_.get()), name,
+                                     value.c_str());
+    }
+    void reply(unsigned status, std::string_view body, const char* content_type) override
+    {
+        if (std::exchange(replied_, true) || finished_) {
+            return;
+        }
+        soup_server_message_set_status(message_.get(), status, nullptr);
+        soup_server_message_set_response(message_.get(), content_type, SOUP_MEMORY_COPY,
+                                         body.data(), body.size());
+        soup_server_message_unpause(message_.get());
+    }
+    void hang_up() override
+    {
+        replied_ = true;
+        if (!finished_) {
+            glib_error ignored;
+            g_socket_shutdown(soup_server_message_get_socket(message_.get()), TRUE, TRUE,
+                              ignored.out());
+            soup_server_message_set_status(message_.get(), 500, nullptr);
+            soup_server_message_unpause(message_.get());
+        }
+    }
+
+private:
+    struct bytes_unref {
+        void operator()(GBytes* bytes) const { g_bytes_unref(bytes); }
+    };
+
+    object_ptr<SoupServerMessage> message_;
+    std::unique_ptr<GBytes, bytes_unref> body_;
+    gulong finished_handler_ = 0;
+    bool replied_ = false;
+    bool finished_ = false;
+};
+
+void shut_down_socket(SoupServerMessage* message)
+{
+    if (GSocket* socket = soup_server_message_get_socket(message)) {
+        glib_error ignored;
+        g_socket_shutdown(socket, TRUE, TRUE, ignored.out());
+    }
+}
+
+} // namespace
+
+struct http_server::state {
+    timer_service* timers = nullptr;
+    http_server_limits limits;
+    handler on_request;
+    object_ptr<SoupServer> server;
+    object_ptr<GSocket> listener;
+    GSource* accept_source = nullptr;
+    std::unordered_map<GSocket*, connection> connections;
+    std::uint64_t refused = 0;
+    timer_id sweep_timer = 0;
+
+    void accept_all();
+    void sweep();
+    void set_phase(SoupServerMessage* message, connection_phase phase);
+    void watch(SoupServerMessage* message);
+    void stop_accepting();
+    ~state();
+};
+
+void http_server::state::stop_accepting()
+{
+    if (accept_source != nullptr) {
+        g_source_destroy(accept_source);
+        g_source_unref(accept_source);
+        accept_source = nullptr;
+        g_socket_close(listener.get(), nullptr);
+    }
+}
+
+http_server::state::~state()
+{
+    timers->cancel(sweep_timer);
+    stop_accepting();
+    g_signal_handlers_disconnect_by_data(server.get(), this);
+    soup_server_disconnect(server.get());
+    for (auto& [socket, open] : connections) {
+        g_object_set_data(G_OBJECT(socket), "cactusloom-server", nullptr);
+    }
+}
+
+void http_server::state::accept_all()
+{
+    // A bound on accepts in one turn keeps open connections served during a connection storm.
+    for (int n = 0; n < 64; ++n) {
+        glib_error ec;
+        object_ptr<GSocket> socket(g_socket_accept(listener.get(), nullptr, ec.out()));
+        if (!socket) {
+            return;
+        }
+        if (connections.size() >= limits.max_connections) {
+            ++refused;
+            g_socket_close(socket.get(), nullptr);
+            continue;
+        }
+        g_socket_set_option(socket.get(), 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1, nullptr);
+        object_ptr<GSocketConnection> stream(
+            g_socket_connection_factory_create_connection(socket.get()));
+        auto* key = socket.get();
+        connections[key] = {connection_phase::header, timers->monotonic_now(), stream.get()};
+        // The entry goes when the library drops the socket. The data is cleared first if the
+        // server goes before the socket does.
+        g_object_set_data_full(G_OBJECT(key), "cactusloom-server", this, nullptr);
+        g_object_weak_ref(
+            G_OBJECT(stream.get()),
+            [](gpointer data, GObject*) {
+                auto* gone = static_cast<GSocket*>(data);
+                if (auto* owner = static_cast<state*>(
+                        g_object_get_data(G_OBJECT(gone), "cactusloom-server"))) {
+                    owner->connections.erase(gone);
+                }
+                g_object_unref(gone);
+            },
+            g_object_ref(key));
+        object_ptr<GSocketAddress> local(g_socket_get_local_address(key, nullptr));
+        object_ptr<GSocketAddress> remote(g_socket_get_remote_address(key, nullptr));
+        if (!local || !remote ||
+            !soup_server_accept_iostream(server.get(), G_IO_STREAM(stream.get()), local.get(),
+                                         remote.get(), ec.out())) {
+            g_io_stream_close(G_IO_STREAM(stream.get()), nullptr, nullptr);
+        }
+    }
+}
+
+void http_server::state::sweep()
+{
+    const auto now = timers->monotonic_now();
+    for (const auto& [socket, open] : connections) {
+        const bool slow =
+            (open.phase == connection_phase::header && now - open.since > limits.idle_limit) ||
+            (open.phase == connection_phase::body && now - open.since > limits.body_limit);
+        if (slow) {
+            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+        }
+    }
+    sweep_timer = timers->schedule(sweep_interval, [this] { sweep(); });
+}
+
+void http_server::state::set_phase(SoupServerMessage* message, connection_phase phase)
+{
+    const auto it = connections.find(soup_server_message_get_socket(message));
+    if (it != connections.end()) {
+        it->second.phase = phase;
+        it->second.since = timers->monotonic_now();
+    }
+}
+
+void http_server::state::watch(SoupServerMessage* message)
+{
+    g_signal_connect(
+        message, "got-headers", G_CALLBACK(+[](SoupServerMessage* msg, gpointer data) {
+            auto* self = static_cast<state*>(data);
+            self->set_phase(msg, connection_phase::body);
+            const auto size = soup_message_headers_get_content_length(
+                soup_server_message_get_request_headers(msg));
+            if (size > static_cast<goffset>(self->limits.max_body_bytes)) {
+                // The rest of the connection would be the body, so it cannot be used again.
+                soup_message_headers_replace(soup_server_message_get_response_headers(msg),
+                                             "Connection", "close");
+                soup_server_message_set_status(msg, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+            }
+        }),
+        this);
+    g_signal_connect(message, "got-chunk",
+                     G_CALLBACK(+[](SoupServerMessage* msg, GBytes*, gpointer data) {
+                         auto* self = static_cast<state*>(data);
+                         const auto* body = soup_server_message_get_request_body(msg);
+                         if (body->length > static_cast<goffset>(self->limits.max_body_bytes)) {
+                             shut_down_socket(msg);
+                         }
+                     }),
+                     this);
+}
+
+http_server::http_server(std::unique_ptr<state> state) : state_(std::move(state)) {}
+
+http_server::~http_server() = default;
+
+result<std::unique_ptr<http_server>> http_server::listen(const std::string& address,
+                                                         timer_service& timers,
+                                                         http_server_limits limits,
+                                                         handler on_request)
+{
+    const auto where = parse_address(address);
+    if (!where) {
+        return failure(errc::invalid_argument, fmt::format("'{}' is not ip:port", address));
+    }
+    glib_error ec;
+    auto self = std::make_unique<state>();
+    self->timers = &timers;
+    self->limits = limits;
+    self->on_request = std::move(on_request);
+    self->server.reset(soup_server_new("server-header", "cactusloom", nullptr));
+    self->listener.reset(g_socket_new(g_socket_address_get_family(where.get()),
+                                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, ec.out()));
+    if (!self->listener || !g_socket_bind(self->listener.get(), where.get(), TRUE, ec.out())) {
+        return failure(errc::unavailable, fmt::format("cannot bind {}: {}", address, ec.message()));
+    }
+    g_socket_set_listen_backlog(self->listener.get(), listen_backlog);
+    g_socket_set_blocking(self->listener.get(), FALSE);
+    if (!g_socket_listen(self->listener.get(), ec.out())) {
+        return failure(errc::unavailable,
+                       fmt::format("cannot listen on {}: {}", address, ec.message()));
+    }
+    auto* raw = self.get();
+    g_signal_connect(self->server.get(), "request-started",
+                     G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
+                         auto* owner = static_cast<state*>(data);
+                         owner->set_phase(message, connection_phase::header);
+                         owner->watch(message);
+                     }),
+                     raw);
+    g_signal_connect(self->server.get(), "request-read",
+                     G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
+                         static_cast<state*>(data)->set_phase(message, connection_phase::answering);
+                     }),
+                     raw);
+    soup_server_add_handler(
+        self->server.get(), nullptr,
+        [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
+            static_cast<state*>(data)->on_request(std::make_shared<soup_exchange>(message));
+        },
+        raw, nullptr);
+    self->accept_source = g_socket_create_source(self->listener.get(), G_IO_IN, nullptr);
+    const GSocketSourceFunc on_ready = [](GSocket*, GIOCondition, gpointer data) -> gboolean {
+        static_cast<state*>(data)->accept_all();
+        return G_SOURCE_CONTINUE;
+    };
+    g_source_set_callback(self->accept_source, G_SOURCE_FUNC(on_ready), raw, nullptr);
+    g_source_attach(self->accept_source, g_main_context_get_thread_default());
+    raw->sweep();
+    return std::unique_ptr<http_server>(new http_server(std::move(self)));
+}
+
+std::string http_server::address() const
+{
+    object_ptr<GSocketAddress> local(g_socket_get_local_address(state_->listener.get(), nullptr));
+    if (!local) {
+        return "";
+    }
+    auto* inet = G_INET_SOCKET_ADDRESS(local.get());
+    char* text = g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+    std::string found = fmt::format("{}:{}", text, g_inet_socket_address_get_port(inet));
+    g_free(text);
+    return found;
+}
+
+std::size_t http_server::open_connections() const
+{
+    return state_->connections.size();
+}
+
+std::uint64_t http_server::refused_connections() const
+{
+    return state_->refused;
+}
+
+void http_server::stop_accepting()
+{
+    state_->stop_accepting();
+}
+
+} // namespace cactusloom
