Prove that no start goes out twice over a broken connection

Contract test with a scripted peer that counts what reaches it: close, reset, half a reply, reset inside the request, stale connection, redirects.

--- a/src/daemon/direct_job_service.h
+++ b/src/daemon/direct_job_service.h
@@ -16,6 +16,7 @@
 public:
     direct_job_service(timer_service& timers, worker_client& workers, const deployment& settings);
 
+    void apply(const deployment& /*settings*/) override {}
     result<void> submit(job_request request) override;
     void wait(std::string_view id, duration limit, answer_callback done) override;
     result<job_status> status(std::string_view id) const override;
--- /dev/null
+++ b/tests/http/no_resend_test.cpp
@@ -0,0 +1,209 @@
+#include "base/glib_timer_service.h"
+#include "config/deployment.h"
+#include "http/http_worker_client.h"
+#include "loop.h"
+#include "raw_peer.h"
+
+#include <algorithm>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+// Guards against the HTTP library sending a start again by itself: a non-idempotent task would run
+// twice (invariants 1 and 5). The library may do so on kept-alive connections, so every row
+// first makes one that is known to be good.
+namespace no_resend {
+
+struct resend_case {
+    const char* name;
+    raw_peer::action reaction;
+    std::size_t reset_after; // bytes of the second request
+};
+
+std::ostream& operator<<(std::ostream& out, const resend_case& it)
+{
+    return out << it.name;
+}
+
+const resend_case resend_cases[] = {
+    {"reads the request and closes", raw_peer::action::close, 0},
+    {"reads the request and resets", raw_peer::action::reset, 0},
+    {"closes inside the reply's head", raw_peer::action::close_in_head, 0},
+    {"closes inside the reply's body", raw_peer::action::close_in_body, 0},
+    {"resets inside the request's head", raw_peer::action::reply, 40},
+    {"resets inside the request's body", raw_peer::action::reply, 300},
+};
+
+std::vector<worker_settings> to_workers(const raw_peer& peer)
+{
+    std::vector<worker_settings> workers(1);
+    workers[0].address = peer.address();
+    workers[0].max_connections = 4;
+    return workers;
+}
+
+const char* const good_reply = "HTTP/1.1 200 OK\r\nTask-Id: first\r\nTask-Status: completed\r\n"
+                               "Worker-Load: 0 0 0\r\nContent-Length: 2\r\n\r\nok";
+
+struct outcome {
+    start_reply reply;
+    bool done = false;
+};
+
+void start(http_worker_client& client, std::string_view id, outcome& into)
+{
+    const std::string payload(4000, 'x');
+    client.start(0, {id, "stamp_check", payload, 5s, 2s}, [&into](start_reply reply) {
+        into.reply = std::move(reply);
+        into.done = true;
+    });
+}
+
+int count_of(const raw_peer& peer, std::string_view id)
+{
+    return static_cast<int>(
+        std::count_if(peer.requests().begin(), peer.requests().end(), [&](const auto& it) {
+            return it.find(std::string("Task-Id: ") + std::string(id)) != std::string::npos;
+        }));
+}
+
+} // namespace no_resend
+
+BOOST_AUTO_TEST_SUITE(no_resend)
+
+BOOST_DATA_TEST_CASE(broken_kept_alive_connection, boost::unit_test::data::make(resend_cases))
+{
+    glib_timer_service timers;
+    raw_peer peer([&](int n, const std::string&) {
+        return n == 0 ? raw_peer::action::reply : sample.reaction;
+    });
+    peer.set_reply(good_reply);
+    http_worker_client client(timers, to_workers(peer));
+    outcome first;
+    start(client, "first", first);
+    run_until([&] { return first.done; });
+    BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::completed));
+    const int begun = peer.heads_begun();
+    peer.reset_after_bytes(sample.reset_after);
+    outcome second;
+    start(client, "second", second);
+    run_until([&] { return second.done; });
+    // A second sending would reach the peer on a later turn of the loop.
+    bool settled = false;
+    timers.schedule(50ms, [&] { settled = true; });
+    run_until([&] { return settled; });
+    BOOST_TEST(static_cast<int>(second.reply.status) == static_cast<int>(start_status::reply_lost));
+    BOOST_TEST(peer.heads_begun() - begun == 1);
+    BOOST_TEST(count_of(peer, "second") <= 1);
+    BOOST_TEST(peer.connections() == 1); // the second start did go over the kept connection
+}
+
+// The library treats methods that HTTP calls idempotent differently, so they have rows of their
+// own.
+BOOST_DATA_TEST_CASE(idempotent_methods,
+                     boost::unit_test::data::make({"GET", "PUT", "DELETE"}) *
+                         boost::unit_test::data::make({raw_peer::action::close,
+                                                       raw_peer::action::reset}),
+                     method, reaction)
+{
+    glib_timer_service timers;
+    raw_peer peer(
+        [&](int n, const std::string&) { return n == 0 ? raw_peer::action::reply : reaction; });
+    http_client client(timers, {});
+    http_call call;
+    call.method = method;
+    call.address = peer.address();
+    call.target = "/";
+    int ends = 0;
+    http_end last = http_end::replied;
+    const auto note = [&](const http_reply& reply) {
+        ++ends;
+        last = reply.end;
+    };
+    client.send(call, note);
+    run_until([&] { return ends == 1; });
+    client.send(call, note);
+    run_until([&] { return ends == 2; });
+    bool settled = false;
+    timers.schedule(50ms, [&] { settled = true; });
+    run_until([&] { return settled; });
+    BOOST_TEST(static_cast<int>(last) == static_cast<int>(http_end::reply_lost));
+    BOOST_TEST(peer.heads_begun() == 2);
+}
+
+// Replies that make some clients ask again: a redirect, a request for credentials, a time-out.
+BOOST_DATA_TEST_CASE(replies_that_invite_a_second_request,
+                     boost::unit_test::data::make({"301 Moved Permanently\r\nLocation: /v1/tasks",
+                                                   "308 Permanent Redirect\r\n"
+                                                   "Location: /v1/tasks",
+                                                   "401 Unauthorized\r\nWWW-Authenticate: Basic "
+                                                   "realm=\"x\"",
+                                                   "408 Request Timeout",
+                                                   "503 Service Unavailable\r\n"
+                                                   "Retry-After: 0"}))
+{
+    glib_timer_service timers;
+    raw_peer peer([](int, const std::string&) { return raw_peer::action::reply; });
+    peer.set_reply(std::string("HTTP/1.1 ") + sample + "\r\nContent-Length: 0\r\n\r\n");
+    http_worker_client client(timers, to_workers(peer));
+    outcome first;
+    start(client, "first", first);
+    run_until([&] { return first.done; });
+    BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
+    BOOST_TEST(peer.heads_begun() == 1);
+}
+
+// The connection goes stale between requests: the peer closes it and the client sends before its
+// loop has seen that. The start may arrive on a new connection, but only once.
+BOOST_AUTO_TEST_CASE(stale_connection)
+{
+    glib_timer_service timers;
+    raw_peer peer([](int, const std::string&) { return raw_peer::action::reply; });
+    peer.set_reply(good_reply);
+    http_worker_client client(timers, to_workers(peer));
+    outcome first;
+    start(client, "first", first);
+    run_until([&] { return first.done; });
+    peer.close_all();
+    outcome second;
+    start(client, "second", second);
+    run_until([&] { return second.done; });
+    run_ready();
+    BOOST_TEST(count_of(peer, "second") <= 1);
+}
+
+// A refused connection proves that nothing was sent, so the task may go to another worker.
+BOOST_AUTO_TEST_CASE(nobody_listens)
+{
+    glib_timer_service timers;
+    std::vector<worker_settings> workers;
+    {
+        const raw_peer gone([](int, const std::string&) { return raw_peer::action::reply; });
+        workers = to_workers(gone);
+    }
+    http_worker_client client(timers, workers);
+    outcome first;
+    start(client, "first", first);
+    run_until([&] { return first.done; });
+    BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::not_sent));
+}
+
+// A worker that never replies must not hold the caller beyond the limit.
+BOOST_AUTO_TEST_CASE(silent_worker)
+{
+    glib_timer_service timers;
+    const raw_peer peer([](int, const std::string&) { return raw_peer::action::silence; });
+    http_worker_client client(timers, to_workers(peer));
+    outcome first;
+    client.start(0, {"first", "stamp_check", "x", 5s, 1ms}, [&](start_reply reply) {
+        first.reply = std::move(reply);
+        first.done = true;
+    });
+    run_until([&] { return first.done; });
+    BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
