--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -62,7 +62,8 @@
 
     std::string address() const; // "ip:port" with the port in use
     std::size_t open_connections() const;
-    std::uint64_t refused_connections() const;
+    std::uint64_t refused_connections() const; // beyond the limit
+    std::uint64_t slow_connections() const;    // closed because a request took too long to arrive
 
     // Closes the listening socket; open connections go on.
     void stop_accepting();
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -71,6 +71,22 @@
     }
 }
 
+// Returns null for an address that cannot be one.
+SoupMessage* make_message(const http_call& call)
+{
+    const std::string text = fmt::format("http://{}{}", call.address, call.target);
+    GUri* uri = g_uri_parse(text.c_str(), SOUP_HTTP_URI_FLAGS, nullptr);
+    if (uri == nullptr) {
+        return nullptr;
+    }
+    SoupMessage* message = nullptr;
+    if (const char* host = g_uri_get_host(uri); host != nullptr && *host != '\0') {
+        message = soup_message_new_from_uri(call.method.c_str(), uri);
+    }
+    g_uri_unref(uri);
+    return message;
+}
+
 } // namespace
 
 http_client::http_client(timer_service& timers, http_client_options options)
@@ -94,11 +110,10 @@
 
 void http_client::send(const http_call& call, callback done)
 {
-    const std::string uri = fmt::format("http://{}{}", call.address, call.target);
     auto open = std::make_unique<open_call>();
     open->owner = state_;
     open->done = std::move(done);
-    open->message.reset(soup_message_new(call.method.c_str(), uri.c_str()));
+    open->message.reset(make_message(call));
     if (!open->message) {
         state_->timers->schedule(duration::zero(),
                                  [open = std::shared_ptr<open_call>(std::move(open))] {
--- /dev/null
+++ b/src/http/http_log_service.cpp
@@ -0,0 +1,77 @@
+#include "http/http_log_service.h"
+
+#include "http/platform_codec.h"
+#include "http/worker_codec.h"
+
+#include <fmt/format.h>
+
+namespace cactusloom {
+namespace {
+
+// Beyond this a reply is taken for lost. The log takes several ms when it is well.
+constexpr duration reply_limit = std::chrono::seconds{5};
+
+// Certain refusals keep their code. All else may have stored the record.
+error to_append_error(const http_reply& reply)
+{
+    if (reply.end == http_end::not_sent) {
+        return {errc::unavailable, "log not reached: " + reply.reason};
+    }
+    if (reply.end == http_end::reply_lost) {
+        return {errc::reply_lost, "no reply from the log: " + reply.reason};
+    }
+    auto found = parse_platform_error(reply.body);
+    if (reply.status < 400 || found.code == errc::internal) {
+        found.code = errc::reply_lost;
+    }
+    return found;
+}
+
+} // namespace
+
+http_log_service::http_log_service(timer_service& timers, std::string address)
+    : client_(timers, {}), address_(std::move(address))
+{
+}
+
+void http_log_service::append(std::string_view stream, std::string content, append_callback done)
+{
+    http_call call;
+    call.method = "POST";
+    call.address = address_;
+    call.target = fmt::format("/v1/streams/{}/records", encode_token(stream));
+    call.body = std::move(content);
+    call.limit = reply_limit;
+    client_.send(call, [done = std::move(done)](const http_reply& reply) {
+        if (reply.end == http_end::replied && reply.status == 200) {
+            if (const auto offset = parse_offset(reply.body)) {
+                done(offset.value());
+                return;
+            }
+        }
+        done(to_append_error(reply));
+    });
+}
+
+void http_log_service::read(std::string_view stream, log_offset from, std::size_t max_records,
+                            read_callback done)
+{
+    http_call call;
+    call.address = address_;
+    call.target = fmt::format("/v1/streams/{}/records?from={}&max={}", encode_token(stream), from,
+                              max_records);
+    call.limit = reply_limit;
+    client_.send(call, [done = std::move(done)](const http_reply& reply) {
+        if (reply.end != http_end::replied) {
+            done(failure(errc::unavailable, "no reply from the log: " + reply.reason));
+            return;
+        }
+        if (reply.status != 200) {
+            done(parse_platform_error(reply.body));
+            return;
+        }
+        done(parse_page(reply.body));
+    });
+}
+
+} // namespace cactusloom
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -22,7 +22,7 @@
 struct connection {
     connection_phase phase = connection_phase::header;
     monotonic_time since{};
-    GSocketConnection* stream = nullptr;
+    GSocket* socket = nullptr; // owned by the library's stream
 };
 
 object_ptr<GSocketAddress> parse_address(const std::string& text)
@@ -42,8 +42,9 @@
 
 class soup_exchange final : public http_exchange {
 public:
-    explicit soup_exchange(SoupServerMessage* message)
-        : message_(static_cast<SoupServerMessage*>(g_object_ref(message)))
+    soup_exchange(SoupServerMessage* message, std::shared_ptr<const bool> server_open)
+        : message_(static_cast<SoupServerMessage*>(g_object_ref(message))),
+          server_open_(std::move(server_open))
     {
         finished_handler_ = g_signal_connect(
             message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
@@ -108,7 +109,7 @@
     }
     void reply(unsigned status, std::string_view body, const char* content_type) override
     {
-        if (std::exchange(replied_, true) || finished_) {
+        if (std::exchange(replied_, true) || finished_ || !*server_open_) {
             return;
         }
         soup_server_message_set_status(message_.get(), status, nullptr);
@@ -118,13 +119,12 @@
     }
     void hang_up() override
     {
-        replied_ = true;
-        if (!finished_) {
-            glib_error ignored;
-            g_socket_shutdown(soup_server_message_get_socket(message_.get()), TRUE, TRUE,
-                              ignored.out());
-            soup_server_message_set_status(message_.get(), 500, nullptr);
-            soup_server_message_unpause(message_.get());
+        if (std::exchange(replied_, true) || finished_ || !*server_open_) {
+            return;
+        }
+        object_ptr<GIOStream> stream(soup_server_message_steal_connection(message_.get()));
+        if (stream) {
+            g_io_stream_close(stream.get(), nullptr, nullptr);
         }
     }
 
@@ -134,20 +134,13 @@
     };
 
     object_ptr<SoupServerMessage> message_;
+    std::shared_ptr<const bool> server_open_;
     std::unique_ptr<GBytes, bytes_unref> body_;
     gulong finished_handler_ = 0;
     bool replied_ = false;
     bool finished_ = false;
 };
 
-void shut_down_socket(SoupServerMessage* message)
-{
-    if (GSocket* socket = soup_server_message_get_socket(message)) {
-        glib_error ignored;
-        g_socket_shutdown(socket, TRUE, TRUE, ignored.out());
-    }
-}
-
 } // namespace
 
 struct http_server::state {
@@ -157,14 +150,20 @@
     object_ptr<SoupServer> server;
     object_ptr<GSocket> listener;
     GSource* accept_source = nullptr;
-    std::unordered_map<GSocket*, connection> connections;
+    // By the remote address object, which is what a message of the library gives. The library has
+    // no socket for connections that it did not accept itself.
+    std::unordered_map<GSocketAddress*, connection> connections;
+    std::shared_ptr<bool> open = std::make_shared<bool>(true);
     std::uint64_t refused = 0;
+    std::uint64_t closed_slow = 0;
     timer_id sweep_timer = 0;
 
     void accept_all();
     void sweep();
     void set_phase(SoupServerMessage* message, connection_phase phase);
     void watch(SoupServerMessage* message);
+    void watch_stream(GSocketConnection* stream, GSocketAddress* remote);
+    void cut_off(SoupServerMessage* message);
     void stop_accepting();
     ~state();
 };
@@ -184,10 +183,8 @@
     timers->cancel(sweep_timer);
     stop_accepting();
     g_signal_handlers_disconnect_by_data(server.get(), this);
+    *open = false;
     soup_server_disconnect(server.get());
-    for (auto& [socket, open] : connections) {
-        g_object_set_data(G_OBJECT(socket), "cactusloom-server", nullptr);
-    }
 }
 
 void http_server::state::accept_all()
@@ -207,41 +204,51 @@
         g_socket_set_option(socket.get(), 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1, nullptr);
         object_ptr<GSocketConnection> stream(
             g_socket_connection_factory_create_connection(socket.get()));
-        auto* key = socket.get();
-        connections[key] = {connection_phase::header, timers->monotonic_now(), stream.get()};
-        // The entry goes when the library drops the socket. The data is cleared first if the
-        // server goes before the socket does.
-        g_object_set_data_full(G_OBJECT(key), "cactusloom-server", this, nullptr);
-        g_object_weak_ref(
-            G_OBJECT(stream.get()),
-            [](gpointer data, GObject*) {
-                auto* gone = static_cast<GSocket*>(data);
-                if (auto* owner = static_cast<state*>(
-                        g_object_get_data(G_OBJECT(gone), "cactusloom-server"))) {
-                    owner->connections.erase(gone);
-                }
-                g_object_unref(gone);
-            },
-            g_object_ref(key));
-        object_ptr<GSocketAddress> local(g_socket_get_local_address(key, nullptr));
-        object_ptr<GSocketAddress> remote(g_socket_get_remote_address(key, nullptr));
-        if (!local || !remote ||
-            !soup_server_accept_iostream(server.get(), G_IO_STREAM(stream.get()), local.get(),
+        object_ptr<GSocketAddress> local(g_socket_get_local_address(socket.get(), nullptr));
+        object_ptr<GSocketAddress> remote(g_socket_get_remote_address(socket.get(), nullptr));
+        if (!local || !remote) {
+            continue; // the caller has gone already
+        }
+        watch_stream(stream.get(), remote.get());
+        if (!soup_server_accept_iostream(server.get(), G_IO_STREAM(stream.get()), local.get(),
                                          remote.get(), ec.out())) {
             g_io_stream_close(G_IO_STREAM(stream.get()), nullptr, nullptr);
         }
     }
 }
 
+void http_server::state::watch_stream(GSocketConnection* stream, GSocketAddress* remote)
+{
+    connections[remote] = {connection_phase::header, timers->monotonic_now(),
+                           g_socket_connection_get_socket(stream)};
+    // The entry goes when the library drops the stream, which may be after this server has gone.
+    struct link {
+        state* owner;
+        std::shared_ptr<bool> open;
+        object_ptr<GSocketAddress> remote;
+    };
+    g_object_weak_ref(
+        G_OBJECT(stream),
+        [](gpointer data, GObject*) {
+            const std::unique_ptr<link> it(static_cast<link*>(data));
+            if (*it->open) {
+                it->owner->connections.erase(it->remote.get());
+            }
+        },
+        new link{this, open,
+                 object_ptr<GSocketAddress>(static_cast<GSocketAddress*>(g_object_ref(remote)))});
+}
+
 void http_server::state::sweep()
 {
     const auto now = timers->monotonic_now();
-    for (const auto& [socket, open] : connections) {
+    for (const auto& [remote, it] : connections) {
         const bool slow =
-            (open.phase == connection_phase::header && now - open.since > limits.idle_limit) ||
-            (open.phase == connection_phase::body && now - open.since > limits.body_limit);
+            (it.phase == connection_phase::header && now - it.since > limits.idle_limit) ||
+            (it.phase == connection_phase::body && now - it.since > limits.body_limit);
         if (slow) {
-            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+            ++closed_slow;
+            g_socket_shutdown(it.socket, TRUE, TRUE, nullptr);
         }
     }
     sweep_timer = timers->schedule(sweep_interval, [this] { sweep(); });
@@ -249,13 +256,21 @@
 
 void http_server::state::set_phase(SoupServerMessage* message, connection_phase phase)
 {
-    const auto it = connections.find(soup_server_message_get_socket(message));
+    const auto it = connections.find(soup_server_message_get_remote_address(message));
     if (it != connections.end()) {
         it->second.phase = phase;
         it->second.since = timers->monotonic_now();
     }
 }
 
+void http_server::state::cut_off(SoupServerMessage* message)
+{
+    const auto it = connections.find(soup_server_message_get_remote_address(message));
+    if (it != connections.end()) {
+        g_socket_shutdown(it->second.socket, TRUE, TRUE, nullptr);
+    }
+}
+
 void http_server::state::watch(SoupServerMessage* message)
 {
     g_signal_connect(
@@ -277,7 +292,7 @@
                          auto* self = static_cast<state*>(data);
                          const auto* body = soup_server_message_get_request_body(msg);
                          if (body->length > static_cast<goffset>(self->limits.max_body_bytes)) {
-                             shut_down_socket(msg);
+                             self->cut_off(msg);
                          }
                      }),
                      this);
@@ -329,7 +344,8 @@
     soup_server_add_handler(
         self->server.get(), nullptr,
         [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
-            static_cast<state*>(data)->on_request(std::make_shared<soup_exchange>(message));
+            auto* owner = static_cast<state*>(data);
+            owner->on_request(std::make_shared<soup_exchange>(message, owner->open));
         },
         raw, nullptr);
     self->accept_source = g_socket_create_source(self->listener.get(), G_IO_IN, nullptr);
@@ -366,6 +382,11 @@
     return state_->refused;
 }
 
+std::uint64_t http_server::slow_connections() const
+{
+    return state_->closed_slow;
+}
+
 void http_server::stop_accepting()
 {
     state_->stop_accepting();
--- a/tests/http/raw_peer_test.cpp
+++ b/tests/http/raw_peer_test.cpp
@@ -1,10 +1,26 @@
 #include "raw_peer.h"
 
 #include <array>
+#include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <sys/socket.h>
 #include <utility>
 
+namespace {
+
+// Guards against wrong use of the libraries, which they only report as text.
+struct fatal_criticals {
+    fatal_criticals()
+    {
+        g_log_set_always_fatal(static_cast<GLogLevelFlags>(G_LOG_FATAL_MASK | G_LOG_LEVEL_CRITICAL |
+                                                           G_LOG_LEVEL_WARNING));
+    }
+};
+
+} // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(fatal_criticals);
+
 namespace cactusloom {
 
 raw_peer::raw_peer(script react)
