--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -75,7 +75,7 @@
 SoupMessage* make_message(const http_call& call)
 {
     const std::string text = fmt::format("http://{}{}", call.address, call.target);
-    GUri* uri = g_uri_parse(text.c_str(), SOUP_HTTP_URI_FLAGS, nullptr);
+    GUri* uri = g_uri_parse(text.c_str(), static_cast<GUriFlags>(SOUP_HTTP_URI_FLAGS), nullptr);
     if (uri == nullptr) {
         return nullptr;
     }
