--- a/include/http/caller_codec.h
+++ b/include/http/caller_codec.h
@@ -10,10 +10,7 @@
 
 struct deployment;
 
-// Longest submission id, so that ids fit into headers, logs and records.
-inline constexpr std::size_t max_id_length = 160;
-
-// True for a text of the form "<prefix>.<suffix>" made of letters, digits, '-', '_' and '.'.
+// True for a text of the form "<prefix>.<suffix>" made of letters, digits, '-', '_', '~' and '.'.
 bool is_submission_id(std::string_view text);
 
 // Reads the body of a submission: {"id", "customer", "kind", "deadline_ms"} and either "payload"
--- /dev/null
+++ b/include/http/forwarder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cactusloom {
+
+// Where the owner of a submission id can be reached.
+struct id_owner {
+    enum class place { here, peer, gone, invalid };
+    place where = place::invalid;
+    std::string address;        // of a peer
+    std::string_view reason{};  // why it is gone
+};
+
+// Passes requests about a submission id to the instance that owns the id: one hop, plain HTTP. A
+// request that was forwarded once is never forwarded again.
+class forwarder {
+public:
+    using find_owner = std::function<id_owner(std::string_view id)>;
+    using prefix_source = std::function<std::string()>;
+
+    // `timers` must outlive the forwarder.
+    forwarder(timer_service& timers, std::string own_name, find_owner find, prefix_source prefix);
+
+    // Takes the exchange over if another instance owns the id. Answers `unknown` if that instance is
+    // gone, is not reached, or does not reply.
+    bool forward(const http_exchange_ptr& exchange, std::string_view id);
+
+    struct counters {
+        std::uint64_t forwarded = 0;
+        std::uint64_t owner_gone = 0;
+        std::uint64_t owner_silent = 0;
+    };
+    const counters& counts() const { return counts_; }
+
+private:
+    http_client client_;
+    std::string own_name_;
+    find_owner find_;
+    prefix_source prefix_;
+    counters counts_;
+};
+
+} // namespace cactusloom
--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -32,6 +32,7 @@
     unsigned status = 0;
     std::string body;
     std::string reason;                             // why there is no reply
+    bool timed_out = false;                         // the limit passed
     std::function<std::string(const char*)> header; // only callable inside the callback
 };
 
--- /dev/null
+++ b/include/http/peer_rpc.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "membership/peer_transport.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cactusloom {
+
+// Path of the JSON-RPC endpoint, on the same address as the caller API.
+inline constexpr std::string_view peer_path = "/v1/peer";
+
+// Sends JSON-RPC texts to other instances by HTTP, without blocking.
+class peer_rpc_client final : public peer_transport {
+public:
+    // `timers` must outlive the client.
+    explicit peer_rpc_client(timer_service& timers);
+
+    void send(std::string_view address, std::string request, duration limit,
+              callback done) override;
+
+private:
+    http_client client_;
+};
+
+// What the endpoint calls. Both must be set.
+struct peer_rpc_parts {
+    // Methods "membership.*". The failure detector reads the texts itself and may answer later,
+    // which jsonrpccpp's server cannot.
+    std::function<void(std::string_view request, std::function<void(std::string)>)> membership;
+    // Method "config.state": the state for a peer, empty if there is nothing newer.
+    std::function<std::string(std::uint64_t newer_than)> config_state;
+};
+
+// Answers JSON-RPC requests of other instances. "config.*" goes through jsonrpccpp's server.
+class peer_rpc_server {
+public:
+    explicit peer_rpc_server(peer_rpc_parts parts);
+    ~peer_rpc_server();
+    peer_rpc_server(const peer_rpc_server&) = delete;
+    peer_rpc_server& operator=(const peer_rpc_server&) = delete;
+
+    // Answers one request to peer_path.
+    void serve(const http_exchange_ptr& exchange);
+
+private:
+    struct methods;
+    peer_rpc_parts parts_;
+    std::unique_ptr<methods> methods_;
+};
+
+// Text of a "config.state" request, and the state in a reply to it.
+std::string make_config_state_request(std::uint64_t newer_than);
+result<std::string> read_config_state_reply(std::string_view text);
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/daemon/platform_access.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/result.h"
+#include "base/timer_service.h"
+#include "config/deployment.h"
+#include "daemon/settings.h"
+#include "platform/instance_list.h"
+#include "platform/log_service.h"
+#include "platform/worker_client.h"
+
+#include <memory>
+
+namespace cactusloom {
+
+// The platform as the settings name it: by HTTP, or embedded stand-ins where no address is given.
+class platform_access {
+public:
+    // `timers` must outlive the access. Error `invalid_argument`: a setting names no known mode.
+    static result<std::unique_ptr<platform_access>> make(const daemon_settings& settings,
+                                                         timer_service& timers);
+    platform_access() = default;
+    platform_access(const platform_access&) = delete;
+    platform_access& operator=(const platform_access&) = delete;
+    virtual ~platform_access() = default;
+
+    virtual log_service& log() = 0;
+    virtual instance_list* list() = 0; // null if there is none
+    virtual worker_client& workers() = 0;
+
+    // Follows the workers of a new document. Positions keep their meaning.
+    virtual void apply(const deployment& settings) = 0;
+};
+
+} // namespace cactusloom
--- a/src/http/caller_codec.cpp
+++ b/src/http/caller_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "config/deployment.h"
 #include "http/json_text.h"
+#include "submission/submission_id.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -86,9 +87,9 @@
 {
     const auto dot = text.find('.');
     return dot != std::string_view::npos && dot > 0 && dot + 1 < text.size() &&
-           text.size() <= max_id_length && std::all_of(text.begin(), text.end(), [](char c) {
+           text.size() <= max_submission_id_length && std::all_of(text.begin(), text.end(), [](char c) {
                return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                      c == '-' || c == '_' || c == '.';
+                      c == '-' || c == '_' || c == '~' || c == '.';
            });
 }
 
@@ -109,7 +110,7 @@
         }
     }
     job_request request;
-    auto id = take_text(fields, "id", max_id_length);
+    auto id = take_text(fields, "id", max_submission_id_length);
     if (!id) {
         return id.error();
     }
@@ -117,7 +118,7 @@
     if (!is_submission_id(request.id)) {
         return failure(errc::invalid_argument,
                        "'id' must be a prefix of an instance, a dot, and a suffix of letters, "
-                       "digits, '-', '_' or '.'");
+                       "digits, '-', '_', '~' or '.'");
     }
     auto customer = take_text(fields, "customer", max_name_length);
     if (!customer) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -56,6 +56,7 @@
     }
     else {
         reply.end = call->started ? http_end::reply_lost : http_end::not_sent;
+        reply.timed_out = call->timed_out;
         reply.reason = call->timed_out ? "no reply within the limit" : ec.message();
     }
     reply.header = [&call](const char* name) -> std::string {
