--- a/include/daemon/settings.h
+++ b/include/daemon/settings.h
@@ -18,6 +18,7 @@
     std::string list_address;              // platform instance list; empty for none
     std::string worker_mode = "auto";      // "http", "embedded", or "auto" (by log_address)
     std::string account_mode = "log";      // "log" or "off"
+    std::string id_key = "cactusloom";     // same for all instances of a deployment
     int shutdown_seconds = 60;
     int max_connections = 4096;
     bool help = false;
--- a/include/http/caller_api.h
+++ b/include/http/caller_api.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/result.h"
-#include "base/timer_service.h"
 #include "http/http_server.h"
 
 #include <functional>
@@ -18,9 +17,9 @@
 struct caller_api_parts {
     using text_callback = std::function<void(result<std::string>)>; // JSON text
 
-    timer_service* timers = nullptr;
-    job_service* jobs = nullptr;
-    std::function<const deployment*()> settings; // null until a document is in force
+    std::function<std::string()> issue_prefix;
+    std::function<job_service*()> jobs;          // null until a document is in force
+    std::function<const deployment*()> settings; // same
     std::function<result<void>()> ready;         // whether new callers should come here
     std::function<std::string()> status;         // JSON text
     std::function<std::string()> metrics;        // Prometheus text format
@@ -61,6 +60,8 @@
     void serve_ready(const http_exchange_ptr& exchange, std::string_view rest);
 
     void submit(const http_exchange_ptr& exchange, bool single);
+    // Null after it refused the exchange because no document is in force.
+    job_service* find_jobs(const http_exchange_ptr& exchange);
     void answer_later(const http_exchange_ptr& exchange, const std::string& id, duration limit,
                       bool single);
     void reply(const http_exchange_ptr& exchange, unsigned status, std::string_view body);
--- a/include/http/forwarder.h
+++ b/include/http/forwarder.h
@@ -1,35 +1,27 @@
 #pragma once
 
+#include "entry/submission_locator.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace cactusloom {
 
-// Where the owner of a submission id can be reached.
-struct id_owner {
-    enum class place { here, peer, gone, invalid };
-    place where = place::invalid;
-    std::string address;        // of a peer
-    std::string_view reason{};  // why it is gone
-};
-
 // Passes requests about a submission id to the instance that owns the id: one hop, plain HTTP. A
 // request that was forwarded once is never forwarded again.
 class forwarder {
 public:
-    using find_owner = std::function<id_owner(std::string_view id)>;
+    using find_owner = std::function<submission_location(std::string_view id)>;
     using prefix_source = std::function<std::string()>;
 
     // `timers` must outlive the forwarder.
     forwarder(timer_service& timers, std::string own_name, find_owner find, prefix_source prefix);
 
-    // Takes the exchange over if another instance owns the id. Answers `unknown` if that instance is
-    // gone, is not reached, or does not reply.
+    // Takes the exchange over if another instance owns the id. Answers `unknown` if that instance
+    // is gone, is not reached, or does not reply.
     bool forward(const http_exchange_ptr& exchange, std::string_view id);
 
     struct counters {
--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -62,6 +62,7 @@
 
     std::string address() const; // "ip:port" with the port in use
     std::size_t open_connections() const;
+    std::size_t open_exchanges() const;        // read and not answered yet
     std::uint64_t refused_connections() const; // beyond the limit
     std::uint64_t slow_connections() const;    // closed because a request took too long to arrive
 
--- a/src/daemon/platform_access.cpp
+++ b/src/daemon/platform_access.cpp
@@ -26,12 +26,11 @@
             list_ = std::make_unique<http_instance_list>(timers, settings.list_address);
         }
         if (http_workers) {
-            remote_ =
-                std::make_unique<http_worker_client>(timers, std::vector<worker_settings>{});
+            remote_ = std::make_unique<http_worker_client>(timers, std::vector<worker_settings>{});
         }
         else {
-            embedded_ = std::make_unique<worker_stand_in_client>(timers,
-                                                                 worker_stand_in_client::workers{});
+            embedded_ =
+                std::make_unique<worker_stand_in_client>(timers, worker_stand_in_client::workers{});
         }
     }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -36,7 +36,7 @@
     {"log-address", &daemon_settings::log_address, "ip:port of the platform's log service"},
     {"list-address", &daemon_settings::list_address, "ip:port of the platform's instance list"},
     {"worker-mode", &daemon_settings::worker_mode, "http, embedded or auto"},
-    {"account-mode", &daemon_settings::account_mode, "log or off"},
+    {"id-key", &daemon_settings::id_key, "key of submission ids, the same for all instances"},
 };
 
 constexpr number_setting number_settings[] = {
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -63,7 +63,7 @@
 
 void caller_api::reply(const http_exchange_ptr& exchange, unsigned status, std::string_view body)
 {
-    exchange->set_header(prefix_header, parts_.jobs->issue_prefix());
+    exchange->set_header(prefix_header, parts_.issue_prefix());
     exchange->reply(status, body);
 }
 
@@ -89,7 +89,7 @@
 
 void caller_api::serve_prefix(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    const std::string prefix = parts_.jobs->issue_prefix();
+    const std::string prefix = parts_.issue_prefix();
     exchange->set_header(prefix_header, prefix);
     exchange->reply(200, R"({"prefix":")" + prefix + R"("})");
 }
@@ -106,12 +106,11 @@
 
 void caller_api::submit(const http_exchange_ptr& exchange, bool single)
 {
-    const deployment* settings = parts_.settings();
-    if (settings == nullptr) {
-        refuse(exchange, {errc::not_ready, "no configuration is in force yet"}, "");
+    job_service* jobs = find_jobs(exchange);
+    if (jobs == nullptr) {
         return;
     }
-    auto request = parse_submission(exchange->body(), single, *settings);
+    auto request = parse_submission(exchange->body(), single, *parts_.settings());
     if (!request) {
         refuse(exchange, request.error(), "");
         return;
@@ -127,7 +126,7 @@
         refuse(exchange, {errc::invalid_argument, "'wait_ms' must be a whole number"}, id);
         return;
     }
-    if (auto accepted = parts_.jobs->submit(std::move(request).value()); !accepted) {
+    if (auto accepted = jobs->submit(std::move(request).value()); !accepted) {
         refuse(exchange, accepted.error(), id);
         return;
     }
@@ -140,14 +139,23 @@
         answer_later(exchange, id, limit, single);
         return;
     }
-    const auto status = parts_.jobs->status(id);
+    const auto status = jobs->status(id);
     reply(exchange, 202, format_status(id, status ? status.value() : job_status{}));
 }
 
+job_service* caller_api::find_jobs(const http_exchange_ptr& exchange)
+{
+    job_service* jobs = parts_.jobs();
+    if (jobs == nullptr) {
+        refuse(exchange, {errc::not_ready, "no configuration is in force yet"}, "");
+    }
+    return jobs;
+}
+
 void caller_api::answer_later(const http_exchange_ptr& exchange, const std::string& id,
                               duration limit, bool single)
 {
-    parts_.jobs->wait(id, limit, [this, exchange, id, single](const job_answer& answer) {
+    parts_.jobs()->wait(id, limit, [this, exchange, id, single](const job_answer& answer) {
         reply(exchange, answer.state == job_state::running ? 202 : 200,
               format_answer(id, answer, single));
     });
@@ -168,13 +176,17 @@
     if (parts_.forward && parts_.forward(exchange, id)) {
         return;
     }
+    job_service* jobs = find_jobs(exchange);
+    if (jobs == nullptr) {
+        return;
+    }
     if (exchange->method() == "DELETE") {
-        if (auto cancelled = parts_.jobs->cancel(id); !cancelled) {
+        if (auto cancelled = jobs->cancel(id); !cancelled) {
             refuse(exchange, cancelled.error(), id);
             return;
         }
     }
-    const auto status = parts_.jobs->status(id);
+    const auto status = jobs->status(id);
     if (!status) {
         refuse(exchange, status.error(), id);
         return;
@@ -236,7 +248,7 @@
 
 void caller_api::serve_metrics(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    exchange->set_header(prefix_header, parts_.jobs->issue_prefix());
+    exchange->set_header(prefix_header, parts_.issue_prefix());
     exchange->reply(200, parts_.metrics ? parts_.metrics() : "", "text/plain; version=0.0.4");
 }
 
--- a/src/http/caller_codec.cpp
+++ b/src/http/caller_codec.cpp
@@ -87,7 +87,8 @@
 {
     const auto dot = text.find('.');
     return dot != std::string_view::npos && dot > 0 && dot + 1 < text.size() &&
-           text.size() <= max_submission_id_length && std::all_of(text.begin(), text.end(), [](char c) {
+           text.size() <= max_submission_id_length &&
+           std::all_of(text.begin(), text.end(), [](char c) {
                return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
                       c == '-' || c == '_' || c == '~' || c == '.';
            });
--- a/src/http/forwarder.cpp
+++ b/src/http/forwarder.cpp
@@ -33,19 +33,20 @@
 
 bool forwarder::forward(const http_exchange_ptr& exchange, std::string_view id)
 {
-    const id_owner owner = find_(id);
-    if (owner.where == id_owner::place::here || owner.where == id_owner::place::invalid) {
+    const submission_location owner = find_(id);
+    // The dispatcher refuses malformed ids, since no instance can have accepted one.
+    if (owner.place == submission_place::local || owner.place == submission_place::malformed) {
         return false;
     }
     const bool was_forwarded = !exchange->header(forwarded_header).empty();
-    if (owner.where == id_owner::place::gone || was_forwarded) {
+    if (owner.place != submission_place::remote || was_forwarded) {
         ++counts_.owner_gone;
         exchange->set_header(prefix_header, prefix_());
-        exchange->reply(404, format_refusal(id, {errc::not_found,
-                                                 was_forwarded
-                                                     ? "the request was forwarded to an instance "
-                                                       "that does not own the id"
-                                                     : std::string(owner.reason)}));
+        exchange->reply(
+            404, format_refusal(id, {errc::not_found,
+                                     was_forwarded ? "the request was forwarded to an instance "
+                                                     "that does not own the id"
+                                                   : owner.reason}));
         return true;
     }
     ++counts_.forwarded;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/glib_ptr.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <fmt/format.h>
@@ -377,6 +378,14 @@
     return state_->connections.size();
 }
 
+std::size_t http_server::open_exchanges() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(state_->connections.begin(), state_->connections.end(), [](const auto& it) {
+            return it.second.phase == connection_phase::answering;
+        }));
+}
+
 std::uint64_t http_server::refused_connections() const
 {
     return state_->refused;
--- a/src/http/platform_codec.cpp
+++ b/src/http/platform_codec.cpp
@@ -7,7 +7,8 @@
 
 auto malformed(const char* what)
 {
-    return failure(errc::invalid_argument, std::string("the platform's reply has no valid ") + what);
+    return failure(errc::invalid_argument,
+                   std::string("the platform's reply has no valid ") + what);
 }
 
 } // namespace
--- a/stand_in/platform_stand_in_server.h
+++ b/stand_in/platform_stand_in_server.h
@@ -14,9 +14,10 @@
 class platform_stand_in_server {
 public:
     // Port 0 lets the kernel choose. All arguments must outlive the server.
-    static result<std::unique_ptr<platform_stand_in_server>>
-    listen(const std::string& address, timer_service& timers, log_service& log,
-           instance_list& instances);
+    static result<std::unique_ptr<platform_stand_in_server>> listen(const std::string& address,
+                                                                    timer_service& timers,
+                                                                    log_service& log,
+                                                                    instance_list& instances);
 
     std::string address() const { return server_->address(); }
 
--- a/tests/http/platform_contract_test.cpp
+++ b/tests/http/platform_contract_test.cpp
@@ -33,7 +33,10 @@
         remote_log = std::make_unique<http_log_service>(timers, server->address());
         remote_list = std::make_unique<http_instance_list>(timers, server->address());
     }
-    log_service& log_of(bool remote) { return remote ? *remote_log : static_cast<log_service&>(log); }
+    log_service& log_of(bool remote)
+    {
+        return remote ? *remote_log : static_cast<log_service&>(log);
+    }
 };
 
 result<log_offset> append(log_service& log, std::string content)
--- a/tests/http/worker_contract_test.cpp
+++ b/tests/http/worker_contract_test.cpp
@@ -29,8 +29,7 @@
                 timers, worker_stand_in_client::workers{worker});
             return;
         }
-        server =
-            std::move(worker_stand_in_server::listen("127.0.0.1:0", timers, worker)).value();
+        server = std::move(worker_stand_in_server::listen("127.0.0.1:0", timers, worker)).value();
         std::vector<worker_settings> workers(1);
         workers[0].address = server->address();
         workers[0].max_connections = 8;
--- a/tools/cactusloomctl/command.h
+++ b/tools/cactusloomctl/command.h
@@ -2,6 +2,7 @@
 
 #include "http/http_client.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,13 +23,13 @@
     std::string customer;
     std::string kind;
     std::string id;
-    std::string file;
     std::string section;
     std::string author;
     std::string archive;
+    std::string log_address;
     int deadline_ms = 0;
+    int wait_ms = 0;
     int tries = 5;
-    int tasks = 0;
     bool json = false;
     std::vector<std::string> arguments; // after the subcommand
 };
@@ -47,7 +48,18 @@
 void pause(duration span);
 
 int run_submit(const options& given);
+int run_job(const options& given);
+int run_prefix(const options& given);
+int run_ready(const options& given);
 int run_status(const options& given);
+int run_config(const options& given);
+int run_account(const options& given);
+
+// Sends a GET and prints the reply. Exit code by the HTTP status.
+int print_resource(const options& given, const std::string& target);
+
+// Reads a file, or gives nothing and says why.
+std::optional<std::string> read_file(const std::string& path);
 
 // Prints a JSON text as it is or as "name: value" lines, as --json says.
 void print_reply(const std::string& body, bool json);
--- a/tools/cactusloomctl/main.cpp
+++ b/tools/cactusloomctl/main.cpp
@@ -19,7 +19,26 @@
     {"submit", run_submit,
      "submit --customer ID --kind KIND [--id ID] [--deadline-ms N] PAYLOAD...\n"
      "                      one payload is a request, several are a job"},
+    {"job", run_job,
+     "job [--wait-ms N] [answer|cancel] ID\n"
+     "                      state of a submission, its answer, or its cancellation"},
     {"status", run_status, "status                state of an instance"},
+    {"ready", run_ready, "ready                 whether an instance takes new callers"},
+    {"prefix", run_prefix, "prefix                a prefix for submission ids"},
+    {"config", run_config,
+     "config check FILE     find the faults of a document\n"
+     "  config show [--section NAME]\n"
+     "                      the document in force\n"
+     "  config diff FILE      what a file would change\n"
+     "  config publish --author TEAM --section NAME FILE\n"
+     "                      replace the section by the one in the file\n"
+     "  config history        changes of the document, with their verdicts"},
+    {"account", run_account,
+     "account --customer ID [--log-address IP:PORT [--archive FILE]]\n"
+     "                      every request of a customer, from an instance, or from the log and\n"
+     "                      an archive\n"
+     "  account export --log-address IP:PORT --archive FILE\n"
+     "                      append what the log retains to an archive"},
 };
 
 constexpr const char* exit_codes = "Exit codes:\n"
@@ -46,7 +65,7 @@
     {"id", &options::id, "submission id; a new one is made if it is missing"},
     {"section", &options::section, "section of the document"},
     {"author", &options::author, "team that edits the document"},
-    {"file", &options::file, "TOML file"},
+    {"log-address", &options::log_address, "ip:port of the platform's log"},
     {"archive", &options::archive, "archive file of account records"},
 };
 
@@ -79,6 +98,8 @@
     }
     table.push_back({"deadline-ms", '\0', POPT_ARG_INT, &given.deadline_ms, 0,
                      "deadline of a request", "NUMBER"});
+    table.push_back(
+        {"wait-ms", '\0', POPT_ARG_INT, &given.wait_ms, 0, "longest wait for an answer", "NUMBER"});
     table.push_back({"tries", '\0', POPT_ARG_INT, &given.tries, 0,
                      "submissions under one id when connections are lost", "NUMBER"});
     table.push_back({"json", '\0', POPT_ARG_NONE, &json, 0, "print replies as JSON", nullptr});
