--- a/include/http/glib_ptr.h
+++ b/include/http/glib_ptr.h
@@ -23,6 +23,10 @@
 
     GError** out() { return &error_; }
     explicit operator bool() const { return error_ != nullptr; }
+    bool matches(GQuark domain, int code) const
+    {
+        return g_error_matches(error_, domain, code) != FALSE;
+    }
     const char* message() const { return error_ != nullptr ? error_->message : "no error"; }
 
 private:
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -24,6 +24,8 @@
     connection_phase phase = connection_phase::header;
     monotonic_time since{};
     GSocket* socket = nullptr; // owned by the library's stream
+    bool closed = false;
+    bool refused = false; // answered already; what still arrives is dropped
 };
 
 object_ptr<GSocketAddress> parse_address(const std::string& text)
@@ -142,6 +144,22 @@
     bool finished_ = false;
 };
 
+// The library keeps connections alive only while it has a listener of its own. It gets a datagram
+// socket that is connected to itself, so nothing ever arrives there.
+bool add_quiet_listener(SoupServer* server, GError** ec)
+{
+    const object_ptr<GSocketAddress> loopback(
+        g_inet_socket_address_new_from_string("127.0.0.1", 0));
+    const object_ptr<GSocket> quiet(
+        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, ec));
+    if (!quiet || !g_socket_bind(quiet.get(), loopback.get(), FALSE, ec)) {
+        return false;
+    }
+    const object_ptr<GSocketAddress> own(g_socket_get_local_address(quiet.get(), ec));
+    return own && g_socket_connect(quiet.get(), own.get(), nullptr, ec) != FALSE &&
+           soup_server_listen_socket(server, quiet.get(), SoupServerListenOptions{}, ec) != FALSE;
+}
+
 } // namespace
 
 struct http_server::state {
@@ -164,7 +182,8 @@
     void set_phase(SoupServerMessage* message, connection_phase phase);
     void watch(SoupServerMessage* message);
     void watch_stream(GSocketConnection* stream, GSocketAddress* remote);
-    void cut_off(SoupServerMessage* message);
+    void refuse_body(SoupServerMessage* message);
+    bool was_refused(SoupServerMessage* message) const;
     void stop_accepting();
     ~state();
 };
@@ -221,7 +240,7 @@
 void http_server::state::watch_stream(GSocketConnection* stream, GSocketAddress* remote)
 {
     connections[remote] = {connection_phase::header, timers->monotonic_now(),
-                           g_socket_connection_get_socket(stream)};
+                           g_socket_connection_get_socket(stream), false, false};
     // The entry goes when the library drops the stream, which may be after this server has gone.
     struct link {
         state* owner;
@@ -243,11 +262,11 @@
 void http_server::state::sweep()
 {
     const auto now = timers->monotonic_now();
-    for (const auto& [remote, it] : connections) {
+    for (auto& [remote, it] : connections) {
         const bool slow =
             (it.phase == connection_phase::header && now - it.since > limits.idle_limit) ||
             (it.phase == connection_phase::body && now - it.since > limits.body_limit);
-        if (slow) {
+        if (slow && !std::exchange(it.closed, true)) {
             ++closed_slow;
             g_socket_shutdown(it.socket, TRUE, TRUE, nullptr);
         }
@@ -264,36 +283,48 @@
     }
 }
 
-void http_server::state::cut_off(SoupServerMessage* message)
+// The library has no way to answer before it read the whole body, so the reply goes to the socket
+// directly. The rest of the body is read and dropped until the caller closes or the body's time
+// limit ends; closing at once would reset the connection, and the caller might lose the reply.
+void http_server::state::refuse_body(SoupServerMessage* message)
 {
     const auto it = connections.find(soup_server_message_get_remote_address(message));
-    if (it != connections.end()) {
-        g_socket_shutdown(it->second.socket, TRUE, TRUE, nullptr);
+    if (it == connections.end() || std::exchange(it->second.refused, true)) {
+        return;
     }
+    constexpr std::string_view reply =
+        "HTTP/1.1 413 Request Entity Too Large\r\nConnection: close\r\n"
+        "Content-Type: application/json\r\nContent-Length: 59\r\n\r\n"
+        R"({"state":"failed_not_run","reason":"the body is too large"})";
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    g_socket_send(it->second.socket, reply.data(), reply.size(), nullptr, nullptr);
+    g_socket_shutdown(it->second.socket, FALSE, TRUE, nullptr);
+}
+
+bool http_server::state::was_refused(SoupServerMessage* message) const
+{
+    const auto it = connections.find(soup_server_message_get_remote_address(message));
+    return it != connections.end() && it->second.refused;
 }
 
 void http_server::state::watch(SoupServerMessage* message)
 {
-    g_signal_connect(
-        message, "got-headers", G_CALLBACK(+[](SoupServerMessage* msg, gpointer data) {
-            auto* self = static_cast<state*>(data);
-            self->set_phase(msg, connection_phase::body);
-            const auto size = soup_message_headers_get_content_length(
-                soup_server_message_get_request_headers(msg));
-            if (size > static_cast<goffset>(self->limits.max_body_bytes)) {
-                // The rest of the connection would be the body, so it cannot be used again.
-                soup_message_headers_replace(soup_server_message_get_response_headers(msg),
-                                             "Connection", "close");
-                soup_server_message_set_status(msg, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
-            }
-        }),
-        this);
+    g_signal_connect(message, "got-headers", G_CALLBACK(+[](SoupServerMessage* msg, gpointer data) {
+                         auto* self = static_cast<state*>(data);
+                         self->set_phase(msg, connection_phase::body);
+                         const auto size = soup_message_headers_get_content_length(
+                             soup_server_message_get_request_headers(msg));
+                         if (size > static_cast<goffset>(self->limits.max_body_bytes)) {
+                             self->refuse_body(msg);
+                         }
+                     }),
+                     this);
     g_signal_connect(message, "got-chunk",
                      G_CALLBACK(+[](SoupServerMessage* msg, GBytes*, gpointer data) {
                          auto* self = static_cast<state*>(data);
                          const auto* body = soup_server_message_get_request_body(msg);
                          if (body->length > static_cast<goffset>(self->limits.max_body_bytes)) {
-                             self->cut_off(msg);
+                             self->refuse_body(msg);
                          }
                      }),
                      this);
@@ -329,6 +360,9 @@
         return failure(errc::unavailable,
                        fmt::format("cannot listen on {}: {}", address, ec.message()));
     }
+    if (!add_quiet_listener(self->server.get(), ec.out())) {
+        return failure(errc::unavailable, fmt::format("cannot keep connections: {}", ec.message()));
+    }
     auto* raw = self.get();
     g_signal_connect(self->server.get(), "request-started",
                      G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
@@ -342,10 +376,20 @@
                          static_cast<state*>(data)->set_phase(message, connection_phase::answering);
                      }),
                      raw);
+    // The library reports the next request only once its first byte arrives.
+    g_signal_connect(self->server.get(), "request-finished",
+                     G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
+                         static_cast<state*>(data)->set_phase(message, connection_phase::header);
+                     }),
+                     raw);
     soup_server_add_handler(
         self->server.get(), nullptr,
         [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
             auto* owner = static_cast<state*>(data);
+            if (owner->was_refused(message)) {
+                soup_server_message_set_status(message, 413, nullptr);
+                return;
+            }
             owner->on_request(std::make_shared<soup_exchange>(message, owner->open));
         },
         raw, nullptr);
--- a/tests/http/loop.h
+++ b/tests/http/loop.h
@@ -10,7 +10,10 @@
 void run_until(Predicate done)
 {
     while (!done()) {
-        g_main_context_iteration(nullptr, TRUE);
+        // Sockets that only the predicate reads do not wake the loop, so it never blocks.
+        if (!g_main_context_iteration(nullptr, FALSE)) {
+            g_usleep(200);
+        }
     }
 }
 
