Divide the slots between instances; borrow under backlog

Change: each worker's slots are divided by a line of shares without overlap (router_options:: share_begin, router::set_share_range; random when unknown). Slots of others are borrowed only if three more look free; the margin shrinks with the time for which the own queue has been backed up, down to four tasks beyond the slots. The run time weighs 0.5, and fast slots have a price when own slots are scarce. A task may wait for a better own slot.

--- a/bench/decision_run.h
+++ b/bench/decision_run.h
@@ -33,11 +33,15 @@
           deployment_(make_deployment(settings, strategy, message_budget)),
           tasks_(input.work.size()), requests_(input.requests.size()), workers_(input.speed.size())
     {
+        double begin = 0;
         for (std::size_t i = 0; i < input.share.size(); ++i) {
             instances_.emplace_back();
-            instances_.back().routes = router::make(
-                deployment_, clock_,
-                {.seed = settings.seed * 1000003ULL + i * 7919ULL, .share = input.share[i]});
+            instances_.back().routes =
+                router::make(deployment_, clock_,
+                             {.seed = settings.seed * 1000003ULL + i * 7919ULL,
+                              .share = input.share[i],
+                              .share_begin = begin});
+            begin += input.share[i];
         }
         for (std::size_t i = 0; i < workers_.size(); ++i) {
             workers_[i].speed = input.speed[i];
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -28,6 +28,10 @@
 struct router_options {
     std::uint64_t seed = 0;
     double share = 1.0; // this instance's part of the total load, 0 to 1
+    // Sum of the shares of the instances before this one in an order that all agree on, for
+    // example by name. With it the instances divide each worker's slots without overlap. Below
+    // zero if unknown: the slots are then divided at random.
+    double share_begin = -1.0;
 };
 
 // Chooses workers and learns from what comes back. A deployment strategy is selected by name.
@@ -65,6 +69,9 @@
     // Changes this instance's part of the total load, when members come and go.
     virtual void set_share(double share) = 0;
 
+    // The same with the sum of the shares before this one, as in router_options.
+    virtual void set_share_range(double /*begin*/, double share) { set_share(share); }
+
     // Learned run-time quantile of a kind over all workers, or the declared run time at first.
     virtual duration run_time_quantile(kind_index kind, double quantile) const = 0;
 
--- a/src/routing/finish_estimate.h
+++ b/src/routing/finish_estimate.h
@@ -8,17 +8,48 @@
 
 namespace cactusloom {
 
-// Predicts when a task placed now would finish on a worker, and whether the worker has room.
+// Weight of a task's own run time against its wait. With 1 every task takes the slot where it
+// finishes first and fills the queues of the fast workers, at the cost of all later tasks.
+inline constexpr float run_weight = 0.5F;
+// Price of a fast slot, in mean run times for a worker of speed 1, when all own slots are taken.
+// Short tasks then go to slow workers, where they lose little, and long ones find a fast slot.
+inline constexpr float speed_price = 0.5F;
+// Part of the own slots in use from which on fast slots have a price.
+inline constexpr float price_from = 0.3F;
+// Slots of others that must look free, beyond the task's own, before one is borrowed. Reports
+// are old, and all instances see the same free slots.
+inline constexpr float borrow_margin = 3.0F;
+// Tasks by which the margin shrinks for each mean run time of backlog. The worker's queue then
+// takes the place of a shared one.
+inline constexpr float borrow_growth = 10.0F;
+// Tasks beyond its slots that a worker may be given under a long backlog.
+inline constexpr float most_beyond = 4.0F;
+// Tasks by which the true load may differ from the estimate.
+inline constexpr float load_spread = 2.0F;
+// Doubt about the usual load, per square second without a report.
+inline constexpr float doubt_growth = 0.1F;
+// Cost of having all of a job in one rack, in mean run times.
+inline constexpr float rack_weight = 0.1F;
+// Weight of the expected wait for a better slot against what the task gains there.
+inline constexpr float hold_weight = 16.0F;
+// Mean run times of backlog after which any slot is taken.
+inline constexpr float hold_limit = 0.3F;
+
+// Predicts what it costs to place a task on a worker now, and whether the worker has room.
 class finish_estimate {
 public:
     explicit finish_estimate(const placement& task)
         : task_(&task), workers_(task.workers), mean_run_(task.run_times->mean()),
-          forgetting_(1 / mean_run_), run_(task.run_times->mean(task.kind)),
-          spread_cost_(rack_weight * task.run_times->mean())
+          forgetting_(1 / mean_run_), run_cost_(task.run_times->mean(task.kind) * run_weight),
+          beyond_(
+              std::min(borrow_growth * task.backlogged * forgetting_ - borrow_margin, most_beyond)),
+          price_(speed_price * mean_run_ *
+                 std::clamp((task.use - price_from) / (1 - price_from), 0.0F, 1.0F)),
+          spread_cost_(rack_weight * mean_run_)
     {
     }
 
-    // Tasks of all instances that the worker is expected to hold, besides our own.
+    // Tasks of other instances that the worker is expected to hold.
     float others(worker_id worker) const
     {
         const worker_table& table = *workers_;
@@ -28,52 +59,64 @@
         // the usual load is in doubt: weight 1 / doubt. This also ends a state in which nothing
         // is sent because all workers once looked full.
         const float recency = 1 + age * forgetting_ / table.inverse_speed[worker];
-        const float doubt = 1 + age * age * 0.1F;
+        const float doubt = 1 + age * age * doubt_growth;
         const float both = 1 / (recency * doubt);
         return table.assumed[worker] +
                both * (recency * (table.usual[worker] - table.assumed[worker]) +
                        (table.others[worker] - table.usual[worker]));
     }
 
-    float room(worker_id worker) const { return room(worker, others(worker)); }
-
+    // Number of tasks that may be started on the worker now: what is left of the own slots, or
+    // of slots that look free.
     float room(worker_id worker, float others) const
     {
         const worker_table& table = *workers_;
         const float own = table.outstanding[worker];
-        const float most = std::min(
-            {table.slots[worker] + overcommit, table.cold_limit[worker], task_->limits[worker]});
-        const float by_report = table.slots[worker] + overcommit - own - others;
-        return std::min(std::max(table.quota[worker] - own, by_report), most - own);
+        const float most = std::min({table.slots[worker] + std::max(beyond_, 0.0F),
+                                     table.cold_limit[worker], task_->limits[worker]});
+        const float borrowed = table.slots[worker] + beyond_ - own - others;
+        return std::min(std::max(table.quota[worker] - own, borrowed), most - own);
     }
 
-    // Seconds until the task would finish.
-    float finish(worker_id worker, float others) const
+    float room(worker_id worker) const { return room(worker, others(worker)); }
+
+    // Cost in seconds of a task that need not wait on the worker.
+    float base_cost(worker_id worker) const
+    {
+        const float inverse_speed = workers_->inverse_speed[worker];
+        return run_cost_ * inverse_speed + price_ / inverse_speed +
+               task_->rack_penalty[workers_->rack[worker]] * spread_cost_;
+    }
+
+    // Expected seconds that a task waits on the worker.
+    float wait(worker_id worker, float others) const
     {
         const worker_table& table = *workers_;
-        const float inverse_speed = table.inverse_speed[worker];
         const float excess = others + table.outstanding[worker] + 1 - table.slots[worker];
         // The load is an estimate, so a wait is possible below full load and may be absent above
-        // it: the expected excess of a spread of +-2 tasks around the estimate.
-        const float low = std::clamp(excess + 2, 0.0F, 4.0F);
-        const float waiting = low * low * 0.125F + std::max(excess - 2, 0.0F);
-        const float wait = waiting * mean_run_ * table.inverse_slots[worker];
-        return (wait + run_) * inverse_speed +
-               task_->rack_penalty[table.rack[worker]] * spread_cost_;
+        // it: the mean excess when the load lies evenly within load_spread of the estimate.
+        const float low = std::clamp(excess + load_spread, 0.0F, 2 * load_spread);
+        const float waiting = low * low / (4 * load_spread) + std::max(excess - load_spread, 0.0F);
+        return waiting * mean_run_ * table.inverse_slots[worker] * table.inverse_speed[worker];
     }
 
-private:
-    // Tasks beyond its slots that a worker may hold, so that it has work while our next start is
-    // under way. One task waits an eighth of a run time on a worker with eight slots.
-    static constexpr float overcommit = 1.0F;
-    // Cost of having all of a job in one rack, in mean run times.
-    static constexpr float rack_weight = 0.1F;
+    // Own tasks that end on the worker in a second.
+    float end_rate(worker_id worker) const
+    {
+        return workers_->outstanding[worker] * forgetting_ / workers_->inverse_speed[worker];
+    }
+
+    // True while the backlog is too short to take whatever slot is free.
+    bool may_hold() const { return task_->backlogged * forgetting_ < hold_limit; }
 
+private:
     const placement* task_;
     const worker_table* workers_;
     float mean_run_;
     float forgetting_;
-    float run_;
+    float run_cost_;
+    float beyond_;
+    float price_;
     float spread_cost_;
 };
 
--- a/src/routing/strategy.cpp
+++ b/src/routing/strategy.cpp
@@ -176,16 +176,24 @@
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         const finish_estimate estimate(task);
         std::optional<worker_id> best;
-        float earliest = std::numeric_limits<float>::infinity();
+        float least = std::numeric_limits<float>::infinity();
+        std::array<better_slot, most_candidates> full{};
+        std::size_t seen_full = 0;
         const auto consider = [&](worker_id id) {
+            if (!task.is_allowed(id)) {
+                return false;
+            }
             const float others = estimate.others(id);
-            if (task.is_allowed(id) && estimate.room(id, others) >= 1) {
-                const float finish = estimate.finish(id, others);
-                if (finish < earliest) {
-                    earliest = finish;
-                    best = id;
+            const float cost = estimate.base_cost(id);
+            if (estimate.room(id, others) < 1) {
+                if (seen_full < full.size()) {
+                    full[seen_full++] = {cost, estimate.end_rate(id)};
                 }
             }
+            else if (cost + estimate.wait(id, others) < least) {
+                least = cost + estimate.wait(id, others);
+                best = id;
+            }
             return false;
         };
         if (candidates_ < n) {
@@ -196,6 +204,10 @@
         if (!best) {
             visit(random_, n, std::min(n, most_candidates), consider);
         }
+        if (best && candidates_ > 2 && estimate.may_hold() &&
+            is_worth_holding({full.data(), seen_full}, least)) {
+            return std::nullopt;
+        }
         return best;
     }
 
@@ -205,6 +217,23 @@
     }
 
 private:
+    // A worker without room, whose next free slot may be worth waiting for.
+    struct better_slot {
+        float cost;
+        float end_rate;
+    };
+
+    // True if the wait for a slot on one of the full workers costs less than it gains.
+    static bool is_worth_holding(std::span<const better_slot> full, float least)
+    {
+        // Gain times rate, summed, compares with 1: the expected gain over the expected wait.
+        float gain = 0;
+        for (const better_slot& it : full) {
+            gain += std::max(least - it.cost, 0.0F) * it.end_rate;
+        }
+        return gain > hold_weight;
+    }
+
     random_engine random_;
     std::uint32_t candidates_;
 };
--- a/src/routing/strategy.h
+++ b/src/routing/strategy.h
@@ -22,7 +22,9 @@
     std::span<const float> rack_penalty{}; // by rack, 0 to 1
     std::uint32_t kind = 0;
     worker_id excluded = ~worker_id{0};
-    double now = 0; // as worker_table::seconds() counts
+    float use = 0;        // part of this instance's own slots that are taken
+    float backlogged = 0; // seconds for which this instance's queue has not been empty
+    double now = 0;       // as worker_table::seconds() counts
 
     // True if the worker may be given the task at all, apart from its load.
     bool is_allowed(worker_id worker) const;
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -1,6 +1,7 @@
 #include "table_router.h"
 
 #include "base/clock.h"
+#include "base/random.h"
 
 #include <algorithm>
 #include <cassert>
@@ -14,6 +15,10 @@
 // messages each time.
 constexpr float refusal_pause = 0.25F;
 
+// Seconds without a pick that found no room after which the queue is taken to be empty. Longer
+// than the usual time between two ends of own tasks, after which the queue is looked at again.
+constexpr double backlog_gap = 0.05;
+
 std::vector<std::uint8_t> workers_that_fit(const deployment& settings, const request_kind& kind)
 {
     std::vector<std::uint8_t> fits;
@@ -28,6 +33,14 @@
     return fits;
 }
 
+// Without a known place among the instances a random one is as good as any.
+double first_share(const router_options& options)
+{
+    random_engine random(static_cast<std::uint32_t>(options.seed) | 4096U);
+    const double drawn = draw_below(random, 1U << 20U) * 0x1p-20;
+    return options.share_begin >= 0 ? options.share_begin : drawn;
+}
+
 task_outcome outcome_of(start_status status)
 {
     switch (status) {
@@ -56,7 +69,8 @@
 
 table_router::table_router(const deployment& settings, const clock& time, router_options options,
                            std::unique_ptr<strategy> chooser)
-    : time_(&time), workers_(settings, options.seed, options.share), run_times_(settings),
+    : time_(&time), share_begin_(first_share(options)),
+      workers_(settings, share_begin_, options.share), run_times_(settings),
       health_(workers_.rack, workers_.racks, options.seed), spread_(workers_.rack_slots),
       strategy_(std::move(chooser)), no_penalty_(workers_.racks)
 {
@@ -94,10 +108,18 @@
         }
     }
     task.rack_penalty = spread_.penalties(query.job_key);
+    if (now - blocked_at_ > backlog_gap) {
+        blocked_since_ = now;
+    }
+    task.use = static_cast<float>(workers_.total_outstanding / workers_.total_quota);
+    task.backlogged = static_cast<float>(now - blocked_since_);
     const auto chosen = strategy_->choose(task);
     if (chosen) {
         spread_.add(query.job_key, workers_.rack[*chosen]);
     }
+    else {
+        blocked_at_ = now;
+    }
     return chosen;
 }
 
@@ -159,6 +181,12 @@
     workers_.leaving[worker] = load.leaving ? 1 : workers_.leaving[worker];
 }
 
+void table_router::set_share_range(double begin, double share)
+{
+    share_begin_ = begin;
+    workers_.set_share(begin, share);
+}
+
 void table_router::set_leaving(worker_id worker, bool leaving)
 {
     workers_.leaving[worker] = leaving ? 1 : 0;
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -24,7 +24,8 @@
                     duration elapsed) override;
     void record_load(worker_id worker, const worker_load& load) override;
     void set_leaving(worker_id worker, bool leaving) override;
-    void set_share(double share) override { workers_.set_share(share); }
+    void set_share(double share) override { set_share_range(share_begin_, share); }
+    void set_share_range(double begin, double share) override;
     duration run_time_quantile(kind_index kind, double quantile) const override
     {
         return run_times_.quantile(kind, quantile);
@@ -38,6 +39,9 @@
     void learn_run(worker_id worker, kind_index kind, duration run_time);
 
     const clock* time_;
+    double share_begin_;
+    double blocked_since_ = 0;
+    double blocked_at_ = -1; // last time that a pick found no room
     worker_table workers_;
     run_time_model run_times_;
     worker_health health_;
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -1,6 +1,6 @@
 #include "worker_table.h"
 
-#include "base/random.h"
+#include "base/hash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -25,11 +25,10 @@
 
 } // namespace
 
-worker_table::worker_table(const deployment& settings, std::uint64_t seed, double share)
+worker_table::worker_table(const deployment& settings, double share_begin, double share)
 {
     const std::size_t n = settings.workers.size();
     std::map<std::string_view, std::uint16_t> numbers;
-    random_engine random(static_cast<std::uint32_t>(seed ^ (seed >> 32U)) | 4096U);
     float all_slots = 0;
     for (const worker_settings& worker : settings.workers) {
         slots.push_back(static_cast<float>(worker.slots));
@@ -37,7 +36,7 @@
         all_slots += slots.back();
         const auto number = static_cast<std::uint16_t>(numbers.size());
         rack.push_back(numbers.emplace(worker.rack, number).first->second);
-        rounding_.push_back(static_cast<float>(draw_below(random, 1U << 20U)) / (1U << 20U));
+        offsets_.push_back(static_cast<double>(hash64(worker.name) >> 11U) * 0x1p-53);
     }
     racks = numbers.size();
     rack_slots.assign(racks, 0);
@@ -55,20 +54,25 @@
     cold_limit.assign(n, first_tasks);
     leaving.assign(n, 0);
     speeds_.resize(n);
-    set_share(share);
+    set_share(share_begin, share);
     others = assumed;
     usual = assumed;
 }
 
-void worker_table::set_share(double share)
+void worker_table::set_share(double begin, double share)
 {
-    const float part = std::clamp(static_cast<float>(share), 0.001F, 1.0F);
+    const double part = std::clamp(share, 0.001, 1.0);
+    total_quota = 0;
     for (std::size_t i = 0; i < size(); ++i) {
-        // Rounding at random, and not always up, makes the quotas of all instances add up to
-        // about the worker's slots even when each has less than one of them.
-        quota[i] = std::floor(slots[i] * part + rounding_[i]);
-        assumed[i] = slots[i] * (1 - part);
+        // The slots lie on a line from 0 to `slots`, shifted by a different fraction for each
+        // worker, so that an instance with less than one slot has one on some workers.
+        const double first = begin * static_cast<double>(slots[i]) + offsets_[i];
+        const double last = first + part * static_cast<double>(slots[i]);
+        quota[i] = static_cast<float>(std::floor(last) - std::floor(first));
+        total_quota += quota[i];
+        assumed[i] = slots[i] * static_cast<float>(1 - part);
     }
+    total_quota = std::max(total_quota, 1.0);
 }
 
 double worker_table::seconds(monotonic_time now) const
--- a/src/routing/worker_table.h
+++ b/src/routing/worker_table.h
@@ -12,12 +12,13 @@
 // What one instance knows about every worker, as a struct of arrays so that a scan over all
 // workers reads few cache lines. Positions are worker ids.
 struct worker_table {
-    worker_table(const deployment& settings, std::uint64_t seed, double share);
+    worker_table(const deployment& settings, double share_begin, double share);
 
     std::size_t size() const { return slots.size(); }
 
-    // Recomputes this instance's part of each worker's slots.
-    void set_share(double share);
+    // Recomputes this instance's part of each worker's slots. Instances whose ranges do not
+    // overlap get different slots, so that all quotas of a worker add up to its slots.
+    void set_share(double begin, double share);
 
     // Takes in a load report. Its own tasks are subtracted, what remains is the others' load.
     void take_report(worker_id worker, const worker_load& load, monotonic_time now);
@@ -45,6 +46,7 @@
     std::size_t racks = 0;
     std::vector<float> rack_slots; // part of all slots, by rack
     double total_outstanding = 0;
+    double total_quota = 1; // part of all slots, at least one
 
     // Seconds since the table was made.
     double seconds(monotonic_time now) const;
@@ -57,7 +59,7 @@
     };
 
     std::vector<speed_state> speeds_;
-    std::vector<float> rounding_; // fixed random number of each worker, rounds its quota
+    std::vector<double> offsets_; // by worker, 0 to 1, the same on all instances
     monotonic_time origin_{};
 };
 
