Report the end of every start to the job observer

Cause: the dispatcher never called task_ended, so a start that a worker refused counted as a run. Change: closing an attempt reports its status; a refusal is recorded under an id of its own, since the same id may be submitted again.

--- a/include/entry/account_recorder.h
+++ b/include/entry/account_recorder.h
@@ -36,6 +36,7 @@
     account_writer& writer_;
     std::shared_ptr<const deployment> settings_;
     std::uint64_t version_ = 0;
+    std::uint64_t refusals_ = 0;
     std::unordered_map<job_number, account_record> open_;
 };
 
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -83,7 +83,7 @@
     void give_up(std::uint32_t index);
     void send_stop(attempt_record& attempt);
     void release_slot(attempt_record& attempt, const start_reply& reply);
-    void close(std::uint32_t index);
+    void close(std::uint32_t index, start_status status);
 
     // Ends of jobs.
     void fail(std::uint32_t slot, std::string_view reason);
--- a/src/entry/account_recorder.cpp
+++ b/src/entry/account_recorder.cpp
@@ -4,6 +4,7 @@
 #include "config/deployment.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace cactusloom {
 namespace {
@@ -112,7 +113,13 @@
 
 void account_recorder::job_refused(const received_job& details, const error& reason)
 {
+    // A conflict or an id that is not known here says nothing about the submission of that id.
+    if (reason.code == errc::conflict || reason.code == errc::not_found) {
+        return;
+    }
     account_record record = make_record(details);
+    // A refused id may be submitted again and then has an end of its own.
+    record.receipt.submission_id = fmt::format("{}#refused-{}", details.id, ++refusals_);
     record.decided = details.received;
     record.answered = details.received;
     record.outcome = account_outcome::failed_not_run;
