Let rumours end early and repair what they missed

Change: two times the logarithm in place of three, a rumour that is heard back counts as two sends, the repetition covers gone members, and a reply corrects up to four outdated entries of the sender. Rumours need not reach everybody, since the repetition does.

--- a/include/membership/failure_detector.h
+++ b/include/membership/failure_detector.h
@@ -168,8 +168,9 @@
     random_engine random_;
 
     std::vector<rumour> rumours_;
-    std::vector<std::string> round_; // names still to be pinged in this round, last first
-    std::string repeat_cursor_;      // where the repetition of known members goes on
+    std::vector<std::string> round_;    // names still to be pinged in this round, last first
+    std::string repeat_cursor_;         // where the repetition of known members goes on
+    std::vector<std::string> outdated_; // names of which the last sender knew less than we do
     std::vector<peer_hint> hints_;
     std::map<std::string, monotonic_time, std::less<>> hint_tries_;
     std::size_t hint_cursor_ = 0;
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -14,6 +14,9 @@
 // messages left out, at a fixed cost for any number of members.
 constexpr std::size_t repeated_updates = 2;
 
+// Outdated entries of a peer that one reply puts right, so that room for rumours remains.
+constexpr std::size_t max_corrections = 4;
+
 // Members with unconfirmed misses that are probed again each period, beside the regular one.
 constexpr std::size_t doubtful_probes = 2;
 
@@ -23,7 +26,11 @@
 
 // Each update is sent this many times the logarithm of the number of members, which reaches all
 // of them with high probability in a push protocol.
-constexpr unsigned rumour_factor = 3;
+constexpr unsigned rumour_factor = 2;
+
+// Sends that hearing a rumour back counts for. A rumour that returns is known widely; without
+// this, the rumours of a start of all instances fill the messages for minutes.
+constexpr unsigned returned_rumour = 2;
 
 // Members that are told of a goodbye directly.
 constexpr std::size_t goodbye_messages = 5;
@@ -527,6 +534,7 @@
     // What a page brings is known to the others already. Spreading it again from every joining
     // instance would fill their messages for minutes.
     const auto how = is_page ? origin::page : origin::rumour;
+    outdated_.clear();
     for (const auto& update : news.updates) {
         apply(update, how);
     }
@@ -578,6 +586,18 @@
         }
         publish(*change);
     }
+    else if (from == origin::rumour && known != nullptr && supersedes(known->info, update)) {
+        if (outdated_.size() < max_corrections) {
+            outdated_.push_back(update.name);
+        }
+    }
+    else if (from == origin::rumour && known != nullptr && known->info == update) {
+        const auto it = std::find_if(rumours_.begin(), rumours_.end(),
+                                     [&](const rumour& r) { return r.name == update.name; });
+        if (it != rumours_.end()) {
+            it->sent += returned_rumour;
+        }
+    }
 }
 
 void failure_detector::note_heard(std::string_view name)
@@ -673,6 +693,17 @@
     if (believed != nullptr && believed->info.state != member_state::alive) {
         news.updates.push_back(believed->info);
     }
+    // A peer that told outdated news is put right on the next message to it, the reply.
+    for (const auto& name : std::exchange(outdated_, {})) {
+        const bool already = !news.updates.empty() && news.updates.front().name == name;
+        if (!already) {
+            add(name);
+        }
+    }
+    const auto is_named = [&](std::string_view name) {
+        return std::any_of(news.updates.begin(), news.updates.end(),
+                           [&](const member& update) { return update.name == name; });
+    };
     // Least spread first; a stable order keeps newer changes behind older ones of equal count.
     std::stable_sort(rumours_.begin(), rumours_.end(),
                      [](const rumour& a, const rumour& b) { return a.sent < b.sent; });
@@ -685,7 +716,7 @@
             ++it.sent;
             continue;
         }
-        if (it.name == receiver) {
+        if (it.name == receiver || is_named(it.name)) {
             continue;
         }
         it.sent += add(it.name) ? 1 : limit;
@@ -700,10 +731,9 @@
             it = others.begin();
         }
         repeat_cursor_ = it->first;
-        const bool already =
-            std::any_of(news.updates.begin(), news.updates.end(),
-                        [&](const member& update) { return update.name == repeat_cursor_; });
-        if (is_live(it->second.info.state) && !already) {
+        // Gone members are repeated as well: who missed a goodbye would hold the member until its
+        // own probes fail.
+        if (!is_named(it->first)) {
             add(it->first);
         }
     }
