--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -54,7 +54,11 @@
         std::optional<config_follower> follower;
     };
 
-    config_cluster() { options.snapshot_delay_per_rank = std::chrono::seconds{1}; }
+    config_cluster()
+    {
+        options.snapshot_delay_per_rank = std::chrono::seconds{1};
+        options.retention = std::chrono::hours{8};
+    }
 
     instance& add(bool with_peers = true, bool with_log = true)
     {
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -146,7 +146,12 @@
          c.submit_rate(0, "a", 10);
          c.run(1h);
          c.log.set_retention(c.options.retention);
-         c.run(c.options.retention + 1h);
+         for (auto left = 2 * c.options.retention; left > 0s; left -= 1min) {
+             c.run(1min);
+             // A new instance without peers could start at any time.
+             BOOST_REQUIRE(c.log.page("config").first_retained <=
+                           c.reference.newest_snapshot()->next);
+         }
          BOOST_TEST(c.log.page("config").first_retained > 2U);
          auto& fresh = c.add(false);
          c.run(in_force_target);
@@ -203,6 +208,15 @@
          BOOST_TEST(c.reply("b") == "accepted");
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 20U);
      }},
+    {"log down for some seconds while an edit is under way",
+     [](config_cluster& c) {
+         c.log.set_down(true);
+         c.submit_rate(0, "a", 10);
+         c.run(5s);
+         c.log.set_down(false);
+         c.run(in_force_target);
+         BOOST_TEST(c.reply("a") == "accepted");
+     }},
     {"log silent for an hour",
      [](config_cluster& c) {
          c.log.set_silent(true);
