--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -585,7 +585,7 @@
     const monotonic_time lease_end = attempt.lease_end;
     const bool is_hedge = attempt.start_number > 1 && jobs_[slot].tasks[task].attempts[1] == index;
     release_slot(attempt, reply);
-    close(index);
+    close(index, reply.status);
     if (reply.status == start_status::completed) {
         counts_.hedges_won += is_hedge ? 1 : 0;
         complete_task(slot, task, std::move(reply.payload));
@@ -609,7 +609,7 @@
     job.texts[task_number] = std::move(answer);
     for (const std::uint32_t other : task.attempts) {
         if (other != no_index) {
-            give_up(other);
+            give_up(other, start_status::stopped);
         }
     }
 }
@@ -661,10 +661,10 @@
 }
 
 // Ends an attempt without its reply, which will be ignored. The worker is asked to stop.
-void dispatcher::engine::give_up(std::uint32_t index)
+void dispatcher::engine::give_up(std::uint32_t index, start_status status)
 {
     send_stop(attempts_[index]);
-    close(index);
+    close(index, status);
 }
 
 // Sends the stop and counts the worker's slot as free at once. If the stop is slow, the worker
@@ -695,7 +695,7 @@
 }
 
 // Frees the record of an attempt. The new generation makes a later reply to it recognisable.
-void dispatcher::engine::close(std::uint32_t index)
+void dispatcher::engine::close(std::uint32_t index, start_status status)
 {
     attempt_record& attempt = attempts_[index];
     assert(attempt.is_open && !attempt.holds_slot);
@@ -709,6 +709,9 @@
     if (!task.is_open()) {
         --job.open;
     }
+    if (observer_ != nullptr) {
+        observer_->task_ended(job.number, attempt.task, attempt.worker, status);
+    }
     wheel_.cancel(attempt.timer);
     attempt.is_open = false;
     ++attempt.generation;
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -80,10 +80,10 @@
     void complete_task(std::uint32_t slot, std::uint32_t task, std::string answer);
     void attempt_failed(std::uint32_t slot, std::uint32_t task, const start_reply& reply,
                         monotonic_time lease_end);
-    void give_up(std::uint32_t index);
+    void give_up(std::uint32_t index, start_status status);
     void send_stop(attempt_record& attempt);
     void release_slot(attempt_record& attempt, const start_reply& reply);
-    void close(std::uint32_t index);
+    void close(std::uint32_t index, start_status status);
 
     // Ends of jobs.
     void fail(std::uint32_t slot, std::string_view reason);
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -93,7 +93,7 @@
             task.state = task_state::ended;
             // The router learns that the worker was silent, unless it was asked to stop.
             release_slot(attempts_[index], {});
-            give_up(index);
+            give_up(index, start_status::reply_lost);
         }
     }
     if (job.is_failing) {
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/job_observer.h"
 #include "metrics/counters.h"
 #include "routing/router.h"
 #include "stand_in/virtual_timer_service.h"
@@ -170,6 +171,40 @@
     std::map<std::string, callback> callbacks_;
 };
 
+// Keeps what it is told, to be compared with the answers.
+class recording_observer final : public job_observer {
+public:
+    std::map<job_number, std::string> received;
+    std::map<std::string, job_state> finished;
+    std::size_t starts = 0;
+    std::size_t ended = 0;
+    std::size_t refused = 0;
+
+    void job_received(job_number job, const received_job& details) override
+    {
+        BOOST_TEST(received.emplace(job, details.id).second);
+    }
+    void task_started(job_number job, std::uint32_t /*task*/, worker_id /*worker*/) override
+    {
+        starts += received.count(job);
+    }
+    void task_ended(job_number job, std::uint32_t /*task*/, worker_id /*worker*/,
+                    start_status /*status*/) override
+    {
+        ended += received.count(job);
+    }
+    void job_finished(job_number job, const finished_job& details) override
+    {
+        BOOST_TEST(received[job] == details.id);
+        BOOST_TEST((details.received <= details.finished));
+        BOOST_TEST(finished.emplace(details.id, details.state).second);
+    }
+    void job_refused(const received_job& /*details*/, const error& /*reason*/) override
+    {
+        ++refused;
+    }
+};
+
 // A dispatcher with fakes around it. Kinds: "once", "idem" (idempotent), "twice" (second_start).
 struct fixture {
     explicit fixture(std::size_t workers = 2, deployment changed = base())
@@ -200,7 +235,7 @@
         options.data_centre = "dc";
         options.incarnation = incarnation;
         return std::make_unique<dispatcher>(
-            settings, options, dispatcher::parts{client, routes, timers, nullptr, &metrics});
+            settings, options, dispatcher::parts{client, routes, timers, &observer, &metrics});
     }
 
     job_request request(std::string kind, std::size_t tasks = 1, duration deadline = 2s,
@@ -243,10 +278,14 @@
             const auto& all = answers[id];
             BOOST_TEST(!all.empty(), what << ": no answer");
             for (const job_answer& it : all) {
-                BOOST_TEST((it.state == all.front().state), what << ": two different answers");
+                BOOST_TEST((it.state == observer.finished[id]), what << ": not what was recorded");
                 check_answer(what, job, it);
             }
         }
+        BOOST_TEST(observer.finished.size() == sent.size(), what);
+        BOOST_TEST(observer.refused == count("jobs_refused"), what);
+        BOOST_TEST(observer.starts == count("task_starts"), what);
+        BOOST_TEST(observer.ended == observer.starts, what);
         for (const std::string& task : client.second_starts) {
             const std::string id = task.substr(0, task.rfind('.'));
             BOOST_TEST(sent[id].kind == "twice", what << ": started twice " << task);
@@ -281,6 +320,7 @@
     fake_router routes;
     fake_workers client;
     counters metrics;
+    recording_observer observer;
     std::map<std::string, job_request> sent;
     std::map<std::string, std::vector<job_answer>> answers;
     std::map<std::string, monotonic_time> answered;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -205,4 +205,66 @@
     }
 }
 
+// Each row is a submission that must be refused at once with a reason, and leave nothing behind.
+// Guards against jobs that wait for something that can never come.
+BOOST_AUTO_TEST_CASE(refusals)
+{
+    struct row {
+        const char* what;
+        std::function<void(fixture&, job_request&)> change;
+        errc expected;
+        const char* reason;
+    };
+    const row rows[] = {
+        {"kind", [](auto&, auto& it) { it.kind = "none"; }, errc::invalid_argument, "kind"},
+        {"customer", [](auto&, auto& it) { it.customer = "x"; }, errc::invalid_argument,
+         "customer"},
+        {"empty", [](auto&, auto& it) { it.payloads.clear(); }, errc::invalid_argument, "700"},
+        {"701", [](auto&, auto& it) { it.payloads.resize(701); }, errc::invalid_argument, "700"},
+        {"late", [](auto&, auto& it) { it.deadline = 61s; }, errc::invalid_argument, "60000"},
+        {"negative", [](auto&, auto& it) { it.deadline = -1s; }, errc::invalid_argument, "60000"},
+        {"never", [](auto& f, auto&) { f.routes.runnable = false; }, errc::invalid_argument,
+         "ever"},
+        {"overload",
+         [](auto& f, auto& it) {
+             f.routes.wait_per_task = 1s;
+             it.payloads.resize(5);
+         },
+         errc::unavailable, "overload"},
+    };
+    for (const row& it : rows) {
+        fixture f;
+        auto job = f.request("once");
+        it.change(f, job);
+        const auto outcome = f.service->submit(job);
+        BOOST_REQUIRE(!outcome.has_value());
+        BOOST_TEST((outcome.error().code == it.expected), it.what);
+        BOOST_TEST(outcome.error().message.find(it.reason) != std::string::npos, it.what);
+        f.timers.advance(3s);
+        BOOST_TEST(f.client.starts == 0U, it.what);
+        f.check(it.what);
+    }
+}
+
+// Guards against a new document that moves accepted jobs to other kinds, teams or rules.
+BOOST_AUTO_TEST_CASE(new_document_while_jobs_run)
+{
+    fixture f{1};
+    f.routes.slots = 1;
+    const auto job = f.request("once", 3, 5s, "ben");
+    BOOST_TEST(f.send(job).has_value());
+    auto next = fixture::base();
+    next.kinds[0].retired = true;
+    next.teams = {{"c", 2.0, 0}, {"b", 1.0, 1}};
+    next.customers = {{"ben", "c"}, {"cia", "b"}};
+    f.service->apply(next);
+    BOOST_TEST(!f.service->submit(f.request("once", 1, 5s, "ben")).has_value());
+    BOOST_TEST(!f.service->submit(f.request("idem")).has_value());
+    BOOST_TEST(f.send(f.request("idem", 2, 5s, "cia")).has_value());
+    f.timers.advance(5s);
+    BOOST_TEST((state_of(f, job.id) == complete));
+    BOOST_TEST(f.count("jobs_completed") == 2U);
+    f.check("new document");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
