--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -609,7 +609,7 @@
     job.texts[task_number] = std::move(answer);
     for (const std::uint32_t other : task.attempts) {
         if (other != no_index) {
-            give_up(other);
+            give_up(other, start_status::stopped);
         }
     }
 }
@@ -661,10 +661,10 @@
 }
 
 // Ends an attempt without its reply, which will be ignored. The worker is asked to stop.
-void dispatcher::engine::give_up(std::uint32_t index)
+void dispatcher::engine::give_up(std::uint32_t index, start_status status)
 {
     send_stop(attempts_[index]);
-    close(index, start_status::stopped);
+    close(index, status);
 }
 
 // Sends the stop and counts the worker's slot as free at once. If the stop is slow, the worker
