Bound borrowing by the message budget; price fast slots more

Holding a task back counted as backlog and so led to borrowing. Reports older than our own starts gave a negative load of the others, which was read as an idle worker. Change: the tasks allowed beyond the slots fall with each refusal and rise with each completed task, in balance at four fifths of the profile's message budget. Holding no longer counts as backlog. A report that shows fewer tasks than our own is ignored. Run weight 1 and speed price 1.2 (0.5 and 0.5 before); pause after a refusal half a run time.

--- a/src/routing/finish_estimate.h
+++ b/src/routing/finish_estimate.h
@@ -8,29 +8,28 @@
 
 namespace cactusloom {
 
-// Weight of a task's own run time against its wait. With 1 every task takes the slot where it
-// finishes first and fills the queues of the fast workers, at the cost of all later tasks.
-inline constexpr float run_weight = 0.5F;
+// Weight of a task's own run time against its wait.
+inline constexpr float run_weight = 1.0F;
 // Price of a fast slot, in mean run times for a worker of speed 1, when all own slots are taken.
-// Short tasks then go to slow workers, where they lose little, and long ones find a fast slot.
-inline constexpr float speed_price = 0.5F;
+// Without it every task takes the slot where it finishes first and fills the fast workers at the
+// cost of later tasks. With it short tasks go to slow workers, where they lose little.
+inline constexpr float speed_price = 1.2F;
 // Part of the own slots in use from which on fast slots have a price.
-inline constexpr float price_from = 0.3F;
+inline constexpr float price_from = 0.2F;
 // Slots of others that must look free, beyond the task's own, before one is borrowed. Reports
 // are old, and all instances see the same free slots.
 inline constexpr float borrow_margin = 3.0F;
 // Tasks by which the margin shrinks for each mean run time of backlog. The worker's queue then
 // takes the place of a shared one.
 inline constexpr float borrow_growth = 10.0F;
-// Tasks beyond its slots that a worker may be given under a long backlog.
-inline constexpr float most_beyond = 4.0F;
 // Tasks by which the true load may differ from the estimate.
-inline constexpr float load_spread = 2.0F;
+inline constexpr float load_spread = 1.0F;
 // Doubt about the usual load, per square second without a report.
 inline constexpr float doubt_growth = 0.1F;
 // Cost of having all of a job in one rack, in mean run times.
 inline constexpr float rack_weight = 0.1F;
-// Weight of the expected wait for a better slot against what the task gains there.
+// Gain a second, over the expected wait for a better slot, from which a task is held back for it.
+// High, since tasks behind the held one wait too.
 inline constexpr float hold_weight = 16.0F;
 // Mean run times of backlog after which any slot is taken.
 inline constexpr float hold_limit = 0.3F;
@@ -41,8 +40,8 @@
     explicit finish_estimate(const placement& task)
         : task_(&task), workers_(task.workers), mean_run_(task.run_times->mean()),
           forgetting_(1 / mean_run_), run_cost_(task.run_times->mean(task.kind) * run_weight),
-          beyond_(
-              std::min(borrow_growth * task.backlogged * forgetting_ - borrow_margin, most_beyond)),
+          beyond_(std::min(borrow_growth * task.backlogged * forgetting_ - borrow_margin,
+                           task.most_beyond)),
           price_(speed_price * mean_run_ *
                  std::clamp((task.use - price_from) / (1 - price_from), 0.0F, 1.0F)),
           spread_cost_(rack_weight * mean_run_)
@@ -107,7 +106,7 @@
     }
 
     // True while the backlog is too short to take whatever slot is free.
-    bool may_hold() const { return task_->backlogged * forgetting_ < hold_limit; }
+    bool may_hold() const { return task_->waiting * forgetting_ < hold_limit; }
 
 private:
     const placement* task_;
--- a/src/routing/strategy.cpp
+++ b/src/routing/strategy.cpp
@@ -44,13 +44,13 @@
 public:
     explicit random_strategy(std::uint32_t seed) : random_(seed) {}
 
-    std::optional<worker_id> choose(const placement& task) override
+    choice choose(const placement& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         for (int i = 0; i < 4; ++i) {
             const worker_id id = draw_below(random_, n);
             if (has_plain_room(task, id)) {
-                return id;
+                return {.worker = id};
             }
         }
         std::optional<worker_id> found;
@@ -60,7 +60,7 @@
             }
             return found.has_value();
         });
-        return found;
+        return {.worker = found};
     }
 
     float room(const placement& task, worker_id worker) const override
@@ -76,16 +76,16 @@
 public:
     explicit round_robin_strategy(std::uint32_t seed) : next_(seed) {}
 
-    std::optional<worker_id> choose(const placement& task) override
+    choice choose(const placement& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         for (std::uint32_t i = 0; i < n; ++i) {
             next_ = next_ + 1 < n ? next_ + 1 : 0;
             if (has_plain_room(task, next_)) {
-                return next_;
+                return {.worker = next_};
             }
         }
-        return std::nullopt;
+        return {};
     }
 
     float room(const placement& task, worker_id worker) const override
@@ -101,7 +101,7 @@
 public:
     explicit fewest_outstanding_strategy(std::uint32_t seed) : random_(seed) {}
 
-    std::optional<worker_id> choose(const placement& task) override
+    choice choose(const placement& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         std::optional<worker_id> best;
@@ -113,7 +113,7 @@
             }
             return fewest == 0;
         });
-        return best;
+        return {.worker = best};
     }
 
     float room(const placement& task, worker_id worker) const override
@@ -130,7 +130,7 @@
 public:
     explicit two_choices_strategy(std::uint32_t seed) : random_(seed) {}
 
-    std::optional<worker_id> choose(const placement& task) override
+    choice choose(const placement& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         for (int i = 0; i < 4; ++i) {
@@ -140,7 +140,7 @@
             const bool has_b = has_plain_room(task, b);
             if (has_a || has_b) {
                 const auto& outstanding = task.workers->outstanding;
-                return has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b;
+                return {.worker = has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b};
             }
         }
         // Most workers are full: take any that is not.
@@ -151,7 +151,7 @@
             }
             return found.has_value();
         });
-        return found;
+        return {.worker = found};
     }
 
     float room(const placement& task, worker_id worker) const override
@@ -171,7 +171,7 @@
     {
     }
 
-    std::optional<worker_id> choose(const placement& task) override
+    choice choose(const placement& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         const finish_estimate estimate(task);
@@ -206,9 +206,9 @@
         }
         if (best && candidates_ > 2 && estimate.may_hold() &&
             is_worth_holding({full.data(), seen_full}, least)) {
-            return std::nullopt;
+            return {.held = true};
         }
-        return best;
+        return {.worker = best};
     }
 
     float room(const placement& task, worker_id worker) const override
--- a/src/routing/strategy.h
+++ b/src/routing/strategy.h
@@ -22,14 +22,22 @@
     std::span<const float> rack_penalty{}; // by rack, 0 to 1
     std::uint32_t kind = 0;
     worker_id excluded = ~worker_id{0};
-    float use = 0;        // part of this instance's own slots that are taken
-    float backlogged = 0; // seconds for which this instance's queue has not been empty
-    double now = 0;       // as worker_table::seconds() counts
+    float use = 0;         // part of this instance's own slots that are taken
+    float backlogged = 0;  // seconds for which picks have found no room
+    float waiting = 0;     // seconds for which tasks have waited for any reason
+    float most_beyond = 0; // tasks that a worker may be given beyond its slots
+    double now = 0;        // as worker_table::seconds() counts
 
     // True if the worker may be given the task at all, apart from its load.
     bool is_allowed(worker_id worker) const;
 };
 
+// A worker, or the reason for none.
+struct choice {
+    std::optional<worker_id> worker{};
+    bool held = false; // there is room, but waiting for a better worker costs less
+};
+
 // Chooses a worker that has room, or nothing. Implementations keep no state about workers.
 class strategy {
 public:
@@ -41,7 +49,7 @@
     strategy& operator=(const strategy&) = delete;
     virtual ~strategy() = default;
 
-    virtual std::optional<worker_id> choose(const placement& task) = 0;
+    virtual choice choose(const placement& task) = 0;
 
     // Number of further tasks that this instance may start on the worker now.
     virtual float room(const placement& task, worker_id worker) const = 0;
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -1,5 +1,7 @@
 #include "table_router.h"
 
+#include "finish_estimate.h"
+
 #include "base/clock.h"
 #include "base/random.h"
 
@@ -13,7 +15,16 @@
 // Pause after a refusal, in mean run times. A full worker with eight slots frees one within an
 // eighth of a run time and then has its own queue to serve; asking again sooner costs two
 // messages each time.
-constexpr float refusal_pause = 0.25F;
+constexpr float refusal_pause = 0.5F;
+
+// Part of the profile's message budget that refusals may take; a refusal costs two messages.
+// The rest is for lease renewals and hedges.
+constexpr float refusal_part = 0.8F;
+// Bounds of the number of tasks that a worker may be given beyond its slots, and the step by
+// which a refusal lowers it.
+constexpr float first_beyond = 2.0F;
+constexpr float largest_beyond = 8.0F;
+constexpr float beyond_step = 0.25F;
 
 // Seconds without a pick that found no room after which the queue is taken to be empty. Longer
 // than the usual time between two ends of own tasks, after which the queue is looked at again.
@@ -72,7 +83,9 @@
     : time_(&time), share_begin_(first_share(options)),
       workers_(settings, share_begin_, options.share), run_times_(settings),
       health_(workers_.rack, workers_.racks, options.seed), spread_(workers_.rack_slots),
-      strategy_(std::move(chooser)), no_penalty_(workers_.racks)
+      refusals_allowed_(static_cast<float>(std::max(settings.profile.message_budget - 2, 0.0) / 2) *
+                        refusal_part),
+      most_beyond_(first_beyond), strategy_(std::move(chooser)), no_penalty_(workers_.racks)
 {
     for (const request_kind& kind : settings.kinds) {
         fits_.push_back(workers_that_fit(settings, kind));
@@ -88,6 +101,7 @@
                      .rack_penalty = no_penalty_,
                      .kind = query.kind,
                      .excluded = query.excluded.value_or(~worker_id{0}),
+                     .most_beyond = most_beyond_,
                      .now = now};
 }
 
@@ -113,14 +127,19 @@
     }
     task.use = static_cast<float>(workers_.total_outstanding / workers_.total_quota);
     task.backlogged = static_cast<float>(now - blocked_since_);
-    const auto chosen = strategy_->choose(task);
-    if (chosen) {
-        spread_.add(query.job_key, workers_.rack[*chosen]);
+    if (now - waited_at_ > backlog_gap) {
+        waited_since_ = now;
+    }
+    task.waiting = static_cast<float>(now - waited_since_);
+    const choice chosen = strategy_->choose(task);
+    if (chosen.worker) {
+        spread_.add(query.job_key, workers_.rack[*chosen.worker]);
     }
     else {
-        blocked_at_ = now;
+        waited_at_ = now;
+        blocked_at_ = chosen.held ? blocked_at_ : now;
     }
-    return chosen;
+    return chosen.worker;
 }
 
 bool table_router::can_ever_run(kind_index kind) const
@@ -149,6 +168,7 @@
     switch (reply.status) {
     case start_status::refused_busy:
         workers_.take_refusal(worker, now, run_times_.observed_mean() * refusal_pause);
+        adapt_to_refusal(true);
         return; // says nothing about health: the worker is only full
     case start_status::refused_leaving:
         workers_.leaving[worker] = 1;
@@ -156,6 +176,7 @@
     case start_status::stopped:
         return; // ended at our request
     case start_status::completed:
+        adapt_to_refusal(false);
         workers_.cold_limit[worker] += 2;
         learn_run(worker, kind, reply.run_time > duration::zero() ? reply.run_time : elapsed);
         break;
@@ -165,6 +186,13 @@
     health_.record(worker, outcome_of(reply.status), workers_.seconds(now));
 }
 
+void table_router::adapt_to_refusal(bool refused)
+{
+    // Steps up and down are in balance when the part of refused starts is what the budget allows.
+    const float step = refused ? -beyond_step : beyond_step * refusals_allowed_;
+    most_beyond_ = std::clamp(most_beyond_ + step, -borrow_margin, largest_beyond);
+}
+
 void table_router::learn_run(worker_id worker, kind_index kind, duration run_time)
 {
     const float seconds = std::max(static_cast<float>(run_time.count()) * 1e-6F, 1e-4F);
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -36,16 +36,21 @@
 
 private:
     placement make_placement(const routing_query& query, double now) const;
+    void adapt_to_refusal(bool refused);
     void learn_run(worker_id worker, kind_index kind, duration run_time);
 
     const clock* time_;
     double share_begin_;
     double blocked_since_ = 0;
     double blocked_at_ = -1; // last time that a pick found no room
+    double waited_since_ = 0;
+    double waited_at_ = -1; // last time that a pick returned nothing for any reason
     worker_table workers_;
     run_time_model run_times_;
     worker_health health_;
     job_spread spread_;
+    float refusals_allowed_; // for each start
+    float most_beyond_;
     std::unique_ptr<strategy> strategy_;
     std::vector<std::vector<std::uint8_t>> fits_; // by kind and worker
     std::vector<float> no_penalty_;
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -83,7 +83,11 @@
 void worker_table::take_report(worker_id worker, const worker_load& load, monotonic_time now)
 {
     const float total = static_cast<float>(load.running) + static_cast<float>(load.queued);
-    others[worker] = std::max(total - outstanding[worker], 0.0F);
+    if (total < outstanding[worker]) {
+        // The report is older than some of our starts, so nothing follows about the others.
+        return;
+    }
+    others[worker] = total - outstanding[worker];
     usual[worker] += (others[worker] - usual[worker]) * usual_gain;
     reported_at[worker] = seconds(now);
 }
