Test routing faults in a table

The rows start a fault on a warm router and bound the tasks that the workers hit may get; the other cases cover the cold instance, herding, division of slots, spread over racks and wrong declarations.

--- /dev/null
+++ b/tests/routing/fault_test.cpp
@@ -0,0 +1,406 @@
+#include "routing/router.h"
+#include "src/routing/job_spread.h"
+#include "src/routing/run_time_model.h"
+#include "src/routing/worker_health.h"
+#include "src/routing/worker_table.h"
+#include "stand_in/virtual_timer_service.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <ostream>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t fleet = 40;
+constexpr std::uint32_t slots = 8;
+constexpr std::uint32_t per_rack = 8;
+
+deployment make_deployment(const char* strategy = "predicted_finish")
+{
+    deployment made;
+    made.profile.routing = strategy;
+    made.kinds.resize(1);
+    made.kinds[0].declared_run_time = 200ms;
+    for (std::uint32_t i = 0; i < fleet; ++i) {
+        worker_settings worker;
+        worker.name = "w" + std::to_string(i);
+        worker.rack = "r" + std::to_string(i / per_rack);
+        worker.slots = slots;
+        made.workers.push_back(worker);
+    }
+    return made;
+}
+
+// One router and workers that answer as a test tells them. Each step lasts 1 ms, adds a task to
+// the queue, starts what has room, and ends tasks that have run 200 ms or that their worker fails
+// at once. At 1,000 tasks a second 200 of the 320 slots are in use.
+struct bench_of_faults {
+    explicit bench_of_faults(const char* strategy = "predicted_finish", double share = 0.8)
+        : routes(router::make(make_deployment(strategy), time, {.seed = 7, .share = share}))
+    {
+        behaviour.fill(start_status::completed);
+    }
+
+    void step()
+    {
+        time.advance(1ms);
+        for (std::size_t i = 0; i < running.size();) {
+            const bool fails = behaviour[running[i].worker] != start_status::completed;
+            const auto age = time.monotonic_now() - running[i].since;
+            if (age >= 200ms || (fails && age >= 1ms)) {
+                end(i);
+            }
+            else {
+                ++i;
+            }
+        }
+        for (++queued; queued > 0; --queued) {
+            const auto worker = routes->pick({.kind = 0, .job_key = ++jobs});
+            if (!worker) {
+                break;
+            }
+            routes->record_start(*worker, 0);
+            running.push_back({*worker, time.monotonic_now()});
+            ++picked[*worker];
+            most[*worker] = std::max(most[*worker], held(*worker));
+        }
+    }
+
+    void end(std::size_t i)
+    {
+        const worker_id worker = running[i].worker;
+        const auto age = time.monotonic_now() - running[i].since;
+        running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+        start_reply reply;
+        reply.status = behaviour[worker];
+        reply.has_load =
+            reply.status != start_status::reply_lost && reply.status != start_status::not_sent;
+        reply.load.running = static_cast<std::uint16_t>(
+            reported >= 0 ? static_cast<std::uint32_t>(reported) : held(worker));
+        reply.load.leaving = reply.status == start_status::refused_leaving;
+        routes->record_end(worker, 0, reply, age);
+    }
+
+    std::uint32_t held(worker_id worker) const
+    {
+        return static_cast<std::uint32_t>(
+            std::count_if(running.begin(), running.end(),
+                          [worker](const auto& it) { return it.worker == worker; }));
+    }
+
+    void run(int steps)
+    {
+        picked.fill(0);
+        most.fill(0);
+        for (int i = 0; i < steps; ++i) {
+            step();
+        }
+    }
+
+    std::uint32_t picked_in(worker_id first, worker_id last) const
+    {
+        std::uint32_t sum = 0;
+        for (worker_id id = first; id < last; ++id) {
+            sum += picked[id];
+        }
+        return sum;
+    }
+
+    struct task {
+        worker_id worker;
+        monotonic_time since;
+    };
+
+    virtual_timer_service time;
+    std::unique_ptr<router> routes;
+    std::array<start_status, fleet> behaviour{};
+    std::array<std::uint32_t, fleet> picked{};
+    std::array<std::uint32_t, fleet> most{};
+    std::vector<task> running;
+    std::uint64_t jobs = 0;
+    std::uint64_t queued = 0;
+    int reported = -1; // load in every reply, or -1 for this instance's own tasks
+};
+
+// A fault, what is sent, and how many tasks the workers that are hit may get.
+struct fault_row {
+    const char* fault;
+    start_status answer; // of the workers that are hit
+    worker_id hit;       // workers 0 to hit - 1 are hit
+    int first_steps;     // ms under the fault before counting
+    int counted_steps;   // ms counted
+    std::uint32_t at_least;
+    std::uint32_t at_most; // tasks started on the workers that were hit
+};
+
+std::ostream& operator<<(std::ostream& out, const fault_row& row)
+{
+    return out << row.fault;
+}
+
+// Bounds: 0.5 % of the tasks after the first second; 40 tasks a worker is the even part of 1,600.
+const std::array<fault_row, 6> fault_rows{{
+    // Fails when ejection or the single-task limit is missing: a quick failure frees the slot.
+    {"one worker fails every task at once", start_status::task_failed, 1, 1000, 4000, 0, 20},
+    // Fails when losses are not counted as failures of a worker.
+    {"one worker is unreachable", start_status::not_sent, 1, 1000, 4000, 0, 20},
+    // Fails when the rack is not seen as one event: the tenth that may be ejected is 4 of its 8.
+    {"a rack is lost", start_status::reply_lost, per_rack, 1000, 4000, 0, 20},
+    // Fails when workers are judged by an absolute rate.
+    {"every worker fails", start_status::task_failed, fleet, 1000, 4000, 3900, 4000},
+    // Fails when losses of all racks are taken for the loss of each.
+    {"every worker is unreachable", start_status::reply_lost, fleet, 1000, 4000, 3900, 4000},
+    // Fails when a leaving worker is only tried less often.
+    {"a worker refuses because it leaves", start_status::refused_leaving, 1, 1000, 4000, 0, 0},
+}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(routing_faults)
+
+BOOST_DATA_TEST_CASE(workers_that_are_hit_get_only_what_the_row_allows, fault_rows, row)
+{
+    bench_of_faults bench;
+    bench.run(2000);
+    BOOST_TEST(bench.picked_in(0, fleet) >= 1900U);
+    std::fill_n(bench.behaviour.begin(), row.hit, row.answer);
+    bench.run(row.first_steps);
+    bench.run(row.counted_steps);
+    BOOST_TEST(bench.picked_in(0, row.hit) >= row.at_least);
+    BOOST_TEST(bench.picked_in(0, row.hit) <= row.at_most);
+    BOOST_TEST(bench.picked_in(0, fleet) >= 3900U);
+}
+
+// Guards against a worker that stays ejected after its fault has ended.
+BOOST_DATA_TEST_CASE(recovered_workers_return_through_single_tasks,
+                     boost::unit_test::data::make({1U, per_rack}), hit)
+{
+    bench_of_faults bench;
+    bench.run(2000);
+    std::fill_n(bench.behaviour.begin(), hit, start_status::reply_lost);
+    bench.run(1000);
+    bench.behaviour.fill(start_status::completed);
+    bench.run(1200); // the first probe is due 2 s after the ejection
+    for (worker_id id = 0; id < hit; ++id) {
+        BOOST_TEST(bench.most[id] <= 1U);
+    }
+    bench.run(5000);
+    BOOST_TEST(bench.picked_in(0, hit) >= hit * 60U); // the even part is 125
+}
+
+// Guards against a cold instance that takes a worker without reports for an idle one.
+BOOST_AUTO_TEST_CASE(cold_instance_does_not_flood_a_worker)
+{
+    virtual_timer_service time;
+    const auto routes =
+        router::make(make_deployment(), time, {.seed = 3, .share = 1.0, .share_begin = 0});
+    std::array<std::uint32_t, fleet> held{};
+    for (std::uint64_t job = 1; job <= 700; ++job) {
+        if (const auto worker = routes->pick({.kind = 0, .job_key = 1})) {
+            routes->record_start(*worker, 0);
+            ++held[*worker];
+        }
+    }
+    BOOST_TEST(*std::max_element(held.begin(), held.end()) <= 2U);
+    BOOST_TEST(*std::min_element(held.begin(), held.end()) >= 1U);
+}
+
+// Guards against instances that all herd on workers which old reports show as free.
+BOOST_AUTO_TEST_CASE(nine_instances_with_frozen_reports_do_not_overfill_a_worker)
+{
+    virtual_timer_service time;
+    std::vector<std::unique_ptr<router>> routes;
+    for (int i = 0; i < 9; ++i) {
+        routes.push_back(router::make(make_deployment(), time,
+                                      {.seed = 5U + static_cast<std::uint64_t>(i),
+                                       .share = 1.0 / 9,
+                                       .share_begin = i / 9.0}));
+    }
+    // Workers 0 to 3 looked idle in a report of two seconds ago, all others full.
+    for (const auto& it : routes) {
+        for (worker_id id = 0; id < fleet; ++id) {
+            const bool idle = id < 4;
+            it->record_load(id, {.running = static_cast<std::uint16_t>(idle ? 0 : slots)});
+        }
+    }
+    time.advance(2s);
+    std::array<std::uint32_t, fleet> held{};
+    for (int i = 0; i < 200; ++i) {
+        for (const auto& it : routes) {
+            if (const auto worker = it->pick({.kind = 0, .job_key = 1})) {
+                it->record_start(*worker, 0);
+                ++held[*worker];
+            }
+        }
+    }
+    // Without borrowing the quotas of a worker add up to its slots; nine instances that each
+    // borrowed from an idle-looking worker would put over three times as many on it.
+    BOOST_TEST(*std::max_element(held.begin(), held.end()) <= 2 * slots);
+    BOOST_TEST(std::accumulate(held.begin(), held.end(), 0U) >= fleet * slots * 9 / 10);
+}
+
+// Guards against slots that belong to two instances or to none.
+BOOST_AUTO_TEST_CASE(slots_are_divided_without_overlap)
+{
+    virtual_timer_service time;
+    const std::array<double, 5> shares{0.05, 0.1, 0.2, 0.25, 0.4};
+    std::array<float, fleet> sums{};
+    double begin = 0;
+    for (const double share : shares) {
+        const worker_table table(make_deployment(), begin, share);
+        for (worker_id id = 0; id < fleet; ++id) {
+            sums[id] += table.quota[id];
+        }
+        begin += share;
+    }
+    for (const float sum : sums) {
+        BOOST_TEST(sum == static_cast<float>(slots));
+    }
+}
+
+// Guards against a state in which nothing is sent because every worker once looked full.
+BOOST_AUTO_TEST_CASE(full_reports_do_not_stop_an_instance_for_good)
+{
+    bench_of_faults bench("predicted_finish", 0.01);
+    bench.reported = 2 * slots;
+    bench.run(2000);
+    bench.running.clear();
+    for (worker_id id = 0; id < fleet; ++id) {
+        bench.routes->record_load(id, {.running = slots, .queued = slots});
+    }
+    bench.run(10000);
+    BOOST_TEST(bench.picked_in(0, fleet) >= 10U);
+}
+
+// Guards against a profile name that is taken for another strategy, and against one that herds.
+BOOST_DATA_TEST_CASE(every_strategy_serves_and_skips_leaving_workers,
+                     boost::unit_test::data::make({"random", "round_robin", "fewest_outstanding",
+                                                   "two_choices", "two_choices_finish",
+                                                   "predicted_finish"}),
+                     name)
+{
+    bench_of_faults bench(name);
+    bench.routes->set_leaving(3, true);
+    bench.run(3000);
+    BOOST_TEST(bench.picked_in(0, fleet) >= 2700U);
+    BOOST_TEST(bench.picked[3] == 0U);
+    bench.routes->set_leaving(3, false);
+    bench.run(3000);
+    BOOST_TEST(bench.picked[3] > 0U);
+    virtual_timer_service time;
+    BOOST_TEST(!router::make(make_deployment("no_such_strategy"), time, {}));
+}
+
+// Guards against a job that a single lost rack would hit as a whole.
+BOOST_AUTO_TEST_CASE(tasks_of_a_job_are_spread_over_racks)
+{
+    virtual_timer_service time;
+    const auto routes = router::make(make_deployment(), time, {.seed = 3, .share = 1.0});
+    // Rack 0 is idle and all others are half full, so that load alone would choose rack 0.
+    for (worker_id id = 0; id < fleet; ++id) {
+        routes->record_load(id, {.running = static_cast<std::uint16_t>(id < per_rack ? 0 : 4)});
+    }
+    std::array<std::uint32_t, fleet / per_rack> counts{};
+    for (int i = 0; i < 10; ++i) {
+        const auto worker = routes->pick({.kind = 0, .job_key = 9});
+        BOOST_REQUIRE(worker.has_value());
+        routes->record_start(*worker, 0);
+        ++counts[*worker / per_rack];
+    }
+    BOOST_TEST(*std::max_element(counts.begin(), counts.end()) <= 3U);
+}
+
+// Guards against a declared run time that outlives the first replies, in either direction.
+BOOST_DATA_TEST_CASE(declared_run_time_off_by_ten_is_forgotten,
+                     boost::unit_test::data::make({20, 2000}), declared_ms)
+{
+    deployment settings = make_deployment();
+    settings.kinds[0].declared_run_time = std::chrono::milliseconds{declared_ms};
+    run_time_model model(settings);
+    BOOST_TEST(model.quantile(0, 0.95).count() == declared_ms * 1000);
+    for (int i = 0; i < 100; ++i) {
+        model.learn(0, i % 10 == 9 ? 1.0F : 0.2F, 1.0F);
+    }
+    BOOST_TEST(model.mean(0) == 0.28F, boost::test_tools::tolerance(0.1F));
+    // A bucket is 9 % wide.
+    BOOST_TEST(static_cast<double>(model.quantile(0, 0.5).count()) == 200e3,
+               boost::test_tools::tolerance(0.1));
+    BOOST_TEST(static_cast<double>(model.quantile(0, 0.95).count()) == 1e6,
+               boost::test_tools::tolerance(0.1));
+}
+
+// Guards against more than a tenth of the workers ejected, and against ejecting the wrong ones.
+BOOST_AUTO_TEST_CASE(at_most_a_tenth_is_ejected)
+{
+    worker_health health(std::vector<std::uint16_t>(fleet, 0), 1, 1);
+    double now = 0;
+    for (int i = 0; i < 400; ++i) {
+        for (worker_id id = 0; id < fleet; ++id) {
+            now += 0.001;
+            const bool fails = i >= 20 && id < 8;
+            health.record(id, fails ? task_outcome::failure : task_outcome::success, now);
+            health.judge(now);
+        }
+        BOOST_TEST(health.ejected() <= fleet / 10);
+    }
+    BOOST_TEST(health.ejected() == fleet / 10);
+    BOOST_TEST(std::count(health.limits().begin() + 8, health.limits().end(), 0.0F) == 0);
+}
+
+// Guards against several events for one lost rack, which would use up the ejections.
+BOOST_AUTO_TEST_CASE(lost_rack_is_one_event)
+{
+    bench_of_faults bench;
+    std::vector<std::uint16_t> racks;
+    for (std::uint32_t i = 0; i < fleet; ++i) {
+        racks.push_back(static_cast<std::uint16_t>(i / per_rack));
+    }
+    worker_health health(racks, fleet / per_rack, 1);
+    for (worker_id id = 0; id < fleet; ++id) {
+        health.record(id, task_outcome::success, 1.0);
+    }
+    for (worker_id id = 0; id < per_rack - 2; ++id) {
+        health.record(id, task_outcome::loss, 2.0);
+    }
+    health.judge(2.0);
+    BOOST_TEST(health.rack_events() == 1U);
+    BOOST_TEST(health.ejected() == 0U);
+    BOOST_TEST(std::count(health.limits().begin(), health.limits().begin() + per_rack, 0.0F) ==
+               per_rack);
+}
+
+// Guards against a kind that waits for ever for a feature that no worker has.
+BOOST_AUTO_TEST_CASE(kind_that_fits_nowhere_can_never_run)
+{
+    deployment settings = make_deployment();
+    settings.kinds[0].needs = {"accelerator"};
+    virtual_timer_service time;
+    auto routes = router::make(settings, time, {});
+    BOOST_TEST(!routes->can_ever_run(0));
+    BOOST_TEST(!routes->pick({}).has_value());
+    settings.workers[5].features = {"accelerator"};
+    routes = router::make(settings, time, {});
+    BOOST_TEST(routes->can_ever_run(0));
+    BOOST_TEST(routes->pick({}).value_or(0) == 5U);
+    BOOST_TEST(!routes->pick({.excluded = 5}).has_value());
+}
+
+// Guards against a wait of zero for a queue that no slot is free for.
+BOOST_AUTO_TEST_CASE(expected_wait_grows_with_the_position)
+{
+    bench_of_faults bench;
+    BOOST_TEST(bench.routes->expected_wait(0).count() == 0);
+    const auto near = bench.routes->expected_wait(1000);
+    const auto far = bench.routes->expected_wait(2000);
+    BOOST_TEST(near.count() > 0);
+    BOOST_TEST(far > near);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
