Judge rack losses against the fleet; test health directly

The new test fault_of_the_whole_fleet_ejects_none found that random losses of 30 % over the whole fleet were taken for a lost rack. A rack now has to exceed the fleet's rate by four standard errors.

--- a/src/routing/worker_health.cpp
+++ b/src/routing/worker_health.cpp
@@ -18,6 +18,8 @@
 constexpr double first_probe = 2.0;
 constexpr double last_probe = 30.0;
 constexpr std::uint32_t successes_to_trust = 3;
+// Failure rate that a fleet is assumed to have at least.
+constexpr double least_rate = 0.02;
 // Losses of one rack within this many seconds count as one event.
 constexpr double rack_window = 2.0;
 // With more racks lost at once, the fault is taken to be ours or the whole fleet's.
@@ -222,9 +224,14 @@
             inside += lost && rack_of_worker_[id] == rack ? 1U : 0U;
             outside += lost && !known && rack_of_worker_[id] != rack ? 1U : 0U;
         }
-        const std::size_t size = racks_[rack].workers;
-        if (!racks_[rack].lost && size >= 2 && inside >= 2 && inside * 2 >= size &&
-            static_cast<double>(outside) < 0.25 * (n - static_cast<double>(size))) {
+        const auto size = static_cast<double>(racks_[rack].workers);
+        const double fleet = std::max({static_cast<double>(outside) / std::max(n - size, 1.0),
+                                       failures_ / std::max(tasks_, 1.0), least_rate});
+        // Losses spread over the fleet hit half of some rack by chance; four standard errors
+        // keep that from being taken for a lost rack.
+        const double threshold = fleet + 4 * std::sqrt(fleet * (1 - fleet) / size);
+        const auto lost = static_cast<double>(inside);
+        if (!racks_[rack].lost && inside >= 2 && lost * 2 >= size && lost / size > threshold) {
             lose_rack(rack, now);
         }
     }
--- a/src/routing/worker_health.h
+++ b/src/routing/worker_health.h
@@ -10,7 +10,7 @@
 
 namespace cactusloom {
 
-enum class task_outcome { success, failure, loss };
+enum class task_outcome : std::uint8_t { success, failure, loss };
 
 // Judges workers against the rest of the fleet. A worker that is much worse than the others is
 // ejected and comes back through probation with single tasks; a rack whose workers are lost
--- a/tests/routing/fault_test.cpp
+++ b/tests/routing/fault_test.cpp
@@ -84,7 +84,7 @@
             reply.status != start_status::reply_lost && reply.status != start_status::not_sent;
         reply.load.running = static_cast<std::uint16_t>(
             reported >= 0 ? static_cast<std::uint32_t>(reported) : held(worker));
-        reply.load.leaving = reply.status == start_status::refused_leaving;
+        reply.load.leaving = reported_leaving == worker;
         routes->record_end(worker, 0, reply, age);
     }
 
@@ -126,7 +126,8 @@
     std::vector<task> running;
     std::uint64_t jobs = 0;
     std::uint64_t queued = 0;
-    int reported = -1; // load in every reply, or -1 for this instance's own tasks
+    worker_id reported_leaving = fleet; // the worker whose replies say that it leaves
+    int reported = -1;                  // load in every reply, or -1 for this instance's own tasks
 };
 
 // A fault, what is sent, and how many tasks the workers that are hit may get.
@@ -161,6 +162,15 @@
     {"a worker refuses because it leaves", start_status::refused_leaving, 1, 1000, 4000, 0, 0},
 }};
 
+std::vector<std::uint16_t> racks_of_fleet()
+{
+    std::vector<std::uint16_t> racks(fleet);
+    for (std::uint32_t i = 0; i < fleet; ++i) {
+        racks[i] = static_cast<std::uint16_t>(i / per_rack);
+    }
+    return racks;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(routing_faults)
@@ -217,6 +227,7 @@
 {
     virtual_timer_service time;
     std::vector<std::unique_ptr<router>> routes;
+    routes.reserve(9);
     for (int i = 0; i < 9; ++i) {
         routes.push_back(router::make(make_deployment(), time,
                                       {.seed = 5U + static_cast<std::uint64_t>(i),
@@ -336,6 +347,70 @@
                boost::test_tools::tolerance(0.1));
 }
 
+// Guards against a leaving worker that still answers and gets new work.
+BOOST_AUTO_TEST_CASE(load_report_that_says_leaving_ends_new_work)
+{
+    bench_of_faults bench;
+    bench.run(1000);
+    bench.reported_leaving = 2;
+    bench.run(300); // one task has ended by then
+    bench.run(2000);
+    BOOST_TEST(bench.picked[2] == 0U);
+}
+
+// Guards against ejections when the fault is not the worker's: the failing part of each worker's
+// tasks is the same, whether the failures come in order of workers, at random or as losses.
+BOOST_DATA_TEST_CASE(fault_of_the_whole_fleet_ejects_none,
+                     boost::unit_test::data::make({30, 60, 100}) *
+                         boost::unit_test::data::make({false, true}),
+                     percent, is_loss)
+{
+    const auto outcome = is_loss ? task_outcome::loss : task_outcome::failure;
+    worker_health health(racks_of_fleet(), fleet / per_rack, 1);
+    std::uint32_t draw = 1;
+    for (int i = 0; i < 200; ++i) {
+        const double now = 0.4 * i;
+        for (worker_id id = 0; id < fleet; ++id) {
+            draw = draw * 1664525U + 1013904223U;
+            const bool fails = i >= 20 && (draw >> 16U) % 100 < static_cast<std::uint32_t>(percent);
+            health.record(id, fails ? outcome : task_outcome::success, now);
+        }
+        health.judge(now);
+        BOOST_TEST(health.ejected() == 0U);
+        BOOST_TEST(health.lost_racks() == 0U);
+    }
+    // With most tasks failing, single tasks would cost the capacity that is left.
+    const auto limited = std::count(health.limits().begin(), health.limits().end(), 1.0F);
+    BOOST_TEST((percent < 60 || limited == 0));
+}
+
+// Guards against a worker that draws work by failing quickly, and against one that is trusted
+// with full load again after a single good answer.
+BOOST_AUTO_TEST_CASE(doubtful_workers_hold_one_task)
+{
+    worker_health health(racks_of_fleet(), fleet / per_rack, 1);
+    for (worker_id id = 0; id < fleet; ++id) {
+        health.record(id, task_outcome::success, 1.0);
+    }
+    health.record(4, task_outcome::failure, 1.1);
+    health.judge(1.1);
+    BOOST_TEST(health.limits()[4] == 1.0F);
+    health.record(4, task_outcome::failure, 1.2);
+    health.record(4, task_outcome::failure, 1.3);
+    health.judge(1.3);
+    BOOST_TEST(health.limits()[4] == 0.0F);
+    const auto any = [](worker_id /*id*/) { return true; };
+    BOOST_TEST(!health.take_probe(2.0, any).has_value());
+    BOOST_TEST(health.take_probe(4.0, any).value_or(0) == 4U);
+    BOOST_TEST(!health.take_probe(4.0, any).has_value());
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(health.limits()[4] == (i == 0 ? 0.0F : 1.0F));
+        health.record(4, task_outcome::success, 4.5);
+    }
+    health.record(4, task_outcome::success, 4.6);
+    BOOST_TEST(health.limits()[4] > slots);
+}
+
 // Guards against more than a tenth of the workers ejected, and against ejecting the wrong ones.
 BOOST_AUTO_TEST_CASE(at_most_a_tenth_is_ejected)
 {
@@ -357,12 +432,7 @@
 // Guards against several events for one lost rack, which would use up the ejections.
 BOOST_AUTO_TEST_CASE(lost_rack_is_one_event)
 {
-    bench_of_faults bench;
-    std::vector<std::uint16_t> racks;
-    for (std::uint32_t i = 0; i < fleet; ++i) {
-        racks.push_back(static_cast<std::uint16_t>(i / per_rack));
-    }
-    worker_health health(racks, fleet / per_rack, 1);
+    worker_health health(racks_of_fleet(), fleet / per_rack, 1);
     for (worker_id id = 0; id < fleet; ++id) {
         health.record(id, task_outcome::success, 1.0);
     }
