--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -5,14 +5,19 @@
 #include <fmt/format.h>
 #include <gio/gio.h>
 #include <libsoup/soup.h>
+#include <unordered_set>
 #include <utility>
 
 namespace cactusloom {
 
+namespace {
+struct open_call;
+} // namespace
+
 struct http_client::state {
-    timer_service* timers = nullptr;
+    timer_service* timers = nullptr; // null once the client is gone
     object_ptr<SoupSession> session;
-    bool open = true;
+    std::unordered_set<open_call*> calls;
 };
 
 namespace {
@@ -44,7 +49,10 @@
     const std::unique_ptr<open_call> call(static_cast<open_call*>(data));
     glib_error ec;
     GBytes* bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), outcome, ec.out());
-    call->owner->timers->cancel(call->limit_timer);
+    call->owner->calls.erase(call.get());
+    if (call->owner->timers != nullptr) {
+        call->owner->timers->cancel(call->limit_timer);
+    }
     g_signal_handlers_disconnect_by_data(call->message.get(), call.get());
     http_reply reply;
     if (bytes != nullptr && !ec) {
@@ -67,7 +75,7 @@
     if (bytes != nullptr) {
         g_bytes_unref(bytes);
     }
-    if (call->owner->open) {
+    if (call->owner->timers != nullptr) {
         call->done(reply);
     }
 }
@@ -105,7 +113,11 @@
 
 http_client::~http_client()
 {
-    state_->open = false;
+    // The library ends the calls on a later turn of the loop, when the timers may be gone.
+    for (const auto* it : state_->calls) {
+        state_->timers->cancel(it->limit_timer);
+    }
+    state_->timers = nullptr;
     soup_session_abort(state_->session.get());
 }
 
@@ -122,7 +134,7 @@
                                      reply.end = http_end::not_sent;
                                      reply.reason = "not a valid address";
                                      reply.header = [](const char*) { return std::string{}; };
-                                     if (open->owner->open) {
+                                     if (open->owner->timers != nullptr) {
                                          open->done(reply);
                                      }
                                  });
@@ -146,6 +158,7 @@
     g_signal_connect(message, "starting", G_CALLBACK(note_start), open.get());
     g_signal_connect(message, "restarted", G_CALLBACK(forbid_second_sending), open.get());
     auto* raw = open.release();
+    state_->calls.insert(raw);
     raw->limit_timer = state_->timers->schedule(call.limit, [raw] {
         raw->timed_out = true;
         g_cancellable_cancel(raw->cancellable.get());
--- a/tests/http/no_resend_test.cpp
+++ b/tests/http/no_resend_test.cpp
@@ -206,4 +206,24 @@
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
 }
 
+// Guards against a call that outlives its client and the timers: its end used to cancel a timer of
+// a service that was gone.
+BOOST_AUTO_TEST_CASE(client_and_timers_go_first)
+{
+    const raw_peer peer([](int, const std::string&) { return raw_peer::action::silence; });
+    bool reported = false;
+    {
+        glib_timer_service timers;
+        http_worker_client client(timers, to_workers(peer));
+        client.start(0, {"first", "stamp_check", "x", 5s, 2s},
+                     [&](const start_reply&) { reported = true; });
+        run_until([&] { return !peer.requests().empty(); });
+    }
+    glib_timer_service later;
+    bool settled = false;
+    later.schedule(20ms, [&] { settled = true; });
+    run_until([&] { return settled; });
+    BOOST_TEST(!reported);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
