Build the daemon on the entry instance

The entry module wires dispatcher, membership, configuration and account over the interfaces, which the daemon did a second time. The daemon now supplies the platform, the peer RPC and the HTTP side only.

--- a/include/entry/entry_instance.h
+++ b/include/entry/entry_instance.h
@@ -64,7 +64,7 @@
     bool is_ready() const;
 
     // The dispatcher, or null until the first document is in force.
-    job_service* jobs() const { return jobs_.get(); }
+    dispatcher* jobs() const { return jobs_.get(); }
 
     // Settings in force with stable positions, or null until there are any.
     const deployment* settings() const { return settings_.get(); }
@@ -76,7 +76,9 @@
     submission_location locate(std::string_view id) const;
 
     config_follower& configuration() { return follower_; }
+    const config_follower& configuration() const { return follower_; }
     failure_detector& membership() { return detector_; }
+    const failure_detector& membership() const { return detector_; }
     const account_writer* accounts() const { return accounts_.get(); }
 
     // Refuses new submissions, finishes what runs, writes the remaining account records, says
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -1,25 +1,20 @@
 #include "daemon/instance.h"
 
 #include "account/account_reader.h"
-#include "account/account_writer.h"
-#include "account_observer.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "config/config_follower.h"
-#include "config/stable_positions.h"
 #include "config_endpoints.h"
-#include "dispatch/dispatcher.h"
+#include "entry/entry_instance.h"
 #include "http/caller_api.h"
 #include "http/forwarder.h"
 #include "http/http_server.h"
 #include "http/json_text.h"
+#include "http/peer_rpc.h"
 #include "metrics/counters.h"
-#include "peer_link.h"
+#include "peer_states.h"
 #include "platform_access.h"
-#include "routing/router.h"
 #include "status_report.h"
 
-#include <algorithm>
 #include <boost/outcome/success_failure.hpp>
 #include <fmt/format.h>
 #include <fstream>
@@ -30,7 +25,6 @@
 
 constexpr duration housekeeping_interval = std::chrono::seconds{1};
 constexpr duration drain_check_interval = std::chrono::milliseconds{10};
-constexpr duration account_close_limit = std::chrono::seconds{5};
 
 result<std::string> read_file(const std::string& path)
 {
@@ -49,24 +43,17 @@
     timer_service& timers;
     std::uint64_t id_key = 0;
     counters counts;
-    deployment current; // with stable positions
-    bool has_document = false;
-    bool shutting_down = false;
-    bool superseded = false;
     std::string first_document; // text to publish to an empty log
     timer_id housekeeping_timer = 0;
     timer_id drain_timer = 0;
 
-    std::unique_ptr<router> routes;
-    std::unique_ptr<account_observer> observer;
-    std::unique_ptr<dispatcher> jobs;
-    std::unique_ptr<caller_api> api;
-    std::unique_ptr<forwarder> forwards;
-    std::unique_ptr<peer_rpc_server> rpc;
     std::unique_ptr<platform_access> platform;
-    std::unique_ptr<peer_link> peers;
-    std::unique_ptr<config_follower> follower;
-    std::unique_ptr<account_writer> account;
+    std::unique_ptr<peer_rpc_client> rpc_client;
+    std::unique_ptr<peer_states> states;
+    std::unique_ptr<entry_instance> entry;
+    std::unique_ptr<peer_rpc_server> rpc;
+    std::unique_ptr<forwarder> forwards;
+    std::unique_ptr<caller_api> api;
     std::unique_ptr<http_server> server;
 
     parts(daemon_settings with, timer_service& time) : settings(std::move(with)), timers(time) {}
@@ -76,18 +63,16 @@
         timers.cancel(drain_timer);
     }
 
-    const member& self() const { return peers->members().self(); }
+    const member& self() const { return entry->membership().members().self(); }
     std::string issue_prefix() const;
-    void make_services(const member& self_member, std::uint32_t seed);
+    void make_entry(member self_member);
     void make_api();
-    void apply_document(const deployment& next);
     void publish_first_document();
-    void update_shares();
     void keep_house();
     result<void> check_ready() const;
-    report_sources sources() const;
+    report_sources sources() const { return {*entry, *forwards, *server, *api, counts}; }
     void answer_account(std::string_view customer, caller_api_parts::text_callback done);
-    void finish_shutdown(std::function<void()> stopped);
+    void send_last_replies(const std::function<void()>& stopped);
 };
 
 std::string instance::parts::issue_prefix() const
@@ -96,57 +81,50 @@
         {self().name, self().data_centre, self().incarnation, timers.monotonic_now()}, id_key);
 }
 
-void instance::parts::make_services(const member& self_member, std::uint32_t seed)
+void instance::parts::make_entry(member self_member)
 {
-    peers = std::make_unique<peer_link>(timers, self_member, seed, platform->list());
-    config_follower_options options;
+    const std::uint64_t seed = hash64(self_member.name, self_member.incarnation);
+    rpc_client = std::make_unique<peer_rpc_client>(timers);
+    states = std::make_unique<peer_states>(
+        timers, *rpc_client,
+        [this]() -> const member_table& { return entry->membership().members(); },
+        static_cast<std::uint32_t>(seed));
+    entry_options options;
+    options.self = std::move(self_member);
+    options.checksum_key = id_key;
     options.seed = seed;
-    follower = std::make_unique<config_follower>(platform->log(), timers, peers.get(), options);
-    account_writer_settings account_settings;
-    account_settings.instance = self_member.name;
-    account_settings.incarnation = self_member.incarnation;
-    account = std::make_unique<account_writer>(platform->log(), timers, account_settings);
-    observer = std::make_unique<account_observer>(
-        *account, account_observer::names{
-                      [this](worker_id worker) {
-                          return worker < current.workers.size() ? current.workers[worker].name
-                                                                 : std::to_string(worker);
-                      },
-                      [this] { return follower->in_force().version; },
-                      [this](std::string_view kind) {
-                          return std::any_of(current.kinds.begin(), current.kinds.end(),
-                                             [&](const request_kind& it) {
-                                                 return it.name == kind && it.second_start;
-                                             });
-                      }});
-    rpc = std::make_unique<peer_rpc_server>(peer_rpc_parts{
-        [this](std::string_view request, std::function<void(std::string)> reply) {
-            peers->detector().handle(request, std::move(reply));
-        },
-        [this](std::uint64_t newer_than) { return follower->state_for_peer(newer_than); }});
-    forwards = std::make_unique<forwarder>(
-        timers, self_member.name,
-        [this](std::string_view id) { return locate_submission(id, peers->members(), id_key); },
-        [this] { return issue_prefix(); });
-    peers->detector().on_change([this](const member_change& change) {
+    options.config.seed = seed;
+    entry = std::make_unique<entry_instance>(std::move(options),
+                                             entry_parts{.timers = timers,
+                                                         .log = platform->log(),
+                                                         .workers = platform->workers(),
+                                                         .peers = *rpc_client,
+                                                         .list = platform->list(),
+                                                         .config_peers = states.get(),
+                                                         .metrics = &counts});
+    entry->on_settings([this](const deployment& next) { platform->apply(next); });
+    entry->membership().on_change([](const member_change& change) {
         log_event("member", "name={} state={} data_centre={}", change.now.name,
                   to_string(change.now.state), change.now.data_centre);
-        update_shares();
-    });
-    peers->detector().on_reach([this](std::string_view data_centre, bool reachable) {
-        log_event("data_centre", "name={} reachable={}", data_centre, reachable);
-        update_shares();
     });
-    follower->subscribe(
-        [this](const config_in_force& in_force) { apply_document(*in_force.settings); });
+    rpc = std::make_unique<peer_rpc_server>(
+        peer_rpc_parts{[this](std::string_view request, std::function<void(std::string)> reply) {
+                           entry->membership().handle(request, std::move(reply));
+                       },
+                       [this](std::uint64_t newer_than) {
+                           return entry->configuration().state_for_peer(newer_than);
+                       }});
+    forwards = std::make_unique<forwarder>(
+        timers, self().name, [this](std::string_view id) { return entry->locate(id); },
+        [this] { return issue_prefix(); });
 }
 
 void instance::parts::make_api()
 {
     caller_api_parts with;
     with.issue_prefix = [this] { return issue_prefix(); };
-    with.jobs = [this]() -> job_service* { return jobs.get(); };
-    with.settings = [this]() -> const deployment* { return has_document ? &current : nullptr; };
+    with.jobs = [this]() -> job_service* { return entry->jobs(); };
+    with.settings = [this]() -> const deployment* { return entry->settings(); };
     with.ready = [this] { return check_ready(); };
     with.status = [this] { return format_status_report(sources()); };
     with.metrics = [this] { return format_metrics(sources()); };
@@ -156,50 +134,25 @@
     with.account = [this](std::string_view customer, caller_api_parts::text_callback done) {
         answer_account(customer, std::move(done));
     };
-    with.show_config = [this]() -> result<std::string> { return format_config(*follower); };
+    with.show_config = [this]() -> result<std::string> {
+        return format_config(entry->configuration());
+    };
     with.config_history = [this](const caller_api_parts::text_callback& done) {
-        done(format_config_history(*follower));
+        done(format_config_history(entry->configuration()));
     };
     with.edit_config = [this](std::string_view body, caller_api_parts::text_callback done) {
-        submit_config_edit(*follower, body, std::move(done));
+        submit_config_edit(entry->configuration(), body, std::move(done));
     };
     api = std::make_unique<caller_api>(std::move(with));
 }
 
-void instance::parts::apply_document(const deployment& next)
-{
-    current = has_document ? with_stable_positions(current, next) : next;
-    platform->apply(current);
-    if (!has_document) {
-        const double share = peers->members().capacity_share();
-        routes = router::make(current, timers, {self().incarnation, share});
-        dispatcher_options options;
-        options.instance = self().name;
-        options.data_centre = self().data_centre;
-        options.incarnation = self().incarnation;
-        options.checksum_key = id_key;
-        options.seed = self().incarnation;
-        options.share = share;
-        jobs = std::make_unique<dispatcher>(
-            current, options,
-            dispatcher::parts{platform->workers(), *routes, timers, observer.get(), &counts});
-        has_document = true;
-    }
-    else {
-        routes->apply(current);
-        jobs->apply(current);
-    }
-    log_event("document_in_force", "version={} name={} workers={}", follower->in_force().version,
-              current.name, current.workers.size());
-    update_shares();
-}
-
 // A log without any document is filled from the file of the settings. Several instances may do so
 // at once: the edit id follows from the text, so the log's order decides.
 void instance::parts::publish_first_document()
 {
-    if (first_document.empty() || has_document ||
-        follower->log_state() != config_log_state::following) {
+    config_follower& follower = entry->configuration();
+    if (first_document.empty() || follower.is_ready() ||
+        follower.log_state() != config_log_state::following) {
         return;
     }
     const auto parsed = document::parse(first_document);
@@ -208,52 +161,28 @@
     edit.author = parsed.value().owner_of("owners");
     edit.section = whole_document;
     edit.content = std::exchange(first_document, {});
-    follower->submit_edit(std::move(edit), [](const result<edit_outcome>& outcome) {
+    follower.submit_edit(std::move(edit), [](const result<edit_outcome>& outcome) {
         log_event("first_document", "outcome={}",
                   outcome ? to_string(outcome.value().verdict) : outcome.error().message);
     });
 }
 
-void instance::parts::update_shares()
-{
-    const auto& members = peers->members();
-    account->set_instances(members.live_count());
-    follower->set_rank(members.rank());
-    if (has_document) {
-        routes->set_share(members.capacity_share());
-        jobs->set_share(members.capacity_share());
-    }
-}
-
 void instance::parts::keep_house()
 {
     publish_first_document();
-    if (peers->detector().is_superseded() && !std::exchange(superseded, true)) {
-        log_event("superseded", "name={}", self().name);
-        if (jobs) {
-            jobs->shut_down([] {});
-        }
-    }
     housekeeping_timer = timers.schedule(housekeeping_interval, [this] { keep_house(); });
 }
 
 result<void> instance::parts::check_ready() const
 {
-    if (!has_document) {
-        return failure(errc::not_ready, "no configuration is in force yet");
-    }
-    if (shutting_down || superseded) {
-        return failure(errc::not_ready, shutting_down ? "shutting down" : "superseded");
+    if (!entry->is_ready()) {
+        return failure(errc::not_ready, entry->jobs() == nullptr
+                                            ? "no configuration is in force yet"
+                                            : "shutting down, or replaced by a later process");
     }
     return boost::outcome_v2::success();
 }
 
-report_sources instance::parts::sources() const
-{
-    return {*peers, *follower, *account,   *forwards,    *server,
-            *api,   counts,    jobs.get(), shutting_down};
-}
-
 void instance::parts::answer_account(std::string_view customer,
                                      caller_api_parts::text_callback done)
 {
@@ -320,11 +249,9 @@
     self.address = settings.advertise.empty() ? raw->server->address() : settings.advertise;
     // Greater after every restart, as long as the host's clock does not go back beyond it.
     self.incarnation = static_cast<std::uint64_t>(timers.wall_now().time_since_epoch().count());
-    raw->make_services(self, static_cast<std::uint32_t>(hash64(settings.name, self.incarnation)));
+    raw->make_entry(std::move(self));
     raw->make_api();
-    raw->peers->start();
-    raw->follower->start();
-    raw->account->start();
+    raw->entry->start();
     raw->keep_house();
     return std::unique_ptr<instance>(new instance(std::move(graph)));
 }
@@ -335,36 +262,20 @@
 }
 
 // Replies to callers that wait are sent before the socket goes.
-void instance::parts::finish_shutdown(std::function<void()> stopped)
+void instance::parts::send_last_replies(const std::function<void()>& stopped)
 {
-    if (server->open_exchanges() > 0) {
-        drain_timer = timers.schedule(drain_check_interval, [this, stopped = std::move(stopped)] {
-            finish_shutdown(stopped);
-        });
+    if (server->open_exchanges() == 0) {
+        stopped();
         return;
     }
-    account->close(account_close_limit, [this, stopped = std::move(stopped)](const auto& closed) {
-        if (!closed) {
-            log_event("account_not_closed", "reason=\"{}\"", closed.error().message);
-        }
-        peers->detector().leave(stopped);
-    });
+    drain_timer =
+        timers.schedule(drain_check_interval, [this, stopped] { send_last_replies(stopped); });
 }
 
 void instance::shut_down(std::function<void()> stopped)
 {
     auto* raw = parts_.get();
-    if (std::exchange(raw->shutting_down, true)) {
-        return;
-    }
-    raw->peers->detector().announce_leaving();
-    const auto drained = [raw, stopped = std::move(stopped)] { raw->finish_shutdown(stopped); };
-    if (raw->jobs) {
-        raw->jobs->shut_down(drained);
-    }
-    else {
-        drained();
-    }
+    raw->entry->shut_down([raw, stopped = std::move(stopped)] { raw->send_last_replies(stopped); });
 }
 
 } // namespace cactusloom
--- /dev/null
+++ b/src/daemon/peer_states.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/random.h"
+#include "config/config_peer_source.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cactusloom {
+
+class member_table;
+class peer_transport;
+class timer_service;
+
+// Asks a few reachable members for their configuration.
+class peer_states final : public config_peer_source {
+public:
+    // All must outlive the source. `members` is called for each fetch.
+    peer_states(timer_service& timers, peer_transport& transport,
+                std::function<const member_table&()> members, std::uint32_t seed)
+        : timers_(timers), transport_(transport), members_(std::move(members)), random_(seed)
+    {
+    }
+
+    void fetch(log_offset newer_than, callback done) override;
+
+private:
+    timer_service& timers_;
+    peer_transport& transport_;
+    std::function<const member_table&()> members_;
+    random_engine random_;
+};
+
+} // namespace cactusloom
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -1,14 +1,12 @@
 #include "status_report.h"
 
 #include "account/account_writer.h"
-#include "config/config_follower.h"
-#include "dispatch/dispatcher.h"
+#include "entry/entry_instance.h"
 #include "http/caller_api.h"
 #include "http/forwarder.h"
 #include "http/http_server.h"
 #include "http/json_text.h"
 #include "metrics/counters.h"
-#include "peer_link.h"
 
 #include <fmt/format.h>
 #include <iterator>
@@ -17,18 +15,17 @@
 
 std::string format_status_report(const report_sources& from)
 {
-    const auto& members = from.peers.members();
+    const auto& members = from.entry.membership().members();
     const auto& self = members.self();
     Json::Value root(Json::objectValue);
     root["name"] = self.name;
     root["data_centre"] = self.data_centre;
     root["address"] = self.address;
     root["incarnation"] = Json::UInt64{self.incarnation};
-    root["ready"] = from.jobs != nullptr && !from.shutting_down;
-    root["shutting_down"] = from.shutting_down;
+    root["ready"] = from.entry.is_ready();
     root["share"] = members.capacity_share();
-    root["config"]["version"] = Json::UInt64{from.follower.in_force().version};
-    root["config"]["log_state"] = to_string(from.follower.log_state());
+    root["config"]["version"] = Json::UInt64{from.entry.configuration().in_force().version};
+    root["config"]["log_state"] = to_string(from.entry.configuration().log_state());
     Json::Value& list = root["members"] = Json::Value(Json::arrayValue);
     for (const auto& [name, entry] : members.others()) {
         Json::Value it(Json::objectValue);
@@ -39,11 +36,14 @@
         it["leaving"] = entry.info.leaving;
         list.append(std::move(it));
     }
-    root["open_jobs"] = Json::UInt64{from.jobs == nullptr ? 0 : from.jobs->open_jobs()};
-    root["queued_tasks"] = Json::UInt64{from.jobs == nullptr ? 0 : from.jobs->queued_tasks()};
+    const dispatcher* jobs = from.entry.jobs();
+    root["open_jobs"] = Json::UInt64{jobs == nullptr ? 0 : jobs->open_jobs()};
+    root["queued_tasks"] = Json::UInt64{jobs == nullptr ? 0 : jobs->queued_tasks()};
     root["open_connections"] = Json::UInt64{from.server.open_connections()};
-    root["account"]["buffered_bytes"] = Json::UInt64{from.account.buffered_bytes()};
-    root["account"]["dropped"] = Json::UInt64{from.account.stats().dropped};
+    if (const account_writer* accounts = from.entry.accounts()) {
+        root["account"]["buffered_bytes"] = Json::UInt64{accounts->buffered_bytes()};
+        root["account"]["dropped"] = Json::UInt64{accounts->stats().dropped};
+    }
     return write_json(root);
 }
 
@@ -64,28 +64,30 @@
     add("http_open_connections", from.server.open_connections());
     add("http_refused_connections", from.server.refused_connections());
     add("http_slow_connections", from.server.slow_connections());
-    if (from.jobs != nullptr) {
-        add("dispatch_open_jobs", from.jobs->open_jobs());
-        add("dispatch_queued_tasks", from.jobs->queued_tasks());
-        add("dispatch_bytes", from.jobs->bytes());
+    if (const dispatcher* jobs = from.entry.jobs()) {
+        add("dispatch_open_jobs", jobs->open_jobs());
+        add("dispatch_queued_tasks", jobs->queued_tasks());
+        add("dispatch_bytes", jobs->bytes());
     }
-    const auto& traffic = from.peers.detector().traffic();
-    add("membership_live", from.peers.members().live_count());
+    const auto& traffic = from.entry.membership().traffic();
+    add("membership_live", from.entry.membership().members().live_count());
     add("membership_messages_sent", traffic.messages_sent);
     add("membership_bytes_sent", traffic.bytes_sent);
     add("membership_rejected", traffic.rejected);
-    const auto& follower = from.follower.counts();
-    add("config_version", from.follower.in_force().version);
+    const auto& follower = from.entry.configuration().counts();
+    add("config_version", from.entry.configuration().in_force().version);
     add("config_records_applied", follower.records_applied);
     add("config_malformed_records", follower.malformed_records);
     add("config_differing_snapshots", follower.differing_snapshots);
     add("config_refused_states", follower.refused_states);
     add("config_adopted_states", follower.adopted_states);
     add("config_snapshots_written", follower.snapshots_written);
-    add("account_batches", from.account.stats().batches);
-    add("account_bytes", from.account.stats().bytes);
-    add("account_dropped", from.account.stats().dropped);
-    add("account_buffered_bytes", from.account.buffered_bytes());
+    if (const account_writer* accounts = from.entry.accounts()) {
+        add("account_batches", accounts->stats().batches);
+        add("account_bytes", accounts->stats().bytes);
+        add("account_dropped", accounts->stats().dropped);
+        add("account_buffered_bytes", accounts->buffered_bytes());
+    }
     return buf;
 }
 
--- a/src/daemon/status_report.h
+++ b/src/daemon/status_report.h
@@ -4,26 +4,19 @@
 
 namespace cactusloom {
 
-class account_writer;
 class caller_api;
-class config_follower;
 class counters;
-class dispatcher;
+class entry_instance;
 class forwarder;
 class http_server;
-class peer_link;
 
-// The parts that a report looks at. `jobs` is null until a document is in force.
+// The parts that a report looks at.
 struct report_sources {
-    const peer_link& peers;
-    const config_follower& follower;
-    const account_writer& account;
+    const entry_instance& entry;
     const forwarder& forwards;
     const http_server& server;
     const caller_api& api;
     const counters& counts;
-    const dispatcher* jobs;
-    bool shutting_down;
 };
 
 // JSON for a person or a program that asks how the instance is.
