Report unknown from submit when an earlier message may have run

Seen with a peer that closes after the first request and refuses the second: submit printed failed_not_run although the first message may have run. It now prints unknown and exits 3. A given id whose instance is not reached is unknown too, since somebody else may have submitted it before.

--- a/src/daemon/config_endpoints.cpp
+++ b/src/daemon/config_endpoints.cpp
@@ -96,7 +96,7 @@
     edit.section = fields["section"].asString();
     edit.base_version = fields["base_version"].asUInt64();
     edit.content = fields["content"].asString();
-    follower.submit_edit(std::move(edit), [done = std::move(done)](result<edit_outcome> outcome) {
+    follower.submit_edit(edit, [done = std::move(done)](result<edit_outcome> outcome) {
         if (!outcome) {
             done(outcome.error());
             return;
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -161,7 +161,7 @@
     edit.author = parsed.value().owner_of("owners");
     edit.section = whole_document;
     edit.content = std::exchange(first_document, {});
-    follower.submit_edit(std::move(edit), [](const result<edit_outcome>& outcome) {
+    follower.submit_edit(edit, [](const result<edit_outcome>& outcome) {
         log_event("first_document", "outcome={}",
                   outcome ? to_string(outcome.value().verdict) : outcome.error().message);
     });
--- a/tools/cactusloomctl/submit.cpp
+++ b/tools/cactusloomctl/submit.cpp
@@ -91,21 +91,30 @@
                 fmt::print(stderr, "submit: the reply is not an answer: {}\n", answer.body);
                 return exit_unknown;
             }
-            print_reply(answer.body, given.json);
             const auto code = to_exit_code(root.value()["state"].asString());
-            // A refusal of a repetition does not cover what an earlier message started.
-            return code == exit_failed && may_have_arrived && answer.status >= 400 ? exit_unknown
-                                                                                   : code;
+            // A refusal of a repetition does not cover what an earlier message may still start.
+            if (code == exit_failed && may_have_arrived && answer.status >= 400) {
+                Json::Value open = root.value();
+                open["reason"] = "an earlier message got no reply; the repetition was refused: " +
+                                 open["reason"].asString();
+                open["state"] = "unknown";
+                print_reply(write_json(open), given.json);
+                return exit_unknown;
+            }
+            print_reply(answer.body, given.json);
+            return code;
         }
         may_have_arrived = may_have_arrived || answer.end == http_end::reply_lost;
         last_reason = answer.reason;
     }
+    // An id that was given may have been submitted before by somebody else.
+    const bool is_known_not_run = !may_have_arrived && given.id.empty();
     Json::Value root(Json::objectValue);
     root["id"] = id;
-    root["state"] = may_have_arrived ? "unknown" : "failed_not_run";
+    root["state"] = is_known_not_run ? "failed_not_run" : "unknown";
     root["reason"] = "no reply: " + last_reason;
     print_reply(write_json(root), given.json);
-    return may_have_arrived ? exit_unknown : exit_unreachable;
+    return is_known_not_run ? exit_unreachable : exit_unknown;
 }
 
 } // namespace cactusloom::ctl
