Apply new documents in the router and divide slots by the member table

Cause: the router ignored a new document, so workers that were added took no work and removed ones kept getting it until a restart; and every instance drew its part of the slots at random although the member table orders the instances. Change: worker table, health, run-time model and strategy take a new document with stable positions; capacity_begin() gives the router its range of the slots.

--- a/include/membership/member_table.h
+++ b/include/membership/member_table.h
@@ -71,6 +71,10 @@
     // partition never sum to more than one. Zero once this instance is leaving.
     double capacity_share() const;
 
+    // Sum of the shares of the members whose names sort before this instance's. With it, instances
+    // that see the same members divide the capacity without overlap.
+    double capacity_begin() const;
+
     // Number of live, reachable, staying members whose name sorts before this instance's.
     std::size_t rank() const;
 
@@ -79,6 +83,11 @@
     void set_reachable(std::string_view data_centre, bool reachable);
 
 private:
+    static bool takes_part(const member& it) { return is_live(it.state) && !it.leaving; }
+
+    // Weight of the members before `end` by name, or of all others without it.
+    double weight_of_others(const std::string* end) const;
+
     member self_;
     std::map<std::string, member_entry, std::less<>> others_;
     std::set<std::string, std::less<>> unreachable_;
--- a/src/account/account_statement.cpp
+++ b/src/account/account_statement.cpp
@@ -13,6 +13,8 @@
 constexpr auto writer_silence = std::chrono::minutes{3};
 
 // No request lasts longer than the largest deadline, 60 s; the rest is time to write its end.
+// A batch carries the receipts only of requests that were open for a second by then.
+constexpr auto receipt_delay = std::chrono::seconds{1};
 constexpr auto longest_request = std::chrono::minutes{2};
 
 std::string format_time(wall_time time)
@@ -266,7 +268,7 @@
     out.settled_until = out.until;
     for (const auto& [key, it] : writers_) {
         if (!it.is_closed && !has_ended(key, it, now)) {
-            out.settled_until = std::min(out.settled_until, it.last_written);
+            out.settled_until = std::min(out.settled_until, it.last_written - receipt_delay);
         }
         for (const auto& gap : it.missing) {
             out.gaps.push_back(
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -19,8 +19,9 @@
 
 // Names that router::make accepts. Kept here because a document with another name would be accepted
 // by every instance and could then be served by none.
-constexpr std::array<std::string_view, 5> routing_names{
-    "predicted_finish", "two_choices", "fewest_outstanding", "round_robin", "random"};
+constexpr std::array<std::string_view, 6> routing_names{"predicted_finish", "two_choices_finish",
+                                                        "two_choices",      "fewest_outstanding",
+                                                        "round_robin",      "random"};
 
 bool is_valid_address(std::string_view text)
 {
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -100,7 +100,10 @@
 void entry_instance::build(const deployment& settings)
 {
     const double share = detector_.members().capacity_share();
-    router_ = router::make(settings, parts_.timers, {.seed = options_.seed, .share = share});
+    router_ = router::make(settings, parts_.timers,
+                           {.seed = options_.seed,
+                            .share = share,
+                            .share_begin = detector_.members().capacity_begin()});
     if (!router_) {
         log_event("routing_strategy_unknown", "name={}", settings.profile.routing);
         return;
@@ -128,7 +131,7 @@
         accounts_->set_instances(members.live_count());
     }
     if (jobs_) {
-        router_->set_share(members.capacity_share());
+        router_->set_share_range(members.capacity_begin(), members.capacity_share());
         jobs_->set_share(members.capacity_share());
     }
 }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -90,18 +90,30 @@
     return static_cast<std::size_t>(n) + 1;
 }
 
+double member_table::weight_of_others(const std::string* end) const
+{
+    double total = 0;
+    for (const auto& [name, entry] : others_) {
+        if (end != nullptr && name >= *end) {
+            break;
+        }
+        total += takes_part(entry.info) ? entry.info.weight : 0;
+    }
+    return total;
+}
+
 double member_table::capacity_share() const
 {
     if (self_.leaving || self_.weight <= 0) {
         return 0;
     }
-    double total = self_.weight;
-    for (const auto& [name, entry] : others_) {
-        if (is_live(entry.info.state) && !entry.info.leaving) {
-            total += entry.info.weight;
-        }
-    }
-    return self_.weight / total;
+    return self_.weight / (self_.weight + weight_of_others(nullptr));
+}
+
+double member_table::capacity_begin() const
+{
+    const double total = (self_.leaving ? 0 : self_.weight) + weight_of_others(nullptr);
+    return total <= 0 ? 0 : weight_of_others(&self_.name) / total;
 }
 
 std::size_t member_table::rank() const
--- a/src/routing/run_time_model.cpp
+++ b/src/routing/run_time_model.cpp
@@ -19,14 +19,9 @@
 
 run_time_model::run_time_model(const deployment& settings)
 {
-    kinds_.resize(settings.kinds.size());
-    for (std::size_t i = 0; i < kinds_.size(); ++i) {
-        const auto declared = settings.kinds[i].declared_run_time;
-        const float seconds = static_cast<float>(declared.count()) * 1e-6F;
-        kinds_[i].mean = seconds > 0 ? seconds : undeclared;
-        kinds_[i].log_mean = std::log(kinds_[i].mean);
-        kinds_[i].declared = duration{static_cast<std::int64_t>(kinds_[i].mean * 1e6F)};
-        mean_ += kinds_[i].mean / static_cast<float>(kinds_.size());
+    apply(settings);
+    for (const kind_state& kind : kinds_) {
+        mean_ += kind.mean / static_cast<float>(kinds_.size());
     }
     if (kinds_.empty()) {
         mean_ = undeclared;
@@ -34,6 +29,18 @@
     observed_mean_ = mean_;
 }
 
+void run_time_model::apply(const deployment& settings)
+{
+    for (std::size_t i = kinds_.size(); i < settings.kinds.size(); ++i) {
+        const auto declared = settings.kinds[i].declared_run_time;
+        const float seconds = static_cast<float>(declared.count()) * 1e-6F;
+        kind_state& kind = kinds_.emplace_back();
+        kind.mean = seconds > 0 ? seconds : undeclared;
+        kind.log_mean = std::log(kind.mean);
+        kind.declared = duration{static_cast<std::int64_t>(kind.mean * 1e6F)};
+    }
+}
+
 void run_time_model::learn(std::uint32_t kind, float seconds, float inverse_speed)
 {
     seconds = std::max(seconds, lowest);
--- a/src/routing/run_time_model.h
+++ b/src/routing/run_time_model.h
@@ -15,6 +15,9 @@
 public:
     explicit run_time_model(const deployment& settings);
 
+    // Takes in the kinds that a new document adds.
+    void apply(const deployment& settings);
+
     // Takes in a run of `seconds` on a worker whose inverse speed is `inverse_speed`.
     void learn(std::uint32_t kind, float seconds, float inverse_speed);
 
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -39,7 +39,7 @@
                    worker.features.end();
         };
         const bool all = std::all_of(kind.needs.begin(), kind.needs.end(), has);
-        fits.push_back(all && worker.slots > 0 ? 1 : 0);
+        fits.push_back(all && worker.slots > 0 && !worker.retired ? 1 : 0);
     }
     return fits;
 }
@@ -80,13 +80,39 @@
 
 table_router::table_router(const deployment& settings, const clock& time, router_options options,
                            std::unique_ptr<strategy> chooser)
-    : time_(&time), share_begin_(first_share(options)),
+    : time_(&time), seed_(options.seed), share_begin_(first_share(options)), share_(options.share),
       workers_(settings, share_begin_, options.share), run_times_(settings),
       health_(workers_.rack, workers_.racks, options.seed), spread_(workers_.rack_slots),
-      refusals_allowed_(static_cast<float>(std::max(settings.profile.message_budget - 2, 0.0) / 2) *
-                        refusal_part),
-      most_beyond_(first_beyond), strategy_(std::move(chooser)), no_penalty_(workers_.racks)
+      most_beyond_(first_beyond), strategy_name_(settings.profile.routing),
+      strategy_(std::move(chooser))
 {
+    apply_profile(settings);
+}
+
+void table_router::apply(const deployment& settings)
+{
+    workers_.apply(settings);
+    workers_.set_share(share_begin_, share_);
+    run_times_.apply(settings);
+    health_.apply(workers_.rack, workers_.racks);
+    spread_ = job_spread(workers_.rack_slots);
+    // A document with an unknown strategy is refused before it gets here, so the old one stays
+    // only if that check was left out.
+    if (settings.profile.routing != strategy_name_) {
+        if (auto chooser = strategy::make(settings.profile.routing, seed_)) {
+            strategy_ = std::move(chooser);
+            strategy_name_ = settings.profile.routing;
+        }
+    }
+    apply_profile(settings);
+}
+
+void table_router::apply_profile(const deployment& settings)
+{
+    refusals_allowed_ =
+        static_cast<float>(std::max(settings.profile.message_budget - 2, 0.0) / 2) * refusal_part;
+    no_penalty_.assign(workers_.racks, 0);
+    fits_.clear();
     for (const request_kind& kind : settings.kinds) {
         fits_.push_back(workers_that_fit(settings, kind));
     }
@@ -212,6 +238,7 @@
 void table_router::set_share_range(double begin, double share)
 {
     share_begin_ = begin;
+    share_ = share;
     workers_.set_share(begin, share);
 }
 
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -7,6 +7,7 @@
 #include "worker_health.h"
 #include "worker_table.h"
 
+#include <string>
 #include <vector>
 
 namespace cactusloom {
@@ -17,7 +18,7 @@
     table_router(const deployment& settings, const clock& time, router_options options,
                  std::unique_ptr<strategy> chooser);
 
-    void apply(const deployment& /*settings*/) override {}
+    void apply(const deployment& settings) override;
     std::optional<worker_id> pick(const routing_query& query) override;
     bool can_ever_run(kind_index kind) const override;
     void record_start(worker_id worker, kind_index kind) override;
@@ -37,11 +38,14 @@
 
 private:
     placement make_placement(const routing_query& query, double now) const;
+    void apply_profile(const deployment& settings);
     void adapt_to_refusal(bool refused);
     void learn_run(worker_id worker, kind_index kind, duration run_time);
 
     const clock* time_;
+    std::uint64_t seed_;
     double share_begin_;
+    double share_;
     double blocked_since_ = 0;
     double blocked_at_ = -1; // last time that a pick found no room
     double waited_since_ = 0;
@@ -50,8 +54,9 @@
     run_time_model run_times_;
     worker_health health_;
     job_spread spread_;
-    float refusals_allowed_; // for each start
+    float refusals_allowed_ = 0; // for each start
     float most_beyond_;
+    std::string strategy_name_;
     std::unique_ptr<strategy> strategy_;
     std::vector<std::vector<std::uint8_t>> fits_; // by kind and worker
     std::vector<float> no_penalty_;
--- a/src/routing/worker_health.cpp
+++ b/src/routing/worker_health.cpp
@@ -29,12 +29,22 @@
 
 } // namespace
 
-worker_health::worker_health(std::vector<std::uint16_t> rack_of_worker, std::size_t racks,
+worker_health::worker_health(const std::vector<std::uint16_t>& rack_of_worker, std::size_t racks,
                              std::uint64_t seed)
-    : rack_of_worker_(std::move(rack_of_worker)), workers_(rack_of_worker_.size()), racks_(racks),
-      limits_(rack_of_worker_.size(), unlimited),
-      random_(static_cast<std::uint32_t>(seed ^ (seed >> 32U)) | 4096U)
+    : random_(static_cast<std::uint32_t>(seed ^ (seed >> 32U)) | 4096U)
 {
+    apply(rack_of_worker, racks);
+}
+
+void worker_health::apply(const std::vector<std::uint16_t>& rack_of_worker, std::size_t racks)
+{
+    rack_of_worker_ = rack_of_worker;
+    workers_.resize(rack_of_worker_.size());
+    limits_.resize(rack_of_worker_.size(), unlimited);
+    racks_.resize(racks);
+    for (record_of_rack& rack : racks_) {
+        rack.workers = 0;
+    }
     for (const std::uint16_t rack : rack_of_worker_) {
         ++racks_[rack].workers;
     }
--- a/src/routing/worker_health.h
+++ b/src/routing/worker_health.h
@@ -18,7 +18,11 @@
 // lost racks. Times are seconds on any monotonic line.
 class worker_health {
 public:
-    worker_health(std::vector<std::uint16_t> rack_of_worker, std::size_t racks, std::uint64_t seed);
+    worker_health(const std::vector<std::uint16_t>& rack_of_worker, std::size_t racks,
+                  std::uint64_t seed);
+
+    // Takes in new workers and racks, and workers that stand in another rack now.
+    void apply(const std::vector<std::uint16_t>& rack_of_worker, std::size_t racks);
 
     void record(worker_id worker, task_outcome outcome, double now);
 
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
-#include <string_view>
 
 namespace cactusloom {
 namespace {
@@ -27,36 +25,52 @@
 
 worker_table::worker_table(const deployment& settings, double share_begin, double share)
 {
-    const std::size_t n = settings.workers.size();
-    std::map<std::string_view, std::uint16_t> numbers;
+    apply(settings);
+    set_share(share_begin, share);
+    others = assumed;
+    usual = assumed;
+}
+
+void worker_table::add(const worker_settings& worker)
+{
+    slots.push_back(0);
+    inverse_slots.push_back(1);
+    rack.push_back(0);
+    offsets_.push_back(static_cast<double>(hash64(worker.name) >> 11U) * 0x1p-53);
+    outstanding.push_back(0);
+    others.push_back(0);
+    usual.push_back(0);
+    assumed.push_back(0);
+    quota.push_back(0);
+    reported_at.push_back(0);
+    busy_until.push_back(0);
+    inverse_speed.push_back(1);
+    cold_limit.push_back(first_tasks);
+    leaving.push_back(0);
+    speeds_.emplace_back();
+}
+
+void worker_table::apply(const deployment& settings)
+{
     float all_slots = 0;
-    for (const worker_settings& worker : settings.workers) {
-        slots.push_back(static_cast<float>(worker.slots));
-        inverse_slots.push_back(1 / std::max(slots.back(), 1.0F));
-        all_slots += slots.back();
-        const auto number = static_cast<std::uint16_t>(numbers.size());
-        rack.push_back(numbers.emplace(worker.rack, number).first->second);
-        offsets_.push_back(static_cast<double>(hash64(worker.name) >> 11U) * 0x1p-53);
+    for (std::size_t i = 0; i < settings.workers.size(); ++i) {
+        const worker_settings& worker = settings.workers[i];
+        if (i == size()) {
+            add(worker);
+        }
+        slots[i] = static_cast<float>(worker.slots);
+        inverse_slots[i] = 1 / std::max(slots[i], 1.0F);
+        all_slots += worker.retired ? 0 : slots[i];
+        const auto number = static_cast<std::uint16_t>(rack_numbers_.size());
+        rack[i] = rack_numbers_.emplace(worker.rack, number).first->second;
     }
-    racks = numbers.size();
+    racks = rack_numbers_.size();
     rack_slots.assign(racks, 0);
-    for (std::size_t i = 0; i < n; ++i) {
-        rack_slots[rack[i]] += slots[i] / std::max(all_slots, 1.0F);
+    for (std::size_t i = 0; i < settings.workers.size(); ++i) {
+        if (!settings.workers[i].retired) {
+            rack_slots[rack[i]] += slots[i] / std::max(all_slots, 1.0F);
+        }
     }
-    outstanding.assign(n, 0);
-    others.assign(n, 0);
-    usual.assign(n, 0);
-    assumed.assign(n, 0);
-    quota.assign(n, 0);
-    reported_at.assign(n, 0);
-    busy_until.assign(n, 0);
-    inverse_speed.assign(n, 1);
-    cold_limit.assign(n, first_tasks);
-    leaving.assign(n, 0);
-    speeds_.resize(n);
-    set_share(share_begin, share);
-    others = assumed;
-    usual = assumed;
 }
 
 void worker_table::set_share(double begin, double share)
--- a/src/routing/worker_table.h
+++ b/src/routing/worker_table.h
@@ -5,6 +5,8 @@
 #include "platform/worker_client.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace cactusloom {
@@ -14,6 +16,10 @@
 struct worker_table {
     worker_table(const deployment& settings, double share_begin, double share);
 
+    // Takes a new document into force. Known workers keep their positions and what was learned of
+    // them. The quotas of new workers come with the next set_share().
+    void apply(const deployment& settings);
+
     std::size_t size() const { return slots.size(); }
 
     // Recomputes this instance's part of each worker's slots. Instances whose ranges do not
@@ -58,7 +64,10 @@
         float runs = 0;
     };
 
+    void add(const worker_settings& worker);
+
     std::vector<speed_state> speeds_;
+    std::map<std::string, std::uint16_t> rack_numbers_;
     std::vector<double> offsets_; // by worker, 0 to 1, the same on all instances
     monotonic_time origin_{};
 };
--- a/tests/routing/fault_test.cpp
+++ b/tests/routing/fault_test.cpp
@@ -446,6 +446,39 @@
                per_rack);
 }
 
+// Guards against a document that takes effect only after a restart, and against outcomes that are
+// credited to another worker after it.
+BOOST_AUTO_TEST_CASE(new_document_adds_and_retires_workers)
+{
+    deployment settings = make_deployment();
+    virtual_timer_service time;
+    auto routes = router::make(settings, time, {.seed = 3, .share = 1.0, .share_begin = 0.0});
+    routes->record_start(5, 0);
+    for (worker_settings& worker : settings.workers) {
+        worker.retired = true;
+    }
+    worker_settings added;
+    added.name = "new";
+    added.rack = "new rack";
+    added.slots = slots;
+    settings.workers.push_back(added);
+    request_kind kind;
+    kind.needs = {"accelerator"};
+    settings.kinds.push_back(kind);
+    routes->apply(settings);
+    BOOST_TEST(routes->pick({}).value_or(0) == fleet);
+    BOOST_TEST(!routes->can_ever_run(1));
+    start_reply reply;
+    reply.status = start_status::completed;
+    reply.run_time = 200ms;
+    routes->record_end(5, 0, reply, 200ms);
+    for (worker_settings& worker : settings.workers) {
+        worker.retired = worker.name == "new";
+    }
+    routes->apply(settings);
+    BOOST_TEST(routes->pick({}).value_or(fleet) < fleet);
+}
+
 // Guards against a kind that waits for ever for a feature that no worker has.
 BOOST_AUTO_TEST_CASE(kind_that_fits_nowhere_can_never_run)
 {
