--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -25,6 +25,7 @@
             follower->subscribe([this](const config_in_force& it) {
                 BOOST_TEST(it.version >= newest, "an instance went back to an older version");
                 newest = it.version;
+                first = first.value_or(it.version);
             });
         }
 
@@ -51,13 +52,14 @@
         log_link link;
         bool has_peers = true;
         log_offset newest = 0;
+        std::optional<log_offset> first; // version that was in force first
         std::optional<config_follower> follower;
     };
 
     config_cluster()
     {
         options.snapshot_delay_per_rank = std::chrono::seconds{1};
-        options.retention = std::chrono::hours{8};
+        options.retention = std::chrono::hours{1};
     }
 
     instance& add(bool with_peers = true, bool with_log = true)
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -146,8 +146,8 @@
          c.submit_rate(0, "a", 10);
          c.run(1h);
          c.log.set_retention(c.options.retention);
-         for (auto left = 2 * c.options.retention; left > 0s; left -= 1min) {
-             c.run(1min);
+         for (auto left = 2 * c.options.retention; left > 0s; left -= 250ms) {
+             c.run(250ms);
              // A new instance without peers could start at any time.
              BOOST_REQUIRE(c.log.page("config").first_retained <=
                            c.reference.newest_snapshot()->next);
@@ -273,6 +273,7 @@
          BOOST_REQUIRE(fresh.follower->is_ready());
          BOOST_TEST(fresh.settings().account_appends_per_second == 10U);
          BOOST_TEST(fresh.is(state::regressed));
+         BOOST_TEST(*fresh.first == c.at(0).newest);
      },
      false},
     {"log shows an old end for a while",
