--- a/include/account/account_writer.h
+++ b/include/account/account_writer.h
@@ -28,6 +28,8 @@
     // A receipt is written for a request that is open for this long. Most tasks end within a second
     // and then cost one record in place of two.
     duration receipt_age = std::chrono::seconds{1};
+    // A log behind a cut link never answers; without a limit the writer would wait for good.
+    duration append_timeout = std::chrono::seconds{5};
     duration max_backoff = std::chrono::seconds{10};
     std::size_t max_batch_bytes = std::size_t{256} << 10U;
     std::size_t max_buffer_bytes = std::size_t{8} << 20U;
@@ -100,6 +102,7 @@
     bool has_due_receipt() const;
     sent_batch make_batch();
     void send();
+    void finish_attempt(std::uint64_t attempt, const result<log_offset>& stored);
     void finish(const result<log_offset>& stored);
     void give_up_batch();
     void finish_close(result<void> outcome);
@@ -127,6 +130,7 @@
     done_callback close_done_;
     timer_id timer_ = 0;
     timer_id close_timer_ = 0;
+    timer_id append_timer_ = 0;
     account_writer_stats stats_;
     std::shared_ptr<account_writer*> alive_;
 };
--- a/src/account/account_statement.cpp
+++ b/src/account/account_statement.cpp
@@ -73,6 +73,7 @@
     line("customer: {}", statement.customer);
     line("complete: {}", statement.is_complete() ? "yes" : "no, requests or ends may be missing");
     line("span: {} to {}", format_time(statement.from), format_time(statement.until));
+    line("settled until: {}", format_time(statement.settled_until));
     line("requests: {}", statement.records.size());
     for (const auto& [key, n] : statement.totals) {
         line("total: {} {} {}", key.first, to_string(key.second), n);
@@ -127,6 +128,7 @@
     if (is_new) {
         it.first_written = batch.written;
         it.last_written = batch.written;
+        it.settled = batch.settled;
     }
     if (!accept_number(it, batch)) {
         return;
@@ -176,6 +178,7 @@
     it.holes = holes_;
     it.next_number = batch.number + 1;
     it.last_written = batch.written;
+    it.settled = batch.settled;
     return true;
 }
 
@@ -262,7 +265,11 @@
 account_statement account_fold::finish(wall_time now) &&
 {
     auto& out = statement_;
+    out.settled_until = out.until;
     for (const auto& [key, it] : writers_) {
+        if (!it.is_closed && !has_ended(key, it, now)) {
+            out.settled_until = std::min(out.settled_until, it.settled);
+        }
         for (const auto& gap : it.missing) {
             out.gaps.push_back(
                 {account_gap::cause::batch_missing, gap.from, gap.until, gap.last - gap.first + 1,
@@ -272,7 +279,7 @@
         if (!it.is_closed && it.holes == holes_ && has_ended(key, it, now)) {
             const auto next = std::next(writers_.find(key));
             const bool is_replaced = next != writers_.end() && next->first.first == key.first;
-            out.gaps.push_back({account_gap::cause::writer_ended, it.last_written,
+            out.gaps.push_back({account_gap::cause::writer_ended, it.settled,
                                 is_replaced ? next->second.first_written : now, 0, key.first});
         }
     }
