--- a/include/account/account_statement.h
+++ b/include/account/account_statement.h
@@ -92,6 +92,7 @@
         std::vector<missing_numbers> missing;
         wall_time first_written;
         wall_time last_written;
+        wall_time settled;
         bool is_closed = false;
         std::uint64_t holes = 0; // holes of the log when it was last seen
     };
--- a/include/account/account_writer.h
+++ b/include/account/account_writer.h
@@ -25,11 +25,11 @@
     duration min_interval = std::chrono::milliseconds{250};
     // A quiet instance appends an empty batch this often, so that a reader can tell that it lives.
     duration idle_interval = std::chrono::seconds{60};
-    // A log behind a cut link never answers; without a limit the writer would wait for good.
-    duration append_timeout = std::chrono::seconds{5};
     // A receipt is written for a request that is open for this long. Most tasks end within a second
     // and then cost one record in place of two.
     duration receipt_age = std::chrono::seconds{1};
+    // A log behind a cut link never answers; without a limit the writer would wait for good.
+    duration append_timeout = std::chrono::seconds{5};
     duration max_backoff = std::chrono::seconds{10};
     std::size_t max_batch_bytes = std::size_t{256} << 10U;
     std::size_t max_buffer_bytes = std::size_t{8} << 20U;
--- a/src/account/account_statement.cpp
+++ b/src/account/account_statement.cpp
@@ -13,8 +13,6 @@
 constexpr auto writer_silence = std::chrono::minutes{3};
 
 // No request lasts longer than the largest deadline, 60 s; the rest is time to write its end.
-// A batch carries the receipts only of requests that were open for a second by then.
-constexpr auto receipt_delay = std::chrono::seconds{1};
 constexpr auto longest_request = std::chrono::minutes{2};
 
 std::string format_time(wall_time time)
@@ -130,6 +128,7 @@
     if (is_new) {
         it.first_written = batch.written;
         it.last_written = batch.written;
+        it.settled = batch.settled;
     }
     if (!accept_number(it, batch)) {
         return;
@@ -179,6 +178,7 @@
     it.holes = holes_;
     it.next_number = batch.number + 1;
     it.last_written = batch.written;
+    it.settled = batch.settled;
     return true;
 }
 
@@ -268,7 +268,7 @@
     out.settled_until = out.until;
     for (const auto& [key, it] : writers_) {
         if (!it.is_closed && !has_ended(key, it, now)) {
-            out.settled_until = std::min(out.settled_until, it.last_written - receipt_delay);
+            out.settled_until = std::min(out.settled_until, it.settled);
         }
         for (const auto& gap : it.missing) {
             out.gaps.push_back(
@@ -279,7 +279,7 @@
         if (!it.is_closed && it.holes == holes_ && has_ended(key, it, now)) {
             const auto next = std::next(writers_.find(key));
             const bool is_replaced = next != writers_.end() && next->first.first == key.first;
-            out.gaps.push_back({account_gap::cause::writer_ended, it.last_written,
+            out.gaps.push_back({account_gap::cause::writer_ended, it.settled,
                                 is_replaced ? next->second.first_written : now, 0, key.first});
         }
     }
--- a/src/account/account_writer.cpp
+++ b/src/account/account_writer.cpp
@@ -176,6 +176,13 @@
         open_.find(receipt.submission_id)->second.place = unwritten_.end();
         unwritten_.pop_front();
     }
+    header.settled = header.written;
+    for (const auto& it : ends_) {
+        header.settled = std::min(header.settled, it.receipt.received);
+    }
+    if (!unwritten_.empty()) {
+        header.settled = std::min(header.settled, unwritten_.front()->receipt.received);
+    }
     out.is_last = closing_ && ends_.empty() && unwritten_.empty();
     header.is_last = out.is_last;
     out.content = std::move(encoder).finish();
--- a/tests/account/account_test.cpp
+++ b/tests/account/account_test.cpp
@@ -238,6 +238,8 @@
          it.writer->received(it.receipt("open.1"));
          it.timers.advance(2s);
          it.writer->received(it.receipt("lost.1"));
+         it.writer->ended(it.end("filler.1", "other"));
+         it.timers.advance(500ms);
          it.writer.reset();
          it.timers.advance(1s);
          it.start(2);
@@ -252,6 +254,9 @@
          BOOST_TEST(seen.unknowns.front().receipt.submission_id == "open.1");
          BOOST_TEST(seen.unknowns.front().why == "the instance ended before it recorded the end");
          BOOST_TEST(count(seen, cause::writer_ended) == 1U);
+         // "lost.1" was received 500 ms before the kill, and a batch without it followed.
+         const auto& gap = gap_of(seen, cause::writer_ended);
+         BOOST_TEST((gap.until - gap.from >= 1500ms));
      }},
     {"instance killed while idle and never replaced",
      [](bench& it) {
@@ -271,6 +276,17 @@
          BOOST_TEST(seen.gaps.empty());
          BOOST_TEST(it.writer->stats().appends < 70U);
      }},
+    {"request is open for less than its receipt needs",
+     [](bench& it) {
+         it.timers.advance(1s);
+         const auto received = it.timers.wall_now();
+         it.writer->received(it.receipt("short.1"));
+         it.serve(8, "b.");
+         BOOST_TEST((it.read().settled_until <= received));
+         it.writer->ended(it.end("short.1"));
+         it.close();
+     },
+     [](bench&, const account_statement& seen) { BOOST_TEST(seen.is_complete()); }},
     {"request outlives the batch interval and ends",
      [](bench& it) {
          it.writer->received(it.receipt("slow.1"));
