--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -46,7 +46,7 @@
 
     void accept_one();
     bool read_some(connection& it);
-    bool react(connection& it, std::string request);
+    bool react(connection& it, const std::string& request);
     static void close(connection& it, bool reset);
     static void send(connection& it, const std::string& text);
 
--- a/tests/http/raw_peer_test.cpp
+++ b/tests/http/raw_peer_test.cpp
@@ -108,10 +108,10 @@
     std::string request = it.buf.substr(0, head + 4 + length);
     it.buf.erase(0, head + 4 + length);
     it.begun = false;
-    return react(it, std::move(request));
+    return react(it, request);
 }
 
-bool raw_peer::react(connection& it, std::string request)
+bool raw_peer::react(connection& it, const std::string& request)
 {
     const int n = static_cast<int>(requests_.size());
     requests_.push_back(request);
