--- a/tests/http/worker_contract_test.cpp
+++ b/tests/http/worker_contract_test.cpp
@@ -155,7 +155,8 @@
 {
     bench it(remote, {});
     std::vector<start_reply> ends;
-    it.client->start(7, {"t", "k", "", 1s, 1s}, [&](start_reply reply) { ends.push_back(reply); });
+    it.client->start(7, {"t", "k", "", 1s, 1s},
+                     [&](const start_reply& reply) { ends.push_back(reply); });
     BOOST_TEST(ends.empty());
     run_until([&] { return ends.size() == 1; });
     BOOST_TEST(code(ends[0].status) == code(start_status::not_sent));
