--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -373,10 +373,13 @@
          for (int n = 1; n < 150; ++n) {
              c.append_raw(raw_edit(fmt::format("x{}", n), c.reference.version_of("account"), n));
          }
+         c.append_raw(encode(c.at(0).follower->ledger().snapshot()));
          c.options.records_between_snapshots = 30;
          auto& fresh = c.add(false);
          c.run(in_force_target);
          BOOST_TEST(fresh.settings().account_appends_per_second == 149U);
+         BOOST_TEST(fresh.follower->counts().records_applied <=
+                    2 * c.options.records_between_snapshots);
      }},
 };
 
