--- a/include/dispatch/dispatcher.h
+++ b/include/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 
 class counters;
 class job_observer;
+class latency_recorder;
 class router;
 class worker_client;
 
@@ -61,6 +62,9 @@
     // Bytes held for open jobs, retained answers and remembered ids.
     std::size_t bytes() const;
 
+    // Time from receipt to answer of completed jobs.
+    const latency_recorder& latency() const;
+
 private:
     class engine;
     std::unique_ptr<engine> engine_;
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -7,6 +7,7 @@
 #include "http/http_server.h"
 #include "http/json_text.h"
 #include "metrics/counters.h"
+#include "metrics/latency_recorder.h"
 
 #include <fmt/format.h>
 #include <iterator>
@@ -68,6 +69,11 @@
         add("dispatch_open_jobs", jobs->open_jobs());
         add("dispatch_queued_tasks", jobs->queued_tasks());
         add("dispatch_bytes", jobs->bytes());
+        const latency_recorder::summary latency = jobs->latency().read();
+        add("job_latency_count", latency.count);
+        add("job_latency_p50_us", static_cast<std::uint64_t>(latency.p50.count()));
+        add("job_latency_p90_us", static_cast<std::uint64_t>(latency.p90.count()));
+        add("job_latency_p99_us", static_cast<std::uint64_t>(latency.p99.count()));
     }
     const auto& traffic = from.entry.membership().traffic();
     add("membership_live", from.entry.membership().members().live_count());
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -83,4 +83,9 @@
     return engine_->bytes();
 }
 
+const latency_recorder& dispatcher::latency() const
+{
+    return engine_->latency();
+}
+
 } // namespace cactusloom
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -6,6 +6,7 @@
 #include "dispatch/retry_budget.h"
 #include "dispatch_counts.h"
 #include "job_record.h"
+#include "metrics/latency_recorder.h"
 #include "submission/submission_id.h"
 #include "submission/submission_registry.h"
 
@@ -32,6 +33,7 @@
     std::size_t open_jobs() const { return open_jobs_; }
     std::size_t queued_tasks() const;
     std::size_t bytes() const;
+    const latency_recorder& latency() const { return latency_; }
 
 private:
     // What a timer of the wheel is for.
@@ -118,6 +120,7 @@
     timer_service& timers_;
     job_observer* observer_;
     counters own_counters_; // used when the owner wants none
+    latency_recorder latency_;
     dispatch_counts counts_;
 
     std::unordered_map<std::string_view, kind_index> kinds_by_name_;
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -243,6 +243,9 @@
     job.tasks.shrink_to_fit();
     wheel_.cancel(job.timer);
     job.finished_at = now();
+    if (answer->state == job_state::completed) {
+        latency_.record(job.finished_at - job.received);
+    }
     job.answer = std::move(answer);
     for (answer_waiter& it : job.waiters) {
         wheel_.cancel(it.timer);
--- a/tests/system/fake_platform.h
+++ b/tests/system/fake_platform.h
@@ -41,7 +41,7 @@
     std::size_t size() const { return workers_.size(); }
 
     // `done` gets the reply; it does not run if the worker is or becomes dead.
-    void start(worker_id id, std::string payload, std::function<void(start_reply)> done)
+    void start(worker_id id, std::string payload, const std::function<void(start_reply)>& done)
     {
         worker& it = workers_[id];
         if (it.state == health::dead) {
@@ -56,13 +56,13 @@
                 [this, id, payload = std::move(payload), done] { run(id, payload, done); });
             return;
         }
-        run(id, std::move(payload), std::move(done));
+        run(id, std::move(payload), done);
     }
 
     const std::map<std::string, int>& starts() const { return starts_; }
 
 private:
-    void run(worker_id id, std::string payload, std::function<void(start_reply)> done)
+    void run(worker_id id, std::string payload, const std::function<void(start_reply)>& done)
     {
         worker& it = workers_[id];
         ++it.running;
@@ -139,11 +139,12 @@
                 std::exchange(*once, nullptr)(reply_with(start_status::reply_lost));
             }
         });
-        workers_.start(worker, std::string(request.payload), [this, reply, worker](start_reply it) {
-            if (!rule_ || rule_(worker)) {
-                reply(it);
-            }
-        });
+        workers_.start(worker, std::string(request.payload),
+                       [this, reply, worker](const start_reply& it) {
+                           if (!rule_ || rule_(worker)) {
+                               reply(it);
+                           }
+                       });
     }
 
     void renew(worker_id /*worker*/, std::string_view /*task*/, duration /*lease*/) override {}
--- a/tests/system/fleet.cpp
+++ b/tests/system/fleet.cpp
@@ -262,7 +262,7 @@
     return instance.is_ready() ? std::optional(instance.jobs()->issue_prefix()) : std::nullopt;
 }
 
-void fleet::serve(std::size_t number, job_request request, reply done)
+void fleet::serve(std::size_t number, job_request request, const reply& done)
 {
     if (!is_running(number) || nodes_.at(number)->paused) {
         return;
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -57,7 +57,7 @@
 
     // A submission that reaches instance `number`. Nothing is called if that instance is dead,
     // paused for good, or dies first; the caller then sees a lost connection.
-    void serve(std::size_t number, job_request request, reply done);
+    void serve(std::size_t number, job_request request, const reply& done);
     std::optional<std::string> prefix_of(std::size_t number);
 
     void run(duration span);
