Keep the text alive that a parsed submission id points into

Cause: the test parsed a temporary string and then read the suffix, a view into it. Found by make check-sanitize (heap-use-after-free in submission_tests); callers in src/ pass texts that outlive the view. Before: 1 of 14 programs failed under the sanitizers.

--- a/tests/submission/submission_id_test.cpp
+++ b/tests/submission/submission_id_test.cpp
@@ -24,7 +24,8 @@
     const auto text = make_prefix(example(), key);
     BOOST_TEST(text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                       "0123456789-_~") == std::string::npos);
-    const auto id = parse_submission_id(text + ".order.7", key);
+    const std::string whole = text + ".order.7"; // the parsed suffix is a view into it
+    const auto id = parse_submission_id(whole, key);
     BOOST_REQUIRE(id.has_value());
     BOOST_TEST((id.value().prefix == example()));
     BOOST_TEST(id.value().suffix == "order.7");
