--- /dev/null
+++ b/include/cell/cell_election.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusloom {
+
+// A claim to the workers of a cell, as its holder announces it.
+struct cell_claim {
+    std::string cell;
+    std::uint64_t token = 0;
+
+    friend bool operator==(const cell_claim&, const cell_claim&) = default;
+};
+
+// An instance as this one sees it.
+struct instance_view {
+    std::string name;
+    std::string data_centre;
+    double strength = 0; // share of a core that it has
+    bool alive = false;
+    bool leaving = false;
+    std::vector<cell_claim> claims;
+};
+
+// Name of the cell of all workers, used while one controller can carry them.
+inline constexpr std::string_view whole_cell = "*";
+
+// Decides who controls a cell from what one instance sees. It needs no agreement: two controllers
+// of a cell are settled by the workers, which obey the higher token only, and this choice makes
+// all instances in touch settle on the holder of the highest token. While it lives, a holder
+// keeps its cell, so that a returning instance causes no change.
+class cell_election {
+public:
+    struct verdict {
+        std::string controller;   // empty: none yet
+        bool should_claim = false; // this instance has to claim the cell
+        std::uint64_t highest_token = 0;
+    };
+
+    // `self` must be among the views. Claims of instances that are not alive do not count.
+    static verdict decide(std::string_view cell, std::string_view self,
+                          std::span<const instance_view> views);
+
+    // True if less than half of the known instances are in touch. Such a side of a cut leaves the
+    // workers of other data centres alone, since the larger side controls those.
+    static bool is_minority(std::span<const instance_view> views);
+
+    // Best candidate first: those of the cell's data centre, the stronger, then by a hash that
+    // spreads several cells over equal instances.
+    static bool ranks_before(std::string_view cell, const instance_view& a,
+                             const instance_view& b);
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/cell/cell_service.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "cell/cell_controller.h"
+#include "cell/instance_mesh.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cactusloom {
+
+// One instance's part in the dispatch: it controls cells if elected, and brings the submissions of
+// its callers to whoever controls the cells.
+class cell_service {
+public:
+    using answer = std::function<void(const job_outcome&)>;
+
+    cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
+                 const cell_settings& settings);
+    ~cell_service();
+    cell_service(const cell_service&) = delete;
+    cell_service& operator=(const cell_service&) = delete;
+
+    // Replaces the list of all workers.
+    void set_workers(std::vector<worker_report> workers);
+
+    // Tells the other instances which configuration is in force here.
+    void set_config_version(std::int64_t version);
+
+    // Takes a caller's job. `fn` runs exactly once, unless the job is abandoned.
+    void submit(job_request job, answer fn);
+    void abandon(const std::string& job_id);
+
+    // Stops a job at its caller's wish; its submission is answered `failed`. False if it is not
+    // under way here.
+    bool cancel(const std::string& job_id);
+    bool has_job(std::string_view job_id) const { return jobs_.contains(job_id); }
+
+    // Hands control over and announces that this instance leaves.
+    void leave();
+
+    bool controls_any() const;
+
+    // True if some instance in touch controls workers.
+    bool has_controller() const;
+
+    std::size_t pending_jobs(std::string_view queue) const;
+    std::size_t open_jobs() const { return jobs_.size(); }
+    cell_counts counts() const;
+
+    // Messages of peers that are not about jobs.
+    instance_mesh::message_handler on_other_message;
+
+private:
+    struct desk_job;
+    struct own_cell;
+
+    void evaluate();
+    void evaluate_cell(const std::string& cell, const std::vector<instance_view>& views);
+    void claim(const std::string& cell, std::uint64_t above);
+    void give_up(const std::string& cell);
+    void on_fenced(const std::string& cell);
+    void announce();
+    std::vector<std::string> cells() const;
+    std::vector<std::string> own_names() const;
+    std::vector<worker_report> workers_of(std::string_view cell, bool minority) const;
+    void check_requesters();
+
+    void dispatch(desk_job& job, const std::vector<instance_view>& views);
+    void redispatch();
+    void on_outcome(const std::string& job_id, const std::string& controller,
+                    const std::string& cell, const job_outcome& outcome);
+    void finish(const std::string& job_id, const job_outcome& outcome);
+    void check_jobs();
+    void on_message(const std::string& peer, const Json::Value& message,
+                    const instance_mesh::sender& reply);
+    void on_submit(const std::string& peer, const Json::Value& message,
+                   const instance_mesh::sender& reply);
+
+    timer_service& timers_;
+    instance_mesh& mesh_;
+    worker_orders& orders_;
+    cell_settings settings_;
+    std::vector<worker_report> workers_;
+    std::map<std::string, std::unique_ptr<own_cell>, std::less<>> own_cells_;
+    std::map<std::string, std::unique_ptr<desk_job>, std::less<>> jobs_;
+    monotonic_time started_at_;
+    std::int64_t config_version_ = -1;
+    bool leaving_ = false;
+    bool split_ = false;
+    timer_id tick_timer_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/cell/front_desk.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "cell/cell_service.h"
+#include "cell/queue_table.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cactusloom {
+
+// What a caller is told.
+struct desk_reply {
+    enum class kind {
+        completed,
+        failed,
+        not_run,      // certainly no task was or will be started; come back after retry_after
+        unknown_fate, // tasks may have run
+        no_such_queue,
+        no_such_job,
+        malformed,
+        cancelled,
+        running,
+        pending,
+    };
+    kind what = kind::unknown_fate;
+    duration retry_after{};
+    std::size_t pending = 0;
+};
+
+// A job as its caller handed it in.
+struct submission {
+    job_request request;
+    bool answer_at_end = false; // not stored; the answer is the job's end
+    std::string unsupported;    // feature that is not offered; empty if none
+    std::optional<duration> patience; // how long the caller waits
+};
+
+// Decides on callers' requests of one instance by the queues in force.
+class front_desk {
+public:
+    using answer = std::function<void(const desk_reply&)>;
+
+    front_desk(timer_service& timers, cell_service& cells) : timers_(timers), cells_(cells) {}
+
+    // Puts a newer version in force; an older or equal one changes nothing.
+    bool set_queues(queue_table table);
+    std::int64_t version() const { return table_.version; }
+    const queue_table& queues() const { return table_; }
+
+    struct queue_match {
+        bool found = false;
+        std::size_t prefix_length = 0;
+        desk_reply refusal;
+    };
+    queue_match find_queue(std::string_view host, std::string_view path) const;
+
+    void submit(std::string_view host, std::string_view path, submission order, answer fn);
+    void caller_left(const std::string& job_id);
+    desk_reply state_of(const std::string& job_id) const;
+    desk_reply cancel(const std::string& job_id);
+    desk_reply pending(std::string_view host, std::string_view path) const;
+
+    // From now on new jobs are still served, but the instance is about to stop.
+    void begin_drain() { draining_ = true; }
+
+    // True if callers' new connections are welcome.
+    bool is_ready() const;
+
+private:
+    timer_service& timers_;
+    cell_service& cells_;
+    queue_table table_;
+    bool draining_ = false;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/cell/instance_mesh.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "cell/cell_election.h"
+#include "net/frame_link.h"
+#include "net/poller.h"
+
+#include <functional>
+#include <json/value.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusloom {
+
+// How other instances reach one.
+struct instance_address {
+    std::string name;
+    std::string address; // "ip:port" of its link port
+    std::string data_centre;
+    double strength = 0;
+    std::int64_t incarnation = 0; // Unix ms of its start
+};
+
+// Links between the instances of a deployment: who is alive, what each one claims, and messages.
+// An instance links to every candidate for control and answers what links to it. Liveness is
+// judged from replies on the own link only, so that a cut of one direction is noticed.
+class instance_mesh {
+public:
+    // Receives a message of a peer; `reply` sends on the same link.
+    using sender = std::function<void(const Json::Value&)>;
+    using message_handler =
+        std::function<void(const std::string& peer, const Json::Value& message, sender reply)>;
+
+    instance_mesh(poller& events, timer_service& timers, instance_address self);
+    ~instance_mesh();
+    instance_mesh(const instance_mesh&) = delete;
+    instance_mesh& operator=(const instance_mesh&) = delete;
+
+    // Starts to accept links at the own address. Error: the address cannot be used.
+    result<bool> listen();
+
+    // Adds or refreshes instances. Links follow from the next beat on.
+    void learn(const std::vector<instance_address>& instances);
+
+    // Asks an address for the instances that its process knows; for a start without the store.
+    void introduce(const std::string& address);
+
+    // Forgets an instance that has not been listed for long and does not answer.
+    void forget(std::string_view name);
+
+    // What this instance announces from now on.
+    void announce(std::vector<cell_claim> claims, bool leaving, std::int64_t config_version);
+
+    // Sends on the own link; false if there is none that is open.
+    bool send(std::string_view peer, const Json::Value& message);
+
+    // This instance and all known ones.
+    std::vector<instance_view> views() const;
+    std::vector<instance_address> known() const;
+    const instance_address& self() const { return self_; }
+
+    // True if a peer has linked to this one and sent something within the silence limit.
+    bool hears(std::string_view peer) const;
+
+    // A peer with a newer configuration, empty if none.
+    std::string peer_with_newer_config(std::int64_t version) const;
+
+    message_handler on_message;
+    std::function<void()> on_change;                          // claims, liveness
+    std::function<void(const std::string& peer)> on_restart;  // a peer lost what it knew
+    std::function<void(const std::string& peer)> on_reconnect;
+
+private:
+    struct peer;
+    struct inbound;
+
+    void beat();
+    void update_link(peer& peer);
+    void open(peer& peer);
+    void on_pong(peer& peer, const Json::Value& message);
+    bool note_state(peer& peer, const Json::Value& message);
+    void send_pings();
+    void accept(std::shared_ptr<tcp_stream> stream);
+    void on_inbound(inbound& link, std::string_view text);
+    bool is_alive(const peer& peer) const;
+    std::set<std::string> candidates() const;
+    Json::Value own_state() const;
+
+    poller& events_;
+    timer_service& timers_;
+    instance_address self_;
+    std::unique_ptr<tcp_listener> listener_;
+    std::map<std::string, std::unique_ptr<peer>, std::less<>> peers_;
+    std::set<std::shared_ptr<inbound>> inbound_;
+    std::map<std::string, monotonic_time, std::less<>> heard_;
+    std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> introductions_;
+    std::vector<cell_claim> claims_;
+    std::uint64_t state_number_ = 1; // rises with each announced change
+    bool leaving_ = false;
+    std::int64_t config_version_ = -1;
+    timer_id beat_timer_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/cell/keyed_follower.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "cell/keyed_log.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cactusloom {
+
+// Follows one collection: reports each newer value of a key once, and each removal. It starts from
+// the newest records and reads on from there; after the history was deleted it starts again.
+class keyed_follower {
+public:
+    struct pace {
+        duration wait{};     // a read waits this long at the platform for a record
+        duration interval{}; // pause between two reads
+    };
+
+    keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic, pace speed);
+    ~keyed_follower();
+    keyed_follower(const keyed_follower&) = delete;
+    keyed_follower& operator=(const keyed_follower&) = delete;
+
+    void start();
+    void set_pace(pace speed) { pace_ = speed; }
+
+    // True once the newest records have been read.
+    bool is_complete() const { return complete_; }
+
+    // Since when every read has succeeded.
+    monotonic_time calm_since() const { return calm_since_; }
+
+    // A new value, or null for a removal. Values of a key come in order of their offsets.
+    std::function<void(const keyed_record& record)> on_record;
+    // After each read that succeeded.
+    std::function<void()> on_read;
+
+private:
+    void next(duration delay);
+    void step();
+    void read_newest(const std::string& after);
+    void on_newest(const keyed_page& page);
+    void on_page(const keyed_page& page);
+    void apply(const keyed_record& record);
+    void note_result(bool ok);
+
+    timer_service& timers_;
+    keyed_log& log_;
+    keyed_topic topic_;
+    pace pace_;
+    bool complete_ = false;
+    bool failing_ = false;
+    std::uint64_t position_ = 0;
+    std::map<std::string, std::uint64_t, std::less<>> offsets_;
+    std::set<std::string> listed_; // keys seen in the pages of the current listing
+    bool listing_ = false;
+    std::uint64_t listing_end_ = 0;
+    monotonic_time calm_since_;
+    timer_id timer_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/cell/worker_registry.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "cell/worker_orders.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cactusloom {
+
+// The workers that are to be used, from their entries in the platform's list. Entries also lapse
+// while the platform's store is away, and living workers are back soon after; a worker without an
+// entry is therefore kept for a while, counted while the list can be read.
+class worker_registry {
+public:
+    explicit worker_registry(const timer_service& timers) : timers_(timers) {}
+
+    // Returns true if something that matters to placement has changed.
+    bool put(const worker_report& report);
+    bool remove(const std::string& id);
+
+    // Takes out workers whose entry has been missing for too long. Call after each successful
+    // read. Returns true if any went.
+    bool expire(monotonic_time store_calm_since);
+
+    std::vector<worker_report> list() const;
+    bool empty() const { return entries_.empty(); }
+
+private:
+    struct entry {
+        worker_report report;
+        bool missing = false;
+        monotonic_time missing_since;
+    };
+
+    const timer_service& timers_;
+    std::map<std::string, entry> entries_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/net/http_message.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cactusloom {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+// Request to be sent. The connection adds Host and Content-Length.
+struct http_call {
+    std::string method = "GET";
+    std::string target = "/";
+    header_list headers;
+    std::string body;
+};
+
+// Reply as received.
+struct http_reply {
+    int status = 0;
+    std::string body;
+};
+
+// Why a call has no reply.
+enum class call_failure {
+    not_sent,   // certainly had no effect
+    reply_lost, // the peer may have acted on it
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/include/net/tcp_stream.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/result.h"
+#include "net/poller.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cactusloom {
+
+// One nonblocking TCP connection. Callbacks run on the loop; after on_closed no other follows.
+// A stream lives until it is closed and its last owner lets go of it.
+class tcp_stream final : public std::enable_shared_from_this<tcp_stream> {
+public:
+    // Starts to connect to "ip:port". Error `invalid_argument`: not an IPv4 address with a port;
+    // `unavailable`: no descriptor left.
+    static result<std::shared_ptr<tcp_stream>> connect(poller& events, std::string_view address);
+
+    // Takes over an accepted descriptor.
+    static std::shared_ptr<tcp_stream> adopt(poller& events, int descriptor);
+
+    ~tcp_stream();
+    tcp_stream(const tcp_stream&) = delete;
+    tcp_stream& operator=(const tcp_stream&) = delete;
+
+    // Queues bytes; they leave before the loop waits again, or once the connection is open.
+    void write(std::string_view data);
+
+    // Closes the connection. on_closed is not called. Bytes still queued are lost.
+    void close();
+
+    bool is_open() const { return descriptor_ >= 0; }
+    bool is_connected() const { return connected_; }
+
+    // Bytes that the peer has not taken yet.
+    std::size_t unsent() const { return output_.size() - sent_; }
+
+    std::function<void()> on_connected;
+    std::function<void(std::string_view)> on_data;
+    std::function<void()> on_closed;
+
+private:
+    tcp_stream(poller& events, int descriptor, bool connected);
+
+    void watch();
+    void handle(std::uint32_t events);
+    void read_available();
+    void flush();
+    void fail();
+
+    poller& events_;
+    int descriptor_;
+    bool connected_;
+    bool flush_pending_ = false;
+    bool wants_output_ = false;
+    std::string output_;
+    std::size_t sent_ = 0;
+};
+
+// Listens on "ip:port" and passes each accepted connection on.
+class tcp_listener {
+public:
+    using accept_handler = std::function<void(std::shared_ptr<tcp_stream>)>;
+
+    static result<std::unique_ptr<tcp_listener>> listen(poller& events, std::string_view address,
+                                                        accept_handler on_accept);
+    ~tcp_listener();
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
+
+    // Port in use, also where the address asked for any (port 0).
+    int port() const;
+
+private:
+    tcp_listener(poller& events, int descriptor, accept_handler on_accept);
+
+    poller& events_;
+    int descriptor_;
+    accept_handler on_accept_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/active_job.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "cell/cell_controller.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace cactusloom {
+
+// Where one task of an active job stands.
+struct task_state {
+    enum class phase { pending, placed, done };
+    phase at = phase::pending;
+    std::uint32_t failures = 0;
+    std::uint32_t moves = 0;      // starts given up because the worker was slow
+    std::uint32_t last_run = 0;   // number of the newest start
+    std::string avoid_worker;     // where it failed or stood still last
+};
+
+// A job from its submission until its last run has ended.
+struct active_job {
+    job_request request;
+    std::string requester;
+    cell_controller::answer answer; // empty once answered
+    monotonic_time arrived;
+    monotonic_time due;      // objective: an answer by then counts in full
+    monotonic_time deadline; // the caller stops waiting
+    std::vector<std::vector<task_state>> steps;
+    std::vector<std::uint32_t> done_of_step;
+    std::size_t pending_tasks = 0;
+    std::size_t placed_tasks = 0;
+    bool started = false;
+    bool ended = false; // answered or abandoned: nothing more is started
+
+    // Submission of the same id that waits for the last run of this one to end.
+    struct successor {
+        job_request request;
+        std::string requester;
+        cell_controller::answer answer;
+    };
+    std::optional<successor> next;
+
+    bool step_is_ready(std::size_t step) const
+    {
+        return std::ranges::all_of(request.steps[step].after, [this](std::uint32_t it) {
+            return done_of_step[it] == request.steps[it].count;
+        });
+    }
+
+    bool all_done() const { return pending_tasks == 0 && placed_tasks == 0; }
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/cell_controller.cpp
@@ -0,0 +1,142 @@
+#include "cell/cell_controller.h"
+
+#include "base/log.h"
+#include "controller_state.h"
+
+#include <utility>
+
+namespace cactusloom {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{25};
+
+} // namespace
+
+cell_controller::cell_controller(timer_service& timers, worker_orders& orders,
+                                 const cell_settings& settings)
+    : on_fenced([] {}), state_(std::make_unique<state>(timers, orders, settings, *this))
+{
+}
+
+cell_controller::~cell_controller()
+{
+    *state_->alive = false;
+    state_->timers.cancel(state_->tick_timer);
+}
+
+void cell_controller::claim(std::uint64_t token)
+{
+    if (token <= state_->token) {
+        return;
+    }
+    log_event("cell_claimed", "token={} workers={}", token, state_->workers.size());
+    const bool first = state_->token == 0;
+    state_->token = token;
+    state_->claimed_at = state_->timers.monotonic_now();
+    for (auto& [id, worker] : state_->workers) {
+        worker->held = false;
+        worker->next_look = state_->claimed_at;
+        state_->look(*worker, true);
+    }
+    if (first) {
+        state_->tick();
+    }
+}
+
+void cell_controller::release()
+{
+    if (state_->token == 0) {
+        return;
+    }
+    log_event("cell_released", "token={} jobs={}", state_->token, state_->jobs.size());
+    state_->token = 0;
+    state_->timers.cancel(state_->tick_timer);
+    const auto jobs = std::exchange(state_->jobs, {});
+    const auto workers = std::exchange(state_->workers, {});
+    state_->orphan_ends.clear();
+    for (const auto& [id, worker] : workers) {
+        auto& kept = state_->workers[id];
+        kept = std::make_unique<claimed_worker>();
+        kept->report = worker->report;
+        kept->listed = worker->listed;
+        kept->born_ms = worker->born_ms;
+    }
+    for (const auto& [id, job] : jobs) {
+        const job_outcome moved{job_end::moved, {}, "control has moved"};
+        if (job->answer) {
+            job->answer(moved);
+        }
+        if (job->next) {
+            job->next->answer(moved);
+        }
+    }
+}
+
+bool cell_controller::is_claimed() const
+{
+    return state_->token != 0;
+}
+
+void cell_controller::set_workers(std::span<const worker_report> workers)
+{
+    state_->set_workers(workers);
+}
+
+void cell_controller::submit(job_request job, const std::string& requester, answer fn)
+{
+    state_->submit(std::move(job), requester, std::move(fn));
+}
+
+void cell_controller::abandon(std::string_view job_id)
+{
+    const auto it = state_->jobs.find(job_id);
+    if (it != state_->jobs.end() && !it->second->ended) {
+        state_->abandon(*it->second);
+    }
+}
+
+void cell_controller::abandon_all_of(std::string_view requester)
+{
+    for (const auto& [id, job] : state_->jobs) {
+        if (job->requester == requester && !job->ended) {
+            state_->abandon(*job);
+        }
+    }
+}
+
+std::size_t cell_controller::pending_jobs(std::string_view queue) const
+{
+    std::size_t n = 0;
+    for (const auto& [id, job] : state_->jobs) {
+        if (!job->ended && !job->started && job->request.terms.queue == queue) {
+            ++n;
+        }
+    }
+    return n;
+}
+
+const cell_counts& cell_controller::counts() const
+{
+    return state_->counts;
+}
+
+void cell_controller::state::tick()
+{
+    if (token == 0) {
+        return;
+    }
+    tick_timer = timers.schedule(tick_interval, [this] { tick(); });
+    const auto now = timers.monotonic_now();
+    for (auto& [id, worker] : workers) {
+        check_worker(*worker, now);
+    }
+    for (auto it = workers.begin(); it != workers.end();) {
+        const bool gone = !it->second->listed && it->second->runs.empty();
+        it = gone ? workers.erase(it) : std::next(it);
+    }
+    check_deadlines(now);
+    schedule_pump();
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/cell_election.cpp
@@ -0,0 +1,72 @@
+#include "cell/cell_election.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace cactusloom {
+
+namespace {
+
+std::uint64_t claim_of(const instance_view& view, std::string_view cell)
+{
+    for (const auto& it : view.claims) {
+        if (it.cell == cell) {
+            return it.token;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+bool cell_election::ranks_before(std::string_view cell, const instance_view& a,
+                                 const instance_view& b)
+{
+    const bool a_home = a.data_centre == cell;
+    const bool b_home = b.data_centre == cell;
+    if (a_home != b_home) {
+        return a_home;
+    }
+    if (a.strength != b.strength) {
+        return a.strength > b.strength;
+    }
+    const auto a_hash = hash64(a.name, hash64(cell));
+    const auto b_hash = hash64(b.name, hash64(cell));
+    return a_hash != b_hash ? a_hash < b_hash : a.name < b.name;
+}
+
+cell_election::verdict cell_election::decide(std::string_view cell, std::string_view self,
+                                             std::span<const instance_view> views)
+{
+    verdict out;
+    const instance_view* holder = nullptr;
+    const instance_view* best = nullptr;
+    for (const auto& it : views) {
+        const auto token = claim_of(it, cell);
+        out.highest_token = std::max(out.highest_token, token);
+        if (!it.alive || it.leaving) {
+            continue;
+        }
+        if (token != 0 && (holder == nullptr || token > claim_of(*holder, cell))) {
+            holder = &it;
+        }
+        if (best == nullptr || ranks_before(cell, it, *best)) {
+            best = &it;
+        }
+    }
+    if (holder != nullptr) {
+        out.controller = holder->name;
+        return out;
+    }
+    out.should_claim = best != nullptr && best->name == self;
+    return out;
+}
+
+bool cell_election::is_minority(std::span<const instance_view> views)
+{
+    const auto alive = std::ranges::count_if(views, &instance_view::alive);
+    return static_cast<std::size_t>(alive) * 2 < views.size();
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/cell_service.cpp
@@ -0,0 +1,572 @@
+#include "cell/cell_service.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "cell/mesh_codec.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cactusloom {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{50};
+// A starting instance first hears who controls what; two beats and a connection are enough.
+constexpr duration election_grace = std::chrono::milliseconds{700};
+constexpr duration fence_pause = std::chrono::milliseconds{200};
+// One controller of the weakest deployed kind (a quarter of a core) carries about 60 workers at
+// peak; a fleet beyond this size is divided by data centre.
+constexpr std::size_t max_workers_of_whole_cell = 120;
+constexpr std::size_t min_workers_of_split_cells = 80;
+// Time without any controller after which new jobs are refused instead of kept.
+constexpr duration controller_patience = std::chrono::seconds{1};
+constexpr duration controller_retry_after = std::chrono::seconds{1};
+// The controller ends jobs at their deadline; a front that hears nothing by then gives up.
+constexpr duration outcome_slack = std::chrono::milliseconds{100};
+// Tokens are wall-clock milliseconds in the upper bits, so that a claim needs no store: after all
+// instances have died, later claims are still higher. The low bits tell instances apart.
+constexpr std::uint64_t token_shift = 10;
+// Raises a token beyond what a clock that had jumped ahead may have left at the workers.
+constexpr std::uint64_t fence_step = std::uint64_t{6000} << token_shift;
+
+} // namespace
+
+// A caller's job from its submission here until its answer.
+struct cell_service::desk_job {
+    job_request request;
+    answer fn;
+    std::string controller; // empty: waits for one
+    std::string cell;
+    std::set<std::string> refused_by; // cells that had no room
+    job_outcome refusal;
+    monotonic_time arrived;
+    monotonic_time deadline;
+    bool sent = false; // a controller may have started tasks
+};
+
+// A cell that this instance controls.
+struct cell_service::own_cell {
+    std::unique_ptr<cell_controller> controller;
+    std::uint64_t token = 0;
+    bool fenced = false;
+    std::set<std::string> requesters;
+};
+
+cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
+                           const cell_settings& settings)
+    : on_other_message(
+          [](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
+      timers_(timers), mesh_(mesh), orders_(orders), settings_(settings),
+      started_at_(timers.monotonic_now())
+{
+    mesh_.on_change = [this] { evaluate(); };
+    mesh_.on_restart = [this](const std::string& peer) {
+        for (auto& [id, job] : jobs_) {
+            if (job->controller == peer) {
+                job->controller.clear();
+            }
+        }
+    };
+    mesh_.on_reconnect = [this](const std::string& peer) {
+        for (auto& [id, job] : jobs_) {
+            if (job->controller == peer) {
+                job->controller.clear(); // its outcome may have been lost with the old link
+            }
+        }
+        redispatch();
+    };
+    mesh_.on_message = [this](const std::string& peer, const Json::Value& message,
+                              const instance_mesh::sender& reply) {
+        on_message(peer, message, reply);
+    };
+    const auto tick = [this](const auto& self) -> void {
+        tick_timer_ = timers_.schedule(tick_interval, [this, self] {
+            self(self);
+            evaluate();
+            check_requesters();
+            check_jobs();
+        });
+    };
+    tick(tick);
+}
+
+cell_service::~cell_service()
+{
+    *alive_ = false;
+    timers_.cancel(tick_timer_);
+}
+
+void cell_service::set_workers(std::vector<worker_report> workers)
+{
+    workers_ = std::move(workers);
+    const auto minority = cell_election::is_minority(mesh_.views());
+    for (auto& [cell, own] : own_cells_) {
+        own->controller->set_workers(workers_of(cell, minority));
+    }
+}
+
+void cell_service::set_config_version(std::int64_t version)
+{
+    config_version_ = version;
+    announce();
+}
+
+std::vector<std::string> cell_service::cells() const
+{
+    if (!split_) {
+        return {std::string(whole_cell)};
+    }
+    std::set<std::string> names;
+    for (const auto& it : workers_) {
+        names.insert(it.data_centre);
+    }
+    return {names.begin(), names.end()};
+}
+
+std::vector<worker_report> cell_service::workers_of(std::string_view cell, bool minority) const
+{
+    std::vector<worker_report> out;
+    std::ranges::copy_if(workers_, std::back_inserter(out), [&](const worker_report& it) {
+        const bool mine = cell == whole_cell || it.data_centre == cell;
+        return mine && (!minority || it.data_centre == mesh_.self().data_centre);
+    });
+    return out;
+}
+
+void cell_service::evaluate()
+{
+    const auto now = timers_.monotonic_now();
+    if (!leaving_ && now - started_at_ >= election_grace && !workers_.empty()) {
+        split_ = workers_.size() > (split_ ? min_workers_of_split_cells
+                                           : max_workers_of_whole_cell);
+        const auto views = mesh_.views();
+        const auto names = cells();
+        for (const auto& cell : own_names()) {
+            if (std::ranges::find(names, cell) == names.end()) {
+                give_up(cell);
+            }
+        }
+        for (const auto& cell : names) {
+            evaluate_cell(cell, views);
+        }
+    }
+    redispatch();
+}
+
+void cell_service::evaluate_cell(const std::string& cell, const std::vector<instance_view>& views)
+{
+    const auto& self = mesh_.self();
+    const auto verdict = cell_election::decide(cell, self.name, views);
+    const bool own = own_cells_.contains(cell);
+    if (own && verdict.controller != self.name) {
+        log_event("cell_yielded", "cell={} to={}", cell, verdict.controller);
+        give_up(cell);
+        return;
+    }
+    if (!own && verdict.should_claim) {
+        claim(cell, verdict.highest_token);
+    }
+}
+
+void cell_service::claim(const std::string& cell, std::uint64_t above)
+{
+    const auto wall =
+        std::chrono::duration_cast<std::chrono::milliseconds>(timers_.wall_now().time_since_epoch())
+            .count();
+    constexpr std::uint64_t low_bits = (std::uint64_t{1} << token_shift) - 1;
+    auto token = (static_cast<std::uint64_t>(wall) << token_shift) |
+                 (hash64(mesh_.self().name) & low_bits);
+    token = std::max(token, above + 1 + (hash64(mesh_.self().name) & low_bits));
+    auto& own = own_cells_[cell];
+    if (!own) {
+        own = std::make_unique<own_cell>();
+        own->controller = std::make_unique<cell_controller>(timers_, orders_, settings_);
+        own->controller->on_fenced = [this, cell] { on_fenced(cell); };
+        const auto minority = cell_election::is_minority(mesh_.views());
+        own->controller->set_workers(workers_of(cell, minority));
+    }
+    own->token = token;
+    own->controller->claim(token);
+    announce();
+}
+
+// A worker obeys someone else. If that one is in touch, the election settles it; if not, the
+// higher token is a leftover or belongs to the smaller side of a cut.
+void cell_service::on_fenced(const std::string& cell)
+{
+    const auto found = own_cells_.find(cell);
+    if (found == own_cells_.end() || std::exchange(found->second->fenced, true)) {
+        return;
+    }
+    timers_.schedule(fence_pause, [this, cell, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        evaluate();
+        const auto it = own_cells_.find(cell);
+        if (it == own_cells_.end()) {
+            return;
+        }
+        it->second->fenced = false;
+        log_event("token_raised", "cell={} from={}", cell, it->second->token);
+        claim(cell, it->second->token + fence_step);
+    });
+}
+
+void cell_service::give_up(const std::string& cell)
+{
+    const auto it = own_cells_.find(cell);
+    if (it == own_cells_.end()) {
+        return;
+    }
+    const auto own = std::shared_ptr<own_cell>(std::move(it->second));
+    own_cells_.erase(it);
+    announce();
+    own->controller->release();
+    // Deferred: the controller may be on the call stack.
+    timers_.schedule(duration::zero(), [own] {});
+}
+
+void cell_service::announce()
+{
+    std::vector<cell_claim> claims;
+    for (const auto& [cell, own] : own_cells_) {
+        claims.push_back({cell, own->token});
+    }
+    mesh_.announce(std::move(claims), leaving_, config_version_);
+}
+
+void cell_service::leave()
+{
+    leaving_ = true;
+    for (const auto& cell : own_names()) {
+        give_up(cell);
+    }
+    announce();
+}
+
+// A copy, for loops that give cells up.
+std::vector<std::string> cell_service::own_names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [cell, own] : own_cells_) {
+        names.push_back(cell);
+    }
+    return names;
+}
+
+bool cell_service::controls_any() const
+{
+    return !own_cells_.empty();
+}
+
+bool cell_service::has_controller() const
+{
+    const auto views = mesh_.views();
+    return std::ranges::any_of(
+        views, [](const auto& it) { return it.alive && !it.claims.empty(); });
+}
+
+// Stops the jobs of instances that are out of touch. Their fronts wait longer than this before
+// they let the callers' tasks start elsewhere.
+void cell_service::check_requesters()
+{
+    for (auto& [cell, own] : own_cells_) {
+        std::erase_if(own->requesters, [&](const std::string& requester) {
+            if (mesh_.hears(requester)) {
+                return false;
+            }
+            log_event("requester_lost", "instance={} cell={}", requester, cell);
+            own->controller->abandon_all_of(requester);
+            return true;
+        });
+    }
+}
+
+void cell_service::submit(job_request request, answer fn)
+{
+    const auto now = timers_.monotonic_now();
+    auto& job = jobs_[request.id];
+    if (job) {
+        // The caller has sent the job again while it is under way: the newer connection counts.
+        job->fn({job_end::unknown, {}, "submitted again"});
+        job->fn = std::move(fn);
+        job->deadline = std::max(job->deadline, now + request.time_left);
+        return;
+    }
+    job = std::make_unique<desk_job>();
+    job->fn = std::move(fn);
+    job->arrived = now;
+    job->deadline = now + request.time_left;
+    job->request = std::move(request);
+    dispatch(*job, mesh_.views());
+}
+
+void cell_service::abandon(const std::string& job_id)
+{
+    const auto it = jobs_.find(job_id);
+    if (it == jobs_.end()) {
+        return;
+    }
+    const auto controller = it->second->controller;
+    const auto cell = it->second->cell;
+    jobs_.erase(it);
+    if (controller == mesh_.self().name) {
+        if (const auto own = own_cells_.find(cell); own != own_cells_.end()) {
+            own->second->controller->abandon(job_id);
+        }
+    }
+    else if (!controller.empty()) {
+        Json::Value message;
+        message["t"] = "abandon";
+        message["id"] = job_id;
+        message["cell"] = cell;
+        if (!mesh_.send(controller, message)) {
+            log_event("abandon_unsent", "id={} controller={}", job_id, controller);
+        }
+    }
+}
+
+bool cell_service::cancel(const std::string& job_id)
+{
+    const auto it = jobs_.find(job_id);
+    if (it == jobs_.end()) {
+        return false;
+    }
+    const auto fn = it->second->fn;
+    abandon(job_id);
+    fn({job_end::failed, {}, "cancelled"});
+    return true;
+}
+
+void cell_service::dispatch(desk_job& job, const std::vector<instance_view>& views)
+{
+    const auto& self = mesh_.self();
+    const instance_view* target = nullptr;
+    std::string target_cell;
+    std::uint64_t target_token = 0;
+    bool target_home = false;
+    for (const auto& view : views) {
+        if (!view.alive || view.leaving) {
+            continue;
+        }
+        for (const auto& it : view.claims) {
+            const bool home = it.cell == self.data_centre;
+            if (job.refused_by.contains(it.cell)) {
+                continue;
+            }
+            const bool better = target == nullptr || (home && !target_home) ||
+                                (home == target_home && it.cell == target_cell &&
+                                 it.token > target_token);
+            if (better) {
+                target = &view;
+                target_cell = it.cell;
+                target_token = it.token;
+                target_home = home;
+            }
+        }
+    }
+    if (target == nullptr) {
+        return;
+    }
+    const auto now = timers_.monotonic_now();
+    job.request.resumed = job.sent;
+    job.request.age = now - job.arrived;
+    job.request.time_left = job.deadline - now;
+    const auto id = job.request.id;
+    if (target->name == self.name) {
+        const auto own = own_cells_.find(target_cell);
+        if (own == own_cells_.end()) {
+            return;
+        }
+        job.controller = target->name;
+        job.cell = target_cell;
+        job.sent = true;
+        own->second->controller->submit(
+            job.request, self.name,
+            [this, alive = alive_, id, cell = target_cell](const job_outcome& outcome) {
+                if (*alive) {
+                    on_outcome(id, mesh_.self().name, cell, outcome);
+                }
+            });
+        return;
+    }
+    Json::Value message;
+    message["t"] = "submit";
+    message["cell"] = target_cell;
+    message["job"] = encode_job(job.request);
+    if (mesh_.send(target->name, message)) {
+        job.controller = target->name;
+        job.cell = target_cell;
+        job.sent = true;
+    }
+}
+
+void cell_service::redispatch()
+{
+    if (jobs_.empty()) {
+        return;
+    }
+    const auto views = mesh_.views();
+    std::set<std::pair<std::string, std::string>> holders;
+    for (const auto& view : views) {
+        for (const auto& it : view.claims) {
+            if (view.alive && !view.leaving) {
+                holders.emplace(view.name, it.cell);
+            }
+        }
+    }
+    std::vector<std::string> waiting;
+    for (auto& [id, job] : jobs_) {
+        if (!job->controller.empty() && !holders.contains({job->controller, job->cell})) {
+            job->controller.clear();
+        }
+        if (job->controller.empty()) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto& id : waiting) {
+        if (const auto it = jobs_.find(id); it != jobs_.end()) {
+            dispatch(*it->second, views);
+        }
+    }
+}
+
+void cell_service::on_outcome(const std::string& job_id, const std::string& controller,
+                              const std::string& cell, const job_outcome& outcome)
+{
+    const auto it = jobs_.find(job_id);
+    if (it == jobs_.end() || it->second->controller != controller || it->second->cell != cell) {
+        return; // an answer to an earlier submission
+    }
+    auto& job = *it->second;
+    if (outcome.end == job_end::moved) {
+        job.controller.clear(); // the next evaluation finds the new controller
+        return;
+    }
+    if (outcome.end == job_end::not_run && !job.request.resumed) {
+        job.refused_by.insert(cell);
+        job.refusal = outcome;
+        job.controller.clear();
+        job.sent = false;
+        dispatch(job, mesh_.views()); // may end the job at once
+        const auto left = jobs_.find(job_id);
+        if (left != jobs_.end() && left->second->controller.empty()) {
+            finish(job_id, outcome);
+        }
+        return;
+    }
+    finish(job_id, outcome);
+}
+
+void cell_service::finish(const std::string& job_id, const job_outcome& outcome)
+{
+    const auto it = jobs_.find(job_id);
+    if (it == jobs_.end()) {
+        return;
+    }
+    const auto job = std::move(it->second);
+    jobs_.erase(it);
+    job->fn(outcome);
+}
+
+void cell_service::check_jobs()
+{
+    const auto now = timers_.monotonic_now();
+    std::vector<std::pair<std::string, job_outcome>> over;
+    for (const auto& [id, job] : jobs_) {
+        if (!job->sent && now - job->arrived > controller_patience) {
+            over.emplace_back(
+                id, job_outcome{job_end::not_run, controller_retry_after, "no controller"});
+        }
+        else if (now > job->deadline + outcome_slack) {
+            over.emplace_back(id, job->sent ? job_outcome{job_end::unknown, {}, "no outcome"}
+                                            : job_outcome{job_end::not_run,
+                                                          controller_retry_after,
+                                                          "no controller"});
+        }
+    }
+    for (const auto& [id, outcome] : over) {
+        log_event("job_given_up", "id={} reason=\"{}\"", id, outcome.reason);
+        finish(id, outcome);
+    }
+}
+
+void cell_service::on_message(const std::string& peer, const Json::Value& message,
+                              const instance_mesh::sender& reply)
+{
+    const auto kind = message["t"].asString();
+    if (kind == "submit") {
+        on_submit(peer, message, reply);
+    }
+    else if (kind == "abandon") {
+        const auto own = own_cells_.find(message["cell"].asString());
+        if (own != own_cells_.end()) {
+            own->second->controller->abandon(message["id"].asString());
+        }
+    }
+    else if (kind == "outcome") {
+        on_outcome(message["id"].asString(), peer, message["cell"].asString(),
+                   decode_outcome(message["outcome"]));
+    }
+    else {
+        on_other_message(peer, message, reply);
+    }
+}
+
+void cell_service::on_submit(const std::string& peer, const Json::Value& message,
+                             const instance_mesh::sender& reply)
+{
+    const auto cell = message["cell"].asString();
+    auto request = decode_job(message["job"]);
+    const auto id = request.id;
+    auto respond = [reply, id, cell](const job_outcome& outcome) {
+        Json::Value out;
+        out["t"] = "outcome";
+        out["id"] = id;
+        out["cell"] = cell;
+        out["outcome"] = encode_outcome(outcome);
+        reply(out);
+    };
+    const auto own = own_cells_.find(cell);
+    if (own == own_cells_.end()) {
+        respond({job_end::moved, {}, "not in control"});
+        return;
+    }
+    own->second->requesters.insert(peer);
+    own->second->controller->submit(std::move(request), peer, std::move(respond));
+}
+
+std::size_t cell_service::pending_jobs(std::string_view queue) const
+{
+    std::size_t n = 0;
+    for (const auto& [cell, own] : own_cells_) {
+        n += own->controller->pending_jobs(queue);
+    }
+    return n;
+}
+
+cell_counts cell_service::counts() const
+{
+    cell_counts sum;
+    for (const auto& [cell, own] : own_cells_) {
+        const auto& it = own->controller->counts();
+        sum.jobs_completed += it.jobs_completed;
+        sum.jobs_failed += it.jobs_failed;
+        sum.jobs_not_run += it.jobs_not_run;
+        sum.jobs_unknown += it.jobs_unknown;
+        sum.starts += it.starts;
+        sum.starts_without_reply += it.starts_without_reply;
+        sum.looks += it.looks;
+        sum.stops += it.stops;
+        sum.task_failures += it.task_failures;
+        sum.stragglers_moved += it.stragglers_moved;
+        sum.workers_lost += it.workers_lost;
+        sum.orphans_adopted += it.orphans_adopted;
+        sum.orphans_stopped += it.orphans_stopped;
+    }
+    return sum;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/controller_jobs.cpp
@@ -0,0 +1,343 @@
+#include "controller_state.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusloom {
+
+namespace {
+
+// A front resubmits within a round trip of a takeover; orphans older than this have no owner.
+constexpr duration orphan_end_lifetime = std::chrono::seconds{3};
+// After this time without its front, the earlier controller has stopped a resumed job's tasks.
+constexpr duration resumed_job_quarantine = std::chrono::milliseconds{1100};
+// A front asks again within a beat or two of a broken link.
+constexpr duration recent_outcome_lifetime = std::chrono::seconds{2};
+// Share of the cores that tasks of mixed width can fill.
+constexpr double packing_share = 0.85;
+constexpr duration min_retry_after = std::chrono::seconds{1};
+constexpr duration answer_margin = std::chrono::milliseconds{8};
+
+} // namespace
+
+void cell_controller::state::submit(job_request request, const std::string& requester, answer fn)
+{
+    if (token == 0) {
+        fn({job_end::moved, {}, "not in control"});
+        return;
+    }
+    if (const auto* defect = find_job_defect(request)) {
+        fn({job_end::failed, {}, defect});
+        return;
+    }
+    const auto it = jobs.find(request.id);
+    if (const auto done = recent.find(request.id);
+        request.resumed && it == jobs.end() && done != recent.end()) {
+        fn(done->second.outcome);
+        return;
+    }
+    if (it == jobs.end()) {
+        accept(std::move(request), requester, std::move(fn));
+        return;
+    }
+    auto& job = *it->second;
+    if (!job.ended) {
+        job.answer = std::move(fn);
+        job.requester = requester;
+        job.deadline = std::max(job.deadline, timers.monotonic_now() + request.time_left);
+        return;
+    }
+    if (job.next) {
+        job.next->answer({job_end::unknown, {}, "submitted again"});
+    }
+    job.next = active_job::successor{std::move(request), requester, std::move(fn)};
+}
+
+void cell_controller::state::accept(job_request request, const std::string& requester, answer fn)
+{
+    const auto now = timers.monotonic_now();
+    auto owned = std::make_unique<active_job>();
+    auto& job = *owned;
+    job.request = std::move(request);
+    job.requester = requester;
+    job.answer = std::move(fn);
+    job.arrived = now - job.request.age;
+    job.deadline = now + job.request.time_left;
+    const auto chain = static_cast<double>(longest_chain(job.request).count());
+    job.due = job.arrived + job.request.terms.target_latency +
+              duration{static_cast<duration::rep>(chain * job.request.terms.stretch)};
+    for (const auto& step : job.request.steps) {
+        auto& tasks = job.steps.emplace_back(step.count);
+        for (auto& task : tasks) {
+            task.last_run = job.request.run_base;
+        }
+        job.pending_tasks += step.count;
+    }
+    job.done_of_step.resize(job.request.steps.size());
+    const std::string id = job.request.id;
+    jobs[id] = std::move(owned);
+    const bool adopted = adopt_orphans(job);
+    if (job.all_done()) {
+        finish(job, {job_end::completed, {}, "done before"});
+        return;
+    }
+    if (!adopted && !job.request.resumed && reject_if_hopeless(job)) {
+        return;
+    }
+    schedule_pump();
+}
+
+// Cores of the workers that take starts, in units of speed 1.
+double cell_controller::state::usable_speed() const
+{
+    double sum = 0;
+    const auto now = timers.monotonic_now();
+    for (const auto& [id, worker] : workers) {
+        if (worker->held && worker->listed && !worker->report.draining &&
+            worker->closed_until <= now) {
+            sum += static_cast<double>(worker->report.capacity.cpu_millis) / 1000.0 /
+                   (times.kind_factor(worker->report.kind) * worker->slowness);
+        }
+    }
+    return sum * packing_share;
+}
+
+// Rejects a new job at once if the work ahead of it leaves no time before its deadline, or if no
+// worker is large enough for a task of it.
+bool cell_controller::state::reject_if_hopeless(active_job& job)
+{
+    const auto now = timers.monotonic_now();
+    if (now - claimed_at < std::chrono::seconds{1}) {
+        return false; // not all workers have answered the claim yet
+    }
+    for (const auto& step : job.request.steps) {
+        const bool fits = std::ranges::any_of(workers, [&](const auto& row) {
+            const auto& it = *row.second;
+            return it.listed && it.report.service == job.request.terms.service &&
+                   step.demand.cpu_millis <= it.report.capacity.cpu_millis &&
+                   step.demand.memory_mb <= it.report.capacity.memory_mb &&
+                   step.demand.gpus <= it.report.capacity.gpus &&
+                   (step.required_label.empty() || it.has_label(step.required_label));
+        });
+        if (!fits) {
+            finish(job, {job_end::not_run, std::chrono::seconds{5}, "no worker is large enough"});
+            return true;
+        }
+    }
+    std::vector<active_job*> ahead;
+    for (const auto& [id, it] : jobs) {
+        if (it.get() != &job && it->pending_tasks != 0) {
+            ahead.push_back(it.get());
+        }
+    }
+    const double speed = usable_speed();
+    const double work = ahead.empty() ? 0 : policy.work_before(ahead, job.due);
+    const auto wait = duration{static_cast<duration::rep>(speed > 0 ? work / speed : 1e6)};
+    duration longest{};
+    for (const auto& step : job.request.steps) {
+        longest = std::max(longest, policy.shortest(job, step));
+    }
+    if (now + wait + longest + answer_margin <= job.deadline) {
+        return false;
+    }
+    finish(job, {job_end::not_run, std::max(wait, min_retry_after), "no room before its deadline"});
+    return true;
+}
+
+// Takes over what an earlier controller started of this job. Returns true if there was any.
+bool cell_controller::state::adopt_orphans(active_job& job)
+{
+    bool any = false;
+    const auto now = timers.monotonic_now();
+    const auto task_of = [&](const task_ref& ref) -> task_state* {
+        return ref.step < job.steps.size() && ref.index < job.steps[ref.step].size()
+                   ? &job.steps[ref.step][ref.index]
+                   : nullptr;
+    };
+    std::erase_if(orphan_ends, [&](const orphan_end& it) {
+        if (now - it.seen_at > orphan_end_lifetime) {
+            return true;
+        }
+        auto* task = it.task.job == job.request.id ? task_of(it.task) : nullptr;
+        if (task == nullptr) {
+            return false;
+        }
+        if (job.request.resumed && task->at == task_state::phase::pending) {
+            task->at = task_state::phase::done;
+            --job.pending_tasks;
+            ++job.done_of_step[it.task.step];
+            job.started = true;
+            any = true;
+        }
+        return true;
+    });
+    for (auto& [id, worker] : workers) {
+        std::erase_if(worker->orphans, [&](const auto& row) {
+            task_ref ref;
+            if (!parse_task_name(row.first, ref) || ref.job != job.request.id) {
+                return false;
+            }
+            auto* task = task_of(ref);
+            if (task == nullptr) {
+                return false;
+            }
+            task->last_run = std::max(task->last_run, row.second.run);
+            if (task->at != task_state::phase::pending ||
+                row.second.stop_sent_at != monotonic_time{}) {
+                return false;
+            }
+            task_run run;
+            run.job = &job;
+            run.task = ref;
+            run.run = row.second.run;
+            run.demand = job.request.steps[ref.step].demand;
+            run.at = task_run::phase::running;
+            run.sent_at = row.second.seen_at;
+            run.confirmed_at = row.second.seen_at;
+            run.predicted = policy.predict(job, job.request.steps[ref.step], *worker);
+            worker->take(run.demand);
+            worker->runs.emplace(row.first, std::move(run));
+            task->at = task_state::phase::placed;
+            --job.pending_tasks;
+            ++job.placed_tasks;
+            job.started = true;
+            any = true;
+            ++counts.orphans_adopted;
+            return true;
+        });
+    }
+    return any;
+}
+
+// A task of a resumed job may still run on a worker that the earlier controller reaches and this
+// one does not. It must not be started a second time beside that.
+bool cell_controller::state::may_start_resumed(const active_job& job) const
+{
+    const auto now = timers.monotonic_now();
+    if (now - job.arrived > resumed_job_quarantine + job.request.age) {
+        return true;
+    }
+    return std::ranges::all_of(workers, [](const auto& row) {
+        return row.second->held || !row.second->listed;
+    });
+}
+
+void cell_controller::state::finish(active_job& job, const job_outcome& outcome)
+{
+    if (const auto fn = std::exchange(job.answer, nullptr)) {
+        switch (outcome.end) {
+        case job_end::completed:
+            ++counts.jobs_completed;
+            break;
+        case job_end::failed:
+            ++counts.jobs_failed;
+            break;
+        case job_end::not_run:
+            ++counts.jobs_not_run;
+            break;
+        default:
+            ++counts.jobs_unknown;
+            break;
+        }
+        if (outcome.end != job_end::completed) {
+            log_event("job_ended", "id={} end={} reason=\"{}\" age_ms={} started={} pending={}",
+                      job.request.id, static_cast<int>(outcome.end), outcome.reason,
+                      (timers.monotonic_now() - job.arrived).count() / 1000, job.started,
+                      job.pending_tasks);
+        }
+        if (outcome.end == job_end::completed || outcome.end == job_end::failed) {
+            recent[job.request.id] = {outcome, timers.monotonic_now()};
+        }
+        fn(outcome);
+    }
+    abandon(job);
+}
+
+void cell_controller::state::abandon(active_job& job)
+{
+    job.answer = nullptr;
+    job.ended = true;
+    job.pending_tasks = 0;
+    if (job.placed_tasks != 0) {
+        for (auto& [id, worker] : workers) {
+            for (auto& [name, run] : worker->runs) {
+                if (run.job == &job && run.at != task_run::phase::stopping) {
+                    stop(*worker, name, run);
+                }
+            }
+        }
+    }
+    else {
+        // Deferred, as callers hold references into the table.
+        timers.schedule(duration::zero(), [this, id = job.request.id, alive = alive] {
+            if (*alive) {
+                collect(id);
+            }
+        });
+    }
+}
+
+// Forgets a job whose last run has ended and lets its successor in.
+void cell_controller::state::collect(const std::string& id)
+{
+    const auto it = jobs.find(id);
+    if (it == jobs.end() || !it->second->ended || it->second->placed_tasks != 0) {
+        return;
+    }
+    auto next = std::move(it->second->next);
+    std::uint32_t last_run = 0;
+    for (const auto& step : it->second->steps) {
+        for (const auto& task : step) {
+            last_run = std::max(last_run, task.last_run);
+        }
+    }
+    jobs.erase(it);
+    if (next) {
+        next->request.run_base = std::max(next->request.run_base, last_run);
+        submit(std::move(next->request), next->requester, std::move(next->answer));
+    }
+}
+
+void cell_controller::state::check_deadlines(monotonic_time now)
+{
+    std::erase_if(recent, [now](const auto& it) {
+        return now - it.second.ended_at > recent_outcome_lifetime;
+    });
+    std::vector<active_job*> open;
+    for (const auto& [id, job] : jobs) {
+        if (!job->ended) {
+            open.push_back(job.get());
+        }
+    }
+    for (auto* job : open) {
+        if (job->ended) {
+            continue;
+        }
+        if (now > job->deadline) {
+            if (job->started) {
+                finish(*job, {job_end::failed, {}, "deadline passed"});
+            }
+            else if (job->request.resumed) {
+                finish(*job, {job_end::unknown, {}, "deadline passed"});
+            }
+            else {
+                finish(*job, {job_end::not_run, min_retry_after, "deadline passed"});
+            }
+            continue;
+        }
+        if (job->started || job->request.resumed) {
+            continue;
+        }
+        duration longest{};
+        for (const auto& step : job->request.steps) {
+            longest = std::max(longest, policy.shortest(*job, step));
+        }
+        if (now + longest > job->deadline) {
+            finish(*job, {job_end::not_run, min_retry_after, "no time left for a task"});
+        }
+    }
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/controller_starts.cpp
@@ -0,0 +1,264 @@
+#include "controller_state.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace cactusloom {
+
+namespace {
+
+// A start must be executed within this time or be refused by the worker; orders that are held up
+// for seconds must not start anything.
+constexpr duration start_lease = std::chrono::milliseconds{700};
+// Jobs that find no room before the rest of the queue is left for the next turn.
+constexpr int max_failed_jobs_per_pump = 12;
+
+} // namespace
+
+void cell_controller::state::schedule_pump()
+{
+    if (pump_scheduled || token == 0) {
+        return;
+    }
+    pump_scheduled = true;
+    timers.schedule(duration::zero(), [this, alive = alive] {
+        if (*alive) {
+            pump_scheduled = false;
+            pump();
+        }
+    });
+}
+
+bool cell_controller::state::is_open(const claimed_worker& worker, monotonic_time now) const
+{
+    return worker.held && worker.listed && !worker.report.draining && worker.clock_ms >= 0 &&
+           worker.orphans.empty() && worker.unanswered_looks == 0 && worker.closed_until <= now &&
+           // A worker on probation gets one task at a time.
+           (worker.failure_streak < 2 || worker.runs.empty());
+}
+
+void cell_controller::state::pump()
+{
+    if (token == 0) {
+        return;
+    }
+    const auto now = timers.monotonic_now();
+    std::vector<active_job*> waiting;
+    std::int64_t least_cpu = std::numeric_limits<std::int64_t>::max();
+    for (const auto& [id, job] : jobs) {
+        if (!job->ended && job->pending_tasks != 0) {
+            waiting.push_back(job.get());
+            for (const auto& step : job->request.steps) {
+                least_cpu = std::min(least_cpu, step.demand.cpu_millis);
+            }
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    std::vector<claimed_worker*> open;
+    for (const auto& [id, worker] : workers) {
+        if (is_open(*worker, now) &&
+            worker->report.capacity.cpu_millis - worker->used.cpu_millis >= least_cpu) {
+            open.push_back(worker.get());
+        }
+    }
+    if (open.empty()) {
+        return;
+    }
+    policy.sort(waiting, now);
+    int failed_jobs = 0;
+    for (auto* job : waiting) {
+        if (job->request.resumed && !may_start_resumed(*job)) {
+            continue;
+        }
+        bool placed_all = true;
+        for (std::size_t step = 0; step < job->steps.size(); ++step) {
+            if (!job->step_is_ready(step)) {
+                continue;
+            }
+            for (std::size_t i = 0; i < job->steps[step].size() && placed_all; ++i) {
+                if (job->steps[step][i].at != task_state::phase::pending) {
+                    continue;
+                }
+                auto* worker = policy.choose(*job, step, job->steps[step][i], open, now);
+                placed_all = worker != nullptr && place(*job, step, i, *worker, now);
+            }
+        }
+        if (!placed_all && ++failed_jobs >= max_failed_jobs_per_pump) {
+            return;
+        }
+    }
+}
+
+bool cell_controller::state::place(active_job& job, std::size_t step, std::size_t index,
+                                   claimed_worker& worker, monotonic_time now)
+{
+    auto& task = job.steps[step][index];
+    task_run run;
+    run.job = &job;
+    run.task = {job.request.id, static_cast<std::uint32_t>(step),
+                static_cast<std::uint32_t>(index)};
+    run.run = ++task.last_run;
+    run.demand = job.request.steps[step].demand;
+    run.sent_at = now;
+    run.predicted = policy.predict(job, job.request.steps[step], worker);
+    run.latest_start_ms = worker.clock_estimate(now) + start_lease.count() / 1000;
+    worker.lease_end_ms = std::max(worker.lease_end_ms, run.latest_start_ms);
+    worker.take(run.demand);
+    task.at = task_state::phase::placed;
+    --job.pending_tasks;
+    ++job.placed_tasks;
+    job.started = true;
+    ++counts.starts;
+    const auto name = to_task_name(run.task);
+    const start_order order{name, run.run, job.request.payload, run.latest_start_ms, token};
+    worker.runs.insert_or_assign(name, std::move(run));
+    orders.start(worker.report, order,
+                 [this, alive = alive, id = worker.report.id, name, number = task.last_run,
+                  sent = token](const order_reply& reply) {
+                     if (*alive) {
+                         on_start(id, name, number, sent, reply);
+                     }
+                 });
+    return true;
+}
+
+void cell_controller::state::on_start(const std::string& worker_id, const std::string& name,
+                                      std::uint32_t number, std::uint64_t sent_token,
+                                      const order_reply& reply)
+{
+    const auto found = workers.find(worker_id);
+    if (found == workers.end()) {
+        return;
+    }
+    auto& worker = *found->second;
+    note_clock(worker, reply.clock_ms);
+    const auto it = worker.runs.find(name);
+    if (it == worker.runs.end() || it->second.run != number) {
+        return;
+    }
+    auto& run = it->second;
+    const auto now = timers.monotonic_now();
+    if (reply.status == order_status::accepted) {
+        run.confirmed_at = now;
+        if (run.at != task_run::phase::stopping) {
+            run.at = task_run::phase::running;
+        }
+        return;
+    }
+    if (reply.status == order_status::reply_lost) {
+        ++counts.starts_without_reply;
+        log_event("start_unanswered", "task={} run={} worker={}", name, number, worker_id);
+        if (run.at == task_run::phase::starting) {
+            run.at = task_run::phase::unsettled;
+        }
+        look(worker, true);
+        return;
+    }
+    // Everything else: the worker did nothing, so the task may go elsewhere at once.
+    auto& task = run.job->steps[run.task.step][run.task.index];
+    switch (reply.status) {
+    case order_status::fenced:
+        if (sent_token == token) {
+            worker.held = false;
+            worker.next_look = now;
+            self.on_fenced();
+        }
+        break;
+    case order_status::superseded:
+        // An earlier controller used higher numbers for this task here.
+        task.last_run += 8;
+        break;
+    case order_status::unhealthy:
+    case order_status::not_sent:
+        note_task_failure(worker, *run.job, task);
+        task.avoid_worker = worker_id;
+        if (reply.status == order_status::not_sent) {
+            look(worker, true);
+        }
+        break;
+    case order_status::wrong_incarnation:
+        look(worker, true);
+        task.avoid_worker = worker_id;
+        break;
+    case order_status::no_room:
+        task.avoid_worker = worker_id;
+        look(worker, true);
+        break;
+    case order_status::invalid: {
+        auto& job = *run.job;
+        end_run(worker, name, task_state::phase::pending);
+        if (!job.ended) {
+            finish(job, {job_end::failed, {}, "a worker does not understand the task"});
+        }
+        return;
+    }
+    default:
+        break;
+    }
+    end_run(worker, name, task_state::phase::pending);
+}
+
+void cell_controller::state::stop(claimed_worker& worker, const std::string& name, task_run& run)
+{
+    run.at = task_run::phase::stopping;
+    run.stop_sent_at = timers.monotonic_now();
+    ++counts.stops;
+    orders.stop(worker.report, name, run.run, token,
+                [this, alive = alive, id = worker.report.id, name,
+                 number = run.run](const order_reply& reply) {
+                    const auto found = *alive ? workers.find(id) : workers.end();
+                    if (found == workers.end()) {
+                        return;
+                    }
+                    auto& target = *found->second;
+                    note_clock(target, reply.clock_ms);
+                    const auto it = target.runs.find(name);
+                    if (it == target.runs.end() || it->second.run != number ||
+                        reply.status != order_status::accepted) {
+                        return;
+                    }
+                    it->second.stop_confirmed = true;
+                    it->second.stop_confirmed_at = timers.monotonic_now();
+                });
+}
+
+// Frees the room of a run that is certainly over and says where its task stands now.
+void cell_controller::state::end_run(claimed_worker& worker, const std::string& name,
+                                     task_state::phase next)
+{
+    const auto it = worker.runs.find(name);
+    if (it == worker.runs.end()) {
+        return;
+    }
+    auto& job = *it->second.job;
+    const auto step = it->second.task.step;
+    auto& task = job.steps[step][it->second.task.index];
+    worker.give_back(it->second.demand);
+    worker.runs.erase(it);
+    --job.placed_tasks;
+    task.at = next;
+    if (next == task_state::phase::done) {
+        ++job.done_of_step[step];
+    }
+    else if (!job.ended) {
+        ++job.pending_tasks;
+    }
+    if (job.ended) {
+        if (job.placed_tasks == 0) {
+            timers.schedule(duration::zero(), [this, id = job.request.id, alive = alive] {
+                if (*alive) {
+                    collect(id);
+                }
+            });
+        }
+    }
+    else if (job.all_done()) {
+        finish(job, {job_end::completed, {}, ""});
+    }
+    schedule_pump();
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/controller_state.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "active_job.h"
+#include "cell/cell_controller.h"
+#include "cell/run_time_estimator.h"
+#include "claimed_worker.h"
+#include "placement.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusloom {
+
+// A task that ended done under an earlier controller and that a resumed job may count.
+struct orphan_end {
+    task_ref task;
+    monotonic_time seen_at;
+};
+
+// Outcome of a job that has ended, for a front that asks again because its link broke.
+struct recent_outcome {
+    job_outcome outcome;
+    monotonic_time ended_at;
+};
+
+// State of cell_controller. Its functions are grouped by file: jobs, workers, starts.
+struct cell_controller::state {
+    state(timer_service& timer_source, worker_orders& order_sink, const cell_settings& limits,
+          cell_controller& owner)
+        : timers(timer_source), orders(order_sink), settings(limits), self(owner),
+          policy(times, limits.remote_penalty)
+    {
+    }
+
+    timer_service& timers;
+    worker_orders& orders;
+    cell_settings settings;
+    cell_controller& self;
+    cell_counts counts;
+    run_time_estimator times;
+    placement policy;
+
+    std::uint64_t token = 0; // 0: no claim
+    monotonic_time claimed_at;
+    std::map<std::string, std::unique_ptr<claimed_worker>, std::less<>> workers;
+    std::map<std::string, std::unique_ptr<active_job>, std::less<>> jobs;
+    std::vector<orphan_end> orphan_ends;
+    std::map<std::string, recent_outcome, std::less<>> recent;
+    bool pump_scheduled = false;
+    timer_id tick_timer = 0;
+    // Callbacks of orders outlive a controller that is destroyed.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    // Jobs.
+    void submit(job_request request, const std::string& requester, answer fn);
+    void accept(job_request request, const std::string& requester, answer fn);
+    bool reject_if_hopeless(active_job& job);
+    bool adopt_orphans(active_job& job);
+    bool may_start_resumed(const active_job& job) const;
+    void finish(active_job& job, const job_outcome& outcome);
+    void abandon(active_job& job);
+    void collect(const std::string& id);
+    void check_deadlines(monotonic_time now);
+    double usable_speed() const;
+
+    // Workers.
+    void set_workers(std::span<const worker_report> reports);
+    void look(claimed_worker& worker, bool quick);
+    void on_look(const std::string& id, std::uint64_t sent_token, monotonic_time sent_at,
+                 bool quick, const look_reply& reply);
+    void apply_look(claimed_worker& worker, monotonic_time sent_at, const look_reply& reply);
+    void apply_running(claimed_worker& worker, const running_row& row, monotonic_time now);
+    void apply_finished(claimed_worker& worker, const finished_row& row, monotonic_time now);
+    void drop_vanished(claimed_worker& worker, monotonic_time sent_at, const look_reply& reply);
+    void check_progress(claimed_worker& worker, task_run& run, int percent, monotonic_time now);
+    void lose_runs(claimed_worker& worker, const char* reason);
+    void check_worker(claimed_worker& worker, monotonic_time now);
+    void note_clock(claimed_worker& worker, std::int64_t clock_ms);
+    void forget_life(claimed_worker& worker, std::int64_t born_ms);
+    void note_task_failure(claimed_worker& worker, const active_job& job, const task_state& task);
+    bool is_open(const claimed_worker& worker, monotonic_time now) const;
+
+    // Starts and stops.
+    void schedule_pump();
+    void pump();
+    bool place(active_job& job, std::size_t step, std::size_t index, claimed_worker& worker,
+               monotonic_time now);
+    void on_start(const std::string& worker_id, const std::string& task, std::uint32_t run,
+                  std::uint64_t sent_token, const order_reply& reply);
+    void stop(claimed_worker& worker, const std::string& task, task_run& run);
+    void end_run(claimed_worker& worker, const std::string& task, task_state::phase next);
+
+    void tick();
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/controller_workers.cpp
@@ -0,0 +1,410 @@
+#include "controller_state.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+#include <set>
+
+namespace cactusloom {
+
+namespace {
+
+// A waiting look is answered by an end or after this time. It must leave room in the lease for a
+// lost reply and a second look.
+constexpr duration look_wait = std::chrono::milliseconds{350};
+constexpr duration claim_retry = std::chrono::milliseconds{300};
+constexpr duration stop_retry = std::chrono::milliseconds{120};
+// A front resubmits within a round trip of a takeover.
+constexpr duration orphan_grace = std::chrono::milliseconds{250};
+constexpr duration first_closing = std::chrono::milliseconds{800};
+constexpr duration longest_closing = std::chrono::seconds{4};
+constexpr std::uint32_t failures_to_close = 2;
+// Progress below this share of the prediction marks a straggler.
+constexpr double straggler_ratio = 2.5;
+constexpr duration straggler_floor = std::chrono::milliseconds{60};
+constexpr std::uint32_t max_moves = 2;
+
+} // namespace
+
+void cell_controller::state::set_workers(std::span<const worker_report> reports)
+{
+    std::set<std::string_view> listed;
+    for (const auto& report : reports) {
+        listed.insert(report.id);
+        auto& entry = workers[report.id];
+        if (!entry) {
+            entry = std::make_unique<claimed_worker>();
+            entry->report = report;
+            entry->born_ms = report.born_ms;
+            if (token != 0) {
+                look(*entry, true);
+            }
+            continue;
+        }
+        const bool drained = report.draining && !entry->report.draining;
+        entry->listed = true;
+        entry->report = report;
+        if (drained) {
+            log_event("worker_draining", "worker={} runs={}", report.id, entry->runs.size());
+        }
+    }
+    for (auto it = workers.begin(); it != workers.end();) {
+        auto& worker = *it->second;
+        if (listed.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        if (std::exchange(worker.listed, false)) {
+            log_event("worker_unlisted", "worker={} runs={}", it->first, worker.runs.size());
+        }
+        it = worker.runs.empty() ? workers.erase(it) : std::next(it);
+    }
+    schedule_pump();
+}
+
+void cell_controller::state::note_clock(claimed_worker& worker, std::int64_t clock_ms)
+{
+    if (clock_ms >= 0) {
+        worker.clock_ms = clock_ms;
+        worker.clock_at = timers.monotonic_now();
+    }
+}
+
+// The worker has started anew: nothing of its former life runs.
+void cell_controller::state::forget_life(claimed_worker& worker, std::int64_t born_ms)
+{
+    log_event("worker_restarted", "worker={} runs={}", worker.report.id, worker.runs.size());
+    lose_runs(worker, "worker restarted");
+    worker.orphans.clear();
+    worker.seen = 0;
+    worker.clock_ms = -1;
+    worker.lease_end_ms = -1;
+    worker.born_ms = born_ms;
+    worker.slowness = 1.0;
+}
+
+void cell_controller::state::look(claimed_worker& worker, bool quick)
+{
+    bool& pending = quick ? worker.quick_look_pending : worker.look_pending;
+    if (pending || token == 0) {
+        return;
+    }
+    pending = true;
+    ++counts.looks;
+    const auto now = timers.monotonic_now();
+    look_order order;
+    order.token = token;
+    order.seen = worker.seen;
+    order.wait = quick ? duration::zero() : look_wait;
+    if (worker.clock_ms >= 0 && worker.held) {
+        order.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
+        worker.lease_end_ms = std::max(worker.lease_end_ms, order.deadline_ms);
+    }
+    orders.look(worker.report, order,
+                [this, alive = alive, id = worker.report.id, sent = token, now,
+                 quick](const look_reply& reply) {
+                    if (*alive) {
+                        on_look(id, sent, now, quick, reply);
+                    }
+                });
+}
+
+void cell_controller::state::on_look(const std::string& id, std::uint64_t sent_token,
+                                     monotonic_time sent_at, bool quick, const look_reply& reply)
+{
+    const auto found = workers.find(id);
+    if (found == workers.end()) {
+        return;
+    }
+    auto& worker = *found->second;
+    (quick ? worker.quick_look_pending : worker.look_pending) = false;
+    if (token == 0) {
+        return;
+    }
+    const auto now = timers.monotonic_now();
+    if (reply.status == order_status::accepted && sent_token == token) {
+        if (reply.born_ms != 0 && worker.born_ms != 0 && reply.born_ms != worker.born_ms) {
+            forget_life(worker, reply.born_ms);
+        }
+        if (reply.born_ms != 0) {
+            worker.born_ms = reply.born_ms;
+        }
+        worker.last_reply = now;
+        worker.unanswered_looks = 0;
+        note_clock(worker, reply.clock_ms);
+        const bool first = !std::exchange(worker.held, true);
+        apply_look(worker, sent_at, reply);
+        if (first) {
+            schedule_pump();
+        }
+        look(worker, false);
+        return;
+    }
+    if (reply.status == order_status::fenced && sent_token == token) {
+        worker.held = false;
+        worker.next_look = now + claim_retry;
+        self.on_fenced();
+        return;
+    }
+    if (reply.status == order_status::wrong_incarnation) {
+        forget_life(worker, 0);
+    }
+    if (sent_token != token) {
+        look(worker, true);
+        return;
+    }
+    ++worker.unanswered_looks;
+    if (worker.unanswered_looks == 1) {
+        worker.next_look = now;
+        look(worker, true); // on another connection: the first may have gone silent
+    }
+    else {
+        worker.next_look = now + claim_retry;
+    }
+}
+
+void cell_controller::state::apply_look(claimed_worker& worker, monotonic_time sent_at,
+                                        const look_reply& reply)
+{
+    const auto now = timers.monotonic_now();
+    for (const auto& row : reply.finished) {
+        if (row.number > worker.seen) {
+            worker.seen = row.number;
+            apply_finished(worker, row, now);
+        }
+    }
+    for (const auto& row : reply.running) {
+        apply_running(worker, row, now);
+    }
+    drop_vanished(worker, sent_at, reply);
+}
+
+void cell_controller::state::apply_finished(claimed_worker& worker, const finished_row& row,
+                                            monotonic_time now)
+{
+    worker.orphans.erase(row.task);
+    const auto it = worker.runs.find(row.task);
+    if (it == worker.runs.end()) {
+        task_ref ref;
+        if (row.how == run_end::done && parse_task_name(row.task, ref)) {
+            orphan_ends.push_back({ref, now});
+        }
+        schedule_pump();
+        return;
+    }
+    auto& run = it->second;
+    if (run.run != row.run) {
+        return;
+    }
+    auto& job = *run.job;
+    auto& task = job.steps[run.task.step][run.task.index];
+    if (row.how == run_end::done) {
+        const auto began = std::max(run.sent_at, run.confirmed_at);
+        const auto actual = now - began;
+        const auto& step = job.request.steps[run.task.step];
+        if (run.confirmed_at != monotonic_time{} && worker.slowness < 1.5) {
+            times.learn(job.request.terms.queue, worker.report.kind, step.estimate, actual);
+        }
+        const double ratio = static_cast<double>(actual.count()) * worker.slowness /
+                             static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
+        // Run times spread by half either way; only a ratio beyond that speaks of the worker.
+        const double sample = ratio > 2.0 ? ratio : 1.0;
+        worker.slowness = std::clamp(worker.slowness * 0.7 + sample * 0.3, 1.0, 20.0);
+        worker.failure_streak = 0;
+        worker.closing_time = {};
+        end_run(worker, row.task, task_state::phase::done);
+        return;
+    }
+    if (row.how == run_end::failed) {
+        ++counts.task_failures;
+        note_task_failure(worker, job, task);
+        ++task.failures;
+        task.avoid_worker = worker.report.id;
+        if (!job.ended && task.failures >= job.request.terms.attempts) {
+            end_run(worker, row.task, task_state::phase::pending);
+            if (!job.ended) {
+                finish(job, {job_end::failed, {}, "a task used up its attempts"});
+            }
+            return;
+        }
+    }
+    end_run(worker, row.task, task_state::phase::pending);
+}
+
+void cell_controller::state::apply_running(claimed_worker& worker, const running_row& row,
+                                           monotonic_time now)
+{
+    const auto it = worker.runs.find(row.task);
+    if (it != worker.runs.end() && it->second.run == row.run) {
+        auto& run = it->second;
+        if (run.at == task_run::phase::starting || run.at == task_run::phase::unsettled) {
+            run.at = task_run::phase::running;
+            run.confirmed_at = now;
+        }
+        if (run.at == task_run::phase::running) {
+            check_progress(worker, run, row.percent, now);
+        }
+        return;
+    }
+    if (it != worker.runs.end() && it->second.run > row.run) {
+        return; // an older list
+    }
+    auto& orphan = worker.orphans[row.task];
+    if (orphan.seen_at == monotonic_time{}) {
+        orphan.seen_at = now;
+        log_event("orphan_found", "worker={} task={} run={}", worker.report.id, row.task, row.run);
+    }
+    orphan.run = row.run;
+    task_ref ref;
+    if (parse_task_name(row.task, ref)) {
+        const auto job = jobs.find(ref.job);
+        if (job != jobs.end() && !job->second->ended) {
+            adopt_orphans(*job->second);
+        }
+    }
+}
+
+// A run that a look sent after its confirmation does not list is over without an end: the list is
+// complete, so the worker has lost it.
+void cell_controller::state::drop_vanished(claimed_worker& worker, monotonic_time sent_at,
+                                           const look_reply& reply)
+{
+    std::set<std::string_view> running;
+    for (const auto& row : reply.running) {
+        running.insert(row.task);
+    }
+    if (reply.finished_complete) {
+        std::erase_if(worker.orphans, [&](const auto& it) { return !running.contains(it.first); });
+    }
+    std::vector<std::string> over;
+    for (const auto& [name, run] : worker.runs) {
+        if (running.contains(name) || !reply.finished_complete) {
+            continue;
+        }
+        const bool confirmed_before =
+            run.confirmed_at != monotonic_time{} && sent_at > run.confirmed_at;
+        const bool refused_by_now = run.confirmed_at == monotonic_time{} &&
+                                    reply.clock_ms > run.latest_start_ms;
+        const bool stopped = run.stop_confirmed && sent_at > run.stop_confirmed_at;
+        if (confirmed_before || refused_by_now || stopped) {
+            over.push_back(name);
+        }
+    }
+    for (const auto& name : over) {
+        log_event("run_vanished", "worker={} task={}", worker.report.id, name);
+        end_run(worker, name, task_state::phase::pending);
+    }
+    for (auto& [name, run] : worker.runs) {
+        if (run.at == task_run::phase::unsettled && sent_at > run.sent_at) {
+            stop(worker, name, run); // settles it sooner than the end of its lease
+        }
+    }
+}
+
+void cell_controller::state::check_progress(claimed_worker& worker, task_run& run, int percent,
+                                            monotonic_time now)
+{
+    const auto elapsed = now - std::max(run.sent_at, run.confirmed_at);
+    const auto patience = std::max(
+        straggler_floor, duration{static_cast<duration::rep>(
+                             static_cast<double>(run.predicted.count()) * straggler_ratio)});
+    if (elapsed < patience || percent >= 100) {
+        return;
+    }
+    const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
+    const duration remaining{static_cast<duration::rep>((100 - percent) / rate)};
+    auto& job = *run.job;
+    auto& task = job.steps[run.task.step][run.task.index];
+    const auto fresh = policy.shortest(job, job.request.steps[run.task.step]);
+    const double projected = static_cast<double>((elapsed + remaining).count()) * worker.slowness /
+                             static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
+    if (projected > 2 * straggler_ratio) {
+        worker.slowness = std::clamp(projected, worker.slowness, 20.0);
+    }
+    if (job.ended || task.moves >= max_moves || remaining < 2 * fresh + settings.stop_time ||
+        now + fresh > job.deadline) {
+        return;
+    }
+    ++task.moves;
+    ++counts.stragglers_moved;
+    task.avoid_worker = worker.report.id;
+    log_event("straggler_moved", "task={} worker={} percent={} elapsed_ms={}",
+              to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000);
+    stop(worker, to_task_name(run.task), run);
+}
+
+void cell_controller::state::note_task_failure(claimed_worker& worker, const active_job& job,
+                                               const task_state& task)
+{
+    // A task that failed elsewhere too says nothing of the worker.
+    if (task.failures != 0 || worker.last_failed_job == job.request.id) {
+        return;
+    }
+    worker.last_failed_job = job.request.id;
+    if (++worker.failure_streak < failures_to_close) {
+        return;
+    }
+    worker.closing_time = worker.closing_time == duration{}
+                              ? first_closing
+                              : std::min(2 * worker.closing_time, longest_closing);
+    worker.closed_until = timers.monotonic_now() + worker.closing_time;
+    log_event("worker_closed", "worker={} streak={} for_ms={}", worker.report.id,
+              worker.failure_streak, worker.closing_time.count() / 1000);
+}
+
+// Everything that ran there is over: the leases have lapsed or the worker has started anew.
+void cell_controller::state::lose_runs(claimed_worker& worker, const char* reason)
+{
+    if (worker.runs.empty()) {
+        return;
+    }
+    ++counts.workers_lost;
+    log_event("runs_lost", "worker={} runs={} reason=\"{}\"", worker.report.id,
+              worker.runs.size(), reason);
+    std::vector<std::string> names;
+    for (const auto& [name, run] : worker.runs) {
+        names.push_back(name);
+    }
+    for (const auto& name : names) {
+        end_run(worker, name, task_state::phase::pending);
+    }
+}
+
+void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
+{
+    if (worker.slowness > 1.0) {
+        worker.slowness = std::max(1.0, worker.slowness * 0.995); // back by careful trials
+    }
+    const bool silent = !worker.held || worker.unanswered_looks != 0;
+    if (silent && worker.clock_ms >= 0 && !worker.runs.empty() && now > worker.lapsed_at()) {
+        lose_runs(worker, "leases lapsed");
+        worker.held = false;
+    }
+    if (silent && now >= worker.next_look && worker.listed) {
+        look(worker, true);
+        worker.next_look = now + claim_retry;
+    }
+    if (!worker.held) {
+        return;
+    }
+    for (auto& [name, run] : worker.runs) {
+        if (run.at == task_run::phase::stopping && !run.stop_confirmed &&
+            now - run.stop_sent_at > stop_retry) {
+            stop(worker, name, run);
+        }
+    }
+    for (auto& [name, orphan] : worker.orphans) {
+        if (now - orphan.seen_at > orphan_grace && now - orphan.stop_sent_at > stop_retry) {
+            if (orphan.stop_sent_at == monotonic_time{}) {
+                ++counts.orphans_stopped;
+            }
+            orphan.stop_sent_at = now;
+            orders.stop(worker.report, name, orphan.run, token, [](const order_reply&) {
+                // The next look tells; until then the stop is repeated.
+            });
+        }
+    }
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/front_desk.cpp
@@ -0,0 +1,117 @@
+#include "cell/front_desk.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace cactusloom {
+
+namespace {
+
+// Until the configuration has been read; the store answers within some ms.
+constexpr duration no_config_retry = std::chrono::seconds{1};
+// A job of a kind that is not offered gains nothing by coming back soon.
+constexpr duration unsupported_retry = std::chrono::seconds{60};
+
+desk_reply not_run(duration retry_after)
+{
+    return {desk_reply::kind::not_run, retry_after};
+}
+
+desk_reply to_reply(const job_outcome& outcome)
+{
+    switch (outcome.end) {
+    case job_end::completed:
+        return {desk_reply::kind::completed};
+    case job_end::failed:
+        return {desk_reply::kind::failed};
+    case job_end::not_run:
+        return not_run(outcome.retry_after);
+    default:
+        return {desk_reply::kind::unknown_fate};
+    }
+}
+
+} // namespace
+
+bool front_desk::set_queues(queue_table table)
+{
+    if (table.version <= table_.version) {
+        return false;
+    }
+    log_event("configuration_in_force", "version={} before={} routes={}", table.version,
+              table_.version, table.routes.size());
+    table_ = std::move(table);
+    cells_.set_config_version(table_.version);
+    return true;
+}
+
+front_desk::queue_match front_desk::find_queue(std::string_view host, std::string_view path) const
+{
+    if (table_.version < 0) {
+        return {false, 0, not_run(no_config_retry)};
+    }
+    const auto* route = table_.find(host, path);
+    if (route == nullptr) {
+        return {false, 0, {desk_reply::kind::no_such_queue}};
+    }
+    return {true, route->path_prefix.size(), {}};
+}
+
+void front_desk::submit(std::string_view host, std::string_view path, submission order, answer fn)
+{
+    const auto* route = table_.find(host, path);
+    if (route == nullptr) {
+        fn({desk_reply::kind::no_such_queue});
+        return;
+    }
+    if (const auto* defect = find_job_defect(order.request)) {
+        log_event("job_malformed", "id={} reason=\"{}\"", order.request.id, defect);
+        fn({desk_reply::kind::malformed});
+        return;
+    }
+    if (!order.answer_at_end || !order.unsupported.empty()) {
+        log_event("job_refused", "id={} queue={} reason=\"not offered: {}\"", order.request.id,
+                  route->terms.queue, order.answer_at_end ? order.unsupported : "stored jobs");
+        fn(not_run(unsupported_retry));
+        return;
+    }
+    auto& request = order.request;
+    request.terms = route->terms;
+    request.time_left = std::min(order.patience.value_or(route->timeout), route->timeout);
+    cells_.submit(std::move(request),
+                  [fn = std::move(fn)](const job_outcome& outcome) { fn(to_reply(outcome)); });
+}
+
+void front_desk::caller_left(const std::string& job_id)
+{
+    cells_.abandon(job_id);
+}
+
+desk_reply front_desk::state_of(const std::string& job_id) const
+{
+    return {cells_.has_job(job_id) ? desk_reply::kind::running : desk_reply::kind::no_such_job};
+}
+
+desk_reply front_desk::cancel(const std::string& job_id)
+{
+    return {cells_.cancel(job_id) ? desk_reply::kind::cancelled : desk_reply::kind::no_such_job};
+}
+
+desk_reply front_desk::pending(std::string_view host, std::string_view path) const
+{
+    const auto* route = table_.find(host, path);
+    if (route == nullptr) {
+        return {desk_reply::kind::no_such_queue};
+    }
+    desk_reply out{desk_reply::kind::pending};
+    out.pending = cells_.pending_jobs(route->terms.queue);
+    return out;
+}
+
+bool front_desk::is_ready() const
+{
+    return !draining_ && table_.version >= 0 && cells_.has_controller();
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/instance_mesh.cpp
@@ -0,0 +1,457 @@
+#include "cell/instance_mesh.h"
+
+#include "base/log.h"
+#include "cell/mesh_codec.h"
+#include "http/json_text.h"
+
+#include <algorithm>
+
+namespace cactusloom {
+
+namespace {
+
+constexpr duration beat_interval = std::chrono::milliseconds{150};
+// Four beats: a lost packet is sent again within one to two hundred ms.
+constexpr duration silence_limit = std::chrono::milliseconds{600};
+constexpr duration connect_limit = std::chrono::milliseconds{400};
+constexpr duration introduction_limit = std::chrono::seconds{2};
+// Up to this many instances every one may control; beyond it the strongest of each data centre.
+constexpr std::size_t full_mesh_size = 12;
+constexpr std::size_t candidates_per_data_centre = 3;
+
+} // namespace
+
+struct instance_mesh::peer {
+    instance_address address;
+    std::shared_ptr<frame_link> link;
+    bool closed = false; // the link is to be replaced at the next beat
+    bool refused = false; // nothing listened at the last attempt
+    bool was_connected = false;
+    bool alive_before = false;
+    monotonic_time opened_at;
+    monotonic_time last_pong;
+    std::int64_t incarnation = 0;
+    std::uint64_t state_number = 0;
+    std::vector<cell_claim> claims;
+    bool leaving = false;
+    std::int64_t config_version = -1;
+};
+
+struct instance_mesh::inbound {
+    std::unique_ptr<frame_link> link;
+    std::string name;
+};
+
+instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
+    : on_message([](const std::string&, const Json::Value&, const sender&) {}), on_change([] {}),
+      on_restart([](const std::string&) {}), on_reconnect([](const std::string&) {}),
+      events_(events), timers_(timers), self_(std::move(self))
+{
+}
+
+instance_mesh::~instance_mesh()
+{
+    *alive_ = false;
+    timers_.cancel(beat_timer_);
+}
+
+result<bool> instance_mesh::listen()
+{
+    auto listener =
+        tcp_listener::listen(events_, self_.address, [this](std::shared_ptr<tcp_stream> stream) {
+            accept(std::move(stream));
+        });
+    if (!listener) {
+        return listener.error();
+    }
+    listener_ = std::move(listener.value());
+    beat();
+    return true;
+}
+
+void instance_mesh::learn(const std::vector<instance_address>& instances)
+{
+    for (const auto& it : instances) {
+        if (it.name == self_.name || it.name.empty()) {
+            continue;
+        }
+        auto& entry = peers_[it.name];
+        if (!entry) {
+            entry = std::make_unique<peer>();
+            entry->address = it;
+            log_event("instance_learned", "instance={} address={}", it.name, it.address);
+            continue;
+        }
+        if (it.incarnation < entry->address.incarnation) {
+            continue;
+        }
+        if (it.address != entry->address.address) {
+            entry->closed = true;
+        }
+        entry->address = it;
+    }
+}
+
+void instance_mesh::introduce(const std::string& address)
+{
+    if (address == self_.address) {
+        return;
+    }
+    auto stream = tcp_stream::connect(events_, address);
+    if (!stream) {
+        log_event("introduction_failed", "address={} reason=\"{}\"", address,
+                  stream.error().message);
+        return;
+    }
+    auto link = std::make_unique<frame_link>(stream.value());
+    link->on_message = [this](std::string_view text) {
+        const auto message = parse_json(text);
+        if (message && message.value()["t"].asString() == "instances") {
+            learn(decode_instances(message.value()["instances"]));
+        }
+    };
+    auto request = own_state();
+    request["t"] = "instances_request";
+    link->send(write_json(request));
+    introductions_.emplace_back(timers_.monotonic_now(), std::move(link));
+}
+
+void instance_mesh::forget(std::string_view name)
+{
+    const auto it = peers_.find(name);
+    if (it != peers_.end() && !is_alive(*it->second)) {
+        log_event("instance_forgotten", "instance={}", name);
+        peers_.erase(it);
+    }
+}
+
+void instance_mesh::announce(std::vector<cell_claim> claims, bool leaving,
+                             std::int64_t config_version)
+{
+    const bool changed = !std::ranges::equal(claims, claims_) || leaving != leaving_;
+    claims_ = std::move(claims);
+    leaving_ = leaving;
+    config_version_ = config_version;
+    if (changed) {
+        ++state_number_;
+        send_pings(); // a change of control must not wait for the next beat
+    }
+}
+
+bool instance_mesh::send(std::string_view name, const Json::Value& message)
+{
+    const auto it = peers_.find(name);
+    if (it == peers_.end() || !it->second->link || it->second->closed ||
+        !it->second->link->is_connected()) {
+        return false;
+    }
+    it->second->link->send(write_json(message));
+    return true;
+}
+
+bool instance_mesh::is_alive(const peer& it) const
+{
+    if (it.refused || it.last_pong == monotonic_time{}) {
+        return false;
+    }
+    return timers_.monotonic_now() - it.last_pong < silence_limit;
+}
+
+bool instance_mesh::hears(std::string_view name) const
+{
+    const auto it = heard_.find(name);
+    return it != heard_.end() && timers_.monotonic_now() - it->second < silence_limit;
+}
+
+std::vector<instance_view> instance_mesh::views() const
+{
+    std::vector<instance_view> out;
+    out.push_back({self_.name, self_.data_centre, self_.strength, true, leaving_, claims_});
+    const auto linked = candidates();
+    for (const auto& [name, it] : peers_) {
+        instance_view view{name, it->address.data_centre, it->address.strength, is_alive(*it),
+                           it->leaving, it->claims};
+        if (!linked.contains(name)) { // no own link: what it sends is all there is
+            view.alive = hears(name);
+            view.leaving = true; // it is no candidate
+            view.claims.clear();
+        }
+        out.push_back(std::move(view));
+    }
+    return out;
+}
+
+std::vector<instance_address> instance_mesh::known() const
+{
+    std::vector<instance_address> out = {self_};
+    for (const auto& [name, it] : peers_) {
+        out.push_back(it->address);
+    }
+    return out;
+}
+
+std::string instance_mesh::peer_with_newer_config(std::int64_t version) const
+{
+    for (const auto& [name, it] : peers_) {
+        if (it->config_version > version && is_alive(*it)) {
+            return name;
+        }
+    }
+    return {};
+}
+
+std::set<std::string> instance_mesh::candidates() const
+{
+    std::set<std::string> out;
+    if (peers_.size() + 1 <= full_mesh_size) {
+        for (const auto& [name, it] : peers_) {
+            out.insert(name);
+        }
+        return out;
+    }
+    std::map<std::string, std::vector<instance_view>> by_data_centre;
+    for (const auto& it : known()) {
+        by_data_centre[it.data_centre].push_back(
+            {it.name, it.data_centre, it.strength, true, false, {}});
+    }
+    for (auto& [cell, views] : by_data_centre) {
+        std::ranges::sort(views, [&cell](const auto& a, const auto& b) {
+            return cell_election::ranks_before(cell, a, b);
+        });
+        for (std::size_t i = 0; i < views.size() && i < candidates_per_data_centre; ++i) {
+            out.insert(views[i].name);
+        }
+    }
+    out.erase(self_.name);
+    return out;
+}
+
+Json::Value instance_mesh::own_state() const
+{
+    Json::Value message;
+    message["from"] = encode_instance(self_);
+    message["claims"] = encode_claims(claims_);
+    message["number"] = Json::UInt64{state_number_};
+    message["leaving"] = leaving_;
+    message["config"] = Json::Int64{config_version_};
+    return message;
+}
+
+void instance_mesh::beat()
+{
+    beat_timer_ = timers_.schedule(beat_interval, [this] { beat(); });
+    const auto now = timers_.monotonic_now();
+    std::erase_if(introductions_,
+                  [now](const auto& it) { return now - it.first > introduction_limit; });
+    const auto linked = candidates();
+    bool changed = false;
+    for (const auto& [name, it] : peers_) {
+        if (linked.contains(name)) {
+            update_link(*it);
+        }
+        else {
+            it->link.reset();
+        }
+        const bool alive = is_alive(*it);
+        if (alive != it->alive_before) {
+            it->alive_before = alive;
+            changed = true;
+            log_event(alive ? "instance_up" : "instance_down", "instance={}", name);
+        }
+    }
+    send_pings();
+    if (changed) {
+        on_change();
+    }
+}
+
+void instance_mesh::send_pings()
+{
+    auto ping = own_state();
+    ping["t"] = "ping";
+    const auto text = write_json(ping);
+    for (const auto& [name, it] : peers_) {
+        if (it->link && !it->closed && it->link->is_connected()) {
+            it->link->send(text);
+        }
+    }
+}
+
+// Replaces a link that is closed, silent or cannot be opened in time.
+void instance_mesh::update_link(peer& it)
+{
+    const auto now = timers_.monotonic_now();
+    if (it.link && !it.closed) {
+        const bool silent = it.link->is_connected()
+                                ? now - std::max(it.last_pong, it.opened_at) > silence_limit
+                                : now - it.opened_at > connect_limit;
+        if (!silent) {
+            return;
+        }
+    }
+    open(it);
+}
+
+void instance_mesh::open(peer& it)
+{
+    it.closed = false;
+    it.was_connected = false;
+    it.opened_at = timers_.monotonic_now();
+    auto stream = tcp_stream::connect(events_, it.address.address);
+    if (!stream) {
+        log_event("link_failed", "instance={} reason=\"{}\"", it.address.name,
+                  stream.error().message);
+        it.link.reset();
+        return;
+    }
+    it.link = std::make_shared<frame_link>(stream.value());
+    auto* own = &it;
+    it.link->on_connected = [this, own] {
+        own->was_connected = true;
+        own->refused = false;
+        auto ping = own_state();
+        ping["t"] = "ping";
+        own->link->send(write_json(ping));
+        on_reconnect(own->address.name);
+    };
+    it.link->on_message = [this, own](std::string_view text) {
+        const auto message = parse_json(text);
+        if (!message) {
+            log_event("peer_message_unreadable", "instance={} reason=\"{}\"", own->address.name,
+                      message.error().message);
+            return;
+        }
+        if (message.value()["t"].asString() == "pong") {
+            on_pong(*own, message.value());
+            return;
+        }
+        on_message(own->address.name, message.value(), [](const Json::Value&) {});
+    };
+    it.link->on_closed = [this, own] {
+        own->closed = true;
+        const bool opened = own->was_connected;
+        if (!opened) {
+            // A reset of the opening packet: no process listens there.
+            own->refused = true;
+        }
+        // A closed link says little; whether a new one opens tells if the process lives.
+        timers_.schedule(duration::zero(), [this, opened, name = own->address.name,
+                                            alive = alive_] {
+            if (!*alive) {
+                return;
+            }
+            const auto found = peers_.find(name);
+            if (found == peers_.end()) {
+                return;
+            }
+            if (opened && found->second->closed) {
+                open(*found->second);
+            }
+            on_change();
+        });
+    };
+}
+
+// Takes over what a peer says of itself, unless a newer message has already arrived on another
+// link. Returns true if that changes who controls what.
+bool instance_mesh::note_state(peer& it, const Json::Value& message)
+{
+    const auto from = decode_instance(message["from"]);
+    const auto number = message["number"].asUInt64();
+    if (from.incarnation < it.incarnation ||
+        (from.incarnation == it.incarnation && number < it.state_number)) {
+        return false;
+    }
+    const bool restarted = it.incarnation != 0 && from.incarnation != it.incarnation;
+    it.incarnation = from.incarnation;
+    it.state_number = number;
+    it.address = from;
+    auto claims = decode_claims(message["claims"]);
+    const bool leaving = message["leaving"].asBool();
+    const bool changed = leaving != it.leaving || !std::ranges::equal(claims, it.claims);
+    it.claims = std::move(claims);
+    it.leaving = leaving;
+    it.config_version = message["config"].asInt64();
+    if (restarted) {
+        log_event("instance_restarted", "instance={}", from.name);
+        on_restart(from.name);
+    }
+    return changed || restarted;
+}
+
+void instance_mesh::on_pong(peer& it, const Json::Value& message)
+{
+    it.last_pong = timers_.monotonic_now();
+    it.refused = false;
+    const bool changed = note_state(it, message);
+    if (changed || !it.alive_before) {
+        it.alive_before = true;
+        on_change();
+    }
+}
+
+void instance_mesh::accept(std::shared_ptr<tcp_stream> stream)
+{
+    const auto it = std::make_shared<inbound>();
+    it->link = std::make_unique<frame_link>(std::move(stream));
+    inbound_.insert(it);
+    it->link->on_message = [this, own = it.get()](std::string_view text) {
+        on_inbound(*own, text);
+    };
+    it->link->on_closed = [this, weak = std::weak_ptr(it)] {
+        // Deferred: the link must not be destroyed from within its own handler.
+        timers_.schedule(duration::zero(), [this, weak, alive = alive_] {
+            if (const auto gone = *alive ? weak.lock() : nullptr) {
+                inbound_.erase(gone);
+            }
+        });
+    };
+}
+
+void instance_mesh::on_inbound(inbound& link, std::string_view text)
+{
+    const auto parsed = parse_json(text);
+    if (!parsed) {
+        log_event("peer_message_unreadable", "instance={} reason=\"{}\"", link.name,
+                  parsed.error().message);
+        return;
+    }
+    const auto& message = parsed.value();
+    const auto kind = message["t"].asString();
+    if (message.isMember("from")) {
+        const auto from = decode_instance(message["from"]);
+        link.name = from.name;
+        learn({from});
+        const auto known = peers_.find(from.name);
+        if (known != peers_.end() && note_state(*known->second, message)) {
+            on_change();
+        }
+    }
+    heard_[link.name] = timers_.monotonic_now();
+    if (kind == "ping") {
+        auto pong = own_state();
+        pong["t"] = "pong";
+        link.link->send(write_json(pong));
+        return;
+    }
+    if (kind == "instances_request") {
+        Json::Value reply;
+        reply["t"] = "instances";
+        reply["instances"] = encode_instances(known());
+        link.link->send(write_json(reply));
+        return;
+    }
+    std::weak_ptr<inbound> weak;
+    for (const auto& it : inbound_) {
+        if (it.get() == &link) {
+            weak = it;
+        }
+    }
+    on_message(link.name, message, [weak](const Json::Value& reply) {
+        if (const auto it = weak.lock()) {
+            it->link->send(write_json(reply));
+        }
+    });
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/instance_registry.cpp
@@ -0,0 +1,76 @@
+#include "cell/instance_registry.h"
+
+#include "base/log.h"
+#include "cell/mesh_codec.h"
+#include "http/json_text.h"
+
+namespace cactusloom {
+
+namespace {
+
+constexpr duration write_retry = std::chrono::milliseconds{300};
+constexpr duration refresh_interval = std::chrono::seconds{8};
+// Three refreshes may be missed before an instance that does not answer is taken as removed.
+constexpr duration forget_after = std::chrono::seconds{25};
+// Instances also learn of each other when they link; this only finds what nobody links to.
+constexpr keyed_follower::pace read_pace = {{}, std::chrono::milliseconds{1500}};
+
+} // namespace
+
+instance_registry::instance_registry(timer_service& timers, keyed_log& log, instance_mesh& mesh)
+    : timers_(timers), log_(log), mesh_(mesh),
+      follower_(timers, log, keyed_topic::instances, read_pace)
+{
+    follower_.on_record = [this](const keyed_record& record) {
+        if (!record.value) {
+            return;
+        }
+        const auto value = parse_json(*record.value);
+        if (!value) {
+            log_event("instance_entry_unreadable", "key={} reason=\"{}\"", record.key,
+                      value.error().message);
+            return;
+        }
+        mesh_.learn({decode_instance(value.value())});
+        refreshed_[record.key] = timers_.monotonic_now();
+    };
+    follower_.on_read = [this] { check(); };
+}
+
+instance_registry::~instance_registry()
+{
+    *alive_ = false;
+    timers_.cancel(write_timer_);
+}
+
+void instance_registry::start()
+{
+    write();
+    follower_.start();
+}
+
+void instance_registry::write()
+{
+    log_.put(keyed_topic::instances, mesh_.self().name, write_json(encode_instance(mesh_.self())),
+             [this, alive = alive_](bool ok) {
+                 if (*alive) {
+                     write_timer_ = timers_.schedule(ok ? refresh_interval : write_retry,
+                                                     [this] { write(); });
+                 }
+             });
+}
+
+void instance_registry::check()
+{
+    const auto now = timers_.monotonic_now();
+    std::erase_if(refreshed_, [&](const auto& it) {
+        // While the store was away nobody could refresh.
+        if (now - std::max(it.second, follower_.calm_since()) <= forget_after) {
+            return false;
+        }
+        mesh_.forget(it.first);
+        return true;
+    });
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/job.cpp
@@ -0,0 +1,78 @@
+#include "cell/job.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace cactusloom {
+
+namespace {
+
+// Takes the number before the last dot off the text.
+bool take_number(std::string_view& text, std::uint32_t& value)
+{
+    const auto dot = text.rfind('.');
+    if (dot == std::string_view::npos) {
+        return false;
+    }
+    const auto digits = text.substr(dot + 1);
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    text = text.substr(0, dot);
+    return ec == std::errc{} && end == digits.data() + digits.size() && !digits.empty();
+}
+
+} // namespace
+
+std::string to_task_name(const task_ref& task)
+{
+    return fmt::format("{}.0.{}.{}", task.job, task.step, task.index);
+}
+
+bool parse_task_name(std::string_view text, task_ref& task)
+{
+    std::uint32_t occurrence = 0;
+    if (!take_number(text, task.index) || !take_number(text, task.step) ||
+        !take_number(text, occurrence)) {
+        return false;
+    }
+    task.job = std::string(text);
+    return !task.job.empty();
+}
+
+const char* find_job_defect(const job_request& job)
+{
+    if (job.steps.empty()) {
+        return "no steps";
+    }
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        const auto& step = job.steps[i];
+        if (step.count == 0) {
+            return "a step without tasks";
+        }
+        if (step.demand.cpu_millis < 0 || step.demand.memory_mb < 0 || step.demand.gpus < 0) {
+            return "a demand below zero";
+        }
+        // Steps may only wait for earlier ones, which rules out cycles.
+        if (std::ranges::any_of(step.after, [i](std::uint32_t it) { return it >= i; })) {
+            return "a step that waits for itself or a later one";
+        }
+    }
+    return nullptr;
+}
+
+duration longest_chain(const job_request& job)
+{
+    std::vector<duration> ends;
+    duration longest{};
+    for (const auto& step : job.steps) {
+        duration begin{};
+        for (const auto it : step.after) {
+            begin = std::max(begin, ends[it]);
+        }
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/keyed_follower.cpp
@@ -0,0 +1,153 @@
+#include "cell/keyed_follower.h"
+
+#include "base/log.h"
+
+#include <vector>
+
+namespace cactusloom {
+
+namespace {
+
+constexpr duration failure_pause = std::chrono::milliseconds{250};
+
+const char* name_of(keyed_topic topic)
+{
+    switch (topic) {
+    case keyed_topic::configuration:
+        return "configuration";
+    case keyed_topic::workers:
+        return "workers";
+    case keyed_topic::instances:
+        return "instances";
+    }
+    return "";
+}
+
+} // namespace
+
+keyed_follower::keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic, pace speed)
+    : on_record([](const keyed_record&) {}), on_read([] {}), timers_(timers), log_(log),
+      topic_(topic), pace_(speed)
+{
+}
+
+keyed_follower::~keyed_follower()
+{
+    *alive_ = false;
+    timers_.cancel(timer_);
+}
+
+void keyed_follower::start()
+{
+    step();
+}
+
+void keyed_follower::next(duration delay)
+{
+    timer_ = timers_.schedule(delay, [this] { step(); });
+}
+
+void keyed_follower::step()
+{
+    if (!complete_) {
+        listing_ = false;
+        read_newest("");
+        return;
+    }
+    log_.read(topic_, position_, pace_.wait, [this, alive = alive_](const keyed_page& page) {
+        if (*alive) {
+            on_page(page);
+        }
+    });
+}
+
+void keyed_follower::note_result(bool ok)
+{
+    if (ok == failing_) {
+        failing_ = !ok;
+        calm_since_ = timers_.monotonic_now();
+        log_event(ok ? "records_regained" : "records_unreachable", "topic={}", name_of(topic_));
+    }
+}
+
+void keyed_follower::read_newest(const std::string& after)
+{
+    log_.newest(topic_, after, [this, alive = alive_](const keyed_page& page) {
+        if (*alive) {
+            on_newest(page);
+        }
+    });
+}
+
+void keyed_follower::on_newest(const keyed_page& page)
+{
+    note_result(page.state == keyed_page::status::ok);
+    if (page.state != keyed_page::status::ok) {
+        next(failure_pause);
+        return;
+    }
+    if (!listing_) {
+        listing_ = true;
+        listed_.clear();
+        // Later pages are not of the same moment; reading on from here covers what they miss.
+        listing_end_ = page.end;
+    }
+    for (const auto& record : page.records) {
+        listed_.insert(record.key);
+        apply(record);
+    }
+    if (page.has_more && !page.records.empty()) {
+        read_newest(page.records.back().key);
+        return;
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, offset] : offsets_) {
+        if (!listed_.contains(key) && offset < listing_end_) {
+            gone.push_back(key);
+        }
+    }
+    for (const auto& key : gone) {
+        offsets_.erase(key);
+        on_record({key, std::nullopt, listing_end_});
+    }
+    listing_ = false;
+    complete_ = true;
+    position_ = listing_end_;
+    on_read();
+    next(pace_.interval);
+}
+
+void keyed_follower::on_page(const keyed_page& page)
+{
+    note_result(page.state == keyed_page::status::ok);
+    if (page.state == keyed_page::status::trimmed) {
+        complete_ = false;
+        next(duration::zero());
+        return;
+    }
+    if (page.state != keyed_page::status::ok) {
+        next(failure_pause);
+        return;
+    }
+    for (const auto& record : page.records) {
+        apply(record);
+    }
+    position_ = std::max(position_, page.next);
+    on_read();
+    next(pace_.interval);
+}
+
+void keyed_follower::apply(const keyed_record& record)
+{
+    const auto it = offsets_.find(record.key);
+    if (it != offsets_.end() && record.offset <= it->second) {
+        return; // a stale read
+    }
+    if (!record.value && it == offsets_.end()) {
+        return;
+    }
+    offsets_[record.key] = record.offset;
+    on_record(record);
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/placement.cpp
@@ -0,0 +1,139 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cactusloom {
+
+namespace {
+
+// Between a worker's end and the caller's answer lie two hops and a look.
+constexpr duration answer_margin = std::chrono::milliseconds{8};
+// Two predictions within this ratio count as equal, so that the fit decides.
+constexpr double same_speed_ratio = 1.1;
+
+} // namespace
+
+duration placement::shortest(const active_job& job, const job_step& step) const
+{
+    const auto work = times_.work(job.request.terms.queue, step.estimate);
+    return duration{
+        static_cast<duration::rep>(static_cast<double>(work.count()) * times_.fastest_factor())};
+}
+
+duration placement::predict(const active_job& job, const job_step& step,
+                            const claimed_worker& worker) const
+{
+    const auto work = times_.work(job.request.terms.queue, step.estimate);
+    double factor = times_.kind_factor(worker.report.kind) * worker.slowness;
+    if (!step.data_rack.empty() && !worker.has_label(step.data_rack)) {
+        factor *= remote_penalty_;
+    }
+    return duration{static_cast<duration::rep>(static_cast<double>(work.count()) * factor)};
+}
+
+bool placement::can_meet(const active_job& job, monotonic_time now) const
+{
+    duration longest{};
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        if (job.done_of_step[i] < job.request.steps[i].count) {
+            longest = std::max(longest, shortest(job, job.request.steps[i]));
+        }
+    }
+    return now + longest + answer_margin <= job.due;
+}
+
+void placement::sort(std::vector<active_job*>& jobs, monotonic_time now) const
+{
+    using key = std::tuple<bool, monotonic_time, active_job*>;
+    std::vector<key> keys;
+    keys.reserve(jobs.size());
+    for (auto* it : jobs) {
+        const bool late = !can_meet(*it, now);
+        keys.emplace_back(late, late ? it->deadline : it->due, it);
+    }
+    std::ranges::sort(keys, {}, [](const key& it) {
+        return std::pair(std::get<0>(it), std::get<1>(it));
+    });
+    std::ranges::transform(keys, jobs.begin(), [](const key& it) { return std::get<2>(it); });
+}
+
+claimed_worker* placement::choose(const active_job& job, std::size_t step, const task_state& task,
+                                  std::span<claimed_worker* const> open, monotonic_time now) const
+{
+    const auto& wanted = job.request.steps[step];
+    const bool late = !can_meet(job, now);
+    const auto limit = (late ? job.deadline : job.due) - answer_margin;
+    claimed_worker* best = nullptr;
+    duration best_time{};
+    bool best_meets = false;
+    std::int64_t best_left = 0;
+    for (auto* it : open) {
+        if (!it->has_room(wanted.demand) || it->report.service != job.request.terms.service ||
+            (it->report.id == task.avoid_worker && open.size() > 1) ||
+            (!wanted.required_label.empty() && !it->has_label(wanted.required_label))) {
+            continue;
+        }
+        if (wanted.max_per_worker != 0) {
+            const auto n = std::ranges::count_if(it->runs, [&](const auto& row) {
+                return row.second.job == &job && row.second.task.step == step;
+            });
+            if (static_cast<std::uint32_t>(n) >= wanted.max_per_worker) {
+                continue;
+            }
+        }
+        const auto time = predict(job, wanted, *it);
+        const bool meets = now + time <= limit;
+        const auto left =
+            it->report.capacity.cpu_millis - it->used.cpu_millis - wanted.demand.cpu_millis;
+        const auto a = static_cast<double>(time.count());
+        const auto b = static_cast<double>(best_time.count());
+        bool better = false;
+        if (best == nullptr || meets != best_meets) {
+            better = best == nullptr || meets;
+        }
+        else if (a > b * same_speed_ratio) {
+            better = meets;
+        }
+        else if (b > a * same_speed_ratio) {
+            better = !meets;
+        }
+        else {
+            better = left < best_left;
+        }
+        if (better) {
+            best = it;
+            best_time = time;
+            best_meets = meets;
+            best_left = left;
+        }
+    }
+    if (best != nullptr && !best_meets && !late) {
+        return nullptr;
+    }
+    if (best != nullptr && !best_meets && now + shortest(job, wanted) <= limit) {
+        return nullptr;
+    }
+    return best;
+}
+
+double placement::work_before(std::span<active_job* const> jobs, monotonic_time due) const
+{
+    double sum = 0;
+    for (const auto* it : jobs) {
+        if (it->ended || it->due > due) {
+            continue;
+        }
+        for (std::size_t i = 0; i < it->steps.size(); ++i) {
+            const auto& step = it->request.steps[i];
+            const auto pending = std::ranges::count(it->steps[i], task_state::phase::pending,
+                                                    &task_state::at);
+            sum += static_cast<double>(pending * step.demand.cpu_millis) / 1000.0 *
+                   static_cast<double>(
+                       times_.work(it->request.terms.queue, step.estimate).count());
+        }
+    }
+    return sum;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/placement.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "active_job.h"
+#include "cell/run_time_estimator.h"
+#include "claimed_worker.h"
+
+#include <span>
+
+namespace cactusloom {
+
+// Answers the load of mixed long and short tasks on workers of different speed: which task goes
+// next, and where. Pure decisions on the given state.
+class placement {
+public:
+    placement(const run_time_estimator& times, double remote_penalty)
+        : times_(times), remote_penalty_(remote_penalty)
+    {
+    }
+
+    // Jobs that can still meet their objective come first, earliest objective first; late ones
+    // follow, earliest deadline first.
+    void sort(std::vector<active_job*>& jobs, monotonic_time now) const;
+
+    // Predicted run time of a task of the step on the worker.
+    duration predict(const active_job& job, const job_step& step,
+                     const claimed_worker& worker) const;
+
+    // Shortest run time that the step can have on a sound worker of the fastest kind.
+    duration shortest(const active_job& job, const job_step& step) const;
+
+    // Chooses among workers that are open to starts: the slowest that meets the objective, so that
+    // fast ones stay free for long tasks; among equals the tightest fit. Returns null if there is
+    // no room, or if waiting for a faster worker still allows the objective.
+    claimed_worker* choose(const active_job& job, std::size_t step, const task_state& task,
+                           std::span<claimed_worker* const> open, monotonic_time now) const;
+
+    // Work of the jobs' pending tasks that come before `due`, in core-microseconds at speed 1.
+    double work_before(std::span<active_job* const> jobs, monotonic_time due) const;
+
+private:
+    bool can_meet(const active_job& job, monotonic_time now) const;
+
+    const run_time_estimator& times_;
+    double remote_penalty_;
+};
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/cell/run_time_estimator.cpp
@@ -0,0 +1,70 @@
+#include "cell/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusloom {
+
+namespace {
+
+// Samples after which a mean forgets: one queue ends some tens of tasks a second.
+constexpr double max_queue_weight = 200;
+constexpr double max_kind_weight = 400;
+// A mean of fewer samples says less than the guess.
+constexpr double trusted_weight = 5;
+// With guess and queue spread alike, both count the same.
+constexpr double guess_share = 0.5;
+
+} // namespace
+
+void run_time_estimator::mean_log::add(double sample, double max_weight)
+{
+    weight = std::min(weight + 1, max_weight);
+    value += (sample - value) / weight;
+}
+
+duration run_time_estimator::work(std::string_view queue, duration guess) const
+{
+    const auto it = queues_.find(std::string(queue));
+    if (it == queues_.end() || it->second.weight < trusted_weight) {
+        return guess;
+    }
+    const double guessed = std::log(std::max<double>(1, static_cast<double>(guess.count())));
+    const double mixed = guess_share * guessed + (1 - guess_share) * it->second.value;
+    return duration{static_cast<duration::rep>(std::exp(mixed))};
+}
+
+double run_time_estimator::kind_factor(std::string_view kind) const
+{
+    const auto it = kinds_.find(std::string(kind));
+    return it == kinds_.end() || it->second.weight < trusted_weight ? 1.0
+                                                                    : std::exp(it->second.value);
+}
+
+double run_time_estimator::fastest_factor() const
+{
+    double fastest = 0;
+    for (const auto& [kind, mean] : kinds_) {
+        if (mean.weight >= trusted_weight) {
+            const double factor = std::exp(mean.value);
+            fastest = fastest == 0 ? factor : std::min(fastest, factor);
+        }
+    }
+    return fastest == 0 ? 1.0 : fastest;
+}
+
+void run_time_estimator::learn(std::string_view queue, std::string_view kind, duration guess,
+                               duration actual)
+{
+    if (guess.count() <= 0 || actual.count() <= 0) {
+        return;
+    }
+    // The guesses are unbiased over many tasks, so actual over guess averages to the speed.
+    const double actual_log = std::log(static_cast<double>(actual.count()));
+    const double ratio = actual_log - std::log(static_cast<double>(guess.count()));
+    auto& own = kinds_[std::string(kind)];
+    own.add(std::clamp(ratio, -3.0, 3.0), max_kind_weight);
+    queues_[std::string(queue)].add(actual_log - own.value, max_queue_weight);
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/src/net/pooled_http_client.cpp
@@ -0,0 +1,197 @@
+#include "net/pooled_http_client.h"
+
+#include "base/log.h"
+#include "net/tcp_stream.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <fmt/format.h>
+#include <list>
+#include <optional>
+#include <vector>
+
+namespace cactusloom {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// Peers close idle connections after 15 s by default; a younger bound avoids the race.
+constexpr duration idle_limit = std::chrono::seconds{9};
+constexpr std::uint64_t max_reply_bytes = 8U << 20U;
+
+std::string serialize(const std::string& address, const http_call& request)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method,
+                                   request.target, address);
+    for (const auto& [name, value] : request.headers) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    if (!request.body.empty() || request.method == "POST") {
+        text += fmt::format("Content-Length: {}\r\n", request.body.size());
+    }
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+} // namespace
+
+// One connection with at most one call under way.
+class pooled_http_client::connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(pooled_http_client& client, pool& home, std::shared_ptr<tcp_stream> stream)
+        : client_(client), home_(home), stream_(std::move(stream))
+    {
+    }
+
+    ~connection()
+    {
+        client_.timers_.cancel(limit_timer_);
+        stream_->on_connected = nullptr;
+        stream_->on_data = nullptr;
+        stream_->on_closed = nullptr;
+        stream_->close();
+    }
+
+    void attach()
+    {
+        stream_->on_connected = [this] { connected_ = true; };
+        stream_->on_data = [this](std::string_view data) { receive(data); };
+        stream_->on_closed = [this] { lose(); };
+    }
+
+    void begin(const std::string& text, duration limit, callback fn)
+    {
+        fn_ = std::move(fn);
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->body_limit(max_reply_bytes);
+        stream_->write(text);
+        limit_timer_ = client_.timers_.schedule(limit, [this] {
+            limit_timer_ = 0;
+            stream_->close();
+            lose();
+        });
+    }
+
+    bool usable(monotonic_time now) const
+    {
+        return stream_->is_open() && now - idle_since_ < idle_limit;
+    }
+
+private:
+    void receive(std::string_view data);
+    void lose();
+    void finish(outcome value, bool keep);
+
+    pooled_http_client& client_;
+    pool& home_;
+    std::shared_ptr<tcp_stream> stream_;
+    callback fn_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::string input_;
+    bool connected_ = false;
+    timer_id limit_timer_ = 0;
+    monotonic_time idle_since_{};
+};
+
+struct pooled_http_client::pool {
+    std::vector<std::shared_ptr<connection>> idle;
+    std::list<std::shared_ptr<connection>> busy;
+};
+
+void pooled_http_client::connection::receive(std::string_view data)
+{
+    if (!fn_) { // bytes without a call: the connection cannot be trusted any more
+        stream_->close();
+        lose();
+        return;
+    }
+    input_.append(data);
+    boost::system::error_code ec;
+    const auto n = parser_->put(boost::asio::const_buffer(input_.data(), input_.size()), ec);
+    input_.erase(0, n);
+    if (ec && ec != http::error::need_more) {
+        stream_->close();
+        lose();
+        return;
+    }
+    if (parser_->is_done()) {
+        auto message = parser_->release();
+        finish(http_reply{static_cast<int>(message.result_int()), std::move(message.body())},
+               message.keep_alive() && input_.empty());
+    }
+}
+
+void pooled_http_client::connection::lose()
+{
+    // Nothing is written before the connection is open.
+    finish(connected_ ? call_failure::reply_lost : call_failure::not_sent, false);
+}
+
+void pooled_http_client::connection::finish(outcome value, bool keep)
+{
+    const auto self = shared_from_this();
+    client_.timers_.cancel(std::exchange(limit_timer_, 0));
+    std::erase(home_.idle, self);
+    home_.busy.remove(self);
+    if (keep) {
+        idle_since_ = client_.timers_.monotonic_now();
+        home_.idle.push_back(self);
+    }
+    else {
+        stream_->close();
+    }
+    if (const auto fn = std::exchange(fn_, nullptr)) {
+        fn(std::move(value));
+    }
+}
+
+pooled_http_client::pooled_http_client(poller& events, timer_service& timers)
+    : events_(events), timers_(timers)
+{
+}
+
+pooled_http_client::~pooled_http_client() = default;
+
+void pooled_http_client::call(const std::string& address, const http_call& request, duration limit,
+                              callback fn)
+{
+    auto& home = pools_[address];
+    if (!home) {
+        home = std::make_unique<pool>();
+    }
+    const auto text = serialize(address, request);
+    const auto now = timers_.monotonic_now();
+    while (!home->idle.empty()) {
+        auto it = std::move(home->idle.back());
+        home->idle.pop_back();
+        if (it->usable(now)) {
+            home->busy.push_back(it);
+            it->begin(text, limit, std::move(fn));
+            return;
+        }
+    }
+    auto stream = tcp_stream::connect(events_, address);
+    if (!stream) {
+        log_event("connect_failed", "address={} reason=\"{}\"", address, stream.error().message);
+        timers_.schedule(duration::zero(), [fn = std::move(fn)] { fn(call_failure::not_sent); });
+        return;
+    }
+    ++opened_;
+    const auto it = std::make_shared<connection>(*this, *home, stream.value());
+    it->attach();
+    home->busy.push_back(it);
+    it->begin(text, limit, std::move(fn));
+}
+
+void pooled_http_client::retire(const std::string& address)
+{
+    if (const auto it = pools_.find(address); it != pools_.end()) {
+        it->second->idle.clear();
+    }
+}
+
+} // namespace cactusloom
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -1,6 +1,7 @@
 #include "base/glib_timer_service.h"
 #include "base/log.h"
 #include "daemon/instance.h"
+#include "platform_instance.h"
 #include "signal_source.h"
 
 #include <csignal>
@@ -15,7 +16,7 @@
 
 struct lifecycle {
     GMainLoop* loop = nullptr;
-    instance* running = nullptr;
+    std::function<void(std::function<void()>)> shut_down;
     timer_service* timers = nullptr;
     std::chrono::seconds limit{};
     bool stopping = false;
@@ -27,17 +28,54 @@
         return;
     }
     log_event("shutting_down", "limit_s={}", self->limit.count());
-    self->running->shut_down([self] { g_main_loop_quit(self->loop); });
+    self->shut_down([self] { g_main_loop_quit(self->loop); });
     self->timers->schedule(self->limit, [self] {
         log_event("shutdown_limit_passed", "");
         g_main_loop_quit(self->loop);
     });
 }
 
+void run_loop(lifecycle& life)
+{
+    const signal_source signals({SIGTERM, SIGINT}, [&life](int) { begin_shutdown(&life); });
+    g_main_loop_run(life.loop);
+    log_event("stopped", "");
+    g_main_loop_unref(life.loop);
+}
+
+// Runs an instance on the users' platform, whose settings file replaces flags and environment.
+int run_on_platform()
+{
+    const auto settings = platform_adapter::read_node_settings();
+    if (!settings) {
+        log_event("start_failed", "reason=\"{}\"", settings.error().message);
+        return exit_usage;
+    }
+    glib_timer_service timers;
+    const auto started = platform_adapter::platform_instance::start(settings.value(), timers);
+    if (!started) {
+        log_event("start_failed", "reason=\"{}\"", started.error().message);
+        return 1;
+    }
+    lifecycle life;
+    life.loop = g_main_loop_new(nullptr, FALSE);
+    life.timers = &timers;
+    life.limit = std::chrono::duration_cast<std::chrono::seconds>(settings.value().shutdown_time);
+    life.shut_down = [&](std::function<void()> done) { started.value()->shut_down(std::move(done)); };
+    log_event("listening", "address={} name={}", settings.value().caller_address,
+              settings.value().name);
+    run_loop(life);
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, const char** argv)
 {
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    if (argc == 2 && std::string_view(argv[1]) == "platform") {
+        return run_on_platform();
+    }
     const auto settings = read_daemon_settings(argc, argv);
     if (!settings) {
         fmt::print(stderr, "cactusloomd: {}\nTry 'cactusloomd --help'.\n",
@@ -52,7 +90,6 @@
         fmt::print("cactusloomd {}\n", CACTUSLOOM_VERSION);
         return 0;
     }
-    (void)std::signal(SIGPIPE, SIG_IGN);
     glib_timer_service timers;
     auto started = instance::start(settings.value(), timers);
     if (!started) {
@@ -61,14 +98,12 @@
     }
     lifecycle life;
     life.loop = g_main_loop_new(nullptr, FALSE);
-    life.running = started.value().get();
+    life.shut_down = [&](std::function<void()> done) { started.value()->shut_down(std::move(done)); };
     life.timers = &timers;
     life.limit = std::chrono::seconds{settings.value().shutdown_seconds};
-    const signal_source signals({SIGTERM, SIGINT}, [&life](int) { begin_shutdown(&life); });
-    log_event("listening", "address={} name={}", life.running->address(), settings.value().name);
-    g_main_loop_run(life.loop);
-    log_event("stopped", "");
+    log_event("listening", "address={} name={}", started.value()->address(),
+              settings.value().name);
+    run_loop(life);
     started.value().reset();
-    g_main_loop_unref(life.loop);
     return 0;
 }
