Notice lost replies sooner, keep both sides of a cut from starting a task twice

The smaller side now claims its own data centre's cell, resumed jobs wait until every worker that may run their tasks has answered, an overdue end is asked for on another connection, and a complete mesh elects at once.

--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -40,15 +40,15 @@
     struct verdict {
         std::string controller;   // empty: none yet
         bool should_claim = false; // this instance has to claim the cell
-        std::uint64_t highest_token = 0;
+        std::uint64_t highest_token = 0; // of the claims to any cell
     };
 
     // `self` must be among the views. Claims of instances that are not alive do not count.
     static verdict decide(std::string_view cell, std::string_view self,
                           std::span<const instance_view> views);
 
-    // True if less than half of the known instances are in touch. Such a side of a cut leaves the
-    // workers of other data centres alone, since the larger side controls those.
+    // True if less than half of the known instances are in touch. Such a side of a cut controls
+    // the cell of its own data centre only, since the larger side controls the others.
     static bool is_minority(std::span<const instance_view> views);
 
     // Best candidate first: those of the cell's data centre, the stronger, then by a hash that
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -28,6 +28,15 @@
     // Replaces the list of all workers.
     void set_workers(std::vector<worker_report> workers);
 
+    // Says that all instances that the platform lists are known to the mesh.
+    void note_instances_known() { instances_known_ = true; }
+
+    // Says that the list is as the platform had it at `asked_at` or later.
+    void note_workers_read(monotonic_time asked_at);
+
+    // Called when this instance has claimed a cell and needs the newest list.
+    std::function<void()> on_claim;
+
     // Tells the other instances which configuration is in force here.
     void set_config_version(std::int64_t version);
 
@@ -65,9 +74,9 @@
     void give_up(const std::string& cell);
     void on_fenced(const std::string& cell);
     void announce();
-    std::vector<std::string> cells() const;
+    std::vector<std::string> cells(bool minority) const;
     std::vector<std::string> own_names() const;
-    std::vector<worker_report> workers_of(std::string_view cell, bool minority) const;
+    std::vector<worker_report> workers_of(std::string_view cell) const;
     void check_requesters();
 
     void dispatch(desk_job& job, const std::vector<instance_view>& views);
@@ -90,6 +99,7 @@
     std::map<std::string, std::unique_ptr<desk_job>, std::less<>> jobs_;
     monotonic_time started_at_;
     std::int64_t config_version_ = -1;
+    bool instances_known_ = false;
     bool leaving_ = false;
     bool split_ = false;
     timer_id tick_timer_ = 0;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -66,6 +66,9 @@
     // True if a peer has linked to this one and sent something within the silence limit.
     bool hears(std::string_view peer) const;
 
+    // True if every known instance is in touch.
+    bool hears_all() const;
+
     // A peer with a newer configuration, empty if none.
     std::string peer_with_newer_config(std::int64_t version) const;
 
--- a/include/cell/instance_registry.h
+++ b/include/cell/instance_registry.h
@@ -22,6 +22,9 @@
 
     void start();
 
+    // After each successful read of the list.
+    std::function<void()> on_read = [] {};
+
 private:
     void write();
     void check();
--- a/include/cell/keyed_follower.h
+++ b/include/cell/keyed_follower.h
@@ -27,6 +27,12 @@
     void start();
     void set_pace(pace speed) { pace_ = speed; }
 
+    // Reads now instead of after the pause.
+    void hurry();
+
+    // When the read that was reported last was sent.
+    monotonic_time asked_at() const { return asked_at_; }
+
     // True once the newest records have been read.
     bool is_complete() const { return complete_; }
 
@@ -53,13 +59,15 @@
     pace pace_;
     bool complete_ = false;
     bool failing_ = false;
+    bool hurried_ = false;
     std::uint64_t position_ = 0;
     std::map<std::string, std::uint64_t, std::less<>> offsets_;
     std::set<std::string> listed_; // keys seen in the pages of the current listing
     bool listing_ = false;
     std::uint64_t listing_end_ = 0;
     monotonic_time calm_since_;
-    timer_id timer_ = 0;
+    monotonic_time asked_at_;
+    timer_id timer_ = 0; // 0 while a read is under way
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -40,6 +40,7 @@
         state_->look(*worker, true);
     }
     if (first) {
+        state_->first_claimed_at = state_->claimed_at;
         state_->tick();
     }
 }
@@ -83,6 +84,12 @@
     state_->set_workers(workers);
 }
 
+void cell_controller::note_workers_read(monotonic_time asked_at)
+{
+    state_->workers_as_of = asked_at;
+    state_->schedule_pump();
+}
+
 void cell_controller::submit(job_request job, const std::string& requester, answer fn)
 {
     state_->submit(std::move(job), requester, std::move(fn));
@@ -132,8 +139,7 @@
         check_worker(*worker, now);
     }
     for (auto it = workers.begin(); it != workers.end();) {
-        const bool gone = !it->second->listed && it->second->runs.empty();
-        it = gone ? workers.erase(it) : std::next(it);
+        it = it->second->is_forgettable(now) ? workers.erase(it) : std::next(it);
     }
     check_deadlines(now);
     schedule_pump();
--- a/src/cell/cell_election.cpp
+++ b/src/cell/cell_election.cpp
@@ -44,7 +44,9 @@
     const instance_view* best = nullptr;
     for (const auto& it : views) {
         const auto token = claim_of(it, cell);
-        out.highest_token = std::max(out.highest_token, token);
+        for (const auto& claim : it.claims) {
+            out.highest_token = std::max(out.highest_token, claim.token);
+        }
         if (!it.alive || it.leaving) {
             continue;
         }
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -55,7 +55,7 @@
 
 cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
                            const cell_settings& settings)
-    : on_other_message(
+    : on_claim([] {}), on_other_message(
           [](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), orders_(orders), settings_(settings),
       started_at_(timers.monotonic_now())
@@ -100,9 +100,15 @@
 void cell_service::set_workers(std::vector<worker_report> workers)
 {
     workers_ = std::move(workers);
-    const auto minority = cell_election::is_minority(mesh_.views());
     for (auto& [cell, own] : own_cells_) {
-        own->controller->set_workers(workers_of(cell, minority));
+        own->controller->set_workers(workers_of(cell));
+    }
+}
+
+void cell_service::note_workers_read(monotonic_time asked_at)
+{
+    for (auto& [cell, own] : own_cells_) {
+        own->controller->note_workers_read(asked_at);
     }
 }
 
@@ -112,8 +118,11 @@
     announce();
 }
 
-std::vector<std::string> cell_service::cells() const
+std::vector<std::string> cell_service::cells(bool minority) const
 {
+    if (minority) {
+        return {mesh_.self().data_centre};
+    }
     if (!split_) {
         return {std::string(whole_cell)};
     }
@@ -124,12 +133,11 @@
     return {names.begin(), names.end()};
 }
 
-std::vector<worker_report> cell_service::workers_of(std::string_view cell, bool minority) const
+std::vector<worker_report> cell_service::workers_of(std::string_view cell) const
 {
     std::vector<worker_report> out;
     std::ranges::copy_if(workers_, std::back_inserter(out), [&](const worker_report& it) {
-        const bool mine = cell == whole_cell || it.data_centre == cell;
-        return mine && (!minority || it.data_centre == mesh_.self().data_centre);
+        return cell == whole_cell || it.data_centre == cell;
     });
     return out;
 }
@@ -137,11 +145,13 @@
 void cell_service::evaluate()
 {
     const auto now = timers_.monotonic_now();
-    if (!leaving_ && now - started_at_ >= election_grace && !workers_.empty()) {
+    const bool settled = now - started_at_ >= election_grace ||
+                         (instances_known_ && mesh_.hears_all());
+    if (!leaving_ && settled && !workers_.empty()) {
         split_ = workers_.size() > (split_ ? min_workers_of_split_cells
                                            : max_workers_of_whole_cell);
         const auto views = mesh_.views();
-        const auto names = cells();
+        const auto names = cells(cell_election::is_minority(views));
         for (const auto& cell : own_names()) {
             if (std::ranges::find(names, cell) == names.end()) {
                 give_up(cell);
@@ -183,12 +193,12 @@
         own = std::make_unique<own_cell>();
         own->controller = std::make_unique<cell_controller>(timers_, orders_, settings_);
         own->controller->on_fenced = [this, cell] { on_fenced(cell); };
-        const auto minority = cell_election::is_minority(mesh_.views());
-        own->controller->set_workers(workers_of(cell, minority));
+        own->controller->set_workers(workers_of(cell));
     }
     own->token = token;
     own->controller->claim(token);
     announce();
+    on_claim();
 }
 
 // A worker obeys someone else. If that one is in touch, the election settles it; if not, the
@@ -210,7 +220,8 @@
         }
         it->second->fenced = false;
         log_event("token_raised", "cell={} from={}", cell, it->second->token);
-        claim(cell, it->second->token + fence_step);
+        const auto seen = cell_election::decide(cell, mesh_.self().name, mesh_.views());
+        claim(cell, std::max(it->second->token + fence_step, seen.highest_token));
     });
 }
 
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -45,6 +45,7 @@
 struct claimed_worker {
     worker_report report;
     bool listed = true; // in the newest list of workers
+    monotonic_time unlisted_at;
     bool held = false;  // it has accepted the claim's token
     std::map<std::string, task_run> runs;
     std::map<std::string, orphan_run> orphans;
@@ -68,6 +69,15 @@
     duration closing_time{};
     double slowness = 1.0; // measured against the prediction for its kind
 
+    // True if nothing more has to be known of it. A worker that vanished without notice may live on
+    // behind a cut, under another controller.
+    bool is_forgettable(monotonic_time now) const
+    {
+        constexpr auto longest_cut = std::chrono::seconds{10};
+        return !listed && runs.empty() &&
+               (report.draining || now - unlisted_at > longest_cut);
+    }
+
     // Worker's clock now, at the latest. Its rate may differ by 2 %.
     std::int64_t clock_estimate(monotonic_time now) const
     {
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -139,7 +139,10 @@
     for (const auto& step : job.request.steps) {
         longest = std::max(longest, policy.shortest(job, step));
     }
-    if (now + wait + policy.at_best(longest) + answer_margin <= job.deadline) {
+    // Work that comes too late for its objective takes room from work that does not. A wait as long
+    // as the whole objective leaves no chance of that even if the prediction is off.
+    const bool in_time = now + wait <= job.due;
+    if (in_time && now + policy.at_best(longest) + answer_margin <= job.deadline) {
         return false;
     }
     finish(job, {job_end::not_run, std::max(wait, min_retry_after), "no room before its deadline"});
@@ -219,8 +222,8 @@
     if (now - job.arrived > resumed_job_quarantine + job.request.age) {
         return true;
     }
-    return std::ranges::all_of(workers, [](const auto& row) {
-        return row.second->held || !row.second->listed;
+    return workers_as_of > first_claimed_at && std::ranges::all_of(workers, [](const auto& row) {
+        return row.second->held || (!row.second->listed && row.second->report.draining);
     });
 }
 
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -43,7 +43,9 @@
     placement policy;
 
     std::uint64_t token = 0; // 0: no claim
-    monotonic_time claimed_at;
+    monotonic_time first_claimed_at; // since when this controller has been in control
+    monotonic_time claimed_at;       // when the token was last raised
+    monotonic_time workers_as_of;
     std::map<std::string, std::unique_ptr<claimed_worker>, std::less<>> workers;
     std::map<std::string, std::unique_ptr<active_job>, std::less<>> jobs;
     std::vector<orphan_end> orphan_ends;
@@ -76,6 +78,7 @@
     void drop_vanished(claimed_worker& worker, monotonic_time sent_at, const look_reply& reply);
     void check_progress(claimed_worker& worker, task_run& run, int percent, monotonic_time now);
     void lose_runs(claimed_worker& worker, const char* reason);
+    void look_for_overdue_end(claimed_worker& worker, monotonic_time now);
     void check_worker(claimed_worker& worker, monotonic_time now);
     void note_clock(claimed_worker& worker, std::int64_t clock_ms);
     void forget_life(claimed_worker& worker, std::int64_t born_ms);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -12,7 +12,10 @@
 
 // A waiting look is answered by an end or after this time. It must leave room in the lease for a
 // lost reply and a second look.
-constexpr duration look_wait = std::chrono::milliseconds{350};
+constexpr duration look_wait = std::chrono::milliseconds{250};
+// An end that is this late may have been reported on a connection that went silent.
+constexpr duration overdue_slack = std::chrono::milliseconds{20};
+constexpr duration overdue_interval = std::chrono::milliseconds{60};
 constexpr duration claim_retry = std::chrono::milliseconds{300};
 constexpr duration stop_retry = std::chrono::milliseconds{120};
 // A front resubmits within a round trip of a takeover.
@@ -56,9 +59,10 @@
             continue;
         }
         if (std::exchange(worker.listed, false)) {
+            worker.unlisted_at = timers.monotonic_now();
             log_event("worker_unlisted", "worker={} runs={}", it->first, worker.runs.size());
         }
-        it = worker.runs.empty() ? workers.erase(it) : std::next(it);
+        it = worker.is_forgettable(timers.monotonic_now()) ? workers.erase(it) : std::next(it);
     }
     schedule_pump();
 }
@@ -371,11 +375,30 @@
     }
 }
 
+// A task that should have ended points to a look whose reply is lost: another connection tells
+// sooner than the look's time limit.
+void cell_controller::state::look_for_overdue_end(claimed_worker& worker, monotonic_time now)
+{
+    if (!worker.held || worker.quick_look_pending || now - worker.last_reply < overdue_interval) {
+        return;
+    }
+    const bool overdue = std::ranges::any_of(worker.runs, [&](const auto& row) {
+        const auto& run = row.second;
+        return run.at == task_run::phase::stopping ||
+               (run.at == task_run::phase::running &&
+                now > std::max(run.sent_at, run.confirmed_at) + run.predicted + overdue_slack);
+    });
+    if (overdue) {
+        look(worker, true);
+    }
+}
+
 void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
 {
     if (worker.slowness > 1.0) {
         worker.slowness = std::max(1.0, worker.slowness * 0.995); // back by careful trials
     }
+    look_for_overdue_end(worker, now);
     const bool silent = !worker.held || worker.unanswered_looks != 0;
     if (silent && worker.clock_ms >= 0 && !worker.runs.empty() && now > worker.lapsed_at()) {
         lose_runs(worker, "leases lapsed");
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -190,6 +190,13 @@
     return out;
 }
 
+bool instance_mesh::hears_all() const
+{
+    return std::ranges::all_of(peers_, [this](const auto& it) {
+        return is_alive(*it.second) || hears(it.first);
+    });
+}
+
 std::string instance_mesh::peer_with_newer_config(std::int64_t version) const
 {
     for (const auto& [name, it] : peers_) {
--- a/src/cell/instance_registry.cpp
+++ b/src/cell/instance_registry.cpp
@@ -34,7 +34,10 @@
         mesh_.learn({decode_instance(value.value())});
         refreshed_[record.key] = timers_.monotonic_now();
     };
-    follower_.on_read = [this] { check(); };
+    follower_.on_read = [this] {
+        check();
+        on_read();
+    };
 }
 
 instance_registry::~instance_registry()
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <utility>
 #include <vector>
 
 namespace cactusloom {
@@ -47,8 +48,21 @@
     timer_ = timers_.schedule(delay, [this] { step(); });
 }
 
+void keyed_follower::hurry()
+{
+    if (timer_ != 0) {
+        timers_.cancel(timer_);
+        next(duration::zero());
+    }
+    else {
+        hurried_ = true; // the read under way may have begun too early to count
+    }
+}
+
 void keyed_follower::step()
 {
+    timer_ = 0;
+    asked_at_ = timers_.monotonic_now();
     if (!complete_) {
         listing_ = false;
         read_newest("");
@@ -114,7 +128,7 @@
     complete_ = true;
     position_ = listing_end_;
     on_read();
-    next(pace_.interval);
+    next(std::exchange(hurried_, false) ? duration::zero() : pace_.interval);
 }
 
 void keyed_follower::on_page(const keyed_page& page)
@@ -134,7 +148,7 @@
     }
     position_ = std::max(position_, page.next);
     on_read();
-    next(pace_.interval);
+    next(std::exchange(hurried_, false) ? duration::zero() : pace_.interval);
 }
 
 void keyed_follower::apply(const keyed_record& record)
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -17,6 +17,7 @@
 struct lifecycle {
     GMainLoop* loop = nullptr;
     std::function<void(std::function<void()>)> shut_down;
+    std::function<void()> reload = [] { log_event("reload_ignored", "reason=\"settings are flags\""); };
     timer_service* timers = nullptr;
     std::chrono::seconds limit{};
     bool stopping = false;
@@ -37,7 +38,14 @@
 
 void run_loop(lifecycle& life)
 {
-    const signal_source signals({SIGTERM, SIGINT}, [&life](int) { begin_shutdown(&life); });
+    const signal_source signals({SIGTERM, SIGINT, SIGHUP}, [&life](int signal) {
+        if (signal == SIGHUP) {
+            life.reload();
+        }
+        else {
+            begin_shutdown(&life);
+        }
+    });
     g_main_loop_run(life.loop);
     log_event("stopped", "");
     g_main_loop_unref(life.loop);
@@ -62,6 +70,7 @@
     life.timers = &timers;
     life.limit = std::chrono::duration_cast<std::chrono::seconds>(settings.value().shutdown_time);
     life.shut_down = [&](std::function<void()> done) { started.value()->shut_down(std::move(done)); };
+    life.reload = [&] { started.value()->reload(); };
     log_event("listening", "address={} name={}", settings.value().caller_address,
               settings.value().name);
     run_loop(life);
