--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -39,7 +39,8 @@
         target_compile_definitions(${name}_tests PRIVATE BOOST_TEST_DYN_LINK
             EXAMPLES_DIR="${CMAKE_SOURCE_DIR}/examples")
         target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/tests)
-        target_link_libraries(${name}_tests PRIVATE cactusloom_daemon Boost::unit_test_framework)
+        target_link_libraries(${name}_tests PRIVATE cactusloom_daemon ${ARGN}
+            Boost::unit_test_framework)
         set(left_out "")
         foreach(line ${known_red})
             if(line MATCHES "^test: ${name}/(.+)$")
--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -47,9 +47,16 @@
     static verdict decide(std::string_view cell, std::string_view self,
                           std::span<const instance_view> views);
 
-    // True if less than half of the known instances are in touch. Such a side of a cut controls
-    // the cell of its own data centre only, since the larger side controls the others.
-    static bool is_minority(std::span<const instance_view> views);
+    // True if `self` is on the smaller side of a data centre that is cut off: less than half of the
+    // known instances are in touch, and none of another data centre. Such a side controls the cell
+    // of its own data centre only, since the larger side controls the others.
+    static bool is_minority(std::string_view self, std::span<const instance_view> views);
+
+    // True if a controller of `cell` also controls the workers of `other`.
+    static bool covers(std::string_view cell, std::string_view other)
+    {
+        return cell == other || cell == whole_cell;
+    }
 
     // Best candidate first: those of the cell's data centre, the stronger, then by a hash that
     // spreads several cells over equal instances.
--- a/src/cell/cell_election.cpp
+++ b/src/cell/cell_election.cpp
@@ -65,10 +65,23 @@
     return out;
 }
 
-bool cell_election::is_minority(std::span<const instance_view> views)
+bool cell_election::is_minority(std::string_view self, std::span<const instance_view> views)
 {
+    const auto own = std::ranges::find(views, self, &instance_view::name);
+    if (own == views.end()) {
+        return false;
+    }
+    bool knows_others = false;
+    for (const auto& it : views) {
+        if (it.data_centre != own->data_centre) {
+            knows_others = true;
+            if (it.alive) {
+                return false;
+            }
+        }
+    }
     const auto alive = std::ranges::count_if(views, &instance_view::alive);
-    return static_cast<std::size_t>(alive) * 2 < views.size();
+    return knows_others && static_cast<std::size_t>(alive) * 2 < views.size();
 }
 
 } // namespace cactusloom
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -22,6 +22,9 @@
 // Time without any controller after which new jobs are refused instead of kept.
 constexpr duration controller_patience = std::chrono::seconds{1};
 constexpr duration controller_retry_after = std::chrono::seconds{1};
+// A controller stops the jobs of a front that it has not heard for 600 ms, within 200 ms more; a
+// lease lapses after 1 s on a clock that is 2 % slow.
+constexpr duration lost_job_quarantine = std::chrono::milliseconds{1100};
 // The controller ends jobs at their deadline; a front that hears nothing by then gives up.
 constexpr duration outcome_slack = std::chrono::milliseconds{100};
 // Tokens are wall-clock milliseconds in the upper bits, so that a claim needs no store: after all
@@ -42,7 +45,25 @@
     job_outcome refusal;
     monotonic_time arrived;
     monotonic_time deadline;
-    bool sent = false; // a controller may have started tasks
+    bool sent = false;     // a controller may have started tasks
+    std::string sent_cell; // the cell whose workers may run them
+    monotonic_time lost_at; // when that controller went out of touch or out of control
+    bool may_have_run = false; // a lost controller may have started tasks
+
+    void send_to(const std::string& name, const std::string& target)
+    {
+        controller = name;
+        cell = target;
+        sent = true;
+        sent_cell = target;
+    }
+
+    void lose_controller(monotonic_time now)
+    {
+        controller.clear();
+        lost_at = now;
+        may_have_run = true;
+    }
 };
 
 // A cell that this instance controls.
@@ -64,14 +85,15 @@
     mesh_.on_restart = [this](const std::string& peer) {
         for (auto& [id, job] : jobs_) {
             if (job->controller == peer) {
-                job->controller.clear();
+                job->lose_controller(timers_.monotonic_now());
             }
         }
     };
     mesh_.on_reconnect = [this](const std::string& peer) {
         for (auto& [id, job] : jobs_) {
             if (job->controller == peer) {
-                job->controller.clear(); // its outcome may have been lost with the old link
+                // Its outcome may have been lost with the old link.
+                job->lose_controller(timers_.monotonic_now());
             }
         }
         redispatch();
@@ -151,7 +173,7 @@
         split_ = workers_.size() > (split_ ? min_workers_of_split_cells
                                            : max_workers_of_whole_cell);
         const auto views = mesh_.views();
-        const auto names = cells(cell_election::is_minority(views));
+        const auto names = cells(cell_election::is_minority(mesh_.self().name, views));
         for (const auto& cell : own_names()) {
             if (std::ranges::find(names, cell) == names.end()) {
                 give_up(cell);
@@ -354,6 +376,10 @@
 void cell_service::dispatch(desk_job& job, const std::vector<instance_view>& views)
 {
     const auto& self = mesh_.self();
+    const auto now = timers_.monotonic_now();
+    // Only a controller of the same workers can find the tasks that run. After the quarantine
+    // none of them does any more, and any controller may start anew.
+    const bool bound = job.sent && now - job.lost_at < lost_job_quarantine;
     const instance_view* target = nullptr;
     std::string target_cell;
     std::uint64_t target_token = 0;
@@ -364,7 +390,8 @@
         }
         for (const auto& it : view.claims) {
             const bool home = it.cell == self.data_centre;
-            if (job.refused_by.contains(it.cell)) {
+            if (job.refused_by.contains(it.cell) ||
+                (bound && !cell_election::covers(it.cell, job.sent_cell))) {
                 continue;
             }
             const bool better = target == nullptr || (home && !target_home) ||
@@ -381,8 +408,7 @@
     if (target == nullptr) {
         return;
     }
-    const auto now = timers_.monotonic_now();
-    job.request.resumed = job.sent;
+    job.request.resumed = bound;
     job.request.age = now - job.arrived;
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
@@ -391,9 +417,7 @@
         if (own == own_cells_.end()) {
             return;
         }
-        job.controller = target->name;
-        job.cell = target_cell;
-        job.sent = true;
+        job.send_to(target->name, target_cell);
         own->second->controller->submit(
             job.request, self.name,
             [this, alive = alive_, id, cell = target_cell](const job_outcome& outcome) {
@@ -408,9 +432,7 @@
     message["cell"] = target_cell;
     message["job"] = encode_job(job.request);
     if (mesh_.send(target->name, message)) {
-        job.controller = target->name;
-        job.cell = target_cell;
-        job.sent = true;
+        job.send_to(target->name, target_cell);
     }
 }
 
@@ -431,7 +453,7 @@
     std::vector<std::string> waiting;
     for (auto& [id, job] : jobs_) {
         if (!job->controller.empty() && !holders.contains({job->controller, job->cell})) {
-            job->controller.clear();
+            job->lose_controller(timers_.monotonic_now());
         }
         if (job->controller.empty()) {
             waiting.push_back(id);
@@ -453,14 +475,18 @@
     }
     auto& job = *it->second;
     if (outcome.end == job_end::moved) {
-        job.controller.clear(); // the next evaluation finds the new controller
+        job.lose_controller(timers_.monotonic_now()); // the next evaluation finds the new one
+        return;
+    }
+    if (outcome.end == job_end::not_run && job.may_have_run) {
+        finish(job_id, {job_end::unknown, {}, "an earlier controller may have run it"});
         return;
     }
-    if (outcome.end == job_end::not_run && !job.request.resumed) {
+    if (outcome.end == job_end::not_run) {
         job.refused_by.insert(cell);
         job.refusal = outcome;
         job.controller.clear();
-        job.sent = false;
+        job.sent = false; // it has certainly not run there
         dispatch(job, mesh_.views()); // may end the job at once
         const auto left = jobs_.find(job_id);
         if (left != jobs_.end() && left->second->controller.empty()) {
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -101,7 +101,8 @@
     order.token = token;
     order.seen = worker.seen;
     order.wait = quick ? duration::zero() : look_wait;
-    if (worker.clock_ms >= 0 && worker.held) {
+    // A worker that does not answer gets no longer lease: its runs must lapse at a known time.
+    if (worker.clock_ms >= 0 && worker.held && worker.unanswered_looks == 0) {
         order.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
         worker.lease_end_ms = std::max(worker.lease_end_ms, order.deadline_ms);
     }
--- /dev/null
+++ b/tests/cell/cell_controller_test.cpp
@@ -0,0 +1,340 @@
+#include "cell_fixture.h"
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+BOOST_FIXTURE_TEST_SUITE(controller, cell_fixture)
+
+// Guards against a job whose answer is sent before all its tasks are done, and against a step that
+// starts before the ones it waits for.
+BOOST_AUTO_TEST_CASE(a_job_completes_when_all_steps_are_done)
+{
+    add_workers(2);
+    take_control();
+    auto request = job("j", 3);
+    auto second = request.steps.front();
+    second.count = 1;
+    second.after = {0};
+    request.steps.push_back(second);
+    submit(request);
+    timers.advance(60ms);
+    BOOST_TEST(fleet.starts_of("j.0.0.0") == 1U);
+    BOOST_TEST(fleet.starts_of("j.0.1.0") == 0U);
+    timers.advance(240ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.total_starts() == 4U);
+    check_no_violation();
+}
+
+// Guards against starts beyond a worker's room: the workers do not check it.
+BOOST_AUTO_TEST_CASE(starts_stay_within_the_room_of_each_worker)
+{
+    add_workers(3);
+    take_control();
+    for (int i = 0; i < 10; ++i) {
+        submit(job(fmt::format("j{}", i), 4));
+    }
+    timers.advance(50ms);
+    BOOST_TEST(fleet.total_starts() == 6U);
+    timers.advance(3s);
+    check_no_violation();
+}
+
+struct fault_row {
+    const char* what;
+    void (*apply)(memory_worker_fleet::faults&);
+    job_end expected;
+};
+
+// Guards against tasks that are lost, run twice at the same time or start beyond the room while one
+// of four workers misbehaves.
+BOOST_AUTO_TEST_CASE(faults_of_a_worker_cost_no_job)
+{
+    const fault_row rows[] = {
+        {"replies are lost", [](auto& it) { it.lost_replies = 0.3; }, job_end::completed},
+        {"orders come late", [](auto& it) { it.late_orders = 0.5; }, job_end::completed},
+        {"fails all", [](auto& it) { it.fails_all = true; }, job_end::completed},
+        {"hangs", [](auto& it) { it.hangs = true; }, job_end::completed},
+        {"slow", [](auto& it) { it.slowness = 8; }, job_end::completed},
+        {"silent", [](auto& it) { it.silent = true; }, job_end::completed},
+    };
+    for (const auto& row : rows) {
+        BOOST_TEST_CONTEXT(row.what)
+        {
+            cell_fixture it;
+            it.add_workers(4);
+            it.take_control();
+            it.timers.advance(1s);
+            row.apply(it.fleet.fault("w0"));
+            for (int i = 0; i < 40; ++i) {
+                it.submit(cell_fixture::job(fmt::format("j{}", i), 2));
+                it.timers.advance(100ms);
+            }
+            it.timers.advance(5s);
+            std::size_t as_expected = 0;
+            for (const auto& [id, outcome] : it.outcomes) {
+                as_expected += outcome.end == row.expected ? 1 : 0;
+            }
+            BOOST_TEST(as_expected == 40U);
+            it.check_no_violation();
+        }
+    }
+}
+
+// Guards against a task that keeps its room or is started again before its lease has lapsed on a
+// worker that can no longer be reached.
+BOOST_AUTO_TEST_CASE(a_task_on_an_unreachable_worker_moves_after_its_lease)
+{
+    add_workers(2);
+    fleet.work = [](const std::string&) { return duration{800ms}; };
+    take_control();
+    submit(job("j", 4, 800ms));
+    timers.advance(100ms);
+    BOOST_TEST(fleet.running("w0") == 2U);
+    fleet.fault("w0").silent = true;
+    timers.advance(3s);
+    check_no_violation();
+    BOOST_TEST(fleet.starts_of("j.0.0.0") + fleet.starts_of("j.0.0.1") +
+                   fleet.starts_of("j.0.0.2") + fleet.starts_of("j.0.0.3") ==
+               6U);
+    BOOST_TEST(ended("j", job_end::completed));
+}
+
+// Guards against a worker that came back empty under its id being taken as still busy.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_is_taken_as_empty)
+{
+    add_workers(1);
+    fleet.work = [](const std::string&) { return duration{500ms}; };
+    take_control();
+    submit(job("j", 2, 500ms));
+    timers.advance(100ms);
+    fleet.restart("w0");
+    timers.advance(1500ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    check_no_violation();
+}
+
+// Guards against the answer "failed" to a job that has merely run out of time: no task of it has
+// failed, and what runs must be stopped.
+BOOST_AUTO_TEST_CASE(a_job_out_of_time_is_unknown_and_stopped)
+{
+    add_workers(1);
+    fleet.work = [](const std::string&) { return duration{10s}; };
+    take_control();
+    auto request = job("j", 1);
+    request.time_left = 500ms;
+    submit(request);
+    timers.advance(600ms);
+    BOOST_TEST(ended("j", job_end::unknown));
+    timers.advance(200ms);
+    BOOST_TEST(fleet.running("w0") == 0U);
+}
+
+// Guards against endless retries of a task that can never be done.
+BOOST_AUTO_TEST_CASE(a_task_that_always_fails_ends_its_job)
+{
+    add_workers(4);
+    for (int i = 0; i < 4; ++i) {
+        fleet.fault(fmt::format("w{}", i)).fails_all = true;
+    }
+    take_control();
+    submit(job("j", 1));
+    timers.advance(2s);
+    BOOST_TEST(ended("j", job_end::failed));
+    BOOST_TEST(fleet.total_starts() == 3U);
+}
+
+// Guards against a task that no worker can hold waiting for its deadline.
+BOOST_AUTO_TEST_CASE(a_task_larger_than_any_worker_is_refused_at_once)
+{
+    add_workers(2);
+    take_control();
+    timers.advance(2s);
+    auto request = job("j", 1);
+    request.steps[0].demand.cpu_millis = 2500;
+    submit(request);
+    BOOST_TEST(ended("j", job_end::not_run));
+}
+
+// Guards against work that comes far too late for its callers while it takes the room of other
+// work: ten times the load that the workers carry.
+BOOST_AUTO_TEST_CASE(overload_is_refused_at_once_and_the_rest_served_in_time)
+{
+    add_workers(4);
+    take_control();
+    timers.advance(1100ms);
+    std::size_t n = 0;
+    for (int round = 0; round < 200; ++round) { // 800 tasks a second for room of 80
+        submit(job(fmt::format("j{}", n++), 4));
+        submit(job(fmt::format("j{}", n++), 4));
+        timers.advance(10ms);
+    }
+    timers.advance(3s);
+    std::size_t completed = 0;
+    std::size_t refused = 0;
+    for (const auto& [id, outcome] : outcomes) {
+        completed += outcome.end == job_end::completed ? 1 : 0;
+        refused += outcome.end == job_end::not_run && outcome.retry_after >= 1s ? 1 : 0;
+    }
+    BOOST_TEST(completed + refused == n);
+    // Two seconds of four workers with room for two tasks of 100 ms: 40 jobs at best.
+    BOOST_TEST(completed >= 34U);
+    check_no_violation();
+}
+
+// Guards against work for callers that have left.
+BOOST_AUTO_TEST_CASE(abandoned_jobs_free_their_room)
+{
+    add_workers(1);
+    fleet.work = [](const std::string&) { return duration{1s}; };
+    take_control();
+    submit(job("a", 2, 1s), "front-1");
+    submit(job("b", 1, 1s), "front-2");
+    timers.advance(50ms);
+    controller->abandon_all_of("front-1");
+    timers.advance(100ms);
+    BOOST_TEST(fleet.starts_of("b.0.0.0") == 1U);
+    BOOST_TEST(!outcomes.contains("a"));
+    check_no_violation();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(takeover, cell_fixture)
+
+// Guards against a second run beside the first after the controller died: the next one has to find
+// the running tasks and take them over.
+BOOST_AUTO_TEST_CASE(a_resumed_job_takes_over_its_running_tasks)
+{
+    add_workers(2);
+    fleet.work = [](const std::string&) { return duration{400ms}; };
+    take_control(1);
+    submit(job("j", 3, 400ms));
+    timers.advance(50ms);
+    controller.reset(); // the process is gone; no stop is sent
+    take_control(2);
+    auto again = job("j", 3, 400ms);
+    again.resumed = true;
+    submit(again);
+    timers.advance(500ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.total_starts() == 3U);
+    check_no_violation();
+}
+
+// Guards against room that is taken for free: what an earlier controller left runs on until it is
+// stopped.
+BOOST_AUTO_TEST_CASE(runs_without_a_job_are_stopped_before_their_room_is_used)
+{
+    add_workers(1);
+    fleet.work = [](const std::string&) { return duration{2s}; };
+    take_control(1);
+    submit(job("old", 2, 2s));
+    timers.advance(50ms);
+    controller.reset();
+    take_control(2);
+    submit(job("new", 2, 2s));
+    timers.advance(1s);
+    BOOST_TEST(fleet.starts_of("new.0.0.0") == 1U);
+    BOOST_TEST(fleet.starts_of("new.0.0.1") == 1U);
+    check_no_violation();
+}
+
+// Guards against orders of a controller that does not know of its successor.
+BOOST_AUTO_TEST_CASE(a_controller_with_a_lower_token_is_fenced)
+{
+    add_workers(2);
+    take_control(1);
+    const auto old = std::move(controller);
+    take_control(2);
+    job_outcome outcome;
+    bool answered = false;
+    old->submit(job("j", 2), "front", [&](const job_outcome& it) {
+        outcome = it;
+        answered = true;
+    });
+    timers.advance(500ms);
+    BOOST_TEST(fences >= 1U);
+    BOOST_TEST(fleet.total_starts() == 0U);
+    BOOST_TEST(!answered);
+}
+
+// Guards against a second run of a task that still runs on a worker which only the earlier
+// controller reaches (seen at the end of a zone cut).
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_while_a_worker_has_not_answered_the_claim)
+{
+    add_workers(2);
+    fleet.work = [](const std::string&) { return duration{600ms}; };
+    take_control(1);
+    submit(job("j", 4, 600ms));
+    timers.advance(50ms);
+    controller.reset();
+    fleet.fault("w0").silent = true;
+    take_control(2);
+    auto again = job("j", 4, 600ms);
+    again.resumed = true;
+    submit(again);
+    timers.advance(3s);
+    check_no_violation();
+    BOOST_TEST(ended("j", job_end::completed));
+}
+
+// Guards against the same, on a worker that the newest list had not yet shown to the successor.
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_a_list_that_is_newer_than_the_claim)
+{
+    add_workers(2);
+    fleet.work = [](const std::string&) { return duration{600ms}; };
+    take_control(1);
+    submit(job("j", 4, 600ms));
+    timers.advance(50ms);
+    controller.reset();
+    controller = make_controller();
+    const auto all = fleet.reports();
+    controller->set_workers(std::span(all).first(1));
+    controller->claim(2);
+    timers.advance(20ms);
+    auto again = job("j", 4, 600ms);
+    again.resumed = true;
+    submit(again);
+    timers.advance(200ms);
+    check_no_violation();
+    controller->set_workers(all);
+    timers.advance(20ms);
+    controller->note_workers_read(timers.monotonic_now());
+    timers.advance(1s);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.total_starts() == 4U);
+    check_no_violation();
+}
+
+// Guards against a finished job that runs again because only its answer was lost.
+BOOST_AUTO_TEST_CASE(a_job_asked_for_again_gets_the_former_answer)
+{
+    add_workers(2);
+    take_control();
+    submit(job("j", 2));
+    timers.advance(300ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    outcomes.clear();
+    auto again = job("j", 2);
+    again.resumed = true;
+    submit(again);
+    timers.advance(300ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.total_starts() == 2U);
+}
+
+// Guards against jobs that stay with an instance that has handed its cell over.
+BOOST_AUTO_TEST_CASE(release_sends_open_jobs_to_the_next_controller)
+{
+    add_workers(2);
+    take_control(1);
+    submit(job("j", 4));
+    timers.advance(20ms);
+    controller->release();
+    BOOST_TEST(ended("j", job_end::moved));
+    submit(job("k", 1));
+    BOOST_TEST(ended("k", job_end::moved));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/cell_fixture.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "cell/cell_controller.h"
+#include "stand_in/memory_worker_fleet.h"
+#include "stand_in/virtual_timer_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <map>
+
+namespace cactusloom {
+
+// A controller over workers in memory, in virtual time.
+struct cell_fixture {
+    virtual_timer_service timers;
+    memory_worker_fleet fleet{timers};
+    std::unique_ptr<cell_controller> controller;
+    std::map<std::string, job_outcome> outcomes;
+    std::size_t fences = 0;
+
+    // Room of each worker in tests: two tasks of one core.
+    static constexpr task_demand two_cores = {2000, 1000, 0};
+
+    void add_workers(int n)
+    {
+        for (int i = 0; i < n; ++i) {
+            fleet.add(fmt::format("w{}", i), two_cores);
+        }
+    }
+
+    std::unique_ptr<cell_controller> make_controller()
+    {
+        auto it = std::make_unique<cell_controller>(timers, fleet, cell_settings{});
+        it->on_fenced = [this] { ++fences; };
+        it->set_workers(fleet.reports());
+        return it;
+    }
+
+    // Claims the cell and lets the workers answer.
+    void take_control(std::uint64_t token = 1)
+    {
+        using namespace std::chrono_literals;
+        controller = make_controller();
+        controller->claim(token);
+        timers.advance(20ms);
+        controller->note_workers_read(timers.monotonic_now());
+    }
+
+    static job_request job(const std::string& id, std::uint32_t tasks,
+                           duration estimate = std::chrono::milliseconds{100})
+    {
+        job_request out;
+        out.id = id;
+        out.payload = "payload";
+        job_step step;
+        step.count = tasks;
+        step.demand = {1000, 100, 0};
+        step.estimate = estimate;
+        out.steps.push_back(step);
+        out.terms = {"queue", "service", 0, 3, 1.6, std::chrono::milliseconds{60}};
+        out.time_left = std::chrono::seconds{3};
+        return out;
+    }
+
+    void submit(job_request request, const std::string& requester = "front")
+    {
+        const auto id = request.id;
+        controller->submit(std::move(request), requester,
+                           [this, id](const job_outcome& it) { outcomes[id] = it; });
+    }
+
+    bool ended(const std::string& id, job_end how) const
+    {
+        const auto it = outcomes.find(id);
+        return it != outcomes.end() && it->second.end == how;
+    }
+
+    void check_no_violation() const
+    {
+        for (const auto& it : fleet.violations()) {
+            BOOST_ERROR(it);
+        }
+    }
+};
+
+} // namespace cactusloom
