--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -74,6 +74,8 @@
     void give_up(const std::string& cell);
     void on_fenced(const std::string& cell);
     void announce();
+    bool is_cut_off(const std::vector<instance_view>& views);
+    bool is_contested(std::string_view cell) const;
     std::vector<std::string> cells(bool minority) const;
     std::vector<std::string> own_names() const;
     std::vector<worker_report> workers_of(std::string_view cell) const;
@@ -102,6 +104,8 @@
     bool instances_known_ = false;
     bool leaving_ = false;
     bool split_ = false;
+    bool cut_off_ = false;
+    monotonic_time cut_off_at_;
     timer_id tick_timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -23,7 +23,8 @@
     job_request request;
     std::string requester;
     cell_controller::answer answer; // empty once answered
-    monotonic_time arrived;
+    monotonic_time arrived;     // at the instance that the caller is connected to
+    monotonic_time accepted_at; // here
     monotonic_time due;      // objective: an answer by then counts in full
     monotonic_time deadline; // the caller stops waiting
     std::vector<std::vector<task_state>> steps;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -14,6 +14,7 @@
 constexpr duration tick_interval = std::chrono::milliseconds{50};
 // A starting instance first hears who controls what; two beats and a connection are enough.
 constexpr duration election_grace = std::chrono::milliseconds{700};
+constexpr duration cut_end_pause = std::chrono::milliseconds{350};
 constexpr duration fence_pause = std::chrono::milliseconds{200};
 // One controller of the weakest deployed kind (a quarter of a core) carries about 60 workers at
 // peak; a fleet beyond this size is divided by data centre.
@@ -140,6 +141,37 @@
     announce();
 }
 
+// Being on the smaller side of a cut holds at once. Its end holds once the other side has had the
+// time to say what it controls.
+bool cell_service::is_cut_off(const std::vector<instance_view>& views)
+{
+    const auto now = timers_.monotonic_now();
+    if (cell_election::is_minority(mesh_.self().name, views)) {
+        cut_off_at_ = now;
+        cut_off_ = true;
+    }
+    else if (cut_off_ && now - cut_off_at_ > cut_end_pause) {
+        cut_off_ = false;
+    }
+    return cut_off_;
+}
+
+// True if an instance in touch claims workers of this cell too.
+bool cell_service::is_contested(std::string_view cell) const
+{
+    for (const auto& view : mesh_.views()) {
+        if (view.name == mesh_.self().name || !view.alive) {
+            continue;
+        }
+        for (const auto& it : view.claims) {
+            if (cell_election::covers(it.cell, cell) || cell_election::covers(cell, it.cell)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 std::vector<std::string> cell_service::cells(bool minority) const
 {
     if (minority) {
@@ -173,7 +205,7 @@
         split_ = workers_.size() > (split_ ? min_workers_of_split_cells
                                            : max_workers_of_whole_cell);
         const auto views = mesh_.views();
-        const auto names = cells(cell_election::is_minority(mesh_.self().name, views));
+        const auto names = cells(is_cut_off(views));
         for (const auto& cell : own_names()) {
             if (std::ranges::find(names, cell) == names.end()) {
                 give_up(cell);
@@ -241,6 +273,9 @@
             return;
         }
         it->second->fenced = false;
+        if (is_contested(cell)) {
+            return; // one of the two gives way soon; the next look tells
+        }
         log_event("token_raised", "cell={} from={}", cell, it->second->token);
         const auto seen = cell_election::decide(cell, mesh_.self().name, mesh_.views());
         claim(cell, std::max(it->second->token + fence_step, seen.highest_token));
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -61,6 +61,7 @@
     bool quick_look_pending = false;
     monotonic_time next_look; // when held is false
     monotonic_time last_reply;
+    monotonic_time accepted_look_sent_at; // newest look that the worker accepted
     std::uint32_t unanswered_looks = 0;
 
     std::uint32_t failure_streak = 0;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -64,6 +64,7 @@
     job.requester = requester;
     job.answer = std::move(fn);
     job.arrived = now - job.request.age;
+    job.accepted_at = now;
     job.deadline = now + job.request.time_left;
     const auto chain = static_cast<double>(longest_chain(job.request).count());
     job.due = job.arrived + job.request.terms.target_latency +
@@ -215,16 +216,26 @@
 }
 
 // A task of a resumed job may still run on a worker that the earlier controller reaches and this
-// one does not. It must not be started a second time beside that.
-bool cell_controller::state::may_start_resumed(const active_job& job) const
+// one does not, or has been started since this one looked last. It must not be started a second
+// time beside that, so every worker has to accept a look that is newer than the job.
+bool cell_controller::state::may_start_resumed(const active_job& job)
 {
-    const auto now = timers.monotonic_now();
-    if (now - job.arrived > resumed_job_quarantine + job.request.age) {
+    if (timers.monotonic_now() - job.accepted_at > resumed_job_quarantine) {
         return true;
     }
-    return workers_as_of > first_claimed_at && std::ranges::all_of(workers, [](const auto& row) {
-        return row.second->held || (!row.second->listed && row.second->report.draining);
-    });
+    bool all_seen = workers_as_of > first_claimed_at;
+    for (auto& [id, worker] : workers) {
+        if (!worker->listed && worker->report.draining) {
+            continue;
+        }
+        if (!worker->held || worker->accepted_look_sent_at < job.accepted_at) {
+            all_seen = false;
+            if (worker->held) {
+                look(*worker, true);
+            }
+        }
+    }
+    return all_seen;
 }
 
 void cell_controller::state::finish(active_job& job, const job_outcome& outcome)
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -60,7 +60,7 @@
     void accept(job_request request, const std::string& requester, answer fn);
     bool reject_if_hopeless(active_job& job);
     bool adopt_orphans(active_job& job);
-    bool may_start_resumed(const active_job& job) const;
+    bool may_start_resumed(const active_job& job);
     void finish(active_job& job, const job_outcome& outcome);
     void abandon(active_job& job);
     void collect(const std::string& id);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -136,11 +136,12 @@
             worker.born_ms = reply.born_ms;
         }
         worker.last_reply = now;
+        worker.accepted_look_sent_at = std::max(worker.accepted_look_sent_at, sent_at);
         worker.unanswered_looks = 0;
         note_clock(worker, reply.clock_ms);
         const bool first = !std::exchange(worker.held, true);
         apply_look(worker, sent_at, reply);
-        if (first) {
+        if (first || quick) {
             schedule_pump();
         }
         look(worker, false);
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -307,6 +307,36 @@
     check_no_violation();
 }
 
+// Guards against a second run of a task that a rival has started after this controller's last look
+// (seen when both sides of a cut met again).
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_looks_that_are_newer_than_itself)
+{
+    add_workers(2);
+    fleet.work = [](const std::string&) { return duration{600ms}; };
+    take_control(1);
+    timers.advance(100ms);
+    const auto ours = std::move(controller);
+    controller = make_controller();
+    controller->claim(2);
+    timers.advance(10ms);
+    submit(job("j", 2, 600ms));
+    timers.advance(10ms);
+    controller.reset();
+    ours->claim(3);
+    timers.advance(4ms);
+    ours->note_workers_read(timers.monotonic_now());
+    auto again = job("j", 2, 600ms);
+    again.resumed = true;
+    bool done = false;
+    ours->submit(again, "front", [&](const job_outcome& it) {
+        done = it.end == job_end::completed;
+    });
+    timers.advance(2s);
+    BOOST_TEST(done);
+    BOOST_TEST(fleet.total_starts() == 2U);
+    check_no_violation();
+}
+
 // Guards against a finished job that runs again because only its answer was lost.
 BOOST_AUTO_TEST_CASE(a_job_asked_for_again_gets_the_former_answer)
 {
