Neither renew nor duplicate what an earlier controller left running

No lease is renewed while a worker has orphans, orphans are stopped after 150 ms instead of 250, and a task waits for its orphan. Tests: an_orphan_gets_no_longer_lease, a_task_waits_until_its_orphan_has_stopped.

--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -340,13 +340,14 @@
 // they let the callers' tasks start elsewhere.
 void cell_service::check_requesters()
 {
-    for (auto& [cell, own] : own_cells_) {
-        std::erase_if(own->requesters, [&](const std::string& requester) {
+    for (auto& row : own_cells_) {
+        auto& own = *row.second;
+        std::erase_if(own.requesters, [&](const std::string& requester) {
             if (mesh_.hears(requester)) {
                 return false;
             }
-            log_event("requester_lost", "instance={} cell={}", requester, cell);
-            own->controller->abandon_all_of(requester);
+            log_event("requester_lost", "instance={} cell={}", requester, row.first);
+            own.controller->abandon_all_of(requester);
             return true;
         });
     }
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -177,8 +177,9 @@
         }
         return true;
     });
-    for (auto& [id, worker] : workers) {
-        std::erase_if(worker->orphans, [&](const auto& row) {
+    for (auto& entry : workers) {
+        auto& worker = *entry.second;
+        std::erase_if(worker.orphans, [&](const auto& row) {
             task_ref ref;
             if (!parse_task_name(row.first, ref) || ref.job != job.request.id) {
                 return false;
@@ -200,9 +201,9 @@
             run.at = task_run::phase::running;
             run.sent_at = row.second.seen_at;
             run.confirmed_at = row.second.seen_at;
-            run.predicted = policy.predict(job, job.request.steps[ref.step], *worker);
-            worker->take(run.demand);
-            worker->runs.emplace(row.first, std::move(run));
+            run.predicted = policy.predict(job, job.request.steps[ref.step], worker);
+            worker.take(run.demand);
+            worker.runs.emplace(row.first, std::move(run));
             task->at = task_state::phase::placed;
             --job.pending_tasks;
             ++job.placed_tasks;
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cactusloom {
 
@@ -67,6 +68,12 @@
     if (open.empty()) {
         return;
     }
+    std::set<std::string> orphaned; // tasks that still run for an earlier controller
+    for (const auto& [id, worker] : workers) {
+        for (const auto& [name, orphan] : worker->orphans) {
+            orphaned.insert(name);
+        }
+    }
     policy.sort(waiting, now);
     int failed_jobs = 0;
     for (auto* job : waiting) {
@@ -79,7 +86,11 @@
                 continue;
             }
             for (std::size_t i = 0; i < job->steps[step].size() && placed_all; ++i) {
-                if (job->steps[step][i].at != task_state::phase::pending) {
+                if (job->steps[step][i].at != task_state::phase::pending ||
+                    (!orphaned.empty() &&
+                     orphaned.contains(to_task_name({job->request.id,
+                                                     static_cast<std::uint32_t>(step),
+                                                     static_cast<std::uint32_t>(i)})))) {
                     continue;
                 }
                 auto* worker = policy.choose(*job, step, job->steps[step][i], open, now);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -19,7 +19,7 @@
 constexpr duration claim_retry = std::chrono::milliseconds{300};
 constexpr duration stop_retry = std::chrono::milliseconds{120};
 // A front resubmits within a round trip of a takeover.
-constexpr duration orphan_grace = std::chrono::milliseconds{250};
+constexpr duration orphan_grace = std::chrono::milliseconds{150};
 constexpr duration first_closing = std::chrono::milliseconds{800};
 constexpr duration longest_closing = std::chrono::seconds{4};
 constexpr std::uint32_t failures_to_close = 2;
@@ -101,8 +101,10 @@
     order.token = token;
     order.seen = worker.seen;
     order.wait = quick ? duration::zero() : look_wait;
-    // A worker that does not answer gets no longer lease: its runs must lapse at a known time.
-    if (worker.clock_ms >= 0 && worker.held && worker.unanswered_looks == 0) {
+    // A worker that does not answer gets no longer lease: its runs must lapse at a known time. Nor
+    // does one with runs of an earlier controller, which may be counting on their lapse.
+    if (worker.clock_ms >= 0 && worker.held && worker.unanswered_looks == 0 &&
+        worker.orphans.empty()) {
         order.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
         worker.lease_end_ms = std::max(worker.lease_end_ms, order.deadline_ms);
     }
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -221,9 +221,10 @@
         by_data_centre[it.data_centre].push_back(
             {it.name, it.data_centre, it.strength, true, false, {}});
     }
-    for (auto& [cell, views] : by_data_centre) {
-        std::ranges::sort(views, [&cell](const auto& a, const auto& b) {
-            return cell_election::ranks_before(cell, a, b);
+    for (auto& row : by_data_centre) {
+        auto& views = row.second;
+        std::ranges::sort(views, [&row](const auto& a, const auto& b) {
+            return cell_election::ranks_before(row.first, a, b);
         });
         for (std::size_t i = 0; i < views.size() && i < candidates_per_data_centre; ++i) {
             out.insert(views[i].name);
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -337,6 +337,51 @@
     check_no_violation();
 }
 
+// Guards against a second run beside an orphan whose stop is under way (seen after a cut, where the
+// job came later than the stop).
+BOOST_AUTO_TEST_CASE(a_task_waits_until_its_orphan_has_stopped)
+{
+    add_workers(2);
+    fleet.work = [](const std::string&) { return duration{2s}; };
+    take_control(1);
+    submit(job("j", 1, 2s));
+    timers.advance(50ms);
+    controller.reset();
+    take_control(2);
+    const auto holder = fleet.running("w0") == 1 ? "w0" : "w1";
+    timers.advance(130ms);
+    fleet.fault(holder).silent = true; // the stop does not arrive
+    timers.advance(60ms);
+    auto again = job("j", 1, 2s);
+    again.resumed = true;
+    again.time_left = 10s;
+    submit(again);
+    timers.advance(1s);
+    fleet.fault(holder).silent = false;
+    timers.advance(5s);
+    check_no_violation();
+    BOOST_TEST(ended("j", job_end::completed));
+}
+
+// Guards against a longer lease for runs that the controller before counts as lapsed (seen in a
+// data centre that was cut off: the larger side started their tasks anew).
+BOOST_AUTO_TEST_CASE(an_orphan_gets_no_longer_lease)
+{
+    add_workers(1);
+    fleet.work = [](const std::string&) { return duration{5s}; };
+    take_control(1);
+    submit(job("j", 1, 5s));
+    timers.advance(50ms);
+    controller.reset();
+    const auto left_at = timers.monotonic_now();
+    timers.advance(600ms);
+    take_control(2);
+    while (fleet.running("w0") != 0 && timers.monotonic_now() - left_at < 3s) {
+        timers.advance(10ms);
+    }
+    BOOST_TEST((timers.monotonic_now() - left_at <= 1050ms));
+}
+
 // Guards against a finished job that runs again because only its answer was lost.
 BOOST_AUTO_TEST_CASE(a_job_asked_for_again_gets_the_former_answer)
 {
