Serve metrics, log to standard output without blocking, test codecs, election and followers

Log lines go to standard output, at most 400 a second, and are dropped and counted when the pipe is full. Counters and latency histograms are served as text on port 9464. Each change of a job's controller and each refusal logs the inputs that decided it. A new instance is linked to at once instead of at the next beat (found by cell_service_test, where an election ran before the links were up).

--- a/include/base/log.h
+++ b/include/base/log.h
@@ -1,14 +1,26 @@
 #pragma once
 
+#include <cstdint>
 #include <fmt/format.h>
 #include <string_view>
+#include <utility>
 
 namespace cactusloom {
 
-// Writes one key=value line to standard error. Lines are for changes of state only; what happens
-// per request is counted instead.
+// Writes one key=value line to standard output. A line is written at once or, if the pipe is full
+// or more than `max_log_lines_per_second` were written in this second, dropped and counted; the
+// next line that gets through is preceded by the count. The caller never waits.
 void write_log_line(std::string_view event, std::string_view fields);
 
+// At 20 us a line (docs/MEASUREMENTS.md) this is less than 1 % of a core.
+inline constexpr std::uint32_t max_log_lines_per_second = 400;
+
+// Makes standard output nonblocking. Without this call a full pipe would stop the process.
+void make_log_nonblocking();
+
+// Lines dropped since the start.
+std::uint64_t dropped_log_lines();
+
 // Formats the fields of a log line, for example log_event("listening", "port={}", port).
 template<typename... Args>
 void log_event(std::string_view event, fmt::format_string<Args...> format, Args&&... args)
--- /dev/null
+++ b/include/cell/dispatch_report.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cactusloom {
+
+class cell_service;
+class front_desk;
+
+// Figures of the network parts, gathered by whoever owns them.
+struct network_figures {
+    std::uint64_t caller_connections = 0;
+    std::uint64_t open_requests = 0;
+    std::uint64_t connections_opened = 0; // to workers and the store
+};
+
+// All counters and histograms of an instance in the text exposition format.
+std::string format_dispatch_metrics(const cell_service& cells, const front_desk& desk,
+                                    const network_figures& network);
+
+} // namespace cactusloom
--- a/include/cell/front_desk.h
+++ b/include/cell/front_desk.h
@@ -3,8 +3,10 @@
 #include "base/timer_service.h"
 #include "cell/cell_service.h"
 #include "cell/queue_table.h"
+#include "metrics/latency_histogram.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -66,6 +68,9 @@
     // From now on new jobs are still served, but the instance is about to stop.
     void begin_drain() { draining_ = true; }
 
+    // Appends the histograms of answer times, by kind of answer.
+    void format_latencies(std::string& out) const;
+
     // True if callers' new connections are welcome.
     bool is_ready() const;
 
@@ -74,6 +79,7 @@
     cell_service& cells_;
     queue_table table_;
     bool draining_ = false;
+    std::map<desk_reply::kind, latency_histogram> latencies_;
 };
 
 } // namespace cactusloom
--- a/include/net/stream_http_server.h
+++ b/include/net/stream_http_server.h
@@ -39,6 +39,7 @@
     // Called at most once if the caller hangs up before the answer.
     void on_abandoned(std::function<void()> fn) const;
 
+    // The body is JSON unless a Content-Type header says otherwise.
     void answer(int status, std::string_view body, const header_list& headers = {}) const;
 
     // Ends the connection without an answer: the caller cannot know whether the request ran.
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,19 +1,81 @@
 #include "base/log.h"
 
 #include <chrono>
-#include <cstdio>
+#include <fcntl.h>
 #include <fmt/chrono.h>
+#include <iterator>
+#include <string>
+#include <unistd.h>
 
 namespace cactusloom {
 
+namespace {
+
+// State of the one output; the process has one thread.
+struct log_output {
+    std::uint64_t dropped = 0;
+    std::uint64_t reported = 0;
+    std::int64_t second = 0;
+    std::uint32_t lines_this_second = 0;
+};
+
+log_output& output()
+{
+    static log_output it;
+    return it;
+}
+
+void append_line(std::string& out, std::chrono::system_clock::time_point now,
+                 std::string_view event, std::string_view fields)
+{
+    const auto ms =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(now).time_since_epoch().count();
+    fmt::format_to(std::back_inserter(out), "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z event={}{}{}\n",
+                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms % 1000, event,
+                   fields.empty() ? "" : " ", fields);
+}
+
+} // namespace
+
 void write_log_line(std::string_view event, std::string_view fields)
 {
-    const auto now =
-        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    const auto ms = now.time_since_epoch().count() % 1000;
-    fmt::print(stderr, "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z event={}{}{}\n",
-               fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms, event,
-               fields.empty() ? "" : " ", fields);
+    auto& it = output();
+    const auto now = std::chrono::system_clock::now();
+    const auto second = std::chrono::system_clock::to_time_t(now);
+    if (second != it.second) {
+        it.second = second;
+        it.lines_this_second = 0;
+    }
+    if (++it.lines_this_second > max_log_lines_per_second) {
+        ++it.dropped;
+        return;
+    }
+    std::string text;
+    if (it.dropped != it.reported) {
+        append_line(text, now, "log_lines_dropped",
+                    fmt::format("lines={}", it.dropped - it.reported));
+    }
+    append_line(text, now, event, fields);
+    const auto n = write(STDOUT_FILENO, text.data(), text.size());
+    if (n == static_cast<ssize_t>(text.size())) {
+        it.reported = it.dropped;
+    }
+    else {
+        ++it.dropped;
+    }
+}
+
+void make_log_nonblocking()
+{
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0 && fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0) {
+        log_event("log_may_block", "reason=\"cannot change standard output\"");
+    }
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return output().dropped;
 }
 
 } // namespace cactusloom
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -59,8 +59,10 @@
         sent_cell = target;
     }
 
-    void lose_controller(monotonic_time now)
+    void lose_controller(monotonic_time now, const char* reason)
     {
+        log_event("job_lost_controller", "id={} controller={} cell={} reason=\"{}\" age_ms={}",
+                  request.id, controller, cell, reason, (now - arrived).count() / 1000);
         controller.clear();
         lost_at = now;
         may_have_run = true;
@@ -86,7 +88,7 @@
     mesh_.on_restart = [this](const std::string& peer) {
         for (auto& [id, job] : jobs_) {
             if (job->controller == peer) {
-                job->lose_controller(timers_.monotonic_now());
+                job->lose_controller(timers_.monotonic_now(), "restarted");
             }
         }
     };
@@ -94,7 +96,7 @@
         for (auto& [id, job] : jobs_) {
             if (job->controller == peer) {
                 // Its outcome may have been lost with the old link.
-                job->lose_controller(timers_.monotonic_now());
+                job->lose_controller(timers_.monotonic_now(), "link replaced");
             }
         }
         redispatch();
@@ -445,6 +447,11 @@
         return;
     }
     job.request.resumed = bound;
+    if (job.may_have_run) {
+        log_event("job_sent_again", "id={} controller={} cell={} resumed={} time_left_ms={}",
+                  job.request.id, target->name, target_cell, bound,
+                  (job.deadline - now).count() / 1000);
+    }
     job.request.age = now - job.arrived;
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
@@ -489,7 +496,7 @@
     std::vector<std::string> waiting;
     for (auto& [id, job] : jobs_) {
         if (!job->controller.empty() && !holders.contains({job->controller, job->cell})) {
-            job->lose_controller(timers_.monotonic_now());
+            job->lose_controller(timers_.monotonic_now(), "not in control or out of touch");
         }
         if (job->controller.empty()) {
             waiting.push_back(id);
@@ -511,7 +518,7 @@
     }
     auto& job = *it->second;
     if (outcome.end == job_end::moved) {
-        job.lose_controller(timers_.monotonic_now()); // the next evaluation finds the new one
+        job.lose_controller(timers_.monotonic_now(), "moved"); // the next evaluation finds the new one
         return;
     }
     if (outcome.end == job_end::not_run && job.may_have_run) {
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -1,5 +1,6 @@
 #include "controller_state.h"
 
+#include "base/hash.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -20,6 +21,13 @@
 constexpr duration min_retry_after = std::chrono::seconds{1};
 constexpr duration answer_margin = std::chrono::milliseconds{8};
 
+// One of 64 jobs is followed in the log when all goes well; the same one by every instance.
+bool is_sampled(std::string_view job_id)
+{
+    constexpr std::uint64_t sample = 64;
+    return hash64(job_id) % sample == 0;
+}
+
 } // namespace
 
 void cell_controller::state::submit(job_request request, const std::string& requester, answer fn)
@@ -146,7 +154,10 @@
     if (in_time && now + policy.at_best(longest) + answer_margin <= job.deadline) {
         return false;
     }
-    finish(job, {job_end::not_run, std::max(wait, min_retry_after), "no room before its deadline"});
+    log_event("job_too_late", "id={} queue={} work_ahead_ms={} speed={:.1f} wait_ms={} due_ms={}",
+              job.request.id, job.request.terms.queue, static_cast<std::int64_t>(work / 1000),
+              speed, wait.count() / 1000, (job.due - now).count() / 1000);
+    finish(job, {job_end::not_run, std::max(wait, min_retry_after), "no room before its objective"});
     return true;
 }
 
@@ -265,6 +276,11 @@
         if (outcome.end == job_end::completed || outcome.end == job_end::failed) {
             recent[job.request.id] = {outcome, timers.monotonic_now()};
         }
+        if (outcome.end == job_end::completed && is_sampled(job.request.id)) {
+            log_event("job_completed", "id={} queue={} age_ms={} due_ms={}", job.request.id,
+                      job.request.terms.queue, (timers.monotonic_now() - job.arrived).count() / 1000,
+                      (job.due - job.arrived).count() / 1000);
+        }
         fn(outcome);
     }
     abandon(job);
--- /dev/null
+++ b/src/cell/dispatch_report.cpp
@@ -0,0 +1,45 @@
+#include "cell/dispatch_report.h"
+
+#include "base/log.h"
+#include "cell/cell_service.h"
+#include "cell/front_desk.h"
+
+#include <fmt/format.h>
+#include <iterator>
+
+namespace cactusloom {
+
+std::string format_dispatch_metrics(const cell_service& cells, const front_desk& desk,
+                                    const network_figures& network)
+{
+    std::string out;
+    const auto add = [&out](std::string_view name, auto value) {
+        fmt::format_to(std::back_inserter(out), "cactusloom_{} {}\n", name, value);
+    };
+    const auto counts = cells.counts();
+    add("jobs_completed_total", counts.jobs_completed);
+    add("jobs_failed_total", counts.jobs_failed);
+    add("jobs_not_run_total", counts.jobs_not_run);
+    add("jobs_unknown_total", counts.jobs_unknown);
+    add("task_starts_total", counts.starts);
+    add("task_starts_without_reply_total", counts.starts_without_reply);
+    add("task_failures_total", counts.task_failures);
+    add("task_stops_total", counts.stops);
+    add("stragglers_moved_total", counts.stragglers_moved);
+    add("worker_looks_total", counts.looks);
+    add("workers_lost_total", counts.workers_lost);
+    add("orphans_adopted_total", counts.orphans_adopted);
+    add("orphans_stopped_total", counts.orphans_stopped);
+    add("controls_cells", cells.controls_any() ? 1 : 0);
+    add("has_controller", cells.has_controller() ? 1 : 0);
+    add("open_jobs", cells.open_jobs());
+    add("config_version", desk.version());
+    add("caller_connections", network.caller_connections);
+    add("open_requests", network.open_requests);
+    add("connections_opened_total", network.connections_opened);
+    add("log_lines_dropped_total", dropped_log_lines());
+    desk.format_latencies(out);
+    return out;
+}
+
+} // namespace cactusloom
--- a/src/cell/front_desk.cpp
+++ b/src/cell/front_desk.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace cactusloom {
 
@@ -18,6 +19,22 @@
     return {desk_reply::kind::not_run, retry_after};
 }
 
+std::string_view name_of(desk_reply::kind kind)
+{
+    switch (kind) {
+    case desk_reply::kind::completed:
+        return "completed";
+    case desk_reply::kind::failed:
+        return "failed";
+    case desk_reply::kind::not_run:
+        return "not_run";
+    case desk_reply::kind::unknown_fate:
+        return "unknown";
+    default:
+        return "other"; // not an answer to a submission
+    }
+}
+
 desk_reply to_reply(const job_outcome& outcome)
 {
     switch (outcome.end) {
@@ -81,8 +98,20 @@
     // A job is answered once it has ended, which may take longer than the route's timeout for an
     // acknowledgement; the caller says how long it waits.
     request.time_left = order.patience.value_or(route->timeout);
-    cells_.submit(std::move(request),
-                  [fn = std::move(fn)](const job_outcome& outcome) { fn(to_reply(outcome)); });
+    const auto arrived = timers_.monotonic_now();
+    cells_.submit(std::move(request), [this, arrived, fn = std::move(fn)](const auto& outcome) {
+        const auto reply = to_reply(outcome);
+        latencies_[reply.what].record(timers_.monotonic_now() - arrived);
+        fn(reply);
+    });
+}
+
+void front_desk::format_latencies(std::string& out) const
+{
+    for (const auto& [kind, histogram] : latencies_) {
+        histogram.format(out, "cactusloom_job_seconds",
+                         fmt::format("answer=\"{}\"", name_of(kind)));
+    }
 }
 
 void front_desk::caller_left(const std::string& job_id)
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -80,6 +80,9 @@
             entry = std::make_unique<peer>();
             entry->address = it;
             log_event("instance_learned", "instance={} address={}", it.name, it.address);
+            if (listener_ && candidates().contains(it.name)) {
+                open(*entry); // the election waits for the links
+            }
             continue;
         }
         if (it.incarnation < entry->address.incarnation) {
--- a/src/net/stream_http_server.cpp
+++ b/src/net/stream_http_server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "net/tcp_stream.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -205,9 +206,13 @@
     exchange_.reset();
     --server_.open_requests;
     const bool keep = keep_alive_ && !server_.draining;
-    std::string text = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-                                   "Content-Length: {}\r\n",
-                                   status, reason_of(status), body.size());
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", status,
+                                   reason_of(status), body.size());
+    const bool typed = std::ranges::any_of(
+        headers, [](const auto& it) { return it.first == "Content-Type"; });
+    if (!typed) {
+        text += "Content-Type: application/json\r\n";
+    }
     for (const auto& [name, value] : headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
--- /dev/null
+++ b/tests/cell/cell_election_test.cpp
@@ -0,0 +1,78 @@
+#include "cell/cell_election.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cactusloom;
+
+namespace {
+
+instance_view view(const std::string& name, const std::string& data_centre, bool alive = true,
+                   std::vector<cell_claim> claims = {}, double strength = 1)
+{
+    return {name, data_centre, strength, alive, false, std::move(claims)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(election)
+
+// Guards against two claims, or none, when all see the same.
+BOOST_AUTO_TEST_CASE(one_instance_claims_a_free_cell)
+{
+    const std::vector<instance_view> views = {view("a", "x"), view("b", "y"), view("c", "y")};
+    int claims = 0;
+    for (const auto& it : views) {
+        claims += cell_election::decide(whole_cell, it.name, views).should_claim ? 1 : 0;
+    }
+    BOOST_TEST(claims == 1);
+}
+
+// Guards against a change of control because a better ranked instance has come back.
+BOOST_AUTO_TEST_CASE(a_holder_in_touch_keeps_its_cell)
+{
+    const std::vector<instance_view> views = {
+        view("strong", "x", true, {}, 2), view("weak", "y", true, {{std::string(whole_cell), 7}})};
+    const auto verdict = cell_election::decide(whole_cell, "strong", views);
+    BOOST_TEST(verdict.controller == "weak");
+    BOOST_TEST(!verdict.should_claim);
+    BOOST_TEST(verdict.highest_token == 7U);
+}
+
+// Guards against both holders keeping a cell after a cut.
+BOOST_AUTO_TEST_CASE(the_highest_token_wins)
+{
+    const std::string all(whole_cell);
+    const std::vector<instance_view> views = {view("a", "x", true, {{all, 5}}),
+                                              view("b", "y", true, {{all, 9}})};
+    BOOST_TEST(cell_election::decide(whole_cell, "a", views).controller == "b");
+    BOOST_TEST(cell_election::decide(whole_cell, "b", views).controller == "b");
+}
+
+// Guards against a dead or leaving holder blocking its cell.
+BOOST_AUTO_TEST_CASE(claims_of_the_dead_and_the_leaving_do_not_count)
+{
+    const std::string all(whole_cell);
+    std::vector<instance_view> views = {view("a", "x"), view("b", "y", false, {{all, 9}})};
+    BOOST_TEST(cell_election::decide(whole_cell, "a", views).should_claim);
+    views[1].alive = true;
+    views[1].leaving = true;
+    BOOST_TEST(cell_election::decide(whole_cell, "a", views).should_claim);
+}
+
+// Guards against several instances that are down making the rest take itself for the smaller side
+// of a cut (seen while two instances stopped during a cut).
+BOOST_AUTO_TEST_CASE(the_smaller_side_sees_no_other_data_centre)
+{
+    const std::vector<instance_view> cut = {view("a", "x"), view("b", "x"), view("c", "y", false),
+                                            view("d", "y", false), view("e", "z", false)};
+    BOOST_TEST(cell_election::is_minority("a", cut));
+    const std::vector<instance_view> few = {view("a", "x"), view("b", "x", false),
+                                            view("c", "y"), view("d", "y", false),
+                                            view("e", "z", false)};
+    BOOST_TEST(!cell_election::is_minority("a", few));
+    const std::vector<instance_view> single = {view("a", "x"), view("b", "x", false),
+                                               view("c", "x", false)};
+    BOOST_TEST(!cell_election::is_minority("a", single));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/cell_service_test.cpp
@@ -0,0 +1,179 @@
+#include "base/glib_timer_service.h"
+#include "cell/cell_service.h"
+#include "cell_fixture.h"
+
+#include <glib.h>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Several instances in one process, linked over loopback, with workers in memory.
+struct instances_fixture {
+    struct member {
+        std::unique_ptr<instance_mesh> mesh;
+        std::unique_ptr<cell_service> cells;
+    };
+
+    glib_timer_service timers;
+    poller events;
+    memory_worker_fleet fleet{timers};
+    std::map<std::string, member> members;
+    std::map<std::string, instance_address> addresses;
+    std::map<std::string, job_outcome> outcomes;
+
+    instances_fixture()
+    {
+        for (int i = 0; i < 4; ++i) {
+            fleet.add(fmt::format("w{}", i), cell_fixture::two_cores);
+        }
+    }
+
+    void start(const std::string& name, int port, const std::string& data_centre = "dc")
+    {
+        instance_address self{name, fmt::format("127.0.0.1:{}", port), data_centre, 1.0,
+                              timers.wall_now().time_since_epoch().count()};
+        addresses[name] = self;
+        auto& it = members[name];
+        it.mesh = std::make_unique<instance_mesh>(events, timers, self);
+        it.cells = std::make_unique<cell_service>(timers, *it.mesh, fleet, cell_settings{});
+        it.cells->on_claim = [this, cells = it.cells.get()] {
+            timers.schedule(5ms, [this, cells] {
+                cells->note_workers_read(timers.monotonic_now());
+            });
+        };
+        BOOST_REQUIRE(it.mesh->listen());
+        std::vector<instance_address> known;
+        for (const auto& [other, address] : addresses) {
+            known.push_back(address);
+        }
+        it.mesh->learn(known);
+        it.cells->set_workers(fleet.reports());
+        it.cells->note_instances_known();
+    }
+
+    void stop(const std::string& name)
+    {
+        members[name].cells.reset();
+        members[name].mesh.reset();
+        members.erase(name);
+    }
+
+    template<typename Condition>
+    bool run_until(Condition&& done, duration limit)
+    {
+        const auto end = timers.monotonic_now() + limit;
+        while (!done() && timers.monotonic_now() < end) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        return done();
+    }
+
+    // All links are up and one instance is in control.
+    bool is_settled() const
+    {
+        return controller().size() == 1 && std::ranges::all_of(members, [this](const auto& it) {
+                   const auto views = it.second.mesh->views();
+                   return views.size() == members.size() &&
+                          std::ranges::all_of(views, &instance_view::alive) &&
+                          it.second.cells->has_controller();
+               });
+    }
+
+    std::string controller() const
+    {
+        std::string found;
+        for (const auto& [name, it] : members) {
+            if (it.cells->controls_any()) {
+                found += name;
+            }
+        }
+        return found;
+    }
+
+    void submit(const std::string& name, job_request request)
+    {
+        const auto id = request.id;
+        members[name].cells->submit(std::move(request),
+                                    [this, id](const job_outcome& it) { outcomes[id] = it; });
+    }
+
+    bool completed(const std::string& id) const
+    {
+        const auto it = outcomes.find(id);
+        return it != outcomes.end() && it->second.end == job_end::completed;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(service, instances_fixture)
+
+// Guards against callers that are served only by the instance that controls the workers, and
+// against open jobs that are lost or run twice when control moves, by handover or by death.
+BOOST_AUTO_TEST_CASE(jobs_survive_a_handover_and_the_death_of_their_controller)
+{
+    fleet.work = [](const std::string&) { return duration{400ms}; };
+    start("a", 17401);
+    start("b", 17402);
+    start("c", 17403);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    auto first = controller();
+    std::string front = first == "c" ? "b" : "c";
+    submit(front, cell_fixture::job("j1", 4, 400ms));
+    run_until([] { return false; }, 100ms);
+    BOOST_TEST(fleet.total_starts() == 4U);
+
+    members[first].cells->leave();
+    BOOST_TEST(run_until([&] { return completed("j1"); }, 2s));
+    BOOST_TEST(fleet.total_starts() == 4U); // the running tasks were taken over
+
+    BOOST_REQUIRE(run_until([&] { return controller().size() == 1; }, 2s));
+    const auto second = controller();
+    BOOST_TEST(second != first);
+    stop(first);
+    for (const auto& [name, it] : members) {
+        if (name != second) {
+            front = name;
+        }
+    }
+    submit(front, cell_fixture::job("j2", 4, 400ms));
+    run_until([] { return false; }, 100ms);
+    stop(second);
+    BOOST_TEST(run_until([&] { return completed("j2"); }, 3s));
+    for (const auto& it : fleet.violations()) {
+        BOOST_ERROR(it);
+    }
+}
+
+// Guards against "not run" for a job that an earlier controller may have run.
+BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_controller_is_unknown)
+{
+    fleet.work = [](const std::string&) { return duration{300ms}; };
+    start("a", 17411);
+    start("b", 17412);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto first = controller();
+    const std::string front = first == "a" ? "b" : "a";
+    auto request = cell_fixture::job("j", 1, 300ms);
+    request.time_left = 250ms;
+    submit(front, request);
+    run_until([] { return false; }, 60ms);
+    stop(first);
+    BOOST_REQUIRE(run_until([&] { return outcomes.contains("j"); }, 3s));
+    BOOST_TEST(static_cast<int>(outcomes["j"].end) == static_cast<int>(job_end::unknown));
+}
+
+// Guards against callers that wait for their deadline while nobody controls the workers.
+BOOST_AUTO_TEST_CASE(without_a_controller_a_job_is_refused_as_not_run)
+{
+    start("a", 17421);
+    members["a"].cells->leave();
+    submit("a", cell_fixture::job("j", 1));
+    BOOST_REQUIRE(run_until([&] { return outcomes.contains("j"); }, 2s));
+    BOOST_TEST(static_cast<int>(outcomes["j"].end) == static_cast<int>(job_end::not_run));
+    BOOST_TEST((outcomes["j"].retry_after >= 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/placement_test.cpp
@@ -0,0 +1,129 @@
+#include "../../src/cell/placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct placement_fixture {
+    run_time_estimator times;
+    placement policy{times, 3.0};
+    std::vector<std::unique_ptr<claimed_worker>> workers;
+    monotonic_time now{1s};
+
+    placement_fixture()
+    {
+        // Kind "slow" takes 2.4 times as long as kind "fast".
+        for (int i = 0; i < 50; ++i) {
+            times.learn("queue", "fast", 100ms, 70ms);
+            times.learn("queue", "slow", 100ms, 170ms);
+        }
+    }
+
+    claimed_worker& add(const std::string& kind, std::int64_t cpu = 2000)
+    {
+        auto& it = *workers.emplace_back(std::make_unique<claimed_worker>());
+        it.report.id = kind + std::to_string(workers.size());
+        it.report.kind = kind;
+        it.report.service = "service";
+        it.report.labels = {kind, "rack"};
+        it.report.capacity = {cpu, 1000, 0};
+        return it;
+    }
+
+    active_job job(duration estimate, duration objective) const
+    {
+        active_job out;
+        job_step step;
+        step.count = 1;
+        step.demand = {1000, 10, 0};
+        step.estimate = estimate;
+        out.request.id = "j";
+        out.request.steps = {step};
+        out.request.terms.queue = "new queue"; // no run time learned
+        out.request.terms.service = "service";
+        out.steps = {std::vector<task_state>(1)};
+        out.done_of_step = {0};
+        out.pending_tasks = 1;
+        out.arrived = now;
+        out.due = now + objective;
+        out.deadline = now + 3 * objective;
+        return out;
+    }
+
+    claimed_worker* choose(const active_job& it) const
+    {
+        std::vector<claimed_worker*> open;
+        for (const auto& row : workers) {
+            open.push_back(row.get());
+        }
+        return policy.choose(it, 0, it.steps[0][0], open, now);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(placing, placement_fixture)
+
+// Guards against short tasks that take the fast workers which long tasks need.
+BOOST_AUTO_TEST_CASE(short_tasks_go_to_slow_workers_long_ones_to_fast)
+{
+    add("fast");
+    add("slow");
+    BOOST_TEST(choose(job(60ms, 200ms))->report.kind == "slow");
+    BOOST_TEST(choose(job(900ms, 1500ms))->report.kind == "fast");
+}
+
+// Guards against a long task that is late for certain because it did not wait for a fast worker.
+BOOST_AUTO_TEST_CASE(a_long_task_waits_for_a_fast_worker_while_that_helps)
+{
+    add("slow");
+    BOOST_TEST(choose(job(900ms, 1500ms)) == nullptr);
+    auto late = job(900ms, 600ms);
+    late.deadline = now + 3s; // a slow worker still makes that
+    BOOST_TEST(choose(late) != nullptr);
+}
+
+// Guards against starts that the configuration or the job rules out.
+BOOST_AUTO_TEST_CASE(service_label_and_spread_bind)
+{
+    auto& only = add("fast", 4000);
+    auto it = job(60ms, 200ms);
+    it.request.terms.service = "other";
+    BOOST_TEST(choose(it) == nullptr);
+    it = job(60ms, 200ms);
+    it.request.steps[0].required_label = "gpu";
+    BOOST_TEST(choose(it) == nullptr);
+    it.request.steps[0].required_label = "rack";
+    BOOST_TEST(choose(it) == &only);
+    it.request.steps[0].max_per_worker = 1;
+    task_run run;
+    run.job = &it;
+    only.runs["j.0.0.1"] = run;
+    BOOST_TEST(choose(it) == nullptr);
+}
+
+// Guards against room that is left in pieces too small for any task.
+BOOST_AUTO_TEST_CASE(the_tightest_fit_is_taken_among_equals)
+{
+    add("fast", 3000);
+    auto& tight = add("fast", 1000);
+    BOOST_TEST(choose(job(60ms, 200ms)) == &tight);
+}
+
+// Guards against late work that goes before work that can still be in time.
+BOOST_AUTO_TEST_CASE(jobs_in_time_come_before_late_ones)
+{
+    auto late = job(100ms, 20ms);
+    auto soon = job(100ms, 400ms);
+    auto later = job(100ms, 800ms);
+    std::vector<active_job*> jobs = {&late, &later, &soon};
+    policy.sort(jobs, now);
+    BOOST_TEST(jobs[0] == &soon);
+    BOOST_TEST(jobs[1] == &later);
+    BOOST_TEST(jobs[2] == &late);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/registry_test.cpp
@@ -0,0 +1,208 @@
+#include "cell/keyed_follower.h"
+#include "cell/queue_table.h"
+#include "cell/worker_registry.h"
+#include "stand_in/virtual_timer_service.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+worker_report report(const std::string& id, bool draining = false)
+{
+    worker_report out;
+    out.id = id;
+    out.address = "10.0.0.1:1";
+    out.draining = draining;
+    return out;
+}
+
+// A topic in memory with the failures that the platform's store has.
+class memory_topic final : public keyed_log {
+public:
+    explicit memory_topic(timer_service& timers) : timers_(timers) {}
+
+    void append(const std::string& key, std::optional<std::string> value)
+    {
+        log_.push_back({key, std::move(value), log_.size()});
+    }
+
+    void read(keyed_topic /*topic*/, std::uint64_t from, duration /*wait*/, callback fn) override
+    {
+        keyed_page page;
+        if (!down) {
+            page.state = from < trimmed ? keyed_page::status::trimmed : keyed_page::status::ok;
+            for (auto i = from; i < log_.size() && from >= trimmed; ++i) {
+                page.records.push_back(log_[i]);
+            }
+            page.next = std::max<std::uint64_t>(from, log_.size());
+        }
+        timers_.schedule(4ms, [fn, page] { fn(page); });
+    }
+
+    void newest(keyed_topic /*topic*/, const std::string& /*after*/, callback fn) override
+    {
+        keyed_page page;
+        if (!down) {
+            page.state = keyed_page::status::ok;
+            std::map<std::string, keyed_record> last;
+            for (const auto& it : log_) {
+                last[it.key] = it;
+            }
+            for (const auto& [key, it] : last) {
+                if (it.value) {
+                    page.records.push_back(it);
+                }
+            }
+            page.end = log_.size();
+        }
+        timers_.schedule(4ms, [fn, page] { fn(page); });
+    }
+
+    void put(keyed_topic /*topic*/, const std::string& key, const std::string& value,
+             std::function<void(bool)> fn) override
+    {
+        append(key, value);
+        timers_.schedule(4ms, [fn] { fn(true); });
+    }
+
+    bool down = false;
+    std::uint64_t trimmed = 0; // records before it have been deleted
+
+private:
+    timer_service& timers_;
+    std::vector<keyed_record> log_;
+};
+
+struct follower_fixture {
+    virtual_timer_service timers;
+    memory_topic topic{timers};
+    keyed_follower follower{timers, topic, keyed_topic::workers, {{}, 100ms}};
+    std::map<std::string, std::string> values;
+
+    follower_fixture()
+    {
+        follower.on_record = [this](const keyed_record& it) {
+            if (it.value) {
+                values[it.key] = *it.value;
+            }
+            else {
+                values.erase(it.key);
+            }
+        };
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(follower, follower_fixture)
+
+// Guards against changes that are missed across an outage, and against a restart from nothing.
+BOOST_AUTO_TEST_CASE(changes_are_seen_after_an_outage)
+{
+    topic.append("a", "1");
+    follower.start();
+    timers.advance(50ms);
+    topic.down = true;
+    timers.advance(1s);
+    topic.append("a", "2");
+    topic.append("b", "1");
+    BOOST_TEST(values.at("a") == "1");
+    topic.down = false;
+    timers.advance(500ms);
+    BOOST_TEST(values.at("a") == "2");
+    BOOST_TEST(values.at("b") == "1");
+}
+
+// Guards against a follower that stands still, or keeps removed keys, after the history was
+// deleted.
+BOOST_AUTO_TEST_CASE(deleted_history_is_replaced_by_the_newest_records)
+{
+    topic.append("a", "1");
+    topic.append("b", "1");
+    follower.start();
+    timers.advance(50ms);
+    topic.append("b", std::nullopt);
+    topic.append("c", "1");
+    topic.trimmed = 4;
+    timers.advance(500ms);
+    BOOST_TEST(values.size() == 2U);
+    BOOST_TEST(!values.contains("b"));
+    BOOST_TEST(values.contains("c"));
+}
+
+// Guards against a list that is older than the wish for a new one.
+BOOST_AUTO_TEST_CASE(a_hurried_read_is_asked_for_afterwards)
+{
+    follower.start();
+    timers.advance(50ms);
+    const auto wished_at = timers.monotonic_now();
+    follower.hurry();
+    timers.advance(10ms);
+    BOOST_TEST((follower.asked_at() >= wished_at));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(workers)
+
+// Guards against living workers that are dropped because their entries lapsed with the store, and
+// against workers that are kept for good.
+BOOST_AUTO_TEST_CASE(a_missing_entry_counts_after_a_readable_while)
+{
+    virtual_timer_service timers;
+    worker_registry registry(timers);
+    registry.put(report("a"));
+    timers.advance(1s);
+    BOOST_TEST(!registry.remove("a"));
+    timers.advance(10s);
+    BOOST_TEST(!registry.expire(timers.monotonic_now())); // the store has just come back
+    BOOST_TEST(registry.list().size() == 1U);
+    BOOST_TEST(!registry.put(report("a")));
+    registry.remove("a");
+    timers.advance(2600ms);
+    BOOST_TEST(registry.expire(monotonic_time{}));
+    BOOST_TEST(registry.empty());
+}
+
+// Guards against a worker that left as announced being waited for, and against a draining state
+// that passes unnoticed.
+BOOST_AUTO_TEST_CASE(draining_is_a_change_and_its_end_final)
+{
+    virtual_timer_service timers;
+    worker_registry registry(timers);
+    BOOST_TEST(registry.put(report("a")));
+    BOOST_TEST(!registry.put(report("a")));
+    BOOST_TEST(registry.put(report("a", true)));
+    BOOST_TEST(registry.remove("a"));
+    BOOST_TEST(registry.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(queues)
+
+// Guards against a submission that lands in the wrong queue.
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
+{
+    queue_table table;
+    const auto add = [&](const char* host, const char* prefix, const char* queue) {
+        queue_route route;
+        route.host = host;
+        route.path_prefix = prefix;
+        route.terms.queue = queue;
+        table.routes.push_back(route);
+    };
+    add("one", "/a/", "short");
+    add("one", "/a/b/", "long");
+    add("two", "/a/", "other");
+    BOOST_TEST(table.find("one", "/a/b/1")->terms.queue == "long");
+    BOOST_TEST(table.find("one:80", "/a/1")->terms.queue == "short");
+    BOOST_TEST(table.find("two", "/a/b/1")->terms.queue == "other");
+    BOOST_TEST(table.find("three", "/a/1") == nullptr);
+    BOOST_TEST(table.find("one", "/b/1") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,224 @@
+#include "message_codec.h"
+#include "node_settings.h"
+#include "store_client.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cactusloom;
+using namespace cactusloom::platform_adapter;
+
+BOOST_AUTO_TEST_SUITE(messages)
+
+// Guards against a job whose needs are read wrongly.
+BOOST_AUTO_TEST_CASE(a_job_is_decoded_with_all_its_steps)
+{
+    const auto job = decode_job_body(
+        R"({"spec":"x","bestEffort":true,"steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,
+        "affinity":"r1-3"},{"count":20,"cpu":2000,"after":[0],"requires":"a","antiAffinity":2}]})");
+    BOOST_REQUIRE(job);
+    const auto& it = job.value();
+    BOOST_TEST(it.answer_at_end);
+    BOOST_TEST(it.unsupported == "");
+    BOOST_REQUIRE(it.request.steps.size() == 2U);
+    BOOST_TEST(it.request.steps[0].demand.memory_mb == 256);
+    BOOST_TEST(it.request.steps[0].estimate.count() == 900000);
+    BOOST_TEST(it.request.steps[0].data_rack == "r1-3");
+    BOOST_TEST(it.request.steps[1].after.size() == 1U);
+    BOOST_TEST(it.request.steps[1].required_label == "a");
+    BOOST_TEST(it.request.steps[1].max_per_worker == 2U);
+}
+
+// Guards against jobs that are accepted although their kind is not offered.
+BOOST_AUTO_TEST_CASE(features_that_are_not_offered_are_named)
+{
+    struct row {
+        const char* body;
+        const char* feature;
+    };
+    const row rows[] = {
+        {R"({"spec":"","times":3,"steps":[{"count":1}]})", "times"},
+        {R"({"spec":"","longRunning":true,"steps":[{"count":1}]})", "longRunning"},
+        {R"({"spec":"","steps":[{"count":1,"gang":true}]})", "gang"},
+        {R"({"spec":"","steps":[{"count":1,"fills":true}]})", "fills"},
+        {R"({"spec":"","steps":[{"count":1,"gang":false}]})", ""},
+    };
+    for (const auto& it : rows) {
+        const auto job = decode_job_body(it.body);
+        BOOST_REQUIRE(job);
+        BOOST_TEST(job.value().unsupported == it.feature);
+    }
+}
+
+// Guards against malformed bodies that end the process or run as something else.
+BOOST_AUTO_TEST_CASE(malformed_jobs_are_errors)
+{
+    const char* bodies[] = {"", "[]", "{", R"({"spec":"x"})", R"({"spec":1,"steps":[]})",
+                            R"({"spec":"x","steps":[1]})", R"({"spec":"x","steps":[{}]})",
+                            R"({"spec":"x","steps":[{"count":-1}]})",
+                            R"({"spec":"x","steps":[{"count":"4"}]})",
+                            R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})"};
+    for (const char* it : bodies) {
+        BOOST_TEST(!decode_job_body(it), it);
+    }
+}
+
+// Guards against entries of other writers being taken for workers.
+BOOST_AUTO_TEST_CASE(entries_that_name_no_worker_are_ignored)
+{
+    const auto good = decode_worker_entry(
+        "i-1", R"({"service":"s","address":"10.0.0.1:8080","zone":"z","state":"draining",
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"born":12})");
+    BOOST_REQUIRE(good.has_value());
+    BOOST_TEST(good->draining);
+    BOOST_TEST(good->kind == "a");
+    BOOST_TEST(good->born_ms == 12);
+    const char* bad[] = {"", "\xff\xfe", "{}",
+                         R"({"service":"s","address":"a","zone":"z","state":"resting",
+                         "capacity":{"cpu":1,"memMb":1}})",
+                         R"({"service":7,"address":"a","zone":"z","state":"ready",
+                         "capacity":{"cpu":1,"memMb":1}})",
+                         R"({"service":"s","address":"a","zone":"z","state":"ready"})"};
+    for (const char* it : bad) {
+        BOOST_TEST(!decode_worker_entry("i-1", it).has_value(), it);
+    }
+}
+
+// Guards against replies that are taken as "not run" although they say nothing of that.
+BOOST_AUTO_TEST_CASE(replies_of_workers_map_to_what_is_certain)
+{
+    struct row {
+        int status;
+        const char* body;
+        order_status expected;
+    };
+    const row rows[] = {
+        {200, R"({"clockMs":5})", order_status::accepted},
+        {409, R"({"clockMs":5,"reason":"fence"})", order_status::fenced},
+        {409, R"({"clockMs":5,"reason":"old"})", order_status::superseded},
+        {409, R"({"clockMs":5,"reason":"late"})", order_status::too_late},
+        {409, R"({"clockMs":5,"reason":"room"})", order_status::no_room},
+        {421, "", order_status::wrong_incarnation},
+        {503, "", order_status::unhealthy},
+        {400, "", order_status::invalid},
+        {500, "", order_status::reply_lost},
+        {502, "", order_status::reply_lost},
+    };
+    for (const auto& it : rows) {
+        BOOST_TEST(static_cast<int>(decode_order_reply(it.status, it.body).status) ==
+                   static_cast<int>(it.expected));
+    }
+    BOOST_TEST(decode_order_reply(200, R"({"clockMs":5})").clock_ms == 5);
+}
+
+// Guards against a list of runs that is read wrongly, or taken as empty when it cannot be read.
+BOOST_AUTO_TEST_CASE(a_look_lists_runs_and_ends)
+{
+    const auto it = decode_look_reply(
+        200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
+        "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",1,"lapsed",""]]})");
+    BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(order_status::accepted));
+    BOOST_REQUIRE(it.running.size() == 1U);
+    BOOST_TEST(it.running[0].percent == 41);
+    BOOST_REQUIRE(it.finished.size() == 2U);
+    BOOST_TEST(it.finished[0].number == 58U);
+    BOOST_TEST(static_cast<int>(it.finished[1].how) == static_cast<int>(run_end::lapsed));
+    BOOST_TEST(it.finished_complete);
+    const auto cut = decode_look_reply(200, R"({"clockMs":9,"run)");
+    BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(order_status::reply_lost));
+}
+
+// Guards against a configuration that is applied in part.
+BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_or_refused)
+{
+    const auto table = decode_queue_table(
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":1500,
+        "targetLatencyMs":60,"service":"s","attempts":3,"stretch":1.6}],
+        "limits":{"maxBodyBytes":1000}})");
+    BOOST_REQUIRE(table);
+    BOOST_TEST(table.value().version == 7);
+    BOOST_TEST(table.value().limits.body_bytes == 1000U);
+    BOOST_TEST(table.value().routes.at(0).terms.attempts == 3U);
+    BOOST_TEST(!decode_queue_table("{}"));
+    BOOST_TEST(!decode_queue_table(R"({"version":"7","routes":[]})"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(store)
+
+// Guards against records that are cut at the wrong place, and against reading records again that
+// concern nobody.
+BOOST_AUTO_TEST_CASE(records_are_read_back_as_written)
+{
+    std::string body(16, '\0');
+    body[7] = 9; // the topic ends at offset 9
+    body += encode_keyed_record("a", "value");
+    body += encode_keyed_record("b", "");
+    body += std::string("\0\0\0\x09", 4) + "\x01" + "c"; // cut off
+    const auto page = decode_log_records(body, 5);
+    BOOST_TEST(static_cast<int>(page.state) == static_cast<int>(keyed_page::status::ok));
+    BOOST_TEST(page.end == 9U);
+    BOOST_TEST(page.next == 7U);
+    BOOST_REQUIRE(page.records.size() == 2U);
+    BOOST_TEST(page.records[0].offset == 5U);
+    BOOST_TEST(*page.records[0].value == "value");
+    BOOST_TEST(!page.records[1].value.has_value());
+    BOOST_TEST(static_cast<int>(decode_log_records("short", 0).state) ==
+               static_cast<int>(keyed_page::status::failed));
+}
+
+BOOST_AUTO_TEST_CASE(newest_records_are_decoded)
+{
+    const auto page = decode_newest(
+        R"({"items":[{"key":"config","value":"YWJj","offset":4},{"key":1}],"hasMore":true,"end":6})");
+    BOOST_REQUIRE(page.records.size() == 1U);
+    BOOST_TEST(*page.records[0].value == "abc");
+    BOOST_TEST(page.has_more);
+    BOOST_TEST(page.end == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+// Guards against a start with settings that lack something, and against finding faults one by one.
+BOOST_AUTO_TEST_CASE(all_findings_are_reported_together)
+{
+    const auto empty = parse_node_settings("[limits]\ncpuShare = -1\n");
+    BOOST_REQUIRE(!empty);
+    for (const char* key : {"node", "zone", "listen.front", "platform.address", "limits.cpuShare"}) {
+        BOOST_TEST(empty.error().message.find(key) != std::string::npos, key);
+    }
+    BOOST_TEST(!parse_node_settings("node = "));
+}
+
+BOOST_AUTO_TEST_CASE(a_complete_file_is_read)
+{
+    const auto settings = parse_node_settings(R"(
+node = "n1"
+zone = "z"
+ip = "10.0.0.1"
+unknown = true
+seeds = ["10.0.0.2:1"]
+[listen]
+front = "10.0.0.1:1"
+readyAddr = "10.0.0.1:2"
+control = "10.0.0.1:3"
+[limits]
+cpuShare = 0.25
+maxFds = 4100
+[bounds]
+holdMaxMs = 1000
+stopTimeoutMs = 50
+graceS = 6
+remotePenalty = 1.5
+[platform]
+address = "10.0.0.9:1"
+)");
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings.value().shutdown_time.count() == 6000000);
+    BOOST_TEST(settings.value().metrics_address == "10.0.0.1:9464");
+    BOOST_TEST(settings.value().seeds.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -82,6 +82,7 @@
 int main(int argc, const char** argv)
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
+    make_log_nonblocking();
     if (argc == 2 && std::string_view(argv[1]) == "platform") {
         return run_on_platform();
     }
