Let resumed jobs wait while the list lacks workers of the earlier controller

Claims now tell how many workers of each data centre obey them, and a resumed job starts only where at least as many do, or after its quarantine.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -74,6 +74,9 @@
     void abandon(std::string_view job_id);
     void abandon_all_of(std::string_view requester);
 
+    // Workers that obey the claim's token.
+    worker_counts held_workers() const;
+
     // Jobs of a queue of which no task has been started.
     std::size_t pending_jobs(std::string_view queue) const;
 
--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "cell/job.h"
 
 #include <cstdint>
 #include <span>
@@ -14,6 +15,7 @@
 struct cell_claim {
     std::string cell;
     std::uint64_t token = 0;
+    worker_counts workers{}; // that obey the token
 
     friend bool operator==(const cell_claim&, const cell_claim&) = default;
 };
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,15 @@
     duration target_latency{};   // added to the stretched chain
 };
 
+// Number of workers in each data centre.
+using worker_counts = std::map<std::string, std::uint32_t>;
+
+// Raises the counts to those of `other`.
+void raise_to(worker_counts& counts, const worker_counts& other);
+
+// True if `counts` is at least `other` in every data centre.
+bool covers(const worker_counts& counts, const worker_counts& other);
+
 // A job as it was submitted.
 struct job_request {
     std::string id;
@@ -46,7 +56,8 @@
     duration time_left{};      // until the caller stops waiting
     duration age{};            // time since the caller's submission arrived
     std::uint32_t run_base = 0; // starts are numbered from run_base + 1
-    bool resumed = false;      // another controller may have started tasks of it
+    bool resumed = false;       // another controller may have started tasks of it
+    worker_counts former_workers; // resumed: workers that the other one may have used
 };
 
 // How a submission ended.
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -112,6 +112,17 @@
     }
 }
 
+worker_counts cell_controller::held_workers() const
+{
+    worker_counts out;
+    for (const auto& [id, worker] : state_->workers) {
+        if (worker->held) {
+            ++out[worker->report.data_centre];
+        }
+    }
+    return out;
+}
+
 std::size_t cell_controller::pending_jobs(std::string_view queue) const
 {
     std::size_t n = 0;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -48,6 +48,7 @@
     monotonic_time deadline;
     bool sent = false;     // a controller may have started tasks
     std::string sent_cell; // the cell whose workers may run them
+    worker_counts sent_workers; // and how many they were
     monotonic_time lost_at; // when that controller went out of touch or out of control
     bool may_have_run = false; // a lost controller may have started tasks
 
@@ -109,6 +110,7 @@
         tick_timer_ = timers_.schedule(tick_interval, [this, self] {
             self(self);
             evaluate();
+            announce(); // the workers that obey change by and by
             check_requesters();
             check_jobs();
         });
@@ -302,7 +304,7 @@
 {
     std::vector<cell_claim> claims;
     for (const auto& [cell, own] : own_cells_) {
-        claims.push_back({cell, own->token});
+        claims.push_back({cell, own->token, own->controller->held_workers()});
     }
     mesh_.announce(std::move(claims), leaving_, config_version_);
 }
@@ -447,6 +449,7 @@
         return;
     }
     job.request.resumed = bound;
+    job.request.former_workers = job.sent_workers;
     if (job.may_have_run) {
         log_event("job_sent_again", "id={} controller={} cell={} resumed={} time_left_ms={}",
                   job.request.id, target->name, target_cell, bound,
@@ -485,18 +488,24 @@
         return;
     }
     const auto views = mesh_.views();
-    std::set<std::pair<std::string, std::string>> holders;
+    std::map<std::pair<std::string, std::string>, const worker_counts*> holders;
     for (const auto& view : views) {
         for (const auto& it : view.claims) {
             if (view.alive && !view.leaving) {
-                holders.emplace(view.name, it.cell);
+                holders[{view.name, it.cell}] = &it.workers;
             }
         }
     }
     std::vector<std::string> waiting;
     for (auto& [id, job] : jobs_) {
-        if (!job->controller.empty() && !holders.contains({job->controller, job->cell})) {
-            job->lose_controller(timers_.monotonic_now(), "not in control or out of touch");
+        if (!job->controller.empty()) {
+            const auto holder = holders.find({job->controller, job->cell});
+            if (holder == holders.end()) {
+                job->lose_controller(timers_.monotonic_now(), "not in control or out of touch");
+            }
+            else {
+                raise_to(job->sent_workers, *holder->second);
+            }
         }
         if (job->controller.empty()) {
             waiting.push_back(id);
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -247,7 +247,9 @@
             }
         }
     }
-    return all_seen;
+    // Entries of workers that were cut off come back one by one; until then the list lacks workers
+    // that the earlier controller has used.
+    return all_seen && covers(self.held_workers(), job.request.former_workers);
 }
 
 void cell_controller::state::finish(active_job& job, const job_outcome& outcome)
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -279,6 +279,32 @@
     BOOST_TEST(ended("j", job_end::completed));
 }
 
+// Guards against the same, on workers whose entries had lapsed during a cut, so that not even the
+// newest list shows them.
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_while_the_list_lacks_workers)
+{
+    add_workers(3);
+    fleet.work = [](const std::string&) { return duration{600ms}; };
+    take_control(1);
+    submit(job("j", 6, 600ms));
+    timers.advance(50ms);
+    auto again = job("j", 6, 600ms);
+    again.resumed = true;
+    again.former_workers = controller->held_workers();
+    controller.reset();
+    controller = make_controller(2);
+    controller->claim(2);
+    timers.advance(20ms);
+    controller->note_workers_read(timers.monotonic_now());
+    const auto starts = fleet.total_starts();
+    submit(again);
+    timers.advance(500ms);
+    BOOST_TEST(fleet.total_starts() == starts);
+    timers.advance(2s);
+    BOOST_TEST(fleet.total_starts() > starts);
+    check_no_violation();
+}
+
 // Guards against the same, on a worker that the newest list had not yet shown to the successor.
 BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_a_list_that_is_newer_than_the_claim)
 {
@@ -288,9 +314,7 @@
     submit(job("j", 4, 600ms));
     timers.advance(50ms);
     controller.reset();
-    controller = make_controller();
-    const auto all = fleet.reports();
-    controller->set_workers(std::span(all).first(1));
+    controller = make_controller(1);
     controller->claim(2);
     timers.advance(20ms);
     auto again = job("j", 4, 600ms);
@@ -298,7 +322,7 @@
     submit(again);
     timers.advance(200ms);
     check_no_violation();
-    controller->set_workers(all);
+    controller->set_workers(fleet.reports());
     timers.advance(20ms);
     controller->note_workers_read(timers.monotonic_now());
     timers.advance(1s);
--- a/tests/cell/cell_fixture.h
+++ b/tests/cell/cell_fixture.h
@@ -28,11 +28,13 @@
         }
     }
 
-    std::unique_ptr<cell_controller> make_controller()
+    // A controller that knows the first `known` workers, all by default.
+    std::unique_ptr<cell_controller> make_controller(std::size_t known = 1000)
     {
         auto it = std::make_unique<cell_controller>(timers, fleet, cell_settings{});
         it->on_fenced = [this] { ++fences; };
-        it->set_workers(fleet.reports());
+        const auto all = fleet.reports();
+        it->set_workers(std::span(all).first(std::min(known, all.size())));
         return it;
     }
 
