--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -91,7 +92,8 @@
 // unknown step in `after`, demands below zero.
 const char* find_job_defect(const job_request& job);
 
-// Longest chain of estimated work through the steps.
-duration longest_chain(const job_request& job);
+// Longest chain of work through the steps; `work` tells that of one task of a step.
+duration longest_chain(const job_request& job,
+                       const std::function<duration(const job_step&)>& work);
 
 } // namespace cactusloom
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -150,6 +150,9 @@
 bool cell_service::is_cut_off(const std::vector<instance_view>& views)
 {
     const auto now = timers_.monotonic_now();
+    if (now - started_at_ < election_grace) {
+        return false; // the links to other data centres take longer than those at home
+    }
     if (cell_election::is_minority(mesh_.self().name, views)) {
         cut_off_at_ = now;
         cut_off_ = true;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -74,9 +74,14 @@
     job.arrived = now - job.request.age;
     job.accepted_at = now;
     job.deadline = now + job.request.time_left;
-    const auto chain = static_cast<double>(longest_chain(job.request).count());
+    // The objective follows the work that the job really has, of which the caller's guess alone is
+    // a poor measure.
+    const auto chain = longest_chain(job.request, [&](const job_step& step) {
+        return times.work(job.request.terms.queue, step.estimate);
+    });
     job.due = job.arrived + job.request.terms.target_latency +
-              duration{static_cast<duration::rep>(chain * job.request.terms.stretch)};
+              duration{static_cast<duration::rep>(static_cast<double>(chain.count()) *
+                                                  job.request.terms.stretch)};
     for (const auto& step : job.request.steps) {
         auto& tasks = job.steps.emplace_back(step.count);
         for (auto& task : tasks) {
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -195,9 +195,8 @@
 
 bool instance_mesh::hears_all() const
 {
-    return std::ranges::all_of(peers_, [this](const auto& it) {
-        return is_alive(*it.second) || hears(it.first);
-    });
+    const auto all = views();
+    return std::ranges::all_of(all, &instance_view::alive);
 }
 
 std::string instance_mesh::peer_with_newer_config(std::int64_t version) const
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -76,7 +76,7 @@
     return nullptr;
 }
 
-duration longest_chain(const job_request& job)
+duration longest_chain(const job_request& job, const std::function<duration(const job_step&)>& work)
 {
     std::vector<duration> ends;
     duration longest{};
@@ -85,7 +85,7 @@
         for (const auto it : step.after) {
             begin = std::max(begin, ends[it]);
         }
-        ends.push_back(begin + step.estimate);
+        ends.push_back(begin + work(step));
         longest = std::max(longest, ends.back());
     }
     return longest;
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -106,10 +106,10 @@
             better = best == nullptr || meets;
         }
         else if (a > b * same_speed_ratio) {
-            better = meets;
+            better = meets && !late;
         }
         else if (b > a * same_speed_ratio) {
-            better = !meets;
+            better = !meets || late;
         }
         else {
             better = left < best_left;
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -32,8 +32,9 @@
     static duration at_best(duration predicted);
 
     // Chooses among workers that are open to starts: the slowest that safely meets the objective,
-    // so that fast ones stay free for long tasks; among equals the tightest fit. Returns null if
-    // there is no room, or if waiting for a faster worker still allows the objective.
+    // so that fast ones stay free for long tasks; a late task takes the fastest that is left. Among
+    // equals the tightest fit. Returns null if there is no room, or if waiting for a faster worker
+    // still allows the objective.
     claimed_worker* choose(const active_job& job, std::size_t step, const task_state& task,
                            std::span<claimed_worker* const> open, monotonic_time now) const;
 
--- a/tests/cell/placement_test.cpp
+++ b/tests/cell/placement_test.cpp
@@ -86,6 +86,16 @@
     BOOST_TEST(choose(late) != nullptr);
 }
 
+// Guards against a late task that is made later still: fast workers that are left over are free.
+BOOST_AUTO_TEST_CASE(a_late_task_takes_the_fastest_worker_left)
+{
+    add("slow");
+    add("fast");
+    auto late = job(60ms, 30ms);
+    late.deadline = now + 3s;
+    BOOST_TEST(choose(late)->report.kind == "fast");
+}
+
 // Guards against starts that the configuration or the job rules out.
 BOOST_AUTO_TEST_CASE(service_label_and_spread_bind)
 {
