--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -147,7 +147,7 @@
         }
     }
     const double speed = usable_speed();
-    const double work = ahead.empty() ? 0 : policy.work_before(ahead, job.due);
+    const double work = ahead.empty() ? 0 : policy.work_before(ahead, job);
     const auto wait = duration{static_cast<duration::rep>(speed > 0 ? work / speed : 1e6)};
     duration longest{};
     for (const auto& step : job.request.steps) {
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -58,17 +58,17 @@
 
 void placement::sort(std::vector<active_job*>& jobs, monotonic_time now) const
 {
-    using key = std::tuple<bool, monotonic_time, active_job*>;
+    using key = std::tuple<bool, int, monotonic_time, active_job*>;
     std::vector<key> keys;
     keys.reserve(jobs.size());
     for (auto* it : jobs) {
         const bool late = !can_meet(*it, now);
-        keys.emplace_back(late, late ? it->deadline : it->due, it);
+        keys.emplace_back(late, it->request.terms.priority, late ? it->deadline : it->due, it);
     }
     std::ranges::sort(keys, {}, [](const key& it) {
-        return std::pair(std::get<0>(it), std::get<1>(it));
+        return std::tuple(std::get<0>(it), std::get<1>(it), std::get<2>(it));
     });
-    std::ranges::transform(keys, jobs.begin(), [](const key& it) { return std::get<2>(it); });
+    std::ranges::transform(keys, jobs.begin(), [](const key& it) { return std::get<3>(it); });
 }
 
 claimed_worker* placement::choose(const active_job& job, std::size_t step, const task_state& task,
@@ -128,11 +128,14 @@
     return best;
 }
 
-double placement::work_before(std::span<active_job* const> jobs, monotonic_time due) const
+double placement::work_before(std::span<active_job* const> jobs, const active_job& job) const
 {
+    const auto rank = [](const active_job& it) {
+        return std::pair(it.request.terms.priority, it.due);
+    };
     double sum = 0;
     for (const auto* it : jobs) {
-        if (it->ended || it->due > due) {
+        if (it->ended || rank(*it) > rank(job)) {
             continue;
         }
         for (std::size_t i = 0; i < it->steps.size(); ++i) {
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -17,8 +17,8 @@
     {
     }
 
-    // Jobs that can still meet their objective come first, earliest objective first; late ones
-    // follow, earliest deadline first.
+    // Jobs that can still meet their objective come first, by the priority of their queue, then
+    // earliest objective first; late ones follow, by priority and deadline.
     void sort(std::vector<active_job*>& jobs, monotonic_time now) const;
 
     // Predicted run time of a task of the step on the worker.
@@ -38,8 +38,9 @@
     claimed_worker* choose(const active_job& job, std::size_t step, const task_state& task,
                            std::span<claimed_worker* const> open, monotonic_time now) const;
 
-    // Work of the jobs' pending tasks that come before `due`, in core-microseconds at speed 1.
-    double work_before(std::span<active_job* const> jobs, monotonic_time due) const;
+    // Work of the jobs' pending tasks that come before those of `job`, in core-microseconds at
+    // speed 1.
+    double work_before(std::span<active_job* const> jobs, const active_job& job) const;
 
 private:
     bool can_meet(const active_job& job, monotonic_time now) const;
--- a/tests/cell/placement_test.cpp
+++ b/tests/cell/placement_test.cpp
@@ -136,4 +136,17 @@
     BOOST_TEST(jobs[2] == &late);
 }
 
+// Guards against urgent queues that wait behind others under overload, where those have the older
+// jobs.
+BOOST_AUTO_TEST_CASE(urgent_queues_come_first)
+{
+    auto older = job(100ms, 400ms);
+    older.request.terms.priority = 2;
+    auto urgent = job(100ms, 800ms);
+    std::vector<active_job*> jobs = {&older, &urgent};
+    policy.sort(jobs, now);
+    BOOST_TEST(jobs[0] == &urgent);
+    BOOST_TEST(policy.work_before(jobs, urgent) < policy.work_before(jobs, older));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
