--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -70,6 +70,9 @@
     moved,     // this instance no longer controls the workers; nothing is lost by asking the next
 };
 
+// Stable lower-case name, as used in logs.
+std::string_view to_string(job_end end);
+
 struct job_outcome {
     job_end end = job_end::unknown;
     duration retry_after{}; // for not_run: when there will be room
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -580,7 +580,8 @@
         }
     }
     for (const auto& [id, outcome] : over) {
-        log_event("job_given_up", "id={} reason=\"{}\"", id, outcome.reason);
+        log_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
+                  outcome.reason);
         finish(id, outcome);
     }
 }
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -155,7 +155,7 @@
     }
     // Work that comes too late for its objective takes room from work that does not. A wait as long
     // as the whole objective leaves no chance of that even if the prediction is off.
-    const bool in_time = now + wait <= job.due;
+    const bool in_time = wait <= job.due - job.arrived;
     if (in_time && now + policy.at_best(longest) + answer_margin <= job.deadline) {
         return false;
     }
@@ -276,7 +276,7 @@
         }
         if (outcome.end != job_end::completed) {
             log_event("job_ended", "id={} end={} reason=\"{}\" age_ms={} started={} pending={}",
-                      job.request.id, static_cast<int>(outcome.end), outcome.reason,
+                      job.request.id, to_string(outcome.end), outcome.reason,
                       (timers.monotonic_now() - job.arrived).count() / 1000, job.started,
                       job.pending_tasks);
         }
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -23,6 +23,23 @@
 
 } // namespace
 
+std::string_view to_string(job_end end)
+{
+    switch (end) {
+    case job_end::completed:
+        return "completed";
+    case job_end::failed:
+        return "failed";
+    case job_end::not_run:
+        return "not_run";
+    case job_end::unknown:
+        return "unknown";
+    case job_end::moved:
+        return "moved";
+    }
+    return "";
+}
+
 std::string to_task_name(const task_ref& task)
 {
     return fmt::format("{}.0.{}.{}", task.job, task.step, task.index);
