Move a run only from a slow worker or one where it stands still

A run's own progress now tells the size of the task; it is moved if the worker is slow by other evidence or the progress stands still for 300 ms. Test: a_large_task_on_a_sound_worker_is_not_moved.

--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -28,6 +28,8 @@
     monotonic_time confirmed_at;        // looks sent later must list it
     std::int64_t latest_start_ms = 0;   // worker's clock; a start that arrives later is refused
     duration predicted{};
+    int percent = -1;          // progress, and when it was seen to change last
+    monotonic_time progress_at;
     bool stop_confirmed = false;
     monotonic_time stop_sent_at;
     monotonic_time stop_confirmed_at;
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -27,6 +27,8 @@
 constexpr double straggler_ratio = 2.5;
 constexpr duration straggler_floor = std::chrono::milliseconds{60};
 constexpr std::uint32_t max_moves = 2;
+// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms; looks come every 250 ms.
+constexpr duration standstill_limit = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -313,6 +315,10 @@
 void cell_controller::state::check_progress(claimed_worker& worker, task_run& run, int percent,
                                             monotonic_time now)
 {
+    if (percent != run.percent) {
+        run.percent = percent;
+        run.progress_at = now;
+    }
     const auto elapsed = now - std::max(run.sent_at, run.confirmed_at);
     const auto patience = std::max(
         straggler_floor, duration{static_cast<duration::rep>(
@@ -320,25 +326,42 @@
     if (elapsed < patience || percent >= 100) {
         return;
     }
-    const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
-    const duration remaining{static_cast<duration::rep>((100 - percent) / rate)};
     auto& job = *run.job;
     auto& task = job.steps[run.task.step][run.task.index];
-    const auto fresh = policy.shortest(job, job.request.steps[run.task.step]);
-    const double projected = static_cast<double>((elapsed + remaining).count()) * worker.slowness /
-                             static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
-    if (projected > 2 * straggler_ratio) {
-        worker.slowness = std::clamp(projected, worker.slowness, 20.0);
-    }
-    if (job.ended || task.moves >= max_moves || remaining < 2 * fresh + settings.stop_time ||
-        now + fresh > job.deadline) {
+    const bool stands_still = now - run.progress_at > standstill_limit;
+    // A run much longer than predicted is either a large task or on a slow worker. Beyond a factor
+    // of five it is the worker.
+    const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
+    const auto total = static_cast<double>(elapsed.count()) + (100 - percent) / rate;
+    const auto remaining = total - static_cast<double>(elapsed.count());
+    const double ratio = total * worker.slowness /
+                         static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
+    if (ratio > 2 * straggler_ratio) {
+        worker.slowness = std::clamp(ratio, worker.slowness, 20.0);
+    }
+    const auto shortest =
+        static_cast<double>(policy.shortest(job, job.request.steps[run.task.step]).count());
+    const double elsewhere =
+        stands_still ? shortest
+                     : std::max(shortest, total * times.fastest_factor() /
+                                              (times.kind_factor(worker.report.kind) *
+                                               worker.slowness));
+    const auto stop_time = static_cast<double>(settings.stop_time.count());
+    if (job.ended || task.moves >= max_moves ||
+        (!stands_still && remaining < 2 * elsewhere + stop_time) ||
+        now + duration{static_cast<duration::rep>(elsewhere)} > job.deadline) {
         return;
     }
     ++task.moves;
     ++counts.stragglers_moved;
     task.avoid_worker = worker.report.id;
-    log_event("straggler_moved", "task={} worker={} percent={} elapsed_ms={}",
-              to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000);
+    log_event("straggler_moved",
+              "task={} worker={} percent={} elapsed_ms={} predicted_ms={} slowness={:.1f} still={}",
+              to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
+              run.predicted.count() / 1000, worker.slowness, stands_still);
+    if (stands_still) {
+        note_task_failure(worker, job, task);
+    }
     stop(worker, to_task_name(run.task), run);
 }
 
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -100,6 +100,22 @@
     BOOST_TEST(ended("j", job_end::completed));
 }
 
+// Guards against the loss of work on a sound worker whose task is larger than its caller guessed.
+BOOST_AUTO_TEST_CASE(a_large_task_on_a_sound_worker_is_not_moved)
+{
+    add_workers(2);
+    take_control();
+    for (int i = 0; i < 20; ++i) {
+        submit(job(fmt::format("k{}", i), 1));
+        timers.advance(120ms);
+    }
+    fleet.work = [](const std::string&) { return duration{400ms}; };
+    submit(job("j", 1));
+    timers.advance(1s);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.starts_of("j.0.0.0") == 1U);
+}
+
 // Guards against a worker that came back empty under its id being taken as still busy.
 BOOST_AUTO_TEST_CASE(a_restarted_worker_is_taken_as_empty)
 {
--- a/tests/daemon/operations_page_test.cpp
+++ b/tests/daemon/operations_page_test.cpp
@@ -12,7 +12,7 @@
 
 std::string operations_page()
 {
-    std::ifstream in(EXAMPLES_DIR "/../docs/operations.md");
+    std::ifstream in(EXAMPLES_DIR "/../docs/OPERATIONS.md");
     return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
