--- a/Makefile
+++ b/Makefile
@@ -33,9 +33,10 @@
 	@git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs -r clang-format --dry-run -Werror
 	@echo "format: clean"
 
+# Uses the compile commands of the release build, so that nothing is compiled a second time.
 lint: packages
-	@$(CONFIGURE) -B build/lint -DCMAKE_BUILD_TYPE=Debug -DCACTUSLOOM_LINT=ON >/dev/null
-	@cmake --build build/lint -j $(JOBS)
+	@$(CONFIGURE) -B build/release -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@git ls-files -co --exclude-standard '*.cpp' | xargs -r -P $(JOBS) -n 1 clang-tidy --quiet -p build/release
 	@echo "lint: clean"
 
 check: format-check lint test
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -25,6 +25,7 @@
     cell_controller::answer answer; // empty once answered
     monotonic_time arrived;     // at the instance that the caller is connected to
     monotonic_time accepted_at; // here
+    monotonic_time first_start_at;
     monotonic_time due;      // objective: an answer by then counts in full
     monotonic_time deadline; // the caller stops waiting
     std::vector<std::vector<task_state>> steps;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace cactusloom {
@@ -257,6 +258,24 @@
     return all_seen && covers(self.held_workers(), job.request.former_workers);
 }
 
+// Where the job's tasks are, for the log: up to four runs with worker, progress and age.
+std::string cell_controller::state::describe_runs(const active_job& job) const
+{
+    constexpr int max_runs = 4;
+    std::string out = "runs=";
+    int n = 0;
+    for (const auto& [id, worker] : workers) {
+        for (const auto& [name, run] : worker->runs) {
+            if (run.job == &job && ++n <= max_runs) {
+                out += fmt::format("{}{}.{}@{}:{}%:{}ms", n == 1 ? "" : ",", run.task.step,
+                                   run.task.index, id, run.percent,
+                                   (timers.monotonic_now() - run.sent_at).count() / 1000);
+            }
+        }
+    }
+    return out;
+}
+
 void cell_controller::state::finish(active_job& job, const job_outcome& outcome)
 {
     if (const auto fn = std::exchange(job.answer, nullptr)) {
@@ -275,18 +294,20 @@
             break;
         }
         if (outcome.end != job_end::completed) {
-            log_event("job_ended", "id={} end={} reason=\"{}\" age_ms={} started={} pending={}",
+            log_event("job_ended", "id={} end={} reason=\"{}\" age_ms={} started={} pending={} {}",
                       job.request.id, to_string(outcome.end), outcome.reason,
                       (timers.monotonic_now() - job.arrived).count() / 1000, job.started,
-                      job.pending_tasks);
+                      job.pending_tasks, describe_runs(job));
         }
         if (outcome.end == job_end::completed || outcome.end == job_end::failed) {
             recent[job.request.id] = {outcome, timers.monotonic_now()};
         }
-        if (outcome.end == job_end::completed && is_sampled(job.request.id)) {
-            log_event("job_completed", "id={} queue={} age_ms={} due_ms={}", job.request.id,
-                      job.request.terms.queue, (timers.monotonic_now() - job.arrived).count() / 1000,
-                      (job.due - job.arrived).count() / 1000);
+        const auto now = timers.monotonic_now();
+        if (outcome.end == job_end::completed && (now > job.due || is_sampled(job.request.id))) {
+            log_event("job_completed", "id={} queue={} late={} age_ms={} due_ms={} first_start_ms={}",
+                      job.request.id, job.request.terms.queue, now > job.due,
+                      (now - job.arrived).count() / 1000, (job.due - job.arrived).count() / 1000,
+                      (job.first_start_at - job.arrived).count() / 1000);
         }
         fn(outcome);
     }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace cactusloom {
 
@@ -121,7 +122,9 @@
     task.at = task_state::phase::placed;
     --job.pending_tasks;
     ++job.placed_tasks;
-    job.started = true;
+    if (!std::exchange(job.started, true)) {
+        job.first_start_at = now;
+    }
     ++counts.starts;
     const auto name = to_task_name(run.task);
     const start_order order{name, run.run, job.request.payload, run.latest_start_ms, token};
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -62,6 +62,7 @@
     bool adopt_orphans(active_job& job);
     bool may_start_resumed(const active_job& job);
     void finish(active_job& job, const job_outcome& outcome);
+    std::string describe_runs(const active_job& job) const;
     void abandon(active_job& job);
     void collect(const std::string& id);
     void check_deadlines(monotonic_time now);
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,347 @@
+#include "soak.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <glib.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+namespace cactusloom {
+
+namespace {
+
+constexpr int process_count = 4;
+constexpr int worker_count = 8;
+constexpr int first_port = 18100; // below the range of ephemeral ports
+constexpr int ports_per_seed = 10; // so that some seeds can be played side by side
+constexpr duration submit_interval = std::chrono::milliseconds{25};
+constexpr duration inject_interval = std::chrono::milliseconds{600};
+constexpr duration caller_patience = std::chrono::milliseconds{3000};
+// Time for entries, elections and leases to settle after the last fault.
+constexpr duration settle_time = std::chrono::seconds{4};
+constexpr duration calm_time = std::chrono::seconds{3};
+// A stated bound: a configuration is in force everywhere within 2 s.
+constexpr duration apply_limit = std::chrono::seconds{2};
+
+int base_port_of(std::uint32_t seed)
+{
+    return first_port + ports_per_seed * static_cast<int>(seed % 100);
+}
+
+std::string ip_of(int index)
+{
+    return fmt::format("127.0.2.{}", index + 1);
+}
+
+} // namespace
+
+soak::soak(std::uint32_t seed)
+    : random_(seed + 1000), base_port_(base_port_of(seed)), client_(events_, timers_),
+      world_(events_, timers_), began_(timers_.monotonic_now())
+{
+    folder_ = std::filesystem::temp_directory_path() /
+              fmt::format("cactusloom-soak-{}-{}", getpid(), seed);
+    std::filesystem::create_directories(folder_);
+    if (!world_.serve_store(fmt::format("127.0.1.1:{}", base_port_))) {
+        findings_.push_back("the stand-in of the store cannot listen");
+    }
+    for (int i = 0; i < worker_count; ++i) {
+        const auto address = fmt::format("127.0.1.{}:{}", i + 10, base_port_);
+        if (!world_.add_worker(fmt::format("w{}", i), address, {2000, 1000, 0})) {
+            findings_.push_back("a stand-in of a worker cannot listen");
+        }
+    }
+    world_.put_configuration(version_, "/v1/");
+    for (int i = 0; i < process_count; ++i) {
+        auto& it = processes_.emplace_back();
+        write_settings(it, i);
+        start(it);
+    }
+}
+
+soak::~soak()
+{
+    for (const auto& it : processes_) {
+        if (it.pid > 0) {
+            kill(it.pid, SIGCONT);
+            kill(it.pid, SIGKILL);
+            waitpid(it.pid, nullptr, 0);
+        }
+    }
+    std::filesystem::remove_all(folder_);
+}
+
+void soak::write_settings(process& it, int index)
+{
+    it.name = fmt::format("instance-{}", index);
+    it.settings_file = fmt::format("{}/{}.toml", folder_, it.name);
+    it.caller_address = fmt::format("{}:{}", ip_of(index), base_port_);
+    std::ofstream(it.settings_file) << fmt::format(R"(node = "{0}"
+zone = "zone"
+ip = "{1}"
+seeds = ["{2}:{5}"]
+[listen]
+front = "{1}:{3}"
+readyAddr = "{1}:{4}"
+control = "{1}:{5}"
+[limits]
+cpuShare = 1.0
+maxFds = 4096
+[bounds]
+holdMaxMs = 1000
+stopTimeoutMs = 50
+graceS = 6
+remotePenalty = 1.0
+[platform]
+address = "127.0.1.1:{3}"
+)",
+                                                   it.name, ip_of(index), ip_of(0), base_port_,
+                                                   base_port_ + 1, base_port_ + 2);
+}
+
+void soak::start(process& it)
+{
+    const auto log = fmt::format("{}/{}.log", folder_, it.name);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    std::string program = CACTUSLOOMD_PATH;
+    std::string mode = "platform";
+    char* arguments[] = {program.data(), mode.data(), nullptr};
+    std::string variable = "CACTUSLOOM_BOOT=" + it.settings_file;
+    char* environment[] = {variable.data(), nullptr};
+    if (posix_spawn(&it.pid, program.c_str(), &actions, nullptr, arguments, environment) != 0) {
+        findings_.push_back(it.name + " cannot be started");
+        it.pid = 0;
+    }
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+// Starts processes that have ended again after a short while, as the platform does.
+void soak::collect_ended()
+{
+    for (auto& it : processes_) {
+        int status = 0;
+        if (it.pid > 0 && waitpid(it.pid, &status, WNOHANG) == it.pid) {
+            if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
+                findings_.push_back(fmt::format("{} {} ended by signal {}", now_text(), it.name,
+                                                WTERMSIG(status)));
+            }
+            it.pid = 0;
+            timers_.schedule(std::chrono::milliseconds{100 + draw(900)}, [this, &it] {
+                start(it);
+            });
+        }
+    }
+}
+
+std::string soak::now_text() const
+{
+    return fmt::format("{:.3f} s", std::chrono::duration<double>(timers_.monotonic_now() - began_)
+                                       .count());
+}
+
+void soak::run_for(duration span)
+{
+    bool over = false;
+    timers_.schedule(span, [&over] { over = true; });
+    while (!over) {
+        g_main_context_iteration(nullptr, TRUE);
+        collect_ended();
+    }
+}
+
+void soak::submit()
+{
+    if (!sending_) {
+        return;
+    }
+    timers_.schedule(submit_interval, [this] { submit(); });
+    const auto id = fmt::format("{:016x}", ++last_id_);
+    const auto& target = processes_[draw(process_count)];
+    http_call call;
+    call.method = "POST";
+    call.target = "/v1/" + id;
+    call.headers = {{"Host", "shop.example"},
+                    {"Content-Type", "application/json"},
+                    {"Deadline-Ms", std::to_string(caller_patience.count() / 1000)}};
+    call.body = fmt::format(R"({{"spec":"x","bestEffort":true,"steps":[{{"count":{},"cpu":1000,)"
+                            R"("memMb":10,"estimateMs":100}}]}})",
+                            1 + draw(3));
+    ++sent_;
+    calm_sent_ += calm_ ? 1 : 0;
+    const bool calm = calm_;
+    client_.call(target.caller_address, call, caller_patience + std::chrono::seconds{1},
+                 [this, id, calm](const pooled_http_client::outcome& outcome) {
+                     const auto before = completed_;
+                     on_answer(id, outcome);
+                     calm_completed_ += calm && completed_ > before ? 1 : 0;
+                 });
+}
+
+void soak::on_answer(const std::string& id, const pooled_http_client::outcome& outcome)
+{
+    const auto* reply = std::get_if<http_reply>(&outcome);
+    if (reply == nullptr || reply->status == 504) {
+        ++unknown_;
+        return;
+    }
+    std::size_t starts = 0;
+    for (int i = 0; i < 3; ++i) {
+        starts += world_.fleet().starts_of(fmt::format("{}.0.0.{}", id, i));
+    }
+    if (reply->status == 503) {
+        ++refused_;
+        if (starts != 0) {
+            findings_.push_back(fmt::format("{} {} refused as not run after {} starts", now_text(),
+                                            id, starts));
+        }
+    }
+    else if (reply->status == 200 && reply->body.find("completed") != std::string::npos) {
+        ++completed_;
+        if (starts == 0) {
+            findings_.push_back(fmt::format("{} {} completed without a start", now_text(), id));
+        }
+    }
+    else if (reply->status != 200) {
+        findings_.push_back(fmt::format("{} {} answered {}", now_text(), id, reply->status));
+    }
+}
+
+void soak::inject()
+{
+    if (calm_ || !sending_) {
+        return;
+    }
+    timers_.schedule(inject_interval, [this] { inject(); });
+    auto& target = processes_[draw(process_count)];
+    auto& worker = world_.fleet().fault(fmt::format("w{}", draw(worker_count)));
+    const auto lasts = std::chrono::milliseconds{300 + draw(2500)};
+    const auto for_a_while = [&](auto set, auto clear) {
+        set();
+        timers_.schedule(lasts, clear);
+    };
+    switch (draw(11)) {
+    case 0:
+        if (target.pid > 0) {
+            kill(target.pid, SIGKILL);
+        }
+        break;
+    case 1:
+        if (target.pid > 0) {
+            kill(target.pid, SIGTERM);
+        }
+        break;
+    case 2:
+        if (target.pid > 0) {
+            kill(target.pid, SIGSTOP);
+            timers_.schedule(lasts, [pid = target.pid, &target] {
+                if (target.pid == pid) {
+                    kill(pid, SIGCONT);
+                }
+            });
+        }
+        break;
+    case 3:
+        for (const auto& it : processes_) {
+            if (it.pid > 0 && draw(4) == 0) {
+                kill(it.pid, SIGKILL);
+            }
+        }
+        break;
+    case 4:
+        for_a_while([&] { world_.store = platform_adapter::platform_world::store_state::silent; },
+                    [this] { world_.store = platform_adapter::platform_world::store_state::up; });
+        break;
+    case 5:
+        for_a_while([&] { world_.store = platform_adapter::platform_world::store_state::refusing; },
+                    [this] { world_.store = platform_adapter::platform_world::store_state::up; });
+        break;
+    case 6:
+        for_a_while([&] { worker.silent = true; }, [&worker] { worker.silent = false; });
+        break;
+    case 7:
+        for_a_while([&] { worker.lost_replies = 0.3; }, [&worker] { worker.lost_replies = 0; });
+        break;
+    case 8:
+        for_a_while([&] { worker.late_orders = 0.3; }, [&worker] { worker.late_orders = 0; });
+        break;
+    case 9:
+        for_a_while([&] { worker.fails_all = true; }, [&worker] { worker.fails_all = false; });
+        break;
+    default:
+        if (target.pid > 0) {
+            kill(target.pid, SIGHUP);
+        }
+        break;
+    }
+}
+
+void soak::heal_everything()
+{
+    world_.store = platform_adapter::platform_world::store_state::up;
+    for (int i = 0; i < worker_count; ++i) {
+        world_.fleet().fault(fmt::format("w{}", i)) = {};
+    }
+    for (const auto& it : processes_) {
+        if (it.pid > 0) {
+            kill(it.pid, SIGCONT);
+        }
+    }
+}
+
+// Writes a new version and asks each instance for its queue once the bound has passed.
+void soak::check_configuration()
+{
+    world_.put_configuration(++version_, "/v2/");
+    run_for(apply_limit);
+    for (const auto& it : processes_) {
+        http_call call;
+        call.target = "/v2/";
+        call.headers = {{"Host", "shop.example"}};
+        client_.call(it.caller_address, call, std::chrono::seconds{1},
+                     [this, name = it.name](const pooled_http_client::outcome& outcome) {
+                         const auto* reply = std::get_if<http_reply>(&outcome);
+                         if (reply == nullptr || reply->status != 200) {
+                             findings_.push_back(fmt::format(
+                                 "{} {} does not know the new queue", now_text(), name));
+                         }
+                     });
+    }
+    run_for(std::chrono::milliseconds{1200});
+}
+
+std::vector<std::string> soak::play(duration length)
+{
+    run_for(std::chrono::milliseconds{1500});
+    submit();
+    inject();
+    run_for(length);
+    calm_ = true;
+    heal_everything();
+    calm_ = false;
+    sending_ = false;
+    run_for(settle_time);
+    heal_everything();
+    sending_ = true;
+    calm_ = true;
+    submit();
+    run_for(calm_time);
+    sending_ = false;
+    run_for(caller_patience + std::chrono::seconds{1});
+    if (calm_completed_ * 100 < calm_sent_ * 95) {
+        findings_.push_back(fmt::format("{} of {} jobs completed after the last fault",
+                                        calm_completed_, calm_sent_));
+    }
+    check_configuration();
+    findings_.insert(findings_.end(), world_.fleet().violations().begin(),
+                     world_.fleet().violations().end());
+    return findings_;
+}
+
+} // namespace cactusloom
--- /dev/null
+++ b/tests/soak/soak_test.cpp
@@ -0,0 +1,53 @@
+#include "soak.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+// CACTUSLOOM_SOAK_SEEDS="first-last" plays other seeds, CACTUSLOOM_SOAK_SECONDS their length.
+std::pair<std::uint32_t, std::uint32_t> seeds()
+{
+    std::uint32_t first = 1;
+    std::uint32_t last = 2;
+    if (const char* text = std::getenv("CACTUSLOOM_SOAK_SEEDS")) {
+        char* rest = nullptr;
+        first = static_cast<std::uint32_t>(std::strtoul(text, &rest, 10));
+        last = *rest == '-' ? static_cast<std::uint32_t>(std::strtoul(rest + 1, nullptr, 10)) : first;
+    }
+    return {first, last};
+}
+
+duration length()
+{
+    const char* text = std::getenv("CACTUSLOOM_SOAK_SECONDS");
+    return std::chrono::seconds{text == nullptr ? 10 : std::strtol(text, nullptr, 10)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fault_soak)
+
+// Guards against double runs, starts beyond a worker's room, untrue refusals, a service that does
+// not come back, and configurations that do not arrive, under overlapping faults of real processes.
+BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
+{
+    const auto [first, last] = seeds();
+    for (auto seed = first; seed <= last; ++seed) {
+        soak run(seed);
+        const auto findings = run.play(length());
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << run.sent() << " sent, " << run.completed()
+                                   << " completed, " << run.refused() << " refused, "
+                                   << run.unknown() << " unknown");
+        for (const auto& it : findings) {
+            BOOST_ERROR("seed " << seed << ": " << it);
+        }
+        BOOST_TEST(findings.empty());
+        BOOST_TEST(run.completed() > 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
