--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -15,8 +15,8 @@
 
 // Times that workers and callers are bound to. The defaults are those of the deployments.
 struct cell_settings {
-    duration lease = std::chrono::milliseconds{1000};    // longest lease that a worker grants
-    duration stop_time = std::chrono::milliseconds{50};  // a stop takes at most this long
+    duration lease = std::chrono::milliseconds{1000};   // longest lease that a worker grants
+    duration stop_time = std::chrono::milliseconds{50}; // a stop takes at most this long
     double remote_penalty = 1.0; // a task away from its data's rack takes so many times as long
 };
 
--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -40,8 +40,8 @@
 class cell_election {
 public:
     struct verdict {
-        std::string controller;   // empty: none yet
-        bool should_claim = false; // this instance has to claim the cell
+        std::string controller;          // empty: none yet
+        bool should_claim = false;       // this instance has to claim the cell
         std::uint64_t highest_token = 0; // of the claims to any cell
     };
 
@@ -62,8 +62,7 @@
 
     // Best candidate first: those of the cell's data centre, the stronger, then by a hash that
     // spreads several cells over equal instances.
-    static bool ranks_before(std::string_view cell, const instance_view& a,
-                             const instance_view& b);
+    static bool ranks_before(std::string_view cell, const instance_view& a, const instance_view& b);
 };
 
 } // namespace cactusloom
--- a/include/cell/front_desk.h
+++ b/include/cell/front_desk.h
@@ -35,8 +35,8 @@
 // A job as its caller handed it in.
 struct submission {
     job_request request;
-    bool answer_at_end = false; // not stored; the answer is the job's end
-    std::string unsupported;    // feature that is not offered; empty if none
+    bool answer_at_end = false;       // not stored; the answer is the job's end
+    std::string unsupported;          // feature that is not offered; empty if none
     std::optional<duration> patience; // how long the caller waits
 };
 
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -73,8 +73,8 @@
     std::string peer_with_newer_config(std::int64_t version) const;
 
     message_handler on_message;
-    std::function<void()> on_change;                          // claims, liveness
-    std::function<void(const std::string& peer)> on_restart;  // a peer lost what it knew
+    std::function<void()> on_change;                         // claims, liveness
+    std::function<void(const std::string& peer)> on_restart; // a peer lost what it knew
     std::function<void(const std::string& peer)> on_reconnect;
 
 private:
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -35,8 +35,8 @@
     std::string service; // workers that may run the tasks
     int priority = 0;    // 0 comes first
     std::uint32_t attempts = 1;
-    double stretch = 1.0;        // objective in multiples of the longest chain of work
-    duration target_latency{};   // added to the stretched chain
+    double stretch = 1.0;      // objective in multiples of the longest chain of work
+    duration target_latency{}; // added to the stretched chain
 };
 
 // Number of workers in each data centre.
@@ -54,10 +54,10 @@
     std::string payload; // handed to each task unread
     std::vector<job_step> steps;
     queue_terms terms;
-    duration time_left{};      // until the caller stops waiting
-    duration age{};            // time since the caller's submission arrived
-    std::uint32_t run_base = 0; // starts are numbered from run_base + 1
-    bool resumed = false;       // another controller may have started tasks of it
+    duration time_left{};         // until the caller stops waiting
+    duration age{};               // time since the caller's submission arrived
+    std::uint32_t run_base = 0;   // starts are numbered from run_base + 1
+    bool resumed = false;         // another controller may have started tasks of it
     worker_counts former_workers; // resumed: workers that the other one may have used
 };
 
@@ -75,7 +75,7 @@
 
 struct job_outcome {
     job_end end = job_end::unknown;
-    duration retry_after{}; // for not_run: when there will be room
+    duration retry_after{};  // for not_run: when there will be room
     const char* reason = ""; // for the log
 };
 
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -13,9 +13,9 @@
     enum class phase { pending, placed, done };
     phase at = phase::pending;
     std::uint32_t failures = 0;
-    std::uint32_t moves = 0;      // starts given up because the worker was slow
-    std::uint32_t last_run = 0;   // number of the newest start
-    std::string avoid_worker;     // where it failed or stood still last
+    std::uint32_t moves = 0;    // starts given up because the worker was slow
+    std::uint32_t last_run = 0; // number of the newest start
+    std::string avoid_worker;   // where it failed or stood still last
 };
 
 // A job from its submission until its last run has ended.
@@ -23,8 +23,8 @@
     job_request request;
     std::string requester;
     cell_controller::answer answer; // empty once answered
-    monotonic_time arrived;     // at the instance that the caller is connected to
-    monotonic_time accepted_at; // here
+    monotonic_time arrived;         // at the instance that the caller is connected to
+    monotonic_time accepted_at;     // here
     monotonic_time first_start_at;
     monotonic_time due;      // objective: an answer by then counts in full
     monotonic_time deadline; // the caller stops waiting
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -46,11 +46,11 @@
     job_outcome refusal;
     monotonic_time arrived;
     monotonic_time deadline;
-    bool sent = false;     // a controller may have started tasks
-    std::string sent_cell; // the cell whose workers may run them
+    bool sent = false;          // a controller may have started tasks
+    std::string sent_cell;      // the cell whose workers may run them
     worker_counts sent_workers; // and how many they were
-    monotonic_time lost_at; // when that controller went out of touch or out of control
-    bool may_have_run = false; // a lost controller may have started tasks
+    monotonic_time lost_at;     // when that controller went out of touch or out of control
+    bool may_have_run = false;  // a lost controller may have started tasks
 
     void send_to(const std::string& name, const std::string& target)
     {
@@ -80,8 +80,8 @@
 
 cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
                            const cell_settings& settings)
-    : on_claim([] {}), on_other_message(
-          [](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
+    : on_claim([] {}),
+      on_other_message([](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), orders_(orders), settings_(settings),
       started_at_(timers.monotonic_now())
 {
@@ -206,11 +206,11 @@
 void cell_service::evaluate()
 {
     const auto now = timers_.monotonic_now();
-    const bool settled = now - started_at_ >= election_grace ||
-                         (instances_known_ && mesh_.hears_all());
+    const bool settled =
+        now - started_at_ >= election_grace || (instances_known_ && mesh_.hears_all());
     if (!leaving_ && settled && !workers_.empty()) {
-        split_ = workers_.size() > (split_ ? min_workers_of_split_cells
-                                           : max_workers_of_whole_cell);
+        split_ =
+            workers_.size() > (split_ ? min_workers_of_split_cells : max_workers_of_whole_cell);
         const auto views = mesh_.views();
         const auto names = cells(is_cut_off(views));
         for (const auto& cell : own_names()) {
@@ -246,8 +246,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(timers_.wall_now().time_since_epoch())
             .count();
     constexpr std::uint64_t low_bits = (std::uint64_t{1} << token_shift) - 1;
-    auto token = (static_cast<std::uint64_t>(wall) << token_shift) |
-                 (hash64(mesh_.self().name) & low_bits);
+    auto token =
+        (static_cast<std::uint64_t>(wall) << token_shift) | (hash64(mesh_.self().name) & low_bits);
     token = std::max(token, above + 1 + (hash64(mesh_.self().name) & low_bits));
     auto& own = own_cells_[cell];
     if (!own) {
@@ -339,8 +339,8 @@
 bool cell_service::has_controller() const
 {
     const auto views = mesh_.views();
-    return std::ranges::any_of(
-        views, [](const auto& it) { return it.alive && !it.claims.empty(); });
+    return std::ranges::any_of(views,
+                               [](const auto& it) { return it.alive && !it.claims.empty(); });
 }
 
 // Stops the jobs of instances that are out of touch. Their fronts wait longer than this before
@@ -437,9 +437,9 @@
                 (bound && !cell_election::covers(it.cell, job.sent_cell))) {
                 continue;
             }
-            const bool better = target == nullptr || (home && !target_home) ||
-                                (home == target_home && it.cell == target_cell &&
-                                 it.token > target_token);
+            const bool better =
+                target == nullptr || (home && !target_home) ||
+                (home == target_home && it.cell == target_cell && it.token > target_token);
             if (better) {
                 target = &view;
                 target_cell = it.cell;
@@ -530,7 +530,8 @@
     }
     auto& job = *it->second;
     if (outcome.end == job_end::moved) {
-        job.lose_controller(timers_.monotonic_now(), "moved"); // the next evaluation finds the new one
+        job.lose_controller(timers_.monotonic_now(),
+                            "moved"); // the next evaluation finds the new one
         return;
     }
     if (outcome.end == job_end::not_run && job.may_have_run) {
@@ -541,7 +542,7 @@
         job.refused_by.insert(cell);
         job.refusal = outcome;
         job.controller.clear();
-        job.sent = false; // it has certainly not run there
+        job.sent = false;             // it has certainly not run there
         dispatch(job, mesh_.views()); // may end the job at once
         const auto left = jobs_.find(job_id);
         if (left != jobs_.end() && left->second->controller.empty()) {
@@ -574,8 +575,7 @@
         }
         else if (now > job->deadline + outcome_slack) {
             over.emplace_back(id, job->sent ? job_outcome{job_end::unknown, {}, "no outcome"}
-                                            : job_outcome{job_end::not_run,
-                                                          controller_retry_after,
+                                            : job_outcome{job_end::not_run, controller_retry_after,
                                                           "no controller"});
         }
     }
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -25,10 +25,10 @@
     task_demand demand;
     phase at = phase::starting;
     monotonic_time sent_at;
-    monotonic_time confirmed_at;        // looks sent later must list it
-    std::int64_t latest_start_ms = 0;   // worker's clock; a start that arrives later is refused
+    monotonic_time confirmed_at;      // looks sent later must list it
+    std::int64_t latest_start_ms = 0; // worker's clock; a start that arrives later is refused
     duration predicted{};
-    int percent = -1;          // progress, and when it was seen to change last
+    int percent = -1; // progress, and when it was seen to change last
     monotonic_time progress_at;
     bool stop_confirmed = false;
     monotonic_time stop_sent_at;
@@ -48,7 +48,7 @@
     worker_report report;
     bool listed = true; // in the newest list of workers
     monotonic_time unlisted_at;
-    bool held = false;  // it has accepted the claim's token
+    bool held = false; // it has accepted the claim's token
     std::map<std::string, task_run> runs;
     std::map<std::string, orphan_run> orphans;
     task_demand used;
@@ -77,8 +77,7 @@
     bool is_forgettable(monotonic_time now) const
     {
         constexpr auto longest_cut = std::chrono::seconds{10};
-        return !listed && runs.empty() &&
-               (report.draining || now - unlisted_at > longest_cut);
+        return !listed && runs.empty() && (report.draining || now - unlisted_at > longest_cut);
     }
 
     // Worker's clock now, at the latest. Its rate may differ by 2 %.
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -163,7 +163,8 @@
     log_event("job_too_late", "id={} queue={} work_ahead_ms={} speed={:.1f} wait_ms={} due_ms={}",
               job.request.id, job.request.terms.queue, static_cast<std::int64_t>(work / 1000),
               speed, wait.count() / 1000, (job.due - now).count() / 1000);
-    finish(job, {job_end::not_run, std::max(wait, min_retry_after), "no room before its objective"});
+    finish(job,
+           {job_end::not_run, std::max(wait, min_retry_after), "no room before its objective"});
     return true;
 }
 
@@ -304,7 +305,8 @@
         }
         const auto now = timers.monotonic_now();
         if (outcome.end == job_end::completed && (now > job.due || is_sampled(job.request.id))) {
-            log_event("job_completed", "id={} queue={} late={} age_ms={} due_ms={} first_start_ms={}",
+            log_event("job_completed",
+                      "id={} queue={} late={} age_ms={} due_ms={} first_start_ms={}",
                       job.request.id, job.request.terms.queue, now > job.due,
                       (now - job.arrived).count() / 1000, (job.due - job.arrived).count() / 1000,
                       (job.first_start_at - job.arrived).count() / 1000);
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -88,10 +88,9 @@
             }
             for (std::size_t i = 0; i < job->steps[step].size() && placed_all; ++i) {
                 if (job->steps[step][i].at != task_state::phase::pending ||
-                    (!orphaned.empty() &&
-                     orphaned.contains(to_task_name({job->request.id,
-                                                     static_cast<std::uint32_t>(step),
-                                                     static_cast<std::uint32_t>(i)})))) {
+                    (!orphaned.empty() && orphaned.contains(to_task_name(
+                                              {job->request.id, static_cast<std::uint32_t>(step),
+                                               static_cast<std::uint32_t>(i)})))) {
                     continue;
                 }
                 auto* worker = policy.choose(*job, step, job->steps[step][i], open, now);
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -42,7 +42,7 @@
     run_time_estimator times;
     placement policy;
 
-    std::uint64_t token = 0; // 0: no claim
+    std::uint64_t token = 0;         // 0: no claim
     monotonic_time first_claimed_at; // since when this controller has been in control
     monotonic_time claimed_at;       // when the token was last raised
     monotonic_time workers_as_of;
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -3,8 +3,8 @@
 #include "base/log.h"
 
 #include <algorithm>
-#include <utility>
 #include <set>
+#include <utility>
 
 namespace cactusloom {
 
@@ -294,8 +294,8 @@
         }
         const bool confirmed_before =
             run.confirmed_at != monotonic_time{} && sent_at > run.confirmed_at;
-        const bool refused_by_now = run.confirmed_at == monotonic_time{} &&
-                                    reply.clock_ms > run.latest_start_ms;
+        const bool refused_by_now =
+            run.confirmed_at == monotonic_time{} && reply.clock_ms > run.latest_start_ms;
         const bool stopped = run.stop_confirmed && sent_at > run.stop_confirmed_at;
         if (confirmed_before || refused_by_now || stopped) {
             over.push_back(name);
@@ -342,10 +342,10 @@
     const auto shortest =
         static_cast<double>(policy.shortest(job, job.request.steps[run.task.step]).count());
     const double elsewhere =
-        stands_still ? shortest
-                     : std::max(shortest, total * times.fastest_factor() /
-                                              (times.kind_factor(worker.report.kind) *
-                                               worker.slowness));
+        stands_still
+            ? shortest
+            : std::max(shortest, total * times.fastest_factor() /
+                                     (times.kind_factor(worker.report.kind) * worker.slowness));
     const auto stop_time = static_cast<double>(settings.stop_time.count());
     if (job.ended || task.moves >= max_moves ||
         (!stands_still && remaining < 2 * elsewhere + stop_time) ||
@@ -391,8 +391,8 @@
         return;
     }
     ++counts.workers_lost;
-    log_event("runs_lost", "worker={} runs={} reason=\"{}\"", worker.report.id,
-              worker.runs.size(), reason);
+    log_event("runs_lost", "worker={} runs={} reason=\"{}\"", worker.report.id, worker.runs.size(),
+              reason);
     std::vector<std::string> names;
     for (const auto& [name, run] : worker.runs) {
         names.push_back(name);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -24,7 +24,7 @@
 struct instance_mesh::peer {
     instance_address address;
     std::shared_ptr<frame_link> link;
-    bool closed = false; // the link is to be replaced at the next beat
+    bool closed = false;  // the link is to be replaced at the next beat
     bool refused = false; // nothing listened at the last attempt
     bool was_connected = false;
     bool alive_before = false;
@@ -172,8 +172,9 @@
     out.push_back({self_.name, self_.data_centre, self_.strength, true, leaving_, claims_});
     const auto linked = candidates();
     for (const auto& [name, it] : peers_) {
-        instance_view view{name, it->address.data_centre, it->address.strength, is_alive(*it),
-                           it->leaving, it->claims};
+        instance_view view{
+            name,      it->address.data_centre, it->address.strength, is_alive(*it), it->leaving,
+            it->claims};
         if (!linked.contains(name)) { // no own link: what it sends is all there is
             view.alive = hears(name);
             view.leaving = true; // it is no candidate
@@ -345,20 +346,20 @@
             own->refused = true;
         }
         // A closed link says little; whether a new one opens tells if the process lives.
-        timers_.schedule(duration::zero(), [this, opened, name = own->address.name,
-                                            alive = alive_] {
-            if (!*alive) {
-                return;
-            }
-            const auto found = peers_.find(name);
-            if (found == peers_.end()) {
-                return;
-            }
-            if (opened && found->second->closed) {
-                open(*found->second);
-            }
-            on_change();
-        });
+        timers_.schedule(duration::zero(),
+                         [this, opened, name = own->address.name, alive = alive_] {
+                             if (!*alive) {
+                                 return;
+                             }
+                             const auto found = peers_.find(name);
+                             if (found == peers_.end()) {
+                                 return;
+                             }
+                             if (opened && found->second->closed) {
+                                 open(*found->second);
+                             }
+                             on_change();
+                         });
     };
 }
 
--- a/src/cell/instance_registry.cpp
+++ b/src/cell/instance_registry.cpp
@@ -57,8 +57,8 @@
     log_.put(keyed_topic::instances, mesh_.self().name, write_json(encode_instance(mesh_.self())),
              [this, alive = alive_](bool ok) {
                  if (*alive) {
-                     write_timer_ = timers_.schedule(ok ? refresh_interval : write_retry,
-                                                     [this] { write(); });
+                     write_timer_ =
+                         timers_.schedule(ok ? refresh_interval : write_retry, [this] { write(); });
                  }
              });
 }
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -121,7 +121,8 @@
             best_left = left;
         }
     }
-    if (best != nullptr && !best_meets && best_time > scaled(shortest(job, wanted), same_speed_ratio) &&
+    if (best != nullptr && !best_meets &&
+        best_time > scaled(shortest(job, wanted), same_speed_ratio) &&
         now + scaled(shortest(job, wanted), safe_ratio) <= limit) {
         return nullptr;
     }
@@ -140,11 +141,10 @@
         }
         for (std::size_t i = 0; i < it->steps.size(); ++i) {
             const auto& step = it->request.steps[i];
-            const auto pending = std::ranges::count(it->steps[i], task_state::phase::pending,
-                                                    &task_state::at);
+            const auto pending =
+                std::ranges::count(it->steps[i], task_state::phase::pending, &task_state::at);
             sum += static_cast<double>(pending * step.demand.cpu_millis) / 1000.0 *
-                   static_cast<double>(
-                       times_.work(it->request.terms.queue, step.estimate).count());
+                   static_cast<double>(times_.work(it->request.terms.queue, step.estimate).count());
         }
     }
     return sum;
--- a/src/cell/worker_registry.cpp
+++ b/src/cell/worker_registry.cpp
@@ -54,8 +54,7 @@
     return std::erase_if(entries_, [&](const auto& row) {
                const auto& it = row.second;
                const bool gone =
-                   it.missing &&
-                   now - std::max(it.missing_since, store_calm_since) > missing_limit;
+                   it.missing && now - std::max(it.missing_since, store_calm_since) > missing_limit;
                if (gone) {
                    log_event("worker_gone", "worker={}", row.first);
                }
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -23,8 +23,8 @@
 
 std::string serialize(const std::string& address, const http_call& request)
 {
-    std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method,
-                                   request.target, address);
+    std::string text =
+        fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.target, address);
     for (const auto& [name, value] : request.headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
--- a/src/net/stream_http_server.cpp
+++ b/src/net/stream_http_server.cpp
@@ -208,8 +208,8 @@
     const bool keep = keep_alive_ && !server_.draining;
     std::string text = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", status,
                                    reason_of(status), body.size());
-    const bool typed = std::ranges::any_of(
-        headers, [](const auto& it) { return it.first == "Content-Type"; });
+    const bool typed =
+        std::ranges::any_of(headers, [](const auto& it) { return it.first == "Content-Type"; });
     if (!typed) {
         text += "Content-Type: application/json\r\n";
     }
@@ -270,24 +270,24 @@
     }
 }
 
-result<std::unique_ptr<stream_http_server>>
-stream_http_server::listen(poller& events, timer_service& timers, std::string_view address,
-                           request_handler fn)
+result<std::unique_ptr<stream_http_server>> stream_http_server::listen(poller& events,
+                                                                       timer_service& timers,
+                                                                       std::string_view address,
+                                                                       request_handler fn)
 {
     auto own = std::make_unique<state>();
     auto* it = own.get();
     it->events = &events;
     it->timers = &timers;
     it->on_request = std::move(fn);
-    auto listener =
-        tcp_listener::listen(events, address, [it](std::shared_ptr<tcp_stream> stream) {
-            if (it->connections.size() >= it->limits.connections) {
-                return; // dropping the stream closes it
-            }
-            const auto accepted = std::make_shared<connection>(*it, std::move(stream));
-            it->connections.insert(accepted);
-            accepted->attach();
-        });
+    auto listener = tcp_listener::listen(events, address, [it](std::shared_ptr<tcp_stream> stream) {
+        if (it->connections.size() >= it->limits.connections) {
+            return; // dropping the stream closes it
+        }
+        const auto accepted = std::make_shared<connection>(*it, std::move(stream));
+        it->connections.insert(accepted);
+        accepted->attach();
+    });
     if (!listener) {
         return listener.error();
     }
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -66,8 +66,8 @@
         return failure(errc::unavailable, fmt::format("no socket: {}", std::strerror(errno)));
     }
     set_options(descriptor);
-    const int ec = ::connect(descriptor, reinterpret_cast<const sockaddr*>(&*address),
-                             sizeof(*address));
+    const int ec =
+        ::connect(descriptor, reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
     if (ec != 0 && errno != EINPROGRESS) {
         auto problem = fmt::format("connect to {}: {}", text, std::strerror(errno));
         ::close(descriptor);
@@ -221,8 +221,8 @@
     }
 }
 
-result<std::unique_ptr<tcp_listener>>
-tcp_listener::listen(poller& events, std::string_view text, accept_handler on_accept)
+result<std::unique_ptr<tcp_listener>> tcp_listener::listen(poller& events, std::string_view text,
+                                                           accept_handler on_accept)
 {
     const auto address = parse_address(text);
     if (!address) {
@@ -230,8 +230,7 @@
     }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
-    if (descriptor < 0 ||
-        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+    if (descriptor < 0 || setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
         bind(descriptor, reinterpret_cast<const sockaddr*>(&*address), sizeof(*address)) != 0 ||
         ::listen(descriptor, listen_backlog) != 0) {
         auto problem = fmt::format("listen on {}: {}", text, std::strerror(errno));
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -151,8 +151,8 @@
         used += row.demand.cpu_millis;
     }
     if (used > it.report.capacity.cpu_millis) {
-        violations_.push_back(fmt::format("{} over its room: {} of {}", id, used,
-                                          it.report.capacity.cpu_millis));
+        violations_.push_back(
+            fmt::format("{} over its room: {} of {}", id, used, it.report.capacity.cpu_millis));
     }
     auto& places = places_[task];
     if (!places.empty()) {
@@ -187,8 +187,7 @@
             lose();
             return;
         }
-        const auto status =
-            carry_out(it, copy.task, copy.run, copy.deadline_ms, copy.token);
+        const auto status = carry_out(it, copy.task, copy.run, copy.deadline_ms, copy.token);
         if (draw(it.fault.lost_replies)) {
             lose();
             return;
@@ -234,7 +233,8 @@
     for (const auto& [task, run] : it.runs) {
         const auto elapsed = timers_.monotonic_now() - run.began;
         const auto percent =
-            it.fault.hangs ? 0 : static_cast<int>(100 * elapsed / std::max(run.length, duration{1}));
+            it.fault.hangs ? 0
+                           : static_cast<int>(100 * elapsed / std::max(run.length, duration{1}));
         out.running.push_back({task, run.run, percent});
     }
     return out;
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -368,9 +368,8 @@
     auto again = job("j", 2, 600ms);
     again.resumed = true;
     bool done = false;
-    ours->submit(again, "front", [&](const job_outcome& it) {
-        done = it.end == job_end::completed;
-    });
+    ours->submit(again, "front",
+                 [&](const job_outcome& it) { done = it.end == job_end::completed; });
     timers.advance(2s);
     BOOST_TEST(done);
     BOOST_TEST(fleet.total_starts() == 2U);
--- a/tests/cell/cell_election_test.cpp
+++ b/tests/cell/cell_election_test.cpp
@@ -66,9 +66,8 @@
     const std::vector<instance_view> cut = {view("a", "x"), view("b", "x"), view("c", "y", false),
                                             view("d", "y", false), view("e", "z", false)};
     BOOST_TEST(cell_election::is_minority("a", cut));
-    const std::vector<instance_view> few = {view("a", "x"), view("b", "x", false),
-                                            view("c", "y"), view("d", "y", false),
-                                            view("e", "z", false)};
+    const std::vector<instance_view> few = {view("a", "x"), view("b", "x", false), view("c", "y"),
+                                            view("d", "y", false), view("e", "z", false)};
     BOOST_TEST(!cell_election::is_minority("a", few));
     const std::vector<instance_view> single = {view("a", "x"), view("b", "x", false),
                                                view("c", "x", false)};
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -39,9 +39,8 @@
         it.mesh = std::make_unique<instance_mesh>(events, timers, self);
         it.cells = std::make_unique<cell_service>(timers, *it.mesh, fleet, cell_settings{});
         it.cells->on_claim = [this, cells = it.cells.get()] {
-            timers.schedule(5ms, [this, cells] {
-                cells->note_workers_read(timers.monotonic_now());
-            });
+            timers.schedule(5ms,
+                            [this, cells] { cells->note_workers_read(timers.monotonic_now()); });
         };
         BOOST_REQUIRE(it.mesh->listen());
         std::vector<instance_address> known;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -52,8 +52,13 @@
 // Guards against malformed bodies that end the process or run as something else.
 BOOST_AUTO_TEST_CASE(malformed_jobs_are_errors)
 {
-    const char* bodies[] = {"", "[]", "{", R"({"spec":"x"})", R"({"spec":1,"steps":[]})",
-                            R"({"spec":"x","steps":[1]})", R"({"spec":"x","steps":[{}]})",
+    const char* bodies[] = {"",
+                            "[]",
+                            "{",
+                            R"({"spec":"x"})",
+                            R"({"spec":1,"steps":[]})",
+                            R"({"spec":"x","steps":[1]})",
+                            R"({"spec":"x","steps":[{}]})",
                             R"({"spec":"x","steps":[{"count":-1}]})",
                             R"({"spec":"x","steps":[{"count":"4"}]})",
                             R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})"};
@@ -72,7 +77,9 @@
     BOOST_TEST(good->draining);
     BOOST_TEST(good->kind == "a");
     BOOST_TEST(good->born_ms == 12);
-    const char* bad[] = {"", "\xff\xfe", "{}",
+    const char* bad[] = {"",
+                         "\xff\xfe",
+                         "{}",
                          R"({"service":"s","address":"a","zone":"z","state":"resting",
                          "capacity":{"cpu":1,"memMb":1}})",
                          R"({"service":7,"address":"a","zone":"z","state":"ready",
@@ -113,8 +120,8 @@
 // Guards against a list of runs that is read wrongly, or taken as empty when it cannot be read.
 BOOST_AUTO_TEST_CASE(a_look_lists_runs_and_ends)
 {
-    const auto it = decode_look_reply(
-        200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
+    const auto it =
+        decode_look_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
         "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",1,"lapsed",""]]})");
     BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(order_status::accepted));
     BOOST_REQUIRE(it.running.size() == 1U);
@@ -186,7 +193,8 @@
 {
     const auto empty = parse_node_settings("[limits]\ncpuShare = -1\n");
     BOOST_REQUIRE(!empty);
-    for (const char* key : {"node", "zone", "listen.front", "platform.address", "limits.cpuShare"}) {
+    for (const char* key :
+         {"node", "zone", "listen.front", "platform.address", "limits.cpuShare"}) {
         BOOST_TEST(empty.error().message.find(key) != std::string::npos, key);
     }
     BOOST_TEST(!parse_node_settings("node = "));
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,8 +1,8 @@
 #include "soak.h"
 
 #include <csignal>
-#include <fcntl.h>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -16,7 +16,7 @@
 
 constexpr int process_count = 4;
 constexpr int worker_count = 8;
-constexpr int first_port = 18100; // below the range of ephemeral ports
+constexpr int first_port = 18100;  // below the range of ephemeral ports
 constexpr int ports_per_seed = 10; // so that some seeds can be played side by side
 constexpr duration submit_interval = std::chrono::milliseconds{25};
 constexpr duration inject_interval = std::chrono::milliseconds{600};
@@ -80,7 +80,8 @@
     it.name = fmt::format("instance-{}", index);
     it.settings_file = fmt::format("{}/{}.toml", folder_, it.name);
     it.caller_address = fmt::format("{}:{}", ip_of(index), base_port_);
-    std::ofstream(it.settings_file) << fmt::format(R"(node = "{0}"
+    std::ofstream(it.settings_file)
+        << fmt::format(R"(node = "{0}"
 zone = "zone"
 ip = "{1}"
 seeds = ["{2}:{5}"]
@@ -99,8 +100,7 @@
 [platform]
 address = "127.0.1.1:{3}"
 )",
-                                                   it.name, ip_of(index), ip_of(0), base_port_,
-                                                   base_port_ + 1, base_port_ + 2);
+                       it.name, ip_of(index), ip_of(0), base_port_, base_port_ + 1, base_port_ + 2);
 }
 
 void soak::start(process& it)
@@ -129,21 +129,20 @@
         int status = 0;
         if (it.pid > 0 && waitpid(it.pid, &status, WNOHANG) == it.pid) {
             if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
-                findings_.push_back(fmt::format("{} {} ended by signal {}", now_text(), it.name,
-                                                WTERMSIG(status)));
+                findings_.push_back(
+                    fmt::format("{} {} ended by signal {}", now_text(), it.name, WTERMSIG(status)));
             }
             it.pid = 0;
-            timers_.schedule(std::chrono::milliseconds{100 + draw(900)}, [this, &it] {
-                start(it);
-            });
+            timers_.schedule(std::chrono::milliseconds{100 + draw(900)},
+                             [this, &it] { start(it); });
         }
     }
 }
 
 std::string soak::now_text() const
 {
-    return fmt::format("{:.3f} s", std::chrono::duration<double>(timers_.monotonic_now() - began_)
-                                       .count());
+    return fmt::format("{:.3f} s",
+                       std::chrono::duration<double>(timers_.monotonic_now() - began_).count());
 }
 
 void soak::run_for(duration span)
@@ -198,8 +197,8 @@
     if (reply->status == 503) {
         ++refused_;
         if (starts != 0) {
-            findings_.push_back(fmt::format("{} {} refused as not run after {} starts", now_text(),
-                                            id, starts));
+            findings_.push_back(
+                fmt::format("{} {} refused as not run after {} starts", now_text(), id, starts));
         }
     }
     else if (reply->status == 200 && reply->body.find("completed") != std::string::npos) {
@@ -308,8 +307,8 @@
                      [this, name = it.name](const pooled_http_client::outcome& outcome) {
                          const auto* reply = std::get_if<http_reply>(&outcome);
                          if (reply == nullptr || reply->status != 200) {
-                             findings_.push_back(fmt::format(
-                                 "{} {} does not know the new queue", now_text(), name));
+                             findings_.push_back(fmt::format("{} {} does not know the new queue",
+                                                             now_text(), name));
                          }
                      });
     }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -16,7 +16,8 @@
     if (const char* text = std::getenv("CACTUSLOOM_SOAK_SEEDS")) {
         char* rest = nullptr;
         first = static_cast<std::uint32_t>(std::strtoul(text, &rest, 10));
-        last = *rest == '-' ? static_cast<std::uint32_t>(std::strtoul(rest + 1, nullptr, 10)) : first;
+        last =
+            *rest == '-' ? static_cast<std::uint32_t>(std::strtoul(rest + 1, nullptr, 10)) : first;
     }
     return {first, last};
 }
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -17,7 +17,9 @@
 struct lifecycle {
     GMainLoop* loop = nullptr;
     std::function<void(std::function<void()>)> shut_down;
-    std::function<void()> reload = [] { log_event("reload_ignored", "reason=\"settings are flags\""); };
+    std::function<void()> reload = [] {
+        log_event("reload_ignored", "reason=\"settings are flags\"");
+    };
     timer_service* timers = nullptr;
     std::chrono::seconds limit{};
     bool stopping = false;
@@ -69,7 +71,9 @@
     life.loop = g_main_loop_new(nullptr, FALSE);
     life.timers = &timers;
     life.limit = std::chrono::duration_cast<std::chrono::seconds>(settings.value().shutdown_time);
-    life.shut_down = [&](std::function<void()> done) { started.value()->shut_down(std::move(done)); };
+    life.shut_down = [&](std::function<void()> done) {
+        started.value()->shut_down(std::move(done));
+    };
     life.reload = [&] { started.value()->reload(); };
     log_event("listening", "address={} name={}", settings.value().caller_address,
               settings.value().name);
@@ -108,11 +112,12 @@
     }
     lifecycle life;
     life.loop = g_main_loop_new(nullptr, FALSE);
-    life.shut_down = [&](std::function<void()> done) { started.value()->shut_down(std::move(done)); };
+    life.shut_down = [&](std::function<void()> done) {
+        started.value()->shut_down(std::move(done));
+    };
     life.timers = &timers;
     life.limit = std::chrono::seconds{settings.value().shutdown_seconds};
-    log_event("listening", "address={} name={}", started.value()->address(),
-              settings.value().name);
+    log_event("listening", "address={} name={}", started.value()->address(), settings.value().name);
     run_loop(life);
     started.value().reset();
     return 0;
