Block signals before anything else at the start; make takeover tests fail without their mechanism

Nine mechanisms were taken out one by one: six tests did not notice, because no room was free or because the fake worker stopped orphans at once. They are rewritten and each now fails without its mechanism.

--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -23,8 +23,9 @@
         double lost_replies = 0; // share of orders that are carried out without a reply
         double late_orders = 0;  // share of starts without a reply that run seconds later
         bool fails_all = false;
-        bool hangs = false;  // runs make no progress
-        double slowness = 1; // run times are multiplied
+        bool hangs = false;         // runs make no progress
+        bool ignores_stops = false; // stops are lost on their way
+        double slowness = 1;        // run times are multiplied
     };
 
     explicit memory_worker_fleet(timer_service& timers) : timers_(timers) {}
--- a/tests/cell/cell_fixture.h
+++ b/tests/cell/cell_fixture.h
@@ -64,6 +64,23 @@
         return out;
     }
 
+    // The same job as a front sends it again after it lost the controller.
+    static job_request resumed(job_request request)
+    {
+        request.resumed = true;
+        return request;
+    }
+
+    // Tasks with an index below `short_tasks` take 100 ms, the others 800 ms.
+    void set_short_tasks(std::uint32_t short_tasks)
+    {
+        fleet.work = [short_tasks](const std::string& name) {
+            task_ref task;
+            parse_task_name(name, task);
+            return duration{std::chrono::milliseconds{task.index < short_tasks ? 100 : 800}};
+        };
+    }
+
     void submit(job_request request, const std::string& requester = "front")
     {
         const auto id = request.id;
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -86,6 +86,8 @@
 int main(int argc, const char** argv)
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
+    // Until the loop takes them, signals wait: SIGHUP would end a process that is just starting.
+    signal_source::block({SIGTERM, SIGINT, SIGHUP});
     make_log_nonblocking();
     if (argc == 2 && std::string_view(argv[1]) == "platform") {
         return run_on_platform();
--- a/tools/cactusloomd/signal_source.h
+++ b/tools/cactusloomd/signal_source.h
@@ -12,6 +12,10 @@
 public:
     signal_source(std::initializer_list<int> signals, std::function<void(int)> on_signal);
     ~signal_source();
+
+    // Keeps signals pending until a source for them is made.
+    static void block(std::initializer_list<int> signals);
+
     signal_source(const signal_source&) = delete;
     signal_source& operator=(const signal_source&) = delete;
 
