--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -68,6 +68,7 @@
     struct desk_job;
     struct own_cell;
 
+    void tick();
     void evaluate();
     void evaluate_cell(const std::string& cell, const std::vector<instance_view>& views);
     void claim(const std::string& cell, std::uint64_t above);
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -106,16 +106,16 @@
                               const instance_mesh::sender& reply) {
         on_message(peer, message, reply);
     };
-    const auto tick = [this](const auto& self) -> void {
-        tick_timer_ = timers_.schedule(tick_interval, [this, self] {
-            self(self);
-            evaluate();
-            announce(); // the workers that obey change by and by
-            check_requesters();
-            check_jobs();
-        });
-    };
-    tick(tick);
+    tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
+}
+
+void cell_service::tick()
+{
+    tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
+    evaluate();
+    announce(); // the number of workers that obey changes after a claim
+    check_requesters();
+    check_jobs();
 }
 
 cell_service::~cell_service()
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -98,7 +98,7 @@
         finish(job, {job_end::completed, {}, "done before"});
         return;
     }
-    if (!adopted && !job.request.resumed && reject_if_hopeless(job)) {
+    if (!adopted && !job.request.resumed && reject_if_too_late(job)) {
         return;
     }
     schedule_pump();
@@ -121,7 +121,7 @@
 
 // Rejects a new job at once if the work ahead of it leaves no time before its deadline, or if no
 // worker is large enough for a task of it.
-bool cell_controller::state::reject_if_hopeless(active_job& job)
+bool cell_controller::state::reject_if_too_late(active_job& job)
 {
     const auto now = timers.monotonic_now();
     if (now - claimed_at < std::chrono::seconds{1}) {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -58,7 +58,7 @@
     // Jobs.
     void submit(job_request request, const std::string& requester, answer fn);
     void accept(job_request request, const std::string& requester, answer fn);
-    bool reject_if_hopeless(active_job& job);
+    bool reject_if_too_late(active_job& job);
     bool adopt_orphans(active_job& job);
     bool may_start_resumed(const active_job& job);
     void finish(active_job& job, const job_outcome& outcome);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -423,7 +423,8 @@
 void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
 {
     if (worker.slowness > 1.0) {
-        worker.slowness = std::max(1.0, worker.slowness * 0.995); // back by careful trials
+        // Fades, so that the worker gets tasks again and is measured anew.
+        worker.slowness = std::max(1.0, worker.slowness * 0.995);
     }
     look_for_overdue_end(worker, now);
     const bool silent = !worker.held || worker.unanswered_looks != 0;
