--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -92,6 +92,7 @@
     bool is_alive(const peer& peer) const;
     std::set<std::string> candidates() const;
     Json::Value own_state() const;
+    std::string ping_text() const;
 
     poller& events_;
     timer_service& timers_;
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -61,6 +61,11 @@
     worker_counts former_workers; // resumed: workers that the other one may have used
 };
 
+// Time after which no task of a job runs any more for a controller that its front has lost: that
+// one stops the jobs of a front that it has not heard for 600 ms, within 200 ms more, and a lease
+// lapses after 1 s on a clock that is 2 % slow.
+inline constexpr duration lost_job_quarantine = std::chrono::milliseconds{1100};
+
 // How a submission ended.
 enum class job_end {
     completed, // all tasks are done
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -23,9 +23,6 @@
 // Time without any controller after which new jobs are refused instead of kept.
 constexpr duration controller_patience = std::chrono::seconds{1};
 constexpr duration controller_retry_after = std::chrono::seconds{1};
-// A controller stops the jobs of a front that it has not heard for 600 ms, within 200 ms more; a
-// lease lapses after 1 s on a clock that is 2 % slow.
-constexpr duration lost_job_quarantine = std::chrono::milliseconds{1100};
 // The controller ends jobs at their deadline; a front that hears nothing by then gives up.
 constexpr duration outcome_slack = std::chrono::milliseconds{100};
 // Tokens are wall-clock milliseconds in the upper bits, so that a claim needs no store: after all
@@ -43,7 +40,6 @@
     std::string controller; // empty: waits for one
     std::string cell;
     std::set<std::string> refused_by; // cells that had no room
-    job_outcome refusal;
     monotonic_time arrived;
     monotonic_time deadline;
     bool sent = false;          // a controller may have started tasks
@@ -540,7 +536,6 @@
     }
     if (outcome.end == job_end::not_run) {
         job.refused_by.insert(cell);
-        job.refusal = outcome;
         job.controller.clear();
         job.sent = false;             // it has certainly not run there
         dispatch(job, mesh_.views()); // may end the job at once
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -13,8 +13,6 @@
 
 // A front resubmits within a round trip of a takeover; orphans older than this have no owner.
 constexpr duration orphan_end_lifetime = std::chrono::seconds{3};
-// After this time without its front, the earlier controller has stopped a resumed job's tasks.
-constexpr duration resumed_job_quarantine = std::chrono::milliseconds{1100};
 // A front asks again within a beat or two of a broken link.
 constexpr duration recent_outcome_lifetime = std::chrono::seconds{2};
 // Share of the cores that tasks of mixed width can fill.
@@ -150,14 +148,10 @@
     const double speed = usable_speed();
     const double work = ahead.empty() ? 0 : policy.work_before(ahead, job);
     const auto wait = duration{static_cast<duration::rep>(speed > 0 ? work / speed : 1e6)};
-    duration longest{};
-    for (const auto& step : job.request.steps) {
-        longest = std::max(longest, policy.shortest(job, step));
-    }
     // Work that comes too late for its objective takes room from work that does not. A wait as long
     // as the whole objective leaves no chance of that even if the prediction is off.
     const bool in_time = wait <= job.due - job.arrived;
-    if (in_time && now + policy.at_best(longest) + answer_margin <= job.deadline) {
+    if (in_time && now + policy.at_best(policy.longest_task(job)) + answer_margin <= job.deadline) {
         return false;
     }
     log_event("job_too_late", "id={} queue={} work_ahead_ms={} speed={:.1f} wait_ms={} due_ms={}",
@@ -239,7 +233,7 @@
 // time beside that, so every worker has to accept a look that is newer than the job.
 bool cell_controller::state::may_start_resumed(const active_job& job)
 {
-    if (timers.monotonic_now() - job.accepted_at > resumed_job_quarantine) {
+    if (timers.monotonic_now() - job.accepted_at > lost_job_quarantine) {
         return true;
     }
     bool all_seen = workers_as_of > first_claimed_at;
@@ -331,15 +325,20 @@
         }
     }
     else {
-        // Deferred, as callers hold references into the table.
-        timers.schedule(duration::zero(), [this, id = job.request.id, alive = alive] {
-            if (*alive) {
-                collect(id);
-            }
-        });
+        schedule_collect(job.request.id);
     }
 }
 
+// Deferred, as callers hold references into the table.
+void cell_controller::state::schedule_collect(const std::string& id)
+{
+    timers.schedule(duration::zero(), [this, id, alive = alive] {
+        if (*alive) {
+            collect(id);
+        }
+    });
+}
+
 // Forgets a job whose last run has ended and lets its successor in.
 void cell_controller::state::collect(const std::string& id)
 {
@@ -387,11 +386,7 @@
         if (job->started || job->request.resumed) {
             continue;
         }
-        duration longest{};
-        for (const auto& step : job->request.steps) {
-            longest = std::max(longest, policy.shortest(*job, step));
-        }
-        if (now + policy.at_best(longest) > job->deadline) {
+        if (now + policy.at_best(policy.longest_task(*job)) > job->deadline) {
             finish(*job, {job_end::not_run, min_retry_after, "no time left for a task"});
         }
     }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -261,11 +261,7 @@
     }
     if (job.ended) {
         if (job.placed_tasks == 0) {
-            timers.schedule(duration::zero(), [this, id = job.request.id, alive = alive] {
-                if (*alive) {
-                    collect(id);
-                }
-            });
+            schedule_collect(job.request.id);
         }
     }
     else if (job.all_done()) {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -64,6 +64,7 @@
     void finish(active_job& job, const job_outcome& outcome);
     std::string describe_runs(const active_job& job) const;
     void abandon(active_job& job);
+    void schedule_collect(const std::string& id);
     void collect(const std::string& id);
     void check_deadlines(monotonic_time now);
     double usable_speed() const;
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -276,11 +276,16 @@
     }
 }
 
-void instance_mesh::send_pings()
+std::string instance_mesh::ping_text() const
 {
     auto ping = own_state();
     ping["t"] = "ping";
-    const auto text = write_json(ping);
+    return write_json(ping);
+}
+
+void instance_mesh::send_pings()
+{
+    const auto text = ping_text();
     for (const auto& [name, it] : peers_) {
         if (it->link && !it->closed && it->link->is_connected()) {
             it->link->send(text);
@@ -320,9 +325,7 @@
     it.link->on_connected = [this, own] {
         own->was_connected = true;
         own->refused = false;
-        auto ping = own_state();
-        ping["t"] = "ping";
-        own->link->send(write_json(ping));
+        own->link->send(ping_text());
         on_reconnect(own->address.name);
     };
     it.link->on_message = [this, own](std::string_view text) {
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -25,8 +25,7 @@
 duration placement::shortest(const active_job& job, const job_step& step) const
 {
     const auto work = times_.work(job.request.terms.queue, step.estimate);
-    return duration{
-        static_cast<duration::rep>(static_cast<double>(work.count()) * times_.fastest_factor())};
+    return scaled(work, times_.fastest_factor());
 }
 
 duration placement::predict(const active_job& job, const job_step& step,
@@ -37,10 +36,10 @@
     if (!step.data_rack.empty() && !worker.has_label(step.data_rack)) {
         factor *= remote_penalty_;
     }
-    return duration{static_cast<duration::rep>(static_cast<double>(work.count()) * factor)};
+    return scaled(work, factor);
 }
 
-bool placement::can_meet(const active_job& job, monotonic_time now) const
+duration placement::longest_task(const active_job& job) const
 {
     duration longest{};
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -48,7 +47,12 @@
             longest = std::max(longest, shortest(job, job.request.steps[i]));
         }
     }
-    return now + longest + answer_margin <= job.due;
+    return longest;
+}
+
+bool placement::can_meet(const active_job& job, monotonic_time now) const
+{
+    return now + longest_task(job) + answer_margin <= job.due;
 }
 
 duration placement::at_best(duration predicted)
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -28,6 +28,9 @@
     // Shortest run time that the step can have on a sound worker of the fastest kind.
     duration shortest(const active_job& job, const job_step& step) const;
 
+    // Longest of the shortest run times of the steps that are not done.
+    duration longest_task(const active_job& job) const;
+
     // Least run time to reckon with, as predictions are off either way.
     static duration at_best(duration predicted);
 
