Tell lost machines from slow processes by a second connection; claim once all states are known

Cause: after the closing loss of power nobody controlled the workers until the slowest instance was back (claim 0.4 to 0.5 s after the first process listened), since a starting instance waited until it was in touch with all others or for 0.7 s. In cuts and losses of power a silent controller was only noticed after 600 ms. Ruled out: reading the configuration (50 ms) and the first looks (20 ms).

Change: a link that is silent for 250 ms is probed by a second connection. No handshake in 120 ms: the machine is unreachable and down. A reply on it: the link is broken and replaced. Refused and unreachable candidates no longer hold up the election. A pause of the own process counts as nobody's silence, and a long one replaces the links. Instances can advertise another link address than the one that they listen on, which the tests use for a relay (stand_in/loopback_proxy).

Suite mesh: three of four cases fail without their mechanism, the fourth guards against taking a slow process for a lost one.

--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -40,10 +40,11 @@
     instance_mesh(const instance_mesh&) = delete;
     instance_mesh& operator=(const instance_mesh&) = delete;
 
-    // Starts to accept links at the own address. Error: the address cannot be used.
-    result<bool> listen();
+    // Starts to accept links at an address of this machine, which peers may reach under another
+    // one, that of `self`. Error: the address cannot be used.
+    result<bool> listen(std::string_view address);
 
-    // Adds or refreshes instances. Links follow from the next beat on.
+    // Adds or refreshes instances. Links follow from the next check on.
     void learn(const std::vector<instance_address>& instances);
 
     // Asks an address for the instances that its process knows; for a start without the store.
@@ -66,8 +67,9 @@
     // True if a peer has linked to this one and sent something within the silence limit.
     bool hears(std::string_view peer) const;
 
-    // True if every known instance is in touch.
-    bool hears_all() const;
+    // True if every known candidate for control is in touch, has no process, because its machine
+    // refuses connections, or cannot be reached. Then no unknown claim can exist in touch.
+    bool knows_state_of_all() const;
 
     // A peer with a newer configuration, empty if none.
     std::string peer_with_newer_config(std::int64_t version) const;
@@ -81,8 +83,10 @@
     struct peer;
     struct inbound;
 
-    void beat();
+    void check();
+    void excuse_pause(duration pause);
     void update_link(peer& peer);
+    void probe(peer& peer);
     void open(peer& peer);
     void on_pong(peer& peer, const Json::Value& message);
     bool note_state(peer& peer, const Json::Value& message);
@@ -106,7 +110,9 @@
     std::uint64_t state_number_ = 1; // rises with each announced change
     bool leaving_ = false;
     std::int64_t config_version_ = -1;
-    timer_id beat_timer_ = 0;
+    timer_id check_timer_ = 0;
+    int checks_ = 0;
+    monotonic_time checked_at_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -86,7 +86,7 @@
 {
     const auto now = timers_.monotonic_now();
     const bool settled =
-        now - started_at_ >= election_grace || (instances_known_ && mesh_.hears_all());
+        now - started_at_ >= election_grace || (instances_known_ && mesh_.knows_state_of_all());
     if (!leaving_ && settled && !workers_.empty()) {
         split_ =
             workers_.size() > (split_ ? min_workers_of_split_cells : max_workers_of_whole_cell);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -10,9 +10,15 @@
 
 namespace {
 
-constexpr duration beat_interval = std::chrono::milliseconds{150};
+constexpr duration check_interval = std::chrono::milliseconds{50};
+constexpr int checks_per_beat = 3;
 // Four beats: a lost packet is sent again within one to two hundred ms.
 constexpr duration silence_limit = std::chrono::milliseconds{600};
+// A beat and its reply are missing: a second connection tells a slow process from a lost machine.
+constexpr duration suspicion_limit = std::chrono::milliseconds{250};
+// The system of a reachable machine opens a connection within one round trip (24 ms between
+// regions), however busy its process is.
+constexpr duration handshake_limit = std::chrono::milliseconds{120};
 constexpr duration connect_limit = std::chrono::milliseconds{400};
 constexpr duration introduction_limit = std::chrono::seconds{2};
 // Up to this many instances every one may control; beyond it the strongest of each data centre.
@@ -24,8 +30,12 @@
 struct instance_mesh::peer {
     instance_address address;
     std::shared_ptr<frame_link> link;
-    bool closed = false;  // the link is to be replaced at the next beat
-    bool refused = false; // nothing listened at the last attempt
+    std::shared_ptr<frame_link> probe; // second connection while the link is silent
+    monotonic_time probed_at;
+    monotonic_time probe_answered_at; // zero: not yet
+    bool closed = false;              // the link is to be replaced at the next check
+    bool refused = false;             // nothing listened at the last attempt
+    bool unreachable = false;         // the last attempt was not answered at all
     bool was_connected = false;
     bool alive_before = false;
     monotonic_time opened_at;
@@ -52,20 +62,20 @@
 instance_mesh::~instance_mesh()
 {
     *alive_ = false;
-    timers_.cancel(beat_timer_);
+    timers_.cancel(check_timer_);
 }
 
-result<bool> instance_mesh::listen()
+result<bool> instance_mesh::listen(std::string_view address)
 {
     auto listener =
-        tcp_listener::listen(events_, self_.address, [this](std::shared_ptr<tcp_stream> stream) {
+        tcp_listener::listen(events_, address, [this](std::shared_ptr<tcp_stream> stream) {
             accept(std::move(stream));
         });
     if (!listener) {
         return listener.error();
     }
     listener_ = std::move(listener.value());
-    beat();
+    check();
     return true;
 }
 
@@ -154,7 +164,7 @@
 
 bool instance_mesh::is_alive(const peer& it) const
 {
-    if (it.refused || it.last_pong == monotonic_time{}) {
+    if (it.refused || it.unreachable || it.last_pong == monotonic_time{}) {
         return false;
     }
     return timers_.monotonic_now() - it.last_pong < silence_limit;
@@ -194,10 +204,13 @@
     return out;
 }
 
-bool instance_mesh::hears_all() const
+bool instance_mesh::knows_state_of_all() const
 {
-    const auto all = views();
-    return std::ranges::all_of(all, &instance_view::alive);
+    const auto linked = candidates();
+    return std::ranges::all_of(peers_, [&](const auto& it) {
+        const auto& peer = *it.second;
+        return !linked.contains(it.first) || peer.refused || peer.unreachable || is_alive(peer);
+    });
 }
 
 std::string instance_mesh::peer_with_newer_config(std::int64_t version) const
@@ -248,29 +261,38 @@
     return message;
 }
 
-void instance_mesh::beat()
+void instance_mesh::check()
 {
-    beat_timer_ = timers_.schedule(beat_interval, [this] { beat(); });
+    check_timer_ = timers_.schedule(check_interval, [this] { check(); });
     const auto now = timers_.monotonic_now();
+    const auto last = std::exchange(checked_at_, now);
+    if (last != monotonic_time{} && now - last > 2 * check_interval) {
+        excuse_pause(now - last - check_interval);
+    }
     std::erase_if(introductions_,
                   [now](const auto& it) { return now - it.first > introduction_limit; });
     const auto linked = candidates();
     bool changed = false;
     for (const auto& [name, it] : peers_) {
-        if (linked.contains(name)) {
-            update_link(*it);
+        if (!linked.contains(name)) {
+            it->link.reset();
+            it->probe.reset();
         }
         else {
-            it->link.reset();
+            update_link(*it);
         }
         const bool alive = is_alive(*it);
         if (alive != it->alive_before) {
             it->alive_before = alive;
             changed = true;
-            log_event(alive ? "instance_up" : "instance_down", "instance={}", name);
+            log_event(alive ? "instance_up" : "instance_down",
+                      "instance={} refused={} unreachable={} silent_ms={}", name, it->refused,
+                      it->unreachable, (now - it->last_pong).count() / 1000);
         }
     }
-    send_pings();
+    if (checks_++ % checks_per_beat == 0) {
+        send_pings();
+    }
     if (changed) {
         on_change();
     }
@@ -293,23 +315,86 @@
     }
 }
 
+// Replies wait unread after a pause of this process, so its time counts as nobody's silence.
+void instance_mesh::excuse_pause(duration pause)
+{
+    log_event("paused", "for_ms={}", pause.count() / 1000);
+    for (auto& [name, at] : heard_) {
+        at += pause;
+    }
+    for (const auto& row : peers_) {
+        auto& it = *row.second;
+        it.opened_at += pause;
+        it.probed_at += pause;
+        if (it.last_pong != monotonic_time{}) {
+            it.last_pong += pause;
+        }
+        if (pause > silence_limit / 2) {
+            it.closed = true; // the peer may have dropped what it was asked for on this link
+        }
+    }
+}
+
 // Replaces a link that is closed, silent or cannot be opened in time.
 void instance_mesh::update_link(peer& it)
 {
     const auto now = timers_.monotonic_now();
-    if (it.link && !it.closed) {
-        const bool silent = it.link->is_connected()
-                                ? now - std::max(it.last_pong, it.opened_at) > silence_limit
-                                : now - it.opened_at > connect_limit;
-        if (!silent) {
-            return;
+    if (!it.link || it.closed) {
+        open(it);
+        return;
+    }
+    if (!it.link->is_connected()) {
+        if (now - it.opened_at > handshake_limit) {
+            it.unreachable = true;
+        }
+        if (now - it.opened_at > connect_limit) {
+            open(it);
         }
+        return;
+    }
+    const auto silence = now - std::max(it.last_pong, it.opened_at);
+    if (silence <= suspicion_limit) {
+        it.probe.reset();
+        return;
     }
-    open(it);
+    if (!it.probe) {
+        probe(it);
+        return;
+    }
+    it.unreachable = !it.probe->is_connected() && now - it.probed_at > handshake_limit;
+    // A process that was only paused answers on both connections in one go.
+    const bool broken =
+        it.probe_answered_at != monotonic_time{} && now - it.probe_answered_at >= check_interval;
+    if (it.unreachable || broken || silence > silence_limit) {
+        log_event("link_given_up", "instance={} silent_ms={} unreachable={} probe_answered={}",
+                  it.address.name, silence.count() / 1000, it.unreachable, broken);
+        open(it);
+    }
+}
+
+// Opens a second connection beside a silent link. It tells a lost machine, which does not open it,
+// from a busy process, which does not reply, and from a broken link beside which it does.
+void instance_mesh::probe(peer& it)
+{
+    it.probed_at = timers_.monotonic_now();
+    it.probe_answered_at = {};
+    auto stream = tcp_stream::connect(events_, it.address.address);
+    if (!stream) {
+        log_event("probe_failed", "instance={} reason=\"{}\"", it.address.name,
+                  stream.error().message);
+        return;
+    }
+    it.probe = std::make_shared<frame_link>(stream.value());
+    it.probe->on_connected = [this, own = &it] { own->probe->send(ping_text()); };
+    it.probe->on_message = [this, own = &it](std::string_view) {
+        own->probe_answered_at = timers_.monotonic_now();
+    };
+    it.probe->on_closed = [own = &it] { own->closed = true; };
 }
 
 void instance_mesh::open(peer& it)
 {
+    it.probe.reset();
     it.closed = false;
     it.was_connected = false;
     it.opened_at = timers_.monotonic_now();
@@ -325,6 +410,7 @@
     it.link->on_connected = [this, own] {
         own->was_connected = true;
         own->refused = false;
+        own->unreachable = false;
         own->link->send(ping_text());
         on_reconnect(own->address.name);
     };
@@ -397,6 +483,7 @@
 {
     it.last_pong = timers_.monotonic_now();
     it.refused = false;
+    it.unreachable = false;
     const bool changed = note_state(it, message);
     if (changed || !it.alive_before) {
         it.alive_before = true;
--- /dev/null
+++ b/stand_in/loopback_proxy.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "net/tcp_stream.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cactusloom {
+
+// Relays TCP connections to a target and harms them as a network does: delays, cuts in one or both
+// directions, closed connections, and connections that go silent for good while new ones work.
+class loopback_proxy {
+public:
+    // Listens on "ip:port". Error: the address cannot be used.
+    static result<std::unique_ptr<loopback_proxy>>
+    start(poller& events, timer_service& timers, std::string_view address, std::string target);
+    ~loopback_proxy();
+    loopback_proxy(const loopback_proxy&) = delete;
+    loopback_proxy& operator=(const loopback_proxy&) = delete;
+
+    // Connections that are open now carry nothing any more, without being closed.
+    void silence_open_connections();
+    void close_open_connections();
+
+    // Holds back what flows towards the target or towards the client until `heal`.
+    void cut_to_target() { is_cut_to_target_ = true; }
+    void cut_to_client() { is_cut_to_client_ = true; }
+    void delay(duration by) { delay_ = by; }
+
+    // Ends cuts and delays and delivers what was held back.
+    void heal();
+
+    std::size_t open_connections() const { return connections_.size(); }
+
+private:
+    struct connection;
+
+    loopback_proxy(poller& events, timer_service& timers, std::string target);
+
+    void accept(std::shared_ptr<tcp_stream> client);
+    void relay(const std::shared_ptr<connection>& it, bool to_target, std::string data);
+    void deliver(const std::shared_ptr<connection>& it, bool to_target, std::string_view data);
+    void drop(const std::shared_ptr<connection>& it);
+
+    poller& events_;
+    timer_service& timers_;
+    std::string target_;
+    std::unique_ptr<tcp_listener> listener_;
+    std::set<std::shared_ptr<connection>> connections_;
+    bool is_cut_to_target_ = false;
+    bool is_cut_to_client_ = false;
+    duration delay_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cactusloom
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -46,7 +46,7 @@
                 }
             });
         };
-        BOOST_REQUIRE(it.mesh->listen());
+        BOOST_REQUIRE(it.mesh->listen(self.address));
         std::vector<instance_address> known;
         for (const auto& [other, address] : addresses) {
             known.push_back(address);
@@ -175,6 +175,18 @@
     BOOST_TEST(to_string(outcomes["j"].end) == to_string(job_end::unknown));
 }
 
+// Guards against a service that stays away, after all instances have lost power, until the slowest
+// of them is back: those whose machines refuse connections have no process that controls anything.
+BOOST_AUTO_TEST_CASE(the_first_instance_up_does_not_wait_for_those_that_are_down)
+{
+    for (int i = 0; i < 4; ++i) {
+        const auto name = fmt::format("down-{}", i);
+        addresses[name] = {name, fmt::format("127.0.0.1:{}", 17432 + i), "dc", 1.0, 1};
+    }
+    start("up", 17431);
+    BOOST_TEST(run_until([&] { return controller() == "up"; }, 300ms));
+}
+
 // Guards against callers that wait for their deadline while nobody controls the workers.
 BOOST_AUTO_TEST_CASE(without_a_controller_a_job_is_refused_as_not_run)
 {
--- /dev/null
+++ b/tests/cell/instance_mesh_test.cpp
@@ -0,0 +1,160 @@
+#include "cell/instance_mesh.h"
+
+#include "base/glib_timer_service.h"
+#include "stand_in/loopback_proxy.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Two instances in one process; `a` reaches `b` through a relay.
+struct linked_instances {
+    static constexpr const char* a_address = "127.0.0.1:17501";
+    static constexpr const char* b_address = "127.0.0.1:17502";
+    static constexpr const char* relay_address = "127.0.0.1:17503";
+
+    glib_timer_service timers;
+    poller events;
+    std::unique_ptr<loopback_proxy> relay;
+    std::unique_ptr<instance_mesh> a;
+    std::unique_ptr<instance_mesh> b;
+    int reconnects = 0;
+    bool was_down = false;
+
+    linked_instances()
+    {
+        auto started = loopback_proxy::start(events, timers, relay_address, b_address);
+        BOOST_REQUIRE(started);
+        relay = std::move(started.value());
+        a = std::make_unique<instance_mesh>(events, timers, address_of("a", a_address));
+        b = std::make_unique<instance_mesh>(events, timers, address_of("b", relay_address));
+        a->on_reconnect = [this](const std::string&) { ++reconnects; };
+        a->on_change = [this] { was_down |= !sees_b(); };
+        BOOST_REQUIRE(a->listen(a_address));
+        BOOST_REQUIRE(b->listen(b_address));
+        a->learn({address_of("b", relay_address)});
+        BOOST_REQUIRE(run_until([this] { return sees_b(); }, 1s));
+        run_for(200ms);
+        was_down = false;
+        reconnects = 0;
+    }
+
+    static instance_address address_of(const std::string& name, const std::string& address)
+    {
+        return {name, address, "dc", 1.0, 1};
+    }
+
+    bool sees_b() const
+    {
+        const auto views = a->views();
+        return std::ranges::any_of(views,
+                                   [](const auto& it) { return it.name == "b" && it.alive; });
+    }
+
+    bool run_until(const std::function<bool()>& done, duration limit)
+    {
+        const auto end = timers.monotonic_now() + limit;
+        while (!done() && timers.monotonic_now() < end) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        return done();
+    }
+
+    void run_for(duration span)
+    {
+        run_until([] { return false; }, span);
+    }
+};
+
+// A port that never completes a handshake, like a machine without power: its queue of new
+// connections is full.
+class dead_port {
+public:
+    explicit dead_port(std::uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int on = 1;
+        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        BOOST_REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        BOOST_REQUIRE(listen(listener_, 0) == 0);
+        for (auto& it : fillers_) {
+            it = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            // The result is EINPROGRESS; only the place in the queue matters.
+            connect(it, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        }
+    }
+
+    ~dead_port()
+    {
+        close(listener_);
+        for (const int it : fillers_) {
+            close(it);
+        }
+    }
+    dead_port(const dead_port&) = delete;
+    dead_port& operator=(const dead_port&) = delete;
+
+private:
+    int listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    std::array<int, 4> fillers_{};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(mesh, linked_instances)
+
+// Guards against jobs that stay with a controller whose link went silent until the whole silence
+// limit has passed, although its process answers on a new connection.
+BOOST_AUTO_TEST_CASE(a_silent_link_is_replaced_while_its_process_answers)
+{
+    relay->silence_open_connections();
+    BOOST_TEST(run_until([this] { return reconnects != 0; }, 500ms));
+    BOOST_TEST(!was_down);
+    run_for(300ms);
+    BOOST_TEST(sees_b());
+    BOOST_TEST(reconnects == 1);
+}
+
+// Guards against a slow process that is taken for a lost one: its machine opens connections.
+BOOST_AUTO_TEST_CASE(a_process_that_is_slow_to_reply_stays_alive)
+{
+    relay->delay(200ms); // 400 ms for a round trip
+    run_for(800ms);
+    relay->heal();
+    run_for(200ms);
+    BOOST_TEST(!was_down);
+}
+
+// Guards against 600 ms without control when a machine has lost power or is cut off: it does not
+// even open connections.
+BOOST_AUTO_TEST_CASE(a_machine_that_opens_no_connection_is_down_before_the_silence_limit)
+{
+    relay.reset();
+    const dead_port port(17503);
+    BOOST_TEST(run_until([this] { return !sees_b(); }, 300ms));
+    BOOST_TEST(a->knows_state_of_all());
+}
+
+// Guards against a process that judges others by a pause of its own, and claims control then.
+BOOST_AUTO_TEST_CASE(a_pause_of_this_process_is_nobodys_silence)
+{
+    std::this_thread::sleep_for(1s);
+    run_for(300ms);
+    BOOST_TEST(!was_down);
+    BOOST_TEST(reconnects == 1); // b may have dropped what it was asked for
+}
+
+BOOST_AUTO_TEST_SUITE_END()
