Count the workers of a controller from the first send on; keep control in place around a cut's end

Change: the claim's workers are noted with the send. A cut has a phase of ending in which nobody takes the smaller side's cell. A start claims early only if nobody in touch controls anything.

Two new service tests and one of the election fail without the change; the first shows the task on two workers.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -2,6 +2,7 @@
 
 #include "base/timer_service.h"
 #include "cell/cell_controller.h"
+#include "cell/cut_watch.h"
 #include "cell/instance_mesh.h"
 
 #include <functional>
@@ -75,9 +76,9 @@
     void give_up(const std::string& cell);
     void on_fenced(const std::string& cell);
     void announce();
-    bool is_cut_off(const std::vector<instance_view>& views);
+    bool is_settled() const;
     bool is_contested(std::string_view cell) const;
-    std::vector<std::string> cells(bool minority) const;
+    std::vector<std::string> cells(cut_watch::phase cut) const;
     std::vector<std::string> own_names() const;
     std::vector<worker_report> workers_of(std::string_view cell) const;
     void check_requesters();
@@ -105,8 +106,7 @@
     bool instances_known_ = false;
     bool leaving_ = false;
     bool split_ = false;
-    bool cut_off_ = false;
-    monotonic_time cut_off_at_;
+    cut_watch cut_;
     timer_id tick_timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/include/cell/cut_watch.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace cactusloom {
+
+// Follows whether this instance is on the smaller side of a cut. The smaller side controls its own
+// data centre's cell. When the cut ends, its controller stays until the other side has had the time
+// to say what it controls, but nobody takes that cell any more: the larger side controls it too.
+class cut_watch {
+public:
+    enum class phase {
+        whole,  // no cut, or on the larger side
+        cut,    // on the smaller side
+        ending, // no longer, for a short while
+    };
+
+    phase update(bool is_minority, monotonic_time now);
+    phase at() const { return phase_; }
+
+private:
+    phase phase_ = phase::whole;
+    monotonic_time last_cut_at_;
+};
+
+} // namespace cactusloom
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -78,8 +78,7 @@
     // none of them does any more, and any controller may start anew.
     const bool bound = job.sent && now - job.lost_at < lost_job_quarantine;
     const instance_view* target = nullptr;
-    std::string target_cell;
-    std::uint64_t target_token = 0;
+    const cell_claim* target_claim = nullptr;
     bool target_home = false;
     for (const auto& view : views) {
         if (!view.alive || view.leaving) {
@@ -91,13 +90,12 @@
                 (bound && !cell_election::covers(it.cell, job.sent_cell))) {
                 continue;
             }
-            const bool better =
-                target == nullptr || (home && !target_home) ||
-                (home == target_home && it.cell == target_cell && it.token > target_token);
+            const bool better = target == nullptr || (home && !target_home) ||
+                                (home == target_home && it.cell == target_claim->cell &&
+                                 it.token > target_claim->token);
             if (better) {
                 target = &view;
-                target_cell = it.cell;
-                target_token = it.token;
+                target_claim = &it;
                 target_home = home;
             }
         }
@@ -105,25 +103,28 @@
     if (target == nullptr) {
         return;
     }
+    if (!bound) {
+        job.sent_workers.clear(); // nothing runs any more for those that were asked before
+    }
     job.request.resumed = bound;
     job.request.former_workers = job.sent_workers;
     if (job.may_have_run) {
         log_event("job_sent_again", "id={} controller={} cell={} resumed={} time_left_ms={}",
-                  job.request.id, target->name, target_cell, bound,
+                  job.request.id, target->name, target_claim->cell, bound,
                   (job.deadline - now).count() / 1000);
     }
     job.request.age = now - job.arrived;
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
     if (target->name == self.name) {
-        const auto own = own_cells_.find(target_cell);
+        const auto own = own_cells_.find(target_claim->cell);
         if (own == own_cells_.end()) {
             return;
         }
-        job.send_to(target->name, target_cell);
+        job.send_to(target->name, *target_claim);
         own->second->controller->submit(
             job.request, self.name,
-            [this, alive = alive_, id, cell = target_cell](const job_outcome& outcome) {
+            [this, alive = alive_, id, cell = target_claim->cell](const job_outcome& outcome) {
                 if (*alive) {
                     on_outcome(id, mesh_.self().name, cell, outcome);
                 }
@@ -132,10 +133,10 @@
     }
     Json::Value message;
     message["t"] = "submit";
-    message["cell"] = target_cell;
+    message["cell"] = target_claim->cell;
     message["job"] = encode_job(job.request);
     if (mesh_.send(target->name, message)) {
-        job.send_to(target->name, target_cell);
+        job.send_to(target->name, *target_claim);
     }
 }
 
--- a/src/cell/cell_service_parts.h
+++ b/src/cell/cell_service_parts.h
@@ -22,12 +22,13 @@
     monotonic_time lost_at;     // when that controller went out of touch or out of control
     bool may_have_run = false;  // a lost controller may have started tasks
 
-    void send_to(const std::string& name, const std::string& target)
+    void send_to(const std::string& name, const cell_claim& claim)
     {
         controller = name;
-        cell = target;
+        cell = claim.cell;
         sent = true;
-        sent_cell = target;
+        sent_cell = claim.cell;
+        raise_to(sent_workers, claim.workers);
     }
 
     void lose_controller(monotonic_time now, const char* reason)
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -315,13 +315,11 @@
     }
 }
 
-// Replies wait unread after a pause of this process, so its time counts as nobody's silence.
+// Replies wait unread after a pause of this process, so its time counts as nobody's silence. For
+// the peers it did pass: what they may have given up meanwhile (`hears`) is not excused.
 void instance_mesh::excuse_pause(duration pause)
 {
     log_event("paused", "for_ms={}", pause.count() / 1000);
-    for (auto& [name, at] : heard_) {
-        at += pause;
-    }
     for (const auto& row : peers_) {
         auto& it = *row.second;
         it.opened_at += pause;
--- a/tests/cell/cell_election_test.cpp
+++ b/tests/cell/cell_election_test.cpp
@@ -1,5 +1,7 @@
 #include "cell/cell_election.h"
 
+#include "cell/cut_watch.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace cactusloom;
@@ -74,4 +76,20 @@
     BOOST_TEST(!cell_election::is_minority("a", single));
 }
 
+// Guards against a late claim to the smaller side's cell once the larger side is in touch again: it
+// takes workers from the controller of all.
+BOOST_AUTO_TEST_CASE(the_end_of_a_cut_is_a_phase_of_its_own)
+{
+    using namespace std::chrono_literals;
+    using phase = cut_watch::phase;
+    const monotonic_time start{1s};
+    cut_watch watch;
+    BOOST_TEST((watch.update(false, start) == phase::whole));
+    BOOST_TEST((watch.update(true, start + 1s) == phase::cut));
+    BOOST_TEST((watch.update(false, start + 1100ms) == phase::ending));
+    BOOST_TEST((watch.update(false, start + 1300ms) == phase::ending));
+    BOOST_TEST((watch.update(false, start + 1400ms) == phase::whole));
+    BOOST_TEST((watch.update(true, start + 2s) == phase::cut));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -187,6 +187,47 @@
     BOOST_TEST(run_until([&] { return controller() == "up"; }, 300ms));
 }
 
+// Guards against a second run of a task beside the first when control moves right after its start
+// to an instance whose list lacks the worker: the job must wait for as many workers as there were.
+BOOST_AUTO_TEST_CASE(a_young_job_is_not_started_anew_while_a_worker_is_missing)
+{
+    fleet.work = [](const std::string&) { return duration{5s}; };
+    start("a", 17441);
+    start("b", 17442);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    run_until([] { return false; }, 100ms); // for the number of workers to be announced
+    const auto first = controller();
+    const std::string front = first == "a" ? "b" : "a";
+    submit(front, cell_fixture::job("j", 1, 5s));
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
+    auto others = fleet.reports();
+    std::erase_if(others, [&](const auto& it) { return fleet.running(it.id) != 0; });
+    BOOST_REQUIRE(others.size() == 3U);
+    members[front].cells->set_workers(others);
+    members[first].cells->leave();
+    run_until([] { return false; }, 600ms);
+    BOOST_TEST(fleet.total_starts() == 1U);
+    for (const auto& it : fleet.violations()) {
+        BOOST_ERROR(it);
+    }
+}
+
+// Guards against an instance that starts on the smaller side of a cut and takes the workers from
+// the controller there, in the belief that nobody controls the whole.
+BOOST_AUTO_TEST_CASE(a_start_within_a_cut_leaves_control_where_it_is)
+{
+    for (int i = 0; i < 4; ++i) {
+        const auto name = fmt::format("far-{}", i);
+        addresses[name] = {name, fmt::format("127.0.0.1:{}", 17453 + i), "other", 1.0, 1};
+    }
+    start("a", 17451);
+    // First all workers, then, as the smaller side of a cut, those of its own data centre.
+    run_until([] { return false; }, 1s);
+    BOOST_REQUIRE(controller() == "a");
+    start("b", 17452);
+    BOOST_TEST(!run_until([&] { return controller() != "a"; }, 1s));
+}
+
 // Guards against callers that wait for their deadline while nobody controls the workers.
 BOOST_AUTO_TEST_CASE(without_a_controller_a_job_is_refused_as_not_run)
 {
