--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -19,6 +19,10 @@
 
 // Peers close idle connections after 15 s by default; a younger bound avoids the race.
 constexpr duration idle_limit = std::chrono::seconds{9};
+// A limit that fires this late shows that the process was paused, with replies waiting unread.
+constexpr duration pause_threshold = std::chrono::milliseconds{10};
+// Enough for the loop to read its sockets before the limit is applied.
+constexpr duration read_grace = std::chrono::milliseconds{2};
 constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
 std::string serialize(const std::string& address, const http_call& request)
@@ -69,10 +73,13 @@
         parser_->eager(true);
         parser_->body_limit(max_reply_bytes);
         stream_->write(text);
-        limit_timer_ = client_.timers_.schedule(limit, [this] {
-            limit_timer_ = 0;
-            stream_->close();
-            lose();
+        const auto due = client_.timers_.monotonic_now() + limit;
+        limit_timer_ = client_.timers_.schedule(limit, [this, due] {
+            if (client_.timers_.monotonic_now() - due < pause_threshold) {
+                expire();
+                return;
+            }
+            limit_timer_ = client_.timers_.schedule(read_grace, [this] { expire(); });
         });
     }
 
@@ -83,6 +90,7 @@
 
 private:
     void receive(std::string_view data);
+    void expire();
     void lose();
     void finish(outcome value, bool keep);
 
@@ -125,6 +133,13 @@
     }
 }
 
+void pooled_http_client::connection::expire()
+{
+    limit_timer_ = 0;
+    stream_->close();
+    lose();
+}
+
 void pooled_http_client::connection::lose()
 {
     // Nothing is written before the connection is open.
