Play faults of the network in the soak: relays before links, workers and the store

Connections of the soak's daemons now lead through relays, which delay, cut one way, silence or close them. The faults are a table of member functions in a file of their own. Seed 117, which failed before the relays existed, is still played with the faults of that time. play() set calm_ twice without effect; that is gone.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -15,11 +15,9 @@
 namespace {
 
 constexpr int process_count = 4;
-constexpr int worker_count = 8;
 constexpr int first_port = 18100;  // below the range of ephemeral ports
 constexpr int ports_per_seed = 10; // so that some seeds can be played side by side
 constexpr duration submit_interval = std::chrono::milliseconds{25};
-constexpr duration inject_interval = std::chrono::milliseconds{600};
 constexpr duration caller_patience = std::chrono::milliseconds{3000};
 // Time for entries, elections and leases to settle after the last fault.
 constexpr duration settle_time = std::chrono::seconds{4};
@@ -39,9 +37,9 @@
 
 } // namespace
 
-soak::soak(std::uint32_t seed)
-    : random_(seed + 1000), base_port_(base_port_of(seed)), client_(events_, timers_),
-      world_(events_, timers_), began_(timers_.monotonic_now())
+soak::soak(std::uint32_t seed, fault_set faults)
+    : random_(seed + 1000), faults_(faults), base_port_(base_port_of(seed)),
+      client_(events_, timers_), world_(events_, timers_), began_(timers_.monotonic_now())
 {
     folder_ = std::filesystem::temp_directory_path() /
               fmt::format("cactusloom-soak-{}-{}", getpid(), seed);
@@ -51,7 +49,8 @@
     }
     for (int i = 0; i < worker_count; ++i) {
         const auto address = fmt::format("127.0.1.{}:{}", i + 10, base_port_);
-        if (!world_.add_worker(fmt::format("w{}", i), address, {2000, 1000, 0})) {
+        const auto advertised = add_relay(fmt::format("127.0.5.{}", i + 1), address);
+        if (!world_.add_worker(fmt::format("w{}", i), address, {2000, 1000, 0}, advertised)) {
             findings_.push_back("a stand-in of a worker cannot listen");
         }
     }
@@ -80,11 +79,15 @@
     it.name = fmt::format("instance-{}", index);
     it.settings_file = fmt::format("{}/{}.toml", folder_, it.name);
     it.caller_address = fmt::format("{}:{}", ip_of(index), base_port_);
+    const auto link = fmt::format("{}:{}", ip_of(index), base_port_ + 2);
+    it.advertised_link = add_relay(fmt::format("127.0.4.{}", index + 1), link);
+    const auto store =
+        add_relay(fmt::format("127.0.3.{}", index + 1), fmt::format("127.0.1.1:{}", base_port_));
     std::ofstream(it.settings_file)
         << fmt::format(R"(node = "{0}"
 zone = "zone"
 ip = "{1}"
-seeds = ["{2}:{5}"]
+seeds = ["{2}"]
 [listen]
 front = "{1}:{3}"
 readyAddr = "{1}:{4}"
@@ -98,9 +101,23 @@
 graceS = 6
 remotePenalty = 1.0
 [platform]
-address = "127.0.1.1:{3}"
+address = "{6}"
 )",
-                       it.name, ip_of(index), ip_of(0), base_port_, base_port_ + 1, base_port_ + 2);
+                       it.name, ip_of(index), processes_.front().advertised_link, base_port_,
+                       base_port_ + 1, base_port_ + 2, store);
+}
+
+// Returns the address under which the target is reached through the relay.
+std::string soak::add_relay(const std::string& ip, const std::string& target)
+{
+    const auto address = fmt::format("{}:{}", ip, base_port_);
+    auto relay = loopback_proxy::start(events_, timers_, address, target);
+    if (!relay) {
+        findings_.push_back("a relay cannot listen: " + relay.error().message);
+        return target;
+    }
+    relays_.push_back(std::move(relay.value()));
+    return address;
 }
 
 void soak::start(process& it)
@@ -113,8 +130,9 @@
     std::string program = CACTUSLOOMD_PATH;
     std::string mode = "platform";
     char* arguments[] = {program.data(), mode.data(), nullptr};
-    std::string variable = "CACTUSLOOM_BOOT=" + it.settings_file;
-    char* environment[] = {variable.data(), nullptr};
+    std::string settings = "CACTUSLOOM_BOOT=" + it.settings_file;
+    std::string link = "CACTUSLOOM_ADVERTISE_LINK=" + it.advertised_link;
+    char* environment[] = {settings.data(), link.data(), nullptr};
     if (posix_spawn(&it.pid, program.c_str(), &actions, nullptr, arguments, environment) != 0) {
         findings_.push_back(it.name + " cannot be started");
         it.pid = 0;
@@ -212,88 +230,6 @@
     }
 }
 
-void soak::inject()
-{
-    if (calm_ || !sending_) {
-        return;
-    }
-    timers_.schedule(inject_interval, [this] { inject(); });
-    auto& target = processes_[draw(process_count)];
-    auto& worker = world_.fleet().fault(fmt::format("w{}", draw(worker_count)));
-    const auto lasts = std::chrono::milliseconds{300 + draw(2500)};
-    const auto for_a_while = [&](auto set, auto clear) {
-        set();
-        timers_.schedule(lasts, clear);
-    };
-    switch (draw(11)) {
-    case 0:
-        if (target.pid > 0) {
-            kill(target.pid, SIGKILL);
-        }
-        break;
-    case 1:
-        if (target.pid > 0) {
-            kill(target.pid, SIGTERM);
-        }
-        break;
-    case 2:
-        if (target.pid > 0) {
-            kill(target.pid, SIGSTOP);
-            timers_.schedule(lasts, [pid = target.pid, &target] {
-                if (target.pid == pid) {
-                    kill(pid, SIGCONT);
-                }
-            });
-        }
-        break;
-    case 3:
-        for (const auto& it : processes_) {
-            if (it.pid > 0 && draw(4) == 0) {
-                kill(it.pid, SIGKILL);
-            }
-        }
-        break;
-    case 4:
-        for_a_while([&] { world_.store = platform_adapter::platform_world::store_state::silent; },
-                    [this] { world_.store = platform_adapter::platform_world::store_state::up; });
-        break;
-    case 5:
-        for_a_while([&] { world_.store = platform_adapter::platform_world::store_state::refusing; },
-                    [this] { world_.store = platform_adapter::platform_world::store_state::up; });
-        break;
-    case 6:
-        for_a_while([&] { worker.silent = true; }, [&worker] { worker.silent = false; });
-        break;
-    case 7:
-        for_a_while([&] { worker.lost_replies = 0.3; }, [&worker] { worker.lost_replies = 0; });
-        break;
-    case 8:
-        for_a_while([&] { worker.late_orders = 0.3; }, [&worker] { worker.late_orders = 0; });
-        break;
-    case 9:
-        for_a_while([&] { worker.fails_all = true; }, [&worker] { worker.fails_all = false; });
-        break;
-    default:
-        if (target.pid > 0) {
-            kill(target.pid, SIGHUP);
-        }
-        break;
-    }
-}
-
-void soak::heal_everything()
-{
-    world_.store = platform_adapter::platform_world::store_state::up;
-    for (int i = 0; i < worker_count; ++i) {
-        world_.fleet().fault(fmt::format("w{}", i)) = {};
-    }
-    for (const auto& it : processes_) {
-        if (it.pid > 0) {
-            kill(it.pid, SIGCONT);
-        }
-    }
-}
-
 // Writes a new version and asks each instance for its queue once the bound has passed.
 void soak::check_configuration()
 {
@@ -321,12 +257,10 @@
     submit();
     inject();
     run_for(length);
-    calm_ = true;
+    sending_ = false; // ends the faults, too
     heal_everything();
-    calm_ = false;
-    sending_ = false;
     run_for(settle_time);
-    heal_everything();
+    heal_everything(); // faults that had not yet ended by themselves
     sending_ = true;
     calm_ = true;
     submit();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 #include "base/glib_timer_service.h"
 #include "base/random.h"
 #include "net/pooled_http_client.h"
+#include "stand_in/loopback_proxy.h"
 #include "stand_in/platform_world.h"
 
 #include <map>
@@ -14,11 +15,15 @@
 
 // Plays one seed: real daemons as separate processes against the platform in this process, with
 // processes that are killed, stopped, paused and restarted, a store that is away, and workers that
-// lose replies, carry out orders late, fail, hang or fall silent. Faults overlap. It checks what
-// callers and workers see.
+// lose replies, carry out orders late, fail, hang or fall silent. Links between instances and the
+// ways to workers and the store lead through relays, which delay, cut one way, close or silence
+// connections. Faults overlap. It checks what callers and workers see.
 class soak {
 public:
-    explicit soak(std::uint32_t seed);
+    // Seeds that failed before the relays existed are played without faults of the network.
+    enum class fault_set { all, without_network };
+
+    explicit soak(std::uint32_t seed, fault_set faults = fault_set::all);
     ~soak();
     soak(const soak&) = delete;
     soak& operator=(const soak&) = delete;
@@ -32,12 +37,22 @@
     std::size_t sent() const { return sent_; }
 
 private:
+    static constexpr int worker_count = 8;
+
     struct process {
         std::string name;
         std::string settings_file;
         std::string caller_address;
+        std::string advertised_link;
         pid_t pid = 0;
     };
+    // What one fault is played on, and for how long.
+    struct fault_target {
+        process* instance = nullptr;
+        memory_worker_fleet::faults* worker = nullptr;
+        duration lasts{};
+    };
+    using fault = void (soak::*)(const fault_target&);
 
     void write_settings(process& it, int index);
     void start(process& it);
@@ -45,18 +60,42 @@
     void run_for(duration span);
     void submit();
     void on_answer(const std::string& id, const pooled_http_client::outcome& outcome);
+    std::string add_relay(const std::string& ip, const std::string& target);
+    loopback_proxy& any_relay()
+    {
+        return *relays_[draw(static_cast<std::uint32_t>(relays_.size()))];
+    }
+    static void signal(const process& it, int number);
+
     void inject();
+    void kill_one(const fault_target& on);
+    void stop_one(const fault_target& on);
+    void pause_one(const fault_target& on);
+    void kill_several(const fault_target& on);
+    void silence_store(const fault_target& on);
+    void refuse_at_store(const fault_target& on);
+    void silence_worker(const fault_target& on);
+    void lose_replies(const fault_target& on);
+    void delay_orders(const fault_target& on);
+    void fail_tasks(const fault_target& on);
+    void reload_one(const fault_target& on);
+    void delay_connections(const fault_target& on);
+    void cut_one_way(const fault_target& on);
+    void silence_connections(const fault_target& on);
+    void close_connections(const fault_target& on);
     void heal_everything();
     void check_configuration();
     std::string now_text() const;
     std::uint32_t draw(std::uint32_t bound) { return draw_below(random_, bound); }
 
     random_engine random_;
+    fault_set faults_;
     int base_port_;
     glib_timer_service timers_;
     poller events_;
     pooled_http_client client_;
     platform_adapter::platform_world world_;
+    std::vector<std::unique_ptr<loopback_proxy>> relays_;
     std::string folder_;
     std::vector<process> processes_;
     std::vector<std::string> findings_;
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,163 @@
+// The faults of the soak and their choice.
+#include "soak.h"
+
+#include <array>
+#include <csignal>
+#include <fmt/format.h>
+
+namespace cactusloom {
+
+namespace {
+
+constexpr duration inject_interval = std::chrono::milliseconds{600};
+constexpr std::uint32_t least_ms = 300;
+constexpr std::uint32_t most_ms = 2800;
+
+} // namespace
+
+void soak::signal(const process& it, int number)
+{
+    if (it.pid > 0) {
+        kill(it.pid, number);
+    }
+}
+
+void soak::inject()
+{
+    if (calm_ || !sending_) {
+        return;
+    }
+    timers_.schedule(inject_interval, [this] { inject(); });
+    // The order is part of what a seed means. Faults of the network come last.
+    constexpr std::array<fault, 15> faults = {
+        &soak::kill_one,          &soak::stop_one,
+        &soak::pause_one,         &soak::kill_several,
+        &soak::silence_store,     &soak::refuse_at_store,
+        &soak::silence_worker,    &soak::lose_replies,
+        &soak::delay_orders,      &soak::fail_tasks,
+        &soak::reload_one,        &soak::delay_connections,
+        &soak::cut_one_way,       &soak::silence_connections,
+        &soak::close_connections,
+    };
+    constexpr std::uint32_t without_network = 11;
+    auto& instance = processes_[draw(static_cast<std::uint32_t>(processes_.size()))];
+    auto& worker =
+        world_.fleet().fault(fmt::format("w{}", draw(static_cast<std::uint32_t>(worker_count))));
+    const fault_target on{&instance, &worker,
+                          std::chrono::milliseconds{least_ms + draw(most_ms - least_ms)}};
+    const auto n =
+        faults_ == fault_set::all ? static_cast<std::uint32_t>(faults.size()) : without_network;
+    (this->*faults[draw(n)])(on);
+}
+
+void soak::kill_one(const fault_target& on)
+{
+    signal(*on.instance, SIGKILL);
+}
+
+void soak::stop_one(const fault_target& on)
+{
+    signal(*on.instance, SIGTERM);
+}
+
+void soak::pause_one(const fault_target& on)
+{
+    signal(*on.instance, SIGSTOP);
+    timers_.schedule(on.lasts, [pid = on.instance->pid, it = on.instance] {
+        if (it->pid == pid) {
+            signal(*it, SIGCONT);
+        }
+    });
+}
+
+void soak::kill_several(const fault_target& /*on*/)
+{
+    for (const auto& it : processes_) {
+        if (it.pid > 0 && draw(4) == 0) {
+            signal(it, SIGKILL);
+        }
+    }
+}
+
+void soak::silence_store(const fault_target& on)
+{
+    world_.store = platform_adapter::platform_world::store_state::silent;
+    timers_.schedule(on.lasts,
+                     [this] { world_.store = platform_adapter::platform_world::store_state::up; });
+}
+
+void soak::refuse_at_store(const fault_target& on)
+{
+    world_.store = platform_adapter::platform_world::store_state::refusing;
+    timers_.schedule(on.lasts,
+                     [this] { world_.store = platform_adapter::platform_world::store_state::up; });
+}
+
+void soak::silence_worker(const fault_target& on)
+{
+    on.worker->silent = true;
+    timers_.schedule(on.lasts, [it = on.worker] { it->silent = false; });
+}
+
+void soak::lose_replies(const fault_target& on)
+{
+    on.worker->lost_replies = 0.3;
+    timers_.schedule(on.lasts, [it = on.worker] { it->lost_replies = 0; });
+}
+
+void soak::delay_orders(const fault_target& on)
+{
+    on.worker->late_orders = 0.3;
+    timers_.schedule(on.lasts, [it = on.worker] { it->late_orders = 0; });
+}
+
+void soak::fail_tasks(const fault_target& on)
+{
+    on.worker->fails_all = true;
+    timers_.schedule(on.lasts, [it = on.worker] { it->fails_all = false; });
+}
+
+void soak::reload_one(const fault_target& on)
+{
+    signal(*on.instance, SIGHUP);
+}
+
+void soak::delay_connections(const fault_target& on)
+{
+    auto& relay = any_relay();
+    relay.delay(std::chrono::milliseconds{20 + draw(180)});
+    timers_.schedule(on.lasts, [&relay] { relay.heal(); });
+}
+
+void soak::cut_one_way(const fault_target& on)
+{
+    auto& relay = any_relay();
+    draw(2) == 0 ? relay.cut_to_target() : relay.cut_to_client();
+    timers_.schedule(on.lasts, [&relay] { relay.heal(); });
+}
+
+void soak::silence_connections(const fault_target& /*on*/)
+{
+    any_relay().silence_open_connections();
+}
+
+void soak::close_connections(const fault_target& /*on*/)
+{
+    any_relay().close_open_connections();
+}
+
+void soak::heal_everything()
+{
+    world_.store = platform_adapter::platform_world::store_state::up;
+    for (int i = 0; i < worker_count; ++i) {
+        world_.fleet().fault(fmt::format("w{}", i)) = {};
+    }
+    for (const auto& it : relays_) {
+        it->heal();
+    }
+    for (const auto& it : processes_) {
+        signal(it, SIGCONT);
+    }
+}
+
+} // namespace cactusloom
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -56,7 +56,7 @@
 {
     // 117: SIGHUP reached a process between its start and its first loop turn and ended it.
     for (const std::uint32_t seed : {117U}) {
-        soak run(seed);
+        soak run(seed, soak::fault_set::without_network);
         for (const auto& it : run.play(10s)) {
             BOOST_ERROR("seed " << seed << ": " << it);
         }
