Send an instance's state with a beat only when it has changed

Change: the state goes along when it has changed since it was last sent on the link. The new test bounds beats by 9 KB/s a node over eleven links; the state with each beat exceeds it.

--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -98,7 +98,7 @@
     bool is_alive(const peer& peer) const;
     std::set<std::string> candidates() const;
     Json::Value own_state() const;
-    std::string ping_text() const;
+    std::string beat_text(const char* kind, std::uint64_t& told_number) const;
 
     poller& events_;
     timer_service& timers_;
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -41,7 +41,8 @@
     monotonic_time opened_at;
     monotonic_time last_pong;
     std::int64_t incarnation = 0;
-    std::uint64_t state_number = 0;
+    std::uint64_t state_number = 0; // of the newest state that it has sent
+    std::uint64_t told_number = 0;  // of the own state that was sent on this link last
     std::vector<cell_claim> claims;
     bool leaving = false;
     bool strained = false;
@@ -51,6 +52,7 @@
 struct instance_mesh::inbound {
     std::unique_ptr<frame_link> link;
     std::string name;
+    std::uint64_t told_number = 0; // of the own state that was sent on this link last
 };
 
 instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
@@ -142,7 +144,8 @@
 void instance_mesh::announce(std::vector<cell_claim> claims, bool leaving,
                              std::int64_t config_version)
 {
-    const bool changed = !std::ranges::equal(claims, claims_) || leaving != leaving_;
+    const bool changed = !std::ranges::equal(claims, claims_) || leaving != leaving_ ||
+                         config_version != config_version_;
     claims_ = std::move(claims);
     leaving_ = leaving;
     config_version_ = config_version;
@@ -311,19 +314,23 @@
     }
 }
 
-std::string instance_mesh::ping_text() const
+// A beat or its reply. The state goes along only if it has changed since it was sent on the link,
+// as beats are most of what idle instances say.
+std::string instance_mesh::beat_text(const char* kind, std::uint64_t& told_number) const
 {
-    auto ping = own_state();
-    ping["t"] = "ping";
-    return write_json(ping);
+    Json::Value beat;
+    if (std::exchange(told_number, state_number_) != state_number_) {
+        beat = own_state();
+    }
+    beat["t"] = kind;
+    return write_json(beat);
 }
 
 void instance_mesh::send_pings()
 {
-    const auto text = ping_text();
     for (const auto& [name, it] : peers_) {
         if (it->link && !it->closed && it->link->is_connected()) {
-            it->link->send(text);
+            it->link->send(beat_text("ping", it->told_number));
         }
     }
 }
@@ -411,7 +418,10 @@
         return;
     }
     it.probe = std::make_shared<frame_link>(stream.value());
-    it.probe->on_connected = [this, own = &it] { own->probe->send(ping_text()); };
+    it.probe->on_connected = [this, own = &it] {
+        std::uint64_t nothing_told = 0;
+        own->probe->send(beat_text("ping", nothing_told));
+    };
     it.probe->on_message = [this, own = &it](std::string_view) {
         own->probe_answered_at = timers_.monotonic_now();
     };
@@ -437,7 +447,8 @@
         own->was_connected = true;
         own->refused = false;
         own->unreachable = false;
-        own->link->send(ping_text());
+        own->told_number = 0;
+        own->link->send(beat_text("ping", own->told_number));
         on_reconnect(own->address.name);
     };
     it.link->on_message = [this, own](std::string_view text) {
@@ -513,7 +524,7 @@
     it.last_pong = timers_.monotonic_now();
     it.refused = false;
     it.unreachable = false;
-    const bool changed = note_state(it, message);
+    const bool changed = message.isMember("from") && note_state(it, message);
     if (changed || !it.alive_before) {
         it.alive_before = true;
         on_change();
@@ -559,9 +570,7 @@
     }
     heard_[link.name] = timers_.monotonic_now();
     if (kind == "ping") {
-        auto pong = own_state();
-        pong["t"] = "pong";
-        link.link->send(write_json(pong));
+        link.link->send(beat_text("pong", link.told_number));
         return;
     }
     if (kind == "instances_request") {
--- a/stand_in/loopback_proxy.cpp
+++ b/stand_in/loopback_proxy.cpp
@@ -105,6 +105,7 @@
     const auto& stream = to_target ? it->target : it->client;
     if (stream->is_open()) {
         stream->write(data);
+        relayed_bytes_ += data.size();
     }
 }
 
--- a/stand_in/loopback_proxy.h
+++ b/stand_in/loopback_proxy.h
@@ -32,7 +32,7 @@
     // Ends cuts and delays and delivers what was held back.
     void heal();
 
-    std::size_t open_connections() const { return connections_.size(); }
+    std::size_t relayed_bytes() const { return relayed_bytes_; }
 
 private:
     struct connection;
@@ -52,6 +52,7 @@
     bool is_cut_to_target_ = false;
     bool is_cut_to_client_ = false;
     duration delay_{};
+    std::size_t relayed_bytes_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -158,4 +158,21 @@
     BOOST_TEST(reconnects == 1); // b may have dropped what it was asked for
 }
 
+// Guards against beats that take more than what an instance may spend on control, 9 KB/s, with
+// links to the eleven others of a full mesh. Changes must still arrive.
+BOOST_AUTO_TEST_CASE(beats_without_news_are_small)
+{
+    constexpr std::size_t bytes_per_s_and_link = 9000 / 11;
+    b->announce({{"*", 7, {{"dc", 48}}}}, false, 3);
+    run_for(400ms);
+    const auto before = relay->relayed_bytes();
+    run_for(1s);
+    BOOST_TEST(relay->relayed_bytes() - before <= bytes_per_s_and_link);
+    BOOST_TEST(a->peer_with_newer_config(2) == "b");
+    b->announce({{"*", 8, {{"dc", 48}}}}, false, 4);
+    run_for(100ms);
+    BOOST_TEST(a->peer_with_newer_config(3) == "b");
+    BOOST_TEST(a->views()[1].claims.at(0).token == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
