Let resumed jobs wait for the very workers that the earlier controller used

Change: claims carry the marks of the workers that take starts or have runs, and a resumed job waits until each worker of its former controllers has accepted a newer look, or for the quarantine.

The new test shows the task on two workers without the change.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -76,8 +76,8 @@
     void abandon(std::string_view job_id);
     void abandon_all_of(std::string_view requester);
 
-    // Workers that obey the claim's token.
-    worker_counts held_workers() const;
+    // Workers that obey the claim's token and take starts, or on which runs are followed.
+    worker_set used_workers() const;
 
     // Jobs of a queue of which no task has been started.
     std::size_t pending_jobs(std::string_view queue) const;
--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -15,7 +15,7 @@
 struct cell_claim {
     std::string cell;
     std::uint64_t token = 0;
-    worker_counts workers{}; // that obey the token
+    worker_set workers{}; // on which its tasks may run
 
     friend bool operator==(const cell_claim&, const cell_claim&) = default;
 };
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,14 +39,9 @@
     duration target_latency{}; // added to the stretched chain
 };
 
-// Number of workers in each data centre.
-using worker_counts = std::map<std::string, std::uint32_t>;
-
-// Raises the counts to those of `other`.
-void raise_to(worker_counts& counts, const worker_counts& other);
-
-// True if `counts` is at least `other` in every data centre.
-bool covers(const worker_counts& counts, const worker_counts& other);
+// Workers, each by a mark of its id that is short enough to travel with every claim.
+using worker_set = std::set<std::uint32_t>;
+std::uint32_t worker_mark(std::string_view id);
 
 // A job as it was submitted.
 struct job_request {
@@ -54,11 +49,11 @@
     std::string payload; // handed to each task unread
     std::vector<job_step> steps;
     queue_terms terms;
-    duration time_left{};         // until the caller stops waiting
-    duration age{};               // time since the caller's submission arrived
-    std::uint32_t run_base = 0;   // starts are numbered from run_base + 1
-    bool resumed = false;         // another controller may have started tasks of it
-    worker_counts former_workers; // resumed: workers that the other one may have used
+    duration time_left{};       // until the caller stops waiting
+    duration age{};             // time since the caller's submission arrived
+    std::uint32_t run_base = 0; // starts are numbered from run_base + 1
+    bool resumed = false;       // another controller may have started tasks of it
+    worker_set former_workers;  // resumed: workers on which its tasks may run
 };
 
 // Time after which no task of a job runs any more for a controller that its front has lost: that
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -132,12 +132,12 @@
     }
 }
 
-worker_counts cell_controller::held_workers() const
+worker_set cell_controller::used_workers() const
 {
-    worker_counts out;
+    worker_set out;
     for (const auto& [id, worker] : state_->workers) {
-        if (worker->held) {
-            ++out[worker->report.data_centre];
+        if ((worker->held && worker->listed) || !worker->runs.empty()) {
+            out.insert(worker_mark(id));
         }
     }
     return out;
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -176,7 +176,7 @@
 {
     std::vector<cell_claim> claims;
     for (const auto& [cell, own] : own_cells_) {
-        claims.push_back({cell, own->token, own->controller->held_workers()});
+        claims.push_back({cell, own->token, own->controller->used_workers()});
     }
     mesh_.announce(std::move(claims), leaving_, config_version_);
 }
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -104,10 +104,10 @@
         return;
     }
     if (!bound) {
-        job.sent_workers.clear(); // nothing runs any more for those that were asked before
+        job.former_workers.clear(); // nothing runs any more for those that were asked before
     }
     job.request.resumed = bound;
-    job.request.former_workers = job.sent_workers;
+    job.request.former_workers = job.former_workers;
     if (job.may_have_run) {
         log_event("job_sent_again", "id={} controller={} cell={} resumed={} time_left_ms={}",
                   job.request.id, target->name, target_claim->cell, bound,
@@ -146,7 +146,7 @@
         return;
     }
     const auto views = mesh_.views();
-    std::map<std::pair<std::string, std::string>, const worker_counts*> holders;
+    std::map<std::pair<std::string, std::string>, const worker_set*> holders;
     for (const auto& view : views) {
         for (const auto& it : view.claims) {
             if (view.alive && !view.leaving) {
@@ -162,7 +162,7 @@
                 job->lose_controller(timers_.monotonic_now(), "not in control or out of touch");
             }
             else {
-                raise_to(job->sent_workers, *holder->second);
+                job->sent_workers = *holder->second;
             }
         }
         if (job->controller.empty()) {
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -237,20 +237,23 @@
         return true;
     }
     bool all_seen = workers_as_of > first_claimed_at;
+    // Entries of workers that were cut off come back one by one, and those of draining ones may
+    // not; until then the list lacks workers that the earlier controller has used.
+    auto missing = job.request.former_workers;
     for (auto& [id, worker] : workers) {
+        if (worker->held && worker->accepted_look_sent_at >= job.accepted_at) {
+            missing.erase(worker_mark(id));
+            continue;
+        }
         if (!worker->listed && worker->report.draining) {
             continue;
         }
-        if (!worker->held || worker->accepted_look_sent_at < job.accepted_at) {
-            all_seen = false;
-            if (worker->held) {
-                look(*worker, true);
-            }
+        all_seen = false;
+        if (worker->held) {
+            look(*worker, true);
         }
     }
-    // Entries of workers that were cut off come back one by one; until then the list lacks workers
-    // that the earlier controller has used.
-    return all_seen && covers(self.held_workers(), job.request.former_workers);
+    return all_seen && missing.empty();
 }
 
 // Where the job's tasks are, for the log: up to four runs with worker, progress and age.
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -1,5 +1,7 @@
 #include "cell/job.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -56,20 +58,9 @@
     return !task.job.empty();
 }
 
-void raise_to(worker_counts& counts, const worker_counts& other)
-{
-    for (const auto& [data_centre, n] : other) {
-        auto& own = counts[data_centre];
-        own = std::max(own, n);
-    }
-}
-
-bool covers(const worker_counts& counts, const worker_counts& other)
+std::uint32_t worker_mark(std::string_view id)
 {
-    return std::ranges::all_of(other, [&counts](const auto& row) {
-        const auto it = counts.find(row.first);
-        return it != counts.end() && it->second >= row.second;
-    });
+    return static_cast<std::uint32_t>(hash64(id));
 }
 
 const char* find_job_defect(const job_request& job)
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -30,22 +30,20 @@
     return value.count();
 }
 
-Json::Value encode_counts(const worker_counts& counts)
+Json::Value encode_workers(const worker_set& workers)
 {
-    Json::Value out(Json::objectValue);
-    for (const auto& [data_centre, n] : counts) {
-        out[data_centre] = n;
+    Json::Value out(Json::arrayValue);
+    for (const auto it : workers) {
+        out.append(Json::UInt{it});
     }
     return out;
 }
 
-worker_counts decode_counts(const Json::Value& value)
+worker_set decode_workers(const Json::Value& value)
 {
-    worker_counts out;
-    if (value.isObject()) {
-        for (const auto& name : value.getMemberNames()) {
-            out[name] = static_cast<std::uint32_t>(number_of(value[name]));
-        }
+    worker_set out;
+    for (const auto& it : value) {
+        out.insert(it.asUInt());
     }
     return out;
 }
@@ -97,7 +95,7 @@
         Json::Value row;
         row["cell"] = it.cell;
         row["token"] = Json::UInt64{it.token};
-        row["workers"] = encode_counts(it.workers);
+        row["workers"] = encode_workers(it.workers);
         out.append(row);
     }
     return out;
@@ -108,7 +106,7 @@
     std::vector<cell_claim> out;
     for (const auto& it : value) {
         out.push_back({text_of(it["cell"]), static_cast<std::uint64_t>(number_of(it["token"])),
-                       decode_counts(it["workers"])});
+                       decode_workers(it["workers"])});
     }
     return out;
 }
@@ -129,7 +127,7 @@
     out["run_base"] = job.run_base;
     out["resumed"] = job.resumed;
     if (job.resumed) {
-        out["former_workers"] = encode_counts(job.former_workers);
+        out["former_workers"] = encode_workers(job.former_workers);
     }
     for (const auto& it : job.steps) {
         Json::Value step;
@@ -170,7 +168,7 @@
     job.age = duration_of(value["age"]);
     job.run_base = static_cast<std::uint32_t>(number_of(value["run_base"]));
     job.resumed = value["resumed"].isBool() && value["resumed"].asBool();
-    job.former_workers = decode_counts(value["former_workers"]);
+    job.former_workers = decode_workers(value["former_workers"]);
     for (const auto& it : value["steps"]) {
         job_step step;
         step.count = static_cast<std::uint32_t>(number_of(it["count"]));
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -364,7 +364,7 @@
     timers.advance(50ms);
     BOOST_REQUIRE(fleet.running("w2") == 2U);
     auto again = resumed(job("j", 6, 800ms));
-    again.former_workers = controller->held_workers();
+    again.former_workers = controller->used_workers();
     controller.reset();
     controller = make_controller(2);
     controller->claim(2);
@@ -378,6 +378,35 @@
     check_no_violation();
 }
 
+// Guards against the same where a new worker has taken the place of the one that the list lacks, so
+// that their number is as before.
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_the_very_workers_that_were_used)
+{
+    add_workers(4);
+    fleet.work = [](const std::string&) { return duration{800ms}; };
+    const auto all = fleet.reports();
+    take_control(1);
+    controller->set_workers(std::span(all).first(3));
+    submit(job("j", 6, 800ms));
+    timers.advance(50ms);
+    BOOST_REQUIRE(fleet.running("w2") == 2U);
+    auto again = resumed(job("j", 6, 800ms));
+    again.former_workers = controller->used_workers();
+    controller.reset();
+    controller = make_controller(2);
+    const std::vector<worker_report> listed = {all[0], all[1], all[3]};
+    controller->set_workers(listed);
+    controller->claim(2);
+    timers.advance(20ms);
+    controller->note_workers_read(timers.monotonic_now());
+    submit(again);
+    timers.advance(500ms);
+    BOOST_TEST(fleet.total_starts() == 6U);
+    timers.advance(2500ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    check_no_violation();
+}
+
 // Guards against the same, on a worker that the newest list had not yet shown to the successor.
 BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_a_list_that_is_newer_than_the_claim)
 {
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -163,13 +163,13 @@
 BOOST_AUTO_TEST_CASE(beats_without_news_are_small)
 {
     constexpr std::size_t bytes_per_s_and_link = 9000 / 11;
-    b->announce({{"*", 7, {{"dc", 48}}}}, false, 3);
+    b->announce({{"*", 7, {1, 2, 3}}}, false, 3);
     run_for(400ms);
     const auto before = relay->relayed_bytes();
     run_for(1s);
     BOOST_TEST(relay->relayed_bytes() - before <= bytes_per_s_and_link);
     BOOST_TEST(a->peer_with_newer_config(2) == "b");
-    b->announce({{"*", 8, {{"dc", 48}}}}, false, 4);
+    b->announce({{"*", 8, {1, 2, 3}}}, false, 4);
     run_for(100ms);
     BOOST_TEST(a->peer_with_newer_config(3) == "b");
     BOOST_TEST(a->views()[1].claims.at(0).token == 8U);
