Announce workers before their first start; keep jobs from controllers that owe a reply

Change: workers are announced before the first start on them. A link that is still connecting is opened anew when its peer is heard. A front keeps a job that it would send to a controller whose reply to a beat is over 60 ms late: a job that was sent is bound to that controller's workers, one that waited is not. Beats are sent each 100 ms, as they are small now.

Two new tests fail without the announcement and without the wait for a late reply.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -87,6 +87,10 @@
     // Called when a worker has seen a higher token than the claim's.
     std::function<void()> on_fenced;
 
+    // Called before the first start on a worker: fronts have to know `used_workers` by the time
+    // that they lose this controller.
+    std::function<void()> on_use;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -68,6 +68,9 @@
     // True if a peer has linked to this one and sent something within the silence limit.
     bool hears(std::string_view peer) const;
 
+    // True if a peer's reply to a beat is late. What is sent to it now may arrive late or never.
+    bool owes_reply(std::string_view peer) const;
+
     // True if every known candidate for control is in touch, has no process, because its machine
     // refuses connections, or cannot be reached. Then no unknown claim can exist in touch.
     bool knows_state_of_all() const;
@@ -89,6 +92,7 @@
     bool note_strain(duration late, duration elapsed);
     void update_link(peer& peer);
     void probe(peer& peer);
+    void hurry_link(peer& peer);
     void open(peer& peer);
     void on_pong(peer& peer, const Json::Value& message);
     bool note_state(peer& peer, const Json::Value& message);
@@ -96,6 +100,7 @@
     void accept(std::shared_ptr<tcp_stream> stream);
     void on_inbound(inbound& link, std::string_view text);
     bool is_alive(const peer& peer) const;
+    bool owes_reply(const peer& peer) const;
     std::set<std::string> candidates() const;
     Json::Value own_state() const;
     std::string beat_text(const char* kind, std::uint64_t& told_number) const;
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -33,7 +33,8 @@
 
 cell_controller::cell_controller(timer_service& timers, worker_orders& orders,
                                  const cell_settings& settings)
-    : on_fenced([] {}), state_(std::make_unique<state>(timers, orders, settings, *this))
+    : on_fenced([] {}), on_use([] {}),
+      state_(std::make_unique<state>(timers, orders, settings, *this))
 {
 }
 
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -123,6 +123,7 @@
         own = std::make_unique<own_cell>();
         own->controller = std::make_unique<cell_controller>(timers_, orders_, settings_);
         own->controller->on_fenced = [this, cell] { on_fenced(cell); };
+        own->controller->on_use = [this] { announce(); };
         own->controller->set_workers(workers_of(cell));
     }
     own->token = token;
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -100,7 +100,9 @@
             }
         }
     }
-    if (target == nullptr) {
+    // A job that waits here for a late reply is free to go to the next controller; one that was
+    // sent is bound to the workers of the silent one.
+    if (target == nullptr || mesh_.owes_reply(target->name)) {
         return;
     }
     if (!bound) {
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -48,7 +48,8 @@
     worker_report report;
     bool listed = true; // in the newest list of workers
     monotonic_time unlisted_at;
-    bool held = false; // it has accepted the claim's token
+    bool held = false;      // it has accepted the claim's token
+    bool announced = false; // the fronts have been told that runs may be here
     std::map<std::string, task_run> runs;
     std::map<std::string, orphan_run> orphans;
     task_demand used;
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -40,6 +40,18 @@
            (worker.failure_streak < 2 || worker.runs.empty());
 }
 
+// Tells the fronts of workers that are new here, before anything is started on them.
+void cell_controller::state::announce_use(std::span<claimed_worker* const> open)
+{
+    if (std::ranges::all_of(open, &claimed_worker::announced)) {
+        return;
+    }
+    for (auto& [id, worker] : workers) {
+        worker->announced |= worker->held && worker->listed;
+    }
+    self.on_use();
+}
+
 void cell_controller::state::pump()
 {
     if (token == 0) {
@@ -69,6 +81,7 @@
     if (open.empty()) {
         return;
     }
+    announce_use(open);
     std::set<std::string> orphaned; // tasks that still run for an earlier controller
     for (const auto& [id, worker] : workers) {
         for (const auto& [name, orphan] : worker->orphans) {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -90,6 +90,7 @@
 
     // Starts and stops.
     void schedule_pump();
+    void announce_use(std::span<claimed_worker* const> open);
     void pump();
     bool place(active_job& job, std::size_t step, std::size_t index, claimed_worker& worker,
                monotonic_time now);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -11,10 +11,13 @@
 namespace {
 
 constexpr duration check_interval = std::chrono::milliseconds{50};
-constexpr int checks_per_beat = 3;
-// Four beats: a lost packet is sent again within one to two hundred ms.
+constexpr int checks_per_beat = 2;
+// Six beats: a lost packet is sent again within one to two hundred ms.
 constexpr duration silence_limit = std::chrono::milliseconds{600};
-// A beat and its reply are missing: a second connection tells a slow process from a lost machine.
+// A reply takes a round trip (24 ms between regions) and a turn of the peer's loop.
+constexpr duration reply_patience = std::chrono::milliseconds{60};
+// Two beats and their replies are missing: a second connection tells a slow process from a lost
+// machine.
 constexpr duration suspicion_limit = std::chrono::milliseconds{250};
 // The system of a reachable machine opens a connection within one round trip (24 ms between
 // regions), however busy its process is.
@@ -40,6 +43,7 @@
     bool alive_before = false;
     monotonic_time opened_at;
     monotonic_time last_pong;
+    monotonic_time unanswered_since; // oldest beat without a reply; zero: none
     std::int64_t incarnation = 0;
     std::uint64_t state_number = 0; // of the newest state that it has sent
     std::uint64_t told_number = 0;  // of the own state that was sent on this link last
@@ -176,6 +180,18 @@
     return as_of - it.last_pong < silence_limit;
 }
 
+bool instance_mesh::owes_reply(const peer& it) const
+{
+    return it.unanswered_since != monotonic_time{} &&
+           timers_.monotonic_now() - it.unanswered_since > reply_patience;
+}
+
+bool instance_mesh::owes_reply(std::string_view name) const
+{
+    const auto it = peers_.find(name);
+    return it != peers_.end() && owes_reply(*it->second);
+}
+
 bool instance_mesh::hears(std::string_view name) const
 {
     const auto it = heard_.find(name);
@@ -331,6 +347,9 @@
     for (const auto& [name, it] : peers_) {
         if (it->link && !it->closed && it->link->is_connected()) {
             it->link->send(beat_text("ping", it->told_number));
+            if (it->unanswered_since == monotonic_time{}) {
+                it->unanswered_since = timers_.monotonic_now();
+            }
         }
     }
 }
@@ -359,6 +378,7 @@
         auto& it = *row.second;
         it.opened_at += pause;
         it.probed_at += pause;
+        it.unanswered_since = {};
         if (it.last_pong != monotonic_time{}) {
             it.last_pong += pause;
         }
@@ -405,6 +425,16 @@
     }
 }
 
+// A peer that has just been heard can be reached again: an attempt to connect from before, whose
+// opening packet was lost, would be repeated by the system after a second only.
+void instance_mesh::hurry_link(peer& it)
+{
+    if (it.link && !it.link->is_connected() &&
+        timers_.monotonic_now() - it.opened_at > handshake_limit) {
+        open(it);
+    }
+}
+
 // Opens a second connection beside a silent link. It tells a lost machine, which does not open it,
 // from a busy process, which does not reply, and from a broken link beside which it does.
 void instance_mesh::probe(peer& it)
@@ -433,6 +463,7 @@
     it.probe.reset();
     it.closed = false;
     it.was_connected = false;
+    it.unanswered_since = {};
     it.opened_at = timers_.monotonic_now();
     auto stream = tcp_stream::connect(events_, it.address.address);
     if (!stream) {
@@ -524,8 +555,10 @@
     it.last_pong = timers_.monotonic_now();
     it.refused = false;
     it.unreachable = false;
+    const bool was_late = owes_reply(it);
+    it.unanswered_since = {};
     const bool changed = message.isMember("from") && note_state(it, message);
-    if (changed || !it.alive_before) {
+    if (changed || was_late || !it.alive_before) {
         it.alive_before = true;
         on_change();
     }
@@ -568,6 +601,9 @@
             on_change();
         }
     }
+    if (const auto known = peers_.find(link.name); known != peers_.end()) {
+        hurry_link(*known->second);
+    }
     heard_[link.name] = timers_.monotonic_now();
     if (kind == "ping") {
         link.link->send(beat_text("pong", link.told_number));
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -407,6 +407,31 @@
     check_no_violation();
 }
 
+// Guards against fronts that do not know of a worker on which tasks were started just before
+// control moved: they have to be told before the start.
+BOOST_AUTO_TEST_CASE(a_worker_is_announced_before_its_first_start)
+{
+    add_workers(2);
+    const auto all = fleet.reports();
+    take_control(1);
+    controller->set_workers(std::span(all).first(1));
+    worker_set announced;
+    std::size_t unannounced_starts = 0;
+    controller->on_use = [&] {
+        unannounced_starts += fleet.running("w1");
+        announced = controller->used_workers();
+    };
+    submit(job("a", 2));
+    timers.advance(5ms);
+    BOOST_TEST(fleet.total_starts() == 2U);
+    controller->set_workers(all);
+    submit(job("b", 2));
+    timers.advance(20ms);
+    BOOST_TEST(fleet.running("w1") == 2U);
+    BOOST_TEST(announced.contains(worker_mark("w1")));
+    BOOST_TEST(unannounced_starts == 0U);
+}
+
 // Guards against the same, on a worker that the newest list had not yet shown to the successor.
 BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_a_list_that_is_newer_than_the_claim)
 {
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -1,6 +1,7 @@
 #include "base/glib_timer_service.h"
 #include "cell/cell_service.h"
 #include "cell_fixture.h"
+#include "stand_in/loopback_proxy.h"
 
 #include <glib.h>
 
@@ -19,6 +20,7 @@
     glib_timer_service timers;
     poller events;
     memory_worker_fleet fleet{timers};
+    std::map<std::string, std::unique_ptr<loopback_proxy>> relays;
     std::map<std::string, member> members;
     std::map<std::string, instance_address> addresses;
     std::map<std::string, job_outcome> outcomes;
@@ -30,10 +32,19 @@
         }
     }
 
-    void start(const std::string& name, int port, const std::string& data_centre = "dc")
+    // With a relay port, the others reach the instance through a relay.
+    void start(const std::string& name, int port, const std::string& data_centre = "dc",
+               int relay_port = 0)
     {
-        instance_address self{name, fmt::format("127.0.0.1:{}", port), data_centre, 1.0,
+        const auto own_address = fmt::format("127.0.0.1:{}", port);
+        instance_address self{name, own_address, data_centre, 1.0,
                               timers.wall_now().time_since_epoch().count()};
+        if (relay_port != 0) {
+            self.address = fmt::format("127.0.0.1:{}", relay_port);
+            auto relay = loopback_proxy::start(events, timers, self.address, own_address);
+            BOOST_REQUIRE(relay);
+            relays[name] = std::move(relay.value());
+        }
         addresses[name] = self;
         auto& it = members[name];
         it.mesh = std::make_unique<instance_mesh>(events, timers, self);
@@ -46,7 +57,7 @@
                 }
             });
         };
-        BOOST_REQUIRE(it.mesh->listen(self.address));
+        BOOST_REQUIRE(it.mesh->listen(own_address));
         std::vector<instance_address> known;
         for (const auto& [other, address] : addresses) {
             known.push_back(address);
@@ -212,6 +223,26 @@
     }
 }
 
+// Guards against jobs that are sent to a controller which has stopped replying, and are then bound
+// to its workers until its leases have lapsed: here one of its workers is missing in the next list.
+BOOST_AUTO_TEST_CASE(a_job_is_not_sent_to_a_controller_that_owes_a_reply)
+{
+    start("b", 17461, "dc", 17462);
+    BOOST_REQUIRE(run_until([&] { return controller() == "b"; }, 2s));
+    start("a", 17463);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    auto others = fleet.reports();
+    others.pop_back();
+    members["a"].cells->set_workers(others);
+    relays["b"]->cut_to_client();
+    relays["b"]->cut_to_target();
+    run_until([] { return false; }, 200ms);
+    submit("a", cell_fixture::job("j", 1));
+    stop("b");
+    relays.clear();
+    BOOST_TEST(run_until([&] { return completed("j"); }, 600ms));
+}
+
 // Guards against an instance that starts on the smaller side of a cut and takes the workers from
 // the controller there, in the belief that nobody controls the whole.
 BOOST_AUTO_TEST_CASE(a_start_within_a_cut_leaves_control_where_it_is)
