Answer every job of a stopping instance instead of breaking its connection off

Cause: a draining instance takes requests until it exits, 0.5 s before the end of its grace time, and exits with those that are open.

Change: while draining, a job's time ends before the exit, so one that cannot be done by then is refused at once as not run, and what is open at the end is answered as unknown and stopped.

The new test asserts both answers; neither exists without the change.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -48,6 +48,9 @@
     // Stops a job at its caller's wish; its submission is answered `failed`. False if it is not
     // under way here.
     bool cancel(const std::string& job_id);
+
+    // Answers all jobs of callers here with `outcome` and stops what runs of them.
+    void end_jobs(const job_outcome& outcome);
     bool has_job(std::string_view job_id) const { return jobs_.contains(job_id); }
 
     // Hands control over and announces that this instance leaves.
--- a/include/cell/front_desk.h
+++ b/include/cell/front_desk.h
@@ -65,8 +65,12 @@
     desk_reply cancel(const std::string& job_id);
     desk_reply pending(std::string_view host, std::string_view path) const;
 
-    // From now on new jobs are still served, but the instance is about to stop.
-    void begin_drain() { draining_ = true; }
+    // The instance stops at `exit_at`. New jobs that can be answered before are still served.
+    void begin_drain(monotonic_time exit_at) { exit_at_ = exit_at; }
+
+    // Answers all open jobs as unknown and stops what runs of them: better than a broken
+    // connection.
+    void end_open_jobs();
 
     // Appends the histograms of answer times, by kind of answer.
     void format_latencies(std::string& out) const;
@@ -78,7 +82,7 @@
     timer_service& timers_;
     cell_service& cells_;
     queue_table table_;
-    bool draining_ = false;
+    std::optional<monotonic_time> exit_at_; // while draining
     std::map<desk_reply::kind, latency_histogram> latencies_;
 };
 
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -70,6 +70,25 @@
     return true;
 }
 
+void cell_service::end_jobs(const job_outcome& outcome)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : jobs_) {
+        ids.push_back(id);
+    }
+    for (const auto& id : ids) {
+        const auto it = jobs_.find(id);
+        if (it == jobs_.end()) {
+            continue;
+        }
+        const auto fn = it->second->fn;
+        log_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
+                  outcome.reason);
+        abandon(id);
+        fn(outcome);
+    }
+}
+
 void cell_service::dispatch(desk_job& job, const std::vector<instance_view>& views)
 {
     const auto& self = mesh_.self();
--- a/src/cell/front_desk.cpp
+++ b/src/cell/front_desk.cpp
@@ -13,6 +13,10 @@
 constexpr duration no_config_retry = std::chrono::seconds{1};
 // A job of a kind that is not offered gains nothing by coming back soon.
 constexpr duration unsupported_retry = std::chrono::seconds{60};
+// Another instance takes the job as soon as the caller connects anew.
+constexpr duration elsewhere_retry = std::chrono::seconds{1};
+// An answer has to leave before the process does.
+constexpr duration exit_margin = std::chrono::milliseconds{100};
 
 desk_reply not_run(duration retry_after)
 {
@@ -99,6 +103,15 @@
     // acknowledgement; the caller says how long it waits.
     request.time_left = order.patience.value_or(route->timeout);
     const auto arrived = timers_.monotonic_now();
+    if (exit_at_) {
+        request.time_left = std::min(request.time_left, *exit_at_ - arrived - exit_margin);
+        if (request.time_left <= duration::zero()) {
+            log_event("job_refused", "id={} queue={} reason=\"the instance stops\"", request.id,
+                      route->terms.queue);
+            fn(not_run(elsewhere_retry));
+            return;
+        }
+    }
     cells_.submit(std::move(request), [this, arrived, fn = std::move(fn)](const auto& outcome) {
         const auto reply = to_reply(outcome);
         latencies_[reply.what].record(timers_.monotonic_now() - arrived);
@@ -114,6 +127,11 @@
     }
 }
 
+void front_desk::end_open_jobs()
+{
+    cells_.end_jobs({job_end::unknown, {}, "the instance stops"});
+}
+
 void front_desk::caller_left(const std::string& job_id)
 {
     cells_.abandon(job_id);
@@ -142,7 +160,7 @@
 
 bool front_desk::is_ready() const
 {
-    return !draining_ && table_.version >= 0 && cells_.has_controller();
+    return !exit_at_ && table_.version >= 0 && cells_.has_controller();
 }
 
 } // namespace cactusloom
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -1,5 +1,6 @@
 #include "base/glib_timer_service.h"
 #include "cell/cell_service.h"
+#include "cell/front_desk.h"
 #include "cell_fixture.h"
 #include "stand_in/loopback_proxy.h"
 
@@ -270,4 +271,38 @@
     BOOST_TEST((outcomes["j"].retry_after >= 1s));
 }
 
+// Guards against connections that are cut off when an instance stops: a job that arrives too late
+// to be answered before is refused as not run, and one that is open at the end is answered as
+// unknown.
+BOOST_AUTO_TEST_CASE(a_stopping_instance_answers_every_job)
+{
+    fleet.work = [](const std::string&) { return duration{2s}; };
+    start("a", 17471);
+    BOOST_REQUIRE(run_until([&] { return controller() == "a"; }, 2s));
+    front_desk desk(timers, *members["a"].cells);
+    queue_table table;
+    table.version = 1;
+    table.routes.push_back({"host", "/q/", 5s, cell_fixture::job("", 1).terms});
+    desk.set_queues(table);
+    std::map<std::string, desk_reply> replies;
+    const auto hand_in = [&](const std::string& id) {
+        submission order;
+        order.request = cell_fixture::job(id, 1, 100ms);
+        order.answer_at_end = true;
+        desk.submit("host", "/q/" + id, order,
+                    [&replies, id](const desk_reply& it) { replies[id] = it; });
+    };
+    hand_in("open");
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
+    desk.begin_drain(timers.monotonic_now() + 80ms);
+    hand_in("late");
+    BOOST_REQUIRE(replies.contains("late"));
+    BOOST_TEST((replies["late"].what == desk_reply::kind::not_run));
+    BOOST_TEST(fleet.total_starts() == 1U);
+    desk.end_open_jobs();
+    BOOST_REQUIRE(replies.contains("open"));
+    BOOST_TEST((replies["open"].what == desk_reply::kind::unknown_fate));
+    BOOST_TEST(run_until([&] { return fleet.running("w0") + fleet.running("w1") == 0; }, 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
