--- /dev/null
+++ b/src/cell/instance_mesh_parts.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cell/instance_mesh.h"
+
+namespace cactusloom {
+
+// Silence after which a process counts as lost though its machine answers. Six beats: a lost packet
+// is sent again within one to two hundred ms.
+inline constexpr duration silence_limit = std::chrono::milliseconds{600};
+inline constexpr duration link_check_interval = std::chrono::milliseconds{50};
+
+struct instance_mesh::peer {
+    instance_address address;
+    std::shared_ptr<frame_link> link;
+    std::shared_ptr<frame_link> probe; // second connection while the link is silent
+    monotonic_time probed_at;
+    monotonic_time probe_answered_at; // zero: not yet
+    bool closed = false;              // the link is to be replaced at the next check
+    bool refused = false;             // nothing listened at the last attempt
+    bool unreachable = false;         // the last attempt was not answered at all
+    bool was_connected = false;
+    bool alive_before = false;
+    monotonic_time opened_at;
+    monotonic_time last_pong;
+    monotonic_time unanswered_since; // oldest beat without a reply; zero: none
+    std::int64_t incarnation = 0;
+    std::uint64_t state_number = 0; // of the newest state that it has sent
+    std::uint64_t told_number = 0;  // of the own state that was sent on this link last
+    std::vector<cell_claim> claims;
+    bool leaving = false;
+    bool strained = false;
+    std::int64_t config_version = -1;
+};
+
+struct instance_mesh::inbound {
+    std::unique_ptr<frame_link> link;
+    std::string name;
+    std::uint64_t told_number = 0; // of the own state that was sent on this link last
+};
+
+} // namespace cactusloom
