--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -110,7 +110,7 @@
 // Returns the address under which the target is reached through the relay.
 std::string soak::add_relay(const std::string& ip, const std::string& target)
 {
-    const auto address = fmt::format("{}:{}", ip, base_port_);
+    auto address = fmt::format("{}:{}", ip, base_port_);
     auto relay = loopback_proxy::start(events_, timers_, address, target);
     if (!relay) {
         findings_.push_back("a relay cannot listen: " + relay.error().message);
