--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -74,6 +74,9 @@
 
     // The caller has left: stops what runs and forgets the rest.
     void abandon(std::string_view job_id);
+
+    // The same for a requester that is out of touch. Its jobs are answered `moved`, which reaches
+    // it only if it is in touch after all.
     void abandon_all_of(std::string_view requester);
 
     // Workers that obey the claim's token and take starts, or on which runs are followed.
