--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -86,6 +86,7 @@
     std::vector<worker_report> workers_of(std::string_view cell) const;
     void check_requesters();
 
+    void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
     void dispatch(desk_job& job, const std::vector<instance_view>& views);
     void redispatch();
     void on_outcome(const std::string& job_id, const std::string& controller,
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -60,16 +60,20 @@
 
 bool cell_service::cancel(const std::string& job_id)
 {
-    const auto it = jobs_.find(job_id);
-    if (it == jobs_.end()) {
+    if (!has_job(job_id)) {
         return false;
     }
-    const auto fn = it->second->fn;
-    abandon(job_id);
-    fn({job_end::failed, {}, "cancelled"});
+    stop_and_answer(job_id, {job_end::failed, {}, "cancelled"});
     return true;
 }
 
+void cell_service::stop_and_answer(const std::string& job_id, const job_outcome& outcome)
+{
+    const auto fn = jobs_.at(job_id)->fn;
+    abandon(job_id);
+    fn(outcome);
+}
+
 void cell_service::end_jobs(const job_outcome& outcome)
 {
     std::vector<std::string> ids;
@@ -77,15 +81,12 @@
         ids.push_back(id);
     }
     for (const auto& id : ids) {
-        const auto it = jobs_.find(id);
-        if (it == jobs_.end()) {
+        if (!has_job(id)) {
             continue;
         }
-        const auto fn = it->second->fn;
         log_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
                   outcome.reason);
-        abandon(id);
-        fn(outcome);
+        stop_and_answer(id, outcome);
     }
 }
 
