Beat candidates that no job depends on twice a second instead of ten times

Ruled out: orders to workers, of which a controller has the same number however many fronts there are. Change: an instance that cannot get control beats a candidate at the full rate only if that one controls its own data centre or has had its jobs within 5 s, others each 500 ms with limits of silence that are longer by as much. A change of claims or of the configuration is told at once on links of either direction, so that no job waits for a beat. Test: instances_that_cannot_get_control_beat_less_but_hear_of_claims_at_once.

--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -108,6 +108,10 @@
     void on_pong(peer& peer, const Json::Value& message);
     bool note_state(peer& peer, const Json::Value& message);
     void send_pings();
+    void send_state();
+    void ping(peer& peer);
+    bool is_close(const peer& peer) const;
+    duration slack_of(const peer& peer) const;
     void accept(std::shared_ptr<tcp_stream> stream);
     void on_inbound(inbound& link, std::string_view text);
     bool is_alive(const peer& peer) const;
@@ -126,6 +130,7 @@
     std::map<std::string, std::unique_ptr<peer>, std::less<>> peers_;
     mutable std::set<std::string, std::less<>> candidates_; // with this instance, if it is one
     mutable bool candidates_valid_ = false;
+    bool was_candidate_ = false;
     std::set<std::shared_ptr<inbound>> inbound_;
     std::map<std::string, monotonic_time, std::less<>> heard_;
     std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> introductions_;
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -118,7 +118,7 @@
     config_version_ = config_version;
     if (changed) {
         ++state_number_;
-        send_pings(); // a change of control must not wait for the next beat
+        send_state(); // a change of control must not wait for the next beat
     }
 }
 
@@ -130,13 +130,16 @@
         return false;
     }
     it->second->link->send(write_json(message));
+    it->second->used_at = timers_.monotonic_now();
     return true;
 }
 
 bool instance_mesh::hears(std::string_view name) const
 {
     const auto it = heard_.find(name);
-    return it != heard_.end() && timers_.monotonic_now() - it->second < silence_limit;
+    // Those that may have jobs here beat at the full rate.
+    const auto limit = silence_limit + (claims_.empty() ? slow_beat_slack : duration::zero());
+    return it != heard_.end() && timers_.monotonic_now() - it->second < limit;
 }
 
 std::vector<instance_view> instance_mesh::views() const
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int checks_per_beat = 2;
+// A job's caller waits no longer for its controller.
+constexpr duration use_time = std::chrono::seconds{5};
 // A reply takes a round trip (24 ms between regions) and a turn of the peer's loop.
 constexpr duration reply_patience = std::chrono::milliseconds{60};
 // Two beats and their replies are missing: a second connection tells a slow process from a lost
@@ -30,7 +32,22 @@
     }
     // After a pause of this process, its replies wait unread: the last check counts until the next.
     const auto as_of = std::min(timers_.monotonic_now(), checked_at_ + 2 * link_check_interval);
-    return as_of - it.last_pong < silence_limit;
+    return as_of - it.last_pong < silence_limit + slack_of(it);
+}
+
+// True if much depends on the peer's liveness: this instance may have to take over from it, or its
+// jobs go there.
+bool instance_mesh::is_close(const peer& it) const
+{
+    return is_candidate() ||
+           (!it.claims.empty() &&
+            (it.address.data_centre == self_.data_centre ||
+             (it.used_at != monotonic_time{} && timers_.monotonic_now() - it.used_at < use_time)));
+}
+
+duration instance_mesh::slack_of(const peer& it) const
+{
+    return is_close(it) ? duration::zero() : slow_beat_slack;
 }
 
 bool instance_mesh::owes_reply(const peer& it) const
@@ -77,7 +94,8 @@
                       it->unreachable, (now - it->last_pong).count() / 1000);
         }
     }
-    if (checks_++ % checks_per_beat == 0) {
+    const bool promoted = !std::exchange(was_candidate_, is_candidate()) && is_candidate();
+    if (checks_++ % checks_per_beat == 0 || promoted) {
         send_pings();
     }
     if (changed) {
@@ -108,13 +126,38 @@
 }
 
 void instance_mesh::send_pings()
+{
+    // Half a check less, so that the timer's lateness does not skip a turn.
+    constexpr auto least_pause = slow_beat_interval - link_check_interval / 2;
+    const auto now = timers_.monotonic_now();
+    for (const auto& [name, it] : peers_) {
+        if (is_close(*it) || now - it->beaten_at >= least_pause) {
+            ping(*it);
+        }
+    }
+}
+
+void instance_mesh::ping(peer& it)
+{
+    if (!it.link || it.closed || !it.link->is_connected()) {
+        return;
+    }
+    it.link->send(beat_text("ping", it.told_number));
+    it.beaten_at = timers_.monotonic_now();
+    if (it.unanswered_since == monotonic_time{}) {
+        it.unanswered_since = it.beaten_at;
+    }
+}
+
+// Tells everybody, on links of either direction, without waiting for the next beat.
+void instance_mesh::send_state()
 {
     for (const auto& [name, it] : peers_) {
-        if (it->link && !it->closed && it->link->is_connected()) {
-            it->link->send(beat_text("ping", it->told_number));
-            if (it->unanswered_since == monotonic_time{}) {
-                it->unanswered_since = timers_.monotonic_now();
-            }
+        ping(*it);
+    }
+    for (const auto& it : inbound_) {
+        if (it->told_number != state_number_) {
+            it->link->send(beat_text("pong", it->told_number));
         }
     }
 }
@@ -130,7 +173,7 @@
     log_event(before ? "strain_over" : "strained", "late_ms={} of_ms={}", late.count() / 1000,
               elapsed.count() / 1000);
     ++state_number_;
-    send_pings(); // who controls what must not wait for the next beat
+    send_state(); // who controls what must not wait for the next beat
     return true;
 }
 
@@ -171,7 +214,7 @@
         return;
     }
     const auto silence = now - std::max(it.last_pong, it.opened_at);
-    if (silence <= suspicion_limit) {
+    if (silence <= suspicion_limit + slack_of(it)) {
         it.probe.reset();
         return;
     }
@@ -183,7 +226,7 @@
     // A process that was only paused answers on both connections in one go.
     const bool broken = it.probe_answered_at != monotonic_time{} &&
                         now - it.probe_answered_at >= link_check_interval;
-    if (it.unreachable || broken || silence > silence_limit) {
+    if (it.unreachable || broken || silence > silence_limit + slack_of(it)) {
         log_event("link_given_up", "instance={} silent_ms={} unreachable={} probe_answered={}",
                   it.address.name, silence.count() / 1000, it.unreachable, broken);
         open(it);
--- a/src/cell/instance_mesh_parts.h
+++ b/src/cell/instance_mesh_parts.h
@@ -8,6 +8,11 @@
 // is sent again within one to two hundred ms.
 inline constexpr duration silence_limit = std::chrono::milliseconds{600};
 inline constexpr duration link_check_interval = std::chrono::milliseconds{50};
+// An instance that cannot get control beats those that its jobs do not depend on less often: a
+// candidate answers every instance of the deployment.
+inline constexpr duration slow_beat_interval = std::chrono::milliseconds{500};
+// Silence that is allowed on such a link beyond the limits of the others.
+inline constexpr duration slow_beat_slack = std::chrono::milliseconds{400};
 
 struct instance_mesh::peer {
     instance_address address;
@@ -24,6 +29,8 @@
     bool lost = false;           // for so long that another candidate takes its place
     monotonic_time opened_at;
     monotonic_time last_pong;
+    monotonic_time beaten_at;
+    monotonic_time used_at;          // when a message other than a beat was sent to it
     monotonic_time unanswered_since; // oldest beat without a reply; zero: none
     std::int64_t incarnation = 0;
     std::uint64_t state_number = 0; // of the newest state that it has sent
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -136,4 +136,35 @@
     BOOST_TEST(a->views()[1].claims.at(0).token == 8U);
 }
 
+// Guards against a candidate that answers each instance of a large deployment ten times a second,
+// and against claims that reach those that beat less often late: their jobs wait for them.
+BOOST_AUTO_TEST_CASE(instances_that_cannot_get_control_beat_less_but_hear_of_claims_at_once)
+{
+    constexpr std::size_t bytes_per_s_and_link = 9000 / 11 / 4; // a quarter of a full mesh's
+    std::vector<instance_address> stronger;
+    for (int i = 0; i < 60; ++i) { // the last of them counts as lost after some seconds only
+        stronger.push_back(
+            {fmt::format("s{}", i), fmt::format("127.0.0.1:{}", 17600 + i), "dc", 2.0, 1});
+    }
+    auto other = address_of("b", relay_address);
+    other.strength = 3.0;
+    other.incarnation = 2;
+    b = nullptr;
+    b = std::make_unique<instance_mesh>(events, timers, other);
+    BOOST_REQUIRE(b->listen(b_address));
+    a->learn(stronger);
+    BOOST_REQUIRE(run_until([this] { return !a->is_candidate(); }, 1s));
+    BOOST_REQUIRE(run_until([this] { return sees_b(); }, 1s));
+    run_for(600ms);
+    BOOST_REQUIRE(!a->is_candidate());
+    was_down = false;
+    const auto before = relay->relayed_bytes();
+    run_for(1s);
+    BOOST_TEST(relay->relayed_bytes() - before <= bytes_per_s_and_link);
+    b->announce({{"dc", 7, {1, 2, 3}}}, false, 3);
+    BOOST_TEST(run_until([this] { return !a->holders().empty(); }, 50ms));
+    run_for(1500ms);
+    BOOST_TEST(!was_down);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
