Spread jobs that their own cell refuses over all other cells

Cause: a refused job went to the first other cell by name, then to the next, so that the overflow of every data centre met in one cell, and each job behind collected a refusal from every full cell. Change: choose_cell, a decision of its own without a network: home first, the others in an order that the job's id gives.

--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -1,5 +1,6 @@
 // The jobs of this instance's callers: from submission through changes of control to the answer.
 #include "cell/mesh_codec.h"
+#include "cell_choice.h"
 #include "cell_service_parts.h"
 
 namespace cactusloom {
@@ -98,26 +99,9 @@
     // Only a controller of the same workers can find the tasks that run. After the quarantine
     // none of them does any more, and any controller may start anew.
     const bool bound = job.sent && now - job.lost_at < lost_job_quarantine;
-    const instance_view* target = nullptr;
-    const cell_claim* target_claim = nullptr;
-    bool target_home = false;
-    for (const auto& view : holders) {
-        for (const auto& it : view.claims) {
-            const bool home = it.cell == self.data_centre;
-            if (job.refused_by.contains(it.cell) ||
-                (bound && !cell_election::covers(it.cell, job.sent_cell))) {
-                continue;
-            }
-            const bool better = target == nullptr || (home && !target_home) ||
-                                (home == target_home && it.cell == target_claim->cell &&
-                                 it.token > target_claim->token);
-            if (better) {
-                target = &view;
-                target_claim = &it;
-                target_home = home;
-            }
-        }
-    }
+    const auto [target, target_claim] =
+        choose_cell(holders, {job.request.id, self.data_centre, job.refused_by,
+                              bound ? std::string_view(job.sent_cell) : std::string_view()});
     // A job that waits here for a late reply is free to go to the next controller; one that was
     // sent is bound to the workers of the silent one.
     if (target == nullptr || mesh_.owes_reply(target->name)) {
