Hold a worker on probation to one task within a turn of placing, too

Found by a test for a guard that no test covered: a worker that failed tasks of two jobs in a row should get one task at a time once it is open again, but the workers that are open were listed once a turn, so that all tasks of that turn went to it (6 failures instead of 3 in a_worker_that_failed_is_tried_with_one_task_first). The check is now part of has_room. nothing_is_started_while_a_look_is_unanswered covers the other guard of is_open; it fails without the condition.

--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -42,6 +42,9 @@
     monotonic_time stop_sent_at;
 };
 
+// Failures of different jobs in a row after which a worker is closed for a while.
+inline constexpr std::uint32_t failures_to_close = 2;
+
 // What the controller knows of one worker: an exact account of its room, its clock and the end
 // of the longest lease that it may have granted.
 struct claimed_worker {
@@ -97,9 +100,13 @@
         return clock_at + duration{static_cast<duration::rep>(span * 1000 / slowest_clock)} + slack;
     }
 
+    // A worker that has failed tasks of two jobs in a row gets one task at a time until one is
+    // done.
     bool has_room(const task_demand& it) const
     {
-        return used.cpu_millis + it.cpu_millis <= report.capacity.cpu_millis &&
+        const bool on_probation = failure_streak >= failures_to_close;
+        return (!on_probation || runs.empty()) &&
+               used.cpu_millis + it.cpu_millis <= report.capacity.cpu_millis &&
                used.memory_mb + it.memory_mb <= report.capacity.memory_mb &&
                used.gpus + it.gpus <= report.capacity.gpus;
     }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -35,9 +35,7 @@
 bool cell_controller::state::is_open(const claimed_worker& worker, monotonic_time now) const
 {
     return worker.held && worker.listed && !worker.report.draining && worker.clock_ms >= 0 &&
-           worker.orphans.empty() && worker.unanswered_looks == 0 && worker.closed_until <= now &&
-           // A worker on probation gets one task at a time.
-           (worker.failure_streak < 2 || worker.runs.empty());
+           worker.orphans.empty() && worker.unanswered_looks == 0 && worker.closed_until <= now;
 }
 
 // Tells the fronts of workers that are new here, before anything is started on them.
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -24,7 +24,6 @@
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
 constexpr duration first_closing = std::chrono::milliseconds{800};
 constexpr duration longest_closing = std::chrono::seconds{4};
-constexpr std::uint32_t failures_to_close = 2;
 // Progress below this share of the prediction marks a straggler.
 constexpr double straggler_ratio = 2.5;
 constexpr duration straggler_floor = std::chrono::milliseconds{60};
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -261,6 +261,46 @@
     check_no_violation();
 }
 
+// Guards against tasks that wait for the lease of a worker that is out of reach: a look that stays
+// unanswered tells before a start does.
+BOOST_AUTO_TEST_CASE(nothing_is_started_while_a_look_is_unanswered)
+{
+    fleet.add("w0", {1000, 1000, 0}); // the tighter fit
+    fleet.add("w1", cell_fixture::two_cores);
+    take_control();
+    fleet.fault("w0").silent = true;
+    timers.advance(700ms); // a look that waited before is answered, the next one is not
+    submit(job("j", 1));
+    timers.advance(150ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(controller->counts().starts == 1U);
+    check_no_violation();
+}
+
+// Guards against a worker that fails what it starts and gets its full share of tasks again each time
+// it is opened.
+BOOST_AUTO_TEST_CASE(a_worker_that_failed_is_tried_with_one_task_first)
+{
+    fleet.add("w0", {4000, 4000, 0}); // the tighter fit
+    fleet.add("w1", {8000, 8000, 0});
+    fleet.fault("w0").fails_all = true;
+    take_control();
+    for (const auto* it : {"j1", "j2"}) {
+        submit(job(it, 1));
+        timers.advance(300ms);
+    }
+    BOOST_REQUIRE(controller->counts().task_failures == 2U);
+    timers.advance(800ms);
+    for (const auto* it : {"j3", "j4", "j5", "j6"}) {
+        submit(job(it, 1));
+    }
+    timers.advance(300ms);
+    BOOST_TEST(controller->counts().task_failures == 3U);
+    for (const auto* it : {"j3", "j4", "j5", "j6"}) {
+        BOOST_TEST(ended(it, job_end::completed));
+    }
+}
+
 // Guards against work for callers that have left.
 BOOST_AUTO_TEST_CASE(abandoned_jobs_free_their_room)
 {
