--- a/src/cell/claim_probe.cpp
+++ b/src/cell/claim_probe.cpp
@@ -30,7 +30,7 @@
     *alive_ = false;
 }
 
-void claim_probe::look(std::vector<worker_report> workers, void (claim_probe::*next)())
+void claim_probe::look(const std::vector<worker_report>& workers, void (claim_probe::*next)())
 {
     unanswered_ = workers.size();
     fenced_ = 0;
@@ -64,7 +64,8 @@
     if (!accepted_.empty()) {
         timers_.schedule(reaction_time, [this, alive = alive_] {
             if (*alive) {
-                look(std::exchange(accepted_, {}), &claim_probe::after_second_look);
+                workers_ = std::exchange(accepted_, {});
+                look(workers_, &claim_probe::after_second_look);
             }
         });
     }
--- a/src/cell/control_candidates.cpp
+++ b/src/cell/control_candidates.cpp
@@ -27,9 +27,10 @@
     if (instances.size() <= full_mesh_size) {
         return out;
     }
-    for (auto& [data_centre, members] : by_data_centre) {
-        std::ranges::sort(members, [&](const auto* a, const auto* b) {
-            return cell_election::ranks_before(data_centre, *a, *b);
+    for (auto& row : by_data_centre) {
+        auto& members = row.second;
+        std::ranges::sort(members, [&row](const auto* a, const auto* b) {
+            return cell_election::ranks_before(row.first, *a, *b);
         });
         // Each lost one adds one more, so that the number doubles until a survivor is found.
         std::size_t sound = 0;
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -277,8 +277,8 @@
     check_no_violation();
 }
 
-// Guards against a worker that fails what it starts and gets its full share of tasks again each time
-// it is opened.
+// Guards against a worker that fails what it starts and gets its full share of tasks again each
+// time it is opened.
 BOOST_AUTO_TEST_CASE(a_worker_that_failed_is_tried_with_one_task_first)
 {
     fleet.add("w0", {4000, 4000, 0}); // the tighter fit
--- a/tests/cell/configuration_exchange_test.cpp
+++ b/tests/cell/configuration_exchange_test.cpp
@@ -28,6 +28,7 @@
     void start(int n)
     {
         std::vector<instance_address> addresses;
+        addresses.reserve(static_cast<std::size_t>(n));
         for (int i = 0; i < n; ++i) {
             addresses.push_back(
                 {fmt::format("i{}", i), fmt::format("127.0.0.1:{}", 17541 + i), "dc", 1.0, 1});
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -142,6 +142,7 @@
 {
     constexpr std::size_t bytes_per_s_and_link = 9000 / 11 / 4; // a quarter of a full mesh's
     std::vector<instance_address> stronger;
+    stronger.reserve(60);
     for (int i = 0; i < 60; ++i) { // the last of them counts as lost after some seconds only
         stronger.push_back(
             {fmt::format("s{}", i), fmt::format("127.0.0.1:{}", 17600 + i), "dc", 2.0, 1});
