Read on from the last record where the usual interval between reads is long

An instance that gets the configuration from its peers looks for itself every 2 s on the large site, so each of its reads fetched the whole configuration once more. Change: the limit counts from the end of the usual interval.

--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 constexpr duration failure_pause = std::chrono::milliseconds{250};
-// Workers write once in 1.5 s each, so a longer tail has more records than there are keys.
-constexpr duration longest_tail = std::chrono::seconds{2};
+// Workers write once in 1.5 s each, so what has been written for longer than this beyond the usual
+// time between two reads is more than one record a key.
+constexpr duration longest_gap = std::chrono::seconds{2};
 
 const char* name_of(keyed_topic topic)
 {
@@ -83,7 +84,8 @@
     timer_ = 0;
     reading_ = true;
     asked_at_ = timers_.monotonic_now();
-    if (!complete_ || pace_.by_listing || asked_at_ - read_at_ > longest_tail) {
+    const auto usual = pace_.interval + pace_.wait;
+    if (!complete_ || pace_.by_listing || asked_at_ - read_at_ > usual + longest_gap) {
         listing_ = false;
         read_newest("");
         return;
--- a/tests/cell/registry_test.cpp
+++ b/tests/cell/registry_test.cpp
@@ -186,6 +186,20 @@
     BOOST_TEST(topic.records_sent - before == 1U);
 }
 
+// Guards against a follower with a long interval that fetches unchanged records, a whole
+// configuration, again and again.
+BOOST_AUTO_TEST_CASE(a_long_interval_does_not_repeat_unchanged_records)
+{
+    follower.set_pace({{}, 3s});
+    topic.append("a", "1");
+    follower.start();
+    timers.advance(10s);
+    BOOST_TEST(topic.records_sent == 1U);
+    topic.append("a", "2");
+    timers.advance(4s);
+    BOOST_TEST(values.at("a") == "2");
+}
+
 // Guards against an instance that reads what it does not use, and against one that does not catch
 // up when it needs the records again.
 BOOST_AUTO_TEST_CASE(a_paused_follower_reads_nothing_until_it_is_started_again)
