Claim every cell at once after a common loss of power

Ruled out: reading the list of workers (the claims followed the end of the 0.7 s to within 12 ms). Change: an instance that knows the state of all others does not wait if all in touch have started within 0.8 s of itself or later. Test: every_cell_is_claimed_at_once_after_a_common_start (fails without the change).

--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -85,6 +85,10 @@
     // refuses connections, or cannot be reached. Then no unknown claim can exist in touch.
     bool knows_state_of_all() const;
 
+    // True if every peer in touch has started at about the same time as this instance or later: all
+    // were down. After a cut, some of those on this side are older.
+    bool is_common_start() const;
+
     // Peers in touch with a newer configuration.
     std::vector<std::string> peers_with_newer_config(std::int64_t version) const;
 
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -134,13 +134,14 @@
     }
 }
 
-// A starting instance first hears who controls what. If nobody in touch controls anything, it waits
-// no longer than until it knows the state of all others; if somebody does, an instance that it does
-// not reach may control the rest.
+// A starting instance first hears who controls what. It waits no longer than until it knows the
+// state of all others, if nobody in touch controls anything or all of them have just started. Else
+// an instance that it does not reach may control the rest.
 bool cell_service::is_settled() const
 {
     return timers_.monotonic_now() - started_at_ >= election_grace ||
-           (instances_known_ && mesh_.knows_state_of_all() && !has_controller());
+           (instances_known_ && mesh_.knows_state_of_all() &&
+            (!has_controller() || mesh_.is_common_start()));
 }
 
 void cell_service::evaluate_cell(const std::string& cell, const std::vector<instance_view>& views)
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -13,6 +13,9 @@
 
 // Restarts and short cuts are over by then; other candidates are up meanwhile.
 constexpr duration replacement_delay = std::chrono::seconds{1};
+// Processes of machines that lose power together were seen to be back within 0.42 s of each other;
+// the rest is for the difference of their clocks.
+constexpr duration common_start_span = std::chrono::milliseconds{800};
 
 } // namespace
 
@@ -213,6 +216,14 @@
     });
 }
 
+bool instance_mesh::is_common_start() const
+{
+    const auto since = self_.incarnation - common_start_span.count() / 1000;
+    return std::ranges::all_of(peers_, [&](const auto& row) {
+        return !is_alive(*row.second) || row.second->incarnation >= since;
+    });
+}
+
 std::vector<std::string> instance_mesh::peers_with_newer_config(std::int64_t version) const
 {
     std::vector<std::string> out;
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -41,7 +41,7 @@
     {
         const auto own_address = fmt::format("127.0.0.1:{}", port);
         instance_address self{name, own_address, data_centre, 1.0,
-                              timers.wall_now().time_since_epoch().count()};
+                              timers.wall_now().time_since_epoch().count() / 1000};
         if (relay_port != 0) {
             self.address = fmt::format("127.0.0.1:{}", relay_port);
             auto relay = loopback_proxy::start(events, timers, self.address, own_address);
@@ -242,6 +242,35 @@
     BOOST_TEST(!cells.controls_any());
 }
 
+// Guards against data centres that stay without control for 0.7 s after all instances have lost
+// power, because the first one up has already claimed its own cell. Some are not back yet.
+BOOST_AUTO_TEST_CASE(every_cell_is_claimed_at_once_after_a_common_start)
+{
+    std::vector<std::unique_ptr<dead_port>> unreachable;
+    for (int i = 0; i < 2; ++i) {
+        const auto port = static_cast<std::uint16_t>(17490 + i);
+        const auto name = fmt::format("dark-{}", i);
+        unreachable.push_back(std::make_unique<dead_port>(port));
+        addresses[name] = {name, fmt::format("127.0.0.1:{}", port), "dc-3", 1.0, 1};
+    }
+    for (int i = 0; i < 130; ++i) { // too many for one cell
+        fleet.add(fmt::format("more-{}", i), cell_fixture::two_cores);
+    }
+    auto workers = fleet.reports();
+    for (std::size_t i = 0; i < workers.size(); i += 2) {
+        workers[i].data_centre = "dc-2";
+    }
+    start("a", 17488);
+    members["a"].cells->set_workers(workers);
+    run_until([] { return false; }, 100ms);
+    start("b", 17489, "dc-2");
+    members["b"].cells->set_workers(workers);
+    members["a"].mesh->learn({addresses["b"]});
+    BOOST_TEST(run_until(
+        [&] { return members["a"].cells->controls_any() && members["b"].cells->controls_any(); },
+        450ms));
+}
+
 // Guards against a service that stays away, after all instances have lost power, until the slowest
 // of them is back: those whose machines refuse connections have no process that controls anything.
 BOOST_AUTO_TEST_CASE(the_first_instance_up_does_not_wait_for_those_that_are_down)
