Share the end-of-cut time; drop a parameter that is always the probe's own list

cut_watch and side_watch each had the 350 ms in which the two sides of a cut hear of each other; the constant is now one. claim_probe::look was always given workers_.

--- a/include/cell/claim_probe.h
+++ b/include/cell/claim_probe.h
@@ -29,7 +29,7 @@
     claim_probe& operator=(const claim_probe&) = delete;
 
 private:
-    void look(const std::vector<worker_report>& workers, void (claim_probe::*next)());
+    void look(void (claim_probe::*next)());
     void after_first_look();
     void after_second_look();
     void finish(finding result);
--- a/include/cell/cut_watch.h
+++ b/include/cell/cut_watch.h
@@ -4,6 +4,10 @@
 
 namespace cactusloom {
 
+// Time after a cut in which the two sides hear of each other's claims: two beats and a link that is
+// opened anew.
+inline constexpr duration cut_ending_time = std::chrono::milliseconds{350};
+
 // Follows whether this instance is on the smaller side of a cut. The smaller side controls its own
 // data centre's cell. When the cut ends, its controller stays until the other side has had the time
 // to say what it controls, but nobody takes that cell any more: the larger side controls it too.
--- a/src/cell/claim_probe.cpp
+++ b/src/cell/claim_probe.cpp
@@ -22,7 +22,7 @@
     : timers_(timers), orders_(orders), workers_(std::move(workers)), token_(token),
       done_(std::move(done))
 {
-    look(workers_, &claim_probe::after_first_look);
+    look(&claim_probe::after_first_look);
 }
 
 claim_probe::~claim_probe()
@@ -30,18 +30,18 @@
     *alive_ = false;
 }
 
-void claim_probe::look(const std::vector<worker_report>& workers, void (claim_probe::*next)())
+void claim_probe::look(void (claim_probe::*next)())
 {
-    unanswered_ = workers.size();
+    unanswered_ = workers_.size();
     fenced_ = 0;
     accepted_.clear();
-    if (workers.empty()) {
+    if (workers_.empty()) {
         finish(finding::no_reply);
         return;
     }
     look_order order;
     order.token = token_;
-    for (const auto& it : workers) {
+    for (const auto& it : workers_) {
         orders_.look(it, order, [this, it, next, alive = alive_](const look_reply& reply) {
             if (!*alive) {
                 return;
@@ -65,13 +65,13 @@
         timers_.schedule(reaction_time, [this, alive = alive_] {
             if (*alive) {
                 workers_ = std::exchange(accepted_, {});
-                look(workers_, &claim_probe::after_second_look);
+                look(&claim_probe::after_second_look);
             }
         });
     }
     else if (fenced_ != 0 && raises_++ < most_raises) {
         token_ += fence_step;
-        look(workers_, &claim_probe::after_first_look);
+        look(&claim_probe::after_first_look);
     }
     else {
         finish(finding::no_reply);
--- a/src/cell/cut_watch.cpp
+++ b/src/cell/cut_watch.cpp
@@ -2,13 +2,6 @@
 
 namespace cactusloom {
 
-namespace {
-
-// Two beats and a link that is opened anew.
-constexpr duration ending_time = std::chrono::milliseconds{350};
-
-} // namespace
-
 cut_watch::phase cut_watch::update(bool is_minority, monotonic_time now)
 {
     if (is_minority) {
@@ -16,7 +9,7 @@
         phase_ = phase::cut;
     }
     else if (phase_ != phase::whole) {
-        phase_ = now - last_cut_at_ > ending_time ? phase::whole : phase::ending;
+        phase_ = now - last_cut_at_ > cut_ending_time ? phase::whole : phase::ending;
     }
     return phase_;
 }
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -61,6 +61,7 @@
     const auto it = peers_.find(name);
     return it != peers_.end() && owes_reply(*it->second);
 }
+
 void instance_mesh::check()
 {
     check_timer_ = timers_.schedule(link_check_interval, [this] { check(); });
--- a/src/cell/side_watch.cpp
+++ b/src/cell/side_watch.cpp
@@ -1,5 +1,7 @@
 #include "cell/side_watch.h"
 
+#include "cell/cut_watch.h"
+
 namespace cactusloom {
 
 namespace {
@@ -8,9 +10,6 @@
 // not hear a front for 600 ms stops its jobs.
 constexpr duration job_patience = std::chrono::milliseconds{500};
 
-// Two beats and a link that is opened anew.
-constexpr duration ending_time = std::chrono::milliseconds{350};
-
 } // namespace
 
 void side_watch::update(bool is_smaller, bool is_data_centre, monotonic_time now)
@@ -30,7 +29,7 @@
 
 bool side_watch::is_ending(monotonic_time now) const
 {
-    return !is_smaller() && ended_at_ != monotonic_time{} && now - ended_at_ <= ending_time;
+    return !is_smaller() && ended_at_ != monotonic_time{} && now - ended_at_ <= cut_ending_time;
 }
 
 bool side_watch::is_hopeless(monotonic_time now) const
