--- a/include/cell/front_desk.h
+++ b/include/cell/caller_request_handler.h
@@ -14,12 +14,12 @@
 namespace cactusloom {
 
 // What a caller is told.
-struct desk_reply {
+struct caller_reply {
     enum class kind {
         completed,
         failed,
-        not_run,      // certainly no task was or will be started; come back after retry_after
-        unknown_fate, // tasks may have run
+        not_run,         // certainly no task was or will be started; come back after retry_after
+        unknown_outcome, // tasks may have run
         no_such_queue,
         no_such_job,
         malformed,
@@ -27,7 +27,7 @@
         running,
         pending,
     };
-    kind what = kind::unknown_fate;
+    kind what = kind::unknown_outcome;
     duration retry_after{};
     std::size_t pending = 0;
 };
@@ -35,17 +35,20 @@
 // A job as its caller handed it in.
 struct submission {
     job_request request;
-    bool answer_at_end = false;       // not stored; the answer is the job's end
-    std::string unsupported;          // feature that is not offered; empty if none
-    std::optional<duration> patience; // how long the caller waits
+    bool answer_at_end = false;             // not stored; the answer is the job's end
+    std::string unsupported;                // feature that is not offered; empty if none
+    std::optional<duration> caller_timeout; // how long the caller waits
 };
 
 // Decides on callers' requests of one instance by the queues in force.
-class front_desk {
+class caller_request_handler {
 public:
-    using answer = std::function<void(const desk_reply&)>;
+    using answer = std::function<void(const caller_reply&)>;
 
-    front_desk(timer_service& timers, cell_service& cells) : timers_(timers), cells_(cells) {}
+    caller_request_handler(timer_service& timers, cell_service& cells)
+        : timers_(timers), cells_(cells)
+    {
+    }
 
     // Puts a newer version in force; an older or equal one changes nothing.
     bool set_queues(queue_table table);
@@ -55,15 +58,15 @@
     struct queue_match {
         bool found = false;
         std::size_t prefix_length = 0;
-        desk_reply refusal;
+        caller_reply refusal;
     };
     queue_match find_queue(std::string_view host, std::string_view path) const;
 
     void submit(std::string_view host, std::string_view path, submission order, answer fn);
-    void caller_left(const std::string& job_id);
-    desk_reply state_of(const std::string& job_id) const;
-    desk_reply cancel(const std::string& job_id);
-    desk_reply pending(std::string_view host, std::string_view path) const;
+    void on_caller_disconnected(const std::string& job_id);
+    caller_reply state_of(const std::string& job_id) const;
+    caller_reply cancel(const std::string& job_id);
+    caller_reply pending(std::string_view host, std::string_view path) const;
 
     // The instance stops at `exit_at`. New jobs that can be answered before are still served.
     void begin_drain(monotonic_time exit_at) { exit_at_ = exit_at; }
@@ -83,7 +86,7 @@
     cell_service& cells_;
     queue_table table_;
     std::optional<monotonic_time> exit_at_; // while draining
-    std::map<desk_reply::kind, latency_histogram> latencies_;
+    std::map<caller_reply::kind, latency_histogram> latencies_;
 };
 
 } // namespace cactusloom
--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -2,7 +2,7 @@
 
 #include "base/timer_service.h"
 #include "cell/job.h"
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <cstdint>
 #include <functional>
@@ -15,8 +15,8 @@
 
 // Times that workers and callers are bound to. The defaults are those of the deployments.
 struct cell_settings {
-    duration lease = std::chrono::milliseconds{1000};   // longest lease that a worker grants
-    duration stop_time = std::chrono::milliseconds{50}; // a stop takes at most this long
+    duration lease = std::chrono::milliseconds{1000};      // longest lease that a worker grants
+    duration stop_timeout = std::chrono::milliseconds{50}; // a stop takes at most this long
     double remote_penalty = 1.0; // a task away from its data's rack takes so many times as long
 };
 
@@ -28,7 +28,7 @@
     std::uint64_t jobs_unknown = 0;
     std::uint64_t starts = 0;
     std::uint64_t starts_without_reply = 0;
-    std::uint64_t looks = 0;
+    std::uint64_t polls = 0;
     std::uint64_t stops = 0;
     std::uint64_t task_failures = 0;
     std::uint64_t stragglers_moved = 0;
@@ -47,7 +47,8 @@
 public:
     using answer = std::function<void(const job_outcome&)>;
 
-    cell_controller(timer_service& timers, worker_orders& orders, const cell_settings& settings);
+    cell_controller(timer_service& timers, worker_commands& commands,
+                    const cell_settings& settings);
     ~cell_controller();
     cell_controller(const cell_controller&) = delete;
     cell_controller& operator=(const cell_controller&) = delete;
@@ -66,7 +67,7 @@
 
     // Says that the list is as the platform had it at `asked_at` or later. A list from before the
     // claim may lack workers that the controller before this one has used.
-    void note_workers_read(monotonic_time asked_at);
+    void set_worker_list_time(monotonic_time asked_at);
 
     // Takes a job; `fn` runs once. A second submission of an id joins the first: only the newest
     // answer function is called. `requester` names who has to stay in touch for the job to go on.
@@ -92,7 +93,7 @@
 
     // Called before the first start on a worker: fronts have to know `used_workers` by the time
     // that they lose this controller.
-    std::function<void()> on_use;
+    std::function<void()> on_used_workers_changed;
 
 private:
     struct state;
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -30,7 +30,7 @@
 public:
     using answer = std::function<void(const job_outcome&)>;
 
-    cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
+    cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                  const cell_settings& settings);
     ~cell_service();
     cell_service(const cell_service&) = delete;
@@ -43,7 +43,7 @@
     void note_instances_known();
 
     // Says that the list is as the platform had it at `asked_at` or later.
-    void note_workers_read(monotonic_time asked_at);
+    void set_worker_list_time(monotonic_time asked_at);
 
     // Called when this instance has claimed a cell and needs the newest list.
     std::function<void()> on_claim;
@@ -119,7 +119,7 @@
 
     timer_service& timers_;
     instance_mesh& mesh_;
-    worker_orders& orders_;
+    worker_commands& commands_;
     cell_settings settings_;
     std::vector<worker_report> workers_;
     std::map<std::string, std::unique_ptr<own_cell>, std::less<>> own_cells_;
--- a/include/cell/claim_probe.h
+++ b/include/cell/claim_probe.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,20 +22,21 @@
     };
 
     // `done` runs once, later on the loop, with a token that the workers of the probe obeyed.
-    claim_probe(timer_service& timers, worker_orders& orders, std::vector<worker_report> workers,
-                std::uint64_t token, std::function<void(finding result, std::uint64_t token)> done);
+    claim_probe(timer_service& timers, worker_commands& commands,
+                std::vector<worker_report> workers, std::uint64_t token,
+                std::function<void(finding result, std::uint64_t token)> done);
     ~claim_probe();
     claim_probe(const claim_probe&) = delete;
     claim_probe& operator=(const claim_probe&) = delete;
 
 private:
-    void look(void (claim_probe::*next)());
+    void poll(void (claim_probe::*next)());
     void after_first_look();
     void after_second_look();
     void finish(finding result);
 
     timer_service& timers_;
-    worker_orders& orders_;
+    worker_commands& commands_;
     std::vector<worker_report> workers_;
     std::uint64_t token_;
     std::function<void(finding, std::uint64_t)> done_;
--- a/include/cell/dispatch_report.h
+++ b/include/cell/dispatch_metrics.h
@@ -6,17 +6,17 @@
 namespace cactusloom {
 
 class cell_service;
-class front_desk;
+class caller_request_handler;
 
 // Figures of the network parts, gathered by whoever owns them.
-struct network_figures {
+struct network_counts {
     std::uint64_t caller_connections = 0;
     std::uint64_t open_requests = 0;
     std::uint64_t connections_opened = 0; // to workers and the store
 };
 
 // All counters and histograms of an instance in the text exposition format.
-std::string format_dispatch_metrics(const cell_service& cells, const front_desk& desk,
-                                    const network_figures& network);
+std::string format_dispatch_metrics(const cell_service& cells, const caller_request_handler& desk,
+                                    const network_counts& network);
 
 } // namespace cactusloom
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -44,7 +44,7 @@
 
 // Workers, each by a mark of its id that is short enough to travel with every claim.
 using worker_set = std::set<std::uint32_t>;
-std::uint32_t worker_mark(std::string_view id);
+std::uint32_t worker_id_hash(std::string_view id);
 
 // A worker_set that many hold and nobody changes; a copy costs no more than a pointer. Claims carry
 // one, and every job looks through the claims.
@@ -128,7 +128,7 @@
 const char* find_job_defect(const job_request& job);
 
 // Longest chain of work through the steps; `work` tells that of one task of a step.
-duration longest_chain(const job_request& job,
+duration critical_path(const job_request& job,
                        const std::function<duration(const job_step&)>& work);
 
 } // namespace cactusloom
--- a/include/cell/queue_table.h
+++ b/include/cell/queue_table.h
@@ -22,8 +22,8 @@
 struct caller_limits {
     std::uint32_t header_bytes = 16384;
     std::uint32_t body_bytes = 262144;
-    duration header_time = std::chrono::seconds{3};
-    duration idle_time = std::chrono::seconds{15};
+    duration header_timeout = std::chrono::seconds{3};
+    duration idle_timeout = std::chrono::seconds{15};
 };
 
 // One version of the queues in force. Versions rise; an older one never replaces a newer one.
--- a/include/cell/worker_orders.h
+++ b/include/cell/worker_commands.h
@@ -19,7 +19,7 @@
     std::vector<std::string> labels;
     task_demand capacity;
     bool draining = false;
-    std::int64_t born_ms = 0; // Unix time of its start; 0 if it does not say
+    std::int64_t started_at_ms = 0; // Unix time of its start; 0 if it does not say
 };
 
 // What a worker says of a run that is under way.
@@ -40,7 +40,7 @@
 };
 
 // Reply to an order.
-enum class order_status {
+enum class command_status {
     accepted,
     fenced,            // the worker has seen a higher token
     superseded,        // the run is not higher than one that was stopped or ended there
@@ -53,21 +53,21 @@
     reply_lost,        // may have been carried out, or may be later
 };
 
-struct order_reply {
-    order_status status = order_status::reply_lost;
+struct command_reply {
+    command_status status = command_status::reply_lost;
     std::int64_t clock_ms = -1; // the worker's clock; -1 if the reply has none
 };
 
-struct look_reply {
-    order_status status = order_status::reply_lost;
+struct poll_reply {
+    command_status status = command_status::reply_lost;
     std::int64_t clock_ms = -1;
-    std::int64_t born_ms = 0;
+    std::int64_t started_at_ms = 0;
     std::vector<running_row> running;
     std::vector<finished_row> finished;
     bool finished_complete = true; // false if the worker has more ends to list
 };
 
-struct start_order {
+struct start_command {
     std::string task;
     std::uint32_t run = 0;
     std::string_view payload;
@@ -75,29 +75,29 @@
     std::uint64_t token = 0;
 };
 
-struct look_order {
+struct poll_command {
     std::uint64_t token = 0;
-    std::uint64_t seen = 0;        // ends up to this number may be forgotten
-    std::int64_t deadline_ms = -1; // on the worker's clock; -1 leaves the lease as it is
-    duration wait{};               // the reply may wait this long for an end
+    std::uint64_t last_seen_end = 0; // ends up to this number may be forgotten
+    std::int64_t deadline_ms = -1;   // on the worker's clock; -1 leaves the lease as it is
+    duration wait{};                 // the reply may wait this long for an end
 };
 
 // Orders to workers. Callbacks run later on the loop, exactly once.
-class worker_orders {
+class worker_commands {
 public:
-    worker_orders() = default;
-    worker_orders(const worker_orders&) = delete;
-    worker_orders& operator=(const worker_orders&) = delete;
-    virtual ~worker_orders() = default;
+    worker_commands() = default;
+    worker_commands(const worker_commands&) = delete;
+    worker_commands& operator=(const worker_commands&) = delete;
+    virtual ~worker_commands() = default;
 
-    virtual void start(const worker_report& worker, const start_order& order,
-                       std::function<void(order_reply)> fn) = 0;
+    virtual void start(const worker_report& worker, const start_command& command,
+                       std::function<void(command_reply)> fn) = 0;
     virtual void stop(const worker_report& worker, const std::string& task, std::uint32_t run,
-                      std::uint64_t token, std::function<void(order_reply)> fn) = 0;
+                      std::uint64_t token, std::function<void(command_reply)> fn) = 0;
 
     // Renews the lease of everything that runs there and lists runs and ends.
-    virtual void look(const worker_report& worker, const look_order& order,
-                      std::function<void(look_reply)> fn) = 0;
+    virtual void poll(const worker_report& worker, const poll_command& command,
+                      std::function<void(poll_reply)> fn) = 0;
 };
 
 } // namespace cactusloom
--- a/include/cell/worker_registry.h
+++ b/include/cell/worker_registry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <map>
 #include <string>
--- a/include/net/stream_http_server.h
+++ b/include/net/stream_http_server.h
@@ -17,8 +17,8 @@
 struct http_server_limits {
     std::uint32_t header_bytes = 16384;
     std::uint32_t body_bytes = 262144;
-    duration header_time = std::chrono::seconds{3};
-    duration idle_time = std::chrono::seconds{15};
+    duration header_timeout = std::chrono::seconds{3};
+    duration idle_timeout = std::chrono::seconds{15};
     std::size_t connections = 3000;
 };
 
--- a/src/cell/front_desk.cpp
+++ b/src/cell/caller_request_handler.cpp
@@ -1,4 +1,4 @@
-#include "cell/front_desk.h"
+#include "cell/caller_request_handler.h"
 
 #include "base/log.h"
 
@@ -18,44 +18,44 @@
 // An answer has to leave before the process does.
 constexpr duration exit_margin = std::chrono::milliseconds{100};
 
-desk_reply not_run(duration retry_after)
+caller_reply not_run(duration retry_after)
 {
-    return {desk_reply::kind::not_run, retry_after};
+    return {caller_reply::kind::not_run, retry_after};
 }
 
-std::string_view name_of(desk_reply::kind kind)
+std::string_view name_of(caller_reply::kind kind)
 {
     switch (kind) {
-    case desk_reply::kind::completed:
+    case caller_reply::kind::completed:
         return "completed";
-    case desk_reply::kind::failed:
+    case caller_reply::kind::failed:
         return "failed";
-    case desk_reply::kind::not_run:
+    case caller_reply::kind::not_run:
         return "not_run";
-    case desk_reply::kind::unknown_fate:
+    case caller_reply::kind::unknown_outcome:
         return "unknown";
     default:
         return "other"; // not an answer to a submission
     }
 }
 
-desk_reply to_reply(const job_outcome& outcome)
+caller_reply to_reply(const job_outcome& outcome)
 {
     switch (outcome.end) {
     case job_end::completed:
-        return {desk_reply::kind::completed};
+        return {caller_reply::kind::completed};
     case job_end::failed:
-        return {desk_reply::kind::failed};
+        return {caller_reply::kind::failed};
     case job_end::not_run:
         return not_run(outcome.retry_after);
     default:
-        return {desk_reply::kind::unknown_fate};
+        return {caller_reply::kind::unknown_outcome};
     }
 }
 
 } // namespace
 
-bool front_desk::set_queues(queue_table table)
+bool caller_request_handler::set_queues(queue_table table)
 {
     if (table.version <= table_.version) {
         return false;
@@ -67,28 +67,30 @@
     return true;
 }
 
-front_desk::queue_match front_desk::find_queue(std::string_view host, std::string_view path) const
+caller_request_handler::queue_match caller_request_handler::find_queue(std::string_view host,
+                                                                       std::string_view path) const
 {
     if (table_.version < 0) {
         return {false, 0, not_run(no_config_retry)};
     }
     const auto* route = table_.find(host, path);
     if (route == nullptr) {
-        return {false, 0, {desk_reply::kind::no_such_queue}};
+        return {false, 0, {caller_reply::kind::no_such_queue}};
     }
     return {true, route->path_prefix.size(), {}};
 }
 
-void front_desk::submit(std::string_view host, std::string_view path, submission order, answer fn)
+void caller_request_handler::submit(std::string_view host, std::string_view path, submission order,
+                                    answer fn)
 {
     const auto* route = table_.find(host, path);
     if (route == nullptr) {
-        fn({desk_reply::kind::no_such_queue});
+        fn({caller_reply::kind::no_such_queue});
         return;
     }
     if (const auto* defect = find_job_defect(order.request)) {
         log_event("job_malformed", "id={} reason=\"{}\"", order.request.id, defect);
-        fn({desk_reply::kind::malformed});
+        fn({caller_reply::kind::malformed});
         return;
     }
     if (!order.answer_at_end || !order.unsupported.empty()) {
@@ -101,7 +103,7 @@
     request.terms = route->terms;
     // A job is answered once it has ended, which may take longer than the route's timeout for an
     // acknowledgement; the caller says how long it waits.
-    request.time_left = order.patience.value_or(route->timeout);
+    request.time_left = order.caller_timeout.value_or(route->timeout);
     const auto arrived = timers_.monotonic_now();
     if (exit_at_) {
         request.time_left = std::min(request.time_left, *exit_at_ - arrived - exit_margin);
@@ -119,7 +121,7 @@
     });
 }
 
-void front_desk::format_latencies(std::string& out) const
+void caller_request_handler::format_latencies(std::string& out) const
 {
     for (const auto& [kind, histogram] : latencies_) {
         histogram.format(out, "cactusloom_job_seconds",
@@ -127,38 +129,39 @@
     }
 }
 
-void front_desk::end_open_jobs()
+void caller_request_handler::end_open_jobs()
 {
     cells_.end_jobs({job_end::unknown, {}, "the instance stops"});
 }
 
-void front_desk::caller_left(const std::string& job_id)
+void caller_request_handler::on_caller_disconnected(const std::string& job_id)
 {
     cells_.abandon(job_id);
 }
 
-desk_reply front_desk::state_of(const std::string& job_id) const
+caller_reply caller_request_handler::state_of(const std::string& job_id) const
 {
-    return {cells_.has_job(job_id) ? desk_reply::kind::running : desk_reply::kind::no_such_job};
+    return {cells_.has_job(job_id) ? caller_reply::kind::running : caller_reply::kind::no_such_job};
 }
 
-desk_reply front_desk::cancel(const std::string& job_id)
+caller_reply caller_request_handler::cancel(const std::string& job_id)
 {
-    return {cells_.cancel(job_id) ? desk_reply::kind::cancelled : desk_reply::kind::no_such_job};
+    return {cells_.cancel(job_id) ? caller_reply::kind::cancelled
+                                  : caller_reply::kind::no_such_job};
 }
 
-desk_reply front_desk::pending(std::string_view host, std::string_view path) const
+caller_reply caller_request_handler::pending(std::string_view host, std::string_view path) const
 {
     const auto* route = table_.find(host, path);
     if (route == nullptr) {
-        return {desk_reply::kind::no_such_queue};
+        return {caller_reply::kind::no_such_queue};
     }
-    desk_reply out{desk_reply::kind::pending};
+    caller_reply out{caller_reply::kind::pending};
     out.pending = cells_.pending_jobs(route->terms.queue);
     return out;
 }
 
-bool front_desk::is_ready() const
+bool caller_request_handler::is_ready() const
 {
     return !exit_at_ && table_.version >= 0 && cells_.has_controller();
 }
--- a/src/cell/cell_choice.cpp
+++ b/src/cell/cell_choice.cpp
@@ -6,7 +6,7 @@
 
 namespace cactusloom {
 
-chosen_cell choose_cell(std::span<const instance_view> holders, const cell_wish& wish)
+chosen_cell choose_cell(std::span<const instance_view> holders, const cell_constraints& wish)
 {
     const auto rank = [&wish](const cell_claim& it) {
         return std::tuple(it.cell == wish.home, hash64(it.cell, hash64(wish.job_id)), it.token);
@@ -15,7 +15,8 @@
     for (const auto& view : holders) {
         for (const auto& it : view.claims) {
             if (wish.refused_by.contains(it.cell) ||
-                (!wish.bound_to.empty() && !cell_election::covers(it.cell, wish.bound_to))) {
+                (!wish.required_cell.empty() &&
+                 !cell_election::covers(it.cell, wish.required_cell))) {
                 continue;
             }
             if (best.claim == nullptr || rank(it) > rank(*best.claim)) {
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -21,7 +21,7 @@
     jobs_unknown += other.jobs_unknown;
     starts += other.starts;
     starts_without_reply += other.starts_without_reply;
-    looks += other.looks;
+    polls += other.polls;
     stops += other.stops;
     task_failures += other.task_failures;
     stragglers_moved += other.stragglers_moved;
@@ -31,10 +31,10 @@
     return *this;
 }
 
-cell_controller::cell_controller(timer_service& timers, worker_orders& orders,
+cell_controller::cell_controller(timer_service& timers, worker_commands& commands,
                                  const cell_settings& settings)
-    : on_fenced([] {}), on_use([] {}),
-      state_(std::make_unique<state>(timers, orders, settings, *this))
+    : on_fenced([] {}), on_used_workers_changed([] {}),
+      state_(std::make_unique<state>(timers, commands, settings, *this))
 {
 }
 
@@ -54,9 +54,9 @@
     state_->token = token;
     state_->claimed_at = state_->timers.monotonic_now();
     for (auto& [id, worker] : state_->workers) {
-        worker->held = false;
-        worker->next_look = state_->claimed_at;
-        state_->look(*worker, true);
+        worker->token_accepted = false;
+        worker->next_poll = state_->claimed_at;
+        state_->poll(*worker, true);
     }
     if (first) {
         state_->first_claimed_at = state_->claimed_at;
@@ -74,13 +74,13 @@
     state_->timers.cancel(state_->tick_timer);
     const auto jobs = std::exchange(state_->jobs, {});
     const auto workers = std::exchange(state_->workers, {});
-    state_->orphan_ends.clear();
+    state_->orphan_completions.clear();
     for (const auto& [id, worker] : workers) {
         auto& kept = state_->workers[id];
         kept = std::make_unique<claimed_worker>();
         kept->report = worker->report;
         kept->listed = worker->listed;
-        kept->born_ms = worker->born_ms;
+        kept->started_at_ms = worker->started_at_ms;
     }
     for (const auto& [id, job] : jobs) {
         const job_outcome moved{job_end::moved, {}, "control has moved"};
@@ -103,10 +103,10 @@
     state_->set_workers(workers);
 }
 
-void cell_controller::note_workers_read(monotonic_time asked_at)
+void cell_controller::set_worker_list_time(monotonic_time asked_at)
 {
-    state_->workers_as_of = asked_at;
-    state_->schedule_pump();
+    state_->worker_list_time = asked_at;
+    state_->schedule_start_pass();
 }
 
 void cell_controller::submit(job_request job, const std::string& requester, answer fn)
@@ -137,8 +137,8 @@
 {
     worker_set out;
     for (const auto& [id, worker] : state_->workers) {
-        if ((worker->held && worker->listed) || !worker->runs.empty()) {
-            out.insert(worker_mark(id));
+        if ((worker->token_accepted && worker->listed) || !worker->runs.empty()) {
+            out.insert(worker_id_hash(id));
         }
     }
     return out;
@@ -171,10 +171,10 @@
         check_worker(*worker, now);
     }
     for (auto it = workers.begin(); it != workers.end();) {
-        it = it->second->is_forgettable(now) ? workers.erase(it) : std::next(it);
+        it = it->second->is_removable(now) ? workers.erase(it) : std::next(it);
     }
-    check_deadlines(now);
-    schedule_pump();
+    expire_jobs(now);
+    schedule_start_pass();
 }
 
 } // namespace cactusloom
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -11,11 +11,11 @@
 
 } // namespace
 
-cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
+cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                            const cell_settings& settings)
     : on_claim([] {}), on_interest([](worker_interest) {}),
       on_other_message([](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
-      timers_(timers), mesh_(mesh), orders_(orders), settings_(settings),
+      timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
       started_at_(timers.monotonic_now())
 {
     mesh_.on_change = [this] { evaluate(); };
@@ -72,10 +72,10 @@
     update_interest();
 }
 
-void cell_service::note_workers_read(monotonic_time asked_at)
+void cell_service::set_worker_list_time(monotonic_time asked_at)
 {
     for (auto& [cell, own] : own_cells_) {
-        own->controller->note_workers_read(asked_at);
+        own->controller->set_worker_list_time(asked_at);
     }
 }
 
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -181,7 +181,7 @@
     }
     log_event("cell_probed", "cell={} workers={}", cell, some.size());
     running = std::make_unique<claim_probe>(
-        timers_, orders_, std::move(some), next_token(above),
+        timers_, commands_, std::move(some), next_token(above),
         [this, cell](claim_probe::finding result, std::uint64_t token) {
             const auto done = std::move(probes_[cell]);
             probes_.erase(cell);
@@ -213,9 +213,9 @@
     auto& own = own_cells_[cell];
     if (!own) {
         own = std::make_unique<own_cell>();
-        own->controller = std::make_unique<cell_controller>(timers_, orders_, settings_);
+        own->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
         own->controller->on_fenced = [this, cell] { on_fenced(cell); };
-        own->controller->on_use = [this] { announce(); };
+        own->controller->on_used_workers_changed = [this] { announce(); };
         own->controller->set_workers(workers_of(cell));
     }
     own->token = token;
--- a/src/cell/claim_probe.cpp
+++ b/src/cell/claim_probe.cpp
@@ -16,13 +16,13 @@
 
 } // namespace
 
-claim_probe::claim_probe(timer_service& timers, worker_orders& orders,
+claim_probe::claim_probe(timer_service& timers, worker_commands& commands,
                          std::vector<worker_report> workers, std::uint64_t token,
                          std::function<void(finding, std::uint64_t)> done)
-    : timers_(timers), orders_(orders), workers_(std::move(workers)), token_(token),
+    : timers_(timers), commands_(commands), workers_(std::move(workers)), token_(token),
       done_(std::move(done))
 {
-    look(&claim_probe::after_first_look);
+    poll(&claim_probe::after_first_look);
 }
 
 claim_probe::~claim_probe()
@@ -30,7 +30,7 @@
     *alive_ = false;
 }
 
-void claim_probe::look(void (claim_probe::*next)())
+void claim_probe::poll(void (claim_probe::*next)())
 {
     unanswered_ = workers_.size();
     fenced_ = 0;
@@ -39,17 +39,17 @@
         finish(finding::no_reply);
         return;
     }
-    look_order order;
-    order.token = token_;
+    poll_command command;
+    command.token = token_;
     for (const auto& it : workers_) {
-        orders_.look(it, order, [this, it, next, alive = alive_](const look_reply& reply) {
+        commands_.poll(it, command, [this, it, next, alive = alive_](const poll_reply& reply) {
             if (!*alive) {
                 return;
             }
-            if (reply.status == order_status::accepted) {
+            if (reply.status == command_status::accepted) {
                 accepted_.push_back(it);
             }
-            else if (reply.status == order_status::fenced) {
+            else if (reply.status == command_status::fenced) {
                 ++fenced_;
             }
             if (--unanswered_ == 0) {
@@ -65,13 +65,13 @@
         timers_.schedule(reaction_time, [this, alive = alive_] {
             if (*alive) {
                 workers_ = std::exchange(accepted_, {});
-                look(&claim_probe::after_second_look);
+                poll(&claim_probe::after_second_look);
             }
         });
     }
     else if (fenced_ != 0 && raises_++ < most_raises) {
         token_ += fence_step;
-        look(&claim_probe::after_first_look);
+        poll(&claim_probe::after_first_look);
     }
     else {
         finish(finding::no_reply);
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <algorithm>
 #include <map>
@@ -14,9 +14,9 @@
 // One start on a worker, from the order until its end is known.
 struct task_run {
     enum class phase {
-        starting,  // order sent, no reply yet
-        running,   // confirmed
-        unsettled, // no reply in time; it may or may not have been started
+        starting,    // order sent, no reply yet
+        running,     // confirmed
+        unconfirmed, // no reply in time; it may or may not have been started
         stopping,
     };
     active_job* job = nullptr;
@@ -43,7 +43,7 @@
 };
 
 // Failures of different jobs in a row after which a worker is closed for a while.
-inline constexpr std::uint32_t failures_to_close = 2;
+inline constexpr std::uint32_t failures_to_suspend = 2;
 
 // What the controller knows of one worker: an exact account of its room, its clock and the end
 // of the longest lease that it may have granted.
@@ -51,34 +51,34 @@
     worker_report report;
     bool listed = true; // in the newest list of workers
     monotonic_time unlisted_at;
-    bool held = false;      // it has accepted the claim's token
-    bool announced = false; // the fronts have been told that runs may be here
+    bool token_accepted = false; // it has accepted the claim's token
+    bool announced = false;      // the fronts have been told that runs may be here
     std::map<std::string, task_run> runs;
     std::map<std::string, orphan_run> orphans;
     task_demand used;
 
     std::int64_t clock_ms = -1; // worker's clock at `clock_at` or earlier
     monotonic_time clock_at;
-    std::int64_t lease_end_ms = -1; // latest deadline ever sent
-    std::uint64_t seen = 0;         // ends up to this number have been dealt with
-    std::int64_t born_ms = 0;
+    std::int64_t lease_end_ms = -1;  // latest deadline ever sent
+    std::uint64_t last_seen_end = 0; // ends up to this number have been dealt with
+    std::int64_t started_at_ms = 0;
 
-    bool look_pending = false;
-    bool quick_look_pending = false;
-    monotonic_time next_look; // when held is false
+    bool long_poll_pending = false;
+    bool quick_poll_pending = false;
+    monotonic_time next_poll; // when held is false
     monotonic_time last_reply;
-    monotonic_time accepted_look_sent_at; // newest look that the worker accepted
-    std::uint32_t unanswered_looks = 0;
+    monotonic_time accepted_poll_sent_at; // newest look that the worker accepted
+    std::uint32_t unanswered_polls = 0;
 
     std::uint32_t failure_streak = 0;
     std::string last_failed_job;
-    monotonic_time closed_until;
-    duration closing_time{};
+    monotonic_time suspended_until;
+    duration suspension_time{};
     double slowness = 1.0; // measured against the prediction for its kind
 
     // True if nothing more has to be known of it. A worker that vanished without notice may live on
     // behind a cut, under another controller.
-    bool is_forgettable(monotonic_time now) const
+    bool is_removable(monotonic_time now) const
     {
         constexpr auto longest_cut = std::chrono::seconds{10};
         return !listed && runs.empty() && (report.draining || now - unlisted_at > longest_cut);
@@ -92,7 +92,7 @@
     }
 
     // Local time from which every lease has lapsed and every unanswered start is refused.
-    monotonic_time lapsed_at() const
+    monotonic_time leases_expired_at() const
     {
         constexpr double slowest_clock = 0.98;
         constexpr auto slack = std::chrono::milliseconds{60}; // the kill itself takes a moment
@@ -102,23 +102,23 @@
 
     // A worker that has failed tasks of two jobs in a row gets one task at a time until one is
     // done.
-    bool has_room(const task_demand& it) const
+    bool has_capacity(const task_demand& it) const
     {
-        const bool on_probation = failure_streak >= failures_to_close;
+        const bool on_probation = failure_streak >= failures_to_suspend;
         return (!on_probation || runs.empty()) &&
                used.cpu_millis + it.cpu_millis <= report.capacity.cpu_millis &&
                used.memory_mb + it.memory_mb <= report.capacity.memory_mb &&
                used.gpus + it.gpus <= report.capacity.gpus;
     }
 
-    void take(const task_demand& it)
+    void reserve_capacity(const task_demand& it)
     {
         used.cpu_millis += it.cpu_millis;
         used.memory_mb += it.memory_mb;
         used.gpus += it.gpus;
     }
 
-    void give_back(const task_demand& it)
+    void release_capacity(const task_demand& it)
     {
         used.cpu_millis -= it.cpu_millis;
         used.memory_mb -= it.memory_mb;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // A front resubmits within a round trip of a takeover; orphans older than this have no owner.
-constexpr duration orphan_end_lifetime = std::chrono::seconds{3};
+constexpr duration orphan_completion_lifetime = std::chrono::seconds{3};
 // A front asks again within a beat or two of a broken link.
 constexpr duration recent_outcome_lifetime = std::chrono::seconds{2};
 // Share of the cores that tasks of mixed width can fill.
@@ -40,8 +40,8 @@
         return;
     }
     const auto it = jobs.find(request.id);
-    if (const auto done = recent.find(request.id);
-        request.resumed && it == jobs.end() && done != recent.end()) {
+    if (const auto done = recent_outcomes.find(request.id);
+        request.resumed && it == jobs.end() && done != recent_outcomes.end()) {
         fn(done->second.outcome);
         return;
     }
@@ -75,7 +75,7 @@
     job.deadline = now + job.request.time_left;
     // The objective follows the work that the job really has, of which the caller's guess alone is
     // a poor measure.
-    const auto chain = longest_chain(job.request, [&](const job_step& step) {
+    const auto chain = critical_path(job.request, [&](const job_step& step) {
         return times.work(job.request.terms.queue, step.estimate);
     });
     job.due = job.arrived + job.request.terms.target_latency +
@@ -99,7 +99,7 @@
     if (!adopted && !job.request.resumed && reject_if_too_late(job)) {
         return;
     }
-    schedule_pump();
+    schedule_start_pass();
 }
 
 // Cores of the workers that take starts, in units of speed 1.
@@ -108,8 +108,8 @@
     double sum = 0;
     const auto now = timers.monotonic_now();
     for (const auto& [id, worker] : workers) {
-        if (worker->held && worker->listed && !worker->report.draining &&
-            worker->closed_until <= now) {
+        if (worker->token_accepted && worker->listed && !worker->report.draining &&
+            worker->suspended_until <= now) {
             sum += static_cast<double>(worker->report.capacity.cpu_millis) / 1000.0 /
                    (times.kind_factor(worker->report.kind) * worker->slowness);
         }
@@ -151,7 +151,9 @@
     // Work that comes too late for its objective takes room from work that does not. A wait as long
     // as the whole objective leaves no chance of that even if the prediction is off.
     const bool in_time = wait <= job.due - job.arrived;
-    if (in_time && now + policy.at_best(policy.longest_task(job)) + answer_margin <= job.deadline) {
+    if (in_time &&
+        now + policy.optimistic_run_time(policy.longest_remaining_run_time(job)) + answer_margin <=
+            job.deadline) {
         return false;
     }
     log_event("job_too_late", "id={} queue={} work_ahead_ms={} speed={:.1f} wait_ms={} due_ms={}",
@@ -172,8 +174,8 @@
                    ? &job.steps[ref.step][ref.index]
                    : nullptr;
     };
-    std::erase_if(orphan_ends, [&](const orphan_end& it) {
-        if (now - it.seen_at > orphan_end_lifetime) {
+    std::erase_if(orphan_completions, [&](const orphan_completion& it) {
+        if (now - it.seen_at > orphan_completion_lifetime) {
             return true;
         }
         auto* task = it.task.job == job.request.id ? task_of(it.task) : nullptr;
@@ -214,7 +216,7 @@
             run.sent_at = row.second.seen_at;
             run.confirmed_at = row.second.seen_at;
             run.predicted = policy.predict(job, job.request.steps[ref.step], worker);
-            worker.take(run.demand);
+            worker.reserve_capacity(run.demand);
             worker.runs.emplace(row.first, std::move(run));
             task->at = task_state::phase::placed;
             --job.pending_tasks;
@@ -236,21 +238,21 @@
     if (timers.monotonic_now() - job.accepted_at > lost_job_quarantine) {
         return true;
     }
-    bool all_seen = workers_as_of > first_claimed_at;
+    bool all_seen = worker_list_time > first_claimed_at;
     // Entries of workers that were cut off come back one by one, and those of draining ones may
     // not; until then the list lacks workers that the earlier controller has used.
     auto missing = job.request.former_workers;
     for (auto& [id, worker] : workers) {
-        if (worker->held && worker->accepted_look_sent_at >= job.accepted_at) {
-            missing.erase(worker_mark(id));
+        if (worker->token_accepted && worker->accepted_poll_sent_at >= job.accepted_at) {
+            missing.erase(worker_id_hash(id));
             continue;
         }
         if (!worker->listed && worker->report.draining) {
             continue;
         }
         all_seen = false;
-        if (worker->held) {
-            look(*worker, true);
+        if (worker->token_accepted) {
+            poll(*worker, true);
         }
     }
     return all_seen && missing.empty();
@@ -298,7 +300,7 @@
                       job.pending_tasks, describe_runs(job));
         }
         if (outcome.end == job_end::completed || outcome.end == job_end::failed) {
-            recent[job.request.id] = {outcome, timers.monotonic_now()};
+            recent_outcomes[job.request.id] = {outcome, timers.monotonic_now()};
         }
         const auto now = timers.monotonic_now();
         if (outcome.end == job_end::completed && (now > job.due || is_sampled(job.request.id))) {
@@ -328,22 +330,22 @@
         }
     }
     else {
-        schedule_collect(job.request.id);
+        schedule_job_removal(job.request.id);
     }
 }
 
 // Deferred, as callers hold references into the table.
-void cell_controller::state::schedule_collect(const std::string& id)
+void cell_controller::state::schedule_job_removal(const std::string& id)
 {
     timers.schedule(duration::zero(), [this, id, alive = alive] {
         if (*alive) {
-            collect(id);
+            remove_ended_job(id);
         }
     });
 }
 
 // Forgets a job whose last run has ended and lets its successor in.
-void cell_controller::state::collect(const std::string& id)
+void cell_controller::state::remove_ended_job(const std::string& id)
 {
     const auto it = jobs.find(id);
     if (it == jobs.end() || !it->second->ended || it->second->placed_tasks != 0) {
@@ -363,9 +365,9 @@
     }
 }
 
-void cell_controller::state::check_deadlines(monotonic_time now)
+void cell_controller::state::expire_jobs(monotonic_time now)
 {
-    std::erase_if(recent, [now](const auto& it) {
+    std::erase_if(recent_outcomes, [now](const auto& it) {
         return now - it.second.ended_at > recent_outcome_lifetime;
     });
     std::vector<active_job*> open;
@@ -390,7 +392,7 @@
             continue;
         }
         const auto limit = std::min(job->deadline, policy.useful_until(*job));
-        if (now + policy.at_best(policy.longest_task(*job)) > limit) {
+        if (now + policy.optimistic_run_time(policy.longest_remaining_run_time(*job)) > limit) {
             finish(*job, {job_end::not_run, min_retry_after, "no time left for a task"});
         }
     }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -14,43 +14,44 @@
 // for seconds must not start anything.
 constexpr duration start_lease = std::chrono::milliseconds{700};
 // Jobs that find no room before the rest of the queue is left for the next turn.
-constexpr int max_failed_jobs_per_pump = 12;
+constexpr int max_unplaced_jobs_per_pass = 12;
 
 } // namespace
 
-void cell_controller::state::schedule_pump()
+void cell_controller::state::schedule_start_pass()
 {
-    if (pump_scheduled || token == 0) {
+    if (start_pass_scheduled || token == 0) {
         return;
     }
-    pump_scheduled = true;
+    start_pass_scheduled = true;
     timers.schedule(duration::zero(), [this, alive = alive] {
         if (*alive) {
-            pump_scheduled = false;
-            pump();
+            start_pass_scheduled = false;
+            start_pending_tasks();
         }
     });
 }
 
-bool cell_controller::state::is_open(const claimed_worker& worker, monotonic_time now) const
+bool cell_controller::state::accepts_starts(const claimed_worker& worker, monotonic_time now) const
 {
-    return worker.held && worker.listed && !worker.report.draining && worker.clock_ms >= 0 &&
-           worker.orphans.empty() && worker.unanswered_looks == 0 && worker.closed_until <= now;
+    return worker.token_accepted && worker.listed && !worker.report.draining &&
+           worker.clock_ms >= 0 && worker.orphans.empty() && worker.unanswered_polls == 0 &&
+           worker.suspended_until <= now;
 }
 
 // Tells the fronts of workers that are new here, before anything is started on them.
-void cell_controller::state::announce_use(std::span<claimed_worker* const> open)
+void cell_controller::state::announce_used_workers(std::span<claimed_worker* const> open)
 {
     if (std::ranges::all_of(open, &claimed_worker::announced)) {
         return;
     }
     for (auto& [id, worker] : workers) {
-        worker->announced |= worker->held && worker->listed;
+        worker->announced |= worker->token_accepted && worker->listed;
     }
-    self.on_use();
+    self.on_used_workers_changed();
 }
 
-void cell_controller::state::pump()
+void cell_controller::state::start_pending_tasks()
 {
     if (token == 0) {
         return;
@@ -71,7 +72,7 @@
     }
     std::vector<claimed_worker*> open;
     for (const auto& [id, worker] : workers) {
-        if (is_open(*worker, now) &&
+        if (accepts_starts(*worker, now) &&
             worker->report.capacity.cpu_millis - worker->used.cpu_millis >= least_cpu) {
             open.push_back(worker.get());
         }
@@ -79,7 +80,7 @@
     if (open.empty()) {
         return;
     }
-    announce_use(open);
+    announce_used_workers(open);
     std::set<std::string> orphaned; // tasks that still run for an earlier controller
     for (const auto& [id, worker] : workers) {
         for (const auto& [name, orphan] : worker->orphans) {
@@ -108,7 +109,7 @@
                 placed_all = worker != nullptr && place(*job, step, i, *worker, now);
             }
         }
-        if (!placed_all && ++failed_jobs >= max_failed_jobs_per_pump) {
+        if (!placed_all && ++failed_jobs >= max_unplaced_jobs_per_pass) {
             return;
         }
     }
@@ -128,7 +129,7 @@
     run.predicted = policy.predict(job, job.request.steps[step], worker);
     run.latest_start_ms = worker.clock_estimate(now) + start_lease.count() / 1000;
     worker.lease_end_ms = std::max(worker.lease_end_ms, run.latest_start_ms);
-    worker.take(run.demand);
+    worker.reserve_capacity(run.demand);
     task.at = task_state::phase::placed;
     --job.pending_tasks;
     ++job.placed_tasks;
@@ -137,81 +138,81 @@
     }
     ++counts.starts;
     const auto name = to_task_name(run.task);
-    const start_order order{name, run.run, job.request.payload, run.latest_start_ms, token};
+    const start_command command{name, run.run, job.request.payload, run.latest_start_ms, token};
     worker.runs.insert_or_assign(name, std::move(run));
-    orders.start(worker.report, order,
-                 [this, alive = alive, id = worker.report.id, name, number = task.last_run,
-                  sent = token](const order_reply& reply) {
-                     if (*alive) {
-                         on_start(id, name, number, sent, reply);
-                     }
-                 });
+    commands.start(worker.report, command,
+                   [this, alive = alive, id = worker.report.id, name, number = task.last_run,
+                    sent = token](const command_reply& reply) {
+                       if (*alive) {
+                           on_start(id, name, number, sent, reply);
+                       }
+                   });
     return true;
 }
 
 void cell_controller::state::on_start(const std::string& worker_id, const std::string& name,
                                       std::uint32_t number, std::uint64_t sent_token,
-                                      const order_reply& reply)
+                                      const command_reply& reply)
 {
     const auto found = workers.find(worker_id);
     if (found == workers.end()) {
         return;
     }
     auto& worker = *found->second;
-    note_clock(worker, reply.clock_ms);
+    update_clock(worker, reply.clock_ms);
     const auto it = worker.runs.find(name);
     if (it == worker.runs.end() || it->second.run != number) {
         return;
     }
     auto& run = it->second;
     const auto now = timers.monotonic_now();
-    if (reply.status == order_status::accepted) {
+    if (reply.status == command_status::accepted) {
         run.confirmed_at = now;
         if (run.at != task_run::phase::stopping) {
             run.at = task_run::phase::running;
         }
         return;
     }
-    if (reply.status == order_status::reply_lost) {
+    if (reply.status == command_status::reply_lost) {
         ++counts.starts_without_reply;
         log_event("start_unanswered", "task={} run={} worker={}", name, number, worker_id);
         if (run.at == task_run::phase::starting) {
-            run.at = task_run::phase::unsettled;
+            run.at = task_run::phase::unconfirmed;
         }
-        look(worker, true);
+        poll(worker, true);
         return;
     }
     // Everything else: the worker did nothing, so the task may go elsewhere at once.
     auto& task = run.job->steps[run.task.step][run.task.index];
     switch (reply.status) {
-    case order_status::fenced:
+    case command_status::fenced:
         if (sent_token == token) {
-            worker.held = false;
-            worker.next_look = now;
+            worker.token_accepted = false;
+            worker.next_poll = now;
             self.on_fenced();
         }
         break;
-    case order_status::superseded:
+    case command_status::superseded:
         // An earlier controller used higher numbers for this task here.
         task.last_run += 8;
         break;
-    case order_status::unhealthy:
-    case order_status::not_sent:
-        note_task_failure(worker, *run.job, task);
+    case command_status::unhealthy:
+    case command_status::not_sent:
+        record_task_failure(worker, *run.job, task);
         task.avoid_worker = worker_id;
-        if (reply.status == order_status::not_sent) {
-            look(worker, true);
+        if (reply.status == command_status::not_sent) {
+            poll(worker, true);
         }
         break;
-    case order_status::wrong_incarnation:
-        look(worker, true);
+    case command_status::wrong_incarnation:
+        poll(worker, true);
         task.avoid_worker = worker_id;
         break;
-    case order_status::no_room:
+    case command_status::no_room:
         task.avoid_worker = worker_id;
-        look(worker, true);
+        poll(worker, true);
         break;
-    case order_status::invalid: {
+    case command_status::invalid: {
         auto& job = *run.job;
         end_run(worker, name, task_state::phase::pending);
         if (!job.ended) {
@@ -230,26 +231,26 @@
     run.at = task_run::phase::stopping;
     run.stop_sent_at = timers.monotonic_now();
     ++counts.stops;
-    orders.stop(worker.report, name, run.run, token,
-                [this, alive = alive, id = worker.report.id, name,
-                 number = run.run](const order_reply& reply) {
-                    const auto found = *alive ? workers.find(id) : workers.end();
-                    if (found == workers.end()) {
-                        return;
-                    }
-                    auto& target = *found->second;
-                    note_clock(target, reply.clock_ms);
-                    const auto it = target.runs.find(name);
-                    if (it == target.runs.end() || it->second.run != number ||
-                        reply.status != order_status::accepted) {
-                        return;
-                    }
-                    it->second.stop_confirmed = true;
-                    it->second.stop_confirmed_at = timers.monotonic_now();
-                    if (it->second.confirmed_at == monotonic_time{}) {
-                        look(target, true); // most likely it has never arrived
-                    }
-                });
+    commands.stop(worker.report, name, run.run, token,
+                  [this, alive = alive, id = worker.report.id, name,
+                   number = run.run](const command_reply& reply) {
+                      const auto found = *alive ? workers.find(id) : workers.end();
+                      if (found == workers.end()) {
+                          return;
+                      }
+                      auto& target = *found->second;
+                      update_clock(target, reply.clock_ms);
+                      const auto it = target.runs.find(name);
+                      if (it == target.runs.end() || it->second.run != number ||
+                          reply.status != command_status::accepted) {
+                          return;
+                      }
+                      it->second.stop_confirmed = true;
+                      it->second.stop_confirmed_at = timers.monotonic_now();
+                      if (it->second.confirmed_at == monotonic_time{}) {
+                          poll(target, true); // most likely it has never arrived
+                      }
+                  });
 }
 
 // Frees the room of a run that is certainly over and says where its task stands now.
@@ -263,7 +264,7 @@
     auto& job = *it->second.job;
     const auto step = it->second.task.step;
     auto& task = job.steps[step][it->second.task.index];
-    worker.give_back(it->second.demand);
+    worker.release_capacity(it->second.demand);
     worker.runs.erase(it);
     --job.placed_tasks;
     task.at = next;
@@ -275,13 +276,13 @@
     }
     if (job.ended) {
         if (job.placed_tasks == 0) {
-            schedule_collect(job.request.id);
+            schedule_job_removal(job.request.id);
         }
     }
     else if (job.all_done()) {
         finish(job, {job_end::completed, {}, ""});
     }
-    schedule_pump();
+    schedule_start_pass();
 }
 
 } // namespace cactusloom
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -14,7 +14,7 @@
 namespace cactusloom {
 
 // A task that ended done under an earlier controller and that a resumed job may count.
-struct orphan_end {
+struct orphan_completion {
     task_ref task;
     monotonic_time seen_at;
 };
@@ -27,15 +27,15 @@
 
 // State of cell_controller. Its functions are grouped by file: jobs, workers, starts.
 struct cell_controller::state {
-    state(timer_service& timer_source, worker_orders& order_sink, const cell_settings& limits,
+    state(timer_service& timer_source, worker_commands& order_sink, const cell_settings& limits,
           cell_controller& owner)
-        : timers(timer_source), orders(order_sink), settings(limits), self(owner),
+        : timers(timer_source), commands(order_sink), settings(limits), self(owner),
           policy(times, limits.remote_penalty)
     {
     }
 
     timer_service& timers;
-    worker_orders& orders;
+    worker_commands& commands;
     cell_settings settings;
     cell_controller& self;
     cell_counts counts;
@@ -45,12 +45,12 @@
     std::uint64_t token = 0;         // 0: no claim
     monotonic_time first_claimed_at; // since when this controller has been in control
     monotonic_time claimed_at;       // when the token was last raised
-    monotonic_time workers_as_of;
+    monotonic_time worker_list_time;
     std::map<std::string, std::unique_ptr<claimed_worker>, std::less<>> workers;
     std::map<std::string, std::unique_ptr<active_job>, std::less<>> jobs;
-    std::vector<orphan_end> orphan_ends;
-    std::map<std::string, recent_outcome, std::less<>> recent;
-    bool pump_scheduled = false;
+    std::vector<orphan_completion> orphan_completions;
+    std::map<std::string, recent_outcome, std::less<>> recent_outcomes;
+    bool start_pass_scheduled = false;
     timer_id tick_timer = 0;
     // Callbacks of orders outlive a controller that is destroyed.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -64,38 +64,38 @@
     void finish(active_job& job, const job_outcome& outcome);
     std::string describe_runs(const active_job& job) const;
     void abandon(active_job& job);
-    void schedule_collect(const std::string& id);
-    void collect(const std::string& id);
-    void check_deadlines(monotonic_time now);
+    void schedule_job_removal(const std::string& id);
+    void remove_ended_job(const std::string& id);
+    void expire_jobs(monotonic_time now);
     double usable_speed() const;
 
     // Workers.
     void set_workers(std::span<const worker_report> reports);
-    void look(claimed_worker& worker, bool quick);
-    void on_look(const std::string& id, std::uint64_t sent_token, monotonic_time sent_at,
-                 bool quick, const look_reply& reply);
-    void apply_look(claimed_worker& worker, monotonic_time sent_at, const look_reply& reply);
+    void poll(claimed_worker& worker, bool quick);
+    void on_poll_reply(const std::string& id, std::uint64_t sent_token, monotonic_time sent_at,
+                       bool quick, const poll_reply& reply);
+    void apply_poll_reply(claimed_worker& worker, monotonic_time sent_at, const poll_reply& reply);
     void apply_running(claimed_worker& worker, const running_row& row, monotonic_time now);
     void apply_finished(claimed_worker& worker, const finished_row& row, monotonic_time now);
-    void drop_vanished(claimed_worker& worker, monotonic_time sent_at, const look_reply& reply);
+    void end_missing_runs(claimed_worker& worker, monotonic_time sent_at, const poll_reply& reply);
     void check_progress(claimed_worker& worker, task_run& run, int percent, monotonic_time now);
-    void lose_runs(claimed_worker& worker, const char* reason);
-    void look_for_late_start(claimed_worker& worker, monotonic_time now);
-    void look_for_overdue_end(claimed_worker& worker, monotonic_time now);
+    void end_lost_runs(claimed_worker& worker, const char* reason);
+    void poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now);
+    void poll_if_end_overdue(claimed_worker& worker, monotonic_time now);
     void check_worker(claimed_worker& worker, monotonic_time now);
-    void note_clock(claimed_worker& worker, std::int64_t clock_ms);
-    void forget_life(claimed_worker& worker, std::int64_t born_ms);
-    void note_task_failure(claimed_worker& worker, const active_job& job, const task_state& task);
-    bool is_open(const claimed_worker& worker, monotonic_time now) const;
+    void update_clock(claimed_worker& worker, std::int64_t clock_ms);
+    void reset_restarted_worker(claimed_worker& worker, std::int64_t started_at_ms);
+    void record_task_failure(claimed_worker& worker, const active_job& job, const task_state& task);
+    bool accepts_starts(const claimed_worker& worker, monotonic_time now) const;
 
     // Starts and stops.
-    void schedule_pump();
-    void announce_use(std::span<claimed_worker* const> open);
-    void pump();
+    void schedule_start_pass();
+    void announce_used_workers(std::span<claimed_worker* const> open);
+    void start_pending_tasks();
     bool place(active_job& job, std::size_t step, std::size_t index, claimed_worker& worker,
                monotonic_time now);
     void on_start(const std::string& worker_id, const std::string& task, std::uint32_t run,
-                  std::uint64_t sent_token, const order_reply& reply);
+                  std::uint64_t sent_token, const command_reply& reply);
     void stop(claimed_worker& worker, const std::string& task, task_run& run);
     void end_run(claimed_worker& worker, const std::string& task, task_state::phase next);
 
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -12,7 +12,7 @@
 
 // A waiting look is answered by an end or after this time. It must leave room in the lease for a
 // lost reply and a second look.
-constexpr duration look_wait = std::chrono::milliseconds{250};
+constexpr duration long_poll_wait = std::chrono::milliseconds{250};
 // An end that is this late may have been reported on a connection that went silent.
 // A sound worker replies to a start within a round trip of a few ms.
 constexpr duration start_patience = std::chrono::milliseconds{20};
@@ -22,8 +22,8 @@
 constexpr duration stop_retry = std::chrono::milliseconds{120};
 // A front resubmits within a round trip of a takeover.
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
-constexpr duration first_closing = std::chrono::milliseconds{800};
-constexpr duration longest_closing = std::chrono::seconds{4};
+constexpr duration min_suspension = std::chrono::milliseconds{800};
+constexpr duration max_suspension = std::chrono::seconds{4};
 // Progress below this share of the prediction marks a straggler.
 constexpr double straggler_ratio = 2.5;
 constexpr duration straggler_floor = std::chrono::milliseconds{60};
@@ -42,9 +42,9 @@
         if (!entry) {
             entry = std::make_unique<claimed_worker>();
             entry->report = report;
-            entry->born_ms = report.born_ms;
+            entry->started_at_ms = report.started_at_ms;
             if (token != 0) {
-                look(*entry, true);
+                poll(*entry, true);
             }
             continue;
         }
@@ -65,12 +65,12 @@
             worker.unlisted_at = timers.monotonic_now();
             log_event("worker_unlisted", "worker={} runs={}", it->first, worker.runs.size());
         }
-        it = worker.is_forgettable(timers.monotonic_now()) ? workers.erase(it) : std::next(it);
+        it = worker.is_removable(timers.monotonic_now()) ? workers.erase(it) : std::next(it);
     }
-    schedule_pump();
+    schedule_start_pass();
 }
 
-void cell_controller::state::note_clock(claimed_worker& worker, std::int64_t clock_ms)
+void cell_controller::state::update_clock(claimed_worker& worker, std::int64_t clock_ms)
 {
     if (clock_ms >= 0) {
         worker.clock_ms = clock_ms;
@@ -79,116 +79,119 @@
 }
 
 // The worker has started anew: nothing of its former life runs.
-void cell_controller::state::forget_life(claimed_worker& worker, std::int64_t born_ms)
+void cell_controller::state::reset_restarted_worker(claimed_worker& worker,
+                                                    std::int64_t started_at_ms)
 {
     log_event("worker_restarted", "worker={} runs={}", worker.report.id, worker.runs.size());
-    lose_runs(worker, "worker restarted");
+    end_lost_runs(worker, "worker restarted");
     worker.orphans.clear();
-    worker.seen = 0;
+    worker.last_seen_end = 0;
     worker.clock_ms = -1;
     worker.lease_end_ms = -1;
-    worker.born_ms = born_ms;
+    worker.started_at_ms = started_at_ms;
     worker.slowness = 1.0;
 }
 
-void cell_controller::state::look(claimed_worker& worker, bool quick)
+void cell_controller::state::poll(claimed_worker& worker, bool quick)
 {
-    bool& pending = quick ? worker.quick_look_pending : worker.look_pending;
+    bool& pending = quick ? worker.quick_poll_pending : worker.long_poll_pending;
     if (pending || token == 0) {
         return;
     }
     pending = true;
-    ++counts.looks;
+    ++counts.polls;
     const auto now = timers.monotonic_now();
-    look_order order;
-    order.token = token;
-    order.seen = worker.seen;
-    order.wait = quick ? duration::zero() : look_wait;
+    poll_command command;
+    command.token = token;
+    command.last_seen_end = worker.last_seen_end;
+    command.wait = quick ? duration::zero() : long_poll_wait;
     // A worker that does not answer gets no longer lease: its runs must lapse at a known time. Nor
     // does one with runs of an earlier controller, which may be counting on their lapse.
-    if (worker.clock_ms >= 0 && worker.held && worker.unanswered_looks == 0 &&
+    if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
         worker.orphans.empty()) {
-        order.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
-        worker.lease_end_ms = std::max(worker.lease_end_ms, order.deadline_ms);
-    }
-    orders.look(worker.report, order,
-                [this, alive = alive, id = worker.report.id, sent = token, now,
-                 quick](const look_reply& reply) {
-                    if (*alive) {
-                        on_look(id, sent, now, quick, reply);
-                    }
-                });
+        command.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
+        worker.lease_end_ms = std::max(worker.lease_end_ms, command.deadline_ms);
+    }
+    commands.poll(worker.report, command,
+                  [this, alive = alive, id = worker.report.id, sent = token, now,
+                   quick](const poll_reply& reply) {
+                      if (*alive) {
+                          on_poll_reply(id, sent, now, quick, reply);
+                      }
+                  });
 }
 
-void cell_controller::state::on_look(const std::string& id, std::uint64_t sent_token,
-                                     monotonic_time sent_at, bool quick, const look_reply& reply)
+void cell_controller::state::on_poll_reply(const std::string& id, std::uint64_t sent_token,
+                                           monotonic_time sent_at, bool quick,
+                                           const poll_reply& reply)
 {
     const auto found = workers.find(id);
     if (found == workers.end()) {
         return;
     }
     auto& worker = *found->second;
-    (quick ? worker.quick_look_pending : worker.look_pending) = false;
+    (quick ? worker.quick_poll_pending : worker.long_poll_pending) = false;
     if (token == 0) {
         return;
     }
     const auto now = timers.monotonic_now();
-    if (reply.status == order_status::accepted && sent_token == token) {
-        if (reply.born_ms != 0 && worker.born_ms != 0 && reply.born_ms != worker.born_ms) {
-            forget_life(worker, reply.born_ms);
+    if (reply.status == command_status::accepted && sent_token == token) {
+        if (reply.started_at_ms != 0 && worker.started_at_ms != 0 &&
+            reply.started_at_ms != worker.started_at_ms) {
+            reset_restarted_worker(worker, reply.started_at_ms);
         }
-        if (reply.born_ms != 0) {
-            worker.born_ms = reply.born_ms;
+        if (reply.started_at_ms != 0) {
+            worker.started_at_ms = reply.started_at_ms;
         }
         worker.last_reply = now;
-        worker.accepted_look_sent_at = std::max(worker.accepted_look_sent_at, sent_at);
-        worker.unanswered_looks = 0;
-        note_clock(worker, reply.clock_ms);
-        const bool first = !std::exchange(worker.held, true);
-        apply_look(worker, sent_at, reply);
+        worker.accepted_poll_sent_at = std::max(worker.accepted_poll_sent_at, sent_at);
+        worker.unanswered_polls = 0;
+        update_clock(worker, reply.clock_ms);
+        const bool first = !std::exchange(worker.token_accepted, true);
+        apply_poll_reply(worker, sent_at, reply);
         if (first || quick) {
-            schedule_pump();
+            schedule_start_pass();
         }
-        look(worker, false);
+        poll(worker, false);
         return;
     }
-    if (reply.status == order_status::fenced && sent_token == token) {
-        worker.held = false;
-        worker.next_look = now + claim_retry;
+    if (reply.status == command_status::fenced && sent_token == token) {
+        worker.token_accepted = false;
+        worker.next_poll = now + claim_retry;
         self.on_fenced();
         return;
     }
-    if (reply.status == order_status::wrong_incarnation) {
-        forget_life(worker, 0);
+    if (reply.status == command_status::wrong_incarnation) {
+        reset_restarted_worker(worker, 0);
     }
     if (sent_token != token) {
-        look(worker, true);
+        poll(worker, true);
         return;
     }
-    ++worker.unanswered_looks;
-    if (worker.unanswered_looks == 1) {
-        worker.next_look = now;
-        look(worker, true); // on another connection: the first may have gone silent
+    ++worker.unanswered_polls;
+    if (worker.unanswered_polls == 1) {
+        worker.next_poll = now;
+        poll(worker, true); // on another connection: the first may have gone silent
     }
     else {
-        worker.next_look = now + claim_retry;
+        worker.next_poll = now + claim_retry;
     }
 }
 
-void cell_controller::state::apply_look(claimed_worker& worker, monotonic_time sent_at,
-                                        const look_reply& reply)
+void cell_controller::state::apply_poll_reply(claimed_worker& worker, monotonic_time sent_at,
+                                              const poll_reply& reply)
 {
     const auto now = timers.monotonic_now();
     for (const auto& row : reply.finished) {
-        if (row.number > worker.seen) {
-            worker.seen = row.number;
+        if (row.number > worker.last_seen_end) {
+            worker.last_seen_end = row.number;
             apply_finished(worker, row, now);
         }
     }
     for (const auto& row : reply.running) {
         apply_running(worker, row, now);
     }
-    drop_vanished(worker, sent_at, reply);
+    end_missing_runs(worker, sent_at, reply);
 }
 
 void cell_controller::state::apply_finished(claimed_worker& worker, const finished_row& row,
@@ -199,9 +202,9 @@
     if (it == worker.runs.end()) {
         task_ref ref;
         if (row.how == run_end::done && parse_task_name(row.task, ref)) {
-            orphan_ends.push_back({ref, now});
+            orphan_completions.push_back({ref, now});
         }
-        schedule_pump();
+        schedule_start_pass();
         return;
     }
     auto& run = it->second;
@@ -223,13 +226,13 @@
         const double sample = ratio > 2.0 ? ratio : 1.0;
         worker.slowness = std::clamp(worker.slowness * 0.7 + sample * 0.3, 1.0, 20.0);
         worker.failure_streak = 0;
-        worker.closing_time = {};
+        worker.suspension_time = {};
         end_run(worker, row.task, task_state::phase::done);
         return;
     }
     if (row.how == run_end::failed) {
         ++counts.task_failures;
-        note_task_failure(worker, job, task);
+        record_task_failure(worker, job, task);
         ++task.failures;
         task.avoid_worker = worker.report.id;
         if (!job.ended && task.failures >= job.request.terms.attempts) {
@@ -249,7 +252,7 @@
     const auto it = worker.runs.find(row.task);
     if (it != worker.runs.end() && it->second.run == row.run) {
         auto& run = it->second;
-        if (run.at == task_run::phase::starting || run.at == task_run::phase::unsettled) {
+        if (run.at == task_run::phase::starting || run.at == task_run::phase::unconfirmed) {
             run.at = task_run::phase::running;
             run.confirmed_at = now;
         }
@@ -278,8 +281,8 @@
 
 // A run that a look sent after its confirmation does not list is over without an end: the list is
 // complete, so the worker has lost it.
-void cell_controller::state::drop_vanished(claimed_worker& worker, monotonic_time sent_at,
-                                           const look_reply& reply)
+void cell_controller::state::end_missing_runs(claimed_worker& worker, monotonic_time sent_at,
+                                              const poll_reply& reply)
 {
     std::set<std::string_view> running;
     for (const auto& row : reply.running) {
@@ -307,7 +310,7 @@
         end_run(worker, name, task_state::phase::pending);
     }
     for (auto& [name, run] : worker.runs) {
-        if (run.at == task_run::phase::unsettled && sent_at > run.sent_at) {
+        if (run.at == task_run::phase::unconfirmed && sent_at > run.sent_at) {
             stop(worker, name, run); // settles it sooner than the end of its lease
         }
     }
@@ -340,16 +343,16 @@
     if (ratio > 2 * straggler_ratio) {
         worker.slowness = std::clamp(ratio, worker.slowness, 20.0);
     }
-    const auto shortest =
-        static_cast<double>(policy.shortest(job, job.request.steps[run.task.step]).count());
+    const auto min_run_time =
+        static_cast<double>(policy.min_run_time(job, job.request.steps[run.task.step]).count());
     const double elsewhere =
         stands_still
-            ? shortest
-            : std::max(shortest, total * times.fastest_factor() /
-                                     (times.kind_factor(worker.report.kind) * worker.slowness));
-    const auto stop_time = static_cast<double>(settings.stop_time.count());
+            ? min_run_time
+            : std::max(min_run_time, total * times.fastest_factor() /
+                                         (times.kind_factor(worker.report.kind) * worker.slowness));
+    const auto stop_timeout = static_cast<double>(settings.stop_timeout.count());
     if (job.ended || task.moves >= max_moves ||
-        (!stands_still && remaining < 2 * elsewhere + stop_time) ||
+        (!stands_still && remaining < 2 * elsewhere + stop_timeout) ||
         now + duration{static_cast<duration::rep>(elsewhere)} > job.deadline) {
         return;
     }
@@ -361,32 +364,32 @@
               to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
               run.predicted.count() / 1000, worker.slowness, stands_still);
     if (stands_still) {
-        note_task_failure(worker, job, task);
+        record_task_failure(worker, job, task);
     }
     stop(worker, to_task_name(run.task), run);
 }
 
-void cell_controller::state::note_task_failure(claimed_worker& worker, const active_job& job,
-                                               const task_state& task)
+void cell_controller::state::record_task_failure(claimed_worker& worker, const active_job& job,
+                                                 const task_state& task)
 {
     // A task that failed elsewhere too says nothing of the worker.
     if (task.failures != 0 || worker.last_failed_job == job.request.id) {
         return;
     }
     worker.last_failed_job = job.request.id;
-    if (++worker.failure_streak < failures_to_close) {
+    if (++worker.failure_streak < failures_to_suspend) {
         return;
     }
-    worker.closing_time = worker.closing_time == duration{}
-                              ? first_closing
-                              : std::min(2 * worker.closing_time, longest_closing);
-    worker.closed_until = timers.monotonic_now() + worker.closing_time;
+    worker.suspension_time = worker.suspension_time == duration{}
+                                 ? min_suspension
+                                 : std::min(2 * worker.suspension_time, max_suspension);
+    worker.suspended_until = timers.monotonic_now() + worker.suspension_time;
     log_event("worker_closed", "worker={} streak={} for_ms={}", worker.report.id,
-              worker.failure_streak, worker.closing_time.count() / 1000);
+              worker.failure_streak, worker.suspension_time.count() / 1000);
 }
 
 // Everything that ran there is over: the leases have lapsed or the worker has started anew.
-void cell_controller::state::lose_runs(claimed_worker& worker, const char* reason)
+void cell_controller::state::end_lost_runs(claimed_worker& worker, const char* reason)
 {
     if (worker.runs.empty()) {
         return;
@@ -405,25 +408,26 @@
 
 // A late reply to a start: a look on another connection tells sooner than the reply's time limit
 // whether the start has arrived.
-void cell_controller::state::look_for_late_start(claimed_worker& worker, monotonic_time now)
+void cell_controller::state::poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now)
 {
     bool late = false;
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::starting && now - run.sent_at > start_patience) {
-            run.at = task_run::phase::unsettled;
+            run.at = task_run::phase::unconfirmed;
         }
-        late |= run.at == task_run::phase::unsettled;
+        late |= run.at == task_run::phase::unconfirmed;
     }
-    if (late && worker.held) {
-        look(worker, true);
+    if (late && worker.token_accepted) {
+        poll(worker, true);
     }
 }
 
 // A task that should have ended points to a look whose reply is lost: another connection tells
 // sooner than the look's time limit.
-void cell_controller::state::look_for_overdue_end(claimed_worker& worker, monotonic_time now)
+void cell_controller::state::poll_if_end_overdue(claimed_worker& worker, monotonic_time now)
 {
-    if (!worker.held || worker.quick_look_pending || now - worker.last_reply < overdue_interval) {
+    if (!worker.token_accepted || worker.quick_poll_pending ||
+        now - worker.last_reply < overdue_interval) {
         return;
     }
     const bool overdue = std::ranges::any_of(worker.runs, [&](const auto& row) {
@@ -433,7 +437,7 @@
                 now > std::max(run.sent_at, run.confirmed_at) + run.predicted + overdue_slack);
     });
     if (overdue) {
-        look(worker, true);
+        poll(worker, true);
     }
 }
 
@@ -443,18 +447,19 @@
         // Fades, so that the worker gets tasks again and is measured anew.
         worker.slowness = std::max(1.0, worker.slowness * 0.995);
     }
-    look_for_late_start(worker, now);
-    look_for_overdue_end(worker, now);
-    const bool silent = !worker.held || worker.unanswered_looks != 0;
-    if (silent && worker.clock_ms >= 0 && !worker.runs.empty() && now > worker.lapsed_at()) {
-        lose_runs(worker, "leases lapsed");
-        worker.held = false;
+    poll_if_start_unconfirmed(worker, now);
+    poll_if_end_overdue(worker, now);
+    const bool silent = !worker.token_accepted || worker.unanswered_polls != 0;
+    if (silent && worker.clock_ms >= 0 && !worker.runs.empty() &&
+        now > worker.leases_expired_at()) {
+        end_lost_runs(worker, "leases lapsed");
+        worker.token_accepted = false;
     }
-    if (silent && now >= worker.next_look && worker.listed) {
-        look(worker, true);
-        worker.next_look = now + claim_retry;
+    if (silent && now >= worker.next_poll && worker.listed) {
+        poll(worker, true);
+        worker.next_poll = now + claim_retry;
     }
-    if (!worker.held) {
+    if (!worker.token_accepted) {
         return;
     }
     for (auto& [name, run] : worker.runs) {
@@ -469,7 +474,7 @@
                 ++counts.orphans_stopped;
             }
             orphan.stop_sent_at = now;
-            orders.stop(worker.report, name, orphan.run, token, [](const order_reply&) {
+            commands.stop(worker.report, name, orphan.run, token, [](const command_reply&) {
                 // The next look tells; until then the stop is repeated.
             });
         }
--- a/src/cell/dispatch_report.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -1,16 +1,16 @@
-#include "cell/dispatch_report.h"
+#include "cell/dispatch_metrics.h"
 
 #include "base/log.h"
+#include "cell/caller_request_handler.h"
 #include "cell/cell_service.h"
-#include "cell/front_desk.h"
 
 #include <fmt/format.h>
 #include <iterator>
 
 namespace cactusloom {
 
-std::string format_dispatch_metrics(const cell_service& cells, const front_desk& desk,
-                                    const network_figures& network)
+std::string format_dispatch_metrics(const cell_service& cells, const caller_request_handler& desk,
+                                    const network_counts& network)
 {
     std::string out;
     const auto add = [&out](std::string_view name, auto value) {
@@ -26,7 +26,7 @@
     add("task_failures_total", counts.task_failures);
     add("task_stops_total", counts.stops);
     add("stragglers_moved_total", counts.stragglers_moved);
-    add("worker_looks_total", counts.looks);
+    add("worker_looks_total", counts.polls);
     add("workers_lost_total", counts.workers_lost);
     add("orphans_adopted_total", counts.orphans_adopted);
     add("orphans_stopped_total", counts.orphans_stopped);
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -58,7 +58,7 @@
     return !task.job.empty();
 }
 
-std::uint32_t worker_mark(std::string_view id)
+std::uint32_t worker_id_hash(std::string_view id)
 {
     return static_cast<std::uint32_t>(hash64(id));
 }
@@ -84,7 +84,7 @@
     return nullptr;
 }
 
-duration longest_chain(const job_request& job, const std::function<duration(const job_step&)>& work)
+duration critical_path(const job_request& job, const std::function<duration(const job_step&)>& work)
 {
     std::vector<duration> ends;
     duration longest{};
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-duration placement::shortest(const active_job& job, const job_step& step) const
+duration placement::min_run_time(const active_job& job, const job_step& step) const
 {
     const auto work = times_.work(job.request.terms.queue, step.estimate);
     return scaled(work, times_.fastest_factor());
@@ -43,23 +43,23 @@
     return scaled(work, factor);
 }
 
-duration placement::longest_task(const active_job& job) const
+duration placement::longest_remaining_run_time(const active_job& job) const
 {
     duration longest{};
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         if (job.done_of_step[i] < job.request.steps[i].count) {
-            longest = std::max(longest, shortest(job, job.request.steps[i]));
+            longest = std::max(longest, min_run_time(job, job.request.steps[i]));
         }
     }
     return longest;
 }
 
-bool placement::can_meet(const active_job& job, monotonic_time now) const
+bool placement::can_meet_objective(const active_job& job, monotonic_time now) const
 {
-    return now + longest_task(job) + answer_margin <= job.due;
+    return now + longest_remaining_run_time(job) + answer_margin <= job.due;
 }
 
-duration placement::at_best(duration predicted)
+duration placement::optimistic_run_time(duration predicted)
 {
     return scaled(predicted, best_ratio);
 }
@@ -71,16 +71,16 @@
 
 placement::urgency placement::urgency_of(const active_job& job, monotonic_time now) const
 {
-    if (can_meet(job, now)) {
+    if (can_meet_objective(job, now)) {
         return urgency::in_time;
     }
-    if (now + longest_task(job) + answer_margin > useful_until(job)) {
+    if (now + longest_remaining_run_time(job) + answer_margin > useful_until(job)) {
         return urgency::too_late;
     }
-    return share_to_start(job) <= late_value ? urgency::in_time : urgency::late;
+    return unstarted_share(job) <= late_value ? urgency::in_time : urgency::late;
 }
 
-double placement::share_to_start(const active_job& job)
+double placement::unstarted_share(const active_job& job)
 {
     double total = 0;
     double pending = 0;
@@ -109,7 +109,7 @@
     for (auto* it : jobs) {
         const auto when = urgency_of(*it, now);
         keys.push_back({when, it->request.terms.priority,
-                        when == urgency::late ? share_to_start(*it) : 0.0,
+                        when == urgency::late ? unstarted_share(*it) : 0.0,
                         when == urgency::too_late ? it->deadline : it->due, it});
     }
     std::ranges::sort(keys, {}, [](const key& it) {
@@ -122,14 +122,14 @@
                                   std::span<claimed_worker* const> open, monotonic_time now) const
 {
     const auto& wanted = job.request.steps[step];
-    const bool late = !can_meet(job, now);
+    const bool late = !can_meet_objective(job, now);
     const auto limit = (late ? job.deadline : job.due) - answer_margin;
     claimed_worker* best = nullptr;
     duration best_time{};
     bool best_meets = false;
     std::int64_t best_left = 0;
     for (auto* it : open) {
-        if (!it->has_room(wanted.demand) || it->report.service != job.request.terms.service ||
+        if (!it->has_capacity(wanted.demand) || it->report.service != job.request.terms.service ||
             (it->report.id == task.avoid_worker && open.size() > 1) ||
             (!wanted.required_label.empty() && !it->has_label(wanted.required_label))) {
             continue;
@@ -169,8 +169,8 @@
         }
     }
     if (best != nullptr && !best_meets &&
-        best_time > scaled(shortest(job, wanted), same_speed_ratio) &&
-        now + scaled(shortest(job, wanted), safe_ratio) <= limit) {
+        best_time > scaled(min_run_time(job, wanted), same_speed_ratio) &&
+        now + scaled(min_run_time(job, wanted), safe_ratio) <= limit) {
         return nullptr;
     }
     return best;
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -32,13 +32,13 @@
                      const claimed_worker& worker) const;
 
     // Shortest run time that the step can have on a sound worker of the fastest kind.
-    duration shortest(const active_job& job, const job_step& step) const;
+    duration min_run_time(const active_job& job, const job_step& step) const;
 
     // Longest of the shortest run times of the steps that are not done.
-    duration longest_task(const active_job& job) const;
+    duration longest_remaining_run_time(const active_job& job) const;
 
     // Least run time to reckon with, as predictions are off either way.
-    static duration at_best(duration predicted);
+    static duration optimistic_run_time(duration predicted);
 
     // Chooses among workers that are open to starts: the slowest that safely meets the objective,
     // so that fast ones stay free for long tasks; a late task takes the fastest that is left. Among
@@ -56,8 +56,8 @@
 
     urgency urgency_of(const active_job& job, monotonic_time now) const;
     // Share of the job's work that has not been started.
-    static double share_to_start(const active_job& job);
-    bool can_meet(const active_job& job, monotonic_time now) const;
+    static double unstarted_share(const active_job& job);
+    bool can_meet_objective(const active_job& job, monotonic_time now) const;
 
     const run_time_estimator& times_;
     double remote_penalty_;
--- a/src/cell/worker_registry.cpp
+++ b/src/cell/worker_registry.cpp
@@ -14,7 +14,7 @@
 bool same_for_placement(const worker_report& a, const worker_report& b)
 {
     return a.address == b.address && a.service == b.service && a.data_centre == b.data_centre &&
-           a.labels == b.labels && a.draining == b.draining && a.born_ms == b.born_ms &&
+           a.labels == b.labels && a.draining == b.draining && a.started_at_ms == b.started_at_ms &&
            a.capacity.cpu_millis == b.capacity.cpu_millis &&
            a.capacity.memory_mb == b.capacity.memory_mb && a.capacity.gpus == b.capacity.gpus;
 }
--- a/src/net/stream_http_server.cpp
+++ b/src/net/stream_http_server.cpp
@@ -252,7 +252,7 @@
         return;
     }
     const bool receiving = parser_.has_value() || !input_.empty();
-    const auto limit = receiving ? server_.limits.header_time : server_.limits.idle_time;
+    const auto limit = receiving ? server_.limits.header_timeout : server_.limits.idle_timeout;
     const bool closing = !keep_alive_ && !receiving && stream_->unsent() == 0;
     if (now - since_ > limit || (closing && now - since_ > sweep_interval) ||
         (server_.draining && !receiving && now - since_ > sweep_interval)) {
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -26,7 +26,7 @@
     it.report.kind = kind;
     it.report.labels = {kind};
     it.report.capacity = capacity;
-    it.report.born_ms = 1;
+    it.report.started_at_ms = 1;
     it.speed = speed;
     it.born = timers_.monotonic_now();
     return it.report;
@@ -50,7 +50,7 @@
     }
     worker fresh;
     fresh.report = it.report;
-    fresh.report.born_ms = it.report.born_ms + 1;
+    fresh.report.started_at_ms = it.report.started_at_ms + 1;
     fresh.fault = it.fault;
     fresh.speed = it.speed;
     fresh.born = timers_.monotonic_now();
@@ -112,22 +112,23 @@
     answer_waiting(it);
 }
 
-order_status memory_worker_fleet::carry_out(worker& it, const std::string& task, std::uint32_t run,
-                                            std::int64_t deadline_ms, std::uint64_t token)
+command_status memory_worker_fleet::carry_out(worker& it, const std::string& task,
+                                              std::uint32_t run, std::int64_t deadline_ms,
+                                              std::uint64_t token)
 {
     if (token < it.token) {
-        return order_status::fenced;
+        return command_status::fenced;
     }
     it.token = token;
     const auto ended = it.highest_ended.find(task);
     if (ended != it.highest_ended.end() && run <= ended->second) {
-        return order_status::superseded;
+        return command_status::superseded;
     }
     if (deadline_ms < clock_of(it)) {
-        return order_status::too_late;
+        return command_status::too_late;
     }
     if (it.runs.contains(task)) {
-        return order_status::accepted;
+        return command_status::accepted;
     }
     extend_lease(it, deadline_ms);
     run_entry entry;
@@ -167,13 +168,13 @@
     if (first) {
         check_lease(id);
     }
-    return order_status::accepted;
+    return command_status::accepted;
 }
 
-void memory_worker_fleet::start(const worker_report& target, const start_order& order,
-                                std::function<void(order_reply)> fn)
+void memory_worker_fleet::start(const worker_report& target, const start_command& command,
+                                std::function<void(command_reply)> fn)
 {
-    const start_order copy{order.task, order.run, {}, order.deadline_ms, order.token};
+    const start_command copy{command.task, command.run, {}, command.deadline_ms, command.token};
     timers_.schedule(hop, [this, id = target.id, copy, fn = std::move(fn)] {
         auto& it = workers_.at(id);
         const auto lose = [&] { timers_.schedule(reply_limit, [fn] { fn({}); }); };
@@ -199,7 +200,7 @@
 
 void memory_worker_fleet::stop(const worker_report& target, const std::string& task,
                                std::uint32_t run, std::uint64_t token,
-                               std::function<void(order_reply)> fn)
+                               std::function<void(command_reply)> fn)
 {
     timers_.schedule(hop, [this, id = target.id, task, run, token, fn = std::move(fn)] {
         auto& it = workers_.at(id);
@@ -207,9 +208,9 @@
             timers_.schedule(reply_limit, [fn] { fn({}); });
             return;
         }
-        auto status = order_status::accepted;
+        auto status = command_status::accepted;
         if (token < it.token) {
-            status = order_status::fenced;
+            status = command_status::fenced;
         }
         else {
             it.token = token;
@@ -224,12 +225,12 @@
     });
 }
 
-look_reply memory_worker_fleet::list(const worker& it) const
+poll_reply memory_worker_fleet::list(const worker& it) const
 {
-    look_reply out;
-    out.status = order_status::accepted;
+    poll_reply out;
+    out.status = command_status::accepted;
     out.clock_ms = clock_of(it);
-    out.born_ms = it.report.born_ms;
+    out.started_at_ms = it.report.started_at_ms;
     out.finished = it.finished;
     for (const auto& [task, run] : it.runs) {
         const auto elapsed = timers_.monotonic_now() - run.began;
@@ -249,34 +250,34 @@
     }
 }
 
-void memory_worker_fleet::look(const worker_report& target, const look_order& order,
-                               std::function<void(look_reply)> fn)
+void memory_worker_fleet::poll(const worker_report& target, const poll_command& command,
+                               std::function<void(poll_reply)> fn)
 {
-    timers_.schedule(hop, [this, id = target.id, order, fn = std::move(fn)] {
+    timers_.schedule(hop, [this, id = target.id, command, fn = std::move(fn)] {
         auto& it = workers_.at(id);
         if (it.fault.silent || draw(it.fault.lost_replies)) {
-            timers_.schedule(order.wait + reply_limit, [fn] { fn({}); });
+            timers_.schedule(command.wait + reply_limit, [fn] { fn({}); });
             return;
         }
-        if (order.token < it.token) {
-            look_reply fenced;
-            fenced.status = order_status::fenced;
+        if (command.token < it.token) {
+            poll_reply fenced;
+            fenced.status = command_status::fenced;
             timers_.schedule(hop, [fn, fenced] { fn(fenced); });
             return;
         }
-        it.token = order.token;
+        it.token = command.token;
         std::erase_if(it.finished,
-                      [&](const finished_row& row) { return row.number <= order.seen; });
-        if (order.deadline_ms >= 0) {
-            extend_lease(it, order.deadline_ms);
+                      [&](const finished_row& row) { return row.number <= command.last_seen_end; });
+        if (command.deadline_ms >= 0) {
+            extend_lease(it, command.deadline_ms);
         }
-        if (!it.finished.empty() || order.wait == duration::zero()) {
+        if (!it.finished.empty() || command.wait == duration::zero()) {
             timers_.schedule(hop, [fn, reply = list(it)] { fn(reply); });
             return;
         }
         const auto number = ++last_look_;
         it.waiting.push_back({number, fn});
-        timers_.schedule(order.wait, [this, id, number] {
+        timers_.schedule(command.wait, [this, id, number] {
             auto& worker = workers_.at(id);
             const auto row = std::ranges::find(worker.waiting, number, &waiting_look::id);
             if (row != worker.waiting.end()) {
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <functional>
 #include <map>
@@ -15,7 +15,7 @@
 // Workers in memory that follow the platform's contract for leased runs: fencing tokens, leases on
 // their own clock, ends kept until they are taken note of, no check of their room. It records what
 // a dispatcher must never do: start beyond a worker's room, or run a task twice at the same time.
-class memory_worker_fleet final : public worker_orders {
+class memory_worker_fleet final : public worker_commands {
 public:
     // What goes wrong at one worker.
     struct faults {
@@ -51,12 +51,12 @@
     std::size_t total_starts() const { return total_starts_; }
     const std::vector<std::string>& violations() const { return violations_; }
 
-    void start(const worker_report& worker, const start_order& order,
-               std::function<void(order_reply)> fn) override;
+    void start(const worker_report& worker, const start_command& command,
+               std::function<void(command_reply)> fn) override;
     void stop(const worker_report& worker, const std::string& task, std::uint32_t run,
-              std::uint64_t token, std::function<void(order_reply)> fn) override;
-    void look(const worker_report& worker, const look_order& order,
-              std::function<void(look_reply)> fn) override;
+              std::uint64_t token, std::function<void(command_reply)> fn) override;
+    void poll(const worker_report& worker, const poll_command& command,
+              std::function<void(poll_reply)> fn) override;
 
 private:
     struct run_entry {
@@ -68,7 +68,7 @@
     };
     struct waiting_look {
         std::uint64_t id = 0;
-        std::function<void(look_reply)> fn;
+        std::function<void(poll_reply)> fn;
     };
     struct worker {
         worker_report report;
@@ -85,12 +85,12 @@
     };
 
     std::int64_t clock_of(const worker& it) const;
-    order_status carry_out(worker& it, const std::string& task, std::uint32_t run,
-                           std::int64_t deadline_ms, std::uint64_t token);
+    command_status carry_out(worker& it, const std::string& task, std::uint32_t run,
+                             std::int64_t deadline_ms, std::uint64_t token);
     void end(worker& it, const std::string& task, run_end how);
     void extend_lease(worker& it, std::int64_t deadline_ms);
     void check_lease(const std::string& id);
-    look_reply list(const worker& it) const;
+    poll_reply list(const worker& it) const;
     void answer_waiting(worker& it);
     bool draw(double share);
 
--- a/tests/cell/dead_port.h
+++ b/tests/cell/black_hole_port.h
@@ -12,9 +12,9 @@
 
 // A port that never completes a handshake, like a machine without power: its queue of new
 // connections is full.
-class dead_port {
+class black_hole_port {
 public:
-    explicit dead_port(std::uint16_t port)
+    explicit black_hole_port(std::uint16_t port)
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -31,15 +31,15 @@
         }
     }
 
-    ~dead_port()
+    ~black_hole_port()
     {
         close(listener_);
         for (const int it : fillers_) {
             close(it);
         }
     }
-    dead_port(const dead_port&) = delete;
-    dead_port& operator=(const dead_port&) = delete;
+    black_hole_port(const black_hole_port&) = delete;
+    black_hole_port& operator=(const black_hole_port&) = delete;
 
 private:
     int listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/cell/cell_fixture.h
+++ b/tests/cell/cell_fixture.h
@@ -45,7 +45,7 @@
         controller = make_controller();
         controller->claim(token);
         timers.advance(20ms);
-        controller->note_workers_read(timers.monotonic_now());
+        controller->set_worker_list_time(timers.monotonic_now());
     }
 
     // The controller dies, and one that knows only the listed workers takes over.
@@ -56,12 +56,12 @@
         controller->set_workers(listed);
         controller->claim(2);
         timers.advance(20ms);
-        controller->note_workers_read(timers.monotonic_now());
+        controller->set_worker_list_time(timers.monotonic_now());
     }
 
     // Submits the started job as resumed after a controller that used the given workers, and checks
     // that nothing of it is started anew within 0.5 s, and that it is completed within 3 s.
-    void check_wait_for(const worker_set& used, job_request request)
+    void check_resumed_job_waits(const worker_set& used, job_request request)
     {
         using namespace std::chrono_literals;
         const auto id = request.id;
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -1,8 +1,8 @@
 #include "base/glib_timer_service.h"
+#include "black_hole_port.h"
+#include "cell/caller_request_handler.h"
 #include "cell/cell_service.h"
-#include "cell/front_desk.h"
 #include "cell_fixture.h"
-#include "dead_port.h"
 #include "stand_in/loopback_proxy.h"
 
 #include <glib.h>
@@ -56,7 +56,7 @@
             timers.schedule(5ms, [this, name] {
                 const auto found = members.find(name); // it may have been stopped meanwhile
                 if (found != members.end()) {
-                    found->second.cells->note_workers_read(timers.monotonic_now());
+                    found->second.cells->set_worker_list_time(timers.monotonic_now());
                 }
             });
         };
@@ -214,11 +214,11 @@
 // at once to go elsewhere.
 BOOST_AUTO_TEST_CASE(the_smaller_side_of_a_cut_leaves_the_workers_to_the_others)
 {
-    std::vector<std::unique_ptr<dead_port>> unreachable;
+    std::vector<std::unique_ptr<black_hole_port>> unreachable;
     for (int i = 0; i < 4; ++i) {
         const auto port = static_cast<std::uint16_t>(17480 + i);
         const auto name = fmt::format("other-{}", i);
-        unreachable.push_back(std::make_unique<dead_port>(port));
+        unreachable.push_back(std::make_unique<black_hole_port>(port));
         addresses[name] = {name, fmt::format("127.0.0.1:{}", port), i < 2 ? "dc" : "dc-2", 1.0, 1};
     }
     start("a", 17479);
@@ -230,10 +230,10 @@
     run_until([] { return false; }, 700ms);
 
     // Somebody out of touch has claimed the workers: they are left to that one.
-    look_order other;
+    poll_command other;
     other.token = std::numeric_limits<std::uint64_t>::max() / 2;
     for (const auto& it : fleet.reports()) {
-        fleet.look(it, other, [](const look_reply&) {});
+        fleet.poll(it, other, [](const poll_reply&) {});
     }
     BOOST_TEST(run_until([&] { return !cells.controls_any(); }, 2s));
     submit("a", cell_fixture::job("j2", 1));
@@ -246,11 +246,11 @@
 // power, because the first one up has already claimed its own cell. Some are not back yet.
 BOOST_AUTO_TEST_CASE(every_cell_is_claimed_at_once_after_a_common_start)
 {
-    std::vector<std::unique_ptr<dead_port>> unreachable;
+    std::vector<std::unique_ptr<black_hole_port>> unreachable;
     for (int i = 0; i < 2; ++i) {
         const auto port = static_cast<std::uint16_t>(17490 + i);
         const auto name = fmt::format("dark-{}", i);
-        unreachable.push_back(std::make_unique<dead_port>(port));
+        unreachable.push_back(std::make_unique<black_hole_port>(port));
         addresses[name] = {name, fmt::format("127.0.0.1:{}", port), "dc-3", 1.0, 1};
     }
     for (int i = 0; i < 130; ++i) { // too many for one cell
@@ -363,29 +363,29 @@
     fleet.work = [](const std::string&) { return duration{2s}; };
     start("a", 17471);
     BOOST_REQUIRE(run_until([&] { return controller() == "a"; }, 2s));
-    front_desk desk(timers, *members["a"].cells);
+    caller_request_handler desk(timers, *members["a"].cells);
     queue_table table;
     table.version = 1;
     table.routes.push_back({"host", "/q/", 5s, cell_fixture::job("", 1).terms});
     desk.set_queues(table);
-    std::map<std::string, desk_reply> replies;
+    std::map<std::string, caller_reply> replies;
     const auto hand_in = [&](const std::string& id) {
         submission order;
         order.request = cell_fixture::job(id, 1, 100ms);
         order.answer_at_end = true;
         desk.submit("host", "/q/" + id, order,
-                    [&replies, id](const desk_reply& it) { replies[id] = it; });
+                    [&replies, id](const caller_reply& it) { replies[id] = it; });
     };
     hand_in("open");
     BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
     desk.begin_drain(timers.monotonic_now() + 80ms);
     hand_in("late");
     BOOST_REQUIRE(replies.contains("late"));
-    BOOST_TEST((replies["late"].what == desk_reply::kind::not_run));
+    BOOST_TEST((replies["late"].what == caller_reply::kind::not_run));
     BOOST_TEST(fleet.total_starts() == 1U);
     desk.end_open_jobs();
     BOOST_REQUIRE(replies.contains("open"));
-    BOOST_TEST((replies["open"].what == desk_reply::kind::unknown_fate));
+    BOOST_TEST((replies["open"].what == caller_reply::kind::unknown_outcome));
     BOOST_TEST(run_until([&] { return fleet.running("w0") + fleet.running("w1") == 0; }, 500ms));
 }
 
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -1,7 +1,7 @@
 #include "cell/instance_mesh.h"
 
 #include "base/glib_timer_service.h"
-#include "dead_port.h"
+#include "black_hole_port.h"
 #include "stand_in/loopback_proxy.h"
 
 #include <boost/test/unit_test.hpp>
@@ -104,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(a_machine_that_opens_no_connection_is_down_before_the_silence_limit)
 {
     relay.reset();
-    const dead_port port(17503);
+    const black_hole_port port(17503);
     BOOST_TEST(run_until([this] { return !sees_b(); }, 300ms));
     BOOST_TEST(a->knows_state_of_all());
 }
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -95,7 +95,7 @@
     const auto all = fleet.reports();
     const auto used = controller->used_workers();
     move_control(std::span(all).first(2)); // there is room on them once the short tasks have ended
-    check_wait_for(used, job("j", 6, 800ms));
+    check_resumed_job_waits(used, job("j", 6, 800ms));
 }
 
 // Guards against the same where a new worker has taken the place of the one that the list lacks, so
@@ -113,7 +113,7 @@
     const auto used = controller->used_workers();
     const std::vector<worker_report> listed = {all[0], all[1], all[3]};
     move_control(listed);
-    check_wait_for(used, job("j", 6, 800ms));
+    check_resumed_job_waits(used, job("j", 6, 800ms));
 }
 
 // Guards against fronts that do not know of a worker on which tasks were started just before
@@ -126,7 +126,7 @@
     controller->set_workers(std::span(all).first(1));
     worker_set announced;
     std::size_t unannounced_starts = 0;
-    controller->on_use = [&] {
+    controller->on_used_workers_changed = [&] {
         unannounced_starts += fleet.running("w1");
         announced = controller->used_workers();
     };
@@ -137,7 +137,7 @@
     submit(job("b", 2));
     timers.advance(20ms);
     BOOST_TEST(fleet.running("w1") == 2U);
-    BOOST_TEST(announced.contains(worker_mark("w1")));
+    BOOST_TEST(announced.contains(worker_id_hash("w1")));
     BOOST_TEST(unannounced_starts == 0U);
 }
 
@@ -159,7 +159,7 @@
     BOOST_TEST(fleet.total_starts() == 4U);
     controller->set_workers(fleet.reports());
     timers.advance(20ms);
-    controller->note_workers_read(timers.monotonic_now());
+    controller->set_worker_list_time(timers.monotonic_now());
     timers.advance(2s);
     BOOST_TEST(ended("j", job_end::completed));
     BOOST_TEST(fleet.total_starts() == 4U);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -76,7 +76,7 @@
     BOOST_REQUIRE(good.has_value());
     BOOST_TEST(good->draining);
     BOOST_TEST(good->kind == "a");
-    BOOST_TEST(good->born_ms == 12);
+    BOOST_TEST(good->started_at_ms == 12);
     const char* bad[] = {"",
                          "\xff\xfe",
                          "{}",
@@ -96,19 +96,19 @@
     struct row {
         int status;
         const char* body;
-        order_status expected;
+        command_status expected;
     };
     const row rows[] = {
-        {200, R"({"clockMs":5})", order_status::accepted},
-        {409, R"({"clockMs":5,"reason":"fence"})", order_status::fenced},
-        {409, R"({"clockMs":5,"reason":"old"})", order_status::superseded},
-        {409, R"({"clockMs":5,"reason":"late"})", order_status::too_late},
-        {409, R"({"clockMs":5,"reason":"room"})", order_status::no_room},
-        {421, "", order_status::wrong_incarnation},
-        {503, "", order_status::unhealthy},
-        {400, "", order_status::invalid},
-        {500, "", order_status::reply_lost},
-        {502, "", order_status::reply_lost},
+        {200, R"({"clockMs":5})", command_status::accepted},
+        {409, R"({"clockMs":5,"reason":"fence"})", command_status::fenced},
+        {409, R"({"clockMs":5,"reason":"old"})", command_status::superseded},
+        {409, R"({"clockMs":5,"reason":"late"})", command_status::too_late},
+        {409, R"({"clockMs":5,"reason":"room"})", command_status::no_room},
+        {421, "", command_status::wrong_incarnation},
+        {503, "", command_status::unhealthy},
+        {400, "", command_status::invalid},
+        {500, "", command_status::reply_lost},
+        {502, "", command_status::reply_lost},
     };
     for (const auto& it : rows) {
         BOOST_TEST(static_cast<int>(decode_order_reply(it.status, it.body).status) ==
@@ -123,7 +123,7 @@
     const auto it =
         decode_look_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
         "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",1,"lapsed",""]]})");
-    BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(order_status::accepted));
+    BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(command_status::accepted));
     BOOST_REQUIRE(it.running.size() == 1U);
     BOOST_TEST(it.running[0].percent == 41);
     BOOST_REQUIRE(it.finished.size() == 2U);
@@ -131,7 +131,7 @@
     BOOST_TEST(static_cast<int>(it.finished[1].how) == static_cast<int>(run_end::lapsed));
     BOOST_TEST(it.finished_complete);
     const auto cut = decode_look_reply(200, R"({"clockMs":9,"run)");
-    BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(order_status::reply_lost));
+    BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(command_status::reply_lost));
 }
 
 // Guards against a configuration that is applied in part.
