--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -65,9 +65,9 @@
     // them is followed until it ends or its lease has lapsed.
     void set_workers(std::span<const worker_report> workers);
 
-    // Says that the list is as the platform had it at `asked_at` or later. A list from before the
-    // claim may lack workers that the controller before this one has used.
-    void set_worker_list_time(monotonic_time asked_at);
+    // Says that the list is as the platform had it at `read_started_at` or later. A list from
+    // before the claim may lack workers that the controller before this one has used.
+    void set_worker_list_time(monotonic_time read_started_at);
 
     // Takes a job; `fn` runs once. A second submission of an id joins the first: only the newest
     // answer function is called. `requester` names who has to stay in touch for the job to go on.
--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -24,18 +24,18 @@
 struct instance_view {
     std::string name;
     std::string data_centre;
-    double strength = 0; // share of a core that it has
+    double cpu_share = 0; // share of a core that it has
     bool alive = false;
     bool leaving = false;
     std::vector<cell_claim> claims{};
-    bool strained = false;   // gets too little processor time for its work
-    bool linked = true;      // its liveness is judged by an own link
-    bool refused = false;    // no process is there, but its machine can be reached
-    bool owes_reply = false; // its reply to a beat is late
+    bool overloaded = false;         // gets too little processor time for its work
+    bool linked = true;              // its liveness is judged by an own link
+    bool connection_refused = false; // no process is there, but its machine can be reached
+    bool reply_overdue = false;      // its reply to a beat is late
 };
 
 // Name of the cell of all workers, used while one controller can carry them.
-inline constexpr std::string_view whole_cell = "*";
+inline constexpr std::string_view all_workers_cell = "*";
 
 // Decides who controls a cell from what one instance sees. It needs no agreement: two controllers
 // of a cell are settled by the workers, which obey the higher token only, and this choice makes
@@ -44,32 +44,34 @@
 // to an instance that is not, unless that one is much weaker.
 class cell_election {
 public:
-    struct verdict {
+    struct decision {
         std::string controller;          // empty: none yet
         bool should_claim = false;       // this instance has to claim the cell
         std::uint64_t highest_token = 0; // of the claims to any cell
     };
 
     // `self` must be among the views. Claims of instances that are not alive do not count.
-    static verdict decide(std::string_view cell, std::string_view self,
-                          std::span<const instance_view> views);
+    static decision decide(std::string_view cell, std::string_view self,
+                           std::span<const instance_view> views);
 
     // True if `self` is on the smaller side of a data centre that is cut off: less than half of the
     // known instances are in touch, and none of another data centre. Such a side controls the cell
     // of its own data centre only, since the larger side controls the others.
-    static bool is_minority(std::string_view self, std::span<const instance_view> views);
+    static bool is_isolated_data_centre(std::string_view self,
+                                        std::span<const instance_view> views);
 
     // True if `self` reaches less than half of the instances that it links to. Of two equal sides
     // the one without the first of all by name counts as the smaller.
-    static bool is_smaller_side(std::string_view self, std::span<const instance_view> views);
+    static bool is_in_minority(std::string_view self, std::span<const instance_view> views);
 
     // True if `self` reaches more than half of the instances at home that it links to.
-    static bool reaches_home(std::string_view self, std::span<const instance_view> views);
+    static bool reaches_own_data_centre(std::string_view self,
+                                        std::span<const instance_view> views);
 
     // True if a controller of `cell` also controls the workers of `other`.
     static bool covers(std::string_view cell, std::string_view other)
     {
-        return cell == other || cell == whole_cell;
+        return cell == other || cell == all_workers_cell;
     }
 
     // Best candidate first: those that are not strained, those of the cell's data centre, the
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -3,9 +3,9 @@
 #include "base/timer_service.h"
 #include "cell/cell_controller.h"
 #include "cell/claim_probe.h"
-#include "cell/cut_watch.h"
 #include "cell/instance_mesh.h"
-#include "cell/side_watch.h"
+#include "cell/isolation_tracker.h"
+#include "cell/minority_tracker.h"
 
 #include <functional>
 #include <map>
@@ -18,7 +18,7 @@
 namespace cactusloom {
 
 // How closely an instance follows the list of workers.
-enum class worker_interest {
+enum class worker_list_mode {
     none,    // it brings jobs to others
     standby, // it may have to take control
     control,
@@ -42,14 +42,14 @@
     // Says that all instances that the platform lists are known to the mesh.
     void note_instances_known();
 
-    // Says that the list is as the platform had it at `asked_at` or later.
-    void set_worker_list_time(monotonic_time asked_at);
+    // Says that the list is as the platform had it at `read_started_at` or later.
+    void set_worker_list_time(monotonic_time read_started_at);
 
     // Called when this instance has claimed a cell and needs the newest list.
     std::function<void()> on_claim;
 
     // Called when the interest changes; it is `none` at first.
-    std::function<void(worker_interest)> on_interest;
+    std::function<void(worker_list_mode)> on_worker_list_mode;
 
     // Tells the other instances which configuration is in force here.
     void set_config_version(std::int64_t version);
@@ -63,7 +63,7 @@
     bool cancel(const std::string& job_id);
 
     // Answers all jobs of callers here with `outcome` and stops what runs of them.
-    void end_jobs(const job_outcome& outcome);
+    void end_all_jobs(const job_outcome& outcome);
     bool has_job(std::string_view job_id) const { return jobs_.contains(job_id); }
 
     // Hands control over and announces that this instance leaves.
@@ -82,36 +82,36 @@
     instance_mesh::message_handler on_other_message;
 
 private:
-    struct desk_job;
-    struct own_cell;
+    struct submitted_job;
+    struct controlled_cell;
 
     void tick();
     void evaluate();
-    void update_interest();
+    void update_worker_list_mode();
     void evaluate_cell(const std::string& cell, const std::vector<instance_view>& views);
     void probe(const std::string& cell, std::uint64_t above);
     void claim(const std::string& cell, std::uint64_t above);
     std::uint64_t next_token(std::uint64_t above) const;
-    void give_up(const std::string& cell);
+    void release_cell(const std::string& cell);
     void on_fenced(const std::string& cell);
     void announce();
-    bool is_settled() const;
+    bool is_ready_to_claim() const;
     bool is_contested(std::string_view cell) const;
-    std::vector<std::string> cells(cut_watch::phase cut) const;
-    std::vector<std::string> own_names() const;
+    std::vector<std::string> cells_to_control(isolation_tracker::phase cut) const;
+    std::vector<std::string> controlled_cell_names() const;
     std::vector<worker_report> workers_of(std::string_view cell) const;
-    void check_requesters();
+    void drop_lost_requesters();
 
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
-    void dispatch(desk_job& job, std::span<const instance_view> holders);
+    void dispatch(submitted_job& job, std::span<const instance_view> claim_holders);
     void redispatch();
     void on_outcome(const std::string& job_id, const std::string& controller,
                     const std::string& cell, const job_outcome& outcome);
     void finish(const std::string& job_id, const job_outcome& outcome);
     using ended_job = std::pair<std::string, job_outcome>;
-    std::vector<ended_job> hopeless_jobs() const;
+    std::vector<ended_job> unassigned_jobs_to_fail() const;
     std::vector<ended_job> overdue_jobs() const;
-    void give_up_jobs(const std::vector<ended_job>& jobs);
+    void fail_jobs(const std::vector<ended_job>& jobs);
     void on_message(const std::string& peer, const Json::Value& message,
                     const instance_mesh::sender& reply);
     void on_submit(const std::string& peer, const Json::Value& message,
@@ -122,16 +122,16 @@
     worker_commands& commands_;
     cell_settings settings_;
     std::vector<worker_report> workers_;
-    std::map<std::string, std::unique_ptr<own_cell>, std::less<>> own_cells_;
-    std::map<std::string, std::unique_ptr<desk_job>, std::less<>> jobs_;
+    std::map<std::string, std::unique_ptr<controlled_cell>, std::less<>> controlled_cells_;
+    std::map<std::string, std::unique_ptr<submitted_job>, std::less<>> jobs_;
     monotonic_time started_at_;
     std::int64_t config_version_ = -1;
     bool instances_known_ = false;
-    worker_interest interest_ = worker_interest::none;
+    worker_list_mode worker_list_mode_ = worker_list_mode::none;
     bool leaving_ = false;
-    bool split_ = false;
-    cut_watch cut_;
-    side_watch side_;
+    bool split_by_data_centre_ = false;
+    isolation_tracker isolation_;
+    minority_tracker minority_;
     std::map<std::string, std::unique_ptr<claim_probe>, std::less<>> probes_; // by cell
     timer_id tick_timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/cell/claim_probe.h
+++ b/include/cell/claim_probe.h
@@ -15,35 +15,35 @@
 // raised its own. Nothing is started or stopped.
 class claim_probe {
 public:
-    enum class finding {
-        nobody,   // the workers still obey the probe: they are free to be claimed
-        somebody, // they obey a higher token by now
+    enum class probe_result {
+        unclaimed,         // the workers still obey the probe: they are free to be claimed
+        claimed_elsewhere, // they obey a higher token by now
         no_reply,
     };
 
     // `done` runs once, later on the loop, with a token that the workers of the probe obeyed.
     claim_probe(timer_service& timers, worker_commands& commands,
                 std::vector<worker_report> workers, std::uint64_t token,
-                std::function<void(finding result, std::uint64_t token)> done);
+                std::function<void(probe_result result, std::uint64_t token)> done);
     ~claim_probe();
     claim_probe(const claim_probe&) = delete;
     claim_probe& operator=(const claim_probe&) = delete;
 
 private:
     void poll(void (claim_probe::*next)());
-    void after_first_look();
-    void after_second_look();
-    void finish(finding result);
+    void on_first_replies();
+    void on_second_replies();
+    void finish(probe_result result);
 
     timer_service& timers_;
     worker_commands& commands_;
     std::vector<worker_report> workers_;
     std::uint64_t token_;
-    std::function<void(finding, std::uint64_t)> done_;
-    std::size_t unanswered_ = 0;
+    std::function<void(probe_result, std::uint64_t)> done_;
+    std::size_t pending_replies_ = 0;
     std::size_t fenced_ = 0;
     std::vector<worker_report> accepted_;
-    int raises_ = 0;
+    int token_raises_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/cell/configuration_exchange.h
+++ b/include/cell/configuration_exchange.h
@@ -21,7 +21,7 @@
     configuration_exchange& operator=(const configuration_exchange&) = delete;
 
     // What is in force here from now on, as the platform has it; `offset` is that of its record.
-    void hold(std::int64_t version, std::string text, std::uint64_t offset);
+    void set_current(std::int64_t version, std::string text, std::uint64_t offset);
 
     // Returns false if the message is not about the configuration.
     bool on_message(const std::string& peer, const Json::Value& message,
@@ -29,11 +29,11 @@
 
     // Called with a text that a peer has passed on; the platform's records before `next_offset` are
     // not newer.
-    std::function<void(const std::string& text, std::uint64_t next_offset)> on_text;
+    std::function<void(const std::string& text, std::uint64_t next_offset)> on_configuration;
 
 private:
-    void schedule_ask(duration delay);
-    void ask();
+    void schedule_request(duration delay);
+    void request_newer();
 
     timer_service& timers_;
     instance_mesh& mesh_;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -3,7 +3,7 @@
 #include "base/timer_service.h"
 #include "cell/cell_election.h"
 #include "cell/control_candidates.h"
-#include "cell/strain_gauge.h"
+#include "cell/overload_detector.h"
 #include "net/frame_link.h"
 #include "net/poller.h"
 
@@ -23,7 +23,7 @@
     std::string name;
     std::string address; // "ip:port" of its link port
     std::string data_centre;
-    double strength = 0;
+    double cpu_share = 0;
     std::int64_t incarnation = 0; // Unix ms of its start
 };
 
@@ -47,13 +47,13 @@
     result<bool> listen(std::string_view address);
 
     // Adds or refreshes instances. Links follow from the next check on.
-    void learn(const std::vector<instance_address>& instances);
+    void update_instances(const std::vector<instance_address>& instances);
 
     // Asks an address for the instances that its process knows; for a start without the store.
-    void introduce(const std::string& address);
+    void discover_from(const std::string& address);
 
     // Forgets an instance that has not been listed for long and does not answer.
-    void forget(std::string_view name);
+    void remove_if_dead(std::string_view name);
 
     // What this instance announces from now on.
     void announce(std::vector<cell_claim> claims, bool leaving, std::int64_t config_version);
@@ -68,18 +68,18 @@
     std::vector<instance_view> linked_views() const;
 
     // Those in touch that hold claims and stay, which is all that a caller's job needs to know.
-    std::vector<instance_view> holders() const;
+    std::vector<instance_view> claim_holders() const;
 
     // True if this instance may control workers, so that it needs their list.
     bool is_candidate() const;
-    std::vector<instance_address> known() const;
+    std::vector<instance_address> known_instances() const;
     const instance_address& self() const { return self_; }
 
     // True if a peer has linked to this one and sent something within the silence limit.
-    bool hears(std::string_view peer) const;
+    bool has_heard_from(std::string_view peer) const;
 
     // True if a peer's reply to a beat is late. What is sent to it now may arrive late or never.
-    bool owes_reply(std::string_view peer) const;
+    bool reply_overdue(std::string_view peer) const;
 
     // True if every known candidate for control is in touch, has no process, because its machine
     // refuses connections, or cannot be reached. Then no unknown claim can exist in touch.
@@ -87,7 +87,7 @@
 
     // True if every peer in touch has started at about the same time as this instance or later: all
     // were down. After a cut, some of those on this side are older.
-    bool is_common_start() const;
+    bool is_cold_start() const;
 
     // Peers in touch with a newer configuration.
     std::vector<std::string> peers_with_newer_config(std::int64_t version) const;
@@ -103,29 +103,29 @@
     struct inbound;
 
     void check();
-    void excuse_pause(duration pause);
-    bool note_strain(duration late, duration elapsed);
+    void discount_pause(duration pause);
+    bool update_overload(duration late, duration elapsed);
     void update_link(peer& peer);
     void probe(peer& peer);
-    void hurry_link(peer& peer);
+    void reconnect_if_stalled(peer& peer);
     void open(peer& peer);
     void on_pong(peer& peer, const Json::Value& message);
-    bool note_state(peer& peer, const Json::Value& message);
+    bool apply_state(peer& peer, const Json::Value& message);
     void send_pings();
     void send_state();
     void ping(peer& peer);
-    bool is_close(const peer& peer) const;
-    duration slack_of(const peer& peer) const;
+    bool is_monitored_closely(const peer& peer) const;
+    duration extra_silence_allowed(const peer& peer) const;
     void accept(std::shared_ptr<tcp_stream> stream);
     void on_inbound(inbound& link, std::string_view text);
     bool is_alive(const peer& peer) const;
-    bool owes_reply(const peer& peer) const;
+    bool reply_overdue(const peer& peer) const;
     const std::set<std::string, std::less<>>& candidates() const;
     instance_view own_view() const;
     instance_view view_of(const std::string& name, const peer& peer) const;
-    bool note_lost(peer& peer, bool alive);
+    bool update_lost(peer& peer, bool alive);
     Json::Value own_state() const;
-    std::string beat_text(const char* kind, std::uint64_t& told_number) const;
+    std::string heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const;
 
     poller& events_;
     timer_service& timers_;
@@ -136,18 +136,18 @@
     mutable bool candidates_valid_ = false;
     bool was_candidate_ = false;
     std::set<std::shared_ptr<inbound>> inbound_;
-    std::map<std::string, monotonic_time, std::less<>> heard_;
-    std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> introductions_;
+    std::map<std::string, monotonic_time, std::less<>> last_heard_;
+    std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> discovery_links_;
     std::vector<cell_claim> claims_;
-    std::uint64_t state_number_ = 1; // rises with each announced change
-    mutable std::map<std::string, std::string> beats_with_state_; // by kind, of one state
-    mutable std::uint64_t beats_as_of_ = 0;                       // number of that state
+    std::uint64_t state_number_ = 1;                             // rises with each announced change
+    mutable std::map<std::string, std::string> heartbeat_cache_; // by kind, of one state
+    mutable std::uint64_t heartbeat_cache_number_ = 0;           // number of that state
     bool leaving_ = false;
     std::int64_t config_version_ = -1;
     timer_id check_timer_ = 0;
     int checks_ = 0;
     monotonic_time checked_at_;
-    strain_gauge strain_;
+    overload_detector overload_detector_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/cell/instance_registry.h
+++ b/include/cell/instance_registry.h
@@ -33,7 +33,7 @@
     keyed_log& log_;
     instance_mesh& mesh_;
     keyed_follower follower_;
-    std::map<std::string, monotonic_time> refreshed_;
+    std::map<std::string, monotonic_time> last_refresh_;
     timer_id write_timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/cell/side_watch.h
+++ b/include/cell/minority_tracker.h
@@ -9,28 +9,28 @@
 // from here takes those away from everybody else's jobs. Whoever is on the smaller side therefore
 // makes no claim without a probe, and none at all once the workers were seen to obey somebody who
 // is out of touch.
-class side_watch {
+class minority_tracker {
 public:
-    // `is_data_centre`: a data centre as a whole is cut off, and controls its own workers.
-    void update(bool is_smaller, bool is_data_centre, monotonic_time now);
+    // `isolated_data_centre`: a data centre as a whole is cut off, and controls its own workers.
+    void update(bool in_minority, bool isolated_data_centre, monotonic_time now);
 
-    bool is_smaller() const { return since_ != monotonic_time{}; }
+    bool in_minority() const { return since_ != monotonic_time{}; }
 
     // The workers obey somebody who is out of touch.
-    void note_fenced() { fenced_ = is_smaller(); }
+    void note_fenced() { fenced_ = in_minority(); }
     bool is_fenced() const { return fenced_; }
 
     // True for a short while after the end of a cut, until the other side has said what it
     // controls.
-    bool is_ending(monotonic_time now) const;
+    bool is_rejoining(monotonic_time now) const;
 
     // True if jobs that nobody in touch controls will not be served here in time.
-    bool is_hopeless(monotonic_time now) const;
+    bool should_fail_unassigned_jobs(monotonic_time now) const;
 
 private:
     monotonic_time since_;    // zero: on the larger side
     monotonic_time ended_at_; // zero: never on the smaller side
-    bool is_data_centre_ = false;
+    bool isolated_data_centre_ = false;
     bool fenced_ = false;
 };
 
--- a/include/cell/strain_gauge.h
+++ b/include/cell/overload_detector.h
@@ -6,17 +6,17 @@
 
 // Tells from how late a periodic timer fires whether this process gets too little processor time
 // for its work: the machine has turned slow or the work is too much. One long pause does not count.
-class strain_gauge {
+class overload_detector {
 public:
     // The timer has fired `late` after its time, `elapsed` after it fired last.
-    void note(duration late, duration elapsed, monotonic_time now);
+    void add_sample(duration late, duration elapsed, monotonic_time now);
 
-    bool is_strained() const { return strained_; }
+    bool is_overloaded() const { return overloaded_; }
 
 private:
     double late_share_ = 0; // smoothed
-    bool strained_ = false;
-    monotonic_time last_high_at_;
+    bool overloaded_ = false;
+    monotonic_time last_busy_at_;
 };
 
 } // namespace cactusloom
--- a/include/cell/worker_registry.h
+++ b/include/cell/worker_registry.h
@@ -22,7 +22,7 @@
 
     // Takes out workers whose entry has been missing for too long. Call after each successful
     // read. Returns true if any went.
-    bool expire(monotonic_time store_calm_since);
+    bool expire(monotonic_time store_healthy_since);
 
     std::vector<worker_report> list() const;
     std::size_t size() const { return entries_.size(); }
--- a/src/cell/caller_request_handler.cpp
+++ b/src/cell/caller_request_handler.cpp
@@ -131,7 +131,7 @@
 
 void caller_request_handler::end_open_jobs()
 {
-    cells_.end_jobs({job_end::unknown, {}, "the instance stops"});
+    cells_.end_all_jobs({job_end::unknown, {}, "the instance stops"});
 }
 
 void caller_request_handler::on_caller_disconnected(const std::string& job_id)
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -103,9 +103,9 @@
     state_->set_workers(workers);
 }
 
-void cell_controller::set_worker_list_time(monotonic_time asked_at)
+void cell_controller::set_worker_list_time(monotonic_time read_started_at)
 {
-    state_->worker_list_time = asked_at;
+    state_->worker_list_time = read_started_at;
     state_->schedule_start_pass();
 }
 
--- a/src/cell/cell_election.cpp
+++ b/src/cell/cell_election.cpp
@@ -25,7 +25,7 @@
 // cut are not given up at one moment; until then all of them owe a reply.
 bool is_reached(const instance_view& it, std::string_view self)
 {
-    return it.name == self || it.refused || (it.alive && !it.owes_reply);
+    return it.name == self || it.connection_refused || (it.alive && !it.reply_overdue);
 }
 
 } // namespace
@@ -33,26 +33,26 @@
 bool cell_election::ranks_before(std::string_view cell, const instance_view& a,
                                  const instance_view& b)
 {
-    if (a.strained != b.strained) {
-        return b.strained;
+    if (a.overloaded != b.overloaded) {
+        return b.overloaded;
     }
     const bool a_home = a.data_centre == cell;
     const bool b_home = b.data_centre == cell;
     if (a_home != b_home) {
         return a_home;
     }
-    if (a.strength != b.strength) {
-        return a.strength > b.strength;
+    if (a.cpu_share != b.cpu_share) {
+        return a.cpu_share > b.cpu_share;
     }
     const auto a_hash = hash64(a.name, hash64(cell));
     const auto b_hash = hash64(b.name, hash64(cell));
     return a_hash != b_hash ? a_hash < b_hash : a.name < b.name;
 }
 
-cell_election::verdict cell_election::decide(std::string_view cell, std::string_view self,
-                                             std::span<const instance_view> views)
+cell_election::decision cell_election::decide(std::string_view cell, std::string_view self,
+                                              std::span<const instance_view> views)
 {
-    verdict out;
+    decision out;
     const instance_view* holder = nullptr;
     const instance_view* best = nullptr;
     for (const auto& it : views) {
@@ -70,9 +70,9 @@
             best = &it;
         }
     }
-    const bool relieved = holder != nullptr && holder->strained && best != nullptr &&
-                          !best->strained &&
-                          best->strength >= least_relief_strength * holder->strength;
+    const bool relieved = holder != nullptr && holder->overloaded && best != nullptr &&
+                          !best->overloaded &&
+                          best->cpu_share >= least_relief_strength * holder->cpu_share;
     if (holder != nullptr && !relieved) {
         out.controller = holder->name;
         return out;
@@ -81,7 +81,8 @@
     return out;
 }
 
-bool cell_election::is_minority(std::string_view self, std::span<const instance_view> views)
+bool cell_election::is_isolated_data_centre(std::string_view self,
+                                            std::span<const instance_view> views)
 {
     const auto own = std::ranges::find(views, self, &instance_view::name);
     if (own == views.end()) {
@@ -100,7 +101,7 @@
     return knows_others && static_cast<std::size_t>(alive) * 2 < views.size();
 }
 
-bool cell_election::is_smaller_side(std::string_view self, std::span<const instance_view> views)
+bool cell_election::is_in_minority(std::string_view self, std::span<const instance_view> views)
 {
     constexpr std::size_t fewest_others = 2; // a single one is rather down than out of touch
     std::size_t known = 0;
@@ -119,7 +120,8 @@
     return reached * 2 < known || (reached * 2 == known && !is_reached(*first, self));
 }
 
-bool cell_election::reaches_home(std::string_view self, std::span<const instance_view> views)
+bool cell_election::reaches_own_data_centre(std::string_view self,
+                                            std::span<const instance_view> views)
 {
     const auto own = std::ranges::find(views, self, &instance_view::name);
     std::size_t at_home = 0;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -1,7 +1,7 @@
 #include "cell/cell_service.h"
 
 #include "cell/mesh_codec.h"
-#include "cell_service_parts.h"
+#include "cell_service_internal.h"
 
 namespace cactusloom {
 
@@ -13,7 +13,7 @@
 
 cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                            const cell_settings& settings)
-    : on_claim([] {}), on_interest([](worker_interest) {}),
+    : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
       on_other_message([](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
       started_at_(timers.monotonic_now())
@@ -47,9 +47,9 @@
     tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
     evaluate();
     announce(); // the number of workers that obey changes after a claim
-    check_requesters();
-    give_up_jobs(hopeless_jobs());
-    give_up_jobs(overdue_jobs());
+    drop_lost_requesters();
+    fail_jobs(unassigned_jobs_to_fail());
+    fail_jobs(overdue_jobs());
 }
 
 cell_service::~cell_service()
@@ -61,7 +61,7 @@
 void cell_service::set_workers(std::vector<worker_report> workers)
 {
     workers_ = std::move(workers);
-    for (auto& [cell, own] : own_cells_) {
+    for (auto& [cell, own] : controlled_cells_) {
         own->controller->set_workers(workers_of(cell));
     }
 }
@@ -69,13 +69,13 @@
 void cell_service::note_instances_known()
 {
     instances_known_ = true;
-    update_interest();
+    update_worker_list_mode();
 }
 
-void cell_service::set_worker_list_time(monotonic_time asked_at)
+void cell_service::set_worker_list_time(monotonic_time read_started_at)
 {
-    for (auto& [cell, own] : own_cells_) {
-        own->controller->set_worker_list_time(asked_at);
+    for (auto& [cell, own] : controlled_cells_) {
+        own->controller->set_worker_list_time(read_started_at);
     }
 }
 
@@ -93,8 +93,8 @@
         on_submit(peer, message, reply);
     }
     else if (kind == "abandon") {
-        const auto own = own_cells_.find(message["cell"].asString());
-        if (own != own_cells_.end()) {
+        const auto own = controlled_cells_.find(message["cell"].asString());
+        if (own != controlled_cells_.end()) {
             own->second->controller->abandon(message["id"].asString());
         }
     }
@@ -121,8 +121,8 @@
         out["outcome"] = encode_outcome(outcome);
         reply(out);
     };
-    const auto own = own_cells_.find(cell);
-    if (own == own_cells_.end()) {
+    const auto own = controlled_cells_.find(cell);
+    if (own == controlled_cells_.end()) {
         respond({job_end::moved, {}, "not in control"});
         return;
     }
@@ -133,7 +133,7 @@
 std::size_t cell_service::pending_jobs(std::string_view queue) const
 {
     std::size_t n = 0;
-    for (const auto& [cell, own] : own_cells_) {
+    for (const auto& [cell, own] : controlled_cells_) {
         n += own->controller->pending_jobs(queue);
     }
     return n;
@@ -142,7 +142,7 @@
 cell_counts cell_service::counts() const
 {
     cell_counts sum;
-    for (const auto& [cell, own] : own_cells_) {
+    for (const auto& [cell, own] : controlled_cells_) {
         sum += own->controller->counts();
     }
     return sum;
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -1,6 +1,6 @@
 // Which cells this instance controls: claims, takeovers and handovers.
 #include "base/hash.h"
-#include "cell_service_parts.h"
+#include "cell_service_internal.h"
 #include "claim_token.h"
 
 #include <algorithm>
@@ -19,27 +19,27 @@
 // A worker that is down or replaced does not hide what the others say.
 constexpr std::size_t probed_workers = 3;
 
-const char* to_string(claim_probe::finding result)
+const char* to_string(claim_probe::probe_result result)
 {
     switch (result) {
-    case claim_probe::finding::nobody:
+    case claim_probe::probe_result::unclaimed:
         return "nobody";
-    case claim_probe::finding::somebody:
+    case claim_probe::probe_result::claimed_elsewhere:
         return "somebody";
-    case claim_probe::finding::no_reply:
+    case claim_probe::probe_result::no_reply:
         return "no_reply";
     }
     return "";
 }
 
-const char* to_string(worker_interest interest)
+const char* to_string(worker_list_mode list_mode)
 {
-    switch (interest) {
-    case worker_interest::none:
+    switch (list_mode) {
+    case worker_list_mode::none:
         return "none";
-    case worker_interest::standby:
+    case worker_list_mode::standby:
         return "standby";
-    case worker_interest::control:
+    case worker_list_mode::control:
         return "control";
     }
     return "";
@@ -50,7 +50,7 @@
 // True if an instance in touch claims workers of this cell too.
 bool cell_service::is_contested(std::string_view cell) const
 {
-    for (const auto& view : mesh_.holders()) {
+    for (const auto& view : mesh_.claim_holders()) {
         if (view.name == mesh_.self().name) {
             continue;
         }
@@ -63,13 +63,13 @@
     return false;
 }
 
-std::vector<std::string> cell_service::cells(cut_watch::phase cut) const
+std::vector<std::string> cell_service::cells_to_control(isolation_tracker::phase isolated) const
 {
-    if (cut != cut_watch::phase::whole) {
+    if (isolated != isolation_tracker::phase::connected) {
         return {mesh_.self().data_centre};
     }
-    if (!split_) {
-        return {std::string(whole_cell)};
+    if (!split_by_data_centre_) {
+        return {std::string(all_workers_cell)};
     }
     std::set<std::string> names;
     for (const auto& it : workers_) {
@@ -82,32 +82,35 @@
 {
     std::vector<worker_report> out;
     std::ranges::copy_if(workers_, std::back_inserter(out), [&](const worker_report& it) {
-        return cell == whole_cell || it.data_centre == cell;
+        return cell == all_workers_cell || it.data_centre == cell;
     });
     return out;
 }
 
 void cell_service::evaluate()
 {
-    update_interest();
+    update_worker_list_mode();
     const auto now = timers_.monotonic_now();
     // The links to other data centres take longer than those at home.
     const bool linked = now - started_at_ >= election_grace;
     const auto reached = mesh_.linked_views();
-    const bool is_cut = linked && cell_election::is_minority(mesh_.self().name, reached) &&
-                        cell_election::reaches_home(mesh_.self().name, reached);
-    side_.update(linked && cell_election::is_smaller_side(mesh_.self().name, reached), is_cut, now);
-    if (!side_.is_smaller()) {
+    const bool is_cut = linked &&
+                        cell_election::is_isolated_data_centre(mesh_.self().name, reached) &&
+                        cell_election::reaches_own_data_centre(mesh_.self().name, reached);
+    minority_.update(linked && cell_election::is_in_minority(mesh_.self().name, reached), is_cut,
+                     now);
+    if (!minority_.in_minority()) {
         probes_.clear();
     }
-    if (!leaving_ && mesh_.is_candidate() && is_settled() && !workers_.empty()) {
-        split_ =
-            workers_.size() > (split_ ? min_workers_of_split_cells : max_workers_of_whole_cell);
+    if (!leaving_ && mesh_.is_candidate() && is_ready_to_claim() && !workers_.empty()) {
+        split_by_data_centre_ =
+            workers_.size() >
+            (split_by_data_centre_ ? min_workers_of_split_cells : max_workers_of_whole_cell);
         const auto views = mesh_.views();
-        const auto names = cells(cut_.update(is_cut, now));
-        for (const auto& cell : own_names()) {
+        const auto names = cells_to_control(isolation_.update(is_cut, now));
+        for (const auto& cell : controlled_cell_names()) {
             if (std::ranges::find(names, cell) == names.end()) {
-                give_up(cell);
+                release_cell(cell);
             }
         }
         for (const auto& cell : names) {
@@ -119,50 +122,50 @@
 
 // Instances that cannot get control do not read the list of workers: together they would read more
 // than the platform's store can send.
-void cell_service::update_interest()
+void cell_service::update_worker_list_mode()
 {
-    auto interest = worker_interest::none;
-    if (!own_cells_.empty()) {
-        interest = worker_interest::control;
+    auto list_mode = worker_list_mode::none;
+    if (!controlled_cells_.empty()) {
+        list_mode = worker_list_mode::control;
     }
     else if (instances_known_ && !leaving_ && mesh_.is_candidate()) {
-        interest = worker_interest::standby;
+        list_mode = worker_list_mode::standby;
     }
-    if (std::exchange(interest_, interest) != interest) {
-        log_event("worker_interest", "level={}", to_string(interest));
-        on_interest(interest);
+    if (std::exchange(worker_list_mode_, list_mode) != list_mode) {
+        log_event("worker_interest", "level={}", to_string(list_mode));
+        on_worker_list_mode(list_mode);
     }
 }
 
 // A starting instance first hears who controls what. It waits no longer than until it knows the
 // state of all others, if nobody in touch controls anything or all of them have just started. Else
 // an instance that it does not reach may control the rest.
-bool cell_service::is_settled() const
+bool cell_service::is_ready_to_claim() const
 {
     return timers_.monotonic_now() - started_at_ >= election_grace ||
            (instances_known_ && mesh_.knows_state_of_all() &&
-            (!has_controller() || mesh_.is_common_start()));
+            (!has_controller() || mesh_.is_cold_start()));
 }
 
 void cell_service::evaluate_cell(const std::string& cell, const std::vector<instance_view>& views)
 {
     const auto& self = mesh_.self();
-    const auto verdict = cell_election::decide(cell, self.name, views);
-    const bool own = own_cells_.contains(cell);
-    if (own && verdict.controller != self.name) {
-        log_event("cell_yielded", "cell={} to={}", cell, verdict.controller);
-        give_up(cell);
+    const auto decision = cell_election::decide(cell, self.name, views);
+    const bool own = controlled_cells_.contains(cell);
+    if (own && decision.controller != self.name) {
+        log_event("cell_yielded", "cell={} to={}", cell, decision.controller);
+        release_cell(cell);
         return;
     }
-    if (own || !verdict.should_claim || cut_.at() == cut_watch::phase::ending ||
-        side_.is_fenced() || side_.is_ending(timers_.monotonic_now())) {
+    if (own || !decision.should_claim || isolation_.at() == isolation_tracker::phase::rejoining ||
+        minority_.is_fenced() || minority_.is_rejoining(timers_.monotonic_now())) {
         return;
     }
-    if (side_.is_smaller() && cut_.at() != cut_watch::phase::cut) {
-        probe(cell, verdict.highest_token);
+    if (minority_.in_minority() && isolation_.at() != isolation_tracker::phase::isolated) {
+        probe(cell, decision.highest_token);
     }
     else {
-        claim(cell, verdict.highest_token);
+        claim(cell, decision.highest_token);
     }
 }
 
@@ -182,14 +185,14 @@
     log_event("cell_probed", "cell={} workers={}", cell, some.size());
     running = std::make_unique<claim_probe>(
         timers_, commands_, std::move(some), next_token(above),
-        [this, cell](claim_probe::finding result, std::uint64_t token) {
+        [this, cell](claim_probe::probe_result result, std::uint64_t token) {
             const auto done = std::move(probes_[cell]);
             probes_.erase(cell);
             log_event("cell_probe_ended", "cell={} found={}", cell, to_string(result));
-            if (result == claim_probe::finding::somebody) {
-                side_.note_fenced();
+            if (result == claim_probe::probe_result::claimed_elsewhere) {
+                minority_.note_fenced();
             }
-            else if (result == claim_probe::finding::nobody && !leaving_ &&
+            else if (result == claim_probe::probe_result::unclaimed && !leaving_ &&
                      cell_election::decide(cell, mesh_.self().name, mesh_.views()).should_claim) {
                 claim(cell, token);
             }
@@ -201,18 +204,18 @@
     const auto wall =
         std::chrono::duration_cast<std::chrono::milliseconds>(timers_.wall_now().time_since_epoch())
             .count();
-    constexpr std::uint64_t low_bits = (std::uint64_t{1} << token_shift) - 1;
+    constexpr std::uint64_t low_bits = (std::uint64_t{1} << token_time_shift) - 1;
     const auto own_bits = hash64(mesh_.self().name) & low_bits;
-    return std::max((static_cast<std::uint64_t>(wall) << token_shift) | own_bits,
+    return std::max((static_cast<std::uint64_t>(wall) << token_time_shift) | own_bits,
                     above + 1 + own_bits);
 }
 
 void cell_service::claim(const std::string& cell, std::uint64_t above)
 {
     const auto token = next_token(above);
-    auto& own = own_cells_[cell];
+    auto& own = controlled_cells_[cell];
     if (!own) {
-        own = std::make_unique<own_cell>();
+        own = std::make_unique<controlled_cell>();
         own->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
         own->controller->on_fenced = [this, cell] { on_fenced(cell); };
         own->controller->on_used_workers_changed = [this] { announce(); };
@@ -221,7 +224,7 @@
     own->token = token;
     own->controller->claim(token);
     announce();
-    update_interest();
+    update_worker_list_mode();
     on_claim();
 }
 
@@ -229,8 +232,8 @@
 // higher token is a leftover or belongs to the smaller side of a cut.
 void cell_service::on_fenced(const std::string& cell)
 {
-    const auto found = own_cells_.find(cell);
-    if (found == own_cells_.end() || std::exchange(found->second->fenced, true)) {
+    const auto found = controlled_cells_.find(cell);
+    if (found == controlled_cells_.end() || std::exchange(found->second->fenced, true)) {
         return;
     }
     timers_.schedule(fence_pause, [this, cell, alive = alive_] {
@@ -238,37 +241,37 @@
             return;
         }
         evaluate();
-        const auto it = own_cells_.find(cell);
-        if (it == own_cells_.end()) {
+        const auto it = controlled_cells_.find(cell);
+        if (it == controlled_cells_.end()) {
             return;
         }
         it->second->fenced = false;
         if (is_contested(cell)) {
             return; // one of the two gives way soon; the next look tells
         }
-        if (side_.is_smaller()) {
+        if (minority_.in_minority()) {
             log_event("cell_yielded", "cell={} to=\"somebody out of touch\"", cell);
-            side_.note_fenced();
-            give_up(cell);
+            minority_.note_fenced();
+            release_cell(cell);
             return;
         }
         log_event("token_raised", "cell={} from={}", cell, it->second->token);
         const auto seen = cell_election::decide(cell, mesh_.self().name, mesh_.views());
-        claim(cell, std::max(it->second->token + fence_step, seen.highest_token));
+        claim(cell, std::max(it->second->token + token_raise_step, seen.highest_token));
     });
 }
 
-void cell_service::give_up(const std::string& cell)
+void cell_service::release_cell(const std::string& cell)
 {
-    const auto it = own_cells_.find(cell);
-    if (it == own_cells_.end()) {
+    const auto it = controlled_cells_.find(cell);
+    if (it == controlled_cells_.end()) {
         return;
     }
-    const auto own = std::shared_ptr<own_cell>(std::move(it->second));
-    own_cells_.erase(it);
+    const auto own = std::shared_ptr<controlled_cell>(std::move(it->second));
+    controlled_cells_.erase(it);
     announce();
     own->controller->release();
-    update_interest();
+    update_worker_list_mode();
     // Deferred: the controller may be on the call stack.
     timers_.schedule(duration::zero(), [own] {});
 }
@@ -276,7 +279,7 @@
 void cell_service::announce()
 {
     std::vector<cell_claim> claims;
-    for (const auto& [cell, own] : own_cells_) {
+    for (const auto& [cell, own] : controlled_cells_) {
         claims.push_back({cell, own->token, own->controller->used_workers()});
     }
     mesh_.announce(std::move(claims), leaving_, config_version_);
@@ -285,17 +288,17 @@
 void cell_service::leave()
 {
     leaving_ = true;
-    for (const auto& cell : own_names()) {
-        give_up(cell);
+    for (const auto& cell : controlled_cell_names()) {
+        release_cell(cell);
     }
     announce();
 }
 
 // A copy, for loops that give cells up.
-std::vector<std::string> cell_service::own_names() const
+std::vector<std::string> cell_service::controlled_cell_names() const
 {
     std::vector<std::string> names;
-    for (const auto& [cell, own] : own_cells_) {
+    for (const auto& [cell, own] : controlled_cells_) {
         names.push_back(cell);
     }
     return names;
@@ -303,22 +306,22 @@
 
 bool cell_service::controls_any() const
 {
-    return !own_cells_.empty();
+    return !controlled_cells_.empty();
 }
 
 bool cell_service::has_controller() const
 {
-    return !mesh_.holders().empty();
+    return !mesh_.claim_holders().empty();
 }
 
 // Stops the jobs of instances that are out of touch. Their fronts wait longer than this before
 // they let the callers' tasks start elsewhere.
-void cell_service::check_requesters()
+void cell_service::drop_lost_requesters()
 {
-    for (auto& row : own_cells_) {
+    for (auto& row : controlled_cells_) {
         auto& own = *row.second;
         std::erase_if(own.requesters, [&](const std::string& requester) {
-            if (mesh_.hears(requester)) {
+            if (mesh_.has_heard_from(requester)) {
                 return false;
             }
             log_event("requester_lost", "instance={} cell={}", requester, row.first);
--- a/src/cell/cell_service_parts.h
+++ b/src/cell/cell_service_internal.h
@@ -8,7 +8,7 @@
 namespace cactusloom {
 
 // A caller's job from its submission here until its answer.
-struct cell_service::desk_job {
+struct cell_service::submitted_job {
     job_request request;
     answer fn;
     std::string controller; // empty: waits for one
@@ -45,7 +45,7 @@
 };
 
 // A cell that this instance controls.
-struct cell_service::own_cell {
+struct cell_service::controlled_cell {
     std::unique_ptr<cell_controller> controller;
     std::uint64_t token = 0;
     bool fenced = false;
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -1,7 +1,7 @@
 // The jobs of this instance's callers: from submission through changes of control to the answer.
 #include "cell/mesh_codec.h"
 #include "cell_choice.h"
-#include "cell_service_parts.h"
+#include "cell_service_internal.h"
 
 namespace cactusloom {
 
@@ -26,13 +26,13 @@
         job->deadline = std::max(job->deadline, now + request.time_left);
         return;
     }
-    job = std::make_unique<desk_job>();
+    job = std::make_unique<submitted_job>();
     job->fn = std::move(fn);
     job->arrived = now;
     job->deadline = now + request.time_left;
     job->request = std::move(request);
-    dispatch(*job, mesh_.holders());
-    give_up_jobs(hopeless_jobs());
+    dispatch(*job, mesh_.claim_holders());
+    fail_jobs(unassigned_jobs_to_fail());
 }
 
 void cell_service::abandon(const std::string& job_id)
@@ -45,7 +45,7 @@
     const auto cell = it->second->cell;
     jobs_.erase(it);
     if (controller == mesh_.self().name) {
-        if (const auto own = own_cells_.find(cell); own != own_cells_.end()) {
+        if (const auto own = controlled_cells_.find(cell); own != controlled_cells_.end()) {
             own->second->controller->abandon(job_id);
         }
     }
@@ -76,7 +76,7 @@
     fn(outcome);
 }
 
-void cell_service::end_jobs(const job_outcome& outcome)
+void cell_service::end_all_jobs(const job_outcome& outcome)
 {
     std::vector<std::string> ids;
     for (const auto& [id, job] : jobs_) {
@@ -92,7 +92,7 @@
     }
 }
 
-void cell_service::dispatch(desk_job& job, std::span<const instance_view> holders)
+void cell_service::dispatch(submitted_job& job, std::span<const instance_view> claim_holders)
 {
     const auto& self = mesh_.self();
     const auto now = timers_.monotonic_now();
@@ -100,11 +100,11 @@
     // none of them does any more, and any controller may start anew.
     const bool bound = job.sent && now - job.lost_at < lost_job_quarantine;
     const auto [target, target_claim] =
-        choose_cell(holders, {job.request.id, self.data_centre, job.refused_by,
-                              bound ? std::string_view(job.sent_cell) : std::string_view()});
+        choose_cell(claim_holders, {job.request.id, self.data_centre, job.refused_by,
+                                    bound ? std::string_view(job.sent_cell) : std::string_view()});
     // A job that waits here for a late reply is free to go to the next controller; one that was
     // sent is bound to the workers of the silent one.
-    if (target == nullptr || mesh_.owes_reply(target->name)) {
+    if (target == nullptr || mesh_.reply_overdue(target->name)) {
         return;
     }
     if (!bound) {
@@ -121,8 +121,8 @@
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
     if (target->name == self.name) {
-        const auto own = own_cells_.find(target_claim->cell);
-        if (own == own_cells_.end()) {
+        const auto own = controlled_cells_.find(target_claim->cell);
+        if (own == controlled_cells_.end()) {
             return;
         }
         job.send_to(target->name, *target_claim);
@@ -149,9 +149,9 @@
     if (jobs_.empty()) {
         return;
     }
-    const auto holders = mesh_.holders();
+    const auto claim_holders = mesh_.claim_holders();
     std::map<std::pair<std::string_view, std::string_view>, const shared_worker_set*> claimed;
-    for (const auto& view : holders) {
+    for (const auto& view : claim_holders) {
         for (const auto& it : view.claims) {
             claimed[{view.name, it.cell}] = &it.workers;
         }
@@ -173,7 +173,7 @@
     }
     for (const auto& id : waiting) {
         if (const auto it = jobs_.find(id); it != jobs_.end()) {
-            dispatch(*it->second, holders);
+            dispatch(*it->second, claim_holders);
         }
     }
 }
@@ -198,8 +198,8 @@
     if (outcome.end == job_end::not_run) {
         job.refused_by.insert(cell);
         job.controller.clear();
-        job.sent = false;               // it has certainly not run there
-        dispatch(job, mesh_.holders()); // may end the job at once
+        job.sent = false;                     // it has certainly not run there
+        dispatch(job, mesh_.claim_holders()); // may end the job at once
         const auto left = jobs_.find(job_id);
         if (left != jobs_.end() && left->second->controller.empty()) {
             finish(job_id, outcome);
@@ -222,10 +222,10 @@
 
 // Jobs that no controller in touch has, once this instance is on the smaller side of a cut. It
 // cannot say when it will be able to serve; other instances can at once.
-std::vector<cell_service::ended_job> cell_service::hopeless_jobs() const
+std::vector<cell_service::ended_job> cell_service::unassigned_jobs_to_fail() const
 {
     std::vector<ended_job> out;
-    if (side_.is_hopeless(timers_.monotonic_now())) {
+    if (minority_.should_fail_unassigned_jobs(timers_.monotonic_now())) {
         for (const auto& [id, job] : jobs_) {
             if (job->controller.empty()) {
                 out.emplace_back(
@@ -257,7 +257,7 @@
     return out;
 }
 
-void cell_service::give_up_jobs(const std::vector<ended_job>& jobs)
+void cell_service::fail_jobs(const std::vector<ended_job>& jobs)
 {
     for (const auto& [id, outcome] : jobs) {
         log_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
--- a/src/cell/claim_probe.cpp
+++ b/src/cell/claim_probe.cpp
@@ -18,11 +18,11 @@
 
 claim_probe::claim_probe(timer_service& timers, worker_commands& commands,
                          std::vector<worker_report> workers, std::uint64_t token,
-                         std::function<void(finding, std::uint64_t)> done)
+                         std::function<void(probe_result, std::uint64_t)> done)
     : timers_(timers), commands_(commands), workers_(std::move(workers)), token_(token),
       done_(std::move(done))
 {
-    poll(&claim_probe::after_first_look);
+    poll(&claim_probe::on_first_replies);
 }
 
 claim_probe::~claim_probe()
@@ -32,11 +32,11 @@
 
 void claim_probe::poll(void (claim_probe::*next)())
 {
-    unanswered_ = workers_.size();
+    pending_replies_ = workers_.size();
     fenced_ = 0;
     accepted_.clear();
     if (workers_.empty()) {
-        finish(finding::no_reply);
+        finish(probe_result::no_reply);
         return;
     }
     poll_command command;
@@ -52,44 +52,44 @@
             else if (reply.status == command_status::fenced) {
                 ++fenced_;
             }
-            if (--unanswered_ == 0) {
+            if (--pending_replies_ == 0) {
                 (this->*next)();
             }
         });
     }
 }
 
-void claim_probe::after_first_look()
+void claim_probe::on_first_replies()
 {
     if (!accepted_.empty()) {
         timers_.schedule(reaction_time, [this, alive = alive_] {
             if (*alive) {
                 workers_ = std::exchange(accepted_, {});
-                poll(&claim_probe::after_second_look);
+                poll(&claim_probe::on_second_replies);
             }
         });
     }
-    else if (fenced_ != 0 && raises_++ < most_raises) {
-        token_ += fence_step;
-        poll(&claim_probe::after_first_look);
+    else if (fenced_ != 0 && token_raises_++ < most_raises) {
+        token_ += token_raise_step;
+        poll(&claim_probe::on_first_replies);
     }
     else {
-        finish(finding::no_reply);
+        finish(probe_result::no_reply);
     }
 }
 
-void claim_probe::after_second_look()
+void claim_probe::on_second_replies()
 {
     if (fenced_ != 0) {
-        finish(finding::somebody);
+        finish(probe_result::claimed_elsewhere);
     }
     else {
-        finish(accepted_.empty() ? finding::no_reply : finding::nobody);
+        finish(accepted_.empty() ? probe_result::no_reply : probe_result::unclaimed);
     }
 }
 
 // Deferred: the receiver may destroy the probe.
-void claim_probe::finish(finding result)
+void claim_probe::finish(probe_result result)
 {
     timers_.schedule(duration::zero(), [this, result, alive = alive_] {
         if (*alive) {
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -17,11 +17,11 @@
 } // namespace
 
 configuration_exchange::configuration_exchange(timer_service& timers, instance_mesh& mesh)
-    : on_text([](const std::string&, std::uint64_t) {}), timers_(timers), mesh_(mesh)
+    : on_configuration([](const std::string&, std::uint64_t) {}), timers_(timers), mesh_(mesh)
 {
     mesh_.on_newer_config = [this] {
         if (timer_ == 0) {
-            schedule_ask(ask_delay);
+            schedule_request(ask_delay);
         }
     };
 }
@@ -32,7 +32,8 @@
     timers_.cancel(timer_);
 }
 
-void configuration_exchange::hold(std::int64_t version, std::string text, std::uint64_t offset)
+void configuration_exchange::set_current(std::int64_t version, std::string text,
+                                         std::uint64_t offset)
 {
     version_ = version;
     text_ = std::move(text);
@@ -40,12 +41,12 @@
     attempts_ = 0;
 }
 
-void configuration_exchange::schedule_ask(duration delay)
+void configuration_exchange::schedule_request(duration delay)
 {
-    timer_ = timers_.schedule(delay, [this] { ask(); });
+    timer_ = timers_.schedule(delay, [this] { request_newer(); });
 }
 
-void configuration_exchange::ask()
+void configuration_exchange::request_newer()
 {
     timer_ = 0;
     const auto holders = mesh_.peers_with_newer_config(version_);
@@ -58,7 +59,7 @@
     if (!mesh_.send(peer, request)) {
         log_event("config_request_unsent", "instance={}", peer);
     }
-    schedule_ask(answer_patience);
+    schedule_request(answer_patience);
 }
 
 bool configuration_exchange::on_message(const std::string& peer, const Json::Value& message,
@@ -82,8 +83,8 @@
         log_event("config_message_unreadable", "instance={}", peer);
         return true;
     }
-    on_text(message["text"].asString(),
-            message["next_offset"].isUInt64() ? message["next_offset"].asUInt64() : 0);
+    on_configuration(message["text"].asString(),
+                     message["next_offset"].isUInt64() ? message["next_offset"].asUInt64() : 0);
     return true;
 }
 
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "cell/mesh_codec.h"
 #include "http/json_text.h"
-#include "instance_mesh_parts.h"
+#include "instance_mesh_internal.h"
 
 #include <algorithm>
 
@@ -47,7 +47,7 @@
     return true;
 }
 
-void instance_mesh::learn(const std::vector<instance_address>& instances)
+void instance_mesh::update_instances(const std::vector<instance_address>& instances)
 {
     for (const auto& it : instances) {
         if (it.name == self_.name || it.name.empty()) {
@@ -70,13 +70,13 @@
         if (it.address != entry->address.address) {
             entry->closed = true;
         }
-        candidates_valid_ &=
-            it.data_centre == entry->address.data_centre && it.strength == entry->address.strength;
+        candidates_valid_ &= it.data_centre == entry->address.data_centre &&
+                             it.cpu_share == entry->address.cpu_share;
         entry->address = it;
     }
 }
 
-void instance_mesh::introduce(const std::string& address)
+void instance_mesh::discover_from(const std::string& address)
 {
     if (address == self_.address) {
         return;
@@ -91,16 +91,16 @@
     link->on_message = [this](std::string_view text) {
         const auto message = parse_json(text);
         if (message && message.value()["t"].asString() == "instances") {
-            learn(decode_instances(message.value()["instances"]));
+            update_instances(decode_instances(message.value()["instances"]));
         }
     };
     auto request = own_state();
     request["t"] = "instances_request";
     link->send(write_json(request));
-    introductions_.emplace_back(timers_.monotonic_now(), std::move(link));
+    discovery_links_.emplace_back(timers_.monotonic_now(), std::move(link));
 }
 
-void instance_mesh::forget(std::string_view name)
+void instance_mesh::remove_if_dead(std::string_view name)
 {
     const auto it = peers_.find(name);
     if (it != peers_.end() && !is_alive(*it->second)) {
@@ -133,16 +133,16 @@
         return false;
     }
     it->second->link->send(write_json(message));
-    it->second->used_at = timers_.monotonic_now();
+    it->second->last_message_at = timers_.monotonic_now();
     return true;
 }
 
-bool instance_mesh::hears(std::string_view name) const
+bool instance_mesh::has_heard_from(std::string_view name) const
 {
-    const auto it = heard_.find(name);
+    const auto it = last_heard_.find(name);
     // Those that may have jobs here beat at the full rate.
-    const auto limit = silence_limit + (claims_.empty() ? slow_beat_slack : duration::zero());
-    return it != heard_.end() && timers_.monotonic_now() - it->second < limit;
+    const auto limit = silence_limit + (claims_.empty() ? slow_heartbeat_slack : duration::zero());
+    return it != last_heard_.end() && timers_.monotonic_now() - it->second < limit;
 }
 
 std::vector<instance_view> instance_mesh::views() const
@@ -167,7 +167,7 @@
     return out;
 }
 
-std::vector<instance_view> instance_mesh::holders() const
+std::vector<instance_view> instance_mesh::claim_holders() const
 {
     auto out = linked_views();
     std::erase_if(out, [](const auto& it) { return !it.alive || it.leaving || it.claims.empty(); });
@@ -176,29 +176,34 @@
 
 instance_view instance_mesh::own_view() const
 {
-    return {self_.name, self_.data_centre,    self_.strength, true, leaving_ || !is_candidate(),
-            claims_,    strain_.is_strained()};
+    return {self_.name,
+            self_.data_centre,
+            self_.cpu_share,
+            true,
+            leaving_ || !is_candidate(),
+            claims_,
+            overload_detector_.is_overloaded()};
 }
 
 instance_view instance_mesh::view_of(const std::string& name, const peer& it) const
 {
     if (!candidates().contains(name)) { // no own link: what it sends is all there is
-        instance_view out{name, it.address.data_centre, it.address.strength, hears(name)};
+        instance_view out{name, it.address.data_centre, it.address.cpu_share, has_heard_from(name)};
         out.leaving = true; // it is no candidate
-        out.strained = it.strained;
+        out.overloaded = it.overloaded;
         out.linked = false;
         return out;
     }
-    instance_view out{name, it.address.data_centre, it.address.strength, is_alive(it)};
+    instance_view out{name, it.address.data_centre, it.address.cpu_share, is_alive(it)};
     out.leaving = it.leaving;
     out.claims = it.claims;
-    out.strained = it.strained;
-    out.refused = it.refused;
-    out.owes_reply = owes_reply(it);
+    out.overloaded = it.overloaded;
+    out.connection_refused = it.connection_refused;
+    out.reply_overdue = reply_overdue(it);
     return out;
 }
 
-std::vector<instance_address> instance_mesh::known() const
+std::vector<instance_address> instance_mesh::known_instances() const
 {
     std::vector<instance_address> out = {self_};
     for (const auto& [name, it] : peers_) {
@@ -212,11 +217,12 @@
     const auto& linked = candidates();
     return std::ranges::all_of(peers_, [&](const auto& it) {
         const auto& peer = *it.second;
-        return !linked.contains(it.first) || peer.refused || peer.unreachable || is_alive(peer);
+        return !linked.contains(it.first) || peer.connection_refused || peer.unreachable ||
+               is_alive(peer);
     });
 }
 
-bool instance_mesh::is_common_start() const
+bool instance_mesh::is_cold_start() const
 {
     const auto since = self_.incarnation - common_start_span.count() / 1000;
     return std::ranges::all_of(peers_, [&](const auto& row) {
@@ -245,9 +251,9 @@
     if (!std::exchange(candidates_valid_, true)) {
         // Strain passes; the choice must not change with it.
         std::vector<instance_view> standings = {
-            {self_.name, self_.data_centre, self_.strength, true, false, claims_}};
+            {self_.name, self_.data_centre, self_.cpu_share, true, false, claims_}};
         for (const auto& [name, it] : peers_) {
-            standings.push_back({name, it->address.data_centre, it->address.strength, !it->lost,
+            standings.push_back({name, it->address.data_centre, it->address.cpu_share, !it->lost,
                                  false, it->claims});
         }
         candidates_ = control_candidates(standings);
@@ -256,19 +262,19 @@
 }
 
 // Follows how long a candidate has been out of touch. Returns true if that changes who is one.
-bool instance_mesh::note_lost(peer& it, bool alive)
+bool instance_mesh::update_lost(peer& it, bool alive)
 {
     const auto now = timers_.monotonic_now();
     const bool linked = candidates().contains(it.address.name);
     if (alive || !linked) {
-        it.missed_since = {};
+        it.out_of_touch_since = {};
     }
-    else if (it.missed_since == monotonic_time{}) {
-        it.missed_since = now;
+    else if (it.out_of_touch_since == monotonic_time{}) {
+        it.out_of_touch_since = now;
     }
-    bool lost = it.lost && !hears(it.address.name); // one without an own link
+    bool lost = it.lost && !has_heard_from(it.address.name); // one without an own link
     if (linked) {
-        lost = !alive && now - it.missed_since > replacement_delay;
+        lost = !alive && now - it.out_of_touch_since > replacement_delay;
     }
     if (std::exchange(it.lost, lost) == lost) {
         return false;
@@ -284,14 +290,14 @@
     message["claims"] = encode_claims(claims_);
     message["number"] = Json::UInt64{state_number_};
     message["leaving"] = leaving_;
-    message["strained"] = strain_.is_strained();
+    message["strained"] = overload_detector_.is_overloaded();
     message["config"] = Json::Int64{config_version_};
     return message;
 }
 
 // Takes over what a peer says of itself, unless a newer message has already arrived on another
 // link. Returns true if that changes who controls what.
-bool instance_mesh::note_state(peer& it, const Json::Value& message)
+bool instance_mesh::apply_state(peer& it, const Json::Value& message)
 {
     const auto from = decode_instance(message["from"]);
     const auto number = message["number"].asUInt64();
@@ -306,13 +312,13 @@
     candidates_valid_ &= !restarted; // it may be another machine under the name
     auto claims = decode_claims(message["claims"]);
     const bool leaving = message["leaving"].asBool();
-    const bool strained = message["strained"].asBool();
-    const bool changed =
-        leaving != it.leaving || strained != it.strained || !std::ranges::equal(claims, it.claims);
+    const bool overloaded = message["strained"].asBool();
+    const bool changed = leaving != it.leaving || overloaded != it.overloaded ||
+                         !std::ranges::equal(claims, it.claims);
     candidates_valid_ &= claims.empty() == it.claims.empty();
     it.claims = std::move(claims);
     it.leaving = leaving;
-    it.strained = strained;
+    it.overloaded = overloaded;
     it.config_version = message["config"].asInt64();
     if (it.config_version > config_version_) {
         on_newer_config();
@@ -327,13 +333,13 @@
 void instance_mesh::on_pong(peer& it, const Json::Value& message)
 {
     it.last_pong = timers_.monotonic_now();
-    it.refused = false;
+    it.connection_refused = false;
     it.unreachable = false;
-    const bool was_late = owes_reply(it);
+    const bool was_late = reply_overdue(it);
     it.unanswered_since = {};
-    const bool changed = message.isMember("from") && note_state(it, message);
-    if (changed || was_late || !it.alive_before) {
-        it.alive_before = true;
+    const bool changed = message.isMember("from") && apply_state(it, message);
+    if (changed || was_late || !it.was_alive) {
+        it.was_alive = true;
         on_change();
     }
 }
@@ -369,24 +375,24 @@
     if (message.isMember("from")) {
         const auto from = decode_instance(message["from"]);
         link.name = from.name;
-        learn({from});
-        const auto known = peers_.find(from.name);
-        if (known != peers_.end() && note_state(*known->second, message)) {
+        update_instances({from});
+        const auto known_instances = peers_.find(from.name);
+        if (known_instances != peers_.end() && apply_state(*known_instances->second, message)) {
             on_change();
         }
     }
-    if (const auto known = peers_.find(link.name); known != peers_.end()) {
-        hurry_link(*known->second);
+    if (const auto known_instances = peers_.find(link.name); known_instances != peers_.end()) {
+        reconnect_if_stalled(*known_instances->second);
     }
-    heard_[link.name] = timers_.monotonic_now();
+    last_heard_[link.name] = timers_.monotonic_now();
     if (kind == "ping") {
-        link.link->send(beat_text("pong", link.told_number));
+        link.link->send(heartbeat_text("pong", link.sent_state_number));
         return;
     }
     if (kind == "instances_request") {
         Json::Value reply;
         reply["t"] = "instances";
-        reply["instances"] = encode_instances(known());
+        reply["instances"] = encode_instances(known_instances());
         link.link->send(write_json(reply));
         return;
     }
--- a/src/cell/instance_mesh_parts.h
+++ b/src/cell/instance_mesh_internal.h
@@ -10,9 +10,9 @@
 inline constexpr duration link_check_interval = std::chrono::milliseconds{50};
 // An instance that cannot get control beats those that its jobs do not depend on less often: a
 // candidate answers every instance of the deployment.
-inline constexpr duration slow_beat_interval = std::chrono::milliseconds{500};
+inline constexpr duration slow_heartbeat_interval = std::chrono::milliseconds{500};
 // Silence that is allowed on such a link beyond the limits of the others.
-inline constexpr duration slow_beat_slack = std::chrono::milliseconds{400};
+inline constexpr duration slow_heartbeat_slack = std::chrono::milliseconds{400};
 
 struct instance_mesh::peer {
     instance_address address;
@@ -21,30 +21,30 @@
     monotonic_time probed_at;
     monotonic_time probe_answered_at; // zero: not yet
     bool closed = false;              // the link is to be replaced at the next check
-    bool refused = false;             // nothing listened at the last attempt
+    bool connection_refused = false;  // nothing listened at the last attempt
     bool unreachable = false;         // the last attempt was not answered at all
     bool was_connected = false;
-    bool alive_before = false;
-    monotonic_time missed_since; // linked to but not alive; zero: alive, or no candidate
-    bool lost = false;           // for so long that another candidate takes its place
+    bool was_alive = false;
+    monotonic_time out_of_touch_since; // linked to but not alive; zero: alive, or no candidate
+    bool lost = false;                 // for so long that another candidate takes its place
     monotonic_time opened_at;
     monotonic_time last_pong;
-    monotonic_time beaten_at;
-    monotonic_time used_at;          // when a message other than a beat was sent to it
+    monotonic_time pinged_at;
+    monotonic_time last_message_at;  // when a message other than a beat was sent to it
     monotonic_time unanswered_since; // oldest beat without a reply; zero: none
     std::int64_t incarnation = 0;
-    std::uint64_t state_number = 0; // of the newest state that it has sent
-    std::uint64_t told_number = 0;  // of the own state that was sent on this link last
+    std::uint64_t state_number = 0;      // of the newest state that it has sent
+    std::uint64_t sent_state_number = 0; // of the own state that was sent on this link last
     std::vector<cell_claim> claims;
     bool leaving = false;
-    bool strained = false;
+    bool overloaded = false;
     std::int64_t config_version = -1;
 };
 
 struct instance_mesh::inbound {
     std::unique_ptr<frame_link> link;
     std::string name;
-    std::uint64_t told_number = 0; // of the own state that was sent on this link last
+    std::uint64_t sent_state_number = 0; // of the own state that was sent on this link last
 };
 
 } // namespace cactusloom
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -1,7 +1,7 @@
 // The links of an instance: beats, silence, second connections, and their replacement.
 #include "base/log.h"
 #include "http/json_text.h"
-#include "instance_mesh_parts.h"
+#include "instance_mesh_internal.h"
 
 #include <algorithm>
 
@@ -27,39 +27,39 @@
 
 bool instance_mesh::is_alive(const peer& it) const
 {
-    if (it.refused || it.unreachable || it.last_pong == monotonic_time{}) {
+    if (it.connection_refused || it.unreachable || it.last_pong == monotonic_time{}) {
         return false;
     }
     // After a pause of this process, its replies wait unread: the last check counts until the next.
     const auto as_of = std::min(timers_.monotonic_now(), checked_at_ + 2 * link_check_interval);
-    return as_of - it.last_pong < silence_limit + slack_of(it);
+    return as_of - it.last_pong < silence_limit + extra_silence_allowed(it);
 }
 
 // True if much depends on the peer's liveness: this instance may have to take over from it, or its
 // jobs go there.
-bool instance_mesh::is_close(const peer& it) const
+bool instance_mesh::is_monitored_closely(const peer& it) const
 {
     return is_candidate() ||
-           (!it.claims.empty() &&
-            (it.address.data_centre == self_.data_centre ||
-             (it.used_at != monotonic_time{} && timers_.monotonic_now() - it.used_at < use_time)));
+           (!it.claims.empty() && (it.address.data_centre == self_.data_centre ||
+                                   (it.last_message_at != monotonic_time{} &&
+                                    timers_.monotonic_now() - it.last_message_at < use_time)));
 }
 
-duration instance_mesh::slack_of(const peer& it) const
+duration instance_mesh::extra_silence_allowed(const peer& it) const
 {
-    return is_close(it) ? duration::zero() : slow_beat_slack;
+    return is_monitored_closely(it) ? duration::zero() : slow_heartbeat_slack;
 }
 
-bool instance_mesh::owes_reply(const peer& it) const
+bool instance_mesh::reply_overdue(const peer& it) const
 {
     return it.unanswered_since != monotonic_time{} &&
            timers_.monotonic_now() - it.unanswered_since > reply_patience;
 }
 
-bool instance_mesh::owes_reply(std::string_view name) const
+bool instance_mesh::reply_overdue(std::string_view name) const
 {
     const auto it = peers_.find(name);
-    return it != peers_.end() && owes_reply(*it->second);
+    return it != peers_.end() && reply_overdue(*it->second);
 }
 
 void instance_mesh::check()
@@ -71,11 +71,11 @@
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
         if (late > link_check_interval) {
-            excuse_pause(late);
+            discount_pause(late);
         }
-        changed = note_strain(late, now - last);
+        changed = update_overload(late, now - last);
     }
-    std::erase_if(introductions_,
+    std::erase_if(discovery_links_,
                   [now](const auto& it) { return now - it.first > introduction_limit; });
     for (const auto& [name, it] : peers_) {
         if (!candidates().contains(name)) {
@@ -86,13 +86,14 @@
             update_link(*it);
         }
         const bool alive = is_alive(*it);
-        changed |= note_lost(*it, alive);
-        if (alive != it->alive_before) {
-            it->alive_before = alive;
+        changed |= update_lost(*it, alive);
+        if (alive != it->was_alive) {
+            it->was_alive = alive;
             changed = true;
             log_event(alive ? "instance_up" : "instance_down",
-                      "instance={} refused={} unreachable={} silent_ms={}", name, it->refused,
-                      it->unreachable, (now - it->last_pong).count() / 1000);
+                      "instance={} refused={} unreachable={} silent_ms={}", name,
+                      it->connection_refused, it->unreachable,
+                      (now - it->last_pong).count() / 1000);
         }
     }
     const bool promoted = !std::exchange(was_candidate_, is_candidate()) && is_candidate();
@@ -106,18 +107,18 @@
 
 // A beat or its reply. The state goes along only if it has changed since it was sent on the link,
 // as beats are most of what idle instances say.
-std::string instance_mesh::beat_text(const char* kind, std::uint64_t& told_number) const
+std::string instance_mesh::heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const
 {
     Json::Value beat;
     beat["t"] = kind;
-    if (std::exchange(told_number, state_number_) == state_number_) {
+    if (std::exchange(sent_state_number, state_number_) == state_number_) {
         return write_json(beat);
     }
     // The same text goes out on every link.
-    if (std::exchange(beats_as_of_, state_number_) != state_number_) {
-        beats_with_state_.clear();
+    if (std::exchange(heartbeat_cache_number_, state_number_) != state_number_) {
+        heartbeat_cache_.clear();
     }
-    auto& text = beats_with_state_[kind];
+    auto& text = heartbeat_cache_[kind];
     if (text.empty()) {
         beat = own_state();
         beat["t"] = kind;
@@ -129,10 +130,10 @@
 void instance_mesh::send_pings()
 {
     // Half a check less, so that the timer's lateness does not skip a turn.
-    constexpr auto least_pause = slow_beat_interval - link_check_interval / 2;
+    constexpr auto least_pause = slow_heartbeat_interval - link_check_interval / 2;
     const auto now = timers_.monotonic_now();
     for (const auto& [name, it] : peers_) {
-        if (is_close(*it) || now - it->beaten_at >= least_pause) {
+        if (is_monitored_closely(*it) || now - it->pinged_at >= least_pause) {
             ping(*it);
         }
     }
@@ -143,10 +144,10 @@
     if (!it.link || it.closed || !it.link->is_connected()) {
         return;
     }
-    it.link->send(beat_text("ping", it.told_number));
-    it.beaten_at = timers_.monotonic_now();
+    it.link->send(heartbeat_text("ping", it.sent_state_number));
+    it.pinged_at = timers_.monotonic_now();
     if (it.unanswered_since == monotonic_time{}) {
-        it.unanswered_since = it.beaten_at;
+        it.unanswered_since = it.pinged_at;
     }
 }
 
@@ -157,18 +158,18 @@
         ping(*it);
     }
     for (const auto& it : inbound_) {
-        if (it->told_number != state_number_) {
-            it->link->send(beat_text("pong", it->told_number));
+        if (it->sent_state_number != state_number_) {
+            it->link->send(heartbeat_text("pong", it->sent_state_number));
         }
     }
 }
 
 // Returns true if it changes whether this instance is strained.
-bool instance_mesh::note_strain(duration late, duration elapsed)
+bool instance_mesh::update_overload(duration late, duration elapsed)
 {
-    const bool before = strain_.is_strained();
-    strain_.note(late, elapsed, checked_at_);
-    if (strain_.is_strained() == before) {
+    const bool before = overload_detector_.is_overloaded();
+    overload_detector_.add_sample(late, elapsed, checked_at_);
+    if (overload_detector_.is_overloaded() == before) {
         return false;
     }
     log_event(before ? "strain_over" : "strained", "late_ms={} of_ms={}", late.count() / 1000,
@@ -179,8 +180,8 @@
 }
 
 // Replies wait unread after a pause of this process, so its time counts as nobody's silence. For
-// the peers it did pass: what they may have given up meanwhile (`hears`) is not excused.
-void instance_mesh::excuse_pause(duration pause)
+// the peers it did pass: what they may have given up meanwhile (`has_heard_from`) is not excused.
+void instance_mesh::discount_pause(duration pause)
 {
     log_event("paused", "for_ms={}", pause.count() / 1000);
     for (const auto& row : peers_) {
@@ -215,7 +216,7 @@
         return;
     }
     const auto silence = now - std::max(it.last_pong, it.opened_at);
-    if (silence <= suspicion_limit + slack_of(it)) {
+    if (silence <= suspicion_limit + extra_silence_allowed(it)) {
         it.probe.reset();
         return;
     }
@@ -227,7 +228,7 @@
     // A process that was only paused answers on both connections in one go.
     const bool broken = it.probe_answered_at != monotonic_time{} &&
                         now - it.probe_answered_at >= link_check_interval;
-    if (it.unreachable || broken || silence > silence_limit + slack_of(it)) {
+    if (it.unreachable || broken || silence > silence_limit + extra_silence_allowed(it)) {
         log_event("link_given_up", "instance={} silent_ms={} unreachable={} probe_answered={}",
                   it.address.name, silence.count() / 1000, it.unreachable, broken);
         open(it);
@@ -236,7 +237,7 @@
 
 // A peer that has just been heard can be reached again: an attempt to connect from before, whose
 // opening packet was lost, would be repeated by the system after a second only.
-void instance_mesh::hurry_link(peer& it)
+void instance_mesh::reconnect_if_stalled(peer& it)
 {
     if (it.link && !it.link->is_connected() &&
         timers_.monotonic_now() - it.opened_at > handshake_limit) {
@@ -259,7 +260,7 @@
     it.probe = std::make_shared<frame_link>(stream.value());
     it.probe->on_connected = [this, own = &it] {
         std::uint64_t nothing_told = 0;
-        own->probe->send(beat_text("ping", nothing_told));
+        own->probe->send(heartbeat_text("ping", nothing_told));
     };
     it.probe->on_message = [this, own = &it](std::string_view) {
         own->probe_answered_at = timers_.monotonic_now();
@@ -285,10 +286,10 @@
     auto* own = &it;
     it.link->on_connected = [this, own] {
         own->was_connected = true;
-        own->refused = false;
+        own->connection_refused = false;
         own->unreachable = false;
-        own->told_number = 0;
-        own->link->send(beat_text("ping", own->told_number));
+        own->sent_state_number = 0;
+        own->link->send(heartbeat_text("ping", own->sent_state_number));
         on_reconnect(own->address.name);
     };
     it.link->on_message = [this, own](std::string_view text) {
@@ -309,7 +310,7 @@
         const bool opened = own->was_connected;
         if (!opened) {
             // A reset of the opening packet: no process listens there.
-            own->refused = true;
+            own->connection_refused = true;
         }
         // A closed link says little; whether a new one opens tells if the process lives.
         timers_.schedule(duration::zero(),
--- a/src/cell/instance_registry.cpp
+++ b/src/cell/instance_registry.cpp
@@ -13,7 +13,7 @@
 // Three refreshes may be missed before an instance that does not answer is taken as removed.
 constexpr duration forget_after = std::chrono::seconds{25};
 // Instances also learn of each other when they link; this only finds what nobody links to.
-constexpr keyed_follower::pace read_pace = {{}, std::chrono::milliseconds{1500}};
+constexpr keyed_follower::poll_policy read_pace = {{}, std::chrono::milliseconds{1500}};
 
 } // namespace
 
@@ -31,8 +31,8 @@
                       value.error().message);
             return;
         }
-        mesh_.learn({decode_instance(value.value())});
-        refreshed_[record.key] = timers_.monotonic_now();
+        mesh_.update_instances({decode_instance(value.value())});
+        last_refresh_[record.key] = timers_.monotonic_now();
     };
     follower_.on_read = [this] {
         check();
@@ -66,12 +66,12 @@
 void instance_registry::check()
 {
     const auto now = timers_.monotonic_now();
-    std::erase_if(refreshed_, [&](const auto& it) {
+    std::erase_if(last_refresh_, [&](const auto& it) {
         // While the store was away nobody could refresh.
-        if (now - std::max(it.second, follower_.calm_since()) <= forget_after) {
+        if (now - std::max(it.second, follower_.healthy_since()) <= forget_after) {
             return false;
         }
-        mesh_.forget(it.first);
+        mesh_.remove_if_dead(it.first);
         return true;
     });
 }
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -30,9 +30,10 @@
 
 } // namespace
 
-keyed_follower::keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic, pace speed)
+keyed_follower::keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic,
+                               poll_policy speed)
     : on_record([](const keyed_record&) {}), on_read([] {}), timers_(timers), log_(log),
-      topic_(topic), pace_(speed)
+      topic_(topic), poll_policy_(speed)
 {
 }
 
@@ -59,18 +60,18 @@
 {
     reading_ = false;
     if (!paused_) {
-        timer_ = timers_.schedule(delay, [this] { step(); });
+        timer_ = timers_.schedule(delay, [this] { start_read(); });
     }
 }
 
-void keyed_follower::hurry()
+void keyed_follower::read_now()
 {
     if (timer_ != 0) {
         timers_.cancel(timer_);
         next(duration::zero());
     }
     else {
-        hurried_ = true; // the read under way may have begun too early to count
+        read_again_ = true; // the read under way may have begun too early to count
     }
 }
 
@@ -79,18 +80,19 @@
     position_ = std::max(position_, offset);
 }
 
-void keyed_follower::step()
+void keyed_follower::start_read()
 {
     timer_ = 0;
     reading_ = true;
-    asked_at_ = timers_.monotonic_now();
-    const auto usual = pace_.interval + pace_.wait;
-    if (!complete_ || pace_.by_listing || asked_at_ - read_at_ > usual + longest_gap) {
-        listing_ = false;
+    read_started_at_ = timers_.monotonic_now();
+    const auto usual = poll_policy_.interval + poll_policy_.wait;
+    if (!complete_ || poll_policy_.newest_only ||
+        read_started_at_ - read_at_ > usual + longest_gap) {
+        listing_in_progress_ = false;
         read_newest("");
         return;
     }
-    log_.read(topic_, position_, pace_.wait, [this, alive = alive_](const keyed_page& page) {
+    log_.read(topic_, position_, poll_policy_.wait, [this, alive = alive_](const keyed_page& page) {
         if (*alive) {
             on_page(page);
         }
@@ -101,7 +103,7 @@
 {
     if (ok == failing_) {
         failing_ = !ok;
-        calm_since_ = timers_.monotonic_now();
+        healthy_since_ = timers_.monotonic_now();
         log_event(ok ? "records_regained" : "records_unreachable", "topic={}", name_of(topic_));
     }
 }
@@ -122,8 +124,8 @@
         next(failure_pause);
         return;
     }
-    if (!listing_) {
-        listing_ = true;
+    if (!listing_in_progress_) {
+        listing_in_progress_ = true;
         listed_.clear();
         // Later pages are not of the same moment; reading on from here covers what they miss.
         listing_end_ = page.end;
@@ -146,7 +148,7 @@
         offsets_.erase(key);
         on_record({key, std::nullopt, listing_end_});
     }
-    listing_ = false;
+    listing_in_progress_ = false;
     complete_ = true;
     position_ = listing_end_;
     finish_read();
@@ -175,7 +177,7 @@
 {
     read_at_ = timers_.monotonic_now();
     on_read();
-    next(std::exchange(hurried_, false) ? duration::zero() : pace_.interval);
+    next(std::exchange(read_again_, false) ? duration::zero() : poll_policy_.interval);
 }
 
 void keyed_follower::apply(const keyed_record& record)
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -56,7 +56,7 @@
     out["name"] = it.name;
     out["address"] = it.address;
     out["data_centre"] = it.data_centre;
-    out["strength"] = it.strength;
+    out["strength"] = it.cpu_share;
     out["incarnation"] = Json::Int64{it.incarnation};
     return out;
 }
--- /dev/null
+++ b/src/cell/minority_tracker.cpp
@@ -0,0 +1,40 @@
+#include "cell/minority_tracker.h"
+
+#include "cell/isolation_tracker.h"
+
+namespace cactusloom {
+
+namespace {
+
+// Late replies tell of a cut before its links are given up, after 400 ms. A controller that does
+// not hear a front for 600 ms stops its jobs.
+constexpr duration job_patience = std::chrono::milliseconds{500};
+
+} // namespace
+
+void minority_tracker::update(bool in_minority, bool isolated_data_centre, monotonic_time now)
+{
+    isolated_data_centre_ = isolated_data_centre;
+    if (!in_minority) {
+        if (this->in_minority()) {
+            ended_at_ = now;
+        }
+        since_ = {};
+        fenced_ = false;
+    }
+    else if (since_ == monotonic_time{}) {
+        since_ = now;
+    }
+}
+
+bool minority_tracker::is_rejoining(monotonic_time now) const
+{
+    return !in_minority() && ended_at_ != monotonic_time{} && now - ended_at_ <= rejoin_grace;
+}
+
+bool minority_tracker::should_fail_unassigned_jobs(monotonic_time now) const
+{
+    return in_minority() && !isolated_data_centre_ && now - since_ > job_patience;
+}
+
+} // namespace cactusloom
--- a/src/cell/strain_gauge.cpp
+++ b/src/cell/overload_detector.cpp
@@ -1,4 +1,4 @@
-#include "cell/strain_gauge.h"
+#include "cell/overload_detector.h"
 
 #include <algorithm>
 
@@ -16,20 +16,20 @@
 
 } // namespace
 
-void strain_gauge::note(duration late, duration elapsed, monotonic_time now)
+void overload_detector::add_sample(duration late, duration elapsed, monotonic_time now)
 {
     const double share = elapsed > duration::zero() ? static_cast<double>(late.count()) /
                                                           static_cast<double>(elapsed.count())
                                                     : 0.0;
     late_share_ += newest_weight * (std::clamp(share, 0.0, 1.0) - late_share_);
     if (late_share_ > calm_share) {
-        last_high_at_ = now;
+        last_busy_at_ = now;
     }
     if (late_share_ > strained_share) {
-        strained_ = true;
+        overloaded_ = true;
     }
-    else if (now - last_high_at_ > calm_time) {
-        strained_ = false;
+    else if (now - last_busy_at_ > calm_time) {
+        overloaded_ = false;
     }
 }
 
--- a/src/cell/worker_registry.cpp
+++ b/src/cell/worker_registry.cpp
@@ -48,13 +48,14 @@
     return false;
 }
 
-bool worker_registry::expire(monotonic_time store_calm_since)
+bool worker_registry::expire(monotonic_time store_healthy_since)
 {
     const auto now = timers_.monotonic_now();
     return std::erase_if(entries_, [&](const auto& row) {
                const auto& it = row.second;
                const bool gone =
-                   it.missing && now - std::max(it.missing_since, store_calm_since) > missing_limit;
+                   it.missing &&
+                   now - std::max(it.missing_since, store_healthy_since) > missing_limit;
                if (gone) {
                    log_event("worker_gone", "worker={}", row.first);
                }
--- a/tests/cell/cell_choice_test.cpp
+++ b/tests/cell/cell_choice_test.cpp
@@ -82,7 +82,7 @@
     BOOST_TEST(choose_cell(holders, {"job", "c", none, "d"}).claim->cell == "d");
     holders.push_back({"newer", "a", 1, true, false, {{"d", 9, {}}}});
     BOOST_TEST(choose_cell(holders, {"job", "c", none, "d"}).holder->name == "newer");
-    holders.push_back({"all", "a", 1, true, false, {{std::string(whole_cell), 11, {}}}});
+    holders.push_back({"all", "a", 1, true, false, {{std::string(all_workers_cell), 11, {}}}});
     holders.erase(holders.begin(), holders.begin() + 6);
     BOOST_TEST(choose_cell(holders, {"job", "c", none, "d"}).holder->name == "all");
 }
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -65,7 +65,7 @@
         for (const auto& [other, address] : addresses) {
             known.push_back(address);
         }
-        it.mesh->learn(known);
+        it.mesh->update_instances(known);
         it.cells->set_workers(fleet.reports());
         it.cells->note_instances_known();
     }
@@ -199,14 +199,16 @@
         addresses[name] = {name, fmt::format("127.0.0.1:{}", 17460 + i), "dc", 2.0, 1};
     }
     start("weak", 17459);
-    std::vector<worker_interest> interests;
-    members["weak"].cells->on_interest = [&](worker_interest it) { interests.push_back(it); };
+    std::vector<worker_list_mode> interests;
+    members["weak"].cells->on_worker_list_mode = [&](worker_list_mode it) {
+        interests.push_back(it);
+    };
     run_until([] { return false; }, 900ms);
     BOOST_TEST(interests.empty());
     BOOST_TEST(!members["weak"].cells->controls_any());
     // All of them stay lost: the last one left takes over.
     BOOST_TEST(run_until([&] { return members["weak"].cells->controls_any(); }, 4s));
-    BOOST_TEST((interests.back() == worker_interest::control));
+    BOOST_TEST((interests.back() == worker_list_mode::control));
 }
 
 // Guards against an instance that is out of touch with all others and competes for the workers that
@@ -265,7 +267,7 @@
     run_until([] { return false; }, 100ms);
     start("b", 17489, "dc-2");
     members["b"].cells->set_workers(workers);
-    members["a"].mesh->learn({addresses["b"]});
+    members["a"].mesh->update_instances({addresses["b"]});
     BOOST_TEST(run_until(
         [&] { return members["a"].cells->controls_any() && members["b"].cells->controls_any(); },
         450ms));
--- a/tests/cell/claim_probe_test.cpp
+++ b/tests/cell/claim_probe_test.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 struct probe_fixture : cell_fixture {
-    std::optional<claim_probe::finding> found;
+    std::optional<claim_probe::probe_result> found;
     std::uint64_t token = 0;
 
     std::unique_ptr<claim_probe> probe(std::uint64_t first_token)
     {
         return std::make_unique<claim_probe>(
             timers, fleet, std::vector{fleet.reports().at(0), fleet.reports().at(1)}, first_token,
-            [this](claim_probe::finding result, std::uint64_t used) {
+            [this](claim_probe::probe_result result, std::uint64_t used) {
                 found = result;
                 token = used;
             });
@@ -34,7 +34,7 @@
     controller.reset();
     const auto it = probe(8);
     timers.advance(1s);
-    BOOST_TEST((found == claim_probe::finding::nobody));
+    BOOST_TEST((found == claim_probe::probe_result::unclaimed));
     BOOST_TEST(token == 8U);
 }
 
@@ -47,7 +47,7 @@
     controller.reset();
     const auto it = probe(1);
     timers.advance(1s);
-    BOOST_TEST((found == claim_probe::finding::nobody));
+    BOOST_TEST((found == claim_probe::probe_result::unclaimed));
     BOOST_TEST(token > raised);
 }
 
@@ -65,7 +65,7 @@
     timers.advance(100ms);
     const auto it = probe(8);
     timers.advance(1s);
-    BOOST_TEST((found == claim_probe::finding::somebody));
+    BOOST_TEST((found == claim_probe::probe_result::claimed_elsewhere));
     BOOST_TEST(ended("j", job_end::completed));
     BOOST_TEST(fleet.total_starts() == 8U);
     check_no_violation();
--- a/tests/cell/configuration_exchange_test.cpp
+++ b/tests/cell/configuration_exchange_test.cpp
@@ -42,12 +42,13 @@
                 own.asked += message["t"].asString() == "config_request" ? 1 : 0;
                 BOOST_TEST(own.exchange->on_message(peer, message, reply));
             };
-            own.exchange->on_text = [this, &own](const std::string& text, std::uint64_t next) {
+            own.exchange->on_configuration = [this, &own](const std::string& text,
+                                                          std::uint64_t next) {
                 own.next_offset = next;
                 put_in_force(own, std::stoll(text), next - 1);
             };
             BOOST_REQUIRE(own.mesh->listen(it.address));
-            own.mesh->learn(addresses);
+            own.mesh->update_instances(addresses);
         }
     }
 
@@ -55,7 +56,7 @@
     {
         if (version > own.version) {
             own.version = version;
-            own.exchange->hold(version, std::to_string(version), offset);
+            own.exchange->set_current(version, std::to_string(version), offset);
             own.mesh->announce({}, false, version);
         }
     }
--- a/tests/cell/control_candidates_test.cpp
+++ b/tests/cell/control_candidates_test.cpp
@@ -55,7 +55,7 @@
 {
     auto views = fleet(9);
     for (const auto& name : control_candidates(views)) {
-        BOOST_TEST(member(views, name).strength == 0.5);
+        BOOST_TEST(member(views, name).cpu_share == 0.5);
     }
 }
 
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -39,7 +39,7 @@
         a->on_change = [this] { was_down |= !sees_b(); };
         BOOST_REQUIRE(a->listen(a_address));
         BOOST_REQUIRE(b->listen(b_address));
-        a->learn({address_of("b", relay_address)});
+        a->update_instances({address_of("b", relay_address)});
         BOOST_REQUIRE(run_until([this] { return sees_b(); }, 1s));
         run_for(200ms);
         was_down = false;
@@ -148,12 +148,12 @@
             {fmt::format("s{}", i), fmt::format("127.0.0.1:{}", 17600 + i), "dc", 2.0, 1});
     }
     auto other = address_of("b", relay_address);
-    other.strength = 3.0;
+    other.cpu_share = 3.0;
     other.incarnation = 2;
     b = nullptr;
     b = std::make_unique<instance_mesh>(events, timers, other);
     BOOST_REQUIRE(b->listen(b_address));
-    a->learn(stronger);
+    a->update_instances(stronger);
     BOOST_REQUIRE(run_until([this] { return !a->is_candidate(); }, 1s));
     BOOST_REQUIRE(run_until([this] { return sees_b(); }, 1s));
     run_for(600ms);
@@ -163,7 +163,7 @@
     run_for(1s);
     BOOST_TEST(relay->relayed_bytes() - before <= bytes_per_s_and_link);
     b->announce({{"dc", 7, {1, 2, 3}}}, false, 3);
-    BOOST_TEST(run_until([this] { return !a->holders().empty(); }, 50ms));
+    BOOST_TEST(run_until([this] { return !a->claim_holders().empty(); }, 50ms));
     run_for(1500ms);
     BOOST_TEST(!was_down);
 }
--- a/tests/cell/registry_test.cpp
+++ b/tests/cell/registry_test.cpp
@@ -145,16 +145,16 @@
     follower.start();
     timers.advance(50ms);
     const auto wished_at = timers.monotonic_now();
-    follower.hurry();
+    follower.read_now();
     timers.advance(10ms);
-    BOOST_TEST((follower.asked_at() >= wished_at));
+    BOOST_TEST((follower.read_started_at() >= wished_at));
 }
 
 // Guards against a standby that receives each beat of each worker between two reads, instead of one
 // record a worker.
 BOOST_AUTO_TEST_CASE(a_listing_carries_one_record_a_key)
 {
-    follower.set_pace({{}, 1s, true});
+    follower.set_poll_policy({{}, 1s, true});
     follower.start();
     timers.advance(50ms);
     const auto before = topic.records_sent;
@@ -172,15 +172,15 @@
 // Guards against a new controller that reads everything since its last listing as a standby.
 BOOST_AUTO_TEST_CASE(a_long_tail_is_replaced_by_a_listing)
 {
-    follower.set_pace({{}, 10s, true});
+    follower.set_poll_policy({{}, 10s, true});
     follower.start();
     timers.advance(5s);
     for (int i = 0; i < 50; ++i) {
         topic.append("a", std::to_string(i));
     }
     const auto before = topic.records_sent;
-    follower.set_pace({{}, 400ms});
-    follower.hurry();
+    follower.set_poll_policy({{}, 400ms});
+    follower.read_now();
     timers.advance(20ms);
     BOOST_TEST(values.at("a") == "49");
     BOOST_TEST(topic.records_sent - before == 1U);
@@ -190,7 +190,7 @@
 // configuration, again and again.
 BOOST_AUTO_TEST_CASE(a_long_interval_does_not_repeat_unchanged_records)
 {
-    follower.set_pace({{}, 3s});
+    follower.set_poll_policy({{}, 3s});
     topic.append("a", "1");
     follower.start();
     timers.advance(10s);
