--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -1,7 +1,7 @@
 // Compares routing strategies with an ideal that has one queue and full, instant knowledge.
 // Everything runs in virtual time from fixed seeds, so two runs print the same table.
-#include "decision_ideal.h"
-#include "decision_run.h"
+#include "ideal_scheduler.h"
+#include "routing_simulation.h"
 
 #include <fmt/format.h>
 #include <popt.h>
@@ -114,8 +114,8 @@
 
 void print_scenario(const scenario& settings, const options& chosen)
 {
-    const trace input = make_trace(settings);
-    const summary ideal(ideal_run(settings, input, 2 * one_way).run().responses);
+    const workload_trace input = make_trace(settings);
+    const summary ideal(ideal_scheduler(settings, input, 2 * one_way).run().responses);
     fmt::print("| {} | ideal | {:.0f} ms | {:.0f} ms | {:.0f} ms | {:.0f} ms | 2 | | |\n",
                settings.name, ideal.mean * 1e3, ideal.median * 1e3, ideal.p99 * 1e3,
                ideal.p999 * 1e3);
@@ -128,10 +128,11 @@
             if (!is_main && it.message_budget < 2.1) {
                 continue; // the baselines know no profile
             }
-            const outcome result = decision_run(settings, input, strategy, it.message_budget).run();
+            const outcome result =
+                routing_simulation(settings, input, strategy, it.message_budget).run();
             const summary mine(result.responses);
             const double touched =
-                result.tasks_late > 0 ? 100 * result.touched_late / result.tasks_late : 0;
+                result.tasks_late > 0 ? 100 * result.late_fault_hits / result.tasks_late : 0;
             fmt::print("| | {}{}{} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.0f} | {:.3f} "
                        "|\n",
                        strategy, is_main ? ", " : "", is_main ? it.name : "",
--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -81,7 +81,7 @@
         timers.advance(1s);
         service = std::make_unique<dispatcher>(
             settings, dispatcher_options{"lahore-1", "lhe", 0x18c2f3a4b5U, 7, 1},
-            dispatcher::parts{workers, routes, timers, nullptr, &metrics});
+            dispatcher::dependencies{workers, task_router, timers, nullptr, &metrics});
     }
 
     // Submits one job and waits for its answer.
@@ -104,7 +104,7 @@
     deployment settings;
     virtual_timer_service timers;
     instant_workers workers;
-    open_router routes;
+    open_router task_router;
     counters metrics;
     std::unique_ptr<dispatcher> service;
     std::uint64_t last = 0;
@@ -143,13 +143,13 @@
     const std::size_t jobs = 100'000 / tasks;
     for ([[maybe_unused]] auto _ : state) {
         bench_setup it;
-        it.routes.has_room = false;
+        it.task_router.has_room = false;
         const std::size_t empty = it.service->bytes();
         for (std::size_t n = 0; n < jobs; ++n) {
             it.submit(tasks);
         }
         const std::size_t open = it.service->bytes();
-        it.routes.has_room = true;
+        it.task_router.has_room = true;
         while (it.service->open_jobs() > 0) {
             it.timers.advance(1ms);
             it.workers.answer_all();
@@ -172,7 +172,7 @@
             const monotonic_time now{std::chrono::milliseconds{ms}};
             for (int n = 0; n < 9; ++n) {
                 id = id * 6364136223846793005U + 1442695040888963407U;
-                registry.claim(id ^ (id >> 32U), 1, now, now);
+                registry.try_insert(id ^ (id >> 32U), 1, now, now);
             }
         }
         state.counters["ids"] = static_cast<double>(registry.size());
--- a/bench/decision_ideal.h
+++ b/bench/ideal_scheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision_trace.h"
+#include "workload_trace.h"
 
 #include <limits>
 
@@ -9,9 +9,9 @@
 // One queue with full and instant knowledge of workers and run times: each task in order of arrival
 // goes to the slot with the least wait, faster workers and longer tasks first among near equals.
 // Faults are known at the moment they happen.
-class ideal_run {
+class ideal_scheduler {
 public:
-    ideal_run(const scenario& settings, const trace& input, double round_trip)
+    ideal_scheduler(const scenario& settings, const workload_trace& input, double round_trip)
         : settings_(&settings), trace_(&input), round_trip_(round_trip), speed_(input.speed),
           free_at_(input.speed.size() * slots_per_worker, 0.0), finish_(input.work.size(), 0.0)
     {
@@ -23,7 +23,7 @@
         for (const trace_request& request : trace_->requests) {
             if (before_fault && request.at >= trace_->fault_at) {
                 before_fault = false;
-                strike();
+                inject_fault();
             }
             for (std::uint32_t i = 0; i < request.tasks; ++i) {
                 place(request.first_task + i, request.at);
@@ -80,7 +80,7 @@
     }
 
     // Applies the fault and places the tasks that have not started again.
-    void strike()
+    void inject_fault()
     {
         const double now = trace_->fault_at;
         if (settings_->kind == fault::none || settings_->kind == fault::burst ||
@@ -124,7 +124,7 @@
     }
 
     const scenario* settings_;
-    const trace* trace_;
+    const workload_trace* trace_;
     double round_trip_;
     std::vector<double> speed_;
     std::vector<double> free_at_;
--- a/bench/decision_run.h
+++ b/bench/routing_simulation.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "decision_trace.h"
 #include "routing/router.h"
+#include "workload_trace.h"
 
 #include <deque>
 #include <memory>
@@ -25,10 +25,10 @@
 };
 
 // Instances with a router and a FIFO queue each, and small fake workers, on one event queue.
-class decision_run {
+class routing_simulation {
 public:
-    decision_run(const scenario& settings, const trace& input, const std::string& strategy,
-                 double message_budget)
+    routing_simulation(const scenario& settings, const workload_trace& input,
+                       const std::string& strategy, double message_budget)
         : settings_(&settings), trace_(&input),
           deployment_(make_deployment(settings, strategy, message_budget)),
           tasks_(input.work.size()), requests_(input.requests.size()), workers_(input.speed.size())
@@ -60,7 +60,7 @@
         if (!trace_->requests.empty()) {
             add(trace_->requests.front().at, event_type::arrival, 0);
         }
-        add(trace_->fault_at, event_type::strike, 0);
+        add(trace_->fault_at, event_type::inject_fault, 0);
         // A strategy that cannot keep up ends here with requests that are not counted.
         const double limit = settings_->warm_up + settings_->length + 300;
         while (!events_.empty() && events_.top().at < limit) {
@@ -73,7 +73,7 @@
     }
 
 private:
-    enum class event_type : std::uint8_t { arrival, start, done, reply, poll, strike };
+    enum class event_type : std::uint8_t { arrival, start, done, reply, poll, inject_fault };
     enum class mode : std::uint8_t { good, failing, dead };
 
     struct event {
@@ -167,8 +167,8 @@
             instances_[it.subject].polling = false;
             drain(it.subject);
             break;
-        case event_type::strike:
-            strike();
+        case event_type::inject_fault:
+            inject_fault();
             break;
         }
     }
@@ -317,7 +317,7 @@
             settings_->kind != fault::none && clock_.seconds > trace_->fault_at + 1;
         if (is_late && task.status != start_status::completed &&
             task.status != start_status::refused_busy) {
-            result_.touched_late += 1;
+            result_.late_fault_hits += 1;
         }
         if (is_certainly_not_run(task.status) && !requests_[task.request].cancelled) {
             instance.queue.push_front(id);
@@ -348,7 +348,7 @@
         }
     }
 
-    void strike()
+    void inject_fault()
     {
         if (settings_->kind == fault::straggler) {
             workers_[0].speed /= 8;
@@ -404,7 +404,7 @@
     }
 
     const scenario* settings_;
-    const trace* trace_;
+    const workload_trace* trace_;
     bench_clock clock_;
     deployment deployment_;
     std::vector<task_state> tasks_;
--- a/bench/decision_trace.h
+++ b/bench/workload_trace.h
@@ -45,7 +45,7 @@
 };
 
 // Everything that is the same for every strategy and for the ideal.
-struct trace {
+struct workload_trace {
     std::vector<trace_request> requests;
     std::vector<double> work;  // by task: seconds at speed 1
     std::vector<double> speed; // by worker
@@ -73,11 +73,11 @@
     boost::random::uniform_01<double> uniform_;
 };
 
-inline trace make_trace(const scenario& settings)
+inline workload_trace make_trace(const scenario& settings)
 {
     random_engine random(settings.seed * 7919U + 4096U);
     boost::random::uniform_01<double> uniform;
-    trace made;
+    workload_trace made;
     made.fault_at = settings.warm_up + 10;
     double capacity = 0;
     for (std::uint32_t i = 0; i < settings.workers; ++i) {
@@ -168,9 +168,9 @@
     double messages = 0;           // in the measured time
     double tasks = 0;
     double refused = 0;
-    double failed = 0;       // measured requests that failed
-    double touched_late = 0; // tasks that met the fault more than 1 s after it
-    double tasks_late = 0;   // tasks that ended more than 1 s after the fault
+    double failed = 0;          // measured requests that failed
+    double late_fault_hits = 0; // tasks that met the fault more than 1 s after it
+    double tasks_late = 0;      // tasks that ended more than 1 s after the fault
     double picks = 0;
 };
 
--- a/include/admission/fair_queue.h
+++ b/include/admission/fair_queue.h
@@ -38,7 +38,7 @@
     void push(queued_job job, team_index team, duration cost, std::uint32_t count);
 
     // Adds one task that was started and did not run; its job goes before the others of its team.
-    void push_again(queued_job job, team_index team, duration cost);
+    void push_retry(queued_job job, team_index team, duration cost);
 
     // The job whose task is next. Stays the same until the queue or a quota state changes.
     std::optional<queued_job> front();
@@ -85,7 +85,7 @@
     };
 
     // A list of teams that have tasks, linked through team_entry.
-    struct ring {
+    struct team_list {
         std::uint32_t first = none;
         std::uint32_t last = none;
     };
@@ -95,13 +95,16 @@
     void unlink_job(queued_job job);
     void link_team(team_index team);
     void unlink_team(team_index team);
-    ring& ring_of(team_index team) { return teams_[team].is_over_quota ? over_ : within_; }
-    ring& served_ring() { return within_.first != none ? within_ : over_; }
+    team_list& list_of(team_index team)
+    {
+        return teams_[team].is_over_quota ? over_quota_ : within_quota_;
+    }
+    team_list& served_list() { return within_quota_.first != none ? within_quota_ : over_quota_; }
 
     std::vector<team_entry> teams_;
     std::vector<job_entry> jobs_; // by job number
-    ring within_;
-    ring over_;
+    team_list within_quota_;
+    team_list over_quota_;
     double active_weight_ = 0.0;
     std::size_t size_ = 0;
     std::size_t max_tasks_;
--- a/include/dispatch/dispatcher.h
+++ b/include/dispatch/dispatcher.h
@@ -33,15 +33,15 @@
 public:
     // What the dispatcher works with. All must outlive it except that the worker client must not
     // run a callback after the dispatcher is gone. `observer` and `metrics` may be null.
-    struct parts {
+    struct dependencies {
         worker_client& workers;
-        router& routes;
+        router& task_router;
         timer_service& timers;
         job_observer* observer = nullptr;
         counters* metrics = nullptr;
     };
 
-    dispatcher(const deployment& settings, dispatcher_options options, const parts& with);
+    dispatcher(const deployment& settings, dispatcher_options options, const dependencies& with);
     ~dispatcher() override;
 
     // The router must have taken the document before, since it is asked about new kinds at once.
--- a/include/dispatch/retry_budget.h
+++ b/include/dispatch/retry_budget.h
@@ -18,7 +18,7 @@
     void record_first_start();
 
     // Takes a token for one retry. False if the budget is used up.
-    bool take();
+    bool try_take();
 
     // Jittered wait before the `retry`-th retry of a task, from 1. Doubles from 2 ms to 100 ms;
     // the jitter is a factor between 0.5 and 1.5, so that tasks refused together spread out.
--- a/include/entry/entry_instance.h
+++ b/include/entry/entry_instance.h
@@ -36,7 +36,7 @@
 
 // What an entry instance works with. All must outlive it; `list`, `config_peers` and `metrics` may
 // be null.
-struct entry_parts {
+struct entry_dependencies {
     timer_service& timers;
     log_service& log;
     worker_client& workers;
@@ -52,7 +52,7 @@
 public:
     using settings_callback = std::function<void(const deployment&)>;
 
-    entry_instance(entry_options options, const entry_parts& parts);
+    entry_instance(entry_options options, const entry_dependencies& dependencies);
     ~entry_instance();
     entry_instance(const entry_instance&) = delete;
     entry_instance& operator=(const entry_instance&) = delete;
@@ -87,14 +87,14 @@
 
 private:
     void apply(const config_in_force& document);
-    void build(const deployment& settings);
+    void create_dispatcher(const deployment& settings);
     void members_changed();
     void data_centre_changed(std::string_view data_centre, bool reachable);
-    void poll_list();
+    void poll_instance_list();
     void leave_group(const std::function<void()>& stopped);
 
     entry_options options_;
-    entry_parts parts_;
+    entry_dependencies dependencies_;
     config_follower follower_;
     failure_detector detector_;
     std::unique_ptr<account_writer> accounts_;
--- a/include/submission/submission_registry.h
+++ b/include/submission/submission_registry.h
@@ -33,8 +33,8 @@
     explicit submission_registry(std::size_t max_ids) : max_ids_(max_ids) {}
 
     // Looks an id up and remembers it if it is new. `issued` comes from its prefix.
-    verdict claim(std::uint64_t id_hash, std::uint64_t body_digest, monotonic_time issued,
-                  monotonic_time now);
+    verdict try_insert(std::uint64_t id_hash, std::uint64_t body_digest, monotonic_time issued,
+                       monotonic_time now);
 
     // Looks an id up without remembering it. Never returns `full`.
     verdict find(std::uint64_t id_hash, std::uint64_t body_digest, monotonic_time issued,
@@ -55,14 +55,14 @@
         std::size_t used = 0;
     };
 
-    static std::size_t find_place(const std::vector<entry>& entries, std::uint64_t id_hash);
+    static std::size_t find_slot(const std::vector<entry>& entries, std::uint64_t id_hash);
     const entry* find_entry(std::uint64_t id_hash, monotonic_time issued) const;
     table& table_at(std::int64_t span);
     void drop_expired(monotonic_time now);
 
     std::size_t max_ids_;
     std::size_t size_ = 0;
-    std::int64_t first_span_ = 0; // span of tables_.front()
+    std::int64_t first_bucket_ = 0; // span of tables_.front()
     std::deque<table> tables_;
 };
 
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -64,7 +64,7 @@
     }
 }
 
-void fair_queue::push_again(queued_job job, team_index team, duration cost)
+void fair_queue::push_retry(queued_job job, team_index team, duration cost)
 {
     job_entry& entry = entry_of(job, team, cost);
     ++entry.count;
@@ -85,7 +85,7 @@
         return std::nullopt;
     }
     while (true) {
-        const ring& served = served_ring();
+        const team_list& served = served_list();
         const team_index team = served.first;
         team_entry& it = teams_[team];
         if (!it.had_quantum) {
@@ -104,7 +104,7 @@
 
 void fair_queue::pop()
 {
-    const team_index team = served_ring().first;
+    const team_index team = served_list().first;
     team_entry& it = teams_[team];
     const queued_job job = it.first;
     job_entry& entry = jobs_[job];
@@ -205,7 +205,7 @@
 void fair_queue::link_team(team_index team)
 {
     team_entry& it = teams_[team];
-    ring& home = ring_of(team);
+    team_list& home = list_of(team);
     it.previous = home.last;
     it.next = none;
     (home.last == none ? home.first : teams_[home.last].next) = team;
@@ -216,7 +216,7 @@
 void fair_queue::unlink_team(team_index team)
 {
     team_entry& it = teams_[team];
-    ring& home = ring_of(team);
+    team_list& home = list_of(team);
     (it.previous == none ? home.first : teams_[it.previous].next) = it.next;
     (it.next == none ? home.last : teams_[it.next].previous) = it.previous;
 }
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -95,13 +95,13 @@
     options.seed = seed;
     options.config.seed = seed;
     entry = std::make_unique<entry_instance>(std::move(options),
-                                             entry_parts{.timers = timers,
-                                                         .log = platform->log(),
-                                                         .workers = platform->workers(),
-                                                         .peers = *rpc_client,
-                                                         .list = platform->list(),
-                                                         .config_peers = states.get(),
-                                                         .metrics = &counts});
+                                             entry_dependencies{.timers = timers,
+                                                                .log = platform->log(),
+                                                                .workers = platform->workers(),
+                                                                .peers = *rpc_client,
+                                                                .list = platform->list(),
+                                                                .config_peers = states.get(),
+                                                                .metrics = &counts});
     entry->on_settings([this](const deployment& next) { platform->apply(next); });
     entry->membership().on_change([](const member_change& change) {
         log_event("member", "name={} state={} data_centre={}", change.now.name,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -21,7 +21,8 @@
     return "unknown";
 }
 
-dispatcher::dispatcher(const deployment& settings, dispatcher_options options, const parts& with)
+dispatcher::dispatcher(const deployment& settings, dispatcher_options options,
+                       const dependencies& with)
     : engine_(std::make_unique<engine>(settings, std::move(options), with))
 {
 }
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -11,7 +11,7 @@
 
 // Waiting tasks are offered to the router again this often, because room can also appear without
 // a reply: a load report ages, a worker returns from ejection.
-constexpr duration pump_interval = std::chrono::milliseconds{10};
+constexpr duration dispatch_interval = std::chrono::milliseconds{10};
 
 // Bound on starts in one turn of the loop.
 constexpr int max_starts_per_turn = 256;
@@ -53,8 +53,8 @@
 } // namespace
 
 dispatcher::engine::engine(const deployment& settings, dispatcher_options options,
-                           const parts& with)
-    : options_(std::move(options)), workers_(with.workers), routes_(with.routes),
+                           const dependencies& with)
+    : options_(std::move(options)), workers_(with.workers), router_(with.task_router),
       timers_(with.timers), observer_(with.observer),
       counts_(with.metrics != nullptr ? *with.metrics : own_counters_), quotas_({}, options_.share),
       retries_(settings.profile.retry_ratio, static_cast<std::uint32_t>(options_.seed) + 1),
@@ -120,7 +120,7 @@
 
 dispatcher::engine::~engine()
 {
-    timers_.cancel(turn_);
+    timers_.cancel(deferred_work_timer_);
 }
 
 result<void> dispatcher::engine::submit(job_request request)
@@ -164,7 +164,7 @@
         return refuse(request, checked.error());
     }
     // Refused submissions are not remembered: nothing of them ran, so they may be tried again.
-    if (registry_.claim(id_hash, digest, prefix.issued, now()) != verdict::fresh) {
+    if (registry_.try_insert(id_hash, digest, prefix.issued, now()) != verdict::fresh) {
         return refuse(request, {errc::unavailable, "too many submissions are remembered"});
     }
     accept(std::move(request), id_hash, digest);
@@ -197,7 +197,7 @@
                                    settings_->limits.max_deadline / std::chrono::milliseconds{1}));
     }
     const request_kind& settings = settings_->kinds[kind->second];
-    if (!routes_.can_ever_run(kind->second)) {
+    if (!router_.can_ever_run(kind->second)) {
         return failure(errc::invalid_argument,
                        fmt::format("no worker can ever run '{}', which needs [{}]", settings.name,
                                    fmt::join(settings.needs, ", ")));
@@ -218,7 +218,7 @@
         const auto position = queue.estimate_position(team->second, tasks);
         const duration margin =
             state.samples < min_samples ? duration::zero() : std::min(state.p99, limit / 2);
-        const duration start = routes_.expected_wait(position);
+        const duration start = router_.expected_wait(position);
         if (start > duration::zero() && start + start / prediction_slack + margin > limit) {
             return failure(errc::unavailable,
                            fmt::format("overload: predicted start after {} ms, deadline {} ms",
@@ -261,11 +261,11 @@
     job.deadline = job.received + limit;
     job.kind = kind;
     job.queue = kinds_[kind].queue;
-    job.rules = settings_;
+    job.accepted_settings = settings_;
     job.team = teams_by_customer_.find(request.customer)->second;
     job.size = static_cast<std::uint32_t>(request.payloads.size());
     job.tasks.resize(job.size);
-    job.timer = wheel_.add(job.deadline, to_key(event::job, slot));
+    job.timer = wheel_.add(job.deadline, timer_key(timer_kind::job, slot));
     ++open_jobs_;
     ++counts_.jobs_accepted;
     if (observer_ != nullptr) {
@@ -273,12 +273,12 @@
             job.number, {request.id, request.customer, request.kind, job.size, job.received_wall});
     }
     job.id = std::move(request.id);
-    job.texts = std::move(request.payloads);
+    job.payloads_or_answers = std::move(request.payloads);
     jobs_by_id_.emplace(id_hash, slot);
-    queues_[job.queue].push(slot, job.team, learned(kind, job.received).median, job.size);
-    pump();
+    queues_[job.queue].push(slot, job.team, refreshed_state(kind, job.received).median, job.size);
+    dispatch_queued();
     if (!deliveries_.empty()) {
-        schedule_turn();
+        schedule_deferred_work();
     }
 }
 
@@ -306,19 +306,19 @@
         auto answer = std::make_shared<job_answer>();
         answer->reason = "the id is not known here";
         deliveries_.push_back({std::move(done), std::move(answer)});
-        schedule_turn();
+        schedule_deferred_work();
         return;
     }
     job_record& job = jobs_[slot];
     if (job.is_finished()) {
         deliveries_.push_back({std::move(done), job.answer});
-        schedule_turn();
+        schedule_deferred_work();
         return;
     }
     // The number is unique among the waiters of a job and fits into the key of its timer.
     constexpr std::uint32_t number_mask = (1U << 28U) - 1;
     const std::uint32_t number = ++job.last_waiter & number_mask;
-    const auto timer = wheel_.add(now() + limit, to_key(event::wait, slot, number));
+    const auto timer = wheel_.add(now() + limit, timer_key(timer_kind::wait, slot, number));
     job.waiters.push_back({number, timer, std::move(done)});
 }
 
@@ -354,14 +354,14 @@
     for (const task_record& task : job.tasks) {
         for (const std::uint32_t index : task.attempts) {
             if (index != no_index) {
-                stops_.emplace_back(index, attempts_[index].generation);
+                pending_stops_.emplace_back(index, attempts_[index].generation);
             }
         }
     }
     wheel_.cancel(job.timer);
-    job.timer = wheel_.add(now() + options_.reply_grace, to_key(event::job, slot));
-    fail(slot, "cancelled");
-    schedule_turn();
+    job.timer = wheel_.add(now() + options_.reply_grace, timer_key(timer_kind::job, slot));
+    fail_job(slot, "cancelled");
+    schedule_deferred_work();
     return boost::outcome_v2::success();
 }
 
@@ -375,7 +375,7 @@
 {
     is_shutting_down_ = true;
     drained_ = std::move(drained);
-    schedule_turn();
+    schedule_deferred_work();
 }
 
 void dispatcher::engine::set_share(double share)
@@ -403,12 +403,13 @@
                       jobs_by_id_.bucket_count() * sizeof(void*) +
                       attempts_.capacity() * sizeof(attempt_record);
     for (const job_record& job : jobs_) {
-        sum += job.id.capacity() + job.texts.capacity() * sizeof(std::string) +
+        sum += job.id.capacity() + job.payloads_or_answers.capacity() * sizeof(std::string) +
                (job.tasks.capacity() > 1 ? job.tasks.capacity() * sizeof(task_record) : 0) +
                job.waiters.capacity() * sizeof(answer_waiter) +
                (job.answer ? sizeof(job_answer) : 0);
-        const auto& texts = job.answer ? job.answer->answers : job.texts;
-        for (const std::string& text : texts) {
+        const auto& payloads_or_answers =
+            job.answer ? job.answer->answers : job.payloads_or_answers;
+        for (const std::string& text : payloads_or_answers) {
             sum += text.capacity();
         }
     }
@@ -416,39 +417,40 @@
 }
 
 // Starts waiting tasks while the router finds workers with room, up to the bound of a turn.
-void dispatcher::engine::pump()
+void dispatcher::engine::dispatch_queued()
 {
     int starts_left = max_starts_per_turn;
     bool is_waiting = false;
     for (fair_queue& queue : queues_) {
-        is_waiting = pump_queue(queue, starts_left) || is_waiting;
+        is_waiting = dispatch_from(queue, starts_left) || is_waiting;
     }
     if (starts_left == 0) {
-        schedule_turn();
+        schedule_deferred_work();
     }
-    else if (is_waiting && pump_timer_ == timer_wheel::none) {
-        pump_timer_ = wheel_.add(now() + pump_interval, to_key(event::pump, 0));
+    else if (is_waiting && dispatch_timer_ == timer_wheel::none) {
+        dispatch_timer_ =
+            wheel_.add(now() + dispatch_interval, timer_key(timer_kind::dispatch_queued, 0));
     }
 }
 
 // Returns whether tasks are left waiting.
-bool dispatcher::engine::pump_queue(fair_queue& queue, int& starts_left)
+bool dispatcher::engine::dispatch_from(fair_queue& queue, int& starts_left)
 {
     while (const auto slot = queue.front()) {
         if (starts_left == 0) {
             return true;
         }
         const job_record& job = jobs_[*slot];
-        if (is_hopeless(job, now())) {
-            fail(*slot, "shed: would not finish within its deadline");
+        if (would_miss_deadline(job, now())) {
+            fail_job(*slot, "shed: would not finish within its deadline");
             --starts_left;
             continue;
         }
         routing_query query{job.kind, job.number, std::nullopt};
-        if (!job.again.empty()) {
-            query.excluded = job.tasks[job.again.back()].last_worker;
+        if (!job.retry_queue.empty()) {
+            query.excluded = job.tasks[job.retry_queue.back()].last_worker;
         }
-        const auto worker = routes_.pick(query);
+        const auto worker = router_.pick(query);
         if (!worker) {
             return true;
         }
@@ -463,7 +465,7 @@
 {
     job_record& job = jobs_[slot];
     std::uint32_t task = 0;
-    if (job.again.empty()) {
+    if (job.retry_queue.empty()) {
         task = job.next_waiting++;
         ++job.started;
         retries_.record_first_start();
@@ -473,8 +475,8 @@
         }
     }
     else {
-        task = job.again.back();
-        job.again.pop_back();
+        task = job.retry_queue.back();
+        job.retry_queue.pop_back();
         ++counts_.task_retries;
         hedges_.record_extra_messages(hedge_policy::messages_per_retry);
     }
@@ -486,7 +488,7 @@
 {
     job_record& job = jobs_[slot];
     task_record& task = job.tasks[task_number];
-    const request_kind& kind = job.rules->kinds[job.kind];
+    const request_kind& kind = job.accepted_settings->kinds[job.kind];
     const monotonic_time time = now();
     std::uint32_t index = 0;
     if (free_attempts_.empty()) {
@@ -498,7 +500,7 @@
         free_attempts_.pop_back();
     }
     if (!task.is_open()) {
-        ++job.open;
+        ++job.open_tasks;
     }
     task.attempts[task.attempts[0] == no_index ? 0 : 1] = index;
     task.state = task_state::running;
@@ -512,30 +514,31 @@
     attempt.start_number = task.starts;
     attempt.is_open = true;
     attempt.holds_slot = true;
-    attempt.was_stopped = false;
+    attempt.stop_sent = false;
     attempt.started = time;
-    attempt.lease_end = time + job.rules->lease;
-    attempt.renew_at = time + job.rules->lease / 2;
+    attempt.lease_end = time + job.accepted_settings->lease;
+    attempt.renew_at = time + job.accepted_settings->lease / 2;
     attempt.hedge_at = monotonic_time::max();
     task.lease_end_ms = static_cast<std::uint32_t>((attempt.lease_end - job.received) /
                                                    std::chrono::milliseconds{1});
     if (task.starts == 1 && kind.second_start) {
-        const kind_state& state = learned(job.kind, time);
+        const kind_state& state = refreshed_state(job.kind, time);
         if (const auto delay = hedges_.delay(kind, state.hedge_after, state.samples)) {
             attempt.hedge_at = time + *delay;
         }
     }
-    arm(attempt, index);
+    arm_timer(attempt, index);
 
     ++counts_.task_starts;
     quotas_.record_start(job.team);
     update_quota(job.team);
-    routes_.record_start(worker, job.kind);
+    router_.record_start(worker, job.kind);
     if (observer_ != nullptr) {
         observer_->task_started(job.number, task_number, worker);
     }
-    const start_request request{task_id(job, attempt), kind.name, job.texts[task_number],
-                                job.rules->lease, std::max(job.deadline - time, duration::zero())};
+    const start_request request{task_id(job, attempt), kind.name,
+                                job.payloads_or_answers[task_number], job.accepted_settings->lease,
+                                std::max(job.deadline - time, duration::zero())};
     // The capture fits into the function's own storage, so a start allocates nothing here.
     const std::uint32_t generation = attempt.generation;
     workers_.start(worker, request, [this, index, generation](start_reply reply) {
@@ -545,29 +548,29 @@
 
 // True if a task that had to wait would start too late to finish within its deadline. Tasks that
 // start without waiting always get their chance.
-bool dispatcher::engine::is_hopeless(const job_record& job, monotonic_time time)
+bool dispatcher::engine::would_miss_deadline(const job_record& job, monotonic_time time)
 {
     if (time == job.received) {
         return false;
     }
     const duration left = job.deadline - time;
-    const kind_state& state = learned(job.kind, time);
+    const kind_state& state = refreshed_state(job.kind, time);
     const duration margin = state.samples < min_samples
                                 ? duration::zero()
                                 : std::min(state.p99, (job.deadline - job.received) / 2);
     return left <= duration::zero() || left < margin;
 }
 
-const dispatcher::engine::kind_state& dispatcher::engine::learned(kind_index kind,
-                                                                  monotonic_time time)
+const dispatcher::engine::kind_state& dispatcher::engine::refreshed_state(kind_index kind,
+                                                                          monotonic_time time)
 {
     kind_state& state = kinds_[kind];
     // Quantiles change slowly and are looked up for each task, so they are kept for a while.
     if (state.median == duration::zero() || time - state.refreshed >= refresh_interval) {
         state.refreshed = time;
-        state.median = routes_.run_time_quantile(kind, 0.5);
-        state.p99 = routes_.run_time_quantile(kind, 0.99);
-        state.hedge_after = routes_.run_time_quantile(kind, hedges_.quantile());
+        state.median = router_.run_time_quantile(kind, 0.5);
+        state.p99 = router_.run_time_quantile(kind, 0.99);
+        state.hedge_after = router_.run_time_quantile(kind, hedges_.quantile());
     }
     return state;
 }
@@ -585,7 +588,7 @@
     const monotonic_time lease_end = attempt.lease_end;
     const bool is_hedge = attempt.start_number > 1 && jobs_[slot].tasks[task].attempts[1] == index;
     release_slot(attempt, reply);
-    close(index, reply.status);
+    close_attempt(index, reply.status);
     if (reply.status == start_status::completed) {
         counts_.hedges_won += is_hedge ? 1 : 0;
         complete_task(slot, task, std::move(reply.payload));
@@ -593,8 +596,8 @@
     else {
         attempt_failed(slot, task, reply, lease_end);
     }
-    settle(slot);
-    pump();
+    finish_if_done(slot);
+    dispatch_queued();
     deliver();
 }
 
@@ -606,10 +609,10 @@
     task.state = task_state::completed;
     ++job.completed;
     ++kinds_[job.kind].samples;
-    job.texts[task_number] = std::move(answer);
+    job.payloads_or_answers[task_number] = std::move(answer);
     for (const std::uint32_t other : task.attempts) {
         if (other != no_index) {
-            give_up(other, start_status::stopped);
+            abandon_attempt(other, start_status::stopped);
         }
     }
 }
@@ -620,7 +623,7 @@
 {
     job_record& job = jobs_[slot];
     task_record& task = job.tasks[task_number];
-    const request_kind& kind = job.rules->kinds[job.kind];
+    const request_kind& kind = job.accepted_settings->kinds[job.kind];
     bool may_retry = false;
     switch (reply.status) {
     case start_status::refused_busy:
@@ -655,24 +658,24 @@
         const std::string_view what = task.is_unknown ? "no reply from the worker"
                                       : task.has_run  ? "the task failed"
                                                       : "no worker took the task";
-        fail(slot, reply.payload.empty() ? std::string{what}
-                                         : fmt::format("{}: {}", what, reply.payload));
+        fail_job(slot, reply.payload.empty() ? std::string{what}
+                                             : fmt::format("{}: {}", what, reply.payload));
     }
 }
 
 // Ends an attempt without its reply, which will be ignored. The worker is asked to stop.
-void dispatcher::engine::give_up(std::uint32_t index, start_status status)
+void dispatcher::engine::abandon_attempt(std::uint32_t index, start_status status)
 {
     send_stop(attempts_[index]);
-    close(index, status);
+    close_attempt(index, status);
 }
 
 // Sends the stop and counts the worker's slot as free at once. If the stop is slow, the worker
 // refuses the next task as busy, and that task has certainly not run.
 void dispatcher::engine::send_stop(attempt_record& attempt)
 {
-    if (!attempt.was_stopped) {
-        attempt.was_stopped = true;
+    if (!attempt.stop_sent) {
+        attempt.stop_sent = true;
         ++counts_.stops;
         hedges_.record_extra_messages(1.0);
         workers_.stop(attempt.worker, task_id(jobs_[attempt.job], attempt));
@@ -689,13 +692,13 @@
     }
     attempt.holds_slot = false;
     const job_record& job = jobs_[attempt.job];
-    routes_.record_end(attempt.worker, job.kind, reply, now() - attempt.started);
+    router_.record_end(attempt.worker, job.kind, reply, now() - attempt.started);
     quotas_.record_end(job.team);
     update_quota(job.team);
 }
 
 // Frees the record of an attempt. The new generation makes a later reply to it recognisable.
-void dispatcher::engine::close(std::uint32_t index, start_status status)
+void dispatcher::engine::close_attempt(std::uint32_t index, start_status status)
 {
     attempt_record& attempt = attempts_[index];
     assert(attempt.is_open && !attempt.holds_slot);
@@ -707,7 +710,7 @@
         }
     }
     if (!task.is_open()) {
-        --job.open;
+        --job.open_tasks;
     }
     if (observer_ != nullptr) {
         observer_->task_ended(job.number, attempt.task, attempt.worker, status);
@@ -720,7 +723,7 @@
 
 // Marks a job as failed: what waits is dropped at once, what runs is waited for, so that the
 // answer can tell truthfully what ran.
-void dispatcher::engine::fail(std::uint32_t slot, std::string_view reason)
+void dispatcher::engine::fail_job(std::uint32_t slot, std::string_view reason)
 {
     job_record& job = jobs_[slot];
     if (job.is_failing) {
@@ -732,14 +735,14 @@
     for (task_record& task : job.tasks) {
         wheel_.cancel(task.retry_timer);
     }
-    settle(slot);
+    finish_if_done(slot);
 }
 
-void dispatcher::engine::settle(std::uint32_t slot)
+void dispatcher::engine::finish_if_done(std::uint32_t slot)
 {
     const job_record& job = jobs_[slot];
     if (job.number != 0 && !job.is_finished() &&
-        (job.completed == job.size || (job.is_failing && job.open == 0))) {
+        (job.completed == job.size || (job.is_failing && job.open_tasks == 0))) {
         finish(slot);
     }
 }
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -19,7 +19,7 @@
 // by index.
 class dispatcher::engine {
 public:
-    engine(const deployment& settings, dispatcher_options options, const parts& with);
+    engine(const deployment& settings, dispatcher_options options, const dependencies& with);
     ~engine();
 
     void apply(const deployment& settings);
@@ -37,12 +37,13 @@
 
 private:
     // What a timer of the wheel is for.
-    enum class event : std::uint8_t { job, attempt, retry, wait, pump, retention };
+    enum class timer_kind : std::uint8_t { job, attempt, retry, wait, dispatch_queued, retention };
 
     // A task is started at most this often, however large the retry budget is.
     static constexpr unsigned max_starts_per_task = 5;
 
-    static constexpr std::uint64_t to_key(event what, std::uint32_t first, std::uint32_t second = 0)
+    static constexpr std::uint64_t timer_key(timer_kind what, std::uint32_t first,
+                                             std::uint32_t second = 0)
     {
         return static_cast<std::uint64_t>(what) << 60U | std::uint64_t{second} << 32U | first;
     }
@@ -70,28 +71,28 @@
     std::uint32_t add_job();
 
     // Starting tasks.
-    void pump();
-    bool pump_queue(fair_queue& queue, int& starts_left);
+    void dispatch_queued();
+    bool dispatch_from(fair_queue& queue, int& starts_left);
     void start_next(std::uint32_t slot, worker_id worker);
     void start_attempt(std::uint32_t slot, std::uint32_t task, worker_id worker);
-    bool is_hopeless(const job_record& job, monotonic_time now);
-    const kind_state& learned(kind_index kind, monotonic_time now);
+    bool would_miss_deadline(const job_record& job, monotonic_time now);
+    const kind_state& refreshed_state(kind_index kind, monotonic_time now);
 
     // Ends of attempts.
     void on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply);
     void complete_task(std::uint32_t slot, std::uint32_t task, std::string answer);
     void attempt_failed(std::uint32_t slot, std::uint32_t task, const start_reply& reply,
                         monotonic_time lease_end);
-    void give_up(std::uint32_t index, start_status status);
+    void abandon_attempt(std::uint32_t index, start_status status);
     void send_stop(attempt_record& attempt);
     void release_slot(attempt_record& attempt, const start_reply& reply);
-    void close(std::uint32_t index, start_status status);
+    void close_attempt(std::uint32_t index, start_status status);
 
     // Ends of jobs.
-    void fail(std::uint32_t slot, std::string_view reason);
-    void settle(std::uint32_t slot);
+    void fail_job(std::uint32_t slot, std::string_view reason);
+    void finish_if_done(std::uint32_t slot);
     void finish(std::uint32_t slot);
-    void drop(std::uint32_t slot);
+    void drop_job(std::uint32_t slot);
     void drop_old_answers(bool only_excess);
 
     // Timers.
@@ -101,12 +102,12 @@
     void on_retry_due(std::uint32_t slot, std::uint32_t task);
     void on_wait_due(std::uint32_t slot, std::uint32_t number);
     void try_hedge(std::uint32_t index);
-    void arm(attempt_record& attempt, std::uint32_t index);
+    void arm_timer(attempt_record& attempt, std::uint32_t index);
     void retry_later(std::uint32_t slot, std::uint32_t task);
 
     // Work that is left to a later turn of the loop.
-    void schedule_turn();
-    void run_turn();
+    void schedule_deferred_work();
+    void run_deferred_work();
     void deliver();
 
     std::string_view task_id(const job_record& job, const attempt_record& attempt);
@@ -116,7 +117,7 @@
     std::shared_ptr<const deployment> settings_; // replaced as a whole
     const dispatcher_options options_;
     worker_client& workers_;
-    router& routes_;
+    router& router_;
     timer_service& timers_;
     job_observer* observer_;
     counters own_counters_; // used when the owner wants none
@@ -146,12 +147,12 @@
     std::size_t retained_bytes_ = 0;
     timer_wheel::handle retention_timer_ = timer_wheel::none;
 
-    std::deque<std::pair<std::uint32_t, std::uint32_t>> stops_; // attempt and generation
+    std::deque<std::pair<std::uint32_t, std::uint32_t>> pending_stops_; // attempt and generation
     std::vector<delivery> deliveries_;
     std::function<void()> drained_;
     bool is_shutting_down_ = false;
-    timer_id turn_ = 0;
-    timer_wheel::handle pump_timer_ = timer_wheel::none;
+    timer_id deferred_work_timer_ = 0;
+    timer_wheel::handle dispatch_timer_ = timer_wheel::none;
     std::string task_id_; // reused buffer
     timer_wheel wheel_;
 };
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -35,24 +35,24 @@
 {
     const auto first = static_cast<std::uint32_t>(key);
     const std::uint32_t second = static_cast<std::uint32_t>(key >> 32U) & ((1U << 28U) - 1);
-    switch (static_cast<event>(key >> 60U)) {
-    case event::job:
+    switch (static_cast<timer_kind>(key >> 60U)) {
+    case timer_kind::job:
         on_job_due(first);
         break;
-    case event::attempt:
+    case timer_kind::attempt:
         on_attempt_due(first);
         break;
-    case event::retry:
+    case timer_kind::retry:
         on_retry_due(first, second);
         break;
-    case event::wait:
+    case timer_kind::wait:
         on_wait_due(first, second);
         break;
-    case event::pump:
-        pump_timer_ = timer_wheel::none;
-        pump();
+    case timer_kind::dispatch_queued:
+        dispatch_timer_ = timer_wheel::none;
+        dispatch_queued();
         break;
-    case event::retention:
+    case timer_kind::retention:
         retention_timer_ = timer_wheel::none;
         drop_old_answers(false);
         break;
@@ -68,18 +68,18 @@
     const monotonic_time time = now();
     const monotonic_time limit = job.deadline + options_.reply_grace;
     const bool is_cancelled = job.is_failing && time < job.deadline;
-    if (!is_cancelled && !job.is_failing && job.completed + job.open < job.size) {
-        fail(slot, "the deadline passed before a worker took the task");
+    if (!is_cancelled && !job.is_failing && job.completed + job.open_tasks < job.size) {
+        fail_job(slot, "the deadline passed before a worker took the task");
         if (job.is_finished() || job.number == 0) {
             return;
         }
     }
     // After a pause the replies may be waiting in the sockets, so they get their time once more.
-    const bool was_paused = time > limit + pause_threshold && !job.had_pause;
-    job.had_pause = job.had_pause || was_paused;
+    const bool was_paused = time > limit + pause_threshold && !job.grace_extended;
+    job.grace_extended = job.grace_extended || was_paused;
     if (!is_cancelled && (time < limit || was_paused)) {
-        job.timer =
-            wheel_.add(was_paused ? time + options_.reply_grace : limit, to_key(event::job, slot));
+        job.timer = wheel_.add(was_paused ? time + options_.reply_grace : limit,
+                               timer_key(timer_kind::job, slot));
         return;
     }
     for (std::size_t n = 0; n < job.tasks.size(); ++n) {
@@ -93,23 +93,23 @@
             task.state = task_state::ended;
             // The router learns that the worker was silent, unless it was asked to stop.
             release_slot(attempts_[index], {});
-            give_up(index, start_status::reply_lost);
+            abandon_attempt(index, start_status::reply_lost);
         }
     }
     if (job.is_failing) {
-        settle(slot);
+        finish_if_done(slot);
     }
     else {
-        fail(slot, "no reply from the worker within the deadline");
+        fail_job(slot, "no reply from the worker within the deadline");
     }
-    pump();
+    dispatch_queued();
 }
 
 void dispatcher::engine::on_attempt_due(std::uint32_t index)
 {
     attempt_record& attempt = attempts_[index];
     attempt.timer = timer_wheel::none;
-    if (attempt.was_stopped) {
+    if (attempt.stop_sent) {
         return;
     }
     const monotonic_time time = now();
@@ -128,12 +128,12 @@
     if (time >= it.renew_at) {
         ++counts_.lease_renewals;
         hedges_.record_extra_messages(1.0);
-        const duration lease = jobs_[it.job].rules->lease;
+        const duration lease = jobs_[it.job].accepted_settings->lease;
         workers_.renew(it.worker, task_id(jobs_[it.job], it), lease);
         it.lease_end = time + lease;
         it.renew_at = time + lease / 2;
     }
-    arm(it, index);
+    arm_timer(it, index);
 }
 
 void dispatcher::engine::try_hedge(std::uint32_t index)
@@ -146,7 +146,7 @@
         !hedges_.can_afford(hedge_policy::messages_per_hedge)) {
         return;
     }
-    const auto worker = routes_.pick({job.kind, job.number, attempt.worker});
+    const auto worker = router_.pick({job.kind, job.number, attempt.worker});
     if (!worker || *worker == attempt.worker) {
         return;
     }
@@ -155,10 +155,10 @@
     start_attempt(attempt.job, attempt.task, *worker);
 }
 
-void dispatcher::engine::arm(attempt_record& attempt, std::uint32_t index)
+void dispatcher::engine::arm_timer(attempt_record& attempt, std::uint32_t index)
 {
-    attempt.timer =
-        wheel_.add(std::min(attempt.renew_at, attempt.hedge_at), to_key(event::attempt, index));
+    attempt.timer = wheel_.add(std::min(attempt.renew_at, attempt.hedge_at),
+                               timer_key(timer_kind::attempt, index));
 }
 
 void dispatcher::engine::retry_later(std::uint32_t slot, std::uint32_t task_number)
@@ -167,7 +167,7 @@
     task.state = task_state::backing_off;
     task.backoffs = static_cast<std::uint8_t>(std::min(task.backoffs + 1, 255));
     task.retry_timer = wheel_.add(now() + retries_.backoff(task.backoffs),
-                                  to_key(event::retry, slot, task_number));
+                                  timer_key(timer_kind::retry, slot, task_number));
 }
 
 void dispatcher::engine::on_retry_due(std::uint32_t slot, std::uint32_t task_number)
@@ -181,19 +181,19 @@
     }
     if (time >= job.received + std::chrono::milliseconds{task.lease_end_ms}) {
         task.state = task_state::ended;
-        fail(slot, "not retried after the end of the lease");
+        fail_job(slot, "not retried after the end of the lease");
         return;
     }
     // Waiting for a token sends nothing, so it cannot add to an overload.
-    if (!retries_.take()) {
+    if (!retries_.try_take()) {
         ++counts_.retry_budget_empty;
         retry_later(slot, task_number);
         return;
     }
     task.state = task_state::waiting;
-    job.again.push_back(task_number);
-    queues_[job.queue].push_again(slot, job.team, learned(job.kind, time).median);
-    pump();
+    job.retry_queue.push_back(task_number);
+    queues_[job.queue].push_retry(slot, job.team, refreshed_state(job.kind, time).median);
+    dispatch_queued();
 }
 
 void dispatcher::engine::on_wait_due(std::uint32_t slot, std::uint32_t number)
@@ -216,7 +216,7 @@
     auto answer = std::make_shared<job_answer>();
     if (job.completed == job.size) {
         answer->state = job_state::completed;
-        answer->answers = std::move(job.texts);
+        answer->answers = std::move(job.payloads_or_answers);
         job.reason.clear();
         ++counts_.jobs_completed;
     }
@@ -236,9 +236,9 @@
                       : counts_.jobs_failed_not_run);
     }
     // Only the answer is kept; a retained job must be small.
-    release_memory(job.texts);
-    release_memory(job.again);
-    job.rules.reset();
+    release_memory(job.payloads_or_answers);
+    release_memory(job.retry_queue);
+    job.accepted_settings.reset();
     job.tasks.clear();
     job.tasks.shrink_to_fit();
     wheel_.cancel(job.timer);
@@ -266,7 +266,7 @@
     retained_bytes_ += retained_size(job);
     drop_old_answers(true);
     if (is_shutting_down_ && open_jobs_ == 0) {
-        schedule_turn();
+        schedule_deferred_work();
     }
 }
 
@@ -283,17 +283,17 @@
             break;
         }
         counts_.answers_dropped += is_excess ? 1 : 0;
-        drop(retained_.front());
+        drop_job(retained_.front());
         retained_.pop_front();
     }
     if (!retained_.empty() && retention_timer_ == timer_wheel::none) {
         const monotonic_time due = jobs_[retained_.front()].finished_at + retention;
-        retention_timer_ =
-            wheel_.add(std::max(due, time + retention_interval), to_key(event::retention, 0));
+        retention_timer_ = wheel_.add(std::max(due, time + retention_interval),
+                                      timer_key(timer_kind::retention, 0));
     }
 }
 
-void dispatcher::engine::drop(std::uint32_t slot)
+void dispatcher::engine::drop_job(std::uint32_t slot)
 {
     job_record& job = jobs_[slot];
     retained_bytes_ -= retained_size(job);
@@ -302,27 +302,27 @@
     free_jobs_.push_back(slot);
 }
 
-void dispatcher::engine::schedule_turn()
+void dispatcher::engine::schedule_deferred_work()
 {
-    if (turn_ == 0) {
-        turn_ = timers_.schedule(duration::zero(), [this] { run_turn(); });
+    if (deferred_work_timer_ == 0) {
+        deferred_work_timer_ = timers_.schedule(duration::zero(), [this] { run_deferred_work(); });
     }
 }
 
-void dispatcher::engine::run_turn()
+void dispatcher::engine::run_deferred_work()
 {
-    turn_ = 0;
-    for (std::size_t n = 0; n < max_stops_per_turn && !stops_.empty(); ++n) {
-        const auto [index, generation] = stops_.front();
-        stops_.pop_front();
+    deferred_work_timer_ = 0;
+    for (std::size_t n = 0; n < max_stops_per_turn && !pending_stops_.empty(); ++n) {
+        const auto [index, generation] = pending_stops_.front();
+        pending_stops_.pop_front();
         if (attempts_[index].is_open && attempts_[index].generation == generation) {
             send_stop(attempts_[index]);
         }
     }
-    pump();
+    dispatch_queued();
     deliver();
-    if (!stops_.empty()) {
-        schedule_turn();
+    if (!pending_stops_.empty()) {
+        schedule_deferred_work();
     }
     if (is_shutting_down_ && open_jobs_ == 0 && deliveries_.empty() && drained_) {
         std::exchange(drained_, nullptr)();
@@ -342,7 +342,7 @@
         it.done(*it.answer);
     }
     if (!deliveries_.empty()) {
-        schedule_turn();
+        schedule_deferred_work();
     }
 }
 
--- a/src/dispatch/job_record.h
+++ b/src/dispatch/job_record.h
@@ -51,10 +51,10 @@
     monotonic_time finished_at;
     wall_time received_wall;
     // Payloads; the payload of a completed task is replaced by its answer.
-    std::vector<std::string> texts;
+    std::vector<std::string> payloads_or_answers;
     boost::container::small_vector<task_record, 1> tasks;
-    std::shared_ptr<const deployment> rules; // in force when the job was accepted
-    std::vector<std::uint32_t> again;        // tasks that wait to be started again
+    std::shared_ptr<const deployment> accepted_settings; // in force when the job was accepted
+    std::vector<std::uint32_t> retry_queue;              // tasks that wait to be started again
     std::vector<answer_waiter> waiters;
     std::shared_ptr<const job_answer> answer; // set when the job is finished
     std::string reason;                       // why it failed, if it did
@@ -66,10 +66,10 @@
     std::uint32_t next_waiting = 0; // first task that was never started
     std::uint32_t started = 0;      // tasks
     std::uint32_t completed = 0;    // tasks
-    std::uint32_t open = 0;         // tasks with an attempt that has not ended
+    std::uint32_t open_tasks = 0;   // tasks with an attempt that has not ended
     std::uint32_t last_waiter = 0;
-    bool is_failing = false; // no task is started any more
-    bool had_pause = false;  // its replies got more time once because the process was paused
+    bool is_failing = false;     // no task is started any more
+    bool grace_extended = false; // its replies got more time once because the process was paused
 
     bool is_finished() const { return answer != nullptr; }
 };
@@ -84,7 +84,7 @@
     std::uint8_t start_number = 0;
     bool is_open = false;
     bool holds_slot = false;
-    bool was_stopped = false;
+    bool stop_sent = false;
     monotonic_time started;
     monotonic_time lease_end;
     monotonic_time renew_at;
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -26,7 +26,7 @@
     tokens_ = std::min(max_tokens, tokens_ + ratio_);
 }
 
-bool retry_budget::take()
+bool retry_budget::try_take()
 {
     if (tokens_ < 1.0) {
         return false;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -28,15 +28,15 @@
 
 } // namespace
 
-entry_instance::entry_instance(entry_options options, const entry_parts& parts)
-    : options_(std::move(options)), parts_(parts),
-      follower_(parts.log, parts.timers, parts.config_peers, options_.config),
-      detector_(parts.timers, parts.peers, options_.self, static_cast<std::uint32_t>(options_.seed),
-                options_.detector),
+entry_instance::entry_instance(entry_options options, const entry_dependencies& dependencies)
+    : options_(std::move(options)), dependencies_(dependencies),
+      follower_(dependencies.log, dependencies.timers, dependencies.config_peers, options_.config),
+      detector_(dependencies.timers, dependencies.peers, options_.self,
+                static_cast<std::uint32_t>(options_.seed), options_.detector),
       alive_(std::make_shared<entry_instance*>(this))
 {
     if (options_.keep_accounts) {
-        accounts_ = std::make_unique<account_writer>(parts.log, parts.timers,
+        accounts_ = std::make_unique<account_writer>(dependencies.log, dependencies.timers,
                                                      make_account_settings(options_));
         recorder_ = std::make_unique<account_recorder>(*accounts_);
     }
@@ -44,7 +44,7 @@
 
 entry_instance::~entry_instance()
 {
-    parts_.timers.cancel(list_timer_);
+    dependencies_.timers.cancel(list_timer_);
 }
 
 void entry_instance::start()
@@ -60,7 +60,7 @@
     if (accounts_) {
         accounts_->start();
     }
-    poll_list();
+    poll_instance_list();
 }
 
 bool entry_instance::is_ready() const
@@ -86,7 +86,7 @@
         fn(*settings_);
     }
     if (!jobs_) {
-        build(*settings_);
+        create_dispatcher(*settings_);
     }
     else {
         router_->apply(*settings_);
@@ -97,10 +97,10 @@
               settings_->workers.size(), settings_->kinds.size());
 }
 
-void entry_instance::build(const deployment& settings)
+void entry_instance::create_dispatcher(const deployment& settings)
 {
     const double share = detector_.members().capacity_share();
-    router_ = router::make(settings, parts_.timers,
+    router_ = router::make(settings, dependencies_.timers,
                            {.seed = options_.seed,
                             .share = share,
                             .share_begin = detector_.members().capacity_begin()});
@@ -115,12 +115,13 @@
     options.checksum_key = options_.checksum_key;
     options.seed = options_.seed;
     options.share = share;
-    jobs_ = std::make_unique<dispatcher>(settings, options,
-                                         dispatcher::parts{.workers = parts_.workers,
-                                                           .routes = *router_,
-                                                           .timers = parts_.timers,
-                                                           .observer = recorder_.get(),
-                                                           .metrics = parts_.metrics});
+    jobs_ =
+        std::make_unique<dispatcher>(settings, options,
+                                     dispatcher::dependencies{.workers = dependencies_.workers,
+                                                              .task_router = *router_,
+                                                              .timers = dependencies_.timers,
+                                                              .observer = recorder_.get(),
+                                                              .metrics = dependencies_.metrics});
 }
 
 void entry_instance::members_changed()
@@ -152,13 +153,13 @@
     log_event("data_centre_reachable", "data_centre={} reachable={}", data_centre, reachable);
 }
 
-void entry_instance::poll_list()
+void entry_instance::poll_instance_list()
 {
-    if (parts_.list == nullptr) {
+    if (dependencies_.list == nullptr) {
         return;
     }
-    parts_.list->fetch([alive = std::weak_ptr<entry_instance*>(alive_)](
-                           const result<std::vector<listed_instance>>& reply) {
+    dependencies_.list->fetch([alive = std::weak_ptr<entry_instance*>(alive_)](
+                                  const result<std::vector<listed_instance>>& reply) {
         const auto self = alive.lock();
         if (!self || !reply) {
             return; // an old list is better than none, so the hints stay
@@ -169,7 +170,8 @@
         }
         (*self)->detector_.set_hints(std::move(hints));
     });
-    list_timer_ = parts_.timers.schedule(options_.list_interval, [this] { poll_list(); });
+    list_timer_ =
+        dependencies_.timers.schedule(options_.list_interval, [this] { poll_instance_list(); });
 }
 
 void entry_instance::shut_down(std::function<void()> stopped)
--- a/src/routing/job_spread.cpp
+++ b/src/routing/job_spread.cpp
@@ -4,9 +4,10 @@
 
 namespace cactusloom {
 
-job_spread::job_spread(std::span<const float> rack_slots)
-    : rack_slots_(rack_slots.begin(), rack_slots.end()), counts_(jobs * rack_slots.size()),
-      totals_(jobs), keys_(jobs), penalties_(rack_slots.size())
+job_spread::job_spread(std::span<const float> rack_slot_share)
+    : rack_slot_share_(rack_slot_share.begin(), rack_slot_share.end()),
+      counts_(jobs * rack_slot_share.size()), totals_(jobs), keys_(jobs),
+      penalties_(rack_slot_share.size())
 {
 }
 
@@ -29,7 +30,7 @@
     const float total = std::max(totals_[place], 1.0F);
     for (std::size_t i = 0; i < penalties_.size(); ++i) {
         const float part = counts_[place * penalties_.size() + i] / total;
-        penalties_[i] = std::max(part - rack_slots_[i], 0.0F);
+        penalties_[i] = std::max(part - rack_slot_share_[i], 0.0F);
     }
     return penalties_;
 }
--- a/src/routing/job_spread.h
+++ b/src/routing/job_spread.h
@@ -10,7 +10,7 @@
 // of each job. A fixed number of jobs is remembered; a new one takes the place of an old one.
 class job_spread {
 public:
-    explicit job_spread(std::span<const float> rack_slots);
+    explicit job_spread(std::span<const float> rack_slot_share);
 
     // Writes the penalty of each rack for the next task of a job, 0 to 1: by how much the rack's
     // part of the job exceeds its part of the slots.
@@ -23,7 +23,7 @@
 
     std::size_t find(std::uint64_t job_key);
 
-    std::vector<float> rack_slots_;
+    std::vector<float> rack_slot_share_;
     std::vector<float> counts_; // jobs x racks
     std::vector<float> totals_;
     std::vector<std::uint64_t> keys_;
--- a/src/routing/run_time_model.cpp
+++ b/src/routing/run_time_model.cpp
@@ -6,14 +6,14 @@
 namespace cactusloom {
 namespace {
 
-constexpr float lowest = 1e-4F;
+constexpr float min_run_time = 1e-4F;
 constexpr float buckets_per_octave = 8;
 // Runs that the histogram holds before all counts are halved, so that it follows changes.
 constexpr float histogram_runs = 4096;
 // Runs that a mean covers. Kinds mix short and long tasks, so fewer would make the mean wander.
 constexpr float mean_runs = 1000;
 // Used when a kind declares no run time: the middle of the usual 50 ms to 1 s.
-constexpr float undeclared = 0.2F;
+constexpr float default_run_time = 0.2F;
 
 } // namespace
 
@@ -23,7 +23,7 @@
     for (const kind_state& it : kinds_) {
         mean_ += it.mean / static_cast<float>(kinds_.size());
     }
-    mean_ = kinds_.empty() ? undeclared : mean_;
+    mean_ = kinds_.empty() ? default_run_time : mean_;
     observed_mean_ = mean_;
 }
 
@@ -33,7 +33,7 @@
         const float seconds =
             static_cast<float>(settings.kinds[i].declared_run_time.count()) * 1e-6F;
         kind_state& added = kinds_.emplace_back();
-        added.mean = seconds > 0 ? seconds : undeclared;
+        added.mean = seconds > 0 ? seconds : default_run_time;
         added.log_mean = std::log(added.mean);
         added.declared = duration{static_cast<std::int64_t>(added.mean * 1e6F)};
     }
@@ -41,7 +41,7 @@
 
 void run_time_model::learn(std::uint32_t kind, float seconds, float inverse_speed)
 {
-    seconds = std::max(seconds, lowest);
+    seconds = std::max(seconds, min_run_time);
     kind_state& state = kinds_[kind];
     const float normalised = seconds / inverse_speed;
     // The declaration counts as one run.
@@ -54,32 +54,32 @@
     mean_ += (normalised - mean_) / (runs_ + 1);
     observed_mean_ += (seconds - observed_mean_) / (runs_ + 1);
 
-    if (state.counted >= histogram_runs) {
-        state.counted = 0;
+    if (state.sample_count >= histogram_runs) {
+        state.sample_count = 0;
         for (float& count : state.counts) {
             count /= 2;
-            state.counted += count;
+            state.sample_count += count;
         }
     }
-    const float position = std::log2(seconds / lowest) * buckets_per_octave;
+    const float position = std::log2(seconds / min_run_time) * buckets_per_octave;
     const auto bucket = std::min(static_cast<std::size_t>(position), buckets - 1);
     state.counts[bucket] += 1;
-    state.counted += 1;
+    state.sample_count += 1;
 }
 
 duration run_time_model::quantile(std::uint32_t kind, double quantile) const
 {
     const kind_state& state = kinds_[kind];
-    if (state.counted < 10) {
+    if (state.sample_count < 10) {
         return state.declared;
     }
-    const float wanted = state.counted * static_cast<float>(std::clamp(quantile, 0.0, 1.0));
+    const float wanted = state.sample_count * static_cast<float>(std::clamp(quantile, 0.0, 1.0));
     float below = 0;
     for (std::size_t i = 0; i < buckets; ++i) {
         if (below + state.counts[i] >= wanted && state.counts[i] > 0) {
             const float part = (wanted - below) / state.counts[i];
             const float octaves = (static_cast<float>(i) + part) / buckets_per_octave;
-            return duration{static_cast<std::int64_t>(lowest * std::exp2(octaves) * 1e6F)};
+            return duration{static_cast<std::int64_t>(min_run_time * std::exp2(octaves) * 1e6F)};
         }
         below += state.counts[i];
     }
--- a/src/routing/run_time_model.h
+++ b/src/routing/run_time_model.h
@@ -46,7 +46,7 @@
         float mean = 0;
         float log_mean = 0;
         float runs = 0;
-        float counted = 0;
+        float sample_count = 0;
         duration declared{};
         std::array<float, buckets> counts{};
     };
--- a/src/routing/strategy.cpp
+++ b/src/routing/strategy.cpp
@@ -1,7 +1,7 @@
 #include "strategy.h"
 
 #include "base/random.h"
-#include "finish_estimate.h"
+#include "placement_cost.h"
 
 #include <algorithm>
 #include <array>
@@ -13,18 +13,18 @@
 
 // Workers looked at for one decision. With more workers than this a random part is looked at,
 // which keeps the cost of a decision flat.
-constexpr std::uint32_t most_candidates = 64;
+constexpr std::uint32_t max_candidates = 64;
 
 // Room without knowledge of others' load: as many own tasks as the worker has slots.
-float plain_room(const placement& task, worker_id worker)
+float local_room(const placement_input& task, worker_id worker)
 {
     const worker_table& table = *task.workers;
     return std::min(table.slots[worker], task.limits[worker]) - table.outstanding[worker];
 }
 
-bool has_plain_room(const placement& task, worker_id worker)
+bool has_local_room(const placement_input& task, worker_id worker)
 {
-    return task.is_allowed(worker) && plain_room(task, worker) >= 1;
+    return task.is_allowed(worker) && local_room(task, worker) >= 1;
 }
 
 // Visits up to `most` distinct workers from a random one on. Stops when `fn` returns true.
@@ -44,18 +44,18 @@
 public:
     explicit random_strategy(std::uint32_t seed) : random_(seed) {}
 
-    choice choose(const placement& task) override
+    choice choose(const placement_input& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         for (int i = 0; i < 4; ++i) {
             const worker_id id = draw_below(random_, n);
-            if (has_plain_room(task, id)) {
+            if (has_local_room(task, id)) {
                 return {.worker = id};
             }
         }
         std::optional<worker_id> found;
         visit(random_, n, n, [&](worker_id id) {
-            if (has_plain_room(task, id)) {
+            if (has_local_room(task, id)) {
                 found = id;
             }
             return found.has_value();
@@ -63,9 +63,9 @@
         return {.worker = found};
     }
 
-    float room(const placement& task, worker_id worker) const override
+    float room(const placement_input& task, worker_id worker) const override
     {
-        return plain_room(task, worker);
+        return local_room(task, worker);
     }
 
 private:
@@ -76,21 +76,21 @@
 public:
     explicit round_robin_strategy(std::uint32_t seed) : next_(seed) {}
 
-    choice choose(const placement& task) override
+    choice choose(const placement_input& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         for (std::uint32_t i = 0; i < n; ++i) {
             next_ = next_ + 1 < n ? next_ + 1 : 0;
-            if (has_plain_room(task, next_)) {
+            if (has_local_room(task, next_)) {
                 return {.worker = next_};
             }
         }
         return {};
     }
 
-    float room(const placement& task, worker_id worker) const override
+    float room(const placement_input& task, worker_id worker) const override
     {
-        return plain_room(task, worker);
+        return local_room(task, worker);
     }
 
 private:
@@ -101,13 +101,13 @@
 public:
     explicit fewest_outstanding_strategy(std::uint32_t seed) : random_(seed) {}
 
-    choice choose(const placement& task) override
+    choice choose(const placement_input& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         std::optional<worker_id> best;
         float fewest = std::numeric_limits<float>::infinity();
-        visit(random_, n, std::min(n, most_candidates), [&](worker_id id) {
-            if (task.workers->outstanding[id] < fewest && has_plain_room(task, id)) {
+        visit(random_, n, std::min(n, max_candidates), [&](worker_id id) {
+            if (task.workers->outstanding[id] < fewest && has_local_room(task, id)) {
                 fewest = task.workers->outstanding[id];
                 best = id;
             }
@@ -116,9 +116,9 @@
         return {.worker = best};
     }
 
-    float room(const placement& task, worker_id worker) const override
+    float room(const placement_input& task, worker_id worker) const override
     {
-        return plain_room(task, worker);
+        return local_room(task, worker);
     }
 
 private:
@@ -130,14 +130,14 @@
 public:
     explicit two_choices_strategy(std::uint32_t seed) : random_(seed) {}
 
-    choice choose(const placement& task) override
+    choice choose(const placement_input& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
         for (int i = 0; i < 4; ++i) {
             const worker_id a = draw_below(random_, n);
             const worker_id b = draw_below(random_, n);
-            const bool has_a = has_plain_room(task, a);
-            const bool has_b = has_plain_room(task, b);
+            const bool has_a = has_local_room(task, a);
+            const bool has_b = has_local_room(task, b);
             if (has_a || has_b) {
                 const auto& outstanding = task.workers->outstanding;
                 return {.worker = has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b};
@@ -146,7 +146,7 @@
         // Most workers are full: take any that is not.
         std::optional<worker_id> found;
         visit(random_, n, n, [&](worker_id id) {
-            if (has_plain_room(task, id)) {
+            if (has_local_room(task, id)) {
                 found = id;
             }
             return found.has_value();
@@ -154,9 +154,9 @@
         return {.worker = found};
     }
 
-    float room(const placement& task, worker_id worker) const override
+    float room(const placement_input& task, worker_id worker) const override
     {
-        return plain_room(task, worker);
+        return local_room(task, worker);
     }
 
 private:
@@ -171,27 +171,27 @@
     {
     }
 
-    choice choose(const placement& task) override
+    choice choose(const placement_input& task) override
     {
         const auto n = static_cast<std::uint32_t>(task.workers->size());
-        const finish_estimate estimate(task);
+        const placement_cost estimate(task);
         std::optional<worker_id> best;
         float least = std::numeric_limits<float>::infinity();
-        std::array<better_slot, most_candidates> full{};
+        std::array<full_worker, max_candidates> full{};
         std::size_t seen_full = 0;
         const auto consider = [&](worker_id id) {
             if (!task.is_allowed(id)) {
                 return false;
             }
-            const float others = estimate.others(id);
+            const float peer_load = estimate.peer_load(id);
             const float cost = estimate.base_cost(id);
-            if (estimate.room(id, others) < 1) {
+            if (estimate.room(id, peer_load) < 1) {
                 if (seen_full < full.size()) {
-                    full[seen_full++] = {cost, estimate.end_rate(id)};
+                    full[seen_full++] = {cost, estimate.completion_rate(id)};
                 }
             }
-            else if (cost + estimate.wait(id, others) < least) {
-                least = cost + estimate.wait(id, others);
+            else if (cost + estimate.expected_wait(id, peer_load) < least) {
+                least = cost + estimate.expected_wait(id, peer_load);
                 best = id;
             }
             return false;
@@ -202,36 +202,36 @@
             }
         }
         if (!best) {
-            visit(random_, n, std::min(n, most_candidates), consider);
+            visit(random_, n, std::min(n, max_candidates), consider);
         }
-        if (best && candidates_ > 2 && estimate.may_hold() &&
-            is_worth_holding({full.data(), seen_full}, least)) {
-            return {.held = true};
+        if (best && candidates_ > 2 && estimate.may_defer() &&
+            is_worth_deferring({full.data(), seen_full}, least)) {
+            return {.deferred = true};
         }
         return {.worker = best};
     }
 
-    float room(const placement& task, worker_id worker) const override
+    float room(const placement_input& task, worker_id worker) const override
     {
-        return finish_estimate(task).room(worker);
+        return placement_cost(task).room(worker);
     }
 
 private:
     // A worker without room, whose next free slot may be worth waiting for.
-    struct better_slot {
+    struct full_worker {
         float cost;
-        float end_rate;
+        float completion_rate;
     };
 
     // True if the wait for a slot on one of the full workers costs less than it gains.
-    static bool is_worth_holding(std::span<const better_slot> full, float least)
+    static bool is_worth_deferring(std::span<const full_worker> full, float least)
     {
         // Gain times rate, summed, compares with 1: the expected gain over the expected wait.
         float gain = 0;
-        for (const better_slot& it : full) {
-            gain += std::max(least - it.cost, 0.0F) * it.end_rate;
+        for (const full_worker& it : full) {
+            gain += std::max(least - it.cost, 0.0F) * it.completion_rate;
         }
-        return gain > hold_weight;
+        return gain > defer_threshold;
     }
 
     random_engine random_;
@@ -251,7 +251,7 @@
 
 std::unique_ptr<strategy> make_predicted_finish(std::uint32_t seed)
 {
-    return std::make_unique<finish_strategy>(seed, most_candidates);
+    return std::make_unique<finish_strategy>(seed, max_candidates);
 }
 
 using maker = std::unique_ptr<strategy> (*)(std::uint32_t seed);
--- a/src/routing/strategy.h
+++ b/src/routing/strategy.h
@@ -13,24 +13,24 @@
 class run_time_model;
 
 // All that a strategy may read when it places one task.
-struct placement {
+struct placement_input {
     const worker_table* workers = nullptr;
     const run_time_model* run_times = nullptr;
-    std::span<const float> limits{};       // own tasks a worker may hold, by health
-    std::span<const std::uint8_t> fits{};  // whether the worker has the kind's features
-    std::span<const float> rack_penalty{}; // by rack, 0 to 1
+    std::span<const float> limits{};          // own tasks a worker may hold, by health
+    std::span<const std::uint8_t> eligible{}; // whether the worker has the kind's features
+    std::span<const float> rack_penalty{};    // by rack, 0 to 1
     std::uint32_t kind = 0;
     worker_id excluded = ~worker_id{0};
-    float use = 0;         // part of this instance's own slots that are taken
-    float backlogged = 0;  // seconds for which picks have found no room
-    float waiting = 0;     // seconds for which tasks have waited for any reason
-    float most_beyond = 0; // tasks that a worker may be given beyond its slots
-    double now = 0;        // as worker_table::seconds() counts
+    float utilisation = 0;      // part of this instance's own slots that are taken
+    float blocked_time = 0;     // seconds for which picks have found no room
+    float waiting_time = 0;     // seconds for which tasks have waited for any reason
+    float overcommit_limit = 0; // tasks that a worker may be given beyond its slots
+    double now = 0;             // as worker_table::seconds() counts
 
     // True if the worker may be given the task at all, apart from its load.
     bool is_allowed(worker_id worker) const
     {
-        return fits[worker] != 0 && workers->leaving[worker] == 0 && worker != excluded &&
+        return eligible[worker] != 0 && workers->leaving[worker] == 0 && worker != excluded &&
                now >= workers->busy_until[worker];
     }
 };
@@ -38,7 +38,7 @@
 // A worker, or the reason for none.
 struct choice {
     std::optional<worker_id> worker{};
-    bool held = false; // there is room, but waiting for a better worker costs less
+    bool deferred = false; // there is room, but waiting for a better worker costs less
 };
 
 // Chooses a worker that has room, or nothing. Implementations keep no state about workers.
@@ -52,10 +52,10 @@
     strategy& operator=(const strategy&) = delete;
     virtual ~strategy() = default;
 
-    virtual choice choose(const placement& task) = 0;
+    virtual choice choose(const placement_input& task) = 0;
 
     // Number of further tasks that this instance may start on the worker now.
-    virtual float room(const placement& task, worker_id worker) const = 0;
+    virtual float room(const placement_input& task, worker_id worker) const = 0;
 };
 
 } // namespace cactusloom
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -16,7 +16,7 @@
 class table_router final : public router {
 public:
     table_router(const deployment& settings, const clock& time, router_options options,
-                 std::unique_ptr<strategy> chooser);
+                 std::unique_ptr<strategy> initial_strategy);
 
     void apply(const deployment& settings) override;
     std::optional<worker_id> pick(const routing_query& query) override;
@@ -37,25 +37,25 @@
     const worker_health& health() const { return health_; }
 
 private:
-    void take_document(const deployment& settings);
-    placement make_placement(const routing_query& query, double now) const;
-    void adapt_to_refusal(bool refused);
+    void load_kinds(const deployment& settings);
+    placement_input make_placement_input(const routing_query& query, double now) const;
+    void adjust_overcommit_limit(bool refused);
     void learn_run(worker_id worker, kind_index kind, duration run_time);
 
     const clock* time_;
     double share_begin_;
     double blocked_since_ = 0;
-    double blocked_at_ = -1; // last time that a pick found no room
-    double waited_since_ = 0;
-    double waited_at_ = -1; // last time that a pick returned nothing for any reason
+    double last_blocked_ = -1; // last time that a pick found no room
+    double waiting_since_ = 0;
+    double last_waited_ = -1; // last time that a pick returned nothing for any reason
     worker_table workers_;
     run_time_model run_times_;
     worker_health health_;
     job_spread spread_;
-    float refusals_allowed_ = 0; // for each start
-    float most_beyond_;
+    float allowed_refusal_ratio_ = 0; // for each start
+    float overcommit_limit_;
     std::unique_ptr<strategy> strategy_;
-    std::vector<std::vector<std::uint8_t>> fits_; // by kind and worker
+    std::vector<std::vector<std::uint8_t>> eligible_; // by kind and worker
     std::vector<std::uint8_t> retired_kinds_;
     std::vector<float> no_penalty_;
     std::uint64_t seed_;
--- a/src/routing/worker_health.cpp
+++ b/src/routing/worker_health.cpp
@@ -9,21 +9,21 @@
 constexpr float unlimited = 1e9F;
 // Seconds over which outcomes are forgotten. Long enough to hold a few tasks of each worker
 // when an instance sees one or two replies a second from it.
-constexpr double memory = 5.0;
+constexpr double decay_time = 5.0;
 // A worker must be worse than the fleet by this much, besides three standard errors.
-constexpr double margin = 0.2;
-constexpr std::uint32_t least_failures = 3;
+constexpr double outlier_margin = 0.2;
+constexpr std::uint32_t min_failures = 3;
 // Seconds to the first probe. Nine instances probing at this interval touch about four tasks a
 // second with a failing worker, and the interval doubles with each failed probe.
-constexpr double first_probe = 2.0;
-constexpr double last_probe = 30.0;
-constexpr std::uint32_t successes_to_trust = 3;
+constexpr double initial_probe_interval = 2.0;
+constexpr double max_probe_interval = 30.0;
+constexpr std::uint32_t probation_successes = 3;
 // Failure rate that a fleet is assumed to have at least.
-constexpr double least_rate = 0.02;
+constexpr double min_failure_rate = 0.02;
 // Losses of one rack within this many seconds count as one event.
 constexpr double rack_window = 2.0;
 // With more racks lost at once, the fault is taken to be ours or the whole fleet's.
-constexpr std::size_t most_lost_racks = 2;
+constexpr std::size_t max_lost_racks = 2;
 // Part of the fleet whose last task failed above which nobody is singled out.
 constexpr double fleet_fault_part = 0.4;
 
@@ -47,7 +47,7 @@
     rack_of_worker_ = std::move(rack_of_worker);
     workers_.resize(rack_of_worker_.size());
     limits_.resize(rack_of_worker_.size(), unlimited);
-    suspects_.reserve(workers_.size());
+    recently_failed_.reserve(workers_.size());
     racks_.assign(racks, {});
     for (const std::uint16_t rack : rack_of_worker_) {
         ++racks_[rack].workers;
@@ -57,7 +57,7 @@
 
 void worker_health::decay_fleet(double now)
 {
-    const double factor = std::exp((updated_at_ - now) / memory);
+    const double factor = std::exp((updated_at_ - now) / decay_time);
     failures_ *= factor;
     tasks_ *= factor;
     updated_at_ = now;
@@ -66,8 +66,8 @@
 void worker_health::record(worker_id worker, task_outcome outcome, double now)
 {
     decay_fleet(now);
-    record_of_worker& it = workers_[worker];
-    const double factor = std::exp((it.updated_at - now) / memory);
+    worker_record& it = workers_[worker];
+    const double factor = std::exp((it.updated_at - now) / decay_time);
     it.failures *= factor;
     it.tasks *= factor;
     it.updated_at = now;
@@ -79,59 +79,61 @@
     failures_ += failed ? 1 : 0;
     last_failed_ += (failed ? 1U : 0U) - (it.last_failed ? 1U : 0U);
     it.last_failed = failed;
-    it.last_lost = outcome == task_outcome::loss;
+    it.last_unreachable = outcome == task_outcome::unreachable;
     if (!failed) {
         it.failures_in_row = 0;
         ++it.successes_in_row;
-        if (it.state == standing::rack_lost) {
+        if (it.state == health_state::rack_lost) {
             restore_rack(rack_of_worker_[worker]);
         }
-        else if (it.state == standing::ejected) {
-            set_standing(worker, standing::returning);
+        else if (it.state == health_state::ejected) {
+            set_state(worker, health_state::probation);
         }
-        else if (it.state == standing::returning && it.successes_in_row >= successes_to_trust) {
-            set_standing(worker, standing::trusted);
+        else if (it.state == health_state::probation &&
+                 it.successes_in_row >= probation_successes) {
+            set_state(worker, health_state::healthy);
         }
         update_limit(worker);
         return;
     }
-    if (it.last_lost) {
-        it.lost_at = now;
-        racks_[rack_of_worker_[worker]].doubtful = true;
+    if (it.last_unreachable) {
+        it.unreachable_at = now;
+        racks_[rack_of_worker_[worker]].check_pending = true;
     }
-    if (std::find(suspects_.begin(), suspects_.end(), worker) == suspects_.end()) {
-        suspects_.push_back(worker);
+    if (std::find(recently_failed_.begin(), recently_failed_.end(), worker) ==
+        recently_failed_.end()) {
+        recently_failed_.push_back(worker);
     }
     ++it.failures_in_row;
     it.successes_in_row = 0;
     // Failures of tasks started before the ejection do not lengthen the interval.
-    if (it.state == standing::ejected && it.probing) {
-        it.probe_interval = std::min(it.probe_interval * 2, last_probe);
+    if (it.state == health_state::ejected && it.probe_in_flight) {
+        it.probe_interval = std::min(it.probe_interval * 2, max_probe_interval);
         it.probe_at = now + it.probe_interval;
     }
-    else if (it.state == standing::rack_lost && it.probing) {
-        record_of_rack& rack = racks_[rack_of_worker_[worker]];
-        rack.probe_interval = std::min(rack.probe_interval * 2, last_probe);
+    else if (it.state == health_state::rack_lost && it.probe_in_flight) {
+        rack_record& rack = racks_[rack_of_worker_[worker]];
+        rack.probe_interval = std::min(rack.probe_interval * 2, max_probe_interval);
         rack.probe_at = now + rack.probe_interval;
     }
-    it.probing = false;
+    it.probe_in_flight = false;
     update_next_probe();
     update_limit(worker);
-    dirty_ = true;
+    has_new_failures_ = true;
 }
 
 void worker_health::update_limit(worker_id worker)
 {
-    const record_of_worker& it = workers_[worker];
+    const worker_record& it = workers_[worker];
     switch (it.state) {
-    case standing::ejected:
-    case standing::rack_lost:
+    case health_state::ejected:
+    case health_state::rack_lost:
         limits_[worker] = 0;
         break;
-    case standing::returning:
+    case health_state::probation:
         limits_[worker] = 1;
         break;
-    case standing::trusted:
+    case health_state::healthy:
         // A worker that fails at once frees its slots at once; a single task at a time keeps it
         // from drawing work while its failures are counted.
         limits_[worker] = it.last_failed && !fleet_fault_ ? 1 : unlimited;
@@ -139,23 +141,24 @@
     }
 }
 
-void worker_health::set_standing(worker_id worker, standing state)
+void worker_health::set_state(worker_id worker, health_state state)
 {
-    record_of_worker& it = workers_[worker];
-    ejected_ += (state == standing::ejected ? 1U : 0U) - (it.state == standing::ejected ? 1U : 0U);
-    if (state == standing::trusted) {
+    worker_record& it = workers_[worker];
+    ejected_ +=
+        (state == health_state::ejected ? 1U : 0U) - (it.state == health_state::ejected ? 1U : 0U);
+    if (state == health_state::healthy) {
         it.failures = 0;
         it.tasks = 0;
         it.probe_interval = 0;
     }
     it.state = state;
-    it.probing = false;
+    it.probe_in_flight = false;
     it.successes_in_row = 0;
     update_limit(worker);
     update_next_probe();
 }
 
-bool worker_health::is_outlier(const record_of_worker& worker) const
+bool worker_health::is_outlier(const worker_record& worker) const
 {
     const double others = std::max(tasks_ - worker.tasks, 0.0);
     const double other_failures = std::max(failures_ - worker.failures, 0.0);
@@ -166,34 +169,34 @@
         {(other_failures + 0.1) / (others + 10),
          failed_elsewhere / static_cast<double>(std::max<std::size_t>(workers_.size() - 1, 1))});
     const auto is_worse = [fleet](double rate, double tasks) {
-        return rate > fleet + margin + 3 * std::sqrt(fleet * (1 - fleet) / tasks);
+        return rate > fleet + outlier_margin + 3 * std::sqrt(fleet * (1 - fleet) / tasks);
     };
-    if (worker.failures_in_row >= least_failures && is_worse(1, worker.failures_in_row)) {
+    if (worker.failures_in_row >= min_failures && is_worse(1, worker.failures_in_row)) {
         return true;
     }
-    return worker.failures >= least_failures &&
+    return worker.failures >= min_failures &&
            is_worse(worker.failures / worker.tasks, worker.tasks);
 }
 
 void worker_health::eject(worker_id worker, double now)
 {
-    record_of_worker& it = workers_[worker];
-    it.probe_interval =
-        it.probe_interval > 0 ? std::min(it.probe_interval * 2, last_probe) : first_probe;
+    worker_record& it = workers_[worker];
+    it.probe_interval = it.probe_interval > 0 ? std::min(it.probe_interval * 2, max_probe_interval)
+                                              : initial_probe_interval;
     it.probe_at = now + it.probe_interval;
-    set_standing(worker, standing::ejected);
+    set_state(worker, health_state::ejected);
 }
 
-void worker_health::lose_rack(std::size_t rack, double now)
+void worker_health::eject_rack(std::size_t rack, double now)
 {
     racks_[rack].lost = true;
-    racks_[rack].probe_interval = first_probe;
-    racks_[rack].probe_at = now + first_probe;
+    racks_[rack].probe_interval = initial_probe_interval;
+    racks_[rack].probe_at = now + initial_probe_interval;
     ++lost_racks_;
     ++rack_events_;
     for (worker_id id = 0; id < workers_.size(); ++id) {
         if (rack_of_worker_[id] == rack) {
-            set_standing(id, standing::rack_lost);
+            set_state(id, health_state::rack_lost);
         }
     }
 }
@@ -207,14 +210,14 @@
             last_failed_ -= workers_[id].last_failed ? 1U : 0U;
             workers_[id].last_failed = false;
             workers_[id].failures_in_row = 0;
-            set_standing(id, standing::returning);
+            set_state(id, health_state::probation);
         }
     }
 }
 
-void worker_health::judge_changes(double now)
+void worker_health::evaluate_changes(double now)
 {
-    dirty_ = false;
+    has_new_failures_ = false;
     const auto n = static_cast<double>(workers_.size());
     const bool fleet_fault =
         workers_.size() > 2 && static_cast<double>(last_failed_) > fleet_fault_part * n;
@@ -225,50 +228,50 @@
         }
     }
     for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
-        if (!racks_[rack].doubtful) {
+        if (!racks_[rack].check_pending) {
             continue;
         }
-        racks_[rack].doubtful = false;
+        racks_[rack].check_pending = false;
         std::size_t inside = 0;
         std::size_t outside = 0;
         for (worker_id id = 0; id < workers_.size(); ++id) {
-            const record_of_worker& it = workers_[id];
-            const bool lost = it.last_lost && now - it.lost_at <= rack_window;
+            const worker_record& it = workers_[id];
+            const bool lost = it.last_unreachable && now - it.unreachable_at <= rack_window;
             const bool known = racks_[rack_of_worker_[id]].lost;
             inside += lost && rack_of_worker_[id] == rack ? 1U : 0U;
             outside += lost && !known && rack_of_worker_[id] != rack ? 1U : 0U;
         }
         const auto size = static_cast<double>(racks_[rack].workers);
         const double fleet = std::max({static_cast<double>(outside) / std::max(n - size, 1.0),
-                                       failures_ / std::max(tasks_, 1.0), least_rate});
+                                       failures_ / std::max(tasks_, 1.0), min_failure_rate});
         // Losses spread over the fleet hit half of some rack by chance; four standard errors
         // keep that from being taken for a lost rack.
         const double threshold = fleet + 4 * std::sqrt(fleet * (1 - fleet) / size);
         const auto lost = static_cast<double>(inside);
         if (!racks_[rack].lost && inside >= 2 && lost * 2 >= size && lost / size > threshold) {
-            lose_rack(rack, now);
+            eject_rack(rack, now);
         }
     }
-    if (fleet_fault_ || lost_racks_ > most_lost_racks) {
+    if (fleet_fault_ || lost_racks_ > max_lost_racks) {
         for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
             if (racks_[rack].lost) {
                 restore_rack(rack);
             }
         }
     }
-    for (const worker_id id : suspects_) {
-        const bool may_eject =
-            workers_[id].state == standing::trusted || workers_[id].state == standing::returning;
+    for (const worker_id id : recently_failed_) {
+        const bool may_eject = workers_[id].state == health_state::healthy ||
+                               workers_[id].state == health_state::probation;
         if (may_eject && (ejected_ + 1) * 10 <= workers_.size() && is_outlier(workers_[id])) {
             eject(id, now);
         }
     }
-    suspects_.clear();
+    recently_failed_.clear();
     if (fleet_fault_ && ejected_ > 0) {
         // The ejected workers are no worse than the rest.
         for (worker_id id = 0; id < workers_.size(); ++id) {
-            if (workers_[id].state == standing::ejected) {
-                set_standing(id, standing::trusted);
+            if (workers_[id].state == health_state::ejected) {
+                set_state(id, health_state::healthy);
             }
         }
     }
@@ -277,12 +280,12 @@
 void worker_health::update_next_probe()
 {
     next_probe_ = std::numeric_limits<double>::infinity();
-    for (const record_of_worker& it : workers_) {
-        if (it.state == standing::ejected) {
+    for (const worker_record& it : workers_) {
+        if (it.state == health_state::ejected) {
             next_probe_ = std::min(next_probe_, it.probe_at);
         }
     }
-    for (const record_of_rack& it : racks_) {
+    for (const rack_record& it : racks_) {
         if (it.lost) {
             next_probe_ = std::min(next_probe_, it.probe_at);
         }
--- a/src/routing/worker_health.h
+++ b/src/routing/worker_health.h
@@ -10,7 +10,7 @@
 
 namespace cactusloom {
 
-enum class task_outcome : std::uint8_t { success, failure, loss };
+enum class task_outcome : std::uint8_t { success, failure, unreachable };
 
 // Judges workers against the rest of the fleet. A worker that is much worse than the others is
 // ejected and comes back through probation with single tasks; a rack whose workers are lost
@@ -27,10 +27,10 @@
 
     // Judges what was recorded since the last call. Call before reading limits: outcomes that
     // arrive together are then judged together, so a fleet-wide fault is seen as such.
-    void judge(double now)
+    void evaluate(double now)
     {
-        if (dirty_) {
-            judge_changes(now);
+        if (has_new_failures_) {
+            evaluate_changes(now);
         }
     }
 
@@ -40,55 +40,55 @@
     bool is_probe_due(double now) const { return now >= next_probe_; }
 
     // Workers to be probed with a single task, one call each, until nothing is returned.
-    // `fits` tells whether the worker can take the task at hand.
-    template<typename Fits>
-    std::optional<worker_id> take_probe(double now, const Fits& fits);
+    // `eligible` tells whether the worker can take the task at hand.
+    template<typename Eligible>
+    std::optional<worker_id> begin_probe(double now, const Eligible& eligible);
 
     std::size_t ejected() const { return ejected_; }
     std::size_t lost_racks() const { return lost_racks_; }
     std::uint64_t rack_events() const { return rack_events_; }
 
 private:
-    enum class standing : std::uint8_t { trusted, ejected, rack_lost, returning };
+    enum class health_state : std::uint8_t { healthy, ejected, rack_lost, probation };
 
-    struct record_of_worker {
-        standing state = standing::trusted;
+    struct worker_record {
+        health_state state = health_state::healthy;
         bool last_failed = false;
-        bool last_lost = false;
-        bool probing = false;
+        bool last_unreachable = false;
+        bool probe_in_flight = false;
         std::uint32_t failures_in_row = 0;
         std::uint32_t successes_in_row = 0;
         double failures = 0; // decayed
         double tasks = 0;    // decayed
         double updated_at = 0;
-        double lost_at = 0;
+        double unreachable_at = 0;
         double probe_at = 0;
         double probe_interval = 0;
     };
 
-    struct record_of_rack {
+    struct rack_record {
         std::uint32_t workers = 0;
         bool lost = false;
-        bool doubtful = false;
+        bool check_pending = false;
         double probe_at = 0;
         double probe_interval = 0;
     };
 
-    void judge_changes(double now);
-    bool is_outlier(const record_of_worker& worker) const;
+    void evaluate_changes(double now);
+    bool is_outlier(const worker_record& worker) const;
     void eject(worker_id worker, double now);
-    void lose_rack(std::size_t rack, double now);
+    void eject_rack(std::size_t rack, double now);
     void restore_rack(std::size_t rack);
-    void set_standing(worker_id worker, standing state);
+    void set_state(worker_id worker, health_state state);
     void update_limit(worker_id worker);
     void update_next_probe();
     void decay_fleet(double now);
 
     std::vector<std::uint16_t> rack_of_worker_;
-    std::vector<record_of_worker> workers_;
-    std::vector<record_of_rack> racks_;
+    std::vector<worker_record> workers_;
+    std::vector<rack_record> racks_;
     std::vector<float> limits_;
-    std::vector<worker_id> suspects_; // workers that failed since the last judgement
+    std::vector<worker_id> recently_failed_; // workers that failed since the last judgement
     random_engine random_;
     double failures_ = 0; // decayed, over the fleet
     double tasks_ = 0;
@@ -99,27 +99,27 @@
     std::size_t lost_racks_ = 0;
     std::uint64_t rack_events_ = 0;
     bool fleet_fault_ = false;
-    bool dirty_ = false;
+    bool has_new_failures_ = false;
 };
 
-template<typename Fits>
-std::optional<worker_id> worker_health::take_probe(double now, const Fits& fits)
+template<typename Eligible>
+std::optional<worker_id> worker_health::begin_probe(double now, const Eligible& eligible)
 {
     const auto n = static_cast<std::uint32_t>(workers_.size());
     const std::uint32_t first = draw_below(random_, n);
     for (std::uint32_t i = 0; i < n; ++i) {
         const worker_id id = first + i < n ? first + i : first + i - n;
-        record_of_worker& worker = workers_[id];
-        record_of_rack& rack = racks_[rack_of_worker_[id]];
-        const bool rack_due = worker.state == standing::rack_lost && rack.probe_at <= now;
-        const bool worker_due = worker.state == standing::ejected && worker.probe_at <= now;
-        if (!(rack_due || worker_due) || !fits(id)) {
+        worker_record& worker = workers_[id];
+        rack_record& rack = racks_[rack_of_worker_[id]];
+        const bool rack_due = worker.state == health_state::rack_lost && rack.probe_at <= now;
+        const bool worker_due = worker.state == health_state::ejected && worker.probe_at <= now;
+        if (!(rack_due || worker_due) || !eligible(id)) {
             continue;
         }
         // The next probe is due after a whole interval even if this one is never answered.
         (rack_due ? rack.probe_at : worker.probe_at) =
             now + (rack_due ? rack.probe_interval : worker.probe_interval);
-        worker.probing = true;
+        worker.probe_in_flight = true;
         update_next_probe();
         return id;
     }
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Part of a new report in the long-term mean of the others' load.
-constexpr float usual_gain = 0.1F;
+constexpr float peer_load_gain = 0.1F;
 // Runs that a speed covers. Run times of one kind vary by a factor of two or so, and the mean
 // of 100 of them is then known within about 6 %.
 constexpr float speed_runs = 100;
@@ -19,7 +19,7 @@
 // First speeds are drawn towards the fleet's mean as if this many runs had shown it.
 constexpr float prior_runs = 3;
 // Own tasks that a worker may hold before its first reply.
-constexpr float first_tasks = 2;
+constexpr float initial_slow_start_limit = 2;
 
 } // namespace
 
@@ -33,14 +33,15 @@
 {
     const std::size_t known = size();
     const std::size_t n = std::max(known, settings.workers.size());
-    for (auto* values : {&slots, &inverse_slots, &outstanding, &others, &usual, &assumed, &quota}) {
+    for (auto* values : {&slots, &inverse_slots, &outstanding, &peer_load, &mean_peer_load,
+                         &default_peer_load, &own_slots}) {
         values->resize(n, 0);
     }
     reported_at.resize(n, 0);
     busy_until.resize(n, 0);
     speed.resize(n, 1);
     inverse_speed.resize(n, 1);
-    cold_limit.resize(n, first_tasks);
+    slow_start_limit.resize(n, initial_slow_start_limit);
     rack.resize(n, 0);
     leaving.resize(n, 0);
     offsets_.resize(n, 0);
@@ -56,14 +57,14 @@
         offsets_[i] = static_cast<double>(hash64(worker.name) >> 11U) * 0x1p-53;
     }
     racks = rack_numbers_.size();
-    rack_slots.assign(racks, 0);
+    rack_slot_share.assign(racks, 0);
     for (std::size_t i = 0; i < n; ++i) {
-        rack_slots[rack[i]] += slots[i] / std::max(all_slots, 1.0F);
+        rack_slot_share[rack[i]] += slots[i] / std::max(all_slots, 1.0F);
     }
     set_share(share_begin_, share_);
     for (std::size_t i = known; i < n; ++i) {
-        others[i] = assumed[i];
-        usual[i] = assumed[i];
+        peer_load[i] = default_peer_load[i];
+        mean_peer_load[i] = default_peer_load[i];
     }
 }
 
@@ -72,17 +73,17 @@
     share_begin_ = begin;
     share_ = share;
     const double part = std::clamp(share, 0.001, 1.0);
-    total_quota = 0;
+    total_own_slots = 0;
     for (std::size_t i = 0; i < size(); ++i) {
         // The slots lie on a line from 0 to `slots`, shifted by a different fraction for each
         // worker, so that an instance with less than one slot has one on some workers.
         const double first = begin * static_cast<double>(slots[i]) + offsets_[i];
         const double last = first + part * static_cast<double>(slots[i]);
-        quota[i] = static_cast<float>(std::floor(last) - std::floor(first));
-        total_quota += quota[i];
-        assumed[i] = slots[i] * static_cast<float>(1 - part);
+        own_slots[i] = static_cast<float>(std::floor(last) - std::floor(first));
+        total_own_slots += own_slots[i];
+        default_peer_load[i] = slots[i] * static_cast<float>(1 - part);
     }
-    total_quota = std::max(total_quota, 1.0);
+    total_own_slots = std::max(total_own_slots, 1.0);
 }
 
 double worker_table::seconds(monotonic_time now) const
@@ -90,21 +91,21 @@
     return static_cast<double>((now - origin_).count()) * 1e-6;
 }
 
-void worker_table::take_report(worker_id worker, const worker_load& load, monotonic_time now)
+void worker_table::record_report(worker_id worker, const worker_load& load, monotonic_time now)
 {
     const float total = static_cast<float>(load.running) + static_cast<float>(load.queued);
     if (total < outstanding[worker]) {
         // The report is older than some of our starts, so nothing follows about the others.
         return;
     }
-    others[worker] = total - outstanding[worker];
-    usual[worker] += (others[worker] - usual[worker]) * usual_gain;
+    peer_load[worker] = total - outstanding[worker];
+    mean_peer_load[worker] += (peer_load[worker] - mean_peer_load[worker]) * peer_load_gain;
     reported_at[worker] = seconds(now);
 }
 
-void worker_table::take_refusal(worker_id worker, monotonic_time now, float pause)
+void worker_table::record_refusal(worker_id worker, monotonic_time now, float pause)
 {
-    others[worker] = std::max(others[worker], slots[worker]);
+    peer_load[worker] = std::max(peer_load[worker], slots[worker]);
     reported_at[worker] = seconds(now);
     busy_until[worker] = seconds(now) + pause;
 }
@@ -113,13 +114,13 @@
 {
     speed_state& state = speeds_[worker];
     state.runs = std::min(state.runs + 1, speed_runs);
-    state.slow += (log_ratio - state.slow) / (state.runs + prior_runs);
-    state.fast += (log_ratio - state.fast) * fast_gain;
-    if (state.runs >= 16 && std::abs(state.fast - state.slow) > speed_change) {
-        state.slow = state.fast;
+    state.slow_mean += (log_ratio - state.slow_mean) / (state.runs + prior_runs);
+    state.fast_mean += (log_ratio - state.fast_mean) * fast_gain;
+    if (state.runs >= 16 && std::abs(state.fast_mean - state.slow_mean) > speed_change) {
+        state.slow_mean = state.fast_mean;
         state.runs = 4;
     }
-    speed[worker] = std::exp(state.slow);
+    speed[worker] = std::exp(state.slow_mean);
     inverse_speed[worker] = 1 / speed[worker];
 }
 
--- a/src/routing/worker_table.h
+++ b/src/routing/worker_table.h
@@ -26,41 +26,41 @@
     void set_share(double begin, double share);
 
     // Takes in a load report. Its own tasks are subtracted, what remains is the others' load.
-    void take_report(worker_id worker, const worker_load& load, monotonic_time now);
+    void record_report(worker_id worker, const worker_load& load, monotonic_time now);
 
     // A refusal proves that the worker is full, whatever an older report says. It gets no task
     // for `pause` seconds.
-    void take_refusal(worker_id worker, monotonic_time now, float pause);
+    void record_refusal(worker_id worker, monotonic_time now, float pause);
 
     // Learns from one run: `log_ratio` is ln(expected normalised run time / observed run time).
     void learn_speed(worker_id worker, float log_ratio);
 
     std::vector<float> slots;
-    std::vector<float> outstanding;  // own tasks started and not ended
-    std::vector<float> others;       // other instances' tasks when last reported
-    std::vector<float> usual;        // long-term mean of `others`
-    std::vector<float> assumed;      // `others` while nothing was reported
-    std::vector<float> quota;        // own slots, a whole number
-    std::vector<double> reported_at; // as seconds() counts
-    std::vector<double> busy_until;  // after a refusal
-    std::vector<float> speed;        // 1 is the speed that normalised run times refer to
+    std::vector<float> outstanding;       // own tasks started and not ended
+    std::vector<float> peer_load;         // other instances' tasks when last reported
+    std::vector<float> mean_peer_load;    // long-term mean of `peer_load`
+    std::vector<float> default_peer_load; // `peer_load` while nothing was reported
+    std::vector<float> own_slots;         // own slots, a whole number
+    std::vector<double> reported_at;      // as seconds() counts
+    std::vector<double> busy_until;       // after a refusal
+    std::vector<float> speed;             // 1 is the speed that normalised run times refer to
     std::vector<float> inverse_speed;
     std::vector<float> inverse_slots;
-    std::vector<float> cold_limit; // bound on own outstanding tasks until replies have come
+    std::vector<float> slow_start_limit; // bound on own outstanding tasks until replies have come
     std::vector<std::uint16_t> rack;
     std::vector<std::uint8_t> leaving;
     std::size_t racks = 0;
-    std::vector<float> rack_slots; // part of all slots, by rack
+    std::vector<float> rack_slot_share; // part of all slots, by rack
     double total_outstanding = 0;
-    double total_quota = 1; // part of all slots, at least one
+    double total_own_slots = 1; // part of all slots, at least one
 
     // Seconds since the table was made.
     double seconds(monotonic_time now) const;
 
 private:
     struct speed_state {
-        float slow = 0; // ln speed, averaged over up to 100 runs
-        float fast = 0; // ln speed, averaged over about 8 runs
+        float slow_mean = 0; // ln speed, averaged over up to 100 runs
+        float fast_mean = 0; // ln speed, averaged over about 8 runs
         float runs = 0;
     };
 
--- a/src/submission/submission_registry.cpp
+++ b/src/submission/submission_registry.cpp
@@ -6,12 +6,12 @@
 namespace {
 
 // Short spans drop expired ids soon; 31 tables cover the validity.
-constexpr duration span_length = std::chrono::seconds{4};
-constexpr std::size_t min_places = 16;
+constexpr duration bucket_length = std::chrono::seconds{4};
+constexpr std::size_t min_table_size = 16;
 
-std::int64_t span_of(monotonic_time time)
+std::int64_t bucket_of(monotonic_time time)
 {
-    return time.time_since_epoch() / span_length;
+    return time.time_since_epoch() / bucket_length;
 }
 
 // Zero marks a free place.
@@ -41,9 +41,10 @@
     return it->body_digest == body_digest ? verdict::known : verdict::conflict;
 }
 
-submission_registry::verdict submission_registry::claim(std::uint64_t id_hash,
-                                                        std::uint64_t body_digest,
-                                                        monotonic_time issued, monotonic_time now)
+submission_registry::verdict submission_registry::try_insert(std::uint64_t id_hash,
+                                                             std::uint64_t body_digest,
+                                                             monotonic_time issued,
+                                                             monotonic_time now)
 {
     drop_expired(now);
     const verdict found = find(id_hash, body_digest, issued, now);
@@ -53,18 +54,18 @@
     if (size_ >= max_ids_) {
         return verdict::full;
     }
-    table& home = table_at(span_of(issued));
+    table& home = table_at(bucket_of(issued));
     // At three quarters full the expected probe length is still below three.
     if (home.used * 4 >= home.entries.size() * 3) {
-        std::vector<entry> larger(std::max(min_places, home.entries.size() * 2));
+        std::vector<entry> larger(std::max(min_table_size, home.entries.size() * 2));
         for (const entry& old : home.entries) {
             if (old.id_hash != 0) {
-                larger[find_place(larger, old.id_hash)] = old;
+                larger[find_slot(larger, old.id_hash)] = old;
             }
         }
         home.entries = std::move(larger);
     }
-    home.entries[find_place(home.entries, to_key(id_hash))] = {to_key(id_hash), body_digest};
+    home.entries[find_slot(home.entries, to_key(id_hash))] = {to_key(id_hash), body_digest};
     ++home.used;
     ++size_;
     return verdict::fresh;
@@ -81,8 +82,7 @@
 
 // Returns the place that holds the id, or the free place where it belongs. The size is a power of
 // two and at least one place is free.
-std::size_t submission_registry::find_place(const std::vector<entry>& entries,
-                                            std::uint64_t id_hash)
+std::size_t submission_registry::find_slot(const std::vector<entry>& entries, std::uint64_t id_hash)
 {
     const std::size_t mask = entries.size() - 1;
     std::size_t n = id_hash & mask;
@@ -95,7 +95,7 @@
 const submission_registry::entry* submission_registry::find_entry(std::uint64_t id_hash,
                                                                   monotonic_time issued) const
 {
-    const std::int64_t n = span_of(issued) - first_span_;
+    const std::int64_t n = bucket_of(issued) - first_bucket_;
     if (n < 0 || n >= static_cast<std::int64_t>(tables_.size())) {
         return nullptr;
     }
@@ -103,32 +103,32 @@
     if (home.entries.empty()) {
         return nullptr;
     }
-    const entry& found = home.entries[find_place(home.entries, id_hash)];
+    const entry& found = home.entries[find_slot(home.entries, id_hash)];
     return found.id_hash == 0 ? nullptr : &found;
 }
 
 submission_registry::table& submission_registry::table_at(std::int64_t span)
 {
     if (tables_.empty()) {
-        first_span_ = span;
+        first_bucket_ = span;
     }
-    while (span < first_span_) {
+    while (span < first_bucket_) {
         tables_.emplace_front();
-        --first_span_;
+        --first_bucket_;
     }
-    while (span >= first_span_ + static_cast<std::int64_t>(tables_.size())) {
+    while (span >= first_bucket_ + static_cast<std::int64_t>(tables_.size())) {
         tables_.emplace_back();
     }
-    return tables_[static_cast<std::size_t>(span - first_span_)];
+    return tables_[static_cast<std::size_t>(span - first_bucket_)];
 }
 
 void submission_registry::drop_expired(monotonic_time now)
 {
-    const std::int64_t oldest = span_of(now - prefix_validity);
-    while (!tables_.empty() && first_span_ < oldest) {
+    const std::int64_t oldest = bucket_of(now - prefix_validity);
+    while (!tables_.empty() && first_bucket_ < oldest) {
         size_ -= tables_.front().used;
         tables_.pop_front();
-        ++first_span_;
+        ++first_bucket_;
     }
 }
 
--- a/tests/admission/fair_queue_test.cpp
+++ b/tests/admission/fair_queue_test.cpp
@@ -90,9 +90,9 @@
     fair_queue queue{std::vector<double>{1.0}, 1000};
     queue.push(0, 0, 50ms, 5);
     queue.push(1, 0, 50ms, 5);
-    queue.push_again(2, 0, 50ms);
+    queue.push_retry(2, 0, 50ms);
     BOOST_TEST(*queue.front() == 2U);
-    queue.push_again(1, 0, 50ms);
+    queue.push_retry(1, 0, 50ms);
     BOOST_TEST(*queue.front() == 1U);
 }
 
@@ -139,7 +139,7 @@
             waiting[job] += 3;
             break;
         case 1:
-            queue.push_again(job, team, 1ms * draw_below(random, 3000));
+            queue.push_retry(job, team, 1ms * draw_below(random, 3000));
             ++waiting[job];
             break;
         case 2:
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -210,7 +210,7 @@
     explicit fixture(std::size_t workers = 2, deployment changed = base())
         : settings(std::move(changed)), client(timers)
     {
-        routes.running.resize(workers);
+        task_router.running.resize(workers);
         client.script = {{}};
         timers.advance(1s);
         service = make();
@@ -235,7 +235,8 @@
         options.data_centre = "dc";
         options.incarnation = incarnation;
         return std::make_unique<dispatcher>(
-            settings, options, dispatcher::parts{client, routes, timers, &observer, &metrics});
+            settings, options,
+            dispatcher::dependencies{client, task_router, timers, &observer, &metrics});
     }
 
     job_request request(std::string kind, std::size_t tasks = 1, duration deadline = 2s,
@@ -290,7 +291,7 @@
             const std::string id = task.substr(0, task.rfind('.'));
             BOOST_TEST(sent[id].kind == "twice", what << ": started twice " << task);
         }
-        for (const int running : routes.running) {
+        for (const int running : task_router.running) {
             BOOST_TEST(running == 0, what << ": a slot was not freed");
         }
         BOOST_TEST(service->open_jobs() == 0U, what);
@@ -317,7 +318,7 @@
 
     pausable_timer_service timers;
     deployment settings;
-    fake_router routes;
+    fake_router task_router;
     fake_workers client;
     counters metrics;
     recording_observer observer;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -113,7 +113,7 @@
     };
     for (const row& it : rows) {
         fixture f{1};
-        f.routes.slots = 2;
+        f.task_router.slots = 2;
         f.client.script = {ok(100ms)};
         f.client.ignores_stops = it.ignores_stops;
         const auto job = f.request("once", 3);
@@ -131,12 +131,12 @@
 BOOST_AUTO_TEST_CASE(cancel_before_start_never_starts)
 {
     fixture f{1};
-    f.routes.slots = 0;
+    f.task_router.slots = 0;
     const auto job = f.request("once", 3);
     BOOST_TEST(f.send(job).has_value());
     BOOST_TEST(f.service->cancel(job.id).has_value());
     BOOST_TEST(f.service->queued_tasks() == 0U);
-    f.routes.slots = 8;
+    f.task_router.slots = 8;
     f.timers.advance(1s);
     BOOST_TEST((state_of(f, job.id) == not_run));
     BOOST_TEST(f.client.starts == 0U);
@@ -147,7 +147,7 @@
 BOOST_AUTO_TEST_CASE(deadline_is_kept_and_carried_along)
 {
     fixture f{1};
-    f.routes.slots = 1;
+    f.task_router.slots = 1;
     f.client.script = {ok(300ms)};
     const auto first = f.request("once", 1, 1s);
     const auto second = f.request("once", 1, 400ms);
@@ -239,11 +239,11 @@
         {"701", [](auto&, auto& it) { it.payloads.resize(701); }, errc::invalid_argument, "700"},
         {"late", [](auto&, auto& it) { it.deadline = 61s; }, errc::invalid_argument, "60000"},
         {"negative", [](auto&, auto& it) { it.deadline = -1s; }, errc::invalid_argument, "60000"},
-        {"never", [](auto& f, auto&) { f.routes.runnable = false; }, errc::invalid_argument,
+        {"never", [](auto& f, auto&) { f.task_router.runnable = false; }, errc::invalid_argument,
          "ever"},
         {"overload",
          [](auto& f, auto& it) {
-             f.routes.wait_per_task = 1s;
+             f.task_router.wait_per_task = 1s;
              it.payloads.resize(5);
          },
          errc::unavailable, "overload"},
@@ -266,7 +266,7 @@
 BOOST_AUTO_TEST_CASE(new_document_while_jobs_run)
 {
     fixture f{1};
-    f.routes.slots = 1;
+    f.task_router.slots = 1;
     const auto job = f.request("once", 3, 5s, "ben");
     BOOST_TEST(f.send(job).has_value());
     auto next = fixture::base();
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -172,7 +172,7 @@
     settings.teams = {{"a", 1.0, 2}, {"b", 1.0, 6}};
     fixture f{1, settings};
     BOOST_TEST(f.send(f.request("once", 100, 20s)).has_value());
-    BOOST_TEST(f.routes.running[0] == 8);
+    BOOST_TEST(f.task_router.running[0] == 8);
     f.timers.advance(5ms);
     f.client.order.clear();
     BOOST_TEST(f.send(f.request("once", 12, 20s, "ben")).has_value());
@@ -197,8 +197,8 @@
     for (int n = 0; n < 4000; ++n) {
         f.client.script.push_back({status::completed, 40ms + 1ms * draw_below(random, 21)});
     }
-    f.routes.run_time = 60ms;                                         // the p99 of these run times
-    f.routes.wait_per_task = is_predicted ? duration{50ms} / 32 : 0s; // 640 tasks a second
+    f.task_router.run_time = 60ms; // the p99 of these run times
+    f.task_router.wait_per_task = is_predicted ? duration{50ms} / 32 : 0s; // 640 tasks a second
     std::vector<job_request> jobs;
     std::size_t accepted = 0;
     const auto begin = f.timers.monotonic_now();
@@ -254,7 +254,7 @@
         before = f.client.stops;
     }
     BOOST_TEST(most <= 256U);
-    BOOST_TEST(std::count(f.routes.running.begin(), f.routes.running.end(), 0) == 400);
+    BOOST_TEST(std::count(f.task_router.running.begin(), f.task_router.running.end(), 0) == 400);
     f.timers.advance(10s);
     BOOST_TEST(f.client.starts == 3200U);
     BOOST_TEST(f.count("jobs_failed_not_run") == 1800U);
--- a/tests/routing/fault_test.cpp
+++ b/tests/routing/fault_test.cpp
@@ -41,8 +41,8 @@
 // One router and workers that answer as a test tells them. Each step lasts 1 ms, adds a task to
 // the queue, starts what has room, and ends tasks that have run 200 ms or that their worker fails
 // at once. At 1,000 tasks a second 200 of the 320 slots are in use.
-struct bench_of_faults {
-    explicit bench_of_faults(const char* strategy = "predicted_finish", double share = 0.8)
+struct fault_harness {
+    explicit fault_harness(const char* strategy = "predicted_finish", double share = 0.8)
         : routes(router::make(make_deployment(strategy), time, {.seed = 7, .share = share}))
     {
         behaviour.fill(start_status::completed);
@@ -177,7 +177,7 @@
 
 BOOST_DATA_TEST_CASE(workers_that_are_hit_get_only_what_the_row_allows, fault_rows, row)
 {
-    bench_of_faults bench;
+    fault_harness bench;
     bench.run(2000);
     BOOST_TEST(bench.picked_in(0, fleet) >= 1900U);
     std::fill_n(bench.behaviour.begin(), row.hit, row.answer);
@@ -192,7 +192,7 @@
 BOOST_DATA_TEST_CASE(recovered_workers_return_through_single_tasks,
                      boost::unit_test::data::make({1U, per_rack}), hit)
 {
-    bench_of_faults bench;
+    fault_harness bench;
     bench.run(2000);
     std::fill_n(bench.behaviour.begin(), hit, start_status::reply_lost);
     bench.run(1000);
@@ -267,7 +267,7 @@
     for (const double share : shares) {
         const worker_table table(make_deployment(), begin, share);
         for (worker_id id = 0; id < fleet; ++id) {
-            sums[id] += table.quota[id];
+            sums[id] += table.own_slots[id];
         }
         begin += share;
     }
@@ -279,7 +279,7 @@
 // Guards against a state in which nothing is sent because every worker once looked full.
 BOOST_AUTO_TEST_CASE(full_reports_do_not_stop_an_instance_for_good)
 {
-    bench_of_faults bench("predicted_finish", 0.01);
+    fault_harness bench("predicted_finish", 0.01);
     bench.reported = 2 * slots;
     bench.run(2000);
     bench.running.clear();
@@ -297,7 +297,7 @@
                                                    "predicted_finish"}),
                      name)
 {
-    bench_of_faults bench(name);
+    fault_harness bench(name);
     bench.routes->set_leaving(3, true);
     bench.run(3000);
     BOOST_TEST(bench.picked_in(0, fleet) >= 2700U);
@@ -350,7 +350,7 @@
 // Guards against a leaving worker that still answers and gets new work.
 BOOST_AUTO_TEST_CASE(load_report_that_says_leaving_ends_new_work)
 {
-    bench_of_faults bench;
+    fault_harness bench;
     bench.run(1000);
     bench.reported_leaving = 2;
     bench.run(300); // one task has ended by then
@@ -365,7 +365,7 @@
                          boost::unit_test::data::make({false, true}),
                      percent, is_loss)
 {
-    const auto outcome = is_loss ? task_outcome::loss : task_outcome::failure;
+    const auto outcome = is_loss ? task_outcome::unreachable : task_outcome::failure;
     worker_health health(racks_of_fleet(), fleet / per_rack, 1);
     std::uint32_t draw = 1;
     for (int i = 0; i < 200; ++i) {
@@ -375,7 +375,7 @@
             const bool fails = i >= 20 && (draw >> 16U) % 100 < static_cast<std::uint32_t>(percent);
             health.record(id, fails ? outcome : task_outcome::success, now);
         }
-        health.judge(now);
+        health.evaluate(now);
         BOOST_TEST(health.ejected() == 0U);
         BOOST_TEST(health.lost_racks() == 0U);
     }
@@ -393,16 +393,16 @@
         health.record(id, task_outcome::success, 1.0);
     }
     health.record(4, task_outcome::failure, 1.1);
-    health.judge(1.1);
+    health.evaluate(1.1);
     BOOST_TEST(health.limits()[4] == 1.0F);
     health.record(4, task_outcome::failure, 1.2);
     health.record(4, task_outcome::failure, 1.3);
-    health.judge(1.3);
+    health.evaluate(1.3);
     BOOST_TEST(health.limits()[4] == 0.0F);
     const auto any = [](worker_id /*id*/) { return true; };
-    BOOST_TEST(!health.take_probe(2.0, any).has_value());
-    BOOST_TEST(health.take_probe(4.0, any).value_or(0) == 4U);
-    BOOST_TEST(!health.take_probe(4.0, any).has_value());
+    BOOST_TEST(!health.begin_probe(2.0, any).has_value());
+    BOOST_TEST(health.begin_probe(4.0, any).value_or(0) == 4U);
+    BOOST_TEST(!health.begin_probe(4.0, any).has_value());
     for (int i = 0; i < 3; ++i) {
         BOOST_TEST(health.limits()[4] == (i == 0 ? 0.0F : 1.0F));
         health.record(4, task_outcome::success, 4.5);
@@ -421,7 +421,7 @@
             now += 0.001;
             const bool fails = i >= 20 && id < 8;
             health.record(id, fails ? task_outcome::failure : task_outcome::success, now);
-            health.judge(now);
+            health.evaluate(now);
         }
         BOOST_TEST(health.ejected() <= fleet / 10);
     }
@@ -437,9 +437,9 @@
         health.record(id, task_outcome::success, 1.0);
     }
     for (worker_id id = 0; id < per_rack - 2; ++id) {
-        health.record(id, task_outcome::loss, 2.0);
+        health.record(id, task_outcome::unreachable, 2.0);
     }
-    health.judge(2.0);
+    health.evaluate(2.0);
     BOOST_TEST(health.rack_events() == 1U);
     BOOST_TEST(health.ejected() == 0U);
     BOOST_TEST(std::count(health.limits().begin(), health.limits().begin() + per_rack, 0.0F) ==
@@ -498,7 +498,7 @@
 // Guards against a document that resets what was learned or sends work to what it removed.
 BOOST_AUTO_TEST_CASE(new_document_keeps_the_known_and_retires_the_rest)
 {
-    bench_of_faults bench;
+    fault_harness bench;
     bench.run(1000);
     const auto learned = bench.routes->run_time_quantile(0, 0.5);
     deployment next = make_deployment();
@@ -531,7 +531,7 @@
 // Guards against a wait of zero for a queue that no slot is free for.
 BOOST_AUTO_TEST_CASE(expected_wait_grows_with_the_position)
 {
-    bench_of_faults bench;
+    fault_harness bench;
     BOOST_TEST(bench.routes->expected_wait(0).count() == 0);
     const auto near = bench.routes->expected_wait(1000);
     const auto far = bench.routes->expected_wait(2000);
--- a/tests/submission/submission_registry_test.cpp
+++ b/tests/submission/submission_registry_test.cpp
@@ -41,7 +41,7 @@
     submission_registry registry{100};
     for (const row& it : rows) {
         const auto got =
-            registry.claim(it.id, it.body, monotonic_time{it.issued}, monotonic_time{it.now});
+            registry.try_insert(it.id, it.body, monotonic_time{it.issued}, monotonic_time{it.now});
         BOOST_TEST((got == it.expected), it.what);
     }
 }
@@ -52,12 +52,14 @@
     submission_registry registry{50};
     for (std::uint64_t id = 1; id <= 50; ++id) {
         BOOST_TEST(
-            (registry.claim(id, 0, monotonic_time{0s}, monotonic_time{1s}) == verdict::fresh));
+            (registry.try_insert(id, 0, monotonic_time{0s}, monotonic_time{1s}) == verdict::fresh));
     }
-    BOOST_TEST((registry.claim(51, 0, monotonic_time{0s}, monotonic_time{1s}) == verdict::full));
-    BOOST_TEST((registry.claim(7, 0, monotonic_time{0s}, monotonic_time{1s}) == verdict::known));
     BOOST_TEST(
-        (registry.claim(51, 0, monotonic_time{130s}, monotonic_time{130s}) == verdict::fresh));
+        (registry.try_insert(51, 0, monotonic_time{0s}, monotonic_time{1s}) == verdict::full));
+    BOOST_TEST(
+        (registry.try_insert(7, 0, monotonic_time{0s}, monotonic_time{1s}) == verdict::known));
+    BOOST_TEST(
+        (registry.try_insert(51, 0, monotonic_time{130s}, monotonic_time{130s}) == verdict::fresh));
     BOOST_TEST(registry.size() == 1U);
 }
 
@@ -72,7 +74,7 @@
         const std::uint64_t id = draw_below(random, 4000);
         // The issue time is part of the id, so it is the same at every repetition.
         const auto issued = monotonic_time{100ms * static_cast<int>(id) + 200s};
-        if (registry.claim(id * 0x9e3779b97f4a7c15U, 0, issued, now) == verdict::fresh) {
+        if (registry.try_insert(id * 0x9e3779b97f4a7c15U, 0, issued, now) == verdict::fresh) {
             BOOST_TEST(accepted.insert(id).second);
         }
     }
--- a/tests/system/fleet.cpp
+++ b/tests/system/fleet.cpp
@@ -189,13 +189,13 @@
                                  address_of(other), false});
     }
     it->instance = std::make_unique<entry_instance>(
-        options, entry_parts{.timers = *it->timers,
-                             .log = *it->platform,
-                             .workers = *it->platform,
-                             .peers = *it->transport,
-                             .list = nullptr,
-                             .config_peers = it->config_peers.get(),
-                             .metrics = nullptr});
+        options, entry_dependencies{.timers = *it->timers,
+                                    .log = *it->platform,
+                                    .workers = *it->platform,
+                                    .peers = *it->transport,
+                                    .list = nullptr,
+                                    .config_peers = it->config_peers.get(),
+                                    .metrics = nullptr});
     network_.listen(it->address,
                     [instance = it->instance.get()](std::string_view request, auto answer) {
                         instance->membership().handle(request, std::move(answer));
