--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -4,8 +4,8 @@
 #include "base/random.h"
 #include "config/config_follower.h"
 #include "config/config_record_codec.h"
-#include "stand_in/log_link.h"
 #include "stand_in/memory_log.h"
+#include "stand_in/partitionable_log.h"
 #include "stand_in/virtual_timer_service.h"
 
 #include <algorithm>
@@ -170,7 +170,7 @@
         for (int n = 0; n < instance_count; ++n) {
             auto own = options;
             own.seed = static_cast<std::uint64_t>(n);
-            links.push_back(std::make_unique<log_link>(log));
+            links.push_back(std::make_unique<partitionable_log>(log));
             followers.push_back(
                 std::make_unique<config_follower>(*links.back(), timers, nullptr, own));
             followers.back()->set_rank(static_cast<std::size_t>(n));
@@ -202,7 +202,7 @@
 
     virtual_timer_service timers;
     memory_log log{timers};
-    std::vector<std::unique_ptr<log_link>> links;
+    std::vector<std::unique_ptr<partitionable_log>> links;
     std::vector<std::unique_ptr<config_follower>> followers;
     log_offset awaited = 0;
     int in_force_count = 0;
@@ -283,7 +283,7 @@
         all.submit(0, make_edit(all.followers[0]->ledger(), sections[n % 50 == 0 ? 0 : 3], n));
         all.timers.advance(2s);
     }
-    log_link link(all.log);
+    partitionable_log link(all.log);
     config_follower fresh(link, all.timers, nullptr, {});
     const auto start = cpu_seconds();
     const auto virtual_start = all.timers.monotonic_now();
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -140,7 +140,7 @@
     first.address = given.address;
     first.target = "/v1/prefix";
     client.send(first, [&](const http_reply& reply) {
-        prefix = reply.end == http_end::replied ? reply.header("Cactusloom-Id-Prefix") : "none";
+        prefix = reply.end == http_outcome::replied ? reply.header("Cactusloom-Id-Prefix") : "none";
     });
     while (prefix.empty()) {
         g_main_context_iteration(nullptr, TRUE);
@@ -153,7 +153,7 @@
         call.headers = {{"Content-Type", "application/json"}};
         call.body = make_body(given, fmt::format("{}.b{}", prefix, number));
         client.send(call, [&prefix, done](const http_reply& reply) {
-            const bool good = reply.end == http_end::replied && reply.status == 200 &&
+            const bool good = reply.end == http_outcome::replied && reply.status == 200 &&
                               reply.body.find("\"completed\"") != std::string::npos;
             if (good) {
                 prefix = reply.header("Cactusloom-Id-Prefix"); // as callers do, at no extra message
--- a/include/daemon/instance.h
+++ b/include/daemon/instance.h
@@ -28,9 +28,9 @@
     void shut_down(std::function<void()> stopped);
 
 private:
-    struct parts;
-    explicit instance(std::unique_ptr<parts> parts);
-    std::unique_ptr<parts> parts_;
+    struct components;
+    explicit instance(std::unique_ptr<components> components);
+    std::unique_ptr<components> components_;
 };
 
 } // namespace cactusloom
--- a/include/http/caller_api.h
+++ b/include/http/caller_api.h
@@ -14,7 +14,7 @@
 
 // What the caller API needs from the rest of the instance. All must outlive the API. Functions that
 // are empty answer 404.
-struct caller_api_parts {
+struct caller_api_dependencies {
     using text_callback = std::function<void(result<std::string>)>; // JSON text
 
     std::function<std::string()> issue_prefix;
@@ -33,7 +33,10 @@
 // Serves the caller API of docs/design.md section 2.2.
 class caller_api {
 public:
-    explicit caller_api(caller_api_parts parts) : parts_(std::move(parts)) {}
+    explicit caller_api(caller_api_dependencies dependencies)
+        : dependencies_(std::move(dependencies))
+    {
+    }
 
     // Answers an exchange now or later. Suits http_server::handler.
     void serve(const http_exchange_ptr& exchange);
@@ -66,9 +69,9 @@
                       bool single);
     void reply(const http_exchange_ptr& exchange, unsigned status, std::string_view body);
     void refuse(const http_exchange_ptr& exchange, const error& reason, std::string_view id);
-    caller_api_parts::text_callback reply_to(const http_exchange_ptr& exchange);
+    caller_api_dependencies::text_callback reply_to(const http_exchange_ptr& exchange);
 
-    caller_api_parts parts_;
+    caller_api_dependencies dependencies_;
     counters counts_;
 };
 
--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -21,14 +21,14 @@
     bool fresh_connection = false;
 };
 
-enum class http_end {
+enum class http_outcome {
     replied,
     not_sent,   // no byte of the request left this process
     reply_lost, // the request may have arrived
 };
 
 struct http_reply {
-    http_end end = http_end::reply_lost;
+    http_outcome end = http_outcome::reply_lost;
     unsigned status = 0;
     std::string body;
     std::string reason;                             // why there is no reply
--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -15,8 +15,10 @@
 struct http_server_limits {
     std::size_t max_body_bytes = 1U << 20U;
     std::size_t max_connections = 4096;
-    duration idle_limit = std::chrono::seconds{60}; // for a whole header, from accept or last reply
-    duration body_limit = std::chrono::seconds{10}; // for a whole body, from the end of the header
+    duration header_timeout =
+        std::chrono::seconds{60}; // for a whole header, from accept or last reply
+    duration body_timeout =
+        std::chrono::seconds{10}; // for a whole body, from the end of the header
 };
 
 // One request and its reply. It may be answered at any later time; a caller that hung up is
@@ -40,7 +42,7 @@
     virtual void reply(unsigned status, std::string_view body,
                        const char* content_type = "application/json") = 0;
     // Closes the connection without a reply.
-    virtual void hang_up() = 0;
+    virtual void close_without_reply() = 0;
 };
 
 using http_exchange_ptr = std::shared_ptr<http_exchange>;
--- a/include/http/peer_rpc.h
+++ b/include/http/peer_rpc.h
@@ -28,7 +28,7 @@
 };
 
 // What the endpoint calls. Both must be set.
-struct peer_rpc_parts {
+struct peer_rpc_handlers {
     // Methods "membership.*". The failure detector reads the texts itself and may answer later,
     // which jsonrpccpp's server cannot.
     std::function<void(std::string_view request, std::function<void(std::string)>)> membership;
@@ -39,7 +39,7 @@
 // Answers JSON-RPC requests of other instances. "config.*" goes through jsonrpccpp's server.
 class peer_rpc_server {
 public:
-    explicit peer_rpc_server(peer_rpc_parts parts);
+    explicit peer_rpc_server(peer_rpc_handlers handlers);
     ~peer_rpc_server();
     peer_rpc_server(const peer_rpc_server&) = delete;
     peer_rpc_server& operator=(const peer_rpc_server&) = delete;
@@ -49,7 +49,7 @@
 
 private:
     struct methods;
-    peer_rpc_parts parts_;
+    peer_rpc_handlers handlers_;
     std::unique_ptr<methods> methods_;
 };
 
--- a/include/http/worker_codec.h
+++ b/include/http/worker_codec.h
@@ -22,10 +22,10 @@
 } // namespace worker_header
 
 // Percent-encodes all but the unreserved characters, so that a text is safe in a header or path.
-std::string encode_token(std::string_view text);
+std::string percent_encode(std::string_view text);
 
-// Undoes encode_token; nothing if the text is not valid.
-std::optional<std::string> decode_token(std::string_view text);
+// Undoes percent_encode; nothing if the text is not valid.
+std::optional<std::string> percent_decode(std::string_view text);
 
 // Name of a status as workers send it. `reply_lost` and `not_sent` are never sent.
 const char* to_string(start_status status);
--- a/include/net/http_message.h
+++ b/include/net/http_message.h
@@ -9,7 +9,7 @@
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 // Request to be sent. The connection adds Host and Content-Length.
-struct http_call {
+struct http_request {
     std::string method = "GET";
     std::string target = "/";
     header_list headers;
@@ -17,7 +17,7 @@
 };
 
 // Reply as received.
-struct http_reply {
+struct http_response {
     int status = 0;
     std::string body;
 };
--- a/include/net/pooled_http_client.h
+++ b/include/net/pooled_http_client.h
@@ -18,7 +18,7 @@
 // is used once at most.
 class pooled_http_client {
 public:
-    using outcome = std::variant<http_reply, call_failure>;
+    using outcome = std::variant<http_response, call_failure>;
     using callback = std::function<void(outcome)>;
 
     pooled_http_client(poller& events, timer_service& timers);
@@ -27,13 +27,13 @@
     pooled_http_client& operator=(const pooled_http_client&) = delete;
 
     // Calls "ip:port". `fn` runs later on the loop, exactly once, unless the client is destroyed.
-    void call(const std::string& address, const http_call& request, duration limit, callback fn);
+    void call(const std::string& address, const http_request& request, duration limit, callback fn);
 
     // Closes the idle connections to an address.
-    void retire(const std::string& address);
+    void close_idle_connections(const std::string& address);
 
     // Connections opened so far, for the metrics.
-    std::uint64_t opened() const { return opened_; }
+    std::uint64_t connections_opened() const { return connections_opened_; }
 
 private:
     class connection;
@@ -42,7 +42,7 @@
     poller& events_;
     timer_service& timers_;
     std::map<std::string, std::unique_ptr<pool>, std::less<>> pools_;
-    std::uint64_t opened_ = 0;
+    std::uint64_t connections_opened_ = 0;
 };
 
 } // namespace cactusloom
--- a/include/net/stream_http_server.h
+++ b/include/net/stream_http_server.h
@@ -14,7 +14,7 @@
 namespace cactusloom {
 
 // Bounds of a server, from the configuration in force.
-struct http_server_limits {
+struct stream_http_server_limits {
     std::uint32_t header_bytes = 16384;
     std::uint32_t body_bytes = 262144;
     duration header_timeout = std::chrono::seconds{3};
@@ -37,13 +37,13 @@
 class http_responder {
 public:
     // Called at most once if the caller hangs up before the answer.
-    void on_abandoned(std::function<void()> fn) const;
+    void on_client_disconnect(std::function<void()> fn) const;
 
     // The body is JSON unless a Content-Type header says otherwise.
     void answer(int status, std::string_view body, const header_list& headers = {}) const;
 
     // Ends the connection without an answer: the caller cannot know whether the request ran.
-    void break_off() const;
+    void close_without_reply() const;
 
 private:
     friend class stream_http_server;
@@ -64,7 +64,7 @@
     stream_http_server(const stream_http_server&) = delete;
     stream_http_server& operator=(const stream_http_server&) = delete;
 
-    void set_limits(const http_server_limits& limits);
+    void set_limits(const stream_http_server_limits& limits);
 
     // From now on every answer closes its connection and idle connections are closed.
     void begin_drain();
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -11,8 +11,8 @@
 #include "http/json_text.h"
 #include "http/peer_rpc.h"
 #include "metrics/counters.h"
-#include "peer_states.h"
-#include "platform_access.h"
+#include "peer_config_client.h"
+#include "platform_services.h"
 #include "status_report.h"
 
 #include <boost/outcome/success_failure.hpp>
@@ -38,7 +38,7 @@
 } // namespace
 
 // Members are destroyed in reverse order: what sends or serves goes before what it calls.
-struct instance::parts {
+struct instance::components {
     daemon_settings settings;
     timer_service& timers;
     std::uint64_t id_key = 0;
@@ -47,17 +47,19 @@
     timer_id housekeeping_timer = 0;
     timer_id drain_timer = 0;
 
-    std::unique_ptr<platform_access> platform;
+    std::unique_ptr<platform_services> platform;
     std::unique_ptr<peer_rpc_client> rpc_client;
-    std::unique_ptr<peer_states> states;
+    std::unique_ptr<peer_config_client> states;
     std::unique_ptr<entry_instance> entry;
     std::unique_ptr<peer_rpc_server> rpc;
     std::unique_ptr<forwarder> forwards;
     std::unique_ptr<caller_api> api;
     std::unique_ptr<http_server> server;
 
-    parts(daemon_settings with, timer_service& time) : settings(std::move(with)), timers(time) {}
-    ~parts()
+    components(daemon_settings with, timer_service& time) : settings(std::move(with)), timers(time)
+    {
+    }
+    ~components()
     {
         timers.cancel(housekeeping_timer);
         timers.cancel(drain_timer);
@@ -71,21 +73,21 @@
     void keep_house();
     result<void> check_ready() const;
     report_sources sources() const { return {*entry, *forwards, *server, *api, counts}; }
-    void answer_account(std::string_view customer, caller_api_parts::text_callback done);
+    void answer_account(std::string_view customer, caller_api_dependencies::text_callback done);
     void send_last_replies(const std::function<void()>& stopped);
 };
 
-std::string instance::parts::issue_prefix() const
+std::string instance::components::issue_prefix() const
 {
     return make_prefix(
         {self().name, self().data_centre, self().incarnation, timers.monotonic_now()}, id_key);
 }
 
-void instance::parts::make_entry(member self_member)
+void instance::components::make_entry(member self_member)
 {
     const std::uint64_t seed = hash64(self_member.name, self_member.incarnation);
     rpc_client = std::make_unique<peer_rpc_client>(timers);
-    states = std::make_unique<peer_states>(
+    states = std::make_unique<peer_config_client>(
         timers, *rpc_client,
         [this]() -> const member_table& { return entry->membership().members(); },
         static_cast<std::uint32_t>(seed));
@@ -108,20 +110,20 @@
                   to_string(change.now.state), change.now.data_centre);
     });
     rpc = std::make_unique<peer_rpc_server>(
-        peer_rpc_parts{[this](std::string_view request, std::function<void(std::string)> reply) {
-                           entry->membership().handle(request, std::move(reply));
-                       },
-                       [this](std::uint64_t newer_than) {
-                           return entry->configuration().state_for_peer(newer_than);
-                       }});
+        peer_rpc_handlers{[this](std::string_view request, std::function<void(std::string)> reply) {
+                              entry->membership().handle(request, std::move(reply));
+                          },
+                          [this](std::uint64_t newer_than) {
+                              return entry->configuration().state_for_peer(newer_than);
+                          }});
     forwards = std::make_unique<forwarder>(
         timers, self().name, [this](std::string_view id) { return entry->locate(id); },
         [this] { return issue_prefix(); });
 }
 
-void instance::parts::make_api()
+void instance::components::make_api()
 {
-    caller_api_parts with;
+    caller_api_dependencies with;
     with.issue_prefix = [this] { return issue_prefix(); };
     with.jobs = [this]() -> job_service* { return entry->jobs(); };
     with.settings = [this]() -> const deployment* { return entry->settings(); };
@@ -131,16 +133,16 @@
     with.forward = [this](const http_exchange_ptr& exchange, std::string_view id) {
         return forwards->forward(exchange, id);
     };
-    with.account = [this](std::string_view customer, caller_api_parts::text_callback done) {
+    with.account = [this](std::string_view customer, caller_api_dependencies::text_callback done) {
         answer_account(customer, std::move(done));
     };
     with.show_config = [this]() -> result<std::string> {
         return format_config(entry->configuration());
     };
-    with.config_history = [this](const caller_api_parts::text_callback& done) {
+    with.config_history = [this](const caller_api_dependencies::text_callback& done) {
         done(format_config_history(entry->configuration()));
     };
-    with.edit_config = [this](std::string_view body, caller_api_parts::text_callback done) {
+    with.edit_config = [this](std::string_view body, caller_api_dependencies::text_callback done) {
         submit_config_edit(entry->configuration(), body, std::move(done));
     };
     api = std::make_unique<caller_api>(std::move(with));
@@ -148,7 +150,7 @@
 
 // A log without any document is filled from the file of the settings. Several instances may do so
 // at once: the edit id follows from the text, so the log's order decides.
-void instance::parts::publish_first_document()
+void instance::components::publish_first_document()
 {
     config_follower& follower = entry->configuration();
     if (first_document.empty() || follower.is_ready() ||
@@ -167,13 +169,13 @@
     });
 }
 
-void instance::parts::keep_house()
+void instance::components::keep_house()
 {
     publish_first_document();
     housekeeping_timer = timers.schedule(housekeeping_interval, [this] { keep_house(); });
 }
 
-result<void> instance::parts::check_ready() const
+result<void> instance::components::check_ready() const
 {
     if (!entry->is_ready()) {
         return failure(errc::not_ready, entry->jobs() == nullptr
@@ -183,8 +185,8 @@
     return boost::outcome_v2::success();
 }
 
-void instance::parts::answer_account(std::string_view customer,
-                                     caller_api_parts::text_callback done)
+void instance::components::answer_account(std::string_view customer,
+                                          caller_api_dependencies::text_callback done)
 {
     read_account(platform->log(), timers, nullptr, std::string(customer),
                  [done = std::move(done)](const result<account_statement>& found) {
@@ -203,14 +205,14 @@
                  });
 }
 
-instance::instance(std::unique_ptr<parts> parts) : parts_(std::move(parts)) {}
+instance::instance(std::unique_ptr<components> components) : components_(std::move(components)) {}
 
 instance::~instance() = default;
 
 result<std::unique_ptr<instance>> instance::start(const daemon_settings& settings,
                                                   timer_service& timers)
 {
-    auto graph = std::make_unique<parts>(settings, timers);
+    auto graph = std::make_unique<components>(settings, timers);
     auto* raw = graph.get();
     raw->id_key = hash64(settings.id_key);
     if (!settings.config.empty()) {
@@ -224,7 +226,7 @@
         }
         raw->first_document = std::move(text).value();
     }
-    auto platform = platform_access::make(settings, timers);
+    auto platform = platform_services::make(settings, timers);
     if (!platform) {
         return platform.error();
     }
@@ -258,11 +260,11 @@
 
 std::string instance::address() const
 {
-    return parts_->server->address();
+    return components_->server->address();
 }
 
 // Replies to callers that wait are sent before the socket goes.
-void instance::parts::send_last_replies(const std::function<void()>& stopped)
+void instance::components::send_last_replies(const std::function<void()>& stopped)
 {
     if (server->open_exchanges() == 0) {
         stopped();
@@ -274,7 +276,7 @@
 
 void instance::shut_down(std::function<void()> stopped)
 {
-    auto* raw = parts_.get();
+    auto* raw = components_.get();
     raw->entry->shut_down([raw, stopped = std::move(stopped)] { raw->send_last_replies(stopped); });
 }
 
--- a/src/daemon/peer_states.cpp
+++ b/src/daemon/peer_config_client.cpp
@@ -1,4 +1,4 @@
-#include "peer_states.h"
+#include "peer_config_client.h"
 
 #include "base/timer_service.h"
 #include "http/peer_rpc.h"
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void peer_states::fetch(log_offset newer_than, callback done)
+void peer_config_client::fetch(log_offset newer_than, callback done)
 {
     std::vector<std::string> addresses;
     const member_table& members = members_();
--- a/src/daemon/platform_access.cpp
+++ b/src/daemon/platform_services.cpp
@@ -1,4 +1,4 @@
-#include "platform_access.h"
+#include "platform_services.h"
 
 #include "http/http_instance_list.h"
 #include "http/http_log_service.h"
@@ -11,7 +11,7 @@
 namespace cactusloom {
 namespace {
 
-class configured_access final : public platform_access {
+class configured_access final : public platform_services {
 public:
     configured_access(const daemon_settings& settings, timer_service& timers, bool http_workers)
         : timers_(timers), http_workers_(http_workers)
@@ -75,8 +75,8 @@
 
 } // namespace
 
-result<std::unique_ptr<platform_access>> platform_access::make(const daemon_settings& settings,
-                                                               timer_service& timers)
+result<std::unique_ptr<platform_services>> platform_services::make(const daemon_settings& settings,
+                                                                   timer_service& timers)
 {
     const auto& mode = settings.worker_mode;
     if (mode != "auto" && mode != "http" && mode != "embedded") {
@@ -84,7 +84,7 @@
                        fmt::format("--worker-mode is '{}', not auto, http or embedded", mode));
     }
     const bool http_workers = mode == "http" || (mode == "auto" && !settings.log_address.empty());
-    return std::unique_ptr<platform_access>(
+    return std::unique_ptr<platform_services>(
         std::make_unique<configured_access>(settings, timers, http_workers));
 }
 
--- a/src/daemon/platform_access.h
+++ b/src/daemon/platform_services.h
@@ -13,15 +13,15 @@
 namespace cactusloom {
 
 // The platform as the settings name it: by HTTP, or embedded stand-ins where no address is given.
-class platform_access {
+class platform_services {
 public:
     // `timers` must outlive the access. Error `invalid_argument`: a setting names no known mode.
-    static result<std::unique_ptr<platform_access>> make(const daemon_settings& settings,
-                                                         timer_service& timers);
-    platform_access() = default;
-    platform_access(const platform_access&) = delete;
-    platform_access& operator=(const platform_access&) = delete;
-    virtual ~platform_access() = default;
+    static result<std::unique_ptr<platform_services>> make(const daemon_settings& settings,
+                                                           timer_service& timers);
+    platform_services() = default;
+    platform_services(const platform_services&) = delete;
+    platform_services& operator=(const platform_services&) = delete;
+    virtual ~platform_services() = default;
 
     virtual log_service& log() = 0;
     virtual instance_list* list() = 0; // null if there is none
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -63,7 +63,7 @@
 
 void caller_api::reply(const http_exchange_ptr& exchange, unsigned status, std::string_view body)
 {
-    exchange->set_header(prefix_header, parts_.issue_prefix());
+    exchange->set_header(prefix_header, dependencies_.issue_prefix());
     exchange->reply(status, body);
 }
 
@@ -75,7 +75,7 @@
     reply(exchange, http_status_of(reason.code), format_refusal(id, reason));
 }
 
-caller_api_parts::text_callback caller_api::reply_to(const http_exchange_ptr& exchange)
+caller_api_dependencies::text_callback caller_api::reply_to(const http_exchange_ptr& exchange)
 {
     return [this, exchange](result<std::string> text) {
         if (text) {
@@ -89,7 +89,7 @@
 
 void caller_api::serve_prefix(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    const std::string prefix = parts_.issue_prefix();
+    const std::string prefix = dependencies_.issue_prefix();
     exchange->set_header(prefix_header, prefix);
     exchange->reply(200, R"({"prefix":")" + prefix + R"("})");
 }
@@ -110,13 +110,13 @@
     if (jobs == nullptr) {
         return;
     }
-    auto request = parse_submission(exchange->body(), single, *parts_.settings());
+    auto request = parse_submission(exchange->body(), single, *dependencies_.settings());
     if (!request) {
         refuse(exchange, request.error(), "");
         return;
     }
     const std::string id = request.value().id;
-    if (parts_.forward && parts_.forward(exchange, id)) {
+    if (dependencies_.forward && dependencies_.forward(exchange, id)) {
         return;
     }
     const auto deadline = request.value().deadline;
@@ -145,7 +145,7 @@
 
 job_service* caller_api::find_jobs(const http_exchange_ptr& exchange)
 {
-    job_service* jobs = parts_.jobs();
+    job_service* jobs = dependencies_.jobs();
     if (jobs == nullptr) {
         refuse(exchange, {errc::not_ready, "no configuration is in force yet"}, "");
     }
@@ -155,7 +155,7 @@
 void caller_api::answer_later(const http_exchange_ptr& exchange, const std::string& id,
                               duration limit, bool single)
 {
-    parts_.jobs()->wait(id, limit, [this, exchange, id, single](const job_answer& answer) {
+    dependencies_.jobs()->wait(id, limit, [this, exchange, id, single](const job_answer& answer) {
         reply(exchange, answer.state == job_state::running ? 202 : 200,
               format_answer(id, answer, single));
     });
@@ -173,7 +173,7 @@
         refuse(exchange, {errc::invalid_argument, "not a submission id"}, "");
         return;
     }
-    if (parts_.forward && parts_.forward(exchange, id)) {
+    if (dependencies_.forward && dependencies_.forward(exchange, id)) {
         return;
     }
     job_service* jobs = find_jobs(exchange);
@@ -209,53 +209,54 @@
 
 void caller_api::serve_account(const http_exchange_ptr& exchange, std::string_view rest)
 {
-    if (!parts_.account) {
+    if (!dependencies_.account) {
         refuse(exchange, {errc::not_found, "this instance keeps no account"}, "");
         return;
     }
-    parts_.account(rest, reply_to(exchange));
+    dependencies_.account(rest, reply_to(exchange));
 }
 
 void caller_api::serve_config(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    reply_to(exchange)(parts_.show_config
-                           ? parts_.show_config()
+    reply_to(exchange)(dependencies_.show_config
+                           ? dependencies_.show_config()
                            : failure(errc::not_found, "this instance follows no document"));
 }
 
 void caller_api::serve_config_history(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    if (!parts_.config_history) {
+    if (!dependencies_.config_history) {
         refuse(exchange, {errc::not_found, "this instance follows no document"}, "");
         return;
     }
-    parts_.config_history(reply_to(exchange));
+    dependencies_.config_history(reply_to(exchange));
 }
 
 void caller_api::serve_config_edit(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    if (!parts_.edit_config) {
+    if (!dependencies_.edit_config) {
         refuse(exchange, {errc::not_found, "this instance follows no document"}, "");
         return;
     }
-    parts_.edit_config(exchange->body(), reply_to(exchange));
+    dependencies_.edit_config(exchange->body(), reply_to(exchange));
 }
 
 void caller_api::serve_status(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    reply(exchange, 200, parts_.status ? parts_.status() : "{}");
+    reply(exchange, 200, dependencies_.status ? dependencies_.status() : "{}");
 }
 
 void caller_api::serve_metrics(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    exchange->set_header(prefix_header, parts_.issue_prefix());
-    exchange->reply(200, parts_.metrics ? parts_.metrics() : "", "text/plain; version=0.0.4");
+    exchange->set_header(prefix_header, dependencies_.issue_prefix());
+    exchange->reply(200, dependencies_.metrics ? dependencies_.metrics() : "",
+                    "text/plain; version=0.0.4");
 }
 
 void caller_api::serve_ready(const http_exchange_ptr& exchange, std::string_view /*rest*/)
 {
-    if (const auto ready =
-            parts_.ready ? parts_.ready() : result<void>{boost::outcome_v2::success()};
+    if (const auto ready = dependencies_.ready ? dependencies_.ready()
+                                               : result<void>{boost::outcome_v2::success()};
         !ready) {
         refuse(exchange, ready.error(), "");
         return;
--- a/src/http/forwarder.cpp
+++ b/src/http/forwarder.cpp
@@ -54,12 +54,12 @@
     call.method = exchange->method();
     call.address = owner.address;
     call.target = make_target(*exchange);
-    call.headers = {{forwarded_header, encode_token(own_name_)}};
+    call.headers = {{forwarded_header, percent_encode(own_name_)}};
     call.body = exchange->body();
     call.limit = reply_limit;
     client_.send(call, [this, exchange, id = std::string(id)](const http_reply& reply) {
         exchange->set_header(prefix_header, prefix_());
-        if (reply.end == http_end::replied) {
+        if (reply.end == http_outcome::replied) {
             exchange->reply(reply.status, reply.body);
             return;
         }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -58,12 +58,12 @@
     if (bytes != nullptr && !ec) {
         gsize size = 0;
         const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-        reply.end = http_end::replied;
+        reply.end = http_outcome::replied;
         reply.status = soup_message_get_status(call->message.get());
         reply.body.assign(text == nullptr ? "" : text, size);
     }
     else {
-        reply.end = call->started ? http_end::reply_lost : http_end::not_sent;
+        reply.end = call->started ? http_outcome::reply_lost : http_outcome::not_sent;
         reply.timed_out = call->timed_out;
         reply.reason = call->timed_out ? "no reply within the limit" : ec.message();
     }
@@ -131,7 +131,7 @@
         state_->timers->schedule(duration::zero(),
                                  [open = std::shared_ptr<open_call>(std::move(open))] {
                                      http_reply reply;
-                                     reply.end = http_end::not_sent;
+                                     reply.end = http_outcome::not_sent;
                                      reply.reason = "not a valid address";
                                      reply.header = [](const char*) { return std::string{}; };
                                      if (open->owner->timers != nullptr) {
--- a/src/http/http_instance_list.cpp
+++ b/src/http/http_instance_list.cpp
@@ -21,7 +21,7 @@
     call.target = "/v1/instances";
     call.limit = reply_limit;
     client_.send(call, [done = std::move(done)](const http_reply& reply) {
-        if (reply.end != http_end::replied) {
+        if (reply.end != http_outcome::replied) {
             done(failure(errc::unavailable, "no reply from the instance list: " + reply.reason));
             return;
         }
--- a/src/http/http_log_service.cpp
+++ b/src/http/http_log_service.cpp
@@ -14,10 +14,10 @@
 // Certain refusals keep their code. All else may have stored the record.
 error to_append_error(const http_reply& reply)
 {
-    if (reply.end == http_end::not_sent) {
+    if (reply.end == http_outcome::not_sent) {
         return {errc::unavailable, "log not reached: " + reply.reason};
     }
-    if (reply.end == http_end::reply_lost) {
+    if (reply.end == http_outcome::reply_lost) {
         return {errc::reply_lost, "no reply from the log: " + reply.reason};
     }
     auto found = parse_platform_error(reply.body);
@@ -39,11 +39,11 @@
     http_call call;
     call.method = "POST";
     call.address = address_;
-    call.target = fmt::format("/v1/streams/{}/records", encode_token(stream));
+    call.target = fmt::format("/v1/streams/{}/records", percent_encode(stream));
     call.body = std::move(content);
     call.limit = reply_limit;
     client_.send(call, [done = std::move(done)](const http_reply& reply) {
-        if (reply.end == http_end::replied && reply.status == 200) {
+        if (reply.end == http_outcome::replied && reply.status == 200) {
             if (const auto offset = parse_offset(reply.body)) {
                 done(offset.value());
                 return;
@@ -58,11 +58,11 @@
 {
     http_call call;
     call.address = address_;
-    call.target = fmt::format("/v1/streams/{}/records?from={}&max={}", encode_token(stream), from,
+    call.target = fmt::format("/v1/streams/{}/records?from={}&max={}", percent_encode(stream), from,
                               max_records);
     call.limit = reply_limit;
     client_.send(call, [done = std::move(done)](const http_reply& reply) {
-        if (reply.end != http_end::replied) {
+        if (reply.end != http_outcome::replied) {
             done(failure(errc::unavailable, "no reply from the log: " + reply.reason));
             return;
         }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -120,7 +120,7 @@
                                          body.data(), body.size());
         soup_server_message_unpause(message_.get());
     }
-    void hang_up() override
+    void close_without_reply() override
     {
         if (std::exchange(replied_, true) || finished_ || !*server_open_) {
             return;
@@ -264,8 +264,8 @@
     const auto now = timers->monotonic_now();
     for (auto& [remote, it] : connections) {
         const bool slow =
-            (it.phase == connection_phase::header && now - it.since > limits.idle_limit) ||
-            (it.phase == connection_phase::body && now - it.since > limits.body_limit);
+            (it.phase == connection_phase::header && now - it.since > limits.header_timeout) ||
+            (it.phase == connection_phase::body && now - it.since > limits.body_timeout);
         if (slow && !std::exchange(it.closed, true)) {
             ++closed_slow;
             g_socket_shutdown(it.socket, TRUE, TRUE, nullptr);
--- a/src/http/http_worker_client.cpp
+++ b/src/http/http_worker_client.cpp
@@ -33,9 +33,9 @@
 start_reply read_reply(const http_reply& reply, std::string_view encoded_id)
 {
     start_reply found;
-    if (reply.end != http_end::replied) {
+    if (reply.end != http_outcome::replied) {
         found.status =
-            reply.end == http_end::not_sent ? start_status::not_sent : start_status::reply_lost;
+            reply.end == http_outcome::not_sent ? start_status::not_sent : start_status::reply_lost;
         found.payload = reply.reason;
         return found;
     }
@@ -78,13 +78,13 @@
 void http_worker_client::start(worker_id worker, const start_request& request, callback done)
 {
     http_call call;
-    const std::string encoded_id = encode_token(request.task_id);
+    const std::string encoded_id = percent_encode(request.task_id);
     call.method = "POST";
     call.address = worker < addresses_.size() ? addresses_[worker] : "";
     call.target = "/v1/tasks";
     call.headers = {
         {worker_header::task_id, encoded_id},
-        {worker_header::kind, encode_token(request.kind)},
+        {worker_header::kind, percent_encode(request.kind)},
         {worker_header::lease, std::to_string(request.lease.count())},
         {worker_header::time_left, std::to_string(request.time_left.count())},
     };
@@ -103,7 +103,7 @@
     http_call call;
     call.method = "PUT";
     call.address = addresses_[worker];
-    call.target = fmt::format("/v1/tasks/{}/lease", encode_token(task_id));
+    call.target = fmt::format("/v1/tasks/{}/lease", percent_encode(task_id));
     call.headers = {{worker_header::lease, std::to_string(lease.count())}};
     call.limit = control_limit;
     client_.send(call, [](const http_reply&) {});
@@ -117,7 +117,7 @@
     http_call call;
     call.method = "DELETE";
     call.address = addresses_[worker];
-    call.target = fmt::format("/v1/tasks/{}", encode_token(task_id));
+    call.target = fmt::format("/v1/tasks/{}", percent_encode(task_id));
     call.limit = control_limit;
     client_.send(call, [](const http_reply&) {});
 }
--- a/src/http/peer_rpc.cpp
+++ b/src/http/peer_rpc.cpp
@@ -37,14 +37,14 @@
     call.body = std::move(request);
     call.limit = limit;
     client_.send(call, [done = std::move(done)](const http_reply& reply) {
-        if (reply.end == http_end::replied && reply.status == 200) {
+        if (reply.end == http_outcome::replied && reply.status == 200) {
             done(reply.body);
         }
         else if (reply.timed_out) {
             done(failure(errc::timed_out, reply.reason));
         }
         else {
-            done(failure(reply.end == http_end::not_sent ? errc::unavailable : errc::reply_lost,
+            done(failure(reply.end == http_outcome::not_sent ? errc::unavailable : errc::reply_lost,
                          reply.reason));
         }
     });
@@ -57,8 +57,8 @@
 // The connector is a base, so that it is there before the server that registers with it.
 struct peer_rpc_server::methods final : connector_holder,
                                         jsonrpc::AbstractServer<peer_rpc_server::methods> {
-    explicit methods(const peer_rpc_parts& with)
-        : AbstractServer(connector, jsonrpc::JSONRPC_SERVER_V2), parts(with)
+    explicit methods(const peer_rpc_handlers& with)
+        : AbstractServer(connector, jsonrpc::JSONRPC_SERVER_V2), handlers(with)
     {
         bindAndAddMethod(jsonrpc::Procedure(config_state_method, jsonrpc::PARAMS_BY_NAME,
                                             jsonrpc::JSON_STRING, "newer_than",
@@ -69,14 +69,14 @@
     void config_state(const Json::Value& params, Json::Value& answer)
     {
         const Json::Value& newer_than = params["newer_than"];
-        answer = newer_than.isUInt64() ? parts.config_state(newer_than.asUInt64()) : "";
+        answer = newer_than.isUInt64() ? handlers.config_state(newer_than.asUInt64()) : "";
     }
 
-    const peer_rpc_parts& parts;
+    const peer_rpc_handlers& handlers;
 };
 
-peer_rpc_server::peer_rpc_server(peer_rpc_parts parts)
-    : parts_(std::move(parts)), methods_(std::make_unique<methods>(parts_))
+peer_rpc_server::peer_rpc_server(peer_rpc_handlers handlers)
+    : handlers_(std::move(handlers)), methods_(std::make_unique<methods>(handlers_))
 {
 }
 
@@ -89,8 +89,8 @@
                                root.value()["method"].isString() &&
                                root.value()["method"].asString().starts_with(membership_methods);
     if (is_membership) {
-        parts_.membership(exchange->body(),
-                          [exchange](const std::string& reply) { exchange->reply(200, reply); });
+        handlers_.membership(exchange->body(),
+                             [exchange](const std::string& reply) { exchange->reply(200, reply); });
         return;
     }
     http_exchange_ptr shared = exchange;
--- a/src/http/worker_codec.cpp
+++ b/src/http/worker_codec.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-std::string encode_token(std::string_view text)
+std::string percent_encode(std::string_view text)
 {
     std::string buf;
     buf.reserve(text.size());
@@ -46,7 +46,7 @@
     return buf;
 }
 
-std::optional<std::string> decode_token(std::string_view text)
+std::optional<std::string> percent_decode(std::string_view text)
 {
     std::string buf;
     for (std::size_t n = 0; n < text.size(); ++n) {
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -25,7 +25,7 @@
 constexpr duration read_grace = std::chrono::milliseconds{2};
 constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
-std::string serialize(const std::string& address, const http_call& request)
+std::string serialize(const std::string& address, const http_request& request)
 {
     std::string text =
         fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.target, address);
@@ -128,7 +128,7 @@
     }
     if (parser_->is_done()) {
         auto message = parser_->release();
-        finish(http_reply{static_cast<int>(message.result_int()), std::move(message.body())},
+        finish(http_response{static_cast<int>(message.result_int()), std::move(message.body())},
                message.keep_alive() && input_.empty());
     }
 }
@@ -171,8 +171,8 @@
 
 pooled_http_client::~pooled_http_client() = default;
 
-void pooled_http_client::call(const std::string& address, const http_call& request, duration limit,
-                              callback fn)
+void pooled_http_client::call(const std::string& address, const http_request& request,
+                              duration limit, callback fn)
 {
     auto& home = pools_[address];
     if (!home) {
@@ -195,14 +195,14 @@
         timers_.schedule(duration::zero(), [fn = std::move(fn)] { fn(call_failure::not_sent); });
         return;
     }
-    ++opened_;
+    ++connections_opened_;
     const auto it = std::make_shared<connection>(*this, *home, stream.value());
     it->attach();
     home->busy.push_back(it);
     it->begin(text, limit, std::move(fn));
 }
 
-void pooled_http_client::retire(const std::string& address)
+void pooled_http_client::close_idle_connections(const std::string& address)
 {
     if (const auto it = pools_.find(address); it != pools_.end()) {
         it->second->idle.clear();
--- a/src/net/stream_http_server.cpp
+++ b/src/net/stream_http_server.cpp
@@ -49,7 +49,7 @@
     timer_service* timers = nullptr;
     std::unique_ptr<tcp_listener> listener;
     request_handler on_request;
-    http_server_limits limits;
+    stream_http_server_limits limits;
     std::unordered_set<std::shared_ptr<connection>> connections;
     std::size_t open_requests = 0;
     bool draining = false;
@@ -92,7 +92,7 @@
     std::function<void()> abandoned;
 };
 
-void http_responder::on_abandoned(std::function<void()> fn) const
+void http_responder::on_client_disconnect(std::function<void()> fn) const
 {
     exchange_->abandoned = std::move(fn);
 }
@@ -105,7 +105,7 @@
     }
 }
 
-void http_responder::break_off() const
+void http_responder::close_without_reply() const
 {
     exchange_->abandoned = nullptr;
     if (const auto it = std::exchange(exchange_->connection, {}).lock()) {
@@ -307,7 +307,7 @@
     }
 }
 
-void stream_http_server::set_limits(const http_server_limits& limits)
+void stream_http_server::set_limits(const stream_http_server_limits& limits)
 {
     state_->limits = limits;
 }
--- a/stand_in/loopback_proxy.cpp
+++ b/stand_in/loopback_proxy.cpp
@@ -98,7 +98,7 @@
         return;
     }
     auto& held = to_target ? it->held_to_target : it->held_to_client;
-    if (to_target ? is_cut_to_target_ : is_cut_to_client_) {
+    if (to_target ? blocks_to_target_ : blocks_to_client_) {
         held += data;
         return;
     }
@@ -119,7 +119,7 @@
     connections_.erase(it);
 }
 
-void loopback_proxy::silence_open_connections()
+void loopback_proxy::blackhole_open_connections()
 {
     for (const auto& it : connections_) {
         it->silent = true;
@@ -136,8 +136,8 @@
 
 void loopback_proxy::heal()
 {
-    is_cut_to_target_ = false;
-    is_cut_to_client_ = false;
+    blocks_to_target_ = false;
+    blocks_to_client_ = false;
     delay_ = {};
     for (const auto& it : connections_) {
         deliver(it, true, std::exchange(it->held_to_target, {}));
--- a/stand_in/loopback_proxy.h
+++ b/stand_in/loopback_proxy.h
@@ -21,12 +21,12 @@
     loopback_proxy& operator=(const loopback_proxy&) = delete;
 
     // Connections that are open now carry nothing any more, without being closed.
-    void silence_open_connections();
+    void blackhole_open_connections();
     void close_open_connections();
 
     // Holds back what flows towards the target or towards the client until `heal`.
-    void cut_to_target() { is_cut_to_target_ = true; }
-    void cut_to_client() { is_cut_to_client_ = true; }
+    void block_to_target() { blocks_to_target_ = true; }
+    void block_to_client() { blocks_to_client_ = true; }
     void delay(duration by) { delay_ = by; }
 
     // Ends cuts and delays and delivers what was held back.
@@ -49,8 +49,8 @@
     std::string target_;
     std::unique_ptr<tcp_listener> listener_;
     std::set<std::shared_ptr<connection>> connections_;
-    bool is_cut_to_target_ = false;
-    bool is_cut_to_client_ = false;
+    bool blocks_to_target_ = false;
+    bool blocks_to_client_ = false;
     duration delay_{};
     std::size_t relayed_bytes_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -109,7 +109,7 @@
     it.finished.push_back({++it.last_number, task, run->second.run, how});
     it.runs.erase(run);
     places_[task].erase(it.report.id);
-    answer_waiting(it);
+    complete_pending_polls(it);
 }
 
 command_status memory_worker_fleet::carry_out(worker& it, const std::string& task,
@@ -182,7 +182,7 @@
             lose();
             return;
         }
-        if (draw(it.fault.late_orders)) {
+        if (draw(it.fault.delayed_starts)) {
             timers_.schedule(late_by, [this, id, copy] {
                 carry_out(workers_.at(id), copy.task, copy.run, copy.deadline_ms, copy.token);
             });
@@ -242,7 +242,7 @@
     return out;
 }
 
-void memory_worker_fleet::answer_waiting(worker& it)
+void memory_worker_fleet::complete_pending_polls(worker& it)
 {
     const auto waiting = std::exchange(it.waiting, {});
     for (const auto& row : waiting) {
@@ -275,11 +275,11 @@
             timers_.schedule(hop, [fn, reply = list(it)] { fn(reply); });
             return;
         }
-        const auto number = ++last_look_;
+        const auto number = ++last_poll_;
         it.waiting.push_back({number, fn});
         timers_.schedule(command.wait, [this, id, number] {
             auto& worker = workers_.at(id);
-            const auto row = std::ranges::find(worker.waiting, number, &waiting_look::id);
+            const auto row = std::ranges::find(worker.waiting, number, &pending_poll::id);
             if (row != worker.waiting.end()) {
                 const auto answer = row->fn;
                 worker.waiting.erase(row);
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -19,9 +19,9 @@
 public:
     // What goes wrong at one worker.
     struct faults {
-        bool silent = false;     // neither takes orders nor answers; runs go on
-        double lost_replies = 0; // share of orders that are carried out without a reply
-        double late_orders = 0;  // share of starts without a reply that run seconds later
+        bool silent = false;       // neither takes orders nor answers; runs go on
+        double lost_replies = 0;   // share of orders that are carried out without a reply
+        double delayed_starts = 0; // share of starts without a reply that run seconds later
         bool fails_all = false;
         bool hangs = false;         // runs make no progress
         bool ignores_stops = false; // stops are lost on their way
@@ -66,7 +66,7 @@
         task_demand demand;
         timer_id end_timer = 0;
     };
-    struct waiting_look {
+    struct pending_poll {
         std::uint64_t id = 0;
         std::function<void(poll_reply)> fn;
     };
@@ -81,7 +81,7 @@
         std::map<std::string, std::uint32_t> highest_ended;
         std::vector<finished_row> finished;
         std::uint64_t last_number = 0;
-        std::vector<waiting_look> waiting;
+        std::vector<pending_poll> waiting;
     };
 
     std::int64_t clock_of(const worker& it) const;
@@ -91,7 +91,7 @@
     void extend_lease(worker& it, std::int64_t deadline_ms);
     void check_lease(const std::string& id);
     poll_reply list(const worker& it) const;
-    void answer_waiting(worker& it);
+    void complete_pending_polls(worker& it);
     bool draw(double share);
 
     timer_service& timers_;
@@ -100,7 +100,7 @@
     std::map<std::string, std::set<std::string>> places_; // task -> workers that run it
     std::vector<std::string> violations_;
     std::size_t total_starts_ = 0;
-    std::uint64_t last_look_ = 0;
+    std::uint64_t last_poll_ = 0;
     std::uint32_t draws_ = 0;
 };
 
--- a/stand_in/log_link.cpp
+++ b/stand_in/partitionable_log.cpp
@@ -1,31 +1,31 @@
-#include "stand_in/log_link.h"
+#include "stand_in/partitionable_log.h"
 
 namespace cactusloom {
 
-void log_link::append(std::string_view stream, std::string content, append_callback done)
+void partitionable_log::append(std::string_view stream, std::string content, append_callback done)
 {
-    if (*cut_off_) {
+    if (*partitioned_) {
         return;
     }
     bytes_sent_ += content.size();
     log_.append(stream, std::move(content),
-                [cut_off = cut_off_, done = std::move(done)](result<log_offset> reply) {
-                    if (!*cut_off) {
+                [partitioned = partitioned_, done = std::move(done)](result<log_offset> reply) {
+                    if (!*partitioned) {
                         done(std::move(reply));
                     }
                 });
 }
 
-void log_link::read(std::string_view stream, log_offset from, std::size_t max_records,
-                    read_callback done)
+void partitionable_log::read(std::string_view stream, log_offset from, std::size_t max_records,
+                             read_callback done)
 {
-    if (*cut_off_) {
+    if (*partitioned_) {
         return;
     }
     log_.read(stream, from, max_records,
-              [cut_off = cut_off_, received = bytes_received_,
+              [partitioned = partitioned_, received = bytes_received_,
                done = std::move(done)](result<log_page> reply) {
-                  if (*cut_off) {
+                  if (*partitioned) {
                       return;
                   }
                   if (reply) {
--- a/stand_in/log_link.h
+++ b/stand_in/partitionable_log.h
@@ -7,12 +7,12 @@
 namespace cactusloom {
 
 // One instance's way to the log. Cutting it off does not touch the others, as in a partition.
-class log_link final : public log_service {
+class partitionable_log final : public log_service {
 public:
-    explicit log_link(log_service& log) : log_(log) {}
+    explicit partitionable_log(log_service& log) : log_(log) {}
 
     // While cut off, requests are never answered, and replies under way are lost.
-    void set_cut_off(bool cut_off) { *cut_off_ = cut_off; }
+    void set_partitioned(bool partitioned) { *partitioned_ = partitioned; }
 
     void append(std::string_view stream, std::string content, append_callback done) override;
     void read(std::string_view stream, log_offset from, std::size_t max_records,
@@ -24,7 +24,7 @@
 private:
     log_service& log_;
     // Shared with callbacks that may outlive the link.
-    std::shared_ptr<bool> cut_off_ = std::make_shared<bool>(false);
+    std::shared_ptr<bool> partitioned_ = std::make_shared<bool>(false);
     std::shared_ptr<std::size_t> bytes_received_ = std::make_shared<std::size_t>(0);
     std::size_t bytes_sent_ = 0;
 };
--- a/stand_in/platform_stand_in_server.cpp
+++ b/stand_in/platform_stand_in_server.cpp
@@ -11,7 +11,7 @@
     // What the caller must not learn as certain is shown the way the real service shows it: by a
     // connection that breaks.
     if (reason.code == errc::reply_lost) {
-        exchange->hang_up();
+        exchange->close_without_reply();
         return;
     }
     const unsigned status = reason.code == errc::unavailable ? 503 : 400;
--- a/stand_in/worker_stand_in_server.cpp
+++ b/stand_in/worker_stand_in_server.cpp
@@ -12,7 +12,7 @@
 {
     switch (is_certainly_not_run(reply.status) ? worker_fault::none : fault) {
     case worker_fault::closes:
-        exchange->hang_up();
+        exchange->close_without_reply();
         return;
     case worker_fault::replies_garbage:
         exchange->reply(200, "\x01garbage{", "text/plain");
@@ -77,8 +77,8 @@
 void worker_stand_in_server::serve_start(const http_exchange_ptr& exchange)
 {
     const std::string encoded_id(exchange->header(worker_header::task_id));
-    const auto id = decode_token(encoded_id);
-    const auto kind = decode_token(exchange->header(worker_header::kind));
+    const auto id = percent_decode(encoded_id);
+    const auto kind = percent_decode(exchange->header(worker_header::kind));
     const auto lease = parse_number(exchange->header(worker_header::lease));
     const auto time_left = parse_number(exchange->header(worker_header::time_left));
     if (!id || id->empty() || !kind || !lease || !time_left) {
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -54,7 +54,7 @@
 {
     const fault_row rows[] = {
         {"replies are lost", [](auto& it) { it.lost_replies = 0.3; }, job_end::completed},
-        {"orders come late", [](auto& it) { it.late_orders = 0.5; }, job_end::completed},
+        {"orders come late", [](auto& it) { it.delayed_starts = 0.5; }, job_end::completed},
         {"fails all", [](auto& it) { it.fails_all = true; }, job_end::completed},
         {"hangs", [](auto& it) { it.hangs = true; }, job_end::completed},
         {"slow", [](auto& it) { it.slowness = 8; }, job_end::completed},
@@ -208,8 +208,8 @@
     add_workers(2);
     fleet.work = [](const std::string&) { return duration{50ms}; };
     take_control();
-    fleet.fault("w0").late_orders = 0.5;
-    fleet.fault("w1").late_orders = 0.5;
+    fleet.fault("w0").delayed_starts = 0.5;
+    fleet.fault("w1").delayed_starts = 0.5;
     constexpr int n = 40;
     int late = 0;
     for (int i = 0; i < n; ++i) {
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -321,8 +321,8 @@
     auto others = fleet.reports();
     others.pop_back();
     members["a"].cells->set_workers(others);
-    relays["b"]->cut_to_client();
-    relays["b"]->cut_to_target();
+    relays["b"]->block_to_client();
+    relays["b"]->block_to_target();
     run_until([] { return false; }, 200ms);
     submit("a", cell_fixture::job("j", 1));
     stop("b");
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -81,7 +81,7 @@
 // limit has passed, although its process answers on a new connection.
 BOOST_AUTO_TEST_CASE(a_silent_link_is_replaced_while_its_process_answers)
 {
-    relay->silence_open_connections();
+    relay->blackhole_open_connections();
     BOOST_TEST(run_until([this] { return reconnects != 0; }, 500ms));
     BOOST_TEST(!was_down);
     run_for(300ms);
--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -3,8 +3,8 @@
 #include "config/config_follower.h"
 #include "config/config_record_codec.h"
 #include "config/example_text.h"
-#include "stand_in/log_link.h"
 #include "stand_in/memory_log.h"
+#include "stand_in/partitionable_log.h"
 #include "stand_in/virtual_timer_service.h"
 
 #include <boost/test/unit_test.hpp>
@@ -44,12 +44,12 @@
         const deployment& settings() const { return *follower->in_force().settings; }
         void cut_off(bool from_log, bool from_peers)
         {
-            link.set_cut_off(from_log);
+            link.set_partitioned(from_log);
             has_peers = !from_peers;
         }
 
         config_cluster& cluster;
-        log_link link;
+        partitionable_log link;
         bool has_peers = true;
         log_offset newest = 0;
         std::optional<log_offset> first; // version that was in force first
--- a/tests/daemon/caller_api_test.cpp
+++ b/tests/daemon/caller_api_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon_bench.h"
+#include "daemon_fixture.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -92,7 +92,7 @@
 // without a state, a reason and a prefix. One instance serves all rows.
 BOOST_AUTO_TEST_CASE(bad_submissions_start_nothing)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     int n = 0;
     for (const auto& row : bad_bodies) {
@@ -118,7 +118,7 @@
     for (const auto& worker : it.workers) {
         BOOST_TEST(worker->starts().empty());
     }
-    const auto good = it.ask("POST", one.address(), requests, daemon_bench::request(id));
+    const auto good = it.ask("POST", one.address(), requests, daemon_fixture::request(id));
     BOOST_TEST(good.body["state"].asString() == "completed");
 }
 
@@ -126,7 +126,7 @@
 // body (invariants 1 and 3).
 BOOST_AUTO_TEST_CASE(resubmissions_start_nothing)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     worker_behaviour slow;
     slow.default_run_time = 1h;
@@ -139,17 +139,18 @@
         call.method = "POST";
         call.address = one.address();
         call.target = requests;
-        call.body = daemon_bench::request(id);
+        call.body = daemon_fixture::request(id);
         gone.send(call, [](const http_reply&) {});
         while (it.starts_of(id) == 0) {
             g_main_context_iteration(nullptr, TRUE);
         }
     }
     const auto joined =
-        it.ask("POST", one.address(), "/v1/requests?wait_ms=1", daemon_bench::request(id));
+        it.ask("POST", one.address(), "/v1/requests?wait_ms=1", daemon_fixture::request(id));
     BOOST_TEST(joined.status == 202U);
     BOOST_TEST(joined.body["state"].asString() == "running");
-    const auto other = it.ask("POST", one.address(), requests, daemon_bench::request(id, "other"));
+    const auto other =
+        it.ask("POST", one.address(), requests, daemon_fixture::request(id, "other"));
     BOOST_TEST(other.status == 409U);
     BOOST_TEST(other.body["state"].asString() == "unknown");
     BOOST_TEST(it.starts_of(id) == 1);
@@ -160,7 +161,7 @@
     const auto ended = it.ask("GET", one.address(), "/v1/jobs/" + id + "/answer?wait_ms=60000");
     BOOST_TEST(ended.body["state"].asString() != "failed_not_run");
     BOOST_TEST(ended.body["state"].asString() != "running");
-    const auto again = it.ask("POST", one.address(), requests, daemon_bench::request(id));
+    const auto again = it.ask("POST", one.address(), requests, daemon_fixture::request(id));
     BOOST_TEST(again.body["state"].asString() == ended.body["state"].asString());
     BOOST_TEST(it.starts_of(id) == 1);
 }
@@ -180,7 +181,7 @@
         {worker_fault::never_replies, "unknown"},
         {worker_fault::fails_tasks, "failed_after_run"},
     };
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     for (const auto& row : rows) {
         BOOST_TEST_CONTEXT(to_string(row.fault))
@@ -189,7 +190,7 @@
             behaviour.fault = row.fault;
             it.set_behaviour(behaviour);
             const std::string id = it.prefix_of(one) + "." + to_string(row.fault);
-            std::string body = daemon_bench::request(id);
+            std::string body = daemon_fixture::request(id);
             body.insert(body.size() - 1, R"(,"deadline_ms":300)");
             const auto found = it.ask("POST", one.address(), requests, body);
             BOOST_TEST(found.body["state"].asString() == row.state);
--- a/tests/daemon/daemon_bench.h
+++ b/tests/daemon/daemon_fixture.h
@@ -20,9 +20,9 @@
 namespace cactusloom {
 
 // A platform over loopback sockets and any number of instances, all on the loop of the test.
-class daemon_bench {
+class daemon_fixture {
 public:
-    explicit daemon_bench(int worker_count = 4)
+    explicit daemon_fixture(int worker_count = 4)
     {
         worker_behaviour behaviour;
         std::string entries;
@@ -40,9 +40,9 @@
         write_document(entries);
     }
 
-    ~daemon_bench() { (void)unlink(document_path.c_str()); }
-    daemon_bench(const daemon_bench&) = delete;
-    daemon_bench& operator=(const daemon_bench&) = delete;
+    ~daemon_fixture() { (void)unlink(document_path.c_str()); }
+    daemon_fixture(const daemon_fixture&) = delete;
+    daemon_fixture& operator=(const daemon_fixture&) = delete;
 
     daemon_settings settings(const std::string& name) const
     {
@@ -70,7 +70,7 @@
     }
 
     struct answer {
-        http_end end = http_end::reply_lost;
+        http_outcome end = http_outcome::reply_lost;
         unsigned status = 0;
         std::string text;
         Json::Value body;
--- a/tests/daemon/instances_test.cpp
+++ b/tests/daemon/instances_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon_bench.h"
+#include "daemon_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,7 +14,7 @@
     }
 }
 
-bool knows(daemon_bench& it, const instance& who, const std::string& name, const char* state)
+bool knows(daemon_fixture& it, const instance& who, const std::string& name, const char* state)
 {
     const auto found = it.ask("GET", who.address(), "/v1/status");
     for (const auto& member : found.body["members"]) {
@@ -33,17 +33,18 @@
 // instance that answers for an id it does not own.
 BOOST_AUTO_TEST_CASE(two_instances_serve_the_same_callers)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     instance& two = it.start("two");
     run_loop_until(
         [&] { return knows(it, two, "one", "alive") && knows(it, one, "two", "alive"); });
     const std::string id = it.prefix_of(one) + ".s";
-    const auto forwarded = it.ask("POST", two.address(), "/v1/requests", daemon_bench::request(id));
+    const auto forwarded =
+        it.ask("POST", two.address(), "/v1/requests", daemon_fixture::request(id));
     BOOST_TEST(forwarded.body["state"].asString() == "completed");
     BOOST_TEST(forwarded.body["answer"].asString() == "stamp_check:letter");
     BOOST_TEST(forwarded.prefix.starts_with("two~"));
-    const auto direct = it.ask("POST", one.address(), "/v1/requests", daemon_bench::request(id));
+    const auto direct = it.ask("POST", one.address(), "/v1/requests", daemon_fixture::request(id));
     BOOST_TEST(direct.body["answer"].asString() == "stamp_check:letter");
     BOOST_TEST(it.ask("GET", two.address(), "/v1/jobs/" + id).body["finished"].asInt() == 1);
     BOOST_TEST(it.starts_of(id) == 1);
@@ -51,7 +52,7 @@
     // The owner goes: its ids are unknown elsewhere, and nothing of them starts again.
     const std::string late = it.prefix_of(one) + ".late";
     it.instances.front().reset();
-    const auto lost = it.ask("POST", two.address(), "/v1/requests", daemon_bench::request(late));
+    const auto lost = it.ask("POST", two.address(), "/v1/requests", daemon_fixture::request(late));
     BOOST_TEST(lost.status == 404U);
     BOOST_TEST(lost.body["state"].asString() == "unknown");
     BOOST_TEST(lost.prefix.starts_with("two~"));
@@ -59,7 +60,7 @@
 
     // A restarted instance of the same name does not own the ids of the one before.
     instance& again = it.start("one");
-    const auto old = it.ask("POST", again.address(), "/v1/requests", daemon_bench::request(id));
+    const auto old = it.ask("POST", again.address(), "/v1/requests", daemon_fixture::request(id));
     BOOST_TEST(old.body["state"].asString() == "unknown");
     BOOST_TEST(it.starts_of(id) == 1);
 }
@@ -67,7 +68,7 @@
 // Guards against two instances that pass a request on to each other without end.
 BOOST_AUTO_TEST_CASE(a_request_is_forwarded_once)
 {
-    daemon_bench it;
+    daemon_fixture it;
     it.start("one");
     instance& two = it.start("two");
     run_loop_until([&] { return knows(it, two, "one", "alive"); });
@@ -77,9 +78,10 @@
     call.address = two.address();
     call.target = "/v1/requests";
     call.headers = {{"Cactusloom-Forwarded-By", "three"}};
-    call.body = daemon_bench::request(id);
-    daemon_bench::answer found;
-    it.client.send(call, [&](const http_reply& reply) { found = daemon_bench::to_answer(reply); });
+    call.body = daemon_fixture::request(id);
+    daemon_fixture::answer found;
+    it.client.send(call,
+                   [&](const http_reply& reply) { found = daemon_fixture::to_answer(reply); });
     run_loop_until([&] { return found.status != 0; });
     BOOST_TEST(found.body["state"].asString() == "unknown");
     BOOST_TEST(it.starts_of(id) == 0);
@@ -88,7 +90,7 @@
 // Guards against a document that needs a restart, and against an edit of somebody else's section.
 BOOST_AUTO_TEST_CASE(new_document_takes_effect)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     instance& two = it.start("two");
     const auto config = it.ask("GET", one.address(), "/v1/config");
@@ -125,20 +127,20 @@
 // Guards against a shutdown that cuts off a running request or takes new ones (invariant 7).
 BOOST_AUTO_TEST_CASE(shutdown_finishes_what_is_running)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     worker_behaviour slow;
     slow.default_run_time = 300ms;
     it.set_behaviour(slow);
     const std::string prefix = it.prefix_of(one);
-    daemon_bench::answer running;
-    it.send("POST", one.address(), "/v1/requests", daemon_bench::request(prefix + ".s"),
-            [&](const http_reply& reply) { running = daemon_bench::to_answer(reply); });
+    daemon_fixture::answer running;
+    it.send("POST", one.address(), "/v1/requests", daemon_fixture::request(prefix + ".s"),
+            [&](const http_reply& reply) { running = daemon_fixture::to_answer(reply); });
     run_loop_until([&] { return it.starts_of(prefix + ".s") == 1; });
     bool stopped = false;
     one.shut_down([&] { stopped = true; });
     const auto refused =
-        it.ask("POST", one.address(), "/v1/requests", daemon_bench::request(prefix + ".t"));
+        it.ask("POST", one.address(), "/v1/requests", daemon_fixture::request(prefix + ".t"));
     BOOST_TEST(refused.body["state"].asString() == "failed_not_run");
     BOOST_TEST(it.ask("GET", one.address(), "/v1/ready").status == 503U);
     run_loop_until([&] { return stopped; });
@@ -149,12 +151,12 @@
 // Guards against serving that depends on the log or the list: both are silent here.
 BOOST_AUTO_TEST_CASE(serving_goes_on_without_the_platform)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     it.log.set_silent(true);
     it.list.set_down(true);
     const std::string id = it.prefix_of(one) + ".s";
-    const auto found = it.ask("POST", one.address(), "/v1/requests", daemon_bench::request(id));
+    const auto found = it.ask("POST", one.address(), "/v1/requests", daemon_fixture::request(id));
     BOOST_TEST(found.body["state"].asString() == "completed");
     BOOST_TEST(it.ask("GET", one.address(), "/v1/metrics").text.find("jobs_completed 1") !=
                std::string::npos);
@@ -163,13 +165,13 @@
 // Guards against an instance that serves before it knows any document.
 BOOST_AUTO_TEST_CASE(not_ready_without_a_document)
 {
-    daemon_bench it;
+    daemon_fixture it;
     it.log.set_silent(true);
     const auto made = instance::start(it.settings("one"), it.timers);
     const auto& one = *made.value();
     BOOST_TEST(it.ask("GET", one.address(), "/v1/ready").status == 503U);
     const auto refused = it.ask("POST", one.address(), "/v1/requests",
-                                daemon_bench::request(it.prefix_of(one) + ".s"));
+                                daemon_fixture::request(it.prefix_of(one) + ".s"));
     BOOST_TEST(refused.status == 503U);
     BOOST_TEST(refused.body["state"].asString() == "failed_not_run");
 }
@@ -177,7 +179,7 @@
 // Guards against a start on an address in use and on a document with faults.
 BOOST_AUTO_TEST_CASE(start_faults)
 {
-    daemon_bench it;
+    daemon_fixture it;
     instance& one = it.start("one");
     auto settings = it.settings("two");
     settings.listen = one.address();
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -95,7 +95,7 @@
 // Guards against a caller that holds a connection by sending a body slowly.
 BOOST_AUTO_TEST_CASE(slow_body)
 {
-    bench it({.body_limit = 10s});
+    bench it({.body_timeout = 10s});
     raw_caller slow(it.server->address());
     slow.send(post(10, "x"));
     raw_caller quick(it.server->address());
@@ -113,7 +113,7 @@
 // Guards against connections that never complete a request head.
 BOOST_AUTO_TEST_CASE(slow_head)
 {
-    bench it({.idle_limit = 60s});
+    bench it({.header_timeout = 60s});
     raw_caller slow(it.server->address());
     slow.send("POST /v1/jobs HTT");
     run_until([&] { return it.server->open_connections() == 1; });
--- a/tests/http/no_resend_test.cpp
+++ b/tests/http/no_resend_test.cpp
@@ -118,7 +118,7 @@
     call.address = peer.address();
     call.target = "/";
     int ends = 0;
-    http_end last = http_end::replied;
+    http_outcome last = http_outcome::replied;
     const auto note = [&](const http_reply& reply) {
         ++ends;
         last = reply.end;
@@ -130,7 +130,7 @@
     bool settled = false;
     timers.schedule(50ms, [&] { settled = true; });
     run_until([&] { return settled; });
-    BOOST_TEST(static_cast<int>(last) == static_cast<int>(http_end::reply_lost));
+    BOOST_TEST(static_cast<int>(last) == static_cast<int>(http_outcome::reply_lost));
     BOOST_TEST(peer.heads_begun() == 2);
 }
 
--- a/tests/net/pooled_http_client_test.cpp
+++ b/tests/net/pooled_http_client_test.cpp
@@ -25,12 +25,12 @@
     void call(const std::string& address, duration limit)
     {
         outcome.reset();
-        http_call request;
+        http_request request;
         request.target = "/";
         client.call(address, request, limit, [this](auto it) { outcome = std::move(it); });
     }
 
-    bool replied() const { return std::holds_alternative<http_reply>(*outcome); }
+    bool replied() const { return std::holds_alternative<http_response>(*outcome); }
 };
 
 // Takes one connection and answers its requests, or none, from a thread of its own, so that replies
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -121,7 +121,7 @@
 BOOST_AUTO_TEST_CASE(a_look_lists_runs_and_ends)
 {
     const auto it =
-        decode_look_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
+        decode_poll_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
         "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",1,"lapsed",""]]})");
     BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(command_status::accepted));
     BOOST_REQUIRE(it.running.size() == 1U);
@@ -130,7 +130,7 @@
     BOOST_TEST(it.finished[0].number == 58U);
     BOOST_TEST(static_cast<int>(it.finished[1].how) == static_cast<int>(run_end::lapsed));
     BOOST_TEST(it.finished_complete);
-    const auto cut = decode_look_reply(200, R"({"clockMs":9,"run)");
+    const auto cut = decode_poll_reply(200, R"({"clockMs":9,"run)");
     BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(command_status::reply_lost));
 }
 
@@ -225,7 +225,7 @@
 address = "10.0.0.9:1"
 )");
     BOOST_REQUIRE(settings);
-    BOOST_TEST(settings.value().shutdown_time.count() == 6000000);
+    BOOST_TEST(settings.value().shutdown_timeout.count() == 6000000);
     BOOST_TEST(settings.value().metrics_address == "10.0.0.1:9464");
     BOOST_TEST(settings.value().seeds.size() == 1U);
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -182,7 +182,7 @@
     timers_.schedule(submit_interval, [this] { submit(); });
     const auto id = fmt::format("{:016x}", ++last_id_);
     const auto& target = processes_[draw(process_count)];
-    http_call call;
+    http_request call;
     call.method = "POST";
     call.target = "/v1/" + id;
     call.headers = {{"Host", "shop.example"},
@@ -204,7 +204,7 @@
 
 void soak::on_answer(const std::string& id, const pooled_http_client::outcome& outcome)
 {
-    const auto* reply = std::get_if<http_reply>(&outcome);
+    const auto* reply = std::get_if<http_response>(&outcome);
     if (reply == nullptr || reply->status == 504) {
         ++unknown_;
         return;
@@ -237,12 +237,12 @@
     world_.put_configuration(++version_, "/v2/");
     run_for(apply_limit);
     for (const auto& it : processes_) {
-        http_call call;
+        http_request call;
         call.target = "/v2/";
         call.headers = {{"Host", "shop.example"}};
         client_.call(it.caller_address, call, std::chrono::seconds{1},
                      [this, name = it.name](const pooled_http_client::outcome& outcome) {
-                         const auto* reply = std::get_if<http_reply>(&outcome);
+                         const auto* reply = std::get_if<http_response>(&outcome);
                          if (reply == nullptr || reply->status != 200) {
                              findings_.push_back(fmt::format("{} {} does not know the new queue",
                                                              now_text(), name));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,7 +4,7 @@
 #include "base/random.h"
 #include "net/pooled_http_client.h"
 #include "stand_in/loopback_proxy.h"
-#include "stand_in/platform_world.h"
+#include "stand_in/simulated_platform.h"
 
 #include <map>
 #include <string>
@@ -94,7 +94,7 @@
     glib_timer_service timers_;
     poller events_;
     pooled_http_client client_;
-    platform_adapter::platform_world world_;
+    platform_adapter::simulated_platform world_;
     std::vector<std::unique_ptr<loopback_proxy>> relays_;
     std::string folder_;
     std::vector<process> processes_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -81,16 +81,16 @@
 
 void soak::silence_store(const fault_target& on)
 {
-    world_.store = platform_adapter::platform_world::store_state::silent;
-    timers_.schedule(on.lasts,
-                     [this] { world_.store = platform_adapter::platform_world::store_state::up; });
+    world_.store = platform_adapter::simulated_platform::store_state::silent;
+    timers_.schedule(
+        on.lasts, [this] { world_.store = platform_adapter::simulated_platform::store_state::up; });
 }
 
 void soak::refuse_at_store(const fault_target& on)
 {
-    world_.store = platform_adapter::platform_world::store_state::refusing;
-    timers_.schedule(on.lasts,
-                     [this] { world_.store = platform_adapter::platform_world::store_state::up; });
+    world_.store = platform_adapter::simulated_platform::store_state::refusing;
+    timers_.schedule(
+        on.lasts, [this] { world_.store = platform_adapter::simulated_platform::store_state::up; });
 }
 
 void soak::silence_worker(const fault_target& on)
@@ -107,8 +107,8 @@
 
 void soak::delay_orders(const fault_target& on)
 {
-    on.worker->late_orders = 0.3;
-    timers_.schedule(on.lasts, [it = on.worker] { it->late_orders = 0; });
+    on.worker->delayed_starts = 0.3;
+    timers_.schedule(on.lasts, [it = on.worker] { it->delayed_starts = 0; });
 }
 
 void soak::fail_tasks(const fault_target& on)
@@ -132,13 +132,13 @@
 void soak::cut_one_way(const fault_target& on)
 {
     auto& relay = any_relay();
-    draw(2) == 0 ? relay.cut_to_target() : relay.cut_to_client();
+    draw(2) == 0 ? relay.block_to_target() : relay.block_to_client();
     timers_.schedule(on.lasts, [&relay] { relay.heal(); });
 }
 
 void soak::silence_connections(const fault_target& /*on*/)
 {
-    any_relay().silence_open_connections();
+    any_relay().blackhole_open_connections();
 }
 
 void soak::close_connections(const fault_target& /*on*/)
@@ -148,7 +148,7 @@
 
 void soak::heal_everything()
 {
-    world_.store = platform_adapter::platform_world::store_state::up;
+    world_.store = platform_adapter::simulated_platform::store_state::up;
     for (int i = 0; i < worker_count; ++i) {
         world_.fleet().fault(fmt::format("w{}", i)) = {};
     }
--- a/tools/cactusloomctl/account.cpp
+++ b/tools/cactusloomctl/account.cpp
@@ -95,9 +95,9 @@
     }
     http_call call;
     call.address = given.address;
-    call.target = "/v1/accounts/" + encode_token(given.customer);
+    call.target = "/v1/accounts/" + percent_encode(given.customer);
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "account: no reply from {}: {}\n", given.address, answer.reason);
         return exit_unreachable;
     }
--- a/tools/cactusloomctl/command.h
+++ b/tools/cactusloomctl/command.h
@@ -36,7 +36,7 @@
 
 // Sends one request and waits for its end.
 struct reply {
-    http_end end = http_end::reply_lost;
+    http_outcome end = http_outcome::reply_lost;
     unsigned status = 0;
     std::string body;
     std::string reason;
--- a/tools/cactusloomctl/config.cpp
+++ b/tools/cactusloomctl/config.cpp
@@ -29,7 +29,7 @@
     call.address = given.address;
     call.target = "/v1/config";
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "config: no reply from {}: {}\n", given.address, answer.reason);
         found.code = exit_unreachable;
         return found;
@@ -150,10 +150,10 @@
     call.body = write_json(edit);
     call.limit = std::chrono::seconds{40};
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "config publish: no reply: {}; look at 'config history' for {}\n",
                    answer.reason, edit["id"].asString());
-        return answer.end == http_end::not_sent ? exit_unreachable : exit_unknown;
+        return answer.end == http_outcome::not_sent ? exit_unreachable : exit_unknown;
     }
     print_reply(answer.body, given.json);
     const auto root = parse_json(answer.body);
--- a/tools/cactusloomctl/status.cpp
+++ b/tools/cactusloomctl/status.cpp
@@ -23,7 +23,7 @@
     call.address = given.address;
     call.target = target;
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "cactusloomctl: no reply from {}: {}\n", given.address, answer.reason);
         return exit_unreachable;
     }
@@ -47,7 +47,7 @@
     call.address = given.address;
     call.target = "/v1/prefix";
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied || answer.id_prefix.empty()) {
+    if (answer.end != http_outcome::replied || answer.id_prefix.empty()) {
         fmt::print(stderr, "prefix: no reply from {}: {}\n", given.address, answer.reason);
         return exit_unreachable;
     }
@@ -75,7 +75,7 @@
                       : fmt::format("/v1/jobs/{}", id);
     call.limit += std::chrono::milliseconds{given.wait_ms};
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "job: no reply from {}: {}\n", given.address, answer.reason);
         return exit_unreachable;
     }
--- a/tools/cactusloomctl/submit.cpp
+++ b/tools/cactusloomctl/submit.cpp
@@ -60,7 +60,7 @@
         call.address = given.address;
         call.target = "/v1/prefix";
         const auto prefix = exchange(call);
-        if (prefix.end != http_end::replied || prefix.id_prefix.empty()) {
+        if (prefix.end != http_outcome::replied || prefix.id_prefix.empty()) {
             fmt::print(stderr, "submit: no prefix from {}: {}\n", given.address, prefix.reason);
             return exit_unreachable;
         }
@@ -85,7 +85,7 @@
             wait *= 2;
         }
         const auto answer = exchange(call);
-        if (answer.end == http_end::replied) {
+        if (answer.end == http_outcome::replied) {
             const auto root = parse_json(answer.body);
             if (!root || !root.value().isObject() || !root.value()["state"].isString()) {
                 fmt::print(stderr, "submit: the reply is not an answer: {}\n", answer.body);
@@ -104,7 +104,7 @@
             print_reply(answer.body, given.json);
             return code;
         }
-        may_have_arrived = may_have_arrived || answer.end == http_end::reply_lost;
+        may_have_arrived = may_have_arrived || answer.end == http_outcome::reply_lost;
         last_reason = answer.reason;
     }
     // An id that was given may have been submitted before by somebody else.
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -70,7 +70,8 @@
     lifecycle life;
     life.loop = g_main_loop_new(nullptr, FALSE);
     life.timers = &timers;
-    life.limit = std::chrono::duration_cast<std::chrono::seconds>(settings.value().shutdown_time);
+    life.limit =
+        std::chrono::duration_cast<std::chrono::seconds>(settings.value().shutdown_timeout);
     life.shut_down = [&](std::function<void()> done) {
         started.value()->shut_down(std::move(done));
     };
