--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -102,29 +102,31 @@
                                      {"customers", customers_text},
                                      {"account", account_text}};
 
-config_edit make_edit(const config_ledger& ledger, const section_kind& section, int n)
+config_edit make_edit(const config_state_machine& state_machine, const section_kind& section, int n)
 {
-    return {fmt::format("edit-{}", n), "platform", section.name, ledger.version_of(section.name),
-            section.text(n)};
+    return {fmt::format("edit-{}", n), "platform", section.name,
+            state_machine.version_of(section.name), section.text(n)};
 }
 
-config_ledger make_ledger()
+config_state_machine make_ledger()
 {
-    config_ledger ledger;
+    config_state_machine state_machine;
     const config_edit first{"first", "platform", std::string(whole_document), 0, first_document()};
-    const auto effect = ledger.apply({0, {}, encode(first)});
+    const auto effect = state_machine.apply({0, {}, encode(first)});
     if (!effect.document_changed) {
         fmt::print("the first document was refused: {}\n", effect.edit->detail);
         std::exit(1);
     }
-    return ledger;
+    return state_machine;
 }
 
-void apply_edit(config_ledger& ledger, const section_kind& section, int n, double& seconds)
+void apply_edit(config_state_machine& state_machine, const section_kind& section, int n,
+                double& seconds)
 {
-    const log_record record{ledger.next_offset(), {}, encode(make_edit(ledger, section, n))};
+    const log_record record{
+        state_machine.next_offset(), {}, encode(make_edit(state_machine, section, n))};
     const auto start = cpu_seconds();
-    const bool changed = ledger.apply(record).document_changed;
+    const bool changed = state_machine.apply(record).document_changed;
     seconds += cpu_seconds() - start;
     if (!changed) {
         fmt::print("an edit was refused\n");
@@ -136,26 +138,27 @@
 void measure_ledger()
 {
     const auto heap_before = heap_megabytes();
-    auto ledger = make_ledger();
+    auto state_machine = make_ledger();
     int n = 0;
     for (const auto& section : sections) {
         constexpr int edits = 200;
         double seconds = 0;
         for (int i = 0; i < edits; ++i) {
-            apply_edit(ledger, section, ++n, seconds);
+            apply_edit(state_machine, section, ++n, seconds);
         }
-        const auto bytes = encode(make_edit(ledger, section, n)).size();
+        const auto bytes = encode(make_edit(state_machine, section, n)).size();
         fmt::print("ledger section={} edits={} cpu_us_per_edit={:.0f} record_bytes={}\n",
                    section.name, edits, seconds / edits * 1e6, bytes);
     }
     const auto heap = heap_megabytes() - heap_before;
     const auto start = cpu_seconds();
-    const auto text = encode(ledger.snapshot());
+    const auto text = encode(state_machine.snapshot());
     const auto encoded = cpu_seconds();
     const auto decoded = decode_config_record(text);
-    const auto restored = config_ledger::from_snapshot(std::get<config_snapshot>(decoded.value()));
+    const auto restored =
+        config_state_machine::from_snapshot(std::get<config_snapshot>(decoded.value()));
     fmt::print("ledger heap_mb={:.2f} history={} document_bytes={}\n", heap,
-               ledger.history().size(), ledger.current().text().size());
+               state_machine.history().size(), state_machine.current().text().size());
     fmt::print("snapshot bytes={} encode_ms={:.1f} restore_ms={:.1f} restored={}\n", text.size(),
                (encoded - start) * 1e3, (cpu_seconds() - encoded) * 1e3, restored.has_value());
 }
@@ -190,7 +193,7 @@
 
     void submit(std::size_t n, const config_edit& edit)
     {
-        awaited = followers[0]->ledger().next_offset();
+        awaited = followers[0]->state_machine().next_offset();
         in_force_count = 0;
         followers[n]->submit_edit(edit, [](const result<edit_outcome>& reply) {
             if (!reply || reply.value().verdict != edit_verdict::accepted) {
@@ -219,7 +222,7 @@
         all.timers.advance(duration{2'000'000 + draw_below(random, 4096) * 1000});
         const auto start = all.timers.monotonic_now();
         const auto instance = draw_below(random, fleet::instance_count);
-        all.submit(instance, make_edit(all.followers[0]->ledger(), sections[3], n));
+        all.submit(instance, make_edit(all.followers[0]->state_machine(), sections[3], n));
         all.timers.advance(7s);
         if (all.in_force_count != fleet::instance_count) {
             fmt::print("edit {} was not in force everywhere after 7 s\n", n);
@@ -251,7 +254,7 @@
     for (int n = 0; n < edits; ++n) {
         const auto& section = kinds[static_cast<std::size_t>(n) % kinds.size()];
         all.submit(static_cast<std::size_t>(n) % fleet::instance_count,
-                   make_edit(all.followers[0]->ledger(), section, n));
+                   make_edit(all.followers[0]->state_machine(), section, n));
         all.timers.advance(interval);
     }
     const auto cpu = cpu_seconds() - start;
@@ -280,7 +283,8 @@
 {
     fleet all({});
     for (int n = 0; n < 4300; ++n) {
-        all.submit(0, make_edit(all.followers[0]->ledger(), sections[n % 50 == 0 ? 0 : 3], n));
+        all.submit(0,
+                   make_edit(all.followers[0]->state_machine(), sections[n % 50 == 0 ? 0 : 3], n));
         all.timers.advance(2s);
     }
     partitionable_log link(all.log);
--- a/include/account/account_record.h
+++ b/include/account/account_record.h
@@ -55,7 +55,7 @@
     // Starts that ran or may have run, over all workers.
     std::uint64_t starts() const;
     // True if more starts may have run than tasks and allowed second starts explain.
-    bool has_doubled_start() const
+    bool has_duplicate_start() const
     {
         return starts() > std::uint64_t{receipt.tasks} + second_starts;
     }
--- a/include/account/account_record_codec.h
+++ b/include/account/account_record_codec.h
@@ -20,7 +20,7 @@
     std::uint64_t number = 0; // from 1, grows by one within an incarnation
     wall_time written;
     // Every request received before this time is in this batch or an earlier one, or in a gap.
-    wall_time settled;
+    wall_time watermark;
     bool is_last = false; // the writer shut down in order after this batch
     std::optional<dropped_records> dropped;
     std::vector<account_receipt> receipts; // requests that were open when the batch was made
--- a/include/account/account_statement.h
+++ b/include/account/account_statement.h
@@ -34,7 +34,7 @@
 const char* to_string(account_gap::cause why);
 
 // A request whose outcome is not known.
-struct account_unknown {
+struct unknown_request {
     account_receipt receipt;
     std::string why;
 };
@@ -47,13 +47,13 @@
     wall_time from; // of the first and last batch read
     wall_time until;
     // Requests received later may still be in the memory of an instance that goes on writing.
-    wall_time settled_until;
+    wall_time complete_until;
     std::vector<account_gap> gaps;
-    std::vector<account_unknown> unknowns;
-    std::vector<std::string> doubled_answers; // ids with more than one recorded end
-    std::vector<std::string> doubled_starts;  // ids with more starts than allowed, or two owners
+    std::vector<unknown_request> unknowns;
+    std::vector<std::string> duplicate_answers; // ids with more than one recorded end
+    std::vector<std::string> duplicate_starts;  // ids with more starts than allowed, or two owners
 
-    // True if no request received before settled_until can be missing and each one has its end
+    // True if no request received before complete_until can be missing and each one has its end
     // recorded.
     bool is_complete() const;
 };
@@ -62,9 +62,9 @@
 std::string to_text(const account_statement& statement);
 
 // Builds a statement from log records in order of offset, from an archive, the log or both.
-class account_fold {
+class account_statement_builder {
 public:
-    explicit account_fold(std::string customer);
+    explicit account_statement_builder(std::string customer);
 
     // Takes a record. One before next_offset() is ignored, since archive and log overlap; a jump
     // beyond it is a gap.
@@ -92,9 +92,9 @@
         std::vector<missing_numbers> missing;
         wall_time first_written;
         wall_time last_written;
-        wall_time settled;
+        wall_time watermark;
         bool is_closed = false;
-        std::uint64_t holes = 0; // holes of the log when it was last seen
+        std::uint64_t log_gaps_seen = 0; // holes of the log when it was last seen
     };
     using writer_key = std::pair<std::string, std::uint64_t>; // instance and incarnation
     struct request {
@@ -106,7 +106,7 @@
     void add_receipt(const account_receipt& it, const writer_key& owner);
     void add_end(const account_record& it, const writer_key& owner);
     bool has_ended(const writer_key& key, const writer& it, wall_time now) const;
-    std::string why_open(const request& it, wall_time now) const;
+    std::string describe_open(const request& it, wall_time now) const;
 
     account_statement statement_;
     std::map<writer_key, writer> writers_;
@@ -114,7 +114,7 @@
     std::vector<account_record> repeated_ends_;
     log_offset next_offset_ = 0;
     wall_time last_time_;
-    std::uint64_t holes_ = 0;
+    std::uint64_t log_gaps_ = 0;
     bool has_batch_ = false;
 };
 
--- a/include/account/account_writer.h
+++ b/include/account/account_writer.h
@@ -82,8 +82,8 @@
         account_receipt receipt;
         std::size_t bytes = 0;
         monotonic_time since;
-        // Place in unwritten_, or its end once a batch carries the receipt.
-        std::list<const open_request*>::iterator place;
+        // Place in unwritten_receipts_, or its end once a batch carries the receipt.
+        std::list<const open_request*>::iterator queue_position;
     };
     struct sent_batch {
         std::string content;
@@ -104,7 +104,7 @@
     void send();
     void finish_attempt(std::uint64_t attempt, const result<log_offset>& stored);
     void finish(const result<log_offset>& stored);
-    void give_up_batch();
+    void drop_batch();
     void finish_close(result<void> outcome);
     duration backoff() const;
 
@@ -114,7 +114,7 @@
     std::size_t instances_ = 1;
 
     std::unordered_map<std::string, open_request> open_;
-    std::list<const open_request*> unwritten_; // entries of open_, oldest first
+    std::list<const open_request*> unwritten_receipts_; // entries of open_, oldest first
     std::deque<account_record> ends_;
     std::size_t buffered_bytes_ = 0;
     dropped_records dropped_;
--- a/include/config/config_follower.h
+++ b/include/config/config_follower.h
@@ -2,8 +2,8 @@
 
 #include "base/random.h"
 #include "base/timer_service.h"
-#include "config/config_ledger.h"
 #include "config/config_peer_source.h"
+#include "config/config_state_machine.h"
 
 #include <functional>
 #include <map>
@@ -91,7 +91,7 @@
     // True once a document is in force.
     bool is_ready() const { return in_force_.settings != nullptr; }
     const config_in_force& in_force() const { return in_force_; }
-    const config_ledger& ledger() const { return ledger_; }
+    const config_state_machine& state_machine() const { return state_machine_; }
     config_log_state log_state() const { return log_state_; }
 
     // State for another instance, empty if there is nothing newer than offset `newer_than`.
@@ -124,29 +124,29 @@
         log_offset start = 0;
         log_offset next = 0;
         std::vector<log_record> buffered;
-        std::optional<config_ledger> candidate;
+        std::optional<config_state_machine> candidate;
     };
 
     void poll();
     void poll_after(duration delay);
     void on_read(std::uint64_t poll_number, const result<log_page>& reply);
     void on_read_failed(std::string_view reason);
-    void take_page(const log_page& page);
-    void take_known_record(const log_page& page);
-    void take_new_records(const log_page& page);
-    void end_page(log_offset reached, log_offset end);
-    bool is_known_record_checkable(const log_page& page) const;
+    void handle_page(const log_page& page);
+    void verify_known_record(const log_page& page);
+    void handle_new_records(const log_page& page);
+    void finish_page(log_offset reached, log_offset end);
+    bool can_verify_known_record(const log_page& page) const;
     void report_regression(std::string_view reason);
-    void fold(const log_page& page);
-    bool start_scan_near_end(const log_page& page);
+    void apply_records(const log_page& page);
+    bool start_tail_scan(const log_page& page);
     void scan_page(const log_page& page);
     void end_scan();
     void scan_record(const log_record& record);
     void count(const record_effect& effect);
 
-    void ask_peers();
+    void fetch_peer_states();
     void on_peer_states(const std::vector<std::string>& states);
-    bool adopt(config_ledger later, const char* source);
+    bool adopt(config_state_machine later, const char* source);
     void put_in_force();
     void set_log_state(config_log_state state, std::string_view reason);
 
@@ -157,7 +157,7 @@
     void finish_edit(const std::string& id, result<edit_outcome> outcome);
 
     bool is_snapshot_due() const;
-    void plan_snapshot();
+    void schedule_snapshot();
     void write_snapshot();
 
     duration jittered(duration span);
@@ -168,7 +168,7 @@
     config_follower_options options_;
     random_engine random_;
 
-    config_ledger ledger_;
+    config_state_machine state_machine_;
     std::optional<scan> scan_;
     log_offset first_retained_ = 0;
     config_in_force in_force_;
@@ -183,22 +183,22 @@
     bool log_failed_ = false;
 
     std::uint64_t poll_number_ = 0;
-    bool poll_open_ = false;
-    bool poll_again_ = false;    // a poll was asked for while one was open
-    bool poll_is_check_ = false; // the open poll reads the last known record
-    log_offset poll_known_ = 0;  // next offset when the open poll was sent
+    bool poll_in_flight_ = false;
+    bool poll_requested_ = false; // a poll was asked for while one was open
+    bool poll_verifies_ = false;  // the open poll reads the last known record
+    log_offset poll_start_ = 0;   // next offset when the open poll was sent
     timer_id poll_timer_ = 0;
     timer_id read_timer_ = 0;
-    std::optional<log_page> held_page_; // new records that wait for the check
-    std::optional<monotonic_time> checked_at_;
-    bool scanned_near_end_ = false;
+    std::optional<log_page> unverified_page_; // new records that wait for the check
+    std::optional<monotonic_time> verified_at_;
+    bool tail_scanned_ = false;
     std::uint32_t failed_polls_ = 0;
     std::uint64_t peer_request_ = 0;
-    bool peer_request_open_ = false;
+    bool peer_request_in_flight_ = false;
     timer_id peer_timer_ = 0;
 
     std::map<std::string, pending_edit, std::less<>> edits_;
-    std::map<std::string, edit_outcome, std::less<>> fresh_outcomes_;
+    std::map<std::string, edit_outcome, std::less<>> new_outcomes_;
 
     std::size_t rank_ = 10;
     timer_id snapshot_timer_ = 0;
--- a/include/config/config_ledger.h
+++ b/include/config/config_state_machine.h
@@ -19,7 +19,7 @@
 
 // The accepted configuration as a fold over the records of stream `config` in offset order. All
 // verdicts follow from the records alone: no clock, no random numbers, no local settings.
-class config_ledger {
+class config_state_machine {
 public:
     // Edits whose ids are remembered for telling repeated appends, and lines of the audit history.
     // The count is part of the verdict rules: all instances must use the same one. 512 edits are
@@ -30,13 +30,13 @@
     static constexpr std::size_t max_content_bytes = std::size_t{512} * 1024;
 
     // Error `invalid_argument` if the snapshot's document is not valid or is incomplete.
-    static result<config_ledger> from_snapshot(const config_snapshot& snapshot);
+    static result<config_state_machine> from_snapshot(const config_snapshot& snapshot);
 
     // Takes the record at next_offset().
     record_effect apply(const log_record& record);
 
     // The verdict that the edit would get as the next record. For trying out an edit.
-    edit_outcome judge(const config_edit& edit) const;
+    edit_outcome evaluate(const config_edit& edit) const;
 
     // The state as a snapshot. Needs a document.
     config_snapshot snapshot() const;
@@ -59,16 +59,16 @@
     std::optional<edit_outcome> outcome_of(std::string_view edit_id) const;
 
     // Newest snapshot record, if there was one.
-    struct snapshot_mark {
+    struct snapshot_position {
         log_offset offset = 0;
         log_offset next = 0; // first offset that the snapshot does not cover
         wall_time time;
     };
-    const std::optional<snapshot_mark>& newest_snapshot() const { return newest_snapshot_; }
+    const std::optional<snapshot_position>& newest_snapshot() const { return newest_snapshot_; }
 
     // True if `later` can follow this state: it has read at least as much, no section has an older
     // version, and sections of the same version have the same text.
-    bool can_be_followed_by(const config_ledger& later) const;
+    bool can_be_followed_by(const config_state_machine& later) const;
 
 private:
     struct section_state {
@@ -79,15 +79,15 @@
     };
 
     // Digests of the state before some offset, for comparing it with snapshots that arrive later.
-    struct prefix_mark {
+    struct state_checkpoint {
         log_offset next = 0;
         std::uint64_t chain = 0;
         std::uint64_t sections = 0;
     };
 
-    edit_outcome judge(const config_edit& edit, std::optional<document>& next) const;
+    edit_outcome evaluate(const config_edit& edit, std::optional<document>& next) const;
     void accept(const config_edit& edit, const edit_outcome& outcome, document next);
-    void remember(const config_edit& edit, const edit_outcome& outcome, wall_time time);
+    void append_history(const config_edit& edit, const edit_outcome& outcome, wall_time time);
     bool contradicts(const config_snapshot& snapshot) const;
     std::uint64_t sections_digest() const;
     void fill_current(edit_outcome& outcome, std::string_view section) const;
@@ -98,8 +98,8 @@
     std::optional<document> document_;
     std::array<section_state, document::section_count> sections_;
     std::deque<config_change> history_;
-    std::deque<prefix_mark> marks_;
-    std::optional<snapshot_mark> newest_snapshot_;
+    std::deque<state_checkpoint> checkpoints_;
+    std::optional<snapshot_position> newest_snapshot_;
 };
 
 } // namespace cactusloom
--- a/include/entry/entry_instance.h
+++ b/include/entry/entry_instance.h
@@ -28,7 +28,7 @@
     std::uint64_t seed = 0;
     config_follower_options config;
     failure_detector_settings detector;
-    std::vector<peer_hint> seeds; // used until the platform's list answers
+    std::vector<seed_peer> seeds; // used until the platform's list answers
     bool keep_accounts = true;
     duration list_interval = std::chrono::seconds{5};
     duration account_close_limit = std::chrono::seconds{10};
--- a/include/membership/failure_detector.h
+++ b/include/membership/failure_detector.h
@@ -2,9 +2,9 @@
 
 #include "base/random.h"
 #include "base/timer_service.h"
-#include "membership/data_centre_watch.h"
 #include "membership/member_table.h"
 #include "membership/membership_codec.h"
+#include "membership/partition_detector.h"
 #include "membership/peer_transport.h"
 
 #include <cstdint>
@@ -28,15 +28,15 @@
     // so that two sides that declared each other dead meet again.
     duration dead_retention = std::chrono::minutes{10};
     // Members of a data centre that stays cut off are given up after this time.
-    duration cut_off_retention = std::chrono::hours{1};
+    duration partition_retention = std::chrono::hours{1};
     // A member that was steady for this long counts as steady again.
-    duration flap_memory = std::chrono::minutes{5};
-    duration hint_retry = std::chrono::seconds{10};
+    duration flap_reset_interval = std::chrono::minutes{5};
+    duration seed_retry_interval = std::chrono::seconds{10};
 };
 
 // An instance as the platform's list names it. Only tells where to look: what members say about
 // themselves takes precedence.
-struct peer_hint {
+struct seed_peer {
     std::string name;
     std::string data_centre;
     std::string address;
@@ -58,7 +58,7 @@
 public:
     using reply_callback = std::function<void(std::string)>;
     using change_callback = std::function<void(const member_change&)>;
-    using reach_callback = std::function<void(std::string_view data_centre, bool reachable)>;
+    using reachability_callback = std::function<void(std::string_view data_centre, bool reachable)>;
     using summary_callback = std::function<void(const member& from, std::string_view summary)>;
 
     // `self.incarnation` must be greater than that of every earlier process of the same name.
@@ -72,9 +72,9 @@
     void start();
 
     // Replaces the hints with the platform's newest list, which may be stale.
-    void set_hints(std::vector<peer_hint> hints);
+    void set_seed_peers(std::vector<seed_peer> seed_peers);
 
-    // Text that every message of this instance carries, at most `max_summary` bytes.
+    // Text that every message of this instance carries, at most `max_summary_bytes` bytes.
     void set_summary(std::string summary);
 
     // Changes this instance's capacity weight.
@@ -100,7 +100,10 @@
     bool has_joined() const { return joined_; }
 
     void on_change(change_callback fn) { change_callbacks_.push_back(std::move(fn)); }
-    void on_reach(reach_callback fn) { reach_callbacks_.push_back(std::move(fn)); }
+    void on_reachability_change(reachability_callback fn)
+    {
+        reachability_callbacks_.push_back(std::move(fn));
+    }
     // Runs for every direct message that carries a summary.
     void on_summary(summary_callback fn) { summary_callbacks_.push_back(std::move(fn)); }
 
@@ -119,20 +122,20 @@
         bool reached = false;
     };
     // Where an update comes from.
-    enum class origin : std::uint8_t {
+    enum class update_source : std::uint8_t {
         rumour,
-        own_word, // of the member itself, or a finding of this instance
-        page,     // of a table that is copied at the start
+        first_hand, // of the member itself, or a finding of this instance
+        page,       // of a table that is copied at the start
     };
     using reply_handler = std::function<void(result<membership_reply>)>;
 
     void tick();
     void extend_after_pause(duration lost);
     void expire_suspicions();
-    void forget_gone();
+    void remove_expired();
     void probe_next();
-    void probe_doubtful();
-    void verify_data_centres();
+    void probe_unconfirmed();
+    void probe_suspect_data_centres();
     void probe_seeds();
 
     void send(std::string_view address, membership_request request, duration limit,
@@ -143,41 +146,41 @@
     void finish_probe(const probe& it, bool reached);
     void copy_table(const std::string& address, const std::string& name, const std::string& after);
 
-    void receive(const gossip& news, bool is_page);
-    void apply(const member& update, origin from);
-    void note_heard(std::string_view name);
+    void receive(const gossip_payload& gossip, bool is_table_copy);
+    void apply(const member& update, update_source from);
+    void record_contact(std::string_view name);
     void suspect(member_entry& entry);
     void declare_dead(member_entry& entry);
     void refute(const member& claim);
-    void spread(std::string_view name);
-    gossip make_gossip(std::string_view receiver);
-    gossip make_page(std::string_view after) const;
-    void tell_successor(const member& sender, gossip& news) const;
-    void publish(const member_change& change);
-    std::vector<std::string> choose_helpers(const member& target);
+    void queue_update(std::string_view name);
+    gossip_payload make_gossip(std::string_view receiver);
+    gossip_payload make_page(std::string_view after) const;
+    void add_successor(const member& sender, gossip_payload& gossip) const;
+    void notify_change(const member_change& change);
+    std::vector<std::string> choose_indirect_probers(const member& target);
     duration suspicion_time(const member_entry& entry) const;
-    unsigned tolerated_misses(const member_entry& entry) const;
-    unsigned rumour_limit() const;
-    bool was_late(monotonic_time sent, duration limit) const;
+    unsigned tolerated_failures(const member_entry& entry) const;
+    unsigned retransmit_limit() const;
+    bool was_paused(monotonic_time sent, duration limit) const;
 
     timer_service& timers_;
     peer_transport& transport_;
     failure_detector_settings settings_;
     member_table table_;
-    data_centre_watch watch_;
+    partition_detector partition_detector_;
     random_engine random_;
 
-    std::vector<rumour> rumours_;
-    std::vector<std::string> round_;    // names still to be pinged in this round, last first
-    std::string repeat_cursor_;         // where the repetition of known members goes on
-    std::vector<std::string> outdated_; // names of which the last sender knew less than we do
-    std::vector<peer_hint> hints_;
-    std::map<std::string, monotonic_time, std::less<>> hint_tries_;
-    std::size_t hint_cursor_ = 0;
+    std::vector<rumour> update_queue_;
+    std::vector<std::string> probe_round_; // names still to be pinged in this round, last first
+    std::string repeat_cursor_;            // where the repetition of known members goes on
+    std::vector<std::string> outdated_;    // names of which the last sender knew less than we do
+    std::vector<seed_peer> seed_peers_;
+    std::map<std::string, monotonic_time, std::less<>> seed_attempts_;
+    std::size_t seed_cursor_ = 0;
     std::string summary_;
 
     std::vector<change_callback> change_callbacks_;
-    std::vector<reach_callback> reach_callbacks_;
+    std::vector<reachability_callback> reachability_callbacks_;
     std::vector<summary_callback> summary_callbacks_;
     membership_traffic traffic_;
 
--- a/include/membership/member_table.h
+++ b/include/membership/member_table.h
@@ -16,14 +16,14 @@
 // What this instance knows about another member beyond the shared description.
 struct member_entry {
     member info;
-    std::string summary;       // opaque text of the member's last direct message
-    monotonic_time heard{};    // last reply or request from it, also through a third member
-    monotonic_time changed{};  // last change of state
-    monotonic_time deadline{}; // end of a suspicion
-    monotonic_time flapped{};  // last return from suspect or dead
-    unsigned flaps = 0;        // returns within one incarnation
-    unsigned misses = 0;       // probes of our own that failed in a row
-    bool was_heard = false;
+    std::string summary;               // opaque text of the member's last direct message
+    monotonic_time heard{};            // last reply or request from it, also through a third member
+    monotonic_time state_changed_at{}; // last change of state
+    monotonic_time deadline{};         // end of a suspicion
+    monotonic_time last_flap{};        // last return from suspect or dead
+    unsigned flap_count = 0;           // returns within one incarnation
+    unsigned failed_probes = 0;        // probes of our own that failed in a row
+    bool has_contact = false;
 };
 
 // A change of one member, as subscribers see it.
@@ -83,7 +83,7 @@
     void set_reachable(std::string_view data_centre, bool reachable);
 
 private:
-    static bool takes_part(const member& it) { return is_live(it.state) && !it.leaving; }
+    static bool accepts_work(const member& it) { return is_live(it.state) && !it.leaving; }
 
     // Weight of the members before `end` by name, or of all others without it.
     double weight_of_others(const std::string* end) const;
--- a/include/membership/membership_codec.h
+++ b/include/membership/membership_codec.h
@@ -15,12 +15,12 @@
 // Updates that one message may carry. Bounds the bytes of a message for any number of members.
 constexpr std::size_t max_updates_per_message = 8;
 // Longest request or reply that is parsed.
-constexpr std::size_t max_membership_text = 16384;
+constexpr std::size_t max_membership_message_bytes = 16384;
 // Longest summary that a message may carry.
-constexpr std::size_t max_summary = 64;
+constexpr std::size_t max_summary_bytes = 64;
 
 // What every message and every reply carries.
-struct gossip {
+struct gossip_payload {
     member from;
     std::string summary; // opaque, for example the through-offset of the configuration
     std::vector<member> updates;
@@ -32,7 +32,7 @@
 
     std::uint64_t id = 0;
     method call = method::ping;
-    gossip news;
+    gossip_payload gossip;
     std::string target;         // name of the member that is pinged, directly or by the receiver
     std::string target_address; // ping_request only
     // ping only: asks for members whose names sort after this one, in order of name, in place of
@@ -42,7 +42,7 @@
 
 struct membership_reply {
     std::uint64_t id = 0;
-    gossip news;
+    gossip_payload gossip;
     bool reached = false;         // ping_request only
     std::optional<member> target; // ping_request only: what the target says about itself
 };
--- a/src/account/account_record_codec.cpp
+++ b/src/account/account_record_codec.cpp
@@ -159,7 +159,7 @@
     batch.incarnation = header["n"].asUInt64();
     batch.number = header["b"].asUInt64();
     batch.written = from_us(header["t"].asInt64());
-    batch.settled = batch.written + duration{header["s"].asInt64()};
+    batch.watermark = batch.written + duration{header["s"].asInt64()};
     batch.is_last = header["last"].isInt() && header["last"].asInt() == 1;
     if (header.isMember("gap")) {
         const auto& gap = header["gap"];
@@ -225,7 +225,7 @@
     append_text(text, header_.instance);
     append(text, R"(,"n":{},"b":{},"t":{})", header_.incarnation, header_.number,
            to_us(header_.written));
-    append(text, R"(,"s":{})", (header_.settled - header_.written).count());
+    append(text, R"(,"s":{})", (header_.watermark - header_.written).count());
     if (header_.is_last) {
         text += R"(,"last":1)";
     }
--- a/src/account/account_statement.cpp
+++ b/src/account/account_statement.cpp
@@ -73,7 +73,7 @@
     line("customer: {}", statement.customer);
     line("complete: {}", statement.is_complete() ? "yes" : "no, requests or ends may be missing");
     line("span: {} to {}", format_time(statement.from), format_time(statement.until));
-    line("settled until: {}", format_time(statement.settled_until));
+    line("settled until: {}", format_time(statement.complete_until));
     line("requests: {}", statement.records.size());
     for (const auto& [key, n] : statement.totals) {
         line("total: {} {} {}", key.first, to_string(key.second), n);
@@ -86,27 +86,27 @@
         line("unknown: {} {} received {}: {}", it.receipt.submission_id, it.receipt.kind,
              format_time(it.receipt.received), it.why);
     }
-    for (const auto& id : statement.doubled_answers) {
+    for (const auto& id : statement.duplicate_answers) {
         line("doubled answer: {}", id);
     }
-    for (const auto& id : statement.doubled_starts) {
+    for (const auto& id : statement.duplicate_starts) {
         line("doubled start: {}", id);
     }
     return text;
 }
 
-account_fold::account_fold(std::string customer)
+account_statement_builder::account_statement_builder(std::string customer)
 {
     statement_.customer = std::move(customer);
 }
 
-void account_fold::add(const log_record& record)
+void account_statement_builder::add(const log_record& record)
 {
     if (record.offset < next_offset_) {
         return;
     }
     if (record.offset > next_offset_) {
-        ++holes_;
+        ++log_gaps_;
         statement_.gaps.push_back(
             {account_gap::cause::not_retained, last_time_, record.time,
              record.offset - next_offset_,
@@ -128,7 +128,7 @@
     if (is_new) {
         it.first_written = batch.written;
         it.last_written = batch.written;
-        it.settled = batch.settled;
+        it.watermark = batch.watermark;
     }
     if (!accept_number(it, batch)) {
         return;
@@ -153,7 +153,7 @@
 
 // Returns false for a batch that was taken before. Numbers that are skipped are noted, and a late
 // copy may still bring them.
-bool account_fold::accept_number(writer& it, const account_batch& batch)
+bool account_statement_builder::accept_number(writer& it, const account_batch& batch)
 {
     if (batch.number < it.next_number) {
         const auto found = std::find_if(it.missing.begin(), it.missing.end(), [&](const auto& gap) {
@@ -172,17 +172,17 @@
         return true;
     }
     // Numbers that fell into a hole of the log are part of that gap.
-    if (batch.number > it.next_number && it.holes == holes_) {
+    if (batch.number > it.next_number && it.log_gaps_seen == log_gaps_) {
         it.missing.push_back({it.next_number, batch.number - 1, it.last_written, batch.written});
     }
-    it.holes = holes_;
+    it.log_gaps_seen = log_gaps_;
     it.next_number = batch.number + 1;
     it.last_written = batch.written;
-    it.settled = batch.settled;
+    it.watermark = batch.watermark;
     return true;
 }
 
-void account_fold::add_receipt(const account_receipt& it, const writer_key& owner)
+void account_statement_builder::add_receipt(const account_receipt& it, const writer_key& owner)
 {
     if (it.customer != statement_.customer) {
         return;
@@ -193,11 +193,11 @@
         found->second.owner = owner;
     }
     else if (found->second.owner != owner) {
-        add_unique(statement_.doubled_starts, it.submission_id);
+        add_unique(statement_.duplicate_starts, it.submission_id);
     }
 }
 
-void account_fold::add_end(const account_record& it, const writer_key& owner)
+void account_statement_builder::add_end(const account_record& it, const writer_key& owner)
 {
     if (it.receipt.customer != statement_.customer) {
         return;
@@ -205,23 +205,23 @@
     const auto [found, is_new] = requests_.emplace(it.receipt.submission_id, request{{}, owner});
     auto& known = found->second;
     if (!is_new && known.owner != owner) {
-        add_unique(statement_.doubled_starts, it.receipt.submission_id);
+        add_unique(statement_.duplicate_starts, it.receipt.submission_id);
     }
-    if (it.has_doubled_start()) {
-        add_unique(statement_.doubled_starts, it.receipt.submission_id);
+    if (it.has_duplicate_start()) {
+        add_unique(statement_.duplicate_starts, it.receipt.submission_id);
     }
     if (!is_new && known.record.outcome != account_outcome::open) {
-        add_unique(statement_.doubled_answers, it.receipt.submission_id);
+        add_unique(statement_.duplicate_answers, it.receipt.submission_id);
         repeated_ends_.push_back(it);
         return;
     }
     known.record = it;
 }
 
-void account_fold::note_log_end(log_offset end, wall_time now)
+void account_statement_builder::note_log_end(log_offset end, wall_time now)
 {
     if (end > next_offset_) {
-        ++holes_;
+        ++log_gaps_;
         statement_.gaps.push_back({account_gap::cause::not_retained, last_time_, now,
                                    end - next_offset_,
                                    fmt::format("offsets {} to {}", next_offset_, end - 1)});
@@ -234,20 +234,21 @@
     }
 }
 
-void account_fold::note_log_not_read(std::string why, wall_time now)
+void account_statement_builder::note_log_not_read(std::string why, wall_time now)
 {
     statement_.gaps.push_back(
         {account_gap::cause::log_not_read, last_time_, now, 0, std::move(why)});
 }
 
-bool account_fold::has_ended(const writer_key& key, const writer& it, wall_time now) const
+bool account_statement_builder::has_ended(const writer_key& key, const writer& it,
+                                          wall_time now) const
 {
     const auto next = std::next(writers_.find(key));
     const bool is_replaced = next != writers_.end() && next->first.first == key.first;
     return is_replaced || now - it.last_written > writer_silence;
 }
 
-std::string account_fold::why_open(const request& it, wall_time now) const
+std::string account_statement_builder::describe_open(const request& it, wall_time now) const
 {
     const auto& writer = writers_.at(it.owner);
     if (writer.is_closed) {
@@ -262,13 +263,13 @@
     return "still running, or its end is not written yet";
 }
 
-account_statement account_fold::finish(wall_time now) &&
+account_statement account_statement_builder::finish(wall_time now) &&
 {
     auto& out = statement_;
-    out.settled_until = out.until;
+    out.complete_until = out.until;
     for (const auto& [key, it] : writers_) {
         if (!it.is_closed && !has_ended(key, it, now)) {
-            out.settled_until = std::min(out.settled_until, it.settled);
+            out.complete_until = std::min(out.complete_until, it.watermark);
         }
         for (const auto& gap : it.missing) {
             out.gaps.push_back(
@@ -276,16 +277,16 @@
                  fmt::format("{} batches {} to {}", key.first, gap.first, gap.last)});
         }
         // After a hole the closing batch may lie in it, and that gap is reported already.
-        if (!it.is_closed && it.holes == holes_ && has_ended(key, it, now)) {
+        if (!it.is_closed && it.log_gaps_seen == log_gaps_ && has_ended(key, it, now)) {
             const auto next = std::next(writers_.find(key));
             const bool is_replaced = next != writers_.end() && next->first.first == key.first;
-            out.gaps.push_back({account_gap::cause::writer_ended, it.settled,
+            out.gaps.push_back({account_gap::cause::writer_ended, it.watermark,
                                 is_replaced ? next->second.first_written : now, 0, key.first});
         }
     }
     for (auto& [id, it] : requests_) {
         if (it.record.outcome == account_outcome::open) {
-            out.unknowns.push_back({it.record.receipt, why_open(it, now)});
+            out.unknowns.push_back({it.record.receipt, describe_open(it, now)});
         }
         else if (it.record.outcome == account_outcome::unknown) {
             out.unknowns.push_back({it.record.receipt, it.record.reason});
--- a/src/account/account_writer.cpp
+++ b/src/account/account_writer.cpp
@@ -67,11 +67,11 @@
     }
     buffered_bytes_ += bytes;
     auto id = receipt.submission_id;
-    const auto it =
-        open_.emplace(std::move(id), open_request{std::move(receipt), bytes,
-                                                  timers_.monotonic_now(), unwritten_.end()});
+    const auto it = open_.emplace(std::move(id),
+                                  open_request{std::move(receipt), bytes, timers_.monotonic_now(),
+                                               unwritten_receipts_.end()});
     auto& request = it.first->second;
-    request.place = unwritten_.insert(unwritten_.end(), &request);
+    request.queue_position = unwritten_receipts_.insert(unwritten_receipts_.end(), &request);
 }
 
 void account_writer::ended(account_record record)
@@ -81,8 +81,8 @@
     }
     if (const auto it = open_.find(record.receipt.submission_id); it != open_.end()) {
         buffered_bytes_ -= it->second.bytes;
-        if (it->second.place != unwritten_.end()) {
-            unwritten_.erase(it->second.place);
+        if (it->second.queue_position != unwritten_receipts_.end()) {
+            unwritten_receipts_.erase(it->second.queue_position);
         }
         open_.erase(it);
     }
@@ -123,9 +123,9 @@
 
 bool account_writer::has_due_receipt() const
 {
-    return !unwritten_.empty() &&
+    return !unwritten_receipts_.empty() &&
            (closing_ ||
-            timers_.monotonic_now() - unwritten_.front()->since >= settings_.receipt_age);
+            timers_.monotonic_now() - unwritten_receipts_.front()->since >= settings_.receipt_age);
 }
 
 void account_writer::flush()
@@ -170,20 +170,21 @@
         ends_.pop_front();
     }
     while (has_due_receipt() && has_room()) {
-        const auto& receipt = unwritten_.front()->receipt;
+        const auto& receipt = unwritten_receipts_.front()->receipt;
         encoder.add(receipt);
         ++out.receipts;
-        open_.find(receipt.submission_id)->second.place = unwritten_.end();
-        unwritten_.pop_front();
+        open_.find(receipt.submission_id)->second.queue_position = unwritten_receipts_.end();
+        unwritten_receipts_.pop_front();
     }
-    header.settled = header.written;
+    header.watermark = header.written;
     for (const auto& it : ends_) {
-        header.settled = std::min(header.settled, it.receipt.received);
+        header.watermark = std::min(header.watermark, it.receipt.received);
     }
-    if (!unwritten_.empty()) {
-        header.settled = std::min(header.settled, unwritten_.front()->receipt.received);
+    if (!unwritten_receipts_.empty()) {
+        header.watermark =
+            std::min(header.watermark, unwritten_receipts_.front()->receipt.received);
     }
-    out.is_last = closing_ && ends_.empty() && unwritten_.empty();
+    out.is_last = closing_ && ends_.empty() && unwritten_receipts_.empty();
     header.is_last = out.is_last;
     out.content = std::move(encoder).finish();
     return out;
@@ -222,7 +223,7 @@
     if (!stored) {
         const auto code = stored.error().code;
         if (code == errc::invalid_argument || code == errc::limit_exceeded) {
-            give_up_batch();
+            drop_batch();
         }
         else {
             // The batch may be stored. It is repeated with the same number and the same content,
@@ -251,7 +252,7 @@
 
 // A batch that the log refuses for its content would block all later ones. Its number stays unused,
 // and its records are reported as dropped.
-void account_writer::give_up_batch()
+void account_writer::drop_batch()
 {
     const auto count = in_flight_->ends + in_flight_->receipts;
     for (std::size_t i = 0; i < count; ++i) {
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -57,7 +57,7 @@
 void config_follower::start()
 {
     peers_answered_ = peers_ == nullptr;
-    ask_peers();
+    fetch_peer_states();
     poll_after(duration::zero());
 }
 
@@ -79,15 +79,16 @@
 
 void config_follower::poll()
 {
-    if (poll_open_) {
-        poll_again_ = true;
+    if (poll_in_flight_) {
+        poll_requested_ = true;
         return;
     }
-    poll_open_ = true;
-    poll_known_ = ledger_.next_offset();
+    poll_in_flight_ = true;
+    poll_start_ = state_machine_.next_offset();
     const auto now = timers_.monotonic_now();
-    poll_is_check_ = !scan_ && poll_known_ > 0 &&
-                     (held_page_ || !checked_at_ || now - *checked_at_ >= options_.verify_interval);
+    poll_verifies_ =
+        !scan_ && poll_start_ > 0 &&
+        (unverified_page_ || !verified_at_ || now - *verified_at_ >= options_.verify_interval);
     const auto number = ++poll_number_;
     const auto answer = [this, alive = alive_, number](const result<log_page>& reply) {
         if (*alive) {
@@ -95,14 +96,14 @@
         }
     };
     read_timer_ = timers_.schedule(options_.read_timeout, [this] {
-        poll_open_ = false;
+        poll_in_flight_ = false;
         on_read_failed("no reply to a read of the log");
     });
-    if (poll_is_check_) {
-        log_.read(options_.stream, poll_known_ - 1, 1, answer);
+    if (poll_verifies_) {
+        log_.read(options_.stream, poll_start_ - 1, 1, answer);
     }
     else {
-        log_.read(options_.stream, scan_ ? scan_->next : poll_known_, options_.records_per_read,
+        log_.read(options_.stream, scan_ ? scan_->next : poll_start_, options_.records_per_read,
                   answer);
     }
 }
@@ -110,40 +111,40 @@
 void config_follower::on_read(std::uint64_t poll_number, const result<log_page>& reply)
 {
     // A reply after the timeout is dropped: it may be older than what has been read since.
-    if (!poll_open_ || poll_number != poll_number_) {
+    if (!poll_in_flight_ || poll_number != poll_number_) {
         return;
     }
-    poll_open_ = false;
+    poll_in_flight_ = false;
     timers_.cancel(read_timer_);
     if (!reply) {
         on_read_failed(reply.error().message);
         return;
     }
     failed_polls_ = 0;
-    if (ledger_.next_offset() != poll_known_) {
+    if (state_machine_.next_offset() != poll_start_) {
         // State came from a peer meanwhile, so the page does not fit any more.
-        held_page_.reset();
+        unverified_page_.reset();
         poll_after(duration::zero());
         return;
     }
-    take_page(reply.value());
-    if (std::exchange(poll_again_, false)) {
+    handle_page(reply.value());
+    if (std::exchange(poll_requested_, false)) {
         poll_after(duration::zero());
     }
     put_in_force();
     finish_edits();
-    plan_snapshot();
+    schedule_snapshot();
 }
 
 void config_follower::on_read_failed(std::string_view reason)
 {
-    held_page_.reset();
-    poll_again_ = false;
+    unverified_page_.reset();
+    poll_requested_ = false;
     log_failed_ = true;
     // A regression stays reported until the known record has been seen again.
     if (log_state_ != config_log_state::regressed) {
         set_log_state(config_log_state::down, reason);
-        ask_peers();
+        fetch_peer_states();
     }
     constexpr std::uint32_t max_doublings = 8;
     failed_polls_ = std::min(failed_polls_ + 1, max_doublings);
@@ -152,31 +153,31 @@
     put_in_force();
 }
 
-void config_follower::take_page(const log_page& page)
+void config_follower::handle_page(const log_page& page)
 {
     first_retained_ = page.first_retained;
-    if (page.end < ledger_.next_offset()) {
+    if (page.end < state_machine_.next_offset()) {
         report_regression("the log ends before the last known record");
     }
-    else if (poll_is_check_) {
-        take_known_record(page);
+    else if (poll_verifies_) {
+        verify_known_record(page);
     }
     else {
-        take_new_records(page);
+        handle_new_records(page);
     }
 }
 
-bool config_follower::is_known_record_checkable(const log_page& page) const
+bool config_follower::can_verify_known_record(const log_page& page) const
 {
-    return ledger_.next_offset() > 0 && page.first_retained < ledger_.next_offset();
+    return state_machine_.next_offset() > 0 && page.first_retained < state_machine_.next_offset();
 }
 
-void config_follower::take_known_record(const log_page& page)
+void config_follower::verify_known_record(const log_page& page)
 {
-    const auto known = ledger_.next_offset() - 1;
-    if (is_known_record_checkable(page)) {
+    const auto known = state_machine_.next_offset() - 1;
+    if (can_verify_known_record(page)) {
         if (page.records.empty() || page.records.front().offset != known ||
-            hash64(page.records.front().content) != ledger_.last_digest()) {
+            hash64(page.records.front().content) != state_machine_.last_digest()) {
             report_regression("the log has other content at the last known offset");
             return;
         }
@@ -188,39 +189,39 @@
         report_regression("the last known record has been dropped");
         return;
     }
-    checked_at_ = timers_.monotonic_now();
-    if (held_page_) {
-        take_new_records(*std::exchange(held_page_, std::nullopt));
+    verified_at_ = timers_.monotonic_now();
+    if (unverified_page_) {
+        handle_new_records(*std::exchange(unverified_page_, std::nullopt));
     }
     else {
-        end_page(known + 1, page.end);
+        finish_page(known + 1, page.end);
     }
 }
 
-void config_follower::take_new_records(const log_page& page)
+void config_follower::handle_new_records(const log_page& page)
 {
     // Records read in one go need one check only.
     constexpr auto check_validity = std::chrono::milliseconds{100};
     const auto now = timers_.monotonic_now();
-    const auto next = ledger_.next_offset();
-    const bool is_checked = checked_at_ && now - *checked_at_ < check_validity;
-    if (scan_ || page.first_retained > next || start_scan_near_end(page)) {
+    const auto next = state_machine_.next_offset();
+    const bool is_checked = verified_at_ && now - *verified_at_ < check_validity;
+    if (scan_ || page.first_retained > next || start_tail_scan(page)) {
         scan_page(page);
         return;
     }
-    if (!page.records.empty() && !is_checked && is_known_record_checkable(page)) {
-        held_page_ = page;
+    if (!page.records.empty() && !is_checked && can_verify_known_record(page)) {
+        unverified_page_ = page;
         poll_after(duration::zero());
         return;
     }
-    fold(page);
+    apply_records(page);
     if (!page.records.empty()) {
-        checked_at_ = now;
+        verified_at_ = now;
     }
-    end_page(ledger_.next_offset(), page.end);
+    finish_page(state_machine_.next_offset(), page.end);
 }
 
-void config_follower::end_page(log_offset reached, log_offset end)
+void config_follower::finish_page(log_offset reached, log_offset end)
 {
     if (reached < end) {
         poll_after(duration::zero());
@@ -234,30 +235,31 @@
 void config_follower::report_regression(std::string_view reason)
 {
     scan_.reset();
-    held_page_.reset();
-    checked_at_.reset();
+    unverified_page_.reset();
+    verified_at_.reset();
     log_failed_ = true;
     set_log_state(config_log_state::regressed, reason);
     poll_after(options_.poll_interval);
 }
 
-void config_follower::fold(const log_page& page)
+void config_follower::apply_records(const log_page& page)
 {
     for (const auto& it : page.records) {
-        if (it.offset == ledger_.next_offset()) {
-            count(ledger_.apply(it));
+        if (it.offset == state_machine_.next_offset()) {
+            count(state_machine_.apply(it));
         }
     }
 }
 
 // Without any state, a long log is read from its newest snapshots on, which bounds a cold start.
-bool config_follower::start_scan_near_end(const log_page& page)
+bool config_follower::start_tail_scan(const log_page& page)
 {
     const auto span = 2 * options_.records_between_snapshots;
-    if (scanned_near_end_ || ledger_.next_offset() > 0 || page.end - page.first_retained <= span) {
+    if (tail_scanned_ || state_machine_.next_offset() > 0 ||
+        page.end - page.first_retained <= span) {
         return false;
     }
-    scanned_near_end_ = true;
+    tail_scanned_ = true;
     scan_ = scan{page.end - span, page.end - span, {}, std::nullopt};
     return true;
 }
@@ -288,8 +290,8 @@
         auto candidate = std::move(*scan_->candidate);
         scan_.reset();
         if (adopt(std::move(candidate), "snapshot")) {
-            checked_at_ = timers_.monotonic_now();
-            end_page(ledger_.next_offset(), ledger_.next_offset());
+            verified_at_ = timers_.monotonic_now();
+            finish_page(state_machine_.next_offset(), state_machine_.next_offset());
         }
         else {
             report_regression("a snapshot contradicts the known state");
@@ -304,7 +306,7 @@
     }
     log_failed_ = true;
     set_log_state(config_log_state::gap, "needed records are gone and there is no snapshot");
-    ask_peers();
+    fetch_peer_states();
     poll_after(options_.poll_interval);
 }
 
@@ -320,12 +322,12 @@
     if (snapshot == nullptr || snapshot->next < scan_->start || snapshot->next > record.offset) {
         return;
     }
-    auto ledger = config_ledger::from_snapshot(*snapshot);
-    if (!ledger) {
+    auto state_machine = config_state_machine::from_snapshot(*snapshot);
+    if (!state_machine) {
         ++counts_.malformed_records;
         return;
     }
-    scan_->candidate = std::move(ledger.value());
+    scan_->candidate = std::move(state_machine.value());
     for (const auto& it : scan_->buffered) {
         if (it.offset >= snapshot->next) {
             count(scan_->candidate->apply(it));
@@ -346,34 +348,34 @@
     // has forgotten.
     if (effect.edit && edits_.contains(effect.edit->edit_id) &&
         (effect.edit->verdict != edit_verdict::duplicate ||
-         !ledger_.outcome_of(effect.edit->edit_id))) {
-        fresh_outcomes_.try_emplace(effect.edit->edit_id, *effect.edit);
+         !state_machine_.outcome_of(effect.edit->edit_id))) {
+        new_outcomes_.try_emplace(effect.edit->edit_id, *effect.edit);
     }
 }
 
 // Peers.
 
-void config_follower::ask_peers()
+void config_follower::fetch_peer_states()
 {
-    if (peers_ == nullptr || peer_request_open_) {
+    if (peers_ == nullptr || peer_request_in_flight_) {
         return;
     }
-    peer_request_open_ = true;
+    peer_request_in_flight_ = true;
     const auto number = ++peer_request_;
     const auto answer = [this, alive = alive_, number](const std::vector<std::string>& states) {
-        if (*alive && peer_request_open_ && number == peer_request_) {
-            peer_request_open_ = false;
+        if (*alive && peer_request_in_flight_ && number == peer_request_) {
+            peer_request_in_flight_ = false;
             timers_.cancel(peer_timer_);
             on_peer_states(states);
         }
     };
     peer_timer_ = timers_.schedule(options_.peer_timeout, [answer] { answer({}); });
-    peers_->fetch(ledger_.next_offset(), answer);
+    peers_->fetch(state_machine_.next_offset(), answer);
 }
 
 void config_follower::on_peer_states(const std::vector<std::string>& states)
 {
-    std::optional<config_ledger> newest;
+    std::optional<config_state_machine> newest;
     for (const auto& text : states) {
         if (text.empty()) {
             continue;
@@ -381,20 +383,20 @@
         const auto decoded = decode_config_record(text);
         const auto* snapshot = decoded ? std::get_if<config_snapshot>(&decoded.value()) : nullptr;
         peer_state_seen_ = peer_state_seen_ || snapshot != nullptr;
-        if (snapshot == nullptr || snapshot->next <= ledger_.next_offset() ||
+        if (snapshot == nullptr || snapshot->next <= state_machine_.next_offset() ||
             (newest && snapshot->next <= newest->next_offset())) {
             continue;
         }
-        if (auto ledger = config_ledger::from_snapshot(*snapshot)) {
-            newest = std::move(ledger.value());
+        if (auto state_machine = config_state_machine::from_snapshot(*snapshot)) {
+            newest = std::move(state_machine.value());
         }
     }
     peers_answered_ = true;
     // After a regression nothing is taken over until the log is in order again.
     if (newest && log_state_ != config_log_state::regressed && adopt(std::move(*newest), "peer")) {
         scan_.reset();
-        held_page_.reset();
-        checked_at_.reset();
+        unverified_page_.reset();
+        verified_at_.reset();
     }
     put_in_force();
     finish_edits();
@@ -402,39 +404,39 @@
 
 std::string config_follower::state_for_peer(log_offset newer_than) const
 {
-    if (!is_ready() || ledger_.next_offset() <= newer_than) {
+    if (!is_ready() || state_machine_.next_offset() <= newer_than) {
         return {};
     }
-    return encode(ledger_.snapshot());
+    return encode(state_machine_.snapshot());
 }
 
-bool config_follower::adopt(config_ledger later, const char* source)
+bool config_follower::adopt(config_state_machine later, const char* source)
 {
     // Before a document is in force nothing can go back, so the state that has seen more is taken.
-    const bool fits = is_ready() ? ledger_.can_be_followed_by(later)
-                                 : later.next_offset() >= ledger_.next_offset();
+    const bool fits = is_ready() ? state_machine_.can_be_followed_by(later)
+                                 : later.next_offset() >= state_machine_.next_offset();
     if (!fits) {
         ++counts_.refused_states;
         log_event("config_state_refused", "count={} source={}", counts_.refused_states, source);
         return false;
     }
     ++counts_.adopted_states;
-    ledger_ = std::move(later);
+    state_machine_ = std::move(later);
     return true;
 }
 
 void config_follower::put_in_force()
 {
     const bool is_log_known = log_read_to_end_ || (log_failed_ && peer_state_seen_);
-    if (!peers_answered_ || !is_log_known || !ledger_.has_document()) {
+    if (!peers_answered_ || !is_log_known || !state_machine_.has_document()) {
         return;
     }
-    const auto version = ledger_.document_version();
+    const auto version = state_machine_.document_version();
     assert(version >= in_force_.version);
     if (in_force_.settings && version == in_force_.version) {
         return;
     }
-    in_force_ = {ledger_.current().settings(), version};
+    in_force_ = {state_machine_.current().settings(), version};
     log_event("config_in_force", "version={}", version);
     // A subscriber may subscribe another one.
     for (std::size_t n = 0; n < subscribers_.size(); ++n) {
@@ -449,7 +451,7 @@
     }
     log_state_ = state;
     log_event("config_log", "state={} next={} reason=\"{}\"", to_string(state),
-              ledger_.next_offset(), reason);
+              state_machine_.next_offset(), reason);
 }
 
 // Edits.
@@ -466,7 +468,7 @@
     if (edit.id.empty()) {
         return refuse(errc::invalid_argument, "the edit has no id");
     }
-    if (edit.content.size() > config_ledger::max_content_bytes) {
+    if (edit.content.size() > config_state_machine::max_content_bytes) {
         return refuse(errc::limit_exceeded, "the content is too long");
     }
     if (edits_.contains(edit.id)) {
@@ -482,7 +484,7 @@
     pending.done = std::move(done);
     pending.deadline = timers_.monotonic_now() + options_.edit_timeout;
     edits_.emplace(id, std::move(pending));
-    if (ledger_.outcome_of(id)) {
+    if (state_machine_.outcome_of(id)) {
         timers_.schedule(duration::zero(), [this, alive = alive_] {
             if (*alive) {
                 finish_edits();
@@ -558,15 +560,16 @@
 {
     std::vector<std::string> done;
     for (const auto& [id, edit] : edits_) {
-        if (fresh_outcomes_.contains(id) || ledger_.outcome_of(id)) {
+        if (new_outcomes_.contains(id) || state_machine_.outcome_of(id)) {
             done.push_back(id);
         }
     }
     for (const auto& id : done) {
-        const auto fresh = fresh_outcomes_.find(id);
-        finish_edit(id, fresh != fresh_outcomes_.end() ? fresh->second : *ledger_.outcome_of(id));
+        const auto fresh = new_outcomes_.find(id);
+        finish_edit(id,
+                    fresh != new_outcomes_.end() ? fresh->second : *state_machine_.outcome_of(id));
     }
-    fresh_outcomes_.clear();
+    new_outcomes_.clear();
 }
 
 void config_follower::finish_edit(const std::string& id, result<edit_outcome> outcome)
@@ -583,10 +586,10 @@
 
 bool config_follower::is_snapshot_due() const
 {
-    if (log_state_ != config_log_state::following || !ledger_.has_document()) {
+    if (log_state_ != config_log_state::following || !state_machine_.has_document()) {
         return false;
     }
-    const auto& newest = ledger_.newest_snapshot();
+    const auto& newest = state_machine_.newest_snapshot();
     // A snapshot is of no use once a record that it does not cover has been dropped.
     if (!newest || newest->next < first_retained_) {
         return true;
@@ -594,10 +597,10 @@
     // The age is read from wall clocks. A wrong one makes snapshots too frequent or leaves them to
     // the other two rules and the other instances; no verdict depends on it.
     return timers_.wall_now() - newest->time > options_.retention / 4 ||
-           ledger_.next_offset() - newest->offset > options_.records_between_snapshots;
+           state_machine_.next_offset() - newest->offset > options_.records_between_snapshots;
 }
 
-void config_follower::plan_snapshot()
+void config_follower::schedule_snapshot()
 {
     if (snapshot_timer_ != 0 || !is_snapshot_due() ||
         timers_.monotonic_now() < next_snapshot_allowed_) {
@@ -617,7 +620,8 @@
     next_snapshot_allowed_ = timers_.monotonic_now() + snapshot_pause;
     ++counts_.snapshots_written;
     // The result does not matter: the record shows up in a poll, or the next attempt writes it.
-    log_.append(options_.stream, encode(ledger_.snapshot()), [](const result<log_offset>&) {});
+    log_.append(options_.stream, encode(state_machine_.snapshot()),
+                [](const result<log_offset>&) {});
 }
 
 duration config_follower::jittered(duration span)
--- a/src/config/config_ledger.cpp
+++ b/src/config/config_state_machine.cpp
@@ -1,4 +1,4 @@
-#include "config/config_ledger.h"
+#include "config/config_state_machine.h"
 
 #include "base/hash.h"
 #include "config/config_record_codec.h"
@@ -13,7 +13,7 @@
 namespace {
 
 // Snapshots are written a few seconds after the offset they cover, so 128 records suffice.
-constexpr std::size_t mark_capacity = 128;
+constexpr std::size_t checkpoint_capacity = 128;
 constexpr std::size_t max_detail_bytes = 300;
 
 // Cuts a text without splitting a UTF-8 character.
@@ -78,41 +78,42 @@
     return "invalid";
 }
 
-result<config_ledger> config_ledger::from_snapshot(const config_snapshot& snapshot)
+result<config_state_machine> config_state_machine::from_snapshot(const config_snapshot& snapshot)
 {
     std::array<std::string, document::section_count> texts;
     if (snapshot.next == 0 || snapshot.sections.size() != texts.size() ||
         snapshot.history.size() > history_capacity) {
         return failure(errc::invalid_argument, "snapshot is incomplete");
     }
-    config_ledger ledger;
+    config_state_machine state_machine;
     for (std::size_t n = 0; n < texts.size(); ++n) {
         const auto& section = snapshot.sections[n];
         if (section.name != document_sections()[n] || section.version >= snapshot.next) {
             return failure(errc::invalid_argument, "snapshot has a section out of order");
         }
         texts[n] = section.text;
-        ledger.sections_[n] = {section.version, section.author, section.edit_id,
-                               hash64(section.text)};
+        state_machine.sections_[n] = {section.version, section.author, section.edit_id,
+                                      hash64(section.text)};
     }
     auto parsed = document::from_sections(texts);
     if (!parsed) {
         return failure(errc::invalid_argument, to_string(parsed.error()));
     }
-    ledger.document_ = std::move(parsed.value());
-    ledger.next_ = snapshot.next;
-    ledger.last_digest_ = snapshot.last_digest;
-    ledger.chain_digest_ = snapshot.chain_digest;
-    ledger.history_.assign(snapshot.history.begin(), snapshot.history.end());
+    state_machine.document_ = std::move(parsed.value());
+    state_machine.next_ = snapshot.next;
+    state_machine.last_digest_ = snapshot.last_digest;
+    state_machine.chain_digest_ = snapshot.chain_digest;
+    state_machine.history_.assign(snapshot.history.begin(), snapshot.history.end());
     if (snapshot.has_snapshot) {
-        ledger.newest_snapshot_ = {snapshot.snapshot_offset, snapshot.snapshot_next,
-                                   snapshot.snapshot_time};
+        state_machine.newest_snapshot_ = {snapshot.snapshot_offset, snapshot.snapshot_next,
+                                          snapshot.snapshot_time};
     }
-    ledger.marks_.push_back({ledger.next_, ledger.chain_digest_, ledger.sections_digest()});
-    return ledger;
+    state_machine.checkpoints_.push_back(
+        {state_machine.next_, state_machine.chain_digest_, state_machine.sections_digest()});
+    return state_machine;
 }
 
-record_effect config_ledger::apply(const log_record& record)
+record_effect config_state_machine::apply(const log_record& record)
 {
     assert(record.offset == next_);
     record_effect effect;
@@ -122,13 +123,13 @@
     }
     else if (auto* edit = std::get_if<config_edit>(&decoded.value())) {
         std::optional<document> next;
-        auto outcome = judge(*edit, next);
+        auto outcome = evaluate(*edit, next);
         if (outcome.verdict == edit_verdict::accepted) {
             accept(*edit, outcome, std::move(*next));
             effect.document_changed = true;
             fill_current(outcome, edit->section);
         }
-        remember(*edit, outcome, record.time);
+        append_history(*edit, outcome, record.time);
         effect.edit = std::move(outcome);
     }
     else {
@@ -142,20 +143,21 @@
     last_digest_ = hash64(record.content);
     chain_digest_ = hash64(record.content, chain_digest_);
     ++next_;
-    marks_.push_back({next_, chain_digest_, sections_digest()});
-    if (marks_.size() > mark_capacity) {
-        marks_.pop_front();
+    checkpoints_.push_back({next_, chain_digest_, sections_digest()});
+    if (checkpoints_.size() > checkpoint_capacity) {
+        checkpoints_.pop_front();
     }
     return effect;
 }
 
-edit_outcome config_ledger::judge(const config_edit& edit) const
+edit_outcome config_state_machine::evaluate(const config_edit& edit) const
 {
     std::optional<document> next;
-    return judge(edit, next);
+    return evaluate(edit, next);
 }
 
-edit_outcome config_ledger::judge(const config_edit& edit, std::optional<document>& next) const
+edit_outcome config_state_machine::evaluate(const config_edit& edit,
+                                            std::optional<document>& next) const
 {
     edit_outcome outcome;
     outcome.edit_id = edit.id;
@@ -224,7 +226,8 @@
                   summary_of_change(document_->section_text(edit.section), edit.content));
 }
 
-void config_ledger::accept(const config_edit& edit, const edit_outcome& outcome, document next)
+void config_state_machine::accept(const config_edit& edit, const edit_outcome& outcome,
+                                  document next)
 {
     document_ = std::move(next);
     for (std::size_t n = 0; n < sections_.size(); ++n) {
@@ -236,7 +239,8 @@
     }
 }
 
-void config_ledger::remember(const config_edit& edit, const edit_outcome& outcome, wall_time time)
+void config_state_machine::append_history(const config_edit& edit, const edit_outcome& outcome,
+                                          wall_time time)
 {
     if (outcome.verdict == edit_verdict::duplicate) {
         for (auto& it : history_) {
@@ -255,7 +259,7 @@
     }
 }
 
-std::optional<edit_outcome> config_ledger::outcome_of(std::string_view edit_id) const
+std::optional<edit_outcome> config_state_machine::outcome_of(std::string_view edit_id) const
 {
     for (const auto& it : history_) {
         if (it.edit_id == edit_id) {
@@ -271,7 +275,7 @@
     return std::nullopt;
 }
 
-void config_ledger::fill_current(edit_outcome& outcome, std::string_view section) const
+void config_state_machine::fill_current(edit_outcome& outcome, std::string_view section) const
 {
     const auto index = section == whole_document ? 0 : section_index(section);
     if (document_ && index < sections_.size()) {
@@ -281,7 +285,7 @@
     }
 }
 
-config_snapshot config_ledger::snapshot() const
+config_snapshot config_state_machine::snapshot() const
 {
     assert(document_);
     config_snapshot all;
@@ -304,13 +308,13 @@
     return all;
 }
 
-log_offset config_ledger::version_of(std::string_view section) const
+log_offset config_state_machine::version_of(std::string_view section) const
 {
     const auto index = section_index(section);
     return index == sections_.size() ? 0 : sections_[index].version;
 }
 
-log_offset config_ledger::document_version() const
+log_offset config_state_machine::document_version() const
 {
     log_offset newest = 0;
     for (const auto& it : sections_) {
@@ -319,7 +323,7 @@
     return newest;
 }
 
-bool config_ledger::can_be_followed_by(const config_ledger& later) const
+bool config_state_machine::can_be_followed_by(const config_state_machine& later) const
 {
     if (!document_) {
         return later.next_ >= next_;
@@ -339,11 +343,12 @@
     return true;
 }
 
-bool config_ledger::contradicts(const config_snapshot& snapshot) const
+bool config_state_machine::contradicts(const config_snapshot& snapshot) const
 {
-    const auto mark = std::find_if(marks_.begin(), marks_.end(),
-                                   [&](const prefix_mark& it) { return it.next == snapshot.next; });
-    if (mark == marks_.end()) {
+    const auto mark =
+        std::find_if(checkpoints_.begin(), checkpoints_.end(),
+                     [&](const state_checkpoint& it) { return it.next == snapshot.next; });
+    if (mark == checkpoints_.end()) {
         return false;
     }
     std::uint64_t digest = 0;
@@ -353,7 +358,7 @@
     return snapshot.chain_digest != mark->chain || digest != mark->sections;
 }
 
-std::uint64_t config_ledger::sections_digest() const
+std::uint64_t config_state_machine::sections_digest() const
 {
     std::uint64_t digest = 0;
     for (const auto& it : sections_) {
--- a/src/daemon/config_endpoints.cpp
+++ b/src/daemon/config_endpoints.cpp
@@ -39,15 +39,15 @@
     root["log_state"] = to_string(follower.log_state());
     root["version"] = Json::UInt64{follower.in_force().version};
     Json::Value& sections = root["sections"] = Json::Value(Json::arrayValue);
-    const auto& ledger = follower.ledger();
-    if (ledger.has_document()) {
-        root["text"] = ledger.current().text();
+    const auto& state_machine = follower.state_machine();
+    if (state_machine.has_document()) {
+        root["text"] = state_machine.current().text();
         for (const auto& name : document_sections()) {
             Json::Value entry(Json::objectValue);
             entry["name"] = to_json(name);
-            entry["version"] = Json::UInt64{ledger.version_of(name)};
-            entry["owner"] = to_json(ledger.current().owner_of(name));
-            entry["text"] = to_json(ledger.current().section_text(name));
+            entry["version"] = Json::UInt64{state_machine.version_of(name)};
+            entry["owner"] = to_json(state_machine.current().owner_of(name));
+            entry["text"] = to_json(state_machine.current().section_text(name));
             sections.append(std::move(entry));
         }
     }
@@ -58,7 +58,7 @@
 {
     Json::Value root(Json::objectValue);
     Json::Value& changes = root["changes"] = Json::Value(Json::arrayValue);
-    for (const auto& it : follower.ledger().history()) {
+    for (const auto& it : follower.state_machine().history()) {
         Json::Value entry(Json::objectValue);
         entry["offset"] = Json::UInt64{it.offset};
         entry["time_us"] = Json::Int64{it.time.time_since_epoch().count()};
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -51,10 +51,10 @@
 {
     follower_.subscribe([this](const config_in_force& document) { apply(document); });
     detector_.on_change([this](const member_change& /*change*/) { members_changed(); });
-    detector_.on_reach([this](std::string_view data_centre, bool reachable) {
+    detector_.on_reachability_change([this](std::string_view data_centre, bool reachable) {
         data_centre_changed(data_centre, reachable);
     });
-    detector_.set_hints(options_.seeds);
+    detector_.set_seed_peers(options_.seeds);
     detector_.start();
     follower_.start();
     if (accounts_) {
@@ -164,11 +164,11 @@
         if (!self || !reply) {
             return; // an old list is better than none, so the hints stay
         }
-        std::vector<peer_hint> hints;
+        std::vector<seed_peer> hints;
         for (const listed_instance& it : reply.value()) {
             hints.push_back({it.name, it.data_centre, it.address, it.leaving});
         }
-        (*self)->detector_.set_hints(std::move(hints));
+        (*self)->detector_.set_seed_peers(std::move(hints));
     });
     list_timer_ =
         dependencies_.timers.schedule(options_.list_interval, [this] { poll_instance_list(); });
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -12,13 +12,13 @@
 
 // Updates beyond recent changes that a message repeats from the table. They repair what lost
 // messages left out, at a fixed cost for any number of members.
-constexpr std::size_t repeated_updates = 2;
+constexpr std::size_t table_updates_per_message = 2;
 
 // Outdated entries of a peer that one reply puts right, so that room for rumours remains.
 constexpr std::size_t max_corrections = 4;
 
 // Members with unconfirmed misses that are probed again each period, beside the regular one.
-constexpr std::size_t doubtful_probes = 2;
+constexpr std::size_t max_unconfirmed_probes = 2;
 
 // One dead member is pinged every so many periods, so that the sides of a long partition that
 // declared each other dead meet again without the platform's list.
@@ -26,14 +26,14 @@
 
 // Each update is sent this many times the logarithm of the number of members, which reaches all
 // of them with high probability in a push protocol.
-constexpr unsigned rumour_factor = 2;
+constexpr unsigned retransmit_factor = 2;
 
 // Sends that hearing a rumour back counts for. A rumour that returns is known widely; without
 // this, the rumours of a start of all instances fill the messages for minutes.
-constexpr unsigned returned_rumour = 2;
+constexpr unsigned echo_weight = 2;
 
 // Members that are told of a goodbye directly.
-constexpr std::size_t goodbye_messages = 5;
+constexpr std::size_t max_leave_messages = 5;
 
 // Hints tried each period until one answers. A stale list may name many that are gone.
 constexpr unsigned seeds_while_joining = 4;
@@ -46,7 +46,7 @@
 failure_detector::failure_detector(timer_service& timers, peer_transport& transport, member self,
                                    std::uint32_t seed, failure_detector_settings settings)
     : timers_(timers), transport_(transport), settings_(settings), table_(std::move(self)),
-      watch_(settings.period * settings.suspicion_periods),
+      partition_detector_(settings.period * settings.suspicion_periods),
       random_(seed ^ static_cast<std::uint32_t>(hash64(table_.self().name))),
       alive_(std::make_shared<failure_detector*>(this))
 {
@@ -67,21 +67,22 @@
     tick_timer_ = timers_.schedule(phase, [this] { tick(); });
 }
 
-void failure_detector::set_hints(std::vector<peer_hint> hints)
+void failure_detector::set_seed_peers(std::vector<seed_peer> seed_peers)
 {
-    hints_ = std::move(hints);
+    seed_peers_ = std::move(seed_peers);
     // Instances that start together would otherwise all copy the table of the list's first entry.
-    hint_cursor_ =
-        hints_.empty() ? 0 : draw_below(random_, static_cast<std::uint32_t>(hints_.size()));
-    std::erase_if(hint_tries_, [this](const auto& it) {
-        return std::none_of(hints_.begin(), hints_.end(),
-                            [&](const peer_hint& hint) { return hint.name == it.first; });
+    seed_cursor_ = seed_peers_.empty()
+                       ? 0
+                       : draw_below(random_, static_cast<std::uint32_t>(seed_peers_.size()));
+    std::erase_if(seed_attempts_, [this](const auto& it) {
+        return std::none_of(seed_peers_.begin(), seed_peers_.end(),
+                            [&](const seed_peer& hint) { return hint.name == it.first; });
     });
 }
 
 void failure_detector::set_summary(std::string summary)
 {
-    assert(summary.size() <= max_summary);
+    assert(summary.size() <= max_summary_bytes);
     summary_ = std::move(summary);
 }
 
@@ -91,7 +92,7 @@
     if (self.weight != weight) {
         self.weight = weight;
         ++self.refutation;
-        spread(self.name);
+        queue_update(self.name);
     }
 }
 
@@ -101,7 +102,7 @@
     if (!self.leaving) {
         self.leaving = true;
         ++self.refutation;
-        spread(self.name);
+        queue_update(self.name);
     }
 }
 
@@ -121,7 +122,7 @@
             names.push_back(name);
         }
     }
-    const auto n = std::min(names.size(), goodbye_messages);
+    const auto n = std::min(names.size(), max_leave_messages);
     for (std::size_t i = 0; i < n; ++i) {
         const auto rest = static_cast<std::uint32_t>(names.size() - i);
         std::swap(names[i], names[i + draw_below(random_, rest)]);
@@ -153,10 +154,10 @@
     }
     ++ticks_;
     expire_suspicions();
-    forget_gone();
+    remove_expired();
     probe_next();
-    probe_doubtful();
-    verify_data_centres();
+    probe_unconfirmed();
+    probe_suspect_data_centres();
     probe_seeds();
 }
 
@@ -168,7 +169,7 @@
         if (entry.info.state == member_state::suspect) {
             entry.deadline += lost;
         }
-        entry.misses = 0;
+        entry.failed_probes = 0;
     }
 }
 
@@ -194,11 +195,12 @@
             }
         }
     }
-    const bool isolated = table_.live_count() > 2 && !watch_.any_heard(now);
+    const bool isolated = table_.live_count() > 2 && !partition_detector_.any_recent_contact(now);
     for (auto* entry : expired) {
         const auto& data_centre = entry->info.data_centre;
-        if (watch_.is_cut_off(data_centre)) {
-            if (watch_.cut_off_for(data_centre, now) > settings_.cut_off_retention) {
+        if (partition_detector_.is_partitioned(data_centre)) {
+            if (partition_detector_.partitioned_for(data_centre, now) >
+                settings_.partition_retention) {
                 declare_dead(*entry);
             }
             continue;
@@ -206,38 +208,39 @@
         const auto& it = counts[data_centre];
         // This instance is itself an answering member of its own data centre.
         const bool is_own = data_centre == table_.self().data_centre;
-        switch (is_own ? data_centre_watch::verdict::members_died
-                       : watch_.judge(data_centre, it.live, it.suspects, now)) {
-        case data_centre_watch::verdict::members_died:
+        switch (is_own ? partition_detector::verdict::members_died
+                       : partition_detector_.classify(data_centre, it.live, it.suspects, now)) {
+        case partition_detector::verdict::members_died:
             // Without an own failed probe the suspicion is hearsay; the next period probes it. An
             // instance that hears nobody is itself cut off and declares nobody dead.
-            if (!isolated && entry->misses > 0) {
+            if (!isolated && entry->failed_probes > 0) {
                 declare_dead(*entry);
             }
             break;
-        case data_centre_watch::verdict::cut_off:
-            watch_.set_cut_off(data_centre, now);
+        case partition_detector::verdict::partitioned:
+            partition_detector_.mark_partitioned(data_centre, now);
             table_.set_reachable(data_centre, false);
-            for (const auto& fn : reach_callbacks_) {
+            for (const auto& fn : reachability_callbacks_) {
                 fn(data_centre, false);
             }
             break;
-        case data_centre_watch::verdict::unclear:
+        case partition_detector::verdict::undecided:
             break;
         }
     }
 }
 
-void failure_detector::forget_gone()
+void failure_detector::remove_expired()
 {
     const auto now = timers_.monotonic_now();
     for (auto& [name, entry] : table_.others()) {
-        if (entry.flaps > 0 && now - entry.flapped > settings_.flap_memory) {
-            entry.flaps = 0;
+        if (entry.flap_count > 0 && now - entry.last_flap > settings_.flap_reset_interval) {
+            entry.flap_count = 0;
         }
     }
     std::erase_if(table_.others(), [&](const auto& it) {
-        return !is_live(it.second.info.state) && now - it.second.changed > settings_.dead_retention;
+        return !is_live(it.second.info.state) &&
+               now - it.second.state_changed_at > settings_.dead_retention;
     });
 }
 
@@ -246,9 +249,9 @@
 void failure_detector::probe_next()
 {
     for (int rounds = 0; rounds < 2; ++rounds) {
-        while (!round_.empty()) {
-            const auto name = std::move(round_.back());
-            round_.pop_back();
+        while (!probe_round_.empty()) {
+            const auto name = std::move(probe_round_.back());
+            probe_round_.pop_back();
             const auto* entry = table_.find(name);
             if (entry != nullptr && is_live(entry->info.state)) {
                 probe_member(name);
@@ -257,39 +260,40 @@
         }
         for (const auto& [name, entry] : table_.others()) {
             if (is_live(entry.info.state)) {
-                round_.push_back(name);
+                probe_round_.push_back(name);
             }
         }
-        for (std::size_t i = round_.size(); i > 1; --i) {
-            std::swap(round_[i - 1], round_[draw_below(random_, static_cast<std::uint32_t>(i))]);
+        for (std::size_t i = probe_round_.size(); i > 1; --i) {
+            std::swap(probe_round_[i - 1],
+                      probe_round_[draw_below(random_, static_cast<std::uint32_t>(i))]);
         }
     }
 }
 
 // Probes suspects and members with misses again, longest unheard first. A live suspect is told
 // about the suspicion by the ping itself and refutes it in the reply.
-void failure_detector::probe_doubtful()
+void failure_detector::probe_unconfirmed()
 {
     std::vector<const member_entry*> doubtful;
     for (const auto& [name, entry] : table_.others()) {
         if (is_live(entry.info.state) &&
-            (entry.info.state == member_state::suspect || entry.misses > 0) &&
+            (entry.info.state == member_state::suspect || entry.failed_probes > 0) &&
             table_.is_reachable(entry.info.data_centre)) {
             doubtful.push_back(&entry);
         }
     }
     // Members without an own miss go first: their suspicion is hearsay until they are probed.
     std::sort(doubtful.begin(), doubtful.end(), [](const auto* a, const auto* b) {
-        return std::pair(a->misses, a->heard) < std::pair(b->misses, b->heard);
+        return std::pair(a->failed_probes, a->heard) < std::pair(b->failed_probes, b->heard);
     });
-    for (std::size_t i = 0; i < std::min(doubtful.size(), doubtful_probes); ++i) {
+    for (std::size_t i = 0; i < std::min(doubtful.size(), max_unconfirmed_probes); ++i) {
         probe_member(doubtful[i]->info.name);
     }
 }
 
 // Pings one member beside a suspect in its data centre, to tell a death from a cut before the
 // suspicion ends.
-void failure_detector::verify_data_centres()
+void failure_detector::probe_suspect_data_centres()
 {
     std::vector<std::string_view> in_question;
     for (const auto& [name, entry] : table_.others()) {
@@ -306,7 +310,7 @@
     const auto data_centre = in_question[ticks_ % in_question.size()];
     std::vector<const std::string*> names;
     for (const auto& [name, entry] : table_.others()) {
-        if (entry.info.state == member_state::alive && entry.misses == 0 &&
+        if (entry.info.state == member_state::alive && entry.failed_probes == 0 &&
             entry.info.data_centre == data_centre) {
             names.push_back(&name);
         }
@@ -320,16 +324,16 @@
 {
     const auto now = timers_.monotonic_now();
     auto budget = joined_ ? 1U : seeds_while_joining;
-    for (std::size_t i = 0; i < hints_.size() && budget > 0; ++i) {
-        const auto& hint = hints_[hint_cursor_++ % hints_.size()];
+    for (std::size_t i = 0; i < seed_peers_.size() && budget > 0; ++i) {
+        const auto& hint = seed_peers_[seed_cursor_++ % seed_peers_.size()];
         if (hint.name == table_.self().name || table_.find(hint.name) != nullptr) {
             continue;
         }
-        const auto tried = hint_tries_.find(hint.name);
-        if (tried != hint_tries_.end() && now - tried->second < settings_.hint_retry) {
+        const auto tried = seed_attempts_.find(hint.name);
+        if (tried != seed_attempts_.end() && now - tried->second < settings_.seed_retry_interval) {
             continue;
         }
-        hint_tries_[hint.name] = now;
+        seed_attempts_[hint.name] = now;
         ping(hint.address, hint.name, [](const auto&) {});
         --budget;
     }
@@ -357,7 +361,7 @@
     traffic_.bytes_sent += text.size();
     transport_.send(address, std::move(text), limit,
                     [weak = std::weak_ptr(alive_), id = request.id,
-                     is_page = request.after.has_value(),
+                     is_table_copy = request.after.has_value(),
                      done = std::move(done)](result<std::string> reply) {
                         const auto alive = weak.lock();
                         if (!alive) {
@@ -376,7 +380,7 @@
                             done(failure(errc::invalid_argument, "reply does not fit the request"));
                             return;
                         }
-                        self.receive(decoded.value().news, is_page);
+                        self.receive(decoded.value().gossip, is_table_copy);
                         done(std::move(decoded));
                     });
 }
@@ -384,7 +388,7 @@
 void failure_detector::ping(std::string_view address, std::string_view name, reply_handler done)
 {
     membership_request request;
-    request.news = make_gossip(name);
+    request.gossip = make_gossip(name);
     request.target = name;
     send(address, std::move(request), settings_.ping_timeout, std::move(done));
 }
@@ -396,10 +400,10 @@
     const auto sent = timers_.monotonic_now();
     ping(entry.info.address, name, [this, it, sent](const result<membership_reply>& reply) {
         // The address may have passed to another instance, whose answer proves nothing.
-        if (reply && reply.value().news.from.name == it->name) {
+        if (reply && reply.value().gossip.from.name == it->name) {
             finish_probe(*it, true);
         }
-        else if (!was_late(sent, settings_.ping_timeout)) {
+        else if (!was_paused(sent, settings_.ping_timeout)) {
             probe_indirectly(it);
         }
     });
@@ -413,8 +417,9 @@
     }
     // Indirect probes into a data centre that is cut off would cost six messages a period for
     // hours without a new finding.
-    const auto helpers = table_.is_reachable(entry->info.data_centre) ? choose_helpers(entry->info)
-                                                                      : std::vector<std::string>{};
+    const auto helpers = table_.is_reachable(entry->info.data_centre)
+                             ? choose_indirect_probers(entry->info)
+                             : std::vector<std::string>{};
     if (helpers.empty()) {
         finish_probe(*it, false);
         return;
@@ -424,7 +429,7 @@
     for (const auto& helper : helpers) {
         membership_request request;
         request.call = membership_request::method::ping_request;
-        request.news = make_gossip(helper);
+        request.gossip = make_gossip(helper);
         request.target = it->name;
         request.target_address = entry->info.address;
         send(table_.find(helper)->info.address, std::move(request), settings_.indirect_timeout,
@@ -432,7 +437,7 @@
                  --it->open;
                  if (reply && reply.value().reached) {
                      if (reply.value().target && reply.value().target->name == it->name) {
-                         apply(*reply.value().target, origin::own_word);
+                         apply(*reply.value().target, update_source::first_hand);
                      }
                      if (!it->reached) {
                          it->reached = true;
@@ -440,7 +445,7 @@
                      }
                  }
                  else if (it->open == 0 && !it->reached &&
-                          !was_late(sent, settings_.indirect_timeout)) {
+                          !was_paused(sent, settings_.indirect_timeout)) {
                      finish_probe(*it, false);
                  }
              });
@@ -454,12 +459,13 @@
         return;
     }
     if (reached) {
-        note_heard(it.name);
+        record_contact(it.name);
         return;
     }
-    watch_.missed(entry->info.data_centre);
-    ++entry->misses;
-    if (entry->info.state == member_state::alive && entry->misses > tolerated_misses(*entry)) {
+    partition_detector_.record_failed_probe(entry->info.data_centre);
+    ++entry->failed_probes;
+    if (entry->info.state == member_state::alive &&
+        entry->failed_probes > tolerated_failures(*entry)) {
         suspect(*entry);
     }
 }
@@ -470,7 +476,7 @@
 {
     joining_ = true;
     membership_request request;
-    request.news = make_gossip(name);
+    request.gossip = make_gossip(name);
     request.target = name;
     request.after = after;
     send(address, std::move(request), settings_.ping_timeout,
@@ -479,7 +485,7 @@
                  joining_ = false; // the next contact starts over
                  return;
              }
-             const auto& updates = reply.value().news.updates;
+             const auto& updates = reply.value().gossip.updates;
              if (updates.size() < max_updates_per_message || updates.back().name <= after) {
                  joined_ = true;
                  joining_ = false;
@@ -506,69 +512,70 @@
         return;
     }
     const auto& request = decoded.value();
-    receive(request.news, false);
+    receive(request.gossip, false);
     if (request.call == membership_request::method::ping) {
         membership_reply out;
         out.id = request.id;
-        out.news = request.after ? make_page(*request.after) : make_gossip(request.news.from.name);
-        tell_successor(request.news.from, out.news);
+        out.gossip =
+            request.after ? make_page(*request.after) : make_gossip(request.gossip.from.name);
+        add_successor(request.gossip.from, out.gossip);
         answer(reply, encode_reply(out));
         return;
     }
     ping(request.target_address, request.target,
-         [this, answer, id = request.id, asker = request.news.from.name, target = request.target,
+         [this, answer, id = request.id, asker = request.gossip.from.name, target = request.target,
           reply = std::move(reply)](const result<membership_reply>& found) {
              membership_reply out;
              out.id = id;
-             out.news = make_gossip(asker);
-             out.reached = found && found.value().news.from.name == target;
+             out.gossip = make_gossip(asker);
+             out.reached = found && found.value().gossip.from.name == target;
              if (out.reached) {
-                 out.target = found.value().news.from;
+                 out.target = found.value().gossip.from;
              }
              answer(reply, encode_reply(out));
          });
 }
 
-void failure_detector::receive(const gossip& news, bool is_page)
+void failure_detector::receive(const gossip_payload& gossip, bool is_table_copy)
 {
     // What a page brings is known to the others already. Spreading it again from every joining
     // instance would fill their messages for minutes.
-    const auto how = is_page ? origin::page : origin::rumour;
+    const auto how = is_table_copy ? update_source::page : update_source::rumour;
     outdated_.clear();
-    for (const auto& update : news.updates) {
+    for (const auto& update : gossip.updates) {
         apply(update, how);
     }
-    apply(news.from, origin::own_word);
-    if (news.from.name == table_.self().name) {
+    apply(gossip.from, update_source::first_hand);
+    if (gossip.from.name == table_.self().name) {
         return;
     }
-    const auto* entry = table_.find(news.from.name);
-    if (entry == nullptr || entry->info.incarnation != news.from.incarnation) {
+    const auto* entry = table_.find(gossip.from.name);
+    if (entry == nullptr || entry->info.incarnation != gossip.from.incarnation) {
         return;
     }
-    note_heard(news.from.name);
-    if (!news.summary.empty()) {
-        table_.find(news.from.name)->summary = news.summary;
+    record_contact(gossip.from.name);
+    if (!gossip.summary.empty()) {
+        table_.find(gossip.from.name)->summary = gossip.summary;
         for (const auto& fn : summary_callbacks_) {
-            fn(news.from, news.summary);
+            fn(gossip.from, gossip.summary);
         }
     }
-    if (!joined_ && !joining_ && !stopped_ && news.from.state == member_state::alive) {
-        copy_table(news.from.address, news.from.name, "");
+    if (!joined_ && !joining_ && !stopped_ && gossip.from.state == member_state::alive) {
+        copy_table(gossip.from.address, gossip.from.name, "");
     }
 }
 
-void failure_detector::apply(const member& update, origin from)
+void failure_detector::apply(const member& update, update_source from)
 {
     if (update.name == table_.self().name) {
         refute(update);
         return;
     }
     const auto* known = table_.find(update.name);
-    if (from != origin::own_word) {
+    if (from != update_source::first_hand) {
         // Hearsay about a data centre that is cut off cannot come from its members.
         if (update.state == member_state::dead && known != nullptr &&
-            watch_.is_cut_off(known->info.data_centre)) {
+            partition_detector_.is_partitioned(known->info.data_centre)) {
             return;
         }
         // An unknown member that is gone needs no entry.
@@ -581,45 +588,45 @@
         if (entry.info.state == member_state::suspect) {
             entry.deadline = timers_.monotonic_now() + suspicion_time(entry);
         }
-        if (from != origin::page) {
-            spread(update.name);
+        if (from != update_source::page) {
+            queue_update(update.name);
         }
-        publish(*change);
+        notify_change(*change);
     }
-    else if (from == origin::rumour && known != nullptr && supersedes(known->info, update)) {
+    else if (from == update_source::rumour && known != nullptr && supersedes(known->info, update)) {
         if (outdated_.size() < max_corrections) {
             outdated_.push_back(update.name);
         }
     }
-    else if (from == origin::rumour && known != nullptr && known->info == update) {
-        const auto it = std::find_if(rumours_.begin(), rumours_.end(),
+    else if (from == update_source::rumour && known != nullptr && known->info == update) {
+        const auto it = std::find_if(update_queue_.begin(), update_queue_.end(),
                                      [&](const rumour& r) { return r.name == update.name; });
-        if (it != rumours_.end()) {
-            it->sent += returned_rumour;
+        if (it != update_queue_.end()) {
+            it->sent += echo_weight;
         }
     }
 }
 
-void failure_detector::note_heard(std::string_view name)
+void failure_detector::record_contact(std::string_view name)
 {
     auto& entry = *table_.find(name);
     const auto now = timers_.monotonic_now();
     entry.heard = now;
-    entry.was_heard = true;
-    entry.misses = 0;
+    entry.has_contact = true;
+    entry.failed_probes = 0;
     const auto& data_centre = entry.info.data_centre;
-    if (!watch_.heard(data_centre, now)) {
+    if (!partition_detector_.heard(data_centre, now)) {
         return;
     }
     const bool was_cut_off = !table_.is_reachable(data_centre);
     table_.set_reachable(data_centre, true);
     for (auto& [other, it] : table_.others()) {
         if (it.info.data_centre == data_centre && it.info.state == member_state::suspect) {
-            it.misses = 0;
+            it.failed_probes = 0;
             it.deadline = now + suspicion_time(it);
         }
     }
-    for (const auto& fn : reach_callbacks_) {
+    for (const auto& fn : reachability_callbacks_) {
         if (was_cut_off) {
             fn(data_centre, true);
         }
@@ -630,14 +637,14 @@
 {
     auto update = entry.info;
     update.state = member_state::suspect;
-    apply(update, origin::rumour);
+    apply(update, update_source::rumour);
 }
 
 void failure_detector::declare_dead(member_entry& entry)
 {
     auto update = entry.info;
     update.state = member_state::dead;
-    apply(update, origin::own_word);
+    apply(update, update_source::first_hand);
 }
 
 // Contradicts a claim about this instance. Two processes with one name are told apart by the
@@ -653,29 +660,29 @@
         return;
     }
     if (claim.incarnation < self.incarnation || claim.state == member_state::left) {
-        spread(self.name);
+        queue_update(self.name);
         return;
     }
     if (supersedes(claim, self)) {
         self.refutation = claim.refutation + 1;
-        spread(self.name);
+        queue_update(self.name);
     }
 }
 
-void failure_detector::spread(std::string_view name)
+void failure_detector::queue_update(std::string_view name)
 {
-    std::erase_if(rumours_, [&](const rumour& it) { return it.name == name; });
-    rumours_.push_back({std::string(name), 0});
+    std::erase_if(update_queue_, [&](const rumour& it) { return it.name == name; });
+    update_queue_.push_back({std::string(name), 0});
 }
 
-unsigned failure_detector::rumour_limit() const
+unsigned failure_detector::retransmit_limit() const
 {
-    return rumour_factor * static_cast<unsigned>(std::bit_width(table_.live_count()));
+    return retransmit_factor * static_cast<unsigned>(std::bit_width(table_.live_count()));
 }
 
-gossip failure_detector::make_gossip(std::string_view receiver)
+gossip_payload failure_detector::make_gossip(std::string_view receiver)
 {
-    gossip news{table_.self(), summary_, {}};
+    gossip_payload gossip{table_.self(), summary_, {}};
     const auto add = [&](std::string_view name) {
         // The message names this instance anyway, and the receiver knows itself.
         if (name == table_.self().name || name == receiver) {
@@ -685,31 +692,31 @@
         if (entry == nullptr) {
             return false;
         }
-        news.updates.push_back(entry->info);
+        gossip.updates.push_back(entry->info);
         return true;
     };
     // The receiver learns at once what is believed about it, so that it can refute.
     const auto* believed = table_.find(receiver);
     if (believed != nullptr && believed->info.state != member_state::alive) {
-        news.updates.push_back(believed->info);
+        gossip.updates.push_back(believed->info);
     }
     // A peer that told outdated news is put right on the next message to it, the reply.
     for (const auto& name : std::exchange(outdated_, {})) {
-        const bool already = !news.updates.empty() && news.updates.front().name == name;
+        const bool already = !gossip.updates.empty() && gossip.updates.front().name == name;
         if (!already) {
             add(name);
         }
     }
     const auto is_named = [&](std::string_view name) {
-        return std::any_of(news.updates.begin(), news.updates.end(),
+        return std::any_of(gossip.updates.begin(), gossip.updates.end(),
                            [&](const member& update) { return update.name == name; });
     };
     // Least spread first; a stable order keeps newer changes behind older ones of equal count.
-    std::stable_sort(rumours_.begin(), rumours_.end(),
+    std::stable_sort(update_queue_.begin(), update_queue_.end(),
                      [](const rumour& a, const rumour& b) { return a.sent < b.sent; });
-    const auto limit = rumour_limit();
-    for (auto& it : rumours_) {
-        if (news.updates.size() >= max_updates_per_message) {
+    const auto limit = retransmit_limit();
+    for (auto& it : update_queue_) {
+        if (gossip.updates.size() >= max_updates_per_message) {
             break;
         }
         if (it.name == table_.self().name) {
@@ -721,10 +728,11 @@
         }
         it.sent += add(it.name) ? 1 : limit;
     }
-    std::erase_if(rumours_, [&](const rumour& it) { return it.sent >= limit; });
+    std::erase_if(update_queue_, [&](const rumour& it) { return it.sent >= limit; });
 
     const auto& others = table_.others();
-    const auto room = std::min(repeated_updates, max_updates_per_message - news.updates.size());
+    const auto room =
+        std::min(table_updates_per_message, max_updates_per_message - gossip.updates.size());
     for (std::size_t i = 0; i < room && !others.empty(); ++i) {
         auto it = others.upper_bound(repeat_cursor_);
         if (it == others.end()) {
@@ -737,24 +745,24 @@
             add(it->first);
         }
     }
-    return news;
+    return gossip;
 }
 
 // An earlier process whose name has been taken over learns that from the first answer.
-void failure_detector::tell_successor(const member& sender, gossip& news) const
+void failure_detector::add_successor(const member& sender, gossip_payload& gossip) const
 {
     const auto* entry = table_.find(sender.name);
     if (entry != nullptr && entry->info.incarnation > sender.incarnation) {
-        if (news.updates.size() == max_updates_per_message) {
-            news.updates.pop_back();
+        if (gossip.updates.size() == max_updates_per_message) {
+            gossip.updates.pop_back();
         }
-        news.updates.push_back(entry->info);
+        gossip.updates.push_back(entry->info);
     }
 }
 
-gossip failure_detector::make_page(std::string_view after) const
+gossip_payload failure_detector::make_page(std::string_view after) const
 {
-    gossip page{table_.self(), summary_, {}};
+    gossip_payload page{table_.self(), summary_, {}};
     for (auto it = table_.others().upper_bound(after);
          it != table_.others().end() && page.updates.size() < max_updates_per_message; ++it) {
         page.updates.push_back(it->second.info);
@@ -762,7 +770,7 @@
     return page;
 }
 
-void failure_detector::publish(const member_change& change)
+void failure_detector::notify_change(const member_change& change)
 {
     for (const auto& fn : change_callbacks_) {
         fn(change);
@@ -771,13 +779,13 @@
 
 // One helper stands in the target's own data centre if possible: it can tell a dead member from a
 // cut between data centres.
-std::vector<std::string> failure_detector::choose_helpers(const member& target)
+std::vector<std::string> failure_detector::choose_indirect_probers(const member& target)
 {
     std::vector<std::string> near;
     std::vector<std::string> names;
     for (const auto& [name, entry] : table_.others()) {
-        if (entry.info.state == member_state::alive && entry.misses == 0 && name != target.name &&
-            table_.is_reachable(entry.info.data_centre)) {
+        if (entry.info.state == member_state::alive && entry.failed_probes == 0 &&
+            name != target.name && table_.is_reachable(entry.info.data_centre)) {
             (entry.info.data_centre == target.data_centre ? near : names).push_back(name);
         }
     }
@@ -801,16 +809,17 @@
 // a link that flaps does not move its state back and forth.
 duration failure_detector::suspicion_time(const member_entry& entry) const
 {
-    return settings_.period * settings_.suspicion_periods * (1 + std::min(entry.flaps, max_flaps));
+    return settings_.period * settings_.suspicion_periods *
+           (1 + std::min(entry.flap_count, max_flaps));
 }
 
-unsigned failure_detector::tolerated_misses(const member_entry& entry) const
+unsigned failure_detector::tolerated_failures(const member_entry& entry) const
 {
-    return 2 * std::min(entry.flaps, max_flaps);
+    return 2 * std::min(entry.flap_count, max_flaps);
 }
 
 // A loss reported much later than its limit means that this process was paused.
-bool failure_detector::was_late(monotonic_time sent, duration limit) const
+bool failure_detector::was_paused(monotonic_time sent, duration limit) const
 {
     return timers_.monotonic_now() - sent > limit + settings_.period / 2;
 }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -19,7 +19,7 @@
         }
         auto& entry = others_[update.name];
         entry.info = update;
-        entry.changed = now;
+        entry.state_changed_at = now;
         return member_change{entry.info, std::nullopt, false};
     }
     auto& entry = it->second;
@@ -32,14 +32,14 @@
         entry = member_entry{};
     }
     else if (before != member_state::alive && update.state == member_state::alive) {
-        ++entry.flaps;
-        entry.flapped = now;
+        ++entry.flap_count;
+        entry.last_flap = now;
     }
     if (update.state == member_state::alive) {
-        entry.misses = 0;
+        entry.failed_probes = 0;
     }
     if (before != update.state) {
-        entry.changed = now;
+        entry.state_changed_at = now;
     }
     entry.info = update;
     return member_change{entry.info, before, restarted};
@@ -97,7 +97,7 @@
         if (end != nullptr && name >= *end) {
             break;
         }
-        total += takes_part(entry.info) ? entry.info.weight : 0;
+        total += accepts_work(entry.info) ? entry.info.weight : 0;
     }
     return total;
 }
--- a/src/membership/membership_codec.cpp
+++ b/src/membership/membership_codec.cpp
@@ -50,36 +50,37 @@
                   array[6].asUInt() != 0, weight};
 }
 
-Json::Value to_json(const gossip& news)
+Json::Value to_json(const gossip_payload& gossip)
 {
     Json::Value object(Json::objectValue);
-    object["from"] = to_json(news.from);
-    if (!news.summary.empty()) {
-        object["summary"] = news.summary;
+    object["from"] = to_json(gossip.from);
+    if (!gossip.summary.empty()) {
+        object["summary"] = gossip.summary;
     }
     auto& updates = object["updates"] = Json::Value(Json::arrayValue);
-    for (const auto& it : news.updates) {
+    for (const auto& it : gossip.updates) {
         updates.append(to_json(it));
     }
     return object;
 }
 
-result<gossip> to_gossip(const Json::Value& object)
+result<gossip_payload> to_gossip(const Json::Value& object)
 {
     if (!object.isObject()) {
         return failure(errc::invalid_argument, "params or result is not an object");
     }
-    gossip news;
+    gossip_payload gossip;
     const auto from = to_member(object["from"]);
     if (!from) {
         return failure(errc::invalid_argument, "field from is not a member");
     }
-    news.from = *from;
+    gossip.from = *from;
     const auto& summary = object["summary"];
-    if (!summary.isNull() && (!summary.isString() || summary.asString().size() > max_summary)) {
+    if (!summary.isNull() &&
+        (!summary.isString() || summary.asString().size() > max_summary_bytes)) {
         return failure(errc::invalid_argument, "field summary is not a short text");
     }
-    news.summary = summary.asString();
+    gossip.summary = summary.asString();
     const auto& updates = object["updates"];
     if (!updates.isArray() || updates.size() > max_updates_per_message) {
         return failure(errc::invalid_argument, "field updates is not an array of at most 8");
@@ -89,9 +90,9 @@
         if (!update) {
             return failure(errc::invalid_argument, "an update is not a member");
         }
-        news.updates.push_back(*update);
+        gossip.updates.push_back(*update);
     }
-    return news;
+    return gossip;
 }
 
 std::string write(const Json::Value& value)
@@ -107,7 +108,7 @@
 
 result<Json::Value> parse(std::string_view text)
 {
-    if (text.size() > max_membership_text) {
+    if (text.size() > max_membership_message_bytes) {
         return failure(errc::invalid_argument, "message exceeds 16 KiB");
     }
     static const auto builder = [] {
@@ -150,7 +151,7 @@
     auto value = envelope(request.id);
     const bool is_ping = request.call == membership_request::method::ping;
     value["method"] = is_ping ? ping_method : ping_request_method;
-    auto& params = value["params"] = to_json(request.news);
+    auto& params = value["params"] = to_json(request.gossip);
     params["target"] = request.target;
     if (!is_ping) {
         params["address"] = request.target_address;
@@ -164,7 +165,7 @@
 std::string encode_reply(const membership_reply& reply)
 {
     auto value = envelope(reply.id);
-    auto& it = value["result"] = to_json(reply.news);
+    auto& it = value["result"] = to_json(reply.gossip);
     if (reply.target) {
         it["target"] = to_json(*reply.target);
     }
@@ -198,11 +199,11 @@
         return failure(errc::not_found, "unknown method");
     }
     const auto& params = value.value()["params"];
-    auto news = to_gossip(params);
-    if (!news) {
-        return news.as_failure();
+    auto gossip = to_gossip(params);
+    if (!gossip) {
+        return gossip.as_failure();
     }
-    request.news = std::move(news).value();
+    request.gossip = std::move(gossip).value();
     if (!is_text(params["target"])) {
         return failure(errc::invalid_argument, "field target is not a short text");
     }
@@ -229,13 +230,13 @@
         return value.as_failure();
     }
     const auto& content = value.value()["result"];
-    auto news = to_gossip(content);
-    if (!news) {
-        return news.as_failure();
+    auto gossip = to_gossip(content);
+    if (!gossip) {
+        return gossip.as_failure();
     }
     membership_reply reply;
     reply.id = value.value()["id"].asUInt64();
-    reply.news = std::move(news).value();
+    reply.gossip = std::move(gossip).value();
     reply.reached = content["reached"].isBool() && content["reached"].asBool();
     if (content.isMember("target")) {
         reply.target = to_member(content["target"]);
--- a/tests/account/account_test.cpp
+++ b/tests/account/account_test.cpp
@@ -150,7 +150,7 @@
          BOOST_TEST(it.log.records.size() == it.writer->stats().appends);
          BOOST_TEST(seen.is_complete());
          BOOST_TEST(seen.records.size() == 20U);
-         BOOST_TEST(seen.doubled_answers.empty());
+         BOOST_TEST(seen.duplicate_answers.empty());
      }},
     {"a copy of an old batch is stored late",
      [](bench& it) {
@@ -162,7 +162,7 @@
      [](bench&, const account_statement& seen) {
          BOOST_TEST(seen.is_complete());
          BOOST_TEST(seen.records.size() == 20U);
-         BOOST_TEST(seen.doubled_answers.empty());
+         BOOST_TEST(seen.duplicate_answers.empty());
      }},
     {"log down for an hour and back",
      [](bench& it) {
@@ -282,7 +282,7 @@
          const auto received = it.timers.wall_now();
          it.writer->received(it.receipt("short.1"));
          it.serve(8, "b.");
-         BOOST_TEST((it.read().settled_until <= received));
+         BOOST_TEST((it.read().complete_until <= received));
          it.writer->ended(it.end("short.1"));
          it.close();
      },
@@ -330,7 +330,7 @@
      [](bench&, const account_statement& seen) {
          BOOST_TEST(seen.is_complete());
          BOOST_TEST(seen.records.size() == 30U);
-         BOOST_TEST(seen.doubled_answers.empty());
+         BOOST_TEST(seen.duplicate_answers.empty());
      }},
     {"export is late: a hole between archive and log",
      [](bench& it) {
@@ -427,8 +427,8 @@
          it.close();
      },
      [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.doubled_answers == std::vector<std::string>{"twice.1"});
-         BOOST_TEST(seen.doubled_starts == std::vector<std::string>{"started.1"});
+         BOOST_TEST(seen.duplicate_answers == std::vector<std::string>{"twice.1"});
+         BOOST_TEST(seen.duplicate_starts == std::vector<std::string>{"started.1"});
      }},
     {"an id is owned by two incarnations",
      [](bench& it) {
@@ -439,7 +439,7 @@
          it.close();
      },
      [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.doubled_starts == std::vector<std::string>{"a.0"});
+         BOOST_TEST(seen.duplicate_starts == std::vector<std::string>{"a.0"});
      }},
     {"instance reports an unknown outcome",
      [](bench& it) {
@@ -465,7 +465,7 @@
      },
      [](bench&, const account_statement& seen) {
          BOOST_TEST(count(seen, cause::not_retained) == 1U);
-         BOOST_TEST(seen.doubled_answers.empty());
+         BOOST_TEST(seen.duplicate_answers.empty());
          BOOST_TEST(!seen.is_complete());
          BOOST_TEST(seen.records.size() == 30U);
      }},
--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -89,7 +89,7 @@
     void submit(std::size_t n, const std::string& id, std::string author,
                 const std::string& section, std::string content)
     {
-        const auto base = at(n).follower->ledger().version_of(section);
+        const auto base = at(n).follower->state_machine().version_of(section);
         at(n).follower->submit_edit(
             {id, std::move(author), section, base, std::move(content)},
             [this, id](result<edit_outcome> reply) { replies.insert_or_assign(id, reply); });
@@ -125,9 +125,9 @@
     void check_agreement() const
     {
         for (const auto& it : instances) {
-            check_equal(it->follower->ledger(), reference);
+            check_equal(it->follower->state_machine(), reference);
             for (const auto& other : instances) {
-                check_equal(it->follower->ledger(), other->follower->ledger());
+                check_equal(it->follower->state_machine(), other->follower->state_machine());
             }
             BOOST_TEST(it->follower->counts().refused_states == 0U);
         }
@@ -138,7 +138,7 @@
     {
         for (const auto& it : instances) {
             BOOST_TEST(it->is(config_log_state::following));
-            BOOST_TEST(it->follower->ledger().chain_digest() == reference.chain_digest());
+            BOOST_TEST(it->follower->state_machine().chain_digest() == reference.chain_digest());
             BOOST_TEST(it->follower->in_force().version == reference.document_version());
         }
     }
@@ -148,10 +148,10 @@
     config_follower_options options;
     std::vector<std::unique_ptr<instance>> instances;
     std::map<std::string, result<edit_outcome>> replies;
-    config_ledger reference; // has read every record that was ever stored
+    config_state_machine reference; // has read every record that was ever stored
 
 private:
-    static void check_equal(const config_ledger& a, const config_ledger& b)
+    static void check_equal(const config_state_machine& a, const config_state_machine& b)
     {
         const bool at_same_offset = a.next_offset() == b.next_offset();
         auto y = b.history().begin();
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -61,7 +61,8 @@
      }},
     {"change of an owner",
      [](config_cluster& c) {
-         auto owners = std::string(c.at(0).follower->ledger().current().section_text("owners"));
+         auto owners =
+             std::string(c.at(0).follower->state_machine().current().section_text("owners"));
          const std::string old_owner = "account = \"accounts\"";
          owners.replace(owners.find(old_owner), old_owner.size(), "account = \"dispatch\"");
          c.submit(0, "a", "platform", "owners", owners);
@@ -99,7 +100,7 @@
          c.run(in_force_target);
          BOOST_REQUIRE(c.reply("a") == "invalid");
          const auto& found = c.replies.at("a").value().findings.at(0);
-         const auto text = c.at(0).follower->ledger().current().section_text(found.section);
+         const auto text = c.at(0).follower->state_machine().current().section_text(found.section);
          const auto end = text.begin() + static_cast<std::ptrdiff_t>(text.find("\"office\""));
          BOOST_TEST(found.line == 1 + std::count(text.begin(), end, '\n'));
      }},
@@ -119,7 +120,7 @@
          c.run(in_force_target);
          BOOST_TEST(c.reply("a") == "accepted");
          BOOST_TEST(c.at(0).follower->counts().edits_repeated > 0U);
-         BOOST_TEST(c.at(1).follower->ledger().history().back().repeats > 0U);
+         BOOST_TEST(c.at(1).follower->state_machine().history().back().repeats > 0U);
      }},
     {"append request lost",
      [](config_cluster& c) {
@@ -130,7 +131,7 @@
      }},
     {"repeated append of a refused edit that would be valid by now",
      [](config_cluster& c) {
-         const auto base = c.at(0).follower->ledger().version_of("account");
+         const auto base = c.at(0).follower->state_machine().version_of("account");
          c.submit(0, "a", "accounts", "teams", teams_without_office);
          c.run(in_force_target);
          const auto again = config_edit{"a", "accounts", "teams", base, teams_without_office};
@@ -163,12 +164,12 @@
      }},
     {"two snapshot writers at once",
      [](config_cluster& c) {
-         const auto snapshot = encode(c.at(0).follower->ledger().snapshot());
+         const auto snapshot = encode(c.at(0).follower->state_machine().snapshot());
          c.submit_rate(0, "a", 10);
          c.run(in_force_target);
          c.append_raw(snapshot);
-         c.append_raw(encode(c.at(0).follower->ledger().snapshot()));
-         c.append_raw(encode(c.at(1).follower->ledger().snapshot()));
+         c.append_raw(encode(c.at(0).follower->state_machine().snapshot()));
+         c.append_raw(encode(c.at(1).follower->state_machine().snapshot()));
          c.log.drop_before("config", 2);
          auto& fresh = c.add(false);
          c.run(in_force_target);
@@ -177,7 +178,7 @@
      }},
     {"snapshot that contradicts the log",
      [](config_cluster& c) {
-         auto snapshot = c.at(0).follower->ledger().snapshot();
+         auto snapshot = c.at(0).follower->state_machine().snapshot();
          snapshot.sections.back().text = config_cluster::rate_text(99);
          c.append_raw(encode(snapshot));
          c.run(in_force_target);
@@ -247,7 +248,7 @@
      false},
     {"other content at a known offset, then new records",
      [](config_cluster& c) {
-         const auto next = c.at(0).follower->ledger().next_offset();
+         const auto next = c.at(0).follower->state_machine().next_offset();
          c.log.replace("config", next - 1, raw_edit("x", 0, 50));
          c.append_raw(raw_edit("y", 0, 60));
          c.run(in_force_target);
@@ -257,7 +258,7 @@
      false},
     {"other content at a known offset, and nothing new",
      [](config_cluster& c) {
-         const auto next = c.at(0).follower->ledger().next_offset();
+         const auto next = c.at(0).follower->state_machine().next_offset();
          c.log.replace("config", next - 1, raw_edit("x", 0, 50));
          c.run(c.options.verify_interval + in_force_target);
          BOOST_TEST(c.at(0).is(state::regressed));
@@ -324,7 +325,7 @@
          c.timers.advance(1500us);
          fresh.cut_off(true, true);
          c.run(10s);
-         BOOST_TEST(fresh.follower->ledger().has_document());
+         BOOST_TEST(fresh.follower->state_machine().has_document());
          BOOST_TEST(!fresh.follower->is_ready());
          fresh.cut_off(false, true);
          c.run(in_force_target);
@@ -373,7 +374,7 @@
          for (int n = 1; n < 150; ++n) {
              c.append_raw(raw_edit(fmt::format("x{}", n), c.reference.version_of("account"), n));
          }
-         c.append_raw(encode(c.at(0).follower->ledger().snapshot()));
+         c.append_raw(encode(c.at(0).follower->state_machine().snapshot()));
          c.options.records_between_snapshots = 30;
          auto& fresh = c.add(false);
          c.run(in_force_target);
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -71,7 +71,7 @@
         return start_unlisted(list_[name], incarnation);
     }
 
-    node& start_unlisted(const peer_hint& place, std::uint64_t incarnation)
+    node& start_unlisted(const seed_peer& place, std::uint64_t incarnation)
     {
         auto& it = nodes_[place.name];
         if (it) {
@@ -97,7 +97,7 @@
         it->detector->on_change([node = it.get()](const member_change& change) {
             node->deaths_seen += change.now.state == member_state::dead ? 1 : 0;
         });
-        it->detector->set_hints(hints());
+        it->detector->set_seed_peers(seed_peers());
         it->detector->start();
         return *it;
     }
@@ -126,7 +126,7 @@
     void publish_list()
     {
         for (auto& [name, it] : nodes_) {
-            it->detector->set_hints(hints());
+            it->detector->set_seed_peers(seed_peers());
         }
     }
 
@@ -144,7 +144,7 @@
     }
 
     // True if every running node sees exactly the running nodes as live, all of them alive.
-    bool agrees()
+    bool views_agree()
     {
         for (auto& [name, it] : nodes_) {
             const auto& table = it->detector->members();
@@ -170,9 +170,9 @@
     }
 
 private:
-    std::vector<peer_hint> hints() const
+    std::vector<seed_peer> seed_peers() const
     {
-        std::vector<peer_hint> all;
+        std::vector<seed_peer> all;
         for (const auto& [name, it] : list_) {
             all.push_back(it);
         }
@@ -182,7 +182,7 @@
     std::uint32_t seed_;
     virtual_timer_service timers_;
     memory_peer_network network_{std::chrono::milliseconds{1}};
-    std::map<std::string, peer_hint> list_;
+    std::map<std::string, seed_peer> list_;
     std::vector<std::unique_ptr<node>> retired_;
     std::map<std::string, std::unique_ptr<node>> nodes_;
 };
--- a/tests/membership/failure_detector_test.cpp
+++ b/tests/membership/failure_detector_test.cpp
@@ -76,7 +76,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it.deaths_seen() == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"paused for a minute and back",
      [](cluster& it) {
@@ -88,7 +88,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it["i002"].deaths_seen == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"cut off from all for 4 s, then paused for a minute, then both end",
      [](cluster& it) {
@@ -104,7 +104,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it["i002"].deaths_seen == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"restarted with a new incarnation",
      [](cluster& it) {
@@ -118,7 +118,7 @@
                  BOOST_TEST((node->detector->members().find("i002", 2) != nullptr));
              }
          }
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"paused, replaced under its name at another address, and back",
      [](cluster& it) {
@@ -134,7 +134,7 @@
      [](cluster& it) {
          BOOST_TEST(!it["i002"].detector->is_superseded());
          BOOST_TEST((it["i001"].detector->members().find("i002", 7) != nullptr));
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"one-way cut between two instances",
      [](cluster& it) {
@@ -145,7 +145,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it.deaths_seen() == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"two-way cut between two instances",
      [](cluster& it) {
@@ -156,7 +156,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it.deaths_seen() == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"one instance cut off from all",
      [](cluster& it) {
@@ -170,7 +170,7 @@
          it.network().set_rule({});
          it.run(30s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"links of one instance flap every 10 s",
      [](cluster& it) {
          it.network().set_rule([&it](std::string_view from, std::string_view to) {
@@ -184,7 +184,7 @@
          it.network().set_rule({});
          it.run(30s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"link between two instances flaps every 3 s",
      [](cluster& it) {
          it.network().set_rule([&it](std::string_view from, std::string_view to) {
@@ -195,7 +195,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it.deaths_seen() == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"data centre cut off for two minutes",
      [](cluster& it) {
@@ -216,7 +216,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it.deaths_seen() == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
          BOOST_TEST(it["i001"].detector->members().is_reachable("dc3"));
          BOOST_TEST(it["i003"].detector->members().is_reachable("dc1"));
      }},
@@ -232,7 +232,7 @@
      },
      [](cluster& it) {
          BOOST_TEST(it.deaths_seen() == 0U);
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
      }},
     {"data centre cut off and an instance dies on this side",
      [](cluster& it) {
@@ -245,7 +245,7 @@
          it.network().set_rule({});
          it.run(40s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"data centre cut off while an instance of it is restarted",
      [](cluster& it) {
          it.network().set_rule(cut_around(it, "dc3"));
@@ -256,7 +256,7 @@
          it.run(30s);
      },
      [](cluster& it) {
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
          BOOST_TEST((it["i001"].detector->members().find("i003", 2) != nullptr));
      }},
     {"stale list names only gone instances but one, and a new instance starts",
@@ -267,7 +267,7 @@
          it.start(20, 1);
          it.run(20s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"list leaves out instances that are alive",
      [](cluster& it) {
          it.unlist("i001");
@@ -275,7 +275,7 @@
          it.publish_list();
          it.run(60s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"instance leaves",
      [](cluster& it) {
          it["i002"].detector->announce_leaving();
@@ -288,7 +288,7 @@
          it.run(5s);
      },
      [](cluster& it) {
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.view("i001", "i002") == "left");
      }},
@@ -302,7 +302,7 @@
          it.run(10s);
      },
      [](cluster& it) {
-         BOOST_TEST(it.agrees());
+         BOOST_TEST(it.views_agree());
          BOOST_TEST(it.deaths_seen() == 0U);
      }},
     {"all instances killed and restarted one after another during a flapping data centre",
@@ -318,7 +318,7 @@
          it.network().set_rule({});
          it.run(40s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"address of a dead instance is given to another",
      [](cluster& it) {
          it.kill("i002");
@@ -340,7 +340,7 @@
          it.network().set_rule({});
          it.run(60s);
      },
-     [](cluster& it) { BOOST_TEST(it.agrees()); }},
+     [](cluster& it) { BOOST_TEST(it.views_agree()); }},
 };
 
 } // namespace
@@ -360,7 +360,7 @@
                 }
                 it.publish_list();
                 it.run(30s);
-                BOOST_TEST(it.agrees());
+                BOOST_TEST(it.views_agree());
                 BOOST_TEST(it.deaths_seen() == 0U);
                 row.act(it);
                 row.check(it);
@@ -379,14 +379,14 @@
     }
     it.publish_list();
     it.run(40s);
-    BOOST_TEST(it.agrees());
+    BOOST_TEST(it.views_agree());
     it.network().set_rule(cut_around(it, "dc3"));
     it.run(60s);
     BOOST_TEST(it.deaths_seen() == 0U);
     BOOST_TEST(!it["i001"].detector->members().is_reachable("dc3"));
     it.network().set_rule({});
     it.run(60s);
-    BOOST_TEST(it.agrees());
+    BOOST_TEST(it.views_agree());
     BOOST_TEST(it.deaths_seen() == 0U);
 }
 
@@ -430,15 +430,15 @@
 BOOST_AUTO_TEST_CASE(codec_rejects_wrong_texts)
 {
     membership_request request;
-    request.news.from = {"i1", "dc1", "10.0.0.1:80", 1ULL << 63U, 2, member_state::alive,
-                         true, 2.5};
-    request.news.updates.assign(max_updates_per_message, request.news.from);
+    request.gossip.from = {"i1", "dc1", "10.0.0.1:80", 1ULL << 63U, 2, member_state::alive,
+                           true, 2.5};
+    request.gossip.updates.assign(max_updates_per_message, request.gossip.from);
     request.target = "i2";
     const auto good = encode_request(request);
     const auto decoded = decode_request(good);
     BOOST_REQUIRE(decoded.has_value());
-    BOOST_TEST((decoded.value().news.from == request.news.from));
-    request.news.updates.push_back(request.news.from);
+    BOOST_TEST((decoded.value().gossip.from == request.gossip.from));
+    request.gossip.updates.push_back(request.gossip.from);
     auto other_method = good;
     other_method.replace(other_method.find("membership.ping"), 15, "membership.pong");
     const std::string wrong[] = {
--- a/tests/system/callers.cpp
+++ b/tests/system/callers.cpp
@@ -137,7 +137,7 @@
             }
             records[record.receipt.submission_id] = &record;
         }
-        if (!statement.doubled_starts.empty() || !statement.doubled_answers.empty()) {
+        if (!statement.duplicate_starts.empty() || !statement.duplicate_answers.empty()) {
             faults_.push_back("the account of " + customer + " shows a doubled start or answer");
         }
         for (const submission& it : submissions_) {
@@ -157,7 +157,7 @@
     }
     const auto found = records.find(it.id);
     if (found == records.end()) {
-        if (starts > 0 && statement.is_complete() && it.sent < statement.settled_until) {
+        if (starts > 0 && statement.is_complete() && it.sent < statement.complete_until) {
             faults_.push_back(it.id + " ran but a complete account does not show it");
         }
         return;
--- a/tests/system/fleet.cpp
+++ b/tests/system/fleet.cpp
@@ -324,7 +324,7 @@
     it.id = fmt::format("edit-{}", ++edits_);
     it.author = std::move(author);
     it.section = section;
-    it.base_version = follower.is_ready() ? follower.ledger().version_of(section) : 0;
+    it.base_version = follower.is_ready() ? follower.state_machine().version_of(section) : 0;
     it.content = std::move(content);
     follower.submit_edit(it, [](const result<edit_outcome>& /*outcome*/) {});
 }
