Describe the cell controller, placement and jobs in plain terms

The comments used words of this project's own, such as looks, orders, fronts, room and cuts. The comments of the controller, placement, cell choice, run time estimator, job, worker commands, queue table and caller request handler in include/cell and src/cell now use the terms of the field.

--- a/include/cell/caller_request_handler.h
+++ b/include/cell/caller_request_handler.h
@@ -13,12 +13,12 @@
 
 namespace cactusloom {
 
-// What a caller is told.
+// Reply to a caller's request.
 struct caller_reply {
     enum class kind {
         completed,
         failed,
-        not_run,         // certainly no task was or will be started; come back after retry_after
+        not_run,         // certainly no task was or will be started; retry after retry_after
         unknown_outcome, // tasks may have run
         no_such_queue,
         no_such_job,
@@ -32,15 +32,15 @@
     std::size_t pending = 0;
 };
 
-// A job as its caller handed it in.
+// A job as its caller submitted it.
 struct submission {
     job_request request;
-    bool answer_at_end = false;             // not stored; the answer is the job's end
-    std::string unsupported;                // feature that is not offered; empty if none
-    std::optional<duration> caller_timeout; // how long the caller waits
+    bool answer_at_end = false; // answered when the job ends; false asks to store the job
+    std::string unsupported;    // requested feature that is not supported; empty if none
+    std::optional<duration> caller_timeout; // time that the caller waits for the answer
 };
 
-// Decides on callers' requests of one instance by the queues in force.
+// Handles the requests of an instance's callers according to the queues in force.
 class caller_request_handler {
 public:
     using answer = std::function<void(const caller_reply&)>;
@@ -50,7 +50,7 @@
     {
     }
 
-    // Puts a newer version in force; an older or equal one changes nothing.
+    // Puts a newer version in force and returns true; ignores an older or equal one.
     bool set_queues(queue_table table);
     std::int64_t version() const { return table_.version; }
     const queue_table& queues() const { return table_; }
@@ -68,17 +68,18 @@
     caller_reply cancel(const std::string& job_id);
     caller_reply pending(std::string_view host, std::string_view path) const;
 
-    // The instance stops at `exit_at`. New jobs that can be answered before are still served.
+    // Announces that the instance stops at `exit_at`. New jobs get a deadline before that time.
     void begin_drain(monotonic_time exit_at) { exit_at_ = exit_at; }
 
-    // Answers all open jobs as unknown and stops what runs of them: better than a broken
-    // connection.
+    // Answers all open jobs `unknown` and stops their running tasks, so that callers get an answer
+    // before their connections close.
     void end_open_jobs();
 
-    // Appends the histograms of answer times, by kind of answer.
+    // Appends the latency histograms, one for each kind of answer.
     void format_latencies(std::string& out) const;
 
-    // True if callers' new connections are welcome.
+    // True if the instance accepts new callers: it is not draining, has a configuration and reaches
+    // a controller.
     bool is_ready() const;
 
 private:
--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -13,14 +13,15 @@
 
 namespace cactusloom {
 
-// Times that workers and callers are bound to. The defaults are those of the deployments.
+// Limits that the controller applies to leases, stops and placement. The defaults are those of the
+// deployments.
 struct cell_settings {
     duration lease = std::chrono::milliseconds{1000};      // longest lease that a worker grants
-    duration stop_timeout = std::chrono::milliseconds{50}; // a stop takes at most this long
-    double remote_penalty = 1.0; // a task away from its data's rack takes so many times as long
+    duration stop_timeout = std::chrono::milliseconds{50}; // longest time that a stop takes
+    double remote_penalty = 1.0; // run time factor of a task on a worker outside its data's rack
 };
 
-// Counters since the start, for the metrics.
+// Counters since the start of the process, exported as metrics.
 struct cell_counts {
     std::uint64_t jobs_completed = 0;
     std::uint64_t jobs_failed = 0;
@@ -39,10 +40,10 @@
     cell_counts& operator+=(const cell_counts& other);
 };
 
-// Places the tasks of all jobs on the workers of one cell. Only one controller may act on a
-// worker: each order carries the claim's token, and a worker ignores tokens below the highest that
-// it has seen. A new controller learns from the first look at each worker what runs there, so a
-// takeover needs nothing from the one before.
+// Schedules the tasks of all jobs on the workers of one cell. Each command carries the fencing
+// token of the controller's claim, and a worker refuses tokens below the highest that it has seen,
+// so only the newest controller can act on it. A new controller learns from its first poll of each
+// worker what runs there, so a takeover needs no state from its predecessor.
 class cell_controller {
 public:
     using answer = std::function<void(const job_outcome&)>;
@@ -53,46 +54,48 @@
     cell_controller(const cell_controller&) = delete;
     cell_controller& operator=(const cell_controller&) = delete;
 
-    // Takes control with a token above those of earlier claims, or raises the token.
+    // Takes control with a token above those of earlier claims, or raises the token. A token that
+    // is not higher is ignored.
     void claim(std::uint64_t token);
 
-    // Gives up control: no order follows, and every open job is answered `moved`.
+    // Gives up control: sends no further command and answers every open job `moved`.
     void release();
 
     bool is_claimed() const;
 
-    // Replaces the list of workers. Workers that are absent get no further start; what runs on
-    // them is followed until it ends or its lease has lapsed.
+    // Replaces the list of workers. Nothing more is started on workers that are absent; their
+    // running tasks are tracked until they end or their lease expires.
     void set_workers(std::span<const worker_report> workers);
 
-    // Says that the list is as the platform had it at `read_started_at` or later. A list from
-    // before the claim may lack workers that the controller before this one has used.
+    // Records that the list is as the platform had it at `read_started_at` or later. A list that is
+    // older than the claim may lack workers that the previous controller used.
     void set_worker_list_time(monotonic_time read_started_at);
 
-    // Takes a job; `fn` runs once. A second submission of an id joins the first: only the newest
-    // answer function is called. `requester` names who has to stay in touch for the job to go on.
+    // Accepts a job and calls `fn` once with its outcome. A second submission of an id joins the
+    // first, and only the newest `fn` is called. `requester` is the instance that forwarded the
+    // job; `abandon_all_of` stops its jobs when it is no longer reachable.
     void submit(job_request job, const std::string& requester, answer fn);
 
-    // The caller has left: stops what runs and forgets the rest.
+    // Stops the running tasks of a job whose caller has disconnected and drops the others.
     void abandon(std::string_view job_id);
 
-    // The same for a requester that is out of touch. Its jobs are answered `moved`, which reaches
-    // it only if it is in touch after all.
+    // Abandons all jobs of a requester that is unreachable. They are answered `moved`, which the
+    // requester receives only if it is reachable after all.
     void abandon_all_of(std::string_view requester);
 
-    // Workers that obey the claim's token and take starts, or on which runs are followed.
+    // Workers that have accepted the claim's token and are listed, or that have tracked runs.
     worker_set used_workers() const;
 
-    // Jobs of a queue of which no task has been started.
+    // Number of open jobs of a queue of which no task has been started.
     std::size_t pending_jobs(std::string_view queue) const;
 
     const cell_counts& counts() const;
 
-    // Called when a worker has seen a higher token than the claim's.
+    // Called when a worker refuses a command because it has seen a higher token.
     std::function<void()> on_fenced;
 
-    // Called before the first start on a worker: fronts have to know `used_workers` by the time
-    // that they lose this controller.
+    // Called before the first start on a worker. Requesters need the current `used_workers` if they
+    // lose the connection to this controller.
     std::function<void()> on_used_workers_changed;
 
 private:
--- a/include/cell/dispatch_metrics.h
+++ b/include/cell/dispatch_metrics.h
@@ -8,14 +8,14 @@
 class cell_service;
 class caller_request_handler;
 
-// Figures of the network parts, gathered by whoever owns them.
+// Counters of the network layer.
 struct network_counts {
     std::uint64_t caller_connections = 0;
     std::uint64_t open_requests = 0;
     std::uint64_t connections_opened = 0; // to workers and the store
 };
 
-// All counters and histograms of an instance in the text exposition format.
+// Formats all counters and histograms of an instance in the Prometheus text exposition format.
 std::string format_dispatch_metrics(const cell_service& cells, const caller_request_handler& desk,
                                     const network_counts& network);
 
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -14,40 +14,40 @@
 
 namespace cactusloom {
 
-// What one task needs of a worker while it runs.
+// Resources of a worker that one task occupies while it runs.
 struct task_demand {
     std::int64_t cpu_millis = 0; // thousandths of a core
     std::int64_t memory_mb = 0;
     std::int64_t gpus = 0;
 };
 
-// A group of equal tasks of a job.
+// A group of identical tasks of a job.
 struct job_step {
     std::uint32_t count = 0;
     task_demand demand;
-    duration estimate{};              // the caller's rough guess of one task's run time
+    duration estimate{};              // the caller's rough estimate of one task's run time
     std::vector<std::uint32_t> after; // steps whose tasks must all be done first
     std::string required_label;       // the worker must have it; empty for any
-    std::string data_rack;            // rack where the data is; empty for any
-    std::uint32_t max_per_worker = 0; // 0: no bound
+    std::string data_rack;            // label of the rack that holds the data; empty for any
+    std::uint32_t max_per_worker = 0; // tasks of the step at a time; 0 for no limit
 };
 
-// What the configuration says of a job's queue, as the accepting instance saw it.
+// Settings of a job's queue in the configuration that the accepting instance had in force.
 struct queue_terms {
     std::string queue;
-    std::string service; // workers that may run the tasks
-    int priority = 0;    // 0 comes first
+    std::string service; // service of the workers that may run the tasks
+    int priority = 0;    // 0 is the most urgent
     std::uint32_t attempts = 1;
-    double stretch = 1.0;      // objective in multiples of the longest chain of work
-    duration target_latency{}; // added to the stretched chain
+    double stretch = 1.0;      // objective as a multiple of the run time of the critical path
+    duration target_latency{}; // added to that multiple
 };
 
-// Workers, each by a mark of its id that is short enough to travel with every claim.
+// Workers, each by a 32-bit hash of its id: the set is sent with every claim.
 using worker_set = std::set<std::uint32_t>;
 std::uint32_t worker_id_hash(std::string_view id);
 
-// A worker_set that many hold and nobody changes; a copy costs no more than a pointer. Claims carry
-// one, and every job looks through the claims.
+// An immutable worker_set that is cheap to copy. Every claim has one, and the claims are copied for
+// every job.
 class shared_worker_set {
 public:
     shared_worker_set() = default;
@@ -75,31 +75,31 @@
     std::shared_ptr<const worker_set> workers_;
 };
 
-// A job as it was submitted.
+// A submitted job.
 struct job_request {
     std::string id;
-    std::string payload; // handed to each task unread
+    std::string payload; // opaque; passed to each task
     std::vector<job_step> steps;
     queue_terms terms;
     duration time_left{};       // until the caller stops waiting
     duration age{};             // time since the caller's submission arrived
     std::uint32_t run_base = 0; // starts are numbered from run_base + 1
     bool resumed = false;       // another controller may have started tasks of it
-    worker_set former_workers;  // resumed: workers on which its tasks may run
+    worker_set former_workers;  // workers on which tasks of a resumed job may run
 };
 
-// Time after which no task of a job runs any more for a controller that its front has lost: that
-// one stops the jobs of a front that it has not heard for 600 ms, within 200 ms more, and a lease
-// lapses after 1 s on a clock that is 2 % slow.
+// Time after a requester lost a controller until no task that the controller started for it still
+// runs. The controller stops the jobs of a requester that it has not heard from for 600 ms, within
+// another 200 ms, and a lease expires after 1 s on a clock that is 2 % slow.
 inline constexpr duration lost_job_quarantine = std::chrono::milliseconds{1100};
 
-// How a submission ended.
+// How a job ended.
 enum class job_end {
     completed, // all tasks are done
-    failed,    // a task used up its attempts, or time ran out after a start
+    failed,    // a task used up its attempts, the job is invalid, or its caller cancelled it
     not_run,   // certainly no task was started
-    unknown,   // tasks may have been started and their fate is not known
-    moved,     // this instance no longer controls the workers; nothing is lost by asking the next
+    unknown,   // tasks may have been started and their outcome is unknown
+    moved,     // this instance does not control the workers; submit to the next controller
 };
 
 // Stable lower-case name, as used in logs.
@@ -107,11 +107,11 @@
 
 struct job_outcome {
     job_end end = job_end::unknown;
-    duration retry_after{};  // for not_run: when there will be room
+    duration retry_after{};  // for not_run: time until there may be capacity
     const char* reason = ""; // for the log
 };
 
-// Names a task of a job: ID.OCCURRENCE.STEP.INDEX.
+// Identifies a task of a job. Its name is ID.OCCURRENCE.STEP.INDEX; the occurrence is always 0.
 struct task_ref {
     std::string job;
     std::uint32_t step = 0;
@@ -120,14 +120,14 @@
 
 std::string to_task_name(const task_ref& task);
 
-// Returns false if the text is not a task name of this form.
+// Returns false if the text is not a task name.
 bool parse_task_name(std::string_view text, task_ref& task);
 
-// Says why a request can never be run, or null: no steps, a step without tasks, a cycle or an
-// unknown step in `after`, demands below zero.
+// Returns why a job is invalid, or null if it is valid. It must have a step, every step a task and
+// no negative demand, and `after` may only name earlier steps.
 const char* find_job_defect(const job_request& job);
 
-// Longest chain of work through the steps; `work` tells that of one task of a step.
+// Run time of the longest chain of dependent steps; `work` returns that of one task of a step.
 duration critical_path(const job_request& job,
                        const std::function<duration(const job_step&)>& work);
 
--- a/include/cell/queue_table.h
+++ b/include/cell/queue_table.h
@@ -10,7 +10,7 @@
 
 namespace cactusloom {
 
-// Where submissions of one queue arrive and what holds for its jobs.
+// Host and path of a queue's submissions, and the settings of its jobs.
 struct queue_route {
     std::string host;
     std::string path_prefix;
@@ -18,7 +18,7 @@
     queue_terms terms;
 };
 
-// Bounds on callers' connections.
+// Limits on callers' connections.
 struct caller_limits {
     std::uint32_t header_bytes = 16384;
     std::uint32_t body_bytes = 262144;
--- a/include/cell/run_time_estimator.h
+++ b/include/cell/run_time_estimator.h
@@ -8,31 +8,32 @@
 
 namespace cactusloom {
 
-// Predicts run times from the caller's guess, what tasks of the same queue took, and how fast
-// each kind of worker and each worker proved. Callers' guesses are off by a large factor either
-// way, so a guess is averaged with the queue's mean on a log scale.
+// Predicts run times from the caller's estimate, the run times of earlier tasks of the queue and
+// the measured speed of each kind of worker. Callers' estimates are wrong by a large factor either
+// way, so an estimate is averaged with the queue's mean on a log scale.
 class run_time_estimator {
 public:
-    // Work of a task of `queue` at speed 1.
+    // Predicted run time of a task of `queue` at speed 1.
     duration work(std::string_view queue, duration guess) const;
 
-    // Run time at speed 1 times this gives the run time on a worker of the kind.
+    // Run time on a worker of the kind as a multiple of the run time at speed 1.
     double kind_factor(std::string_view kind) const;
 
-    // Smallest factor of the kinds seen, 1 if there are none.
+    // Smallest factor of all kinds with enough samples, or 1 if there are none.
     double fastest_factor() const;
 
-    // Learns from a task that ended done after `actual` on a worker of `kind`.
+    // Adds the sample of a task that was done after `actual` on a worker of `kind`.
     void learn(std::string_view queue, std::string_view kind, duration guess, duration actual);
 
 private:
+    // Mean of logarithms with exponential forgetting.
     struct mean_log {
         double value = 0;
         double weight = 0;
         void add(double sample, double max_weight);
     };
 
-    std::unordered_map<std::string, mean_log> queues_; // log of work in us at speed 1
+    std::unordered_map<std::string, mean_log> queues_; // log of the run time in us at speed 1
     std::unordered_map<std::string, mean_log> kinds_;  // log of the kind's factor
 };
 
--- a/include/cell/worker_commands.h
+++ b/include/cell/worker_commands.h
@@ -9,7 +9,7 @@
 
 namespace cactusloom {
 
-// A worker as it reports itself.
+// A worker as listed by the platform.
 struct worker_report {
     std::string id;
     std::string address;
@@ -19,10 +19,10 @@
     std::vector<std::string> labels;
     task_demand capacity;
     bool draining = false;
-    std::int64_t started_at_ms = 0; // Unix time of its start; 0 if it does not say
+    std::int64_t started_at_ms = 0; // Unix time at which its process started; 0 if not reported
 };
 
-// What a worker says of a run that is under way.
+// A running task in a worker's reply to a poll.
 struct running_row {
     std::string task;
     std::uint32_t run = 0;
@@ -31,7 +31,7 @@
 
 enum class run_end { done, failed, stopped, lapsed, broken };
 
-// What a worker says of a run that ended. Numbers rise within one life of the worker.
+// A run that has ended, in a worker's reply to a poll. Numbers rise until the worker restarts.
 struct finished_row {
     std::uint64_t number = 0;
     std::string task;
@@ -39,18 +39,18 @@
     run_end how = run_end::failed;
 };
 
-// Reply to an order.
+// Result of a command.
 enum class command_status {
     accepted,
     fenced,            // the worker has seen a higher token
-    superseded,        // the run is not higher than one that was stopped or ended there
-    too_late,          // the order's latest time has passed
-    no_room,           //
-    invalid,           // the worker does not understand the order
-    unhealthy,         // the worker did nothing and says it is not well
-    wrong_incarnation, // another life of the worker answers at the address
+    superseded,        // a run with this or a higher number was stopped or has ended there
+    too_late,          // the deadline of the command has passed
+    no_room,           // the worker has no free capacity
+    invalid,           // the worker does not understand the command
+    unhealthy,         // the worker did nothing and reports itself unhealthy
+    wrong_incarnation, // the worker at the address has restarted
     not_sent,          // certainly had no effect
-    reply_lost,        // may have been carried out, or may be later
+    reply_lost,        // may have been executed, or may still be
 };
 
 struct command_reply {
@@ -64,7 +64,7 @@
     std::int64_t started_at_ms = 0;
     std::vector<running_row> running;
     std::vector<finished_row> finished;
-    bool finished_complete = true; // false if the worker has more ends to list
+    bool finished_complete = true; // false if the worker has more finished runs to list
 };
 
 struct start_command {
@@ -77,12 +77,12 @@
 
 struct poll_command {
     std::uint64_t token = 0;
-    std::uint64_t last_seen_end = 0; // ends up to this number may be forgotten
-    std::int64_t deadline_ms = -1;   // on the worker's clock; -1 leaves the lease as it is
-    duration wait{};                 // the reply may wait this long for an end
+    std::uint64_t last_seen_end = 0; // the worker may discard finished runs up to this number
+    std::int64_t deadline_ms = -1; // end of the lease on the worker's clock; -1 does not extend it
+    duration wait{};               // the worker may delay its reply this long until a run ends
 };
 
-// Orders to workers. Callbacks run later on the loop, exactly once.
+// Sends commands to workers. Callbacks run later on the event loop, exactly once.
 class worker_commands {
 public:
     worker_commands() = default;
@@ -95,7 +95,7 @@
     virtual void stop(const worker_report& worker, const std::string& task, std::uint32_t run,
                       std::uint64_t token, std::function<void(command_reply)> fn) = 0;
 
-    // Renews the lease of everything that runs there and lists runs and ends.
+    // Renews the lease of all runs on the worker and lists running and finished runs.
     virtual void poll(const worker_report& worker, const poll_command& command,
                       std::function<void(poll_reply)> fn) = 0;
 };
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -8,14 +8,14 @@
 
 namespace cactusloom {
 
-// Where one task of an active job stands.
+// Scheduling state of one task of an active job.
 struct task_state {
     enum class phase { pending, placed, done };
     phase at = phase::pending;
     std::uint32_t failures = 0;
-    std::uint32_t moves = 0;    // starts given up because the worker was slow
-    std::uint32_t last_run = 0; // number of the newest start
-    std::string avoid_worker;   // where it failed or stood still last
+    std::uint32_t moves = 0;    // runs stopped because the worker was slow
+    std::uint32_t last_run = 0; // number of the newest run
+    std::string avoid_worker;   // worker on which it last failed, was refused or was too slow
 };
 
 // A job from its submission until its last run has ended.
@@ -24,18 +24,18 @@
     std::string requester;
     cell_controller::answer answer; // empty once answered
     monotonic_time arrived;         // at the instance that the caller is connected to
-    monotonic_time accepted_at;     // here
+    monotonic_time accepted_at;     // at this controller
     monotonic_time first_start_at;
-    monotonic_time due;      // objective: an answer by then counts in full
+    monotonic_time due;      // objective: an answer by then has its full value
     monotonic_time deadline; // the caller stops waiting
     std::vector<std::vector<task_state>> steps;
     std::vector<std::uint32_t> done_of_step;
     std::size_t pending_tasks = 0;
     std::size_t placed_tasks = 0;
     bool started = false;
-    bool ended = false; // answered or abandoned: nothing more is started
+    bool ended = false; // answered or abandoned; no further task is started
 
-    // Submission of the same id that waits for the last run of this one to end.
+    // A new submission of the same id, accepted once the last run of this job has ended.
     struct successor {
         job_request request;
         std::string requester;
--- a/src/cell/caller_request_handler.cpp
+++ b/src/cell/caller_request_handler.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-// Until the configuration has been read; the store answers within some ms.
+// Used until the configuration has been read; the store answers within a few ms.
 constexpr duration no_config_retry = std::chrono::seconds{1};
-// A job of a kind that is not offered gains nothing by coming back soon.
+// A job that needs an unsupported feature is refused again on every retry.
 constexpr duration unsupported_retry = std::chrono::seconds{60};
-// Another instance takes the job as soon as the caller connects anew.
+// Another instance accepts the job as soon as the caller reconnects.
 constexpr duration elsewhere_retry = std::chrono::seconds{1};
-// An answer has to leave before the process does.
+// Time to send the last answers before the process exits.
 constexpr duration exit_margin = std::chrono::milliseconds{100};
 
 caller_reply not_run(duration retry_after)
@@ -101,8 +101,8 @@
     }
     auto& request = order.request;
     request.terms = route->terms;
-    // A job is answered once it has ended, which may take longer than the route's timeout for an
-    // acknowledgement; the caller says how long it waits.
+    // A job is answered when it has ended, which may take longer than the route's timeout for an
+    // acknowledgement, so the caller's own timeout comes first.
     request.time_left = order.caller_timeout.value_or(route->timeout);
     const auto arrived = timers_.monotonic_now();
     if (exit_at_) {
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -126,7 +126,7 @@
 {
     for (const auto& [id, job] : state_->jobs) {
         if (job->requester == requester && !job->ended) {
-            // Reaches the requester only if it was in touch after all; it then sends the job again.
+            // If this reaches the requester after all, it submits the job again.
             job->answer({job_end::moved, {}, "requester out of touch"});
             state_->abandon(*job);
         }
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -11,16 +11,17 @@
 
 namespace {
 
-// A front resubmits within a round trip of a takeover; orphans older than this have no owner.
+// A requester resubmits within a round trip of a takeover, so no job claims an older completion.
 constexpr duration orphan_completion_lifetime = std::chrono::seconds{3};
-// A front asks again within a beat or two of a broken link.
+// A requester resubmits within one or two heartbeats after its connection broke.
 constexpr duration recent_outcome_lifetime = std::chrono::seconds{2};
-// Share of the cores that tasks of mixed width can fill.
+// Share of the cores that tasks with different core counts can fill.
 constexpr double packing_share = 0.85;
 constexpr duration min_retry_after = std::chrono::seconds{1};
 constexpr duration answer_margin = std::chrono::milliseconds{8};
 
-// One of 64 jobs is followed in the log when all goes well; the same one by every instance.
+// True for one of 64 jobs, whose completion is logged even if it is in time. Every instance picks
+// the same ones.
 bool is_sampled(std::string_view job_id)
 {
     constexpr std::uint64_t sample = 64;
@@ -73,8 +74,8 @@
     job.arrived = now - job.request.age;
     job.accepted_at = now;
     job.deadline = now + job.request.time_left;
-    // The objective follows the work that the job really has, of which the caller's guess alone is
-    // a poor measure.
+    // The objective is derived from the estimator's prediction, because the caller's estimate alone
+    // is inaccurate.
     const auto chain = critical_path(job.request, [&](const job_step& step) {
         return times.work(job.request.terms.queue, step.estimate);
     });
@@ -102,7 +103,7 @@
     schedule_start_pass();
 }
 
-// Cores of the workers that take starts, in units of speed 1.
+// Usable cores of the workers that accept starts, normalised to speed 1.
 double cell_controller::state::usable_speed() const
 {
     double sum = 0;
@@ -117,13 +118,14 @@
     return sum * packing_share;
 }
 
-// Rejects a new job at once if the work ahead of it leaves no time before its deadline, or if no
-// worker is large enough for a task of it.
+// Rejects a new job if the wait for the work ahead of it is longer than its objective, if its
+// longest task cannot end before its deadline, or if no worker is large enough for one of its
+// tasks.
 bool cell_controller::state::reject_if_too_late(active_job& job)
 {
     const auto now = timers.monotonic_now();
     if (now - claimed_at < std::chrono::seconds{1}) {
-        return false; // not all workers have answered the claim yet
+        return false; // some workers may not have accepted the claim yet
     }
     for (const auto& step : job.request.steps) {
         const bool fits = std::ranges::any_of(workers, [&](const auto& row) {
@@ -148,8 +150,9 @@
     const double speed = usable_speed();
     const double work = ahead.empty() ? 0 : policy.work_before(ahead, job);
     const auto wait = duration{static_cast<duration::rep>(speed > 0 ? work / speed : 1e6)};
-    // Work that comes too late for its objective takes room from work that does not. A wait as long
-    // as the whole objective leaves no chance of that even if the prediction is off.
+    // A job that misses its objective takes capacity from jobs that would meet theirs. If the wait
+    // alone is as long as the objective, the job misses it even if the run time prediction is
+    // wrong.
     const bool in_time = wait <= job.due - job.arrived;
     if (in_time &&
         now + policy.optimistic_run_time(policy.longest_remaining_run_time(job)) + answer_margin <=
@@ -164,7 +167,8 @@
     return true;
 }
 
-// Takes over what an earlier controller started of this job. Returns true if there was any.
+// Takes over tasks of this job that an earlier controller started or completed. Returns true if
+// there were any.
 bool cell_controller::state::adopt_orphans(active_job& job)
 {
     bool any = false;
@@ -230,17 +234,18 @@
     return any;
 }
 
-// A task of a resumed job may still run on a worker that the earlier controller reaches and this
-// one does not, or has been started since this one looked last. It must not be started a second
-// time beside that, so every worker has to accept a look that is newer than the job.
+// A task of a resumed job may still run on a worker that only the earlier controller reaches, or
+// may have been started there since this controller's last poll. To prevent a concurrent second
+// run, every worker has to accept a poll that is newer than the job.
 bool cell_controller::state::may_start_resumed(const active_job& job)
 {
     if (timers.monotonic_now() - job.accepted_at > lost_job_quarantine) {
         return true;
     }
     bool all_seen = worker_list_time > first_claimed_at;
-    // Entries of workers that were cut off come back one by one, and those of draining ones may
-    // not; until then the list lacks workers that the earlier controller has used.
+    // After a network partition the platform lists the isolated workers again one by one, and
+    // draining ones possibly never. Until then the list lacks workers that the earlier controller
+    // used.
     auto missing = job.request.former_workers;
     for (auto& [id, worker] : workers) {
         if (worker->token_accepted && worker->accepted_poll_sent_at >= job.accepted_at) {
@@ -258,7 +263,7 @@
     return all_seen && missing.empty();
 }
 
-// Where the job's tasks are, for the log: up to four runs with worker, progress and age.
+// Formats up to four runs of the job with worker, progress and age, for the log.
 std::string cell_controller::state::describe_runs(const active_job& job) const
 {
     constexpr int max_runs = 4;
@@ -334,7 +339,7 @@
     }
 }
 
-// Deferred, as callers hold references into the table.
+// The removal is deferred because callers hold references into `jobs`.
 void cell_controller::state::schedule_job_removal(const std::string& id)
 {
     timers.schedule(duration::zero(), [this, id, alive = alive] {
@@ -344,7 +349,7 @@
     });
 }
 
-// Forgets a job whose last run has ended and lets its successor in.
+// Removes a job whose last run has ended and submits its successor, if any.
 void cell_controller::state::remove_ended_job(const std::string& id)
 {
     const auto it = jobs.find(id);
@@ -381,7 +386,7 @@
             continue;
         }
         if (now > job->deadline) {
-            // Running out of time is no failure of a task, so the job is not said to have failed.
+            // A passed deadline is not a task failure, so the job is not answered `failed`.
             const bool may_have_run = job->started || job->request.resumed;
             finish(*job, may_have_run
                              ? job_outcome{job_end::unknown, {}, "deadline passed"}
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-// A start must be executed within this time or be refused by the worker; orders that are held up
-// for seconds must not start anything.
+// A worker refuses a start that arrives later than this, so that a start command delayed by seconds
+// has no effect.
 constexpr duration start_lease = std::chrono::milliseconds{700};
-// Jobs that find no room before the rest of the queue is left for the next turn.
+// Number of jobs without a fitting worker after which a pass ends; the next pass tries the rest.
 constexpr int max_unplaced_jobs_per_pass = 12;
 
 } // namespace
@@ -39,7 +39,7 @@
            worker.suspended_until <= now;
 }
 
-// Tells the fronts of workers that are new here, before anything is started on them.
+// Reports newly used workers to the requesters before anything is started on them.
 void cell_controller::state::announce_used_workers(std::span<claimed_worker* const> open)
 {
     if (std::ranges::all_of(open, &claimed_worker::announced)) {
@@ -81,7 +81,7 @@
         return;
     }
     announce_used_workers(open);
-    std::set<std::string> orphaned; // tasks that still run for an earlier controller
+    std::set<std::string> orphaned; // tasks that still run under an earlier controller
     for (const auto& [id, worker] : workers) {
         for (const auto& [name, orphan] : worker->orphans) {
             orphaned.insert(name);
@@ -182,7 +182,7 @@
         poll(worker, true);
         return;
     }
-    // Everything else: the worker did nothing, so the task may go elsewhere at once.
+    // With every other status the command had no effect, so the task can be placed again at once.
     auto& task = run.job->steps[run.task.step][run.task.index];
     switch (reply.status) {
     case command_status::fenced:
@@ -193,7 +193,7 @@
         }
         break;
     case command_status::superseded:
-        // An earlier controller used higher numbers for this task here.
+        // An earlier controller used higher run numbers for this task on the worker.
         task.last_run += 8;
         break;
     case command_status::unhealthy:
@@ -248,12 +248,12 @@
                       it->second.stop_confirmed = true;
                       it->second.stop_confirmed_at = timers.monotonic_now();
                       if (it->second.confirmed_at == monotonic_time{}) {
-                          poll(target, true); // most likely it has never arrived
+                          poll(target, true); // the start most likely never arrived
                       }
                   });
 }
 
-// Frees the room of a run that is certainly over and says where its task stands now.
+// Removes a run that is certainly over, releases its capacity and sets its task to `next`.
 void cell_controller::state::end_run(claimed_worker& worker, const std::string& name,
                                      task_state::phase next)
 {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -13,19 +13,21 @@
 
 namespace cactusloom {
 
-// A task that ended done under an earlier controller and that a resumed job may count.
+// A task that was completed under an earlier controller; a resumed job may count it as done.
 struct orphan_completion {
     task_ref task;
     monotonic_time seen_at;
 };
 
-// Outcome of a job that has ended, for a front that asks again because its link broke.
+// Outcome of a job that has ended, kept for a requester that submits it again after its connection
+// broke.
 struct recent_outcome {
     job_outcome outcome;
     monotonic_time ended_at;
 };
 
-// State of cell_controller. Its functions are grouped by file: jobs, workers, starts.
+// Implementation of cell_controller. The functions are in controller_jobs.cpp,
+// controller_workers.cpp and controller_starts.cpp.
 struct cell_controller::state {
     state(timer_service& timer_source, worker_commands& order_sink, const cell_settings& limits,
           cell_controller& owner)
@@ -42,9 +44,9 @@
     run_time_estimator times;
     placement policy;
 
-    std::uint64_t token = 0;         // 0: no claim
-    monotonic_time first_claimed_at; // since when this controller has been in control
-    monotonic_time claimed_at;       // when the token was last raised
+    std::uint64_t token = 0;         // 0 without a claim
+    monotonic_time first_claimed_at; // start of the current period of control
+    monotonic_time claimed_at;       // last time that the token was raised
     monotonic_time worker_list_time;
     std::map<std::string, std::unique_ptr<claimed_worker>, std::less<>> workers;
     std::map<std::string, std::unique_ptr<active_job>, std::less<>> jobs;
@@ -52,7 +54,7 @@
     std::map<std::string, recent_outcome, std::less<>> recent_outcomes;
     bool start_pass_scheduled = false;
     timer_id tick_timer = 0;
-    // Callbacks of orders outlive a controller that is destroyed.
+    // Callbacks of commands and timers may run after the controller has been destroyed.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     // Jobs.
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -10,25 +10,28 @@
 
 namespace {
 
-// A waiting look is answered by an end or after this time. It must leave room in the lease for a
-// lost reply and a second look.
+// A worker replies to a long poll when a run ends or after this time. The rest of the lease must be
+// long enough for a lost reply and a second poll.
 constexpr duration long_poll_wait = std::chrono::milliseconds{250};
-// An end that is this late may have been reported on a connection that went silent.
-// A sound worker replies to a start within a round trip of a few ms.
+// A healthy worker replies to a start within a round trip of a few ms.
 constexpr duration start_patience = std::chrono::milliseconds{20};
+// The end of a run that is this late may have been reported on a connection that no longer delivers
+// data.
 constexpr duration overdue_slack = std::chrono::milliseconds{20};
 constexpr duration overdue_interval = std::chrono::milliseconds{60};
 constexpr duration claim_retry = std::chrono::milliseconds{300};
 constexpr duration stop_retry = std::chrono::milliseconds{120};
-// A front resubmits within a round trip of a takeover.
+// A requester resubmits its jobs within a round trip of a takeover; orphans that are still without
+// a job after this time are stopped.
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
 constexpr duration min_suspension = std::chrono::milliseconds{800};
 constexpr duration max_suspension = std::chrono::seconds{4};
-// Progress below this share of the prediction marks a straggler.
+// A run that takes more than this multiple of its predicted time is checked as a straggler.
 constexpr double straggler_ratio = 2.5;
 constexpr duration straggler_floor = std::chrono::milliseconds{60};
 constexpr std::uint32_t max_moves = 2;
-// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms; looks come every 250 ms.
+// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms, and progress is polled every
+// 250 ms.
 constexpr duration standstill_limit = std::chrono::milliseconds{300};
 
 } // namespace
@@ -78,7 +81,7 @@
     }
 }
 
-// The worker has started anew: nothing of its former life runs.
+// Resets the state of a worker whose process has restarted; none of its earlier runs goes on.
 void cell_controller::state::reset_restarted_worker(claimed_worker& worker,
                                                     std::int64_t started_at_ms)
 {
@@ -105,8 +108,9 @@
     command.token = token;
     command.last_seen_end = worker.last_seen_end;
     command.wait = quick ? duration::zero() : long_poll_wait;
-    // A worker that does not answer gets no longer lease: its runs must lapse at a known time. Nor
-    // does one with runs of an earlier controller, which may be counting on their lapse.
+    // The lease of a worker that does not answer is not extended, so that its runs expire at a
+    // known time. Nor is that of a worker with runs of an earlier controller, which may rely on
+    // their expiry.
     if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
         worker.orphans.empty()) {
         command.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
@@ -171,7 +175,7 @@
     ++worker.unanswered_polls;
     if (worker.unanswered_polls == 1) {
         worker.next_poll = now;
-        poll(worker, true); // on another connection: the first may have gone silent
+        poll(worker, true); // on another connection, as the first may no longer deliver data
     }
     else {
         worker.next_poll = now + claim_retry;
@@ -222,7 +226,7 @@
         }
         const double ratio = static_cast<double>(actual.count()) * worker.slowness /
                              static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
-        // Run times spread by half either way; only a ratio beyond that speaks of the worker.
+        // Run times vary by half either way, so only a higher ratio is attributed to the worker.
         const double sample = ratio > 2.0 ? ratio : 1.0;
         worker.slowness = std::clamp(worker.slowness * 0.7 + sample * 0.3, 1.0, 20.0);
         worker.failure_streak = 0;
@@ -262,7 +266,7 @@
         return;
     }
     if (it != worker.runs.end() && it->second.run > row.run) {
-        return; // an older list
+        return; // the reply predates the newer run
     }
     auto& orphan = worker.orphans[row.task];
     if (orphan.seen_at == monotonic_time{}) {
@@ -279,8 +283,8 @@
     }
 }
 
-// A run that a look sent after its confirmation does not list is over without an end: the list is
-// complete, so the worker has lost it.
+// Ends runs that the worker has lost. The list in a reply is complete, so a confirmed run that a
+// later poll does not list is over although its end was not reported.
 void cell_controller::state::end_missing_runs(claimed_worker& worker, monotonic_time sent_at,
                                               const poll_reply& reply)
 {
@@ -311,7 +315,7 @@
     }
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::unconfirmed && sent_at > run.sent_at) {
-            stop(worker, name, run); // settles it sooner than the end of its lease
+            stop(worker, name, run); // tells whether it runs before its lease expires
         }
     }
 }
@@ -333,8 +337,8 @@
     auto& job = *run.job;
     auto& task = job.steps[run.task.step][run.task.index];
     const bool stands_still = now - run.progress_at > standstill_limit;
-    // A run much longer than predicted is either a large task or on a slow worker. Beyond a factor
-    // of five it is the worker.
+    // A run far longer than predicted is either a large task or on a slow worker. Beyond a factor
+    // of five the worker is taken to be slow.
     const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
     const auto total = static_cast<double>(elapsed.count()) + (100 - percent) / rate;
     const auto remaining = total - static_cast<double>(elapsed.count());
@@ -372,7 +376,7 @@
 void cell_controller::state::record_task_failure(claimed_worker& worker, const active_job& job,
                                                  const task_state& task)
 {
-    // A task that failed elsewhere too says nothing of the worker.
+    // A task that has failed before says nothing about this worker.
     if (task.failures != 0 || worker.last_failed_job == job.request.id) {
         return;
     }
@@ -388,7 +392,7 @@
               worker.failure_streak, worker.suspension_time.count() / 1000);
 }
 
-// Everything that ran there is over: the leases have lapsed or the worker has started anew.
+// Ends all runs of a worker whose leases have expired or whose process has restarted.
 void cell_controller::state::end_lost_runs(claimed_worker& worker, const char* reason)
 {
     if (worker.runs.empty()) {
@@ -406,8 +410,8 @@
     }
 }
 
-// A late reply to a start: a look on another connection tells sooner than the reply's time limit
-// whether the start has arrived.
+// Polls a worker whose reply to a start is late. A poll on another connection tells whether the
+// start arrived before the start command times out.
 void cell_controller::state::poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now)
 {
     bool late = false;
@@ -422,8 +426,8 @@
     }
 }
 
-// A task that should have ended points to a look whose reply is lost: another connection tells
-// sooner than the look's time limit.
+// Polls a worker with a run that should have ended, as the reply to a poll may have been lost.
+// Another connection tells before that poll times out.
 void cell_controller::state::poll_if_end_overdue(claimed_worker& worker, monotonic_time now)
 {
     if (!worker.token_accepted || worker.quick_poll_pending ||
@@ -444,7 +448,7 @@
 void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
 {
     if (worker.slowness > 1.0) {
-        // Fades, so that the worker gets tasks again and is measured anew.
+        // Decays, so that the worker gets tasks again and its speed is measured again.
         worker.slowness = std::max(1.0, worker.slowness * 0.995);
     }
     poll_if_start_unconfirmed(worker, now);
@@ -475,7 +479,7 @@
             }
             orphan.stop_sent_at = now;
             commands.stop(worker.report, name, orphan.run, token, [](const command_reply&) {
-                // The next look tells; until then the stop is repeated.
+                // The next poll shows the result; until then the stop is repeated.
             });
         }
     }
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Takes the number before the last dot off the text.
+// Removes the last dot of the text and the number after it. Returns false if there is none.
 bool take_number(std::string_view& text, std::uint32_t& value)
 {
     const auto dot = text.rfind('.');
@@ -76,7 +76,7 @@
         if (step.demand.cpu_millis < 0 || step.demand.memory_mb < 0 || step.demand.gpus < 0) {
             return "a demand below zero";
         }
-        // Steps may only wait for earlier ones, which rules out cycles.
+        // Steps may only wait for earlier ones, so there are no cycles.
         if (std::ranges::any_of(step.after, [i](std::uint32_t it) { return it >= i; })) {
             return "a step that waits for itself or a later one";
         }
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-// Between a worker's end and the caller's answer lie two hops and a look.
+// Time from the end of a task to the caller's answer: two network hops and a poll.
 constexpr duration answer_margin = std::chrono::milliseconds{8};
-// Two predictions within this ratio count as equal, so that the fit decides.
+// Two predicted run times within this ratio count as equal, so that the tightest fit decides.
 constexpr double same_speed_ratio = 1.1;
-// Predictions have a spread of about 0.3 on a log scale; nine of ten tasks stay within 1.5 times.
+// Predictions have a standard deviation of about 0.3 on a log scale; nine of ten tasks take at most
+// 1.5 times the prediction.
 constexpr double safe_ratio = 1.5;
 constexpr double best_ratio = 0.6;
-// The users' sheets value a late answer at a fifth of one in time, and at nothing beyond three
-// times the objective.
+// A late answer is worth a fifth of one in time, and nothing beyond three times the objective.
 constexpr double late_value = 0.2;
 constexpr double useful_ratio = 3.0;
 
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -8,8 +8,8 @@
 
 namespace cactusloom {
 
-// Answers the load of mixed long and short tasks on workers of different speed: which task goes
-// next, and where. Pure decisions on the given state.
+// Placement policy for mixed long and short tasks on workers of different speed: decides which job
+// goes next and on which worker a task is started. It has no state of its own and no side effects.
 class placement {
 public:
     placement(const run_time_estimator& times, double remote_penalty)
@@ -17,37 +17,37 @@
     {
     }
 
-    // Jobs that can still meet their objective come first, by the priority of their queue, then
-    // earliest objective first. With them come late jobs of which so little is left to start that
-    // their answer is worth more for the work than that of an untouched job in time. Other late
-    // ones follow, by priority and what is left to start, and then those whose answer is of no
-    // more use, by priority and deadline.
+    // Sorts the jobs into the order in which their tasks are started. Jobs that can still meet
+    // their objective come first, by priority of their queue and then earliest objective. Late jobs
+    // rank with them if so little of their work is unstarted that their answer is worth more per
+    // work than that of an unstarted job in time. The other late jobs follow, by priority and
+    // unstarted share, and last those whose answer has no value any more, by priority and deadline.
     void sort(std::vector<active_job*>& jobs, monotonic_time now) const;
 
-    // Up to then an answer is of use to the caller.
+    // Time up to which an answer has value for the caller.
     static monotonic_time useful_until(const active_job& job);
 
     // Predicted run time of a task of the step on the worker.
     duration predict(const active_job& job, const job_step& step,
                      const claimed_worker& worker) const;
 
-    // Shortest run time that the step can have on a sound worker of the fastest kind.
+    // Predicted run time of a task of the step on a healthy worker of the fastest kind.
     duration min_run_time(const active_job& job, const job_step& step) const;
 
-    // Longest of the shortest run times of the steps that are not done.
+    // Largest of these run times over the steps that are not done.
     duration longest_remaining_run_time(const active_job& job) const;
 
-    // Least run time to reckon with, as predictions are off either way.
+    // Lower estimate of an actual run time, as predictions err both ways.
     static duration optimistic_run_time(duration predicted);
 
-    // Chooses among workers that are open to starts: the slowest that safely meets the objective,
-    // so that fast ones stay free for long tasks; a late task takes the fastest that is left. Among
-    // equals the tightest fit. Returns null if there is no room, or if waiting for a faster worker
-    // still allows the objective.
+    // Chooses one of the workers that accept starts: the slowest that safely meets the objective,
+    // so that fast ones stay free for long tasks, or the fastest for a late task. Among workers of
+    // equal speed it takes the tightest fit. Returns null if no worker fits, or if none meets the
+    // objective but a faster one that becomes free still could.
     claimed_worker* choose(const active_job& job, std::size_t step, const task_state& task,
                            std::span<claimed_worker* const> open, monotonic_time now) const;
 
-    // Work of the jobs' pending tasks that come before those of `job`, in core-microseconds at
+    // Work of the pending tasks of the jobs that come before `job`, in core-microseconds at
     // speed 1.
     double work_before(std::span<active_job* const> jobs, const active_job& job) const;
 
@@ -55,7 +55,7 @@
     enum class urgency { in_time, late, too_late };
 
     urgency urgency_of(const active_job& job, monotonic_time now) const;
-    // Share of the job's work that has not been started.
+    // Share of the job's work that has not been started, by the caller's estimates.
     static double unstarted_share(const active_job& job);
     bool can_meet_objective(const active_job& job, monotonic_time now) const;
 
--- a/src/cell/run_time_estimator.cpp
+++ b/src/cell/run_time_estimator.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-// Samples after which a mean forgets: one queue ends some tens of tasks a second.
+// Number of samples after which older ones lose weight; a queue completes some tens of tasks a
+// second.
 constexpr double max_queue_weight = 200;
 constexpr double max_kind_weight = 400;
-// A mean of fewer samples says less than the guess.
+// With fewer samples the mean is less accurate than the caller's estimate.
 constexpr double trusted_weight = 5;
-// With guess and queue spread alike, both count the same.
+// The caller's estimate and the queue's mean have about the same spread, so both count the same.
 constexpr double guess_share = 0.5;
 
 } // namespace
@@ -59,7 +60,8 @@
     if (guess.count() <= 0 || actual.count() <= 0) {
         return;
     }
-    // The guesses are unbiased over many tasks, so actual over guess averages to the speed.
+    // Callers' estimates are unbiased over many tasks, so the ratio of actual to estimated run time
+    // averages to the factor of the kind.
     const double actual_log = std::log(static_cast<double>(actual.count()));
     const double ratio = actual_log - std::log(static_cast<double>(guess.count()));
     auto& own = kinds_[std::string(kind)];
