--- a/include/cell/caller_request_handler.h
+++ b/include/cell/caller_request_handler.h
@@ -62,7 +62,7 @@
     };
     queue_match find_queue(std::string_view host, std::string_view path) const;
 
-    void submit(std::string_view host, std::string_view path, submission order, answer fn);
+    void submit(std::string_view host, std::string_view path, submission submitted, answer fn);
     void on_caller_disconnected(const std::string& job_id);
     caller_reply state_of(const std::string& job_id) const;
     caller_reply cancel(const std::string& job_id);
--- a/include/cell/dispatch_metrics.h
+++ b/include/cell/dispatch_metrics.h
@@ -16,7 +16,8 @@
 };
 
 // Formats all counters and histograms of an instance in the Prometheus text exposition format.
-std::string format_dispatch_metrics(const cell_service& cells, const caller_request_handler& desk,
+std::string format_dispatch_metrics(const cell_service& cells,
+                                    const caller_request_handler& handler,
                                     const network_counts& network);
 
 } // namespace cactusloom
--- a/include/cell/run_time_estimator.h
+++ b/include/cell/run_time_estimator.h
@@ -14,7 +14,7 @@
 class run_time_estimator {
 public:
     // Predicted run time of a task of `queue` at speed 1.
-    duration work(std::string_view queue, duration guess) const;
+    duration work(std::string_view queue, duration estimate) const;
 
     // Run time on a worker of the kind as a multiple of the run time at speed 1.
     double kind_factor(std::string_view kind) const;
@@ -23,18 +23,18 @@
     double fastest_factor() const;
 
     // Adds the sample of a task that was done after `actual` on a worker of `kind`.
-    void learn(std::string_view queue, std::string_view kind, duration guess, duration actual);
+    void learn(std::string_view queue, std::string_view kind, duration estimate, duration actual);
 
 private:
     // Mean of logarithms with exponential forgetting.
-    struct mean_log {
+    struct log_mean {
         double value = 0;
         double weight = 0;
         void add(double sample, double max_weight);
     };
 
-    std::unordered_map<std::string, mean_log> queues_; // log of the run time in us at speed 1
-    std::unordered_map<std::string, mean_log> kinds_;  // log of the kind's factor
+    std::unordered_map<std::string, log_mean> queues_; // log of the run time in us at speed 1
+    std::unordered_map<std::string, log_mean> kinds_;  // log of the kind's factor
 };
 
 } // namespace cactusloom
--- a/src/cell/caller_request_handler.cpp
+++ b/src/cell/caller_request_handler.cpp
@@ -14,7 +14,7 @@
 // A job that needs an unsupported feature is refused again on every retry.
 constexpr duration unsupported_retry = std::chrono::seconds{60};
 // Another instance accepts the job as soon as the caller reconnects.
-constexpr duration elsewhere_retry = std::chrono::seconds{1};
+constexpr duration other_instance_retry = std::chrono::seconds{1};
 // Time to send the last answers before the process exits.
 constexpr duration exit_margin = std::chrono::milliseconds{100};
 
@@ -80,37 +80,38 @@
     return {true, route->path_prefix.size(), {}};
 }
 
-void caller_request_handler::submit(std::string_view host, std::string_view path, submission order,
-                                    answer fn)
+void caller_request_handler::submit(std::string_view host, std::string_view path,
+                                    submission submitted, answer fn)
 {
     const auto* route = table_.find(host, path);
     if (route == nullptr) {
         fn({caller_reply::kind::no_such_queue});
         return;
     }
-    if (const auto* defect = find_job_defect(order.request)) {
-        log_event("job_malformed", "id={} reason=\"{}\"", order.request.id, defect);
+    if (const auto* defect = find_job_defect(submitted.request)) {
+        log_event("job_malformed", "id={} reason=\"{}\"", submitted.request.id, defect);
         fn({caller_reply::kind::malformed});
         return;
     }
-    if (!order.answer_at_end || !order.unsupported.empty()) {
-        log_event("job_refused", "id={} queue={} reason=\"not offered: {}\"", order.request.id,
-                  route->terms.queue, order.answer_at_end ? order.unsupported : "stored jobs");
+    if (!submitted.answer_at_end || !submitted.unsupported.empty()) {
+        log_event("job_refused", "id={} queue={} reason=\"not offered: {}\"", submitted.request.id,
+                  route->terms.queue,
+                  submitted.answer_at_end ? submitted.unsupported : "stored jobs");
         fn(not_run(unsupported_retry));
         return;
     }
-    auto& request = order.request;
+    auto& request = submitted.request;
     request.terms = route->terms;
     // A job is answered when it has ended, which may take longer than the route's timeout for an
     // acknowledgement, so the caller's own timeout comes first.
-    request.time_left = order.caller_timeout.value_or(route->timeout);
+    request.time_left = submitted.caller_timeout.value_or(route->timeout);
     const auto arrived = timers_.monotonic_now();
     if (exit_at_) {
         request.time_left = std::min(request.time_left, *exit_at_ - arrived - exit_margin);
         if (request.time_left <= duration::zero()) {
             log_event("job_refused", "id={} queue={} reason=\"the instance stops\"", request.id,
                       route->terms.queue);
-            fn(not_run(elsewhere_retry));
+            fn(not_run(other_instance_retry));
             return;
         }
     }
--- a/src/cell/cell_choice.cpp
+++ b/src/cell/cell_choice.cpp
@@ -6,17 +6,18 @@
 
 namespace cactusloom {
 
-chosen_cell choose_cell(std::span<const instance_view> holders, const cell_constraints& wish)
+chosen_cell choose_cell(std::span<const instance_view> holders, const cell_constraints& constraints)
 {
-    const auto rank = [&wish](const cell_claim& it) {
-        return std::tuple(it.cell == wish.home, hash64(it.cell, hash64(wish.job_id)), it.token);
+    const auto rank = [&constraints](const cell_claim& it) {
+        return std::tuple(it.cell == constraints.home, hash64(it.cell, hash64(constraints.job_id)),
+                          it.token);
     };
     chosen_cell best;
     for (const auto& view : holders) {
         for (const auto& it : view.claims) {
-            if (wish.refused_by.contains(it.cell) ||
-                (!wish.required_cell.empty() &&
-                 !cell_election::covers(it.cell, wish.required_cell))) {
+            if (constraints.refused_by.contains(it.cell) ||
+                (!constraints.required_cell.empty() &&
+                 !cell_election::covers(it.cell, constraints.required_cell))) {
                 continue;
             }
             if (best.claim == nullptr || rank(it) > rank(*best.claim)) {
--- a/src/cell/cell_choice.h
+++ b/src/cell/cell_choice.h
@@ -28,6 +28,7 @@
 // the job id. In a burst or after a loss of workers the overflow thus spreads evenly; in a fixed
 // order it would fill one cell after the other, and each job would be refused by every full one
 // first. Of several claims to one cell the one with the highest token counts. Has no side effects.
-chosen_cell choose_cell(std::span<const instance_view> holders, const cell_constraints& wish);
+chosen_cell choose_cell(std::span<const instance_view> holders,
+                        const cell_constraints& constraints);
 
 } // namespace cactusloom
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -81,8 +81,9 @@
     // run behind a network partition, under another controller.
     bool is_removable(monotonic_time now) const
     {
-        constexpr auto longest_cut = std::chrono::seconds{10};
-        return !listed && runs.empty() && (report.draining || now - unlisted_at > longest_cut);
+        constexpr auto longest_partition = std::chrono::seconds{10};
+        return !listed && runs.empty() &&
+               (report.draining || now - unlisted_at > longest_partition);
     }
 
     // Lower estimate of the worker's clock now, as its reply took time to arrive. The clock's rate
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -40,9 +40,9 @@
 }
 
 // Reports newly used workers to the requesters before anything is started on them.
-void cell_controller::state::announce_used_workers(std::span<claimed_worker* const> open)
+void cell_controller::state::announce_used_workers(std::span<claimed_worker* const> available)
 {
-    if (std::ranges::all_of(open, &claimed_worker::announced)) {
+    if (std::ranges::all_of(available, &claimed_worker::announced)) {
         return;
     }
     for (auto& [id, worker] : workers) {
@@ -58,29 +58,29 @@
     }
     const auto now = timers.monotonic_now();
     std::vector<active_job*> waiting;
-    std::int64_t least_cpu = std::numeric_limits<std::int64_t>::max();
+    std::int64_t min_cpu = std::numeric_limits<std::int64_t>::max();
     for (const auto& [id, job] : jobs) {
         if (!job->ended && job->pending_tasks != 0) {
             waiting.push_back(job.get());
             for (const auto& step : job->request.steps) {
-                least_cpu = std::min(least_cpu, step.demand.cpu_millis);
+                min_cpu = std::min(min_cpu, step.demand.cpu_millis);
             }
         }
     }
     if (waiting.empty()) {
         return;
     }
-    std::vector<claimed_worker*> open;
+    std::vector<claimed_worker*> available;
     for (const auto& [id, worker] : workers) {
         if (accepts_starts(*worker, now) &&
-            worker->report.capacity.cpu_millis - worker->used.cpu_millis >= least_cpu) {
-            open.push_back(worker.get());
+            worker->report.capacity.cpu_millis - worker->used.cpu_millis >= min_cpu) {
+            available.push_back(worker.get());
         }
     }
-    if (open.empty()) {
+    if (available.empty()) {
         return;
     }
-    announce_used_workers(open);
+    announce_used_workers(available);
     std::set<std::string> orphaned; // tasks that still run under an earlier controller
     for (const auto& [id, worker] : workers) {
         for (const auto& [name, orphan] : worker->orphans) {
@@ -88,7 +88,7 @@
         }
     }
     policy.sort(waiting, now);
-    int failed_jobs = 0;
+    int unplaced_jobs = 0;
     for (auto* job : waiting) {
         if (job->request.resumed && !may_start_resumed(*job)) {
             continue;
@@ -105,11 +105,11 @@
                                                static_cast<std::uint32_t>(i)})))) {
                     continue;
                 }
-                auto* worker = policy.choose(*job, step, job->steps[step][i], open, now);
+                auto* worker = policy.choose(*job, step, job->steps[step][i], available, now);
                 placed_all = worker != nullptr && place(*job, step, i, *worker, now);
             }
         }
-        if (!placed_all && ++failed_jobs >= max_unplaced_jobs_per_pass) {
+        if (!placed_all && ++unplaced_jobs >= max_unplaced_jobs_per_pass) {
             return;
         }
     }
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -29,9 +29,9 @@
 // Implementation of cell_controller. The functions are in controller_jobs.cpp,
 // controller_workers.cpp and controller_starts.cpp.
 struct cell_controller::state {
-    state(timer_service& timer_source, worker_commands& order_sink, const cell_settings& limits,
+    state(timer_service& timer_source, worker_commands& command_sink, const cell_settings& limits,
           cell_controller& owner)
-        : timers(timer_source), commands(order_sink), settings(limits), self(owner),
+        : timers(timer_source), commands(command_sink), settings(limits), self(owner),
           policy(times, limits.remote_penalty)
     {
     }
@@ -92,7 +92,7 @@
 
     // Starts and stops.
     void schedule_start_pass();
-    void announce_used_workers(std::span<claimed_worker* const> open);
+    void announce_used_workers(std::span<claimed_worker* const> available);
     void start_pending_tasks();
     bool place(active_job& job, std::size_t step, std::size_t index, claimed_worker& worker,
                monotonic_time now);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -14,13 +14,13 @@
 // long enough for a lost reply and a second poll.
 constexpr duration long_poll_wait = std::chrono::milliseconds{250};
 // A healthy worker replies to a start within a round trip of a few ms.
-constexpr duration start_patience = std::chrono::milliseconds{20};
+constexpr duration start_reply_limit = std::chrono::milliseconds{20};
 // The end of a run that is this late may have been reported on a connection that no longer delivers
 // data.
 constexpr duration overdue_slack = std::chrono::milliseconds{20};
-constexpr duration overdue_interval = std::chrono::milliseconds{60};
-constexpr duration claim_retry = std::chrono::milliseconds{300};
-constexpr duration stop_retry = std::chrono::milliseconds{120};
+constexpr duration overdue_poll_interval = std::chrono::milliseconds{60};
+constexpr duration poll_retry_interval = std::chrono::milliseconds{300};
+constexpr duration stop_retry_interval = std::chrono::milliseconds{120};
 // A requester resubmits its jobs within a round trip of a takeover; orphans that are still without
 // a job after this time are stopped.
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
@@ -28,11 +28,11 @@
 constexpr duration max_suspension = std::chrono::seconds{4};
 // A run that takes more than this multiple of its predicted time is checked as a straggler.
 constexpr double straggler_ratio = 2.5;
-constexpr duration straggler_floor = std::chrono::milliseconds{60};
+constexpr duration min_straggler_time = std::chrono::milliseconds{60};
 constexpr std::uint32_t max_moves = 2;
 // One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms, and progress is polled every
 // 250 ms.
-constexpr duration standstill_limit = std::chrono::milliseconds{300};
+constexpr duration no_progress_limit = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -161,7 +161,7 @@
     }
     if (reply.status == command_status::fenced && sent_token == token) {
         worker.token_accepted = false;
-        worker.next_poll = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
         self.on_fenced();
         return;
     }
@@ -178,7 +178,7 @@
         poll(worker, true); // on another connection, as the first may no longer deliver data
     }
     else {
-        worker.next_poll = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
     }
 }
 
@@ -295,7 +295,7 @@
     if (reply.finished_complete) {
         std::erase_if(worker.orphans, [&](const auto& it) { return !running.contains(it.first); });
     }
-    std::vector<std::string> over;
+    std::vector<std::string> missing;
     for (const auto& [name, run] : worker.runs) {
         if (running.contains(name) || !reply.finished_complete) {
             continue;
@@ -306,10 +306,10 @@
             run.confirmed_at == monotonic_time{} && reply.clock_ms > run.latest_start_ms;
         const bool stopped = run.stop_confirmed && sent_at >= run.stop_confirmed_at;
         if (confirmed_before || refused_by_now || stopped) {
-            over.push_back(name);
+            missing.push_back(name);
         }
     }
-    for (const auto& name : over) {
+    for (const auto& name : missing) {
         log_event("run_vanished", "worker={} task={}", worker.report.id, name);
         end_run(worker, name, task_state::phase::pending);
     }
@@ -328,15 +328,15 @@
         run.progress_at = now;
     }
     const auto elapsed = now - std::max(run.sent_at, run.confirmed_at);
-    const auto patience = std::max(
-        straggler_floor, duration{static_cast<duration::rep>(
-                             static_cast<double>(run.predicted.count()) * straggler_ratio)});
-    if (elapsed < patience || percent >= 100) {
+    const auto time_limit = std::max(
+        min_straggler_time, duration{static_cast<duration::rep>(
+                                static_cast<double>(run.predicted.count()) * straggler_ratio)});
+    if (elapsed < time_limit || percent >= 100) {
         return;
     }
     auto& job = *run.job;
     auto& task = job.steps[run.task.step][run.task.index];
-    const bool stands_still = now - run.progress_at > standstill_limit;
+    const bool is_stalled = now - run.progress_at > no_progress_limit;
     // A run far longer than predicted is either a large task or on a slow worker. Beyond a factor
     // of five the worker is taken to be slow.
     const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
@@ -349,15 +349,15 @@
     }
     const auto min_run_time =
         static_cast<double>(policy.min_run_time(job, job.request.steps[run.task.step]).count());
-    const double elsewhere =
-        stands_still
+    const double time_elsewhere =
+        is_stalled
             ? min_run_time
             : std::max(min_run_time, total * times.fastest_factor() /
                                          (times.kind_factor(worker.report.kind) * worker.slowness));
     const auto stop_timeout = static_cast<double>(settings.stop_timeout.count());
     if (job.ended || task.moves >= max_moves ||
-        (!stands_still && remaining < 2 * elsewhere + stop_timeout) ||
-        now + duration{static_cast<duration::rep>(elsewhere)} > job.deadline) {
+        (!is_stalled && remaining < 2 * time_elsewhere + stop_timeout) ||
+        now + duration{static_cast<duration::rep>(time_elsewhere)} > job.deadline) {
         return;
     }
     ++task.moves;
@@ -366,8 +366,8 @@
     log_event("straggler_moved",
               "task={} worker={} percent={} elapsed_ms={} predicted_ms={} slowness={:.1f} still={}",
               to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
-              run.predicted.count() / 1000, worker.slowness, stands_still);
-    if (stands_still) {
+              run.predicted.count() / 1000, worker.slowness, is_stalled);
+    if (is_stalled) {
         record_task_failure(worker, job, task);
     }
     stop(worker, to_task_name(run.task), run);
@@ -416,7 +416,7 @@
 {
     bool late = false;
     for (auto& [name, run] : worker.runs) {
-        if (run.at == task_run::phase::starting && now - run.sent_at > start_patience) {
+        if (run.at == task_run::phase::starting && now - run.sent_at > start_reply_limit) {
             run.at = task_run::phase::unconfirmed;
         }
         late |= run.at == task_run::phase::unconfirmed;
@@ -431,7 +431,7 @@
 void cell_controller::state::poll_if_end_overdue(claimed_worker& worker, monotonic_time now)
 {
     if (!worker.token_accepted || worker.quick_poll_pending ||
-        now - worker.last_reply < overdue_interval) {
+        now - worker.last_reply < overdue_poll_interval) {
         return;
     }
     const bool overdue = std::ranges::any_of(worker.runs, [&](const auto& row) {
@@ -461,19 +461,20 @@
     }
     if (silent && now >= worker.next_poll && worker.listed) {
         poll(worker, true);
-        worker.next_poll = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
     }
     if (!worker.token_accepted) {
         return;
     }
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::stopping && !run.stop_confirmed &&
-            now - run.stop_sent_at > stop_retry) {
+            now - run.stop_sent_at > stop_retry_interval) {
             stop(worker, name, run);
         }
     }
     for (auto& [name, orphan] : worker.orphans) {
-        if (now - orphan.seen_at > orphan_grace && now - orphan.stop_sent_at > stop_retry) {
+        if (now - orphan.seen_at > orphan_grace &&
+            now - orphan.stop_sent_at > stop_retry_interval) {
             if (orphan.stop_sent_at == monotonic_time{}) {
                 ++counts.orphans_stopped;
             }
--- a/src/cell/dispatch_metrics.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -9,7 +9,8 @@
 
 namespace cactusloom {
 
-std::string format_dispatch_metrics(const cell_service& cells, const caller_request_handler& desk,
+std::string format_dispatch_metrics(const cell_service& cells,
+                                    const caller_request_handler& handler,
                                     const network_counts& network)
 {
     std::string out;
@@ -33,12 +34,12 @@
     add("controls_cells", cells.controls_any() ? 1 : 0);
     add("has_controller", cells.has_controller() ? 1 : 0);
     add("open_jobs", cells.open_jobs());
-    add("config_version", desk.version());
+    add("config_version", handler.version());
     add("caller_connections", network.caller_connections);
     add("open_requests", network.open_requests);
     add("connections_opened_total", network.connections_opened);
     add("log_lines_dropped_total", dropped_log_lines());
-    desk.format_latencies(out);
+    handler.format_latencies(out);
     return out;
 }
 
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Removes the last dot of the text and the number after it. Returns false if there is none.
-bool take_number(std::string_view& text, std::uint32_t& value)
+bool remove_number(std::string_view& text, std::uint32_t& value)
 {
     const auto dot = text.rfind('.');
     if (dot == std::string_view::npos) {
@@ -50,8 +50,8 @@
 bool parse_task_name(std::string_view text, task_ref& task)
 {
     std::uint32_t occurrence = 0;
-    if (!take_number(text, task.index) || !take_number(text, task.step) ||
-        !take_number(text, occurrence)) {
+    if (!remove_number(text, task.index) || !remove_number(text, task.step) ||
+        !remove_number(text, occurrence)) {
         return false;
     }
     task.job = std::string(text);
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -14,7 +14,7 @@
 // Predictions have a standard deviation of about 0.3 on a log scale; nine of ten tasks take at most
 // 1.5 times the prediction.
 constexpr double safe_ratio = 1.5;
-constexpr double best_ratio = 0.6;
+constexpr double optimistic_ratio = 0.6;
 // A late answer is worth a fifth of one in time, and nothing beyond three times the objective.
 constexpr double late_value = 0.2;
 constexpr double useful_ratio = 3.0;
@@ -61,7 +61,7 @@
 
 duration placement::optimistic_run_time(duration predicted)
 {
-    return scaled(predicted, best_ratio);
+    return scaled(predicted, optimistic_ratio);
 }
 
 monotonic_time placement::useful_until(const active_job& job)
@@ -119,7 +119,8 @@
 }
 
 claimed_worker* placement::choose(const active_job& job, std::size_t step, const task_state& task,
-                                  std::span<claimed_worker* const> open, monotonic_time now) const
+                                  std::span<claimed_worker* const> available,
+                                  monotonic_time now) const
 {
     const auto& wanted = job.request.steps[step];
     const bool late = !can_meet_objective(job, now);
@@ -128,9 +129,9 @@
     duration best_time{};
     bool best_meets = false;
     std::int64_t best_left = 0;
-    for (auto* it : open) {
+    for (auto* it : available) {
         if (!it->has_capacity(wanted.demand) || it->report.service != job.request.terms.service ||
-            (it->report.id == task.avoid_worker && open.size() > 1) ||
+            (it->report.id == task.avoid_worker && available.size() > 1) ||
             (!wanted.required_label.empty() && !it->has_label(wanted.required_label))) {
             continue;
         }
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -45,7 +45,7 @@
     // equal speed it takes the tightest fit. Returns null if no worker fits, or if none meets the
     // objective but a faster one that becomes free still could.
     claimed_worker* choose(const active_job& job, std::size_t step, const task_state& task,
-                           std::span<claimed_worker* const> open, monotonic_time now) const;
+                           std::span<claimed_worker* const> available, monotonic_time now) const;
 
     // Work of the pending tasks of the jobs that come before `job`, in core-microseconds at
     // speed 1.
