Name the tests of the cell controller after the fault they guard against

Names and comments of the tests in tests/cell used private words such as fronts, looks, room and rivals, and one comment said that one worker loses starts where the test makes two lose them.

--- a/tests/cell/black_hole_port.h
+++ b/tests/cell/black_hole_port.h
@@ -10,8 +10,8 @@
 
 namespace cactusloom {
 
-// A port that never completes a handshake, like a machine without power: its queue of new
-// connections is full.
+// A port that never completes a TCP handshake, like that of a machine without power, because its
+// backlog of connections is full.
 class black_hole_port {
 public:
     explicit black_hole_port(std::uint16_t port)
--- a/tests/cell/cell_choice_test.cpp
+++ b/tests/cell/cell_choice_test.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-// Five cells of a large deployment, each with room for so many more jobs.
+// Five cells of a large deployment, each with capacity for a given number of jobs.
 struct cells_fixture {
     std::vector<instance_view> holders;
     std::map<std::string, int> room;
     std::map<std::string, int> taken;
-    int refusals = 0; // answers "no room" on the way
-    int unserved = 0; // no cell took it
+    int refusals = 0; // by a cell without capacity
+    int unserved = 0; // jobs that no cell accepted
 
     cells_fixture()
     {
@@ -48,23 +48,24 @@
 
 BOOST_FIXTURE_TEST_SUITE(cell_choices, cells_fixture)
 
-// Plays a burst of 2.5 times what the home cell can take, with room elsewhere. Guards against
-// overflow that fills the other cells in order: each job would be refused by every full one first.
-BOOST_AUTO_TEST_CASE(overflow_spreads_over_the_other_cells_in_one_hop)
+// Guards against overflow that fills the other cells one after the other, so that each job is
+// refused by every full cell first. A burst is 2.5 times the home cell's capacity, and the other
+// cells have enough.
+BOOST_AUTO_TEST_CASE(overflow_spreads_over_the_other_cells_after_one_refusal)
 {
     for (int i = 0; i < 250; ++i) {
         submit(fmt::format("job-{}", i), "c");
     }
     BOOST_TEST(unserved == 0);
     BOOST_TEST(taken["c"] == 100);
-    BOOST_TEST(refusals == 150); // one hop each
+    BOOST_TEST(refusals == 150); // one for each job that did not fit into the home cell
     for (const auto* it : {"a", "b", "d", "e"}) {
         BOOST_TEST(taken[it] <= 60); // 150 over four cells, 37.5 each
     }
 }
 
-// Guards against a job that is refused although one cell still has room.
-BOOST_AUTO_TEST_CASE(every_cell_is_asked_before_a_job_is_refused)
+// Guards against a job that is refused although one cell still has capacity.
+BOOST_AUTO_TEST_CASE(every_cell_is_tried_before_a_job_is_refused)
 {
     room = {{"d", 3}};
     for (int i = 0; i < 4; ++i) {
@@ -75,8 +76,8 @@
 }
 
 // Guards against a resumed job whose tasks run a second time on the workers of another cell, and
-// against an older claim being asked.
-BOOST_AUTO_TEST_CASE(a_bound_job_stays_with_its_workers)
+// against a job that is sent to the holder of an older claim.
+BOOST_AUTO_TEST_CASE(a_job_with_a_required_cell_goes_to_the_newest_claim_to_it)
 {
     const std::set<std::string> none;
     BOOST_TEST(choose_cell(holders, {"job", "c", none, "d"}).claim->cell == "d");
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -7,8 +7,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(controller, cell_fixture)
 
-// Guards against a job whose answer is sent before all its tasks are done, and against a step that
-// starts before the ones it waits for.
+// Guards against a job that is answered before all its tasks are done, and against a step that
+// starts before the steps that it depends on.
 BOOST_AUTO_TEST_CASE(a_job_completes_when_all_steps_are_done)
 {
     add_workers(2);
@@ -28,8 +28,8 @@
     check_no_violation();
 }
 
-// Guards against starts beyond a worker's room: the workers do not check it.
-BOOST_AUTO_TEST_CASE(starts_stay_within_the_room_of_each_worker)
+// Guards against starts beyond a worker's capacity, which the workers do not check.
+BOOST_AUTO_TEST_CASE(starts_stay_within_the_capacity_of_each_worker)
 {
     add_workers(3);
     take_control();
@@ -48,9 +48,9 @@
     job_end expected;
 };
 
-// Guards against tasks that are lost, run twice at the same time or start beyond the room while one
-// of four workers misbehaves.
-BOOST_AUTO_TEST_CASE(faults_of_a_worker_cost_no_job)
+// Guards against tasks that are lost, run twice at the same time or exceed a worker's capacity
+// while one of four workers is faulty.
+BOOST_AUTO_TEST_CASE(no_job_is_lost_to_a_faulty_worker)
 {
     const fault_row rows[] = {
         {"replies are lost", [](auto& it) { it.lost_replies = 0.3; }, job_end::completed},
@@ -83,9 +83,9 @@
     }
 }
 
-// Guards against a task that keeps its room or is started again before its lease has lapsed on a
-// worker that can no longer be reached.
-BOOST_AUTO_TEST_CASE(a_task_on_an_unreachable_worker_moves_after_its_lease)
+// Guards against a task on an unreachable worker that is started again before its lease there has
+// expired, or whose capacity stays reserved after that.
+BOOST_AUTO_TEST_CASE(a_task_on_an_unreachable_worker_is_restarted_after_its_lease)
 {
     add_workers(2);
     fleet.work = [](const std::string&) { return duration{800ms}; };
@@ -102,8 +102,9 @@
     BOOST_TEST(ended("j", job_end::completed));
 }
 
-// Guards against the loss of work on a sound worker whose task is larger than its caller guessed.
-BOOST_AUTO_TEST_CASE(a_large_task_on_a_sound_worker_is_not_moved)
+// Guards against a straggler check that stops a task on a healthy worker only because the task
+// takes longer than its caller estimated.
+BOOST_AUTO_TEST_CASE(a_large_task_on_a_healthy_worker_is_not_stopped)
 {
     add_workers(2);
     take_control();
@@ -118,8 +119,8 @@
     BOOST_TEST(fleet.starts_of("j.0.0.0") == 1U);
 }
 
-// Guards against a worker that came back empty under its id being taken as still busy.
-BOOST_AUTO_TEST_CASE(a_restarted_worker_is_taken_as_empty)
+// Guards against a worker that restarted under the same id and still counts as busy.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_counts_as_empty)
 {
     add_workers(1);
     fleet.work = [](const std::string&) { return duration{500ms}; };
@@ -132,9 +133,9 @@
     check_no_violation();
 }
 
-// Guards against the answer "failed" to a job that has merely run out of time: no task of it has
-// failed, and what runs must be stopped.
-BOOST_AUTO_TEST_CASE(a_job_out_of_time_is_unknown_and_stopped)
+// Guards against the answer "failed" to a job that passed its deadline without a failed task, and
+// against tasks of it that run on.
+BOOST_AUTO_TEST_CASE(a_job_past_its_deadline_is_unknown_and_stopped)
 {
     add_workers(1);
     fleet.work = [](const std::string&) { return duration{10s}; };
@@ -148,7 +149,7 @@
     BOOST_TEST(fleet.running("w0") == 0U);
 }
 
-// Guards against endless retries of a task that can never be done.
+// Guards against unlimited retries of a task that fails on every worker.
 BOOST_AUTO_TEST_CASE(a_task_that_always_fails_ends_its_job)
 {
     add_workers(4);
@@ -162,7 +163,7 @@
     BOOST_TEST(fleet.total_starts() == 3U);
 }
 
-// Guards against a task that no worker can hold waiting for its deadline.
+// Guards against a job that waits for its deadline although no worker is large enough for its task.
 BOOST_AUTO_TEST_CASE(a_task_larger_than_any_worker_is_refused_at_once)
 {
     add_workers(2);
@@ -174,15 +175,15 @@
     BOOST_TEST(ended("j", job_end::not_run));
 }
 
-// Guards against work that comes far too late for its callers while it takes the room of other
-// work: ten times the load that the workers carry.
-BOOST_AUTO_TEST_CASE(overload_is_refused_at_once_and_the_rest_served_in_time)
+// Guards against late work that takes capacity from work that would be in time, at ten times the
+// load that the workers can carry.
+BOOST_AUTO_TEST_CASE(excess_load_is_refused_at_once_and_the_rest_served_in_time)
 {
     add_workers(4);
     take_control();
     timers.advance(1100ms);
     std::size_t n = 0;
-    for (int round = 0; round < 200; ++round) { // 800 tasks a second for room of 80
+    for (int round = 0; round < 200; ++round) { // 800 tasks a second, with capacity for 80
         submit(job(fmt::format("j{}", n++), 4));
         submit(job(fmt::format("j{}", n++), 4));
         timers.advance(10ms);
@@ -195,15 +196,15 @@
         refused += outcome.end == job_end::not_run && outcome.retry_after >= 1s ? 1 : 0;
     }
     BOOST_TEST(completed + refused == n);
-    // Two seconds of four workers with room for two tasks of 100 ms: 40 jobs at best.
+    // Two seconds of four workers with capacity for two tasks of 100 ms: 40 jobs at best.
     BOOST_TEST(completed >= 34U);
     check_no_violation();
 }
 
-// Guards against short tasks that miss their objective because a start that never arrived is only
-// settled once its reply has timed out: here every second start of one worker is lost. The
-// objective of a task of 60 ms is 156 ms.
-BOOST_AUTO_TEST_CASE(a_lost_start_costs_less_than_a_short_objective_allows)
+// Guards against short tasks that miss their objective because a lost start is detected only when
+// its command times out. Half of the start commands to each worker get no reply and arrive seconds
+// later. The objective of a task of 60 ms is 156 ms.
+BOOST_AUTO_TEST_CASE(a_lost_start_is_repeated_within_a_short_objective)
 {
     add_workers(2);
     fleet.work = [](const std::string&) { return duration{50ms}; };
@@ -215,32 +216,32 @@
     for (int i = 0; i < n; ++i) {
         const auto id = fmt::format("j{}", i);
         const auto sent = timers.monotonic_now();
-        controller->submit(job(id, 1, 60ms), "front", [&, sent](const job_outcome& it) {
+        controller->submit(job(id, 1, 60ms), "requester", [&, sent](const job_outcome& it) {
             BOOST_TEST(to_string(it.end) == to_string(job_end::completed));
             late += timers.monotonic_now() - sent > 156ms ? 1 : 0;
         });
         timers.advance(1s);
     }
-    // Three lost starts in a row cannot be made up for: one job in eight.
+    // A job with three lost starts in a row is late: one job in eight.
     BOOST_TEST(late <= n / 4);
     check_no_violation();
 }
 
-// Plays a burst of twice what the workers can do, in which one task of eight of a job is held up by
-// a silent worker until the job is late. Guards against the loss of the work that was done for it:
-// it must be answered while that is of use, within three times its objective, in spite of the
-// burst.
-BOOST_AUTO_TEST_CASE(a_nearly_finished_job_is_answered_within_a_burst)
+// Guards against a nearly finished job that queues behind a burst and loses the work done for it.
+// In a burst of twice the workers' capacity a silent worker delays one of the job's eight tasks
+// until the job is late; it must still be answered while the answer has value, within three times
+// its objective.
+BOOST_AUTO_TEST_CASE(a_nearly_finished_job_is_answered_during_a_burst)
 {
     add_workers(3);
     fleet.add("w3", {1000, 1000, 0});
     fleet.add("w4", {1000, 1000, 0});
     fleet.work = [](const std::string&) { return duration{100ms}; };
     take_control();
-    timers.advance(2s); // the claim is old enough for jobs to be refused
+    timers.advance(2s); // from 1 s after the claim on jobs may be refused
     std::optional<duration> answered;
     const auto began = timers.monotonic_now();
-    controller->submit(job("first", 8, 100ms), "front", [&](const job_outcome& it) {
+    controller->submit(job("first", 8, 100ms), "requester", [&](const job_outcome& it) {
         if (it.end == job_end::completed) {
             answered = timers.monotonic_now() - began;
         }
@@ -256,20 +257,20 @@
     timers.advance(3s);
     const auto objective = 160ms + 60ms;
     BOOST_REQUIRE(answered.has_value());
-    BOOST_TEST((*answered > objective)); // else the burst was no test
+    BOOST_TEST((*answered > objective)); // the silent worker made the job late
     BOOST_TEST((*answered < 3 * objective));
     check_no_violation();
 }
 
-// Guards against tasks that wait for the lease of a worker that is out of reach: a look that stays
-// unanswered tells before a start does.
-BOOST_AUTO_TEST_CASE(nothing_is_started_while_a_look_is_unanswered)
+// Guards against tasks that are started on an unreachable worker and have to wait for the end of
+// its lease: an unanswered poll shows that it is unreachable before any start is sent.
+BOOST_AUTO_TEST_CASE(nothing_is_started_while_a_poll_is_unanswered)
 {
     fleet.add("w0", {1000, 1000, 0}); // the tighter fit
     fleet.add("w1", cell_fixture::two_cores);
     take_control();
     fleet.fault("w0").silent = true;
-    timers.advance(700ms); // a look that waited before is answered, the next one is not
+    timers.advance(700ms); // the poll that was under way is answered, the next one is not
     submit(job("j", 1));
     timers.advance(150ms);
     BOOST_TEST(ended("j", job_end::completed));
@@ -277,9 +278,9 @@
     check_no_violation();
 }
 
-// Guards against a worker that fails what it starts and gets its full share of tasks again each
-// time it is opened.
-BOOST_AUTO_TEST_CASE(a_worker_that_failed_is_tried_with_one_task_first)
+// Guards against a worker that fails every task and gets its full share of tasks again after each
+// suspension.
+BOOST_AUTO_TEST_CASE(a_suspended_worker_resumes_with_one_task)
 {
     fleet.add("w0", {4000, 4000, 0}); // the tighter fit
     fleet.add("w1", {8000, 8000, 0});
@@ -301,19 +302,19 @@
     }
 }
 
-// Guards against work for callers that have left.
-BOOST_AUTO_TEST_CASE(abandoned_jobs_free_their_room)
+// Guards against capacity that is used for requesters that are unreachable.
+BOOST_AUTO_TEST_CASE(abandoned_jobs_release_their_capacity)
 {
     add_workers(1);
     fleet.work = [](const std::string&) { return duration{1s}; };
     take_control();
-    submit(job("a", 2, 1s), "front-1");
-    submit(job("b", 1, 1s), "front-2");
+    submit(job("a", 2, 1s), "requester-1");
+    submit(job("b", 1, 1s), "requester-2");
     timers.advance(50ms);
-    controller->abandon_all_of("front-1");
+    controller->abandon_all_of("requester-1");
     timers.advance(100ms);
     BOOST_TEST(fleet.starts_of("b.0.0.0") == 1U);
-    BOOST_TEST(ended("a", job_end::moved)); // in case it is in touch after all
+    BOOST_TEST(ended("a", job_end::moved)); // in case the requester is reachable after all
     check_no_violation();
 }
 
--- a/tests/cell/cell_fixture.h
+++ b/tests/cell/cell_fixture.h
@@ -10,7 +10,7 @@
 
 namespace cactusloom {
 
-// A controller over workers in memory, in virtual time.
+// A cell controller with in-memory workers, in virtual time.
 struct cell_fixture {
     virtual_timer_service timers;
     memory_worker_fleet fleet{timers};
@@ -18,7 +18,7 @@
     std::map<std::string, job_outcome> outcomes;
     std::size_t fences = 0;
 
-    // Room of each worker in tests: two tasks of one core.
+    // Default capacity of a worker: two tasks of one core.
     static constexpr task_demand two_cores = {2000, 1000, 0};
 
     void add_workers(int n)
@@ -28,7 +28,7 @@
         }
     }
 
-    // A controller that knows the first `known` workers, all by default.
+    // Creates a controller that knows the first `known` workers, by default all.
     std::unique_ptr<cell_controller> make_controller(std::size_t known = 1000)
     {
         auto it = std::make_unique<cell_controller>(timers, fleet, cell_settings{});
@@ -38,7 +38,7 @@
         return it;
     }
 
-    // Claims the cell and lets the workers answer.
+    // Claims the cell with a new controller and lets the workers answer.
     void take_control(std::uint64_t token = 1)
     {
         using namespace std::chrono_literals;
@@ -48,7 +48,7 @@
         controller->set_worker_list_time(timers.monotonic_now());
     }
 
-    // The controller dies, and one that knows only the listed workers takes over.
+    // Replaces the controller, as after a crash, by one that knows only the listed workers.
     void move_control(std::span<const worker_report> listed)
     {
         using namespace std::chrono_literals;
@@ -59,8 +59,8 @@
         controller->set_worker_list_time(timers.monotonic_now());
     }
 
-    // Submits the started job as resumed after a controller that used the given workers, and checks
-    // that nothing of it is started anew within 0.5 s, and that it is completed within 3 s.
+    // Submits a started job again as resumed, with the workers that the earlier controller used.
+    // Checks that none of its tasks is started again within 0.5 s and that it completes within 3 s.
     void check_resumed_job_waits(const worker_set& used, job_request request)
     {
         using namespace std::chrono_literals;
@@ -92,7 +92,7 @@
         return out;
     }
 
-    // The same job as a front sends it again after it lost the controller.
+    // The job as its requester submits it again after it lost the controller.
     static job_request resumed(job_request request)
     {
         request.resumed = true;
@@ -109,7 +109,7 @@
         };
     }
 
-    void submit(job_request request, const std::string& requester = "front")
+    void submit(job_request request, const std::string& requester = "requester")
     {
         const auto id = request.id;
         controller->submit(std::move(request), requester,
--- a/tests/cell/placement_test.cpp
+++ b/tests/cell/placement_test.cpp
@@ -67,7 +67,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(placing, placement_fixture)
 
-// Guards against short tasks that take the fast workers which long tasks need.
+// Guards against short tasks that occupy the fast workers that long tasks need.
 BOOST_AUTO_TEST_CASE(short_tasks_go_to_slow_workers_long_ones_to_fast)
 {
     add("fast");
@@ -76,17 +76,18 @@
     BOOST_TEST(choose(job(900ms, 1500ms))->report.kind == "fast");
 }
 
-// Guards against a long task that is late for certain because it did not wait for a fast worker.
+// Guards against a long task that is started on a slow worker and misses the objective that it
+// would have met by waiting for a fast one.
 BOOST_AUTO_TEST_CASE(a_long_task_waits_for_a_fast_worker_while_that_helps)
 {
     add("slow");
     BOOST_TEST(choose(job(900ms, 1500ms)) == nullptr);
     auto late = job(900ms, 600ms);
-    late.deadline = now + 3s; // a slow worker still makes that
+    late.deadline = now + 3s; // a slow worker still meets it
     BOOST_TEST(choose(late) != nullptr);
 }
 
-// Guards against a late task that is made later still: fast workers that are left over are free.
+// Guards against a late task that is started on a slow worker while a fast one is free.
 BOOST_AUTO_TEST_CASE(a_late_task_takes_the_fastest_worker_left)
 {
     add("slow");
@@ -96,8 +97,8 @@
     BOOST_TEST(choose(late)->report.kind == "fast");
 }
 
-// Guards against starts that the configuration or the job rules out.
-BOOST_AUTO_TEST_CASE(service_label_and_spread_bind)
+// Guards against starts that the job's service, required label or limit per worker rules out.
+BOOST_AUTO_TEST_CASE(service_label_and_limit_per_worker_are_respected)
 {
     auto& only = add("fast", 4000);
     auto it = job(60ms, 200ms);
@@ -115,7 +116,7 @@
     BOOST_TEST(choose(it) == nullptr);
 }
 
-// Guards against room that is left in pieces too small for any task.
+// Guards against free capacity that is split over workers in parts too small for any task.
 BOOST_AUTO_TEST_CASE(the_tightest_fit_is_taken_among_equals)
 {
     add("fast", 3000);
@@ -123,7 +124,7 @@
     BOOST_TEST(choose(job(60ms, 200ms)) == &tight);
 }
 
-// Guards against late work that goes before work that can still be in time.
+// Guards against late jobs that go before jobs that can still be in time.
 BOOST_AUTO_TEST_CASE(jobs_in_time_come_before_late_ones)
 {
     auto late = job(100ms, 20ms);
@@ -136,9 +137,9 @@
     BOOST_TEST(jobs[2] == &late);
 }
 
-// Guards against a late job that waits for a whole burst although one task of it is left: the rest
-// of its work would be lost. An answer that is of no more use comes last, however little is left.
-BOOST_AUTO_TEST_CASE(late_jobs_are_ordered_by_what_is_left_to_start)
+// Guards against a late job that waits for a whole burst although only one of its tasks is left,
+// and so loses the work done for it. A job whose answer has no value any more comes last even then.
+BOOST_AUTO_TEST_CASE(late_jobs_are_ordered_by_unstarted_share)
 {
     const auto with_tasks = [&](active_job it, std::uint32_t count, std::uint32_t pending) {
         it.request.steps[0].count = count;
@@ -162,8 +163,7 @@
     BOOST_TEST(jobs[4] == &useless);
 }
 
-// Guards against urgent queues that wait behind others under overload, where those have the older
-// jobs.
+// Guards against urgent queues that wait under overload behind older jobs of other queues.
 BOOST_AUTO_TEST_CASE(urgent_queues_come_first)
 {
     auto older = job(100ms, 400ms);
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -5,8 +5,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(takeover, cell_fixture)
 
-// Guards against a second run beside the first after the controller died: the next one has to find
-// the running tasks and take them over.
+// Guards against a concurrent second run of a task after its controller crashed: the next
+// controller has to find the running tasks and take them over.
 BOOST_AUTO_TEST_CASE(a_resumed_job_takes_over_its_running_tasks)
 {
     add_workers(2);
@@ -14,7 +14,7 @@
     take_control(1);
     submit(job("j", 3, 400ms));
     timers.advance(50ms);
-    controller.reset(); // the process is gone; no stop is sent
+    controller.reset(); // the process crashed and sent no stop
     take_control(2);
     auto again = job("j", 3, 400ms);
     again.resumed = true;
@@ -25,9 +25,9 @@
     check_no_violation();
 }
 
-// Guards against room that is taken for free: what an earlier controller left runs on until it is
-// stopped.
-BOOST_AUTO_TEST_CASE(runs_without_a_job_are_stopped_before_their_room_is_used)
+// Guards against starts on capacity that runs of an earlier controller still occupy: they go on
+// until they are stopped.
+BOOST_AUTO_TEST_CASE(runs_without_a_job_are_stopped_before_their_capacity_is_used)
 {
     add_workers(1);
     fleet.work = [](const std::string&) { return duration{2s}; };
@@ -43,7 +43,7 @@
     check_no_violation();
 }
 
-// Guards against orders of a controller that does not know of its successor.
+// Guards against commands of a controller that does not know of its successor.
 BOOST_AUTO_TEST_CASE(a_controller_with_a_lower_token_is_fenced)
 {
     add_workers(2);
@@ -52,7 +52,7 @@
     take_control(2);
     job_outcome outcome;
     bool answered = false;
-    old->submit(job("j", 2), "front", [&](const job_outcome& it) {
+    old->submit(job("j", 2), "requester", [&](const job_outcome& it) {
         outcome = it;
         answered = true;
     });
@@ -62,8 +62,8 @@
     BOOST_TEST(!answered);
 }
 
-// Guards against a second run of a task that still runs on a worker which only the earlier
-// controller reaches (seen at the end of a zone cut).
+// Guards against a second run of a task that still runs on a worker that only the earlier
+// controller reaches, as at the end of a network partition of a zone.
 BOOST_AUTO_TEST_CASE(a_resumed_job_waits_while_a_worker_has_not_answered_the_claim)
 {
     add_workers(2);
@@ -82,8 +82,8 @@
     BOOST_TEST(ended("j", job_end::completed));
 }
 
-// Guards against the same, on workers whose entries had lapsed during a cut, so that not even the
-// newest list shows them.
+// Guards against a second run of a task on a worker whose list entry expired during a network
+// partition, so that even the newest list lacks it.
 BOOST_AUTO_TEST_CASE(a_resumed_job_waits_while_the_list_lacks_workers)
 {
     add_workers(3);
@@ -94,13 +94,13 @@
     BOOST_REQUIRE(fleet.running("w2") == 2U);
     const auto all = fleet.reports();
     const auto used = controller->used_workers();
-    move_control(std::span(all).first(2)); // there is room on them once the short tasks have ended
+    move_control(std::span(all).first(2)); // they have capacity once the short tasks have ended
     check_resumed_job_waits(used, job("j", 6, 800ms));
 }
 
-// Guards against the same where a new worker has taken the place of the one that the list lacks, so
-// that their number is as before.
-BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_the_very_workers_that_were_used)
+// Guards against a check by the number of workers: a new worker is listed in place of the missing
+// one, so that the number is as before.
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_exactly_the_workers_that_were_used)
 {
     add_workers(4);
     fleet.work = [](const std::string&) { return duration{800ms}; };
@@ -116,8 +116,8 @@
     check_resumed_job_waits(used, job("j", 6, 800ms));
 }
 
-// Guards against fronts that do not know of a worker on which tasks were started just before
-// control moved: they have to be told before the start.
+// Guards against requesters that do not know of a worker on which tasks were started just before a
+// takeover: they have to be told before the start.
 BOOST_AUTO_TEST_CASE(a_worker_is_announced_before_its_first_start)
 {
     add_workers(2);
@@ -141,7 +141,8 @@
     BOOST_TEST(unannounced_starts == 0U);
 }
 
-// Guards against the same, on a worker that the newest list had not yet shown to the successor.
+// Guards against a second run of a task on a worker that is not in the list that the new controller
+// has at its claim.
 BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_a_list_that_is_newer_than_the_claim)
 {
     add_workers(2);
@@ -155,7 +156,7 @@
     controller->claim(2);
     timers.advance(20ms);
     submit(resumed(job("j", 4, 800ms)));
-    timers.advance(200ms); // there is room since the short tasks have ended
+    timers.advance(200ms); // the short tasks have ended, so there is capacity
     BOOST_TEST(fleet.total_starts() == 4U);
     controller->set_workers(fleet.reports());
     timers.advance(20ms);
@@ -166,12 +167,12 @@
     check_no_violation();
 }
 
-// Guards against a second run of a task that a rival has started after this controller's last look
-// (seen when both sides of a cut met again).
-BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_looks_that_are_newer_than_itself)
+// Guards against a second run of a task that another controller started after this controller's
+// last poll, as when the two sides of a network partition rejoin.
+BOOST_AUTO_TEST_CASE(a_resumed_job_waits_for_polls_that_are_newer_than_itself)
 {
     fleet.add("w0", {3000, 1000, 0});
-    fleet.add("w1", two_cores); // the tighter fit, which the rival does not reach
+    fleet.add("w1", two_cores); // the tighter fit, which the other controller does not reach
     set_short_tasks(0);
     take_control(2);
     timers.advance(100ms);
@@ -183,15 +184,15 @@
     timers.advance(10ms);
     BOOST_REQUIRE(fleet.total_starts() == 1U);
     controller.reset();
-    ours->submit(resumed(job("j", 1)), "front", [](const job_outcome&) {});
+    ours->submit(resumed(job("j", 1)), "requester", [](const job_outcome&) {});
     timers.advance(400ms);
     BOOST_TEST(fleet.total_starts() == 1U);
     timers.advance(3s);
     check_no_violation();
 }
 
-// Guards against a second run beside an orphan whose stop is under way (seen after a cut, where the
-// job came later than the stop).
+// Guards against a second run beside an orphan whose stop is still under way, as after a network
+// partition where the job was submitted again after the stop was sent.
 BOOST_AUTO_TEST_CASE(a_task_waits_until_its_orphan_has_stopped)
 {
     add_workers(2);
@@ -214,9 +215,9 @@
     BOOST_TEST(ended("j", job_end::completed));
 }
 
-// Guards against a longer lease for runs that the controller before counts as lapsed (seen in a
-// data centre that was cut off: the larger side started their tasks anew).
-BOOST_AUTO_TEST_CASE(an_orphan_gets_no_longer_lease)
+// Guards against a lease extension for runs whose lease the earlier controller takes as expired. In
+// a partition that isolated a data centre the larger side had already started their tasks again.
+BOOST_AUTO_TEST_CASE(the_lease_of_an_orphan_is_not_extended)
 {
     add_workers(1);
     fleet.work = [](const std::string&) { return duration{5s}; };
@@ -225,17 +226,17 @@
     timers.advance(50ms);
     controller.reset();
     fleet.fault("w0").ignores_stops = true;
-    const auto left_at = timers.monotonic_now();
+    const auto crashed_at = timers.monotonic_now();
     timers.advance(600ms);
     take_control(2);
-    while (fleet.running("w0") != 0 && timers.monotonic_now() - left_at < 3s) {
+    while (fleet.running("w0") != 0 && timers.monotonic_now() - crashed_at < 3s) {
         timers.advance(10ms);
     }
-    BOOST_TEST((timers.monotonic_now() - left_at <= 1050ms));
+    BOOST_TEST((timers.monotonic_now() - crashed_at <= 1050ms));
 }
 
-// Guards against a finished job that runs again because only its answer was lost.
-BOOST_AUTO_TEST_CASE(a_job_asked_for_again_gets_the_former_answer)
+// Guards against a completed job that runs again because its answer was lost.
+BOOST_AUTO_TEST_CASE(a_completed_job_submitted_again_gets_its_former_answer)
 {
     add_workers(2);
     take_control();
@@ -251,8 +252,8 @@
     BOOST_TEST(fleet.total_starts() == 2U);
 }
 
-// Guards against jobs that stay with an instance that has handed its cell over.
-BOOST_AUTO_TEST_CASE(release_sends_open_jobs_to_the_next_controller)
+// Guards against jobs that stay open at an instance that has released its cell.
+BOOST_AUTO_TEST_CASE(release_answers_open_jobs_moved)
 {
     add_workers(2);
     take_control(1);
