State when a run that a worker no longer lists counts as over

The comment of end_missing_runs in src/cell said that the list of a reply is always complete; the code drops a run only if the reply lists all finished runs.

--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -283,8 +283,8 @@
     }
 }
 
-// Ends runs that the worker has lost. The list in a reply is complete, so a confirmed run that a
-// later poll does not list is over although its end was not reported.
+// Ends runs that the worker has lost. A confirmed run that a later reply lists neither as running
+// nor as finished is over, provided that the reply lists all finished runs.
 void cell_controller::state::end_missing_runs(claimed_worker& worker, monotonic_time sent_at,
                                               const poll_reply& reply)
 {
@@ -315,7 +315,7 @@
     }
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::unconfirmed && sent_at > run.sent_at) {
-            stop(worker, name, run); // tells whether it runs before its lease expires
+            stop(worker, name, run); // resolves it before its lease expires
         }
     }
 }
