--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-// A start must be executed within this time or be refused by the worker; orders that are held up
-// for seconds must not start anything.
+// A worker refuses a start that arrives later than this, so that a start command delayed by seconds
+// has no effect.
 constexpr duration start_lease = std::chrono::milliseconds{700};
-// Jobs that find no room before the rest of the queue is left for the next turn.
+// Number of jobs without a fitting worker after which a pass ends; the next pass tries the rest.
 constexpr int max_unplaced_jobs_per_pass = 12;
 
 } // namespace
@@ -39,10 +39,10 @@
            worker.suspended_until <= now;
 }
 
-// Tells the fronts of workers that are new here, before anything is started on them.
-void cell_controller::state::announce_used_workers(std::span<claimed_worker* const> open)
+// Reports newly used workers to the requesters before anything is started on them.
+void cell_controller::state::announce_used_workers(std::span<claimed_worker* const> available)
 {
-    if (std::ranges::all_of(open, &claimed_worker::announced)) {
+    if (std::ranges::all_of(available, &claimed_worker::announced)) {
         return;
     }
     for (auto& [id, worker] : workers) {
@@ -58,37 +58,37 @@
     }
     const auto now = timers.monotonic_now();
     std::vector<active_job*> waiting;
-    std::int64_t least_cpu = std::numeric_limits<std::int64_t>::max();
+    std::int64_t min_cpu = std::numeric_limits<std::int64_t>::max();
     for (const auto& [id, job] : jobs) {
         if (!job->ended && job->pending_tasks != 0) {
             waiting.push_back(job.get());
             for (const auto& step : job->request.steps) {
-                least_cpu = std::min(least_cpu, step.demand.cpu_millis);
+                min_cpu = std::min(min_cpu, step.demand.cpu_millis);
             }
         }
     }
     if (waiting.empty()) {
         return;
     }
-    std::vector<claimed_worker*> open;
+    std::vector<claimed_worker*> available;
     for (const auto& [id, worker] : workers) {
         if (accepts_starts(*worker, now) &&
-            worker->report.capacity.cpu_millis - worker->used.cpu_millis >= least_cpu) {
-            open.push_back(worker.get());
+            worker->report.capacity.cpu_millis - worker->used.cpu_millis >= min_cpu) {
+            available.push_back(worker.get());
         }
     }
-    if (open.empty()) {
+    if (available.empty()) {
         return;
     }
-    announce_used_workers(open);
-    std::set<std::string> orphaned; // tasks that still run for an earlier controller
+    announce_used_workers(available);
+    std::set<std::string> orphaned; // tasks that still run under an earlier controller
     for (const auto& [id, worker] : workers) {
         for (const auto& [name, orphan] : worker->orphans) {
             orphaned.insert(name);
         }
     }
     policy.sort(waiting, now);
-    int failed_jobs = 0;
+    int unplaced_jobs = 0;
     for (auto* job : waiting) {
         if (job->request.resumed && !may_start_resumed(*job)) {
             continue;
@@ -105,11 +105,11 @@
                                                static_cast<std::uint32_t>(i)})))) {
                     continue;
                 }
-                auto* worker = policy.choose(*job, step, job->steps[step][i], open, now);
+                auto* worker = policy.choose(*job, step, job->steps[step][i], available, now);
                 placed_all = worker != nullptr && place(*job, step, i, *worker, now);
             }
         }
-        if (!placed_all && ++failed_jobs >= max_unplaced_jobs_per_pass) {
+        if (!placed_all && ++unplaced_jobs >= max_unplaced_jobs_per_pass) {
             return;
         }
     }
@@ -182,7 +182,7 @@
         poll(worker, true);
         return;
     }
-    // Everything else: the worker did nothing, so the task may go elsewhere at once.
+    // With every other status the command had no effect, so the task can be placed again at once.
     auto& task = run.job->steps[run.task.step][run.task.index];
     switch (reply.status) {
     case command_status::fenced:
@@ -193,7 +193,7 @@
         }
         break;
     case command_status::superseded:
-        // An earlier controller used higher numbers for this task here.
+        // An earlier controller used higher run numbers for this task on the worker.
         task.last_run += 8;
         break;
     case command_status::unhealthy:
@@ -248,12 +248,12 @@
                       it->second.stop_confirmed = true;
                       it->second.stop_confirmed_at = timers.monotonic_now();
                       if (it->second.confirmed_at == monotonic_time{}) {
-                          poll(target, true); // most likely it has never arrived
+                          poll(target, true); // the start most likely never arrived
                       }
                   });
 }
 
-// Frees the room of a run that is certainly over and says where its task stands now.
+// Removes a run that is certainly over, releases its capacity and sets its task to `next`.
 void cell_controller::state::end_run(claimed_worker& worker, const std::string& name,
                                      task_state::phase next)
 {
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -10,26 +10,29 @@
 
 namespace {
 
-// A waiting look is answered by an end or after this time. It must leave room in the lease for a
-// lost reply and a second look.
+// A worker replies to a long poll when a run ends or after this time. The rest of the lease must be
+// long enough for a lost reply and a second poll.
 constexpr duration long_poll_wait = std::chrono::milliseconds{250};
-// An end that is this late may have been reported on a connection that went silent.
-// A sound worker replies to a start within a round trip of a few ms.
-constexpr duration start_patience = std::chrono::milliseconds{20};
+// A healthy worker replies to a start within a round trip of a few ms.
+constexpr duration start_reply_limit = std::chrono::milliseconds{20};
+// The end of a run that is this late may have been reported on a connection that no longer delivers
+// data.
 constexpr duration overdue_slack = std::chrono::milliseconds{20};
-constexpr duration overdue_interval = std::chrono::milliseconds{60};
-constexpr duration claim_retry = std::chrono::milliseconds{300};
-constexpr duration stop_retry = std::chrono::milliseconds{120};
-// A front resubmits within a round trip of a takeover.
+constexpr duration overdue_poll_interval = std::chrono::milliseconds{60};
+constexpr duration poll_retry_interval = std::chrono::milliseconds{300};
+constexpr duration stop_retry_interval = std::chrono::milliseconds{120};
+// A requester resubmits its jobs within a round trip of a takeover; orphans that are still without
+// a job after this time are stopped.
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
 constexpr duration min_suspension = std::chrono::milliseconds{800};
 constexpr duration max_suspension = std::chrono::seconds{4};
-// Progress below this share of the prediction marks a straggler.
+// A run that takes more than this multiple of its predicted time is checked as a straggler.
 constexpr double straggler_ratio = 2.5;
-constexpr duration straggler_floor = std::chrono::milliseconds{60};
+constexpr duration min_straggler_time = std::chrono::milliseconds{60};
 constexpr std::uint32_t max_moves = 2;
-// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms; looks come every 250 ms.
-constexpr duration standstill_limit = std::chrono::milliseconds{300};
+// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms, and progress is polled every
+// 250 ms.
+constexpr duration no_progress_limit = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -78,7 +81,7 @@
     }
 }
 
-// The worker has started anew: nothing of its former life runs.
+// Resets the state of a worker whose process has restarted; none of its earlier runs goes on.
 void cell_controller::state::reset_restarted_worker(claimed_worker& worker,
                                                     std::int64_t started_at_ms)
 {
@@ -105,8 +108,9 @@
     command.token = token;
     command.last_seen_end = worker.last_seen_end;
     command.wait = quick ? duration::zero() : long_poll_wait;
-    // A worker that does not answer gets no longer lease: its runs must lapse at a known time. Nor
-    // does one with runs of an earlier controller, which may be counting on their lapse.
+    // The lease of a worker that does not answer is not extended, so that its runs expire at a
+    // known time. Nor is that of a worker with runs of an earlier controller, which may rely on
+    // their expiry.
     if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
         worker.orphans.empty()) {
         command.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
@@ -157,7 +161,7 @@
     }
     if (reply.status == command_status::fenced && sent_token == token) {
         worker.token_accepted = false;
-        worker.next_poll = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
         self.on_fenced();
         return;
     }
@@ -171,10 +175,10 @@
     ++worker.unanswered_polls;
     if (worker.unanswered_polls == 1) {
         worker.next_poll = now;
-        poll(worker, true); // on another connection: the first may have gone silent
+        poll(worker, true); // on another connection, as the first may no longer deliver data
     }
     else {
-        worker.next_poll = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
     }
 }
 
@@ -222,7 +226,7 @@
         }
         const double ratio = static_cast<double>(actual.count()) * worker.slowness /
                              static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
-        // Run times spread by half either way; only a ratio beyond that speaks of the worker.
+        // Run times vary by half either way, so only a higher ratio is attributed to the worker.
         const double sample = ratio > 2.0 ? ratio : 1.0;
         worker.slowness = std::clamp(worker.slowness * 0.7 + sample * 0.3, 1.0, 20.0);
         worker.failure_streak = 0;
@@ -262,7 +266,7 @@
         return;
     }
     if (it != worker.runs.end() && it->second.run > row.run) {
-        return; // an older list
+        return; // the reply predates the newer run
     }
     auto& orphan = worker.orphans[row.task];
     if (orphan.seen_at == monotonic_time{}) {
@@ -279,8 +283,8 @@
     }
 }
 
-// A run that a look sent after its confirmation does not list is over without an end: the list is
-// complete, so the worker has lost it.
+// Ends runs that the worker has lost. A confirmed run that a later reply lists neither as running
+// nor as finished is over, provided that the reply lists all finished runs.
 void cell_controller::state::end_missing_runs(claimed_worker& worker, monotonic_time sent_at,
                                               const poll_reply& reply)
 {
@@ -291,7 +295,7 @@
     if (reply.finished_complete) {
         std::erase_if(worker.orphans, [&](const auto& it) { return !running.contains(it.first); });
     }
-    std::vector<std::string> over;
+    std::vector<std::string> missing;
     for (const auto& [name, run] : worker.runs) {
         if (running.contains(name) || !reply.finished_complete) {
             continue;
@@ -302,16 +306,16 @@
             run.confirmed_at == monotonic_time{} && reply.clock_ms > run.latest_start_ms;
         const bool stopped = run.stop_confirmed && sent_at >= run.stop_confirmed_at;
         if (confirmed_before || refused_by_now || stopped) {
-            over.push_back(name);
+            missing.push_back(name);
         }
     }
-    for (const auto& name : over) {
+    for (const auto& name : missing) {
         log_event("run_vanished", "worker={} task={}", worker.report.id, name);
         end_run(worker, name, task_state::phase::pending);
     }
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::unconfirmed && sent_at > run.sent_at) {
-            stop(worker, name, run); // settles it sooner than the end of its lease
+            stop(worker, name, run); // resolves it before its lease expires
         }
     }
 }
@@ -324,17 +328,17 @@
         run.progress_at = now;
     }
     const auto elapsed = now - std::max(run.sent_at, run.confirmed_at);
-    const auto patience = std::max(
-        straggler_floor, duration{static_cast<duration::rep>(
-                             static_cast<double>(run.predicted.count()) * straggler_ratio)});
-    if (elapsed < patience || percent >= 100) {
+    const auto time_limit = std::max(
+        min_straggler_time, duration{static_cast<duration::rep>(
+                                static_cast<double>(run.predicted.count()) * straggler_ratio)});
+    if (elapsed < time_limit || percent >= 100) {
         return;
     }
     auto& job = *run.job;
     auto& task = job.steps[run.task.step][run.task.index];
-    const bool stands_still = now - run.progress_at > standstill_limit;
-    // A run much longer than predicted is either a large task or on a slow worker. Beyond a factor
-    // of five it is the worker.
+    const bool is_stalled = now - run.progress_at > no_progress_limit;
+    // A run far longer than predicted is either a large task or on a slow worker. Beyond a factor
+    // of five the worker is taken to be slow.
     const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
     const auto total = static_cast<double>(elapsed.count()) + (100 - percent) / rate;
     const auto remaining = total - static_cast<double>(elapsed.count());
@@ -345,15 +349,15 @@
     }
     const auto min_run_time =
         static_cast<double>(policy.min_run_time(job, job.request.steps[run.task.step]).count());
-    const double elsewhere =
-        stands_still
+    const double time_elsewhere =
+        is_stalled
             ? min_run_time
             : std::max(min_run_time, total * times.fastest_factor() /
                                          (times.kind_factor(worker.report.kind) * worker.slowness));
     const auto stop_timeout = static_cast<double>(settings.stop_timeout.count());
     if (job.ended || task.moves >= max_moves ||
-        (!stands_still && remaining < 2 * elsewhere + stop_timeout) ||
-        now + duration{static_cast<duration::rep>(elsewhere)} > job.deadline) {
+        (!is_stalled && remaining < 2 * time_elsewhere + stop_timeout) ||
+        now + duration{static_cast<duration::rep>(time_elsewhere)} > job.deadline) {
         return;
     }
     ++task.moves;
@@ -362,8 +366,8 @@
     log_event("straggler_moved",
               "task={} worker={} percent={} elapsed_ms={} predicted_ms={} slowness={:.1f} still={}",
               to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
-              run.predicted.count() / 1000, worker.slowness, stands_still);
-    if (stands_still) {
+              run.predicted.count() / 1000, worker.slowness, is_stalled);
+    if (is_stalled) {
         record_task_failure(worker, job, task);
     }
     stop(worker, to_task_name(run.task), run);
@@ -372,7 +376,7 @@
 void cell_controller::state::record_task_failure(claimed_worker& worker, const active_job& job,
                                                  const task_state& task)
 {
-    // A task that failed elsewhere too says nothing of the worker.
+    // A task that has failed before says nothing about this worker.
     if (task.failures != 0 || worker.last_failed_job == job.request.id) {
         return;
     }
@@ -388,7 +392,7 @@
               worker.failure_streak, worker.suspension_time.count() / 1000);
 }
 
-// Everything that ran there is over: the leases have lapsed or the worker has started anew.
+// Ends all runs of a worker whose leases have expired or whose process has restarted.
 void cell_controller::state::end_lost_runs(claimed_worker& worker, const char* reason)
 {
     if (worker.runs.empty()) {
@@ -406,13 +410,13 @@
     }
 }
 
-// A late reply to a start: a look on another connection tells sooner than the reply's time limit
-// whether the start has arrived.
+// Polls a worker whose reply to a start is late. A poll on another connection tells whether the
+// start arrived before the start command times out.
 void cell_controller::state::poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now)
 {
     bool late = false;
     for (auto& [name, run] : worker.runs) {
-        if (run.at == task_run::phase::starting && now - run.sent_at > start_patience) {
+        if (run.at == task_run::phase::starting && now - run.sent_at > start_reply_limit) {
             run.at = task_run::phase::unconfirmed;
         }
         late |= run.at == task_run::phase::unconfirmed;
@@ -422,12 +426,12 @@
     }
 }
 
-// A task that should have ended points to a look whose reply is lost: another connection tells
-// sooner than the look's time limit.
+// Polls a worker with a run that should have ended, as the reply to a poll may have been lost.
+// Another connection tells before that poll times out.
 void cell_controller::state::poll_if_end_overdue(claimed_worker& worker, monotonic_time now)
 {
     if (!worker.token_accepted || worker.quick_poll_pending ||
-        now - worker.last_reply < overdue_interval) {
+        now - worker.last_reply < overdue_poll_interval) {
         return;
     }
     const bool overdue = std::ranges::any_of(worker.runs, [&](const auto& row) {
@@ -444,7 +448,7 @@
 void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
 {
     if (worker.slowness > 1.0) {
-        // Fades, so that the worker gets tasks again and is measured anew.
+        // Decays, so that the worker gets tasks again and its speed is measured again.
         worker.slowness = std::max(1.0, worker.slowness * 0.995);
     }
     poll_if_start_unconfirmed(worker, now);
@@ -457,25 +461,26 @@
     }
     if (silent && now >= worker.next_poll && worker.listed) {
         poll(worker, true);
-        worker.next_poll = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
     }
     if (!worker.token_accepted) {
         return;
     }
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::stopping && !run.stop_confirmed &&
-            now - run.stop_sent_at > stop_retry) {
+            now - run.stop_sent_at > stop_retry_interval) {
             stop(worker, name, run);
         }
     }
     for (auto& [name, orphan] : worker.orphans) {
-        if (now - orphan.seen_at > orphan_grace && now - orphan.stop_sent_at > stop_retry) {
+        if (now - orphan.seen_at > orphan_grace &&
+            now - orphan.stop_sent_at > stop_retry_interval) {
             if (orphan.stop_sent_at == monotonic_time{}) {
                 ++counts.orphans_stopped;
             }
             orphan.stop_sent_at = now;
             commands.stop(worker.report, name, orphan.run, token, [](const command_reply&) {
-                // The next look tells; until then the stop is repeated.
+                // The next poll shows the result; until then the stop is repeated.
             });
         }
     }
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Takes the number before the last dot off the text.
-bool take_number(std::string_view& text, std::uint32_t& value)
+// Removes the last dot of the text and the number after it. Returns false if there is none.
+bool remove_number(std::string_view& text, std::uint32_t& value)
 {
     const auto dot = text.rfind('.');
     if (dot == std::string_view::npos) {
@@ -50,8 +50,8 @@
 bool parse_task_name(std::string_view text, task_ref& task)
 {
     std::uint32_t occurrence = 0;
-    if (!take_number(text, task.index) || !take_number(text, task.step) ||
-        !take_number(text, occurrence)) {
+    if (!remove_number(text, task.index) || !remove_number(text, task.step) ||
+        !remove_number(text, occurrence)) {
         return false;
     }
     task.job = std::string(text);
@@ -76,7 +76,7 @@
         if (step.demand.cpu_millis < 0 || step.demand.memory_mb < 0 || step.demand.gpus < 0) {
             return "a demand below zero";
         }
-        // Steps may only wait for earlier ones, which rules out cycles.
+        // Steps may only wait for earlier ones, so there are no cycles.
         if (std::ranges::any_of(step.after, [i](std::uint32_t it) { return it >= i; })) {
             return "a step that waits for itself or a later one";
         }
