Reword the comments of the cell service, its election and the mesh

The comments of the elected-controller half of src/cell and include/cell used terms of the project's own. The comment at instance_mesh::update_instances said that links are only opened at the next check; a link to a new candidate is opened at once. The comment at no_controller handling in cell_service_jobs.cpp now says that the limit holds for jobs that were never sent.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -17,15 +17,15 @@
 
 namespace cactusloom {
 
-// How closely an instance follows the list of workers.
+// How an instance reads the list of workers.
 enum class worker_list_mode {
-    none,    // it brings jobs to others
+    none,    // not at all: it only forwards jobs to other instances
     standby, // it may have to take control
     control,
 };
 
-// One instance's part in the dispatch: it controls cells if elected, and brings the submissions of
-// its callers to whoever controls the cells.
+// Dispatch logic of one instance: controls cells when elected, and forwards its callers' jobs to
+// the instances that control the cells.
 class cell_service {
 public:
     using answer = std::function<void(const job_outcome&)>;
@@ -39,46 +39,46 @@
     // Replaces the list of all workers.
     void set_workers(std::vector<worker_report> workers);
 
-    // Says that all instances that the platform lists are known to the mesh.
+    // Reports that the mesh knows every instance in the platform's list.
     void note_instances_known();
 
-    // Says that the list is as the platform had it at `read_started_at` or later.
+    // Reports that the list of workers is as the platform had it at `read_started_at` or later.
     void set_worker_list_time(monotonic_time read_started_at);
 
-    // Called when this instance has claimed a cell and needs the newest list.
+    // Called when this instance has claimed a cell and needs the current list of workers.
     std::function<void()> on_claim;
 
-    // Called when the interest changes; it is `none` at first.
+    // Called when the mode changes; it starts as `none`.
     std::function<void(worker_list_mode)> on_worker_list_mode;
 
-    // Tells the other instances which configuration is in force here.
+    // Announces to the other instances which configuration version is in force here.
     void set_config_version(std::int64_t version);
 
-    // Takes a caller's job. `fn` runs exactly once, unless the job is abandoned.
+    // Accepts a caller's job. `fn` runs exactly once, unless the job is abandoned.
     void submit(job_request job, answer fn);
     void abandon(const std::string& job_id);
 
-    // Stops a job at its caller's wish; its submission is answered `failed`. False if it is not
-    // under way here.
+    // Cancels a job at its caller's request; its submission is answered `failed`. Returns false if
+    // the job is not open here.
     bool cancel(const std::string& job_id);
 
-    // Answers all jobs of callers here with `outcome` and stops what runs of them.
+    // Answers all open jobs of this instance's callers with `outcome` and stops their tasks.
     void end_all_jobs(const job_outcome& outcome);
     bool has_job(std::string_view job_id) const { return jobs_.contains(job_id); }
 
-    // Hands control over and announces that this instance leaves.
+    // Releases all cells and announces that this instance is leaving.
     void leave();
 
     bool controls_any() const;
 
-    // True if some instance in touch controls workers.
+    // True if this instance or one in contact controls workers.
     bool has_controller() const;
 
     std::size_t pending_jobs(std::string_view queue) const;
     std::size_t open_jobs() const { return jobs_.size(); }
     cell_counts counts() const;
 
-    // Messages of peers that are not about jobs.
+    // Receives messages of peers that are not about jobs.
     instance_mesh::message_handler on_other_message;
 
 private:
--- a/include/cell/claim_probe.h
+++ b/include/cell/claim_probe.h
@@ -10,18 +10,19 @@
 
 namespace cactusloom {
 
-// Finds out whether somebody out of touch controls workers, at the price of a few of them: it makes
-// these obey a new token and looks again after the time in which a controller that is alive has
-// raised its own. Nothing is started or stopped.
+// Detects whether an unreachable controller holds workers, at the cost of a few of them: makes
+// these accept a new token, and polls them again after the time within which a live controller
+// raises its own. No task is started or stopped.
 class claim_probe {
 public:
     enum class probe_result {
-        unclaimed,         // the workers still obey the probe: they are free to be claimed
-        claimed_elsewhere, // they obey a higher token by now
+        unclaimed, // the workers still accept the token of the probe, so they can be claimed
+        claimed_elsewhere, // they have accepted a higher token in the meantime
         no_reply,
     };
 
-    // `done` runs once, later on the loop, with a token that the workers of the probe obeyed.
+    // `done` runs once, later on the event loop, with the token that the workers were last probed
+    // with.
     claim_probe(timer_service& timers, worker_commands& commands,
                 std::vector<worker_report> workers, std::uint64_t token,
                 std::function<void(probe_result result, std::uint64_t token)> done);
--- a/include/cell/configuration_exchange.h
+++ b/include/cell/configuration_exchange.h
@@ -10,9 +10,10 @@
 
 namespace cactusloom {
 
-// Passes the configuration on between instances. Candidates for control read it from the platform's
-// log as soon as it changes; an instance that hears of a newer version than its own asks one of
-// those that have it. The askers spread over them, and ask another one if no answer comes.
+// Distributes the configuration between instances. Candidates for control read it from the
+// platform's log as soon as it changes; an instance that learns of a newer version than its own
+// requests it from one of the peers that have it. The requests are spread over these peers and go
+// to another one if no reply arrives.
 class configuration_exchange {
 public:
     configuration_exchange(timer_service& timers, instance_mesh& mesh);
@@ -20,15 +21,15 @@
     configuration_exchange(const configuration_exchange&) = delete;
     configuration_exchange& operator=(const configuration_exchange&) = delete;
 
-    // What is in force here from now on, as the platform has it; `offset` is that of its record.
+    // Sets the configuration in force here, in the platform's form; `offset` is that of its record.
     void set_current(std::int64_t version, std::string text, std::uint64_t offset);
 
     // Returns false if the message is not about the configuration.
     bool on_message(const std::string& peer, const Json::Value& message,
                     const instance_mesh::sender& reply);
 
-    // Called with a text that a peer has passed on; the platform's records before `next_offset` are
-    // not newer.
+    // Called with a configuration received from a peer; the platform's records before `next_offset`
+    // are not newer.
     std::function<void(const std::string& text, std::uint64_t next_offset)> on_configuration;
 
 private:
@@ -40,8 +41,8 @@
     std::int64_t version_ = -1;
     std::string text_;
     std::uint64_t next_offset_ = 0;
-    std::uint64_t attempts_ = 0; // since the version in force was taken over
-    timer_id timer_ = 0;         // 0: nothing newer is known of
+    std::uint64_t attempts_ = 0; // since the version in force was set
+    timer_id timer_ = 0;         // 0: no request is scheduled
 };
 
 } // namespace cactusloom
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -18,18 +18,18 @@
 
 namespace cactusloom {
 
-// How other instances reach one.
+// Address and properties of an instance, as announced to the others.
 struct instance_address {
     std::string name;
-    std::string address; // "ip:port" of its link port
+    std::string address; // "ip:port" that it accepts links on
     std::string data_centre;
     double cpu_share = 0;
-    std::int64_t incarnation = 0; // Unix ms of its start
+    std::int64_t incarnation = 0; // start time of its process, Unix ms
 };
 
-// Links between the instances of a deployment: who is alive, what each one claims, and messages.
-// An instance links to every candidate for control and answers what links to it. Liveness is
-// judged from replies on the own link only, so that a cut of one direction is noticed.
+// Links between the instances of a deployment: liveness, claims and messages. An instance opens a
+// link to every candidate for control and answers on links that are opened to it. Liveness is
+// judged only from replies on the own link, so that a partition of one direction is detected.
 class instance_mesh {
 public:
     // Receives a message of a peer; `reply` sends on the same link.
@@ -42,23 +42,25 @@
     instance_mesh(const instance_mesh&) = delete;
     instance_mesh& operator=(const instance_mesh&) = delete;
 
-    // Starts to accept links at an address of this machine, which peers may reach under another
-    // one, that of `self`. Error: the address cannot be used.
+    // Starts to accept links at an address of this machine; peers may reach it under another one,
+    // that of `self`. Error: the address cannot be used.
     result<bool> listen(std::string_view address);
 
-    // Adds or refreshes instances. Links follow from the next check on.
+    // Adds instances or updates their addresses. Links to new ones are opened at once or from the
+    // next check on.
     void update_instances(const std::vector<instance_address>& instances);
 
-    // Asks an address for the instances that its process knows; for a start without the store.
+    // Asks the process at an address for the instances that it knows; for a start without the
+    // platform's store.
     void discover_from(const std::string& address);
 
-    // Forgets an instance that has not been listed for long and does not answer.
+    // Removes an instance that has not been listed for long, unless it still answers.
     void remove_if_dead(std::string_view name);
 
-    // What this instance announces from now on.
+    // Sets what this instance announces, and sends it at once if it has changed.
     void announce(std::vector<cell_claim> claims, bool leaving, std::int64_t config_version);
 
-    // Sends on the own link; false if there is none that is open.
+    // Sends on the own link; returns false if that link is not open.
     bool send(std::string_view peer, const Json::Value& message);
 
     // This instance and all known ones.
@@ -67,35 +69,36 @@
     // This instance and those that it links to.
     std::vector<instance_view> linked_views() const;
 
-    // Those in touch that hold claims and stay, which is all that a caller's job needs to know.
+    // Instances in contact that hold claims and are not leaving; a job can be sent to these.
     std::vector<instance_view> claim_holders() const;
 
-    // True if this instance may control workers, so that it needs their list.
+    // True if this instance may control workers, and so needs their list.
     bool is_candidate() const;
     std::vector<instance_address> known_instances() const;
     const instance_address& self() const { return self_; }
 
-    // True if a peer has linked to this one and sent something within the silence limit.
+    // True if a peer has sent something on its own link to this instance within the silence limit.
     bool has_heard_from(std::string_view peer) const;
 
-    // True if a peer's reply to a beat is late. What is sent to it now may arrive late or never.
+    // True if a peer's reply to a ping is overdue. What is sent to it now may arrive late or never.
     bool reply_overdue(std::string_view peer) const;
 
-    // True if every known candidate for control is in touch, has no process, because its machine
-    // refuses connections, or cannot be reached. Then no unknown claim can exist in touch.
+    // True if every known candidate for control is in contact, has no process (its machine refuses
+    // connections), or cannot be reached. Then no unknown claim of an instance in contact can
+    // exist.
     bool knows_state_of_all() const;
 
-    // True if every peer in touch has started at about the same time as this instance or later: all
-    // were down. After a cut, some of those on this side are older.
+    // True if every peer in contact has started at about the same time as this instance or later,
+    // that is, all were down. After a partition, some peers on this side are older.
     bool is_cold_start() const;
 
-    // Peers in touch with a newer configuration.
+    // Peers in contact that have a newer configuration than `version`.
     std::vector<std::string> peers_with_newer_config(std::int64_t version) const;
 
     message_handler on_message;
-    std::function<void()> on_change;                         // claims, liveness
-    std::function<void()> on_newer_config;                   // a peer has one
-    std::function<void(const std::string& peer)> on_restart; // a peer lost what it knew
+    std::function<void()> on_change;                         // claims or liveness of a peer
+    std::function<void()> on_newer_config;                   // a peer has a newer configuration
+    std::function<void(const std::string& peer)> on_restart; // a peer has lost its state
     std::function<void(const std::string& peer)> on_reconnect;
 
 private:
@@ -132,7 +135,7 @@
     instance_address self_;
     std::unique_ptr<tcp_listener> listener_;
     std::map<std::string, std::unique_ptr<peer>, std::less<>> peers_;
-    mutable std::set<std::string, std::less<>> candidates_; // with this instance, if it is one
+    mutable std::set<std::string, std::less<>> candidates_; // includes this instance if it is one
     mutable bool candidates_valid_ = false;
     bool was_candidate_ = false;
     std::set<std::shared_ptr<inbound>> inbound_;
@@ -140,7 +143,7 @@
     std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> discovery_links_;
     std::vector<cell_claim> claims_;
     std::uint64_t state_number_ = 1;                             // rises with each announced change
-    mutable std::map<std::string, std::string> heartbeat_cache_; // by kind, of one state
+    mutable std::map<std::string, std::string> heartbeat_cache_; // texts by kind, of one state
     mutable std::uint64_t heartbeat_cache_number_ = 0;           // number of that state
     bool leaving_ = false;
     std::int64_t config_version_ = -1;
--- a/include/cell/instance_registry.h
+++ b/include/cell/instance_registry.h
@@ -11,8 +11,8 @@
 
 namespace cactusloom {
 
-// Lets the instances of a deployment find each other through the platform's log: each one writes
-// where it is reached, and reads where the others are.
+// Service discovery for the instances of a deployment through the platform's log: each one writes
+// its own address and reads those of the others.
 class instance_registry {
 public:
     instance_registry(timer_service& timers, keyed_log& log, instance_mesh& mesh);
@@ -22,7 +22,7 @@
 
     void start();
 
-    // After each successful read of the list.
+    // Called after each successful read of the list.
     std::function<void()> on_read = [] {};
 
 private:
--- a/include/cell/isolation_tracker.h
+++ b/include/cell/isolation_tracker.h
@@ -4,19 +4,20 @@
 
 namespace cactusloom {
 
-// Time after a cut in which the two sides hear of each other's claims: two beats and a link that is
-// opened anew.
+// Time after a partition in which both sides learn each other's claims: two heartbeats and the
+// opening of a new link.
 inline constexpr duration rejoin_grace = std::chrono::milliseconds{350};
 
-// Follows whether this instance is on the smaller side of a cut. The smaller side controls its own
-// data centre's cell. When the cut ends, its controller stays until the other side has had the time
-// to say what it controls, but nobody takes that cell any more: the larger side controls it too.
+// Tracks whether this instance's data centre is isolated by a network partition. While it is, it
+// controls its own cell. When the partition ends, its controller keeps that cell until the other
+// side has had time to announce its claims, but no instance claims the cell any more, since the
+// other side also controls it.
 class isolation_tracker {
 public:
     enum class phase {
-        connected, // no cut, or on the larger side
-        isolated,  // on the smaller side
-        rejoining, // no longer, for a short while
+        connected, // no partition, or in the majority side
+        isolated,  // in the minority side
+        rejoining, // the partition has just ended
     };
 
     phase update(bool is_isolated_data_centre, monotonic_time now);
--- a/include/cell/keyed_follower.h
+++ b/include/cell/keyed_follower.h
@@ -10,15 +10,15 @@
 
 namespace cactusloom {
 
-// Follows one collection: reports each newer value of a key once, and each removal. It starts from
-// the newest records and reads on from there. It starts again after the history was deleted, and
-// where the records since would be more than the newest of each key.
+// Follows one topic of keyed records: reports each newer value of a key once, and each removal. It
+// starts with the newest record of each key and reads on from there. It starts over after older
+// records were deleted, and where reading on would fetch more records than the newest of each key.
 class keyed_follower {
 public:
     struct poll_policy {
-        duration wait{};          // a read waits this long at the platform for a record
+        duration wait{};          // how long a read waits at the platform for a record
         duration interval{};      // pause between two reads
-        bool newest_only = false; // read the newest of each key instead of all since the last read
+        bool newest_only = false; // read only the newest record of each key
     };
 
     keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic, poll_policy speed);
@@ -26,32 +26,34 @@
     keyed_follower(const keyed_follower&) = delete;
     keyed_follower& operator=(const keyed_follower&) = delete;
 
-    // Begins or resumes to read.
+    // Starts or resumes reading.
     void start();
 
-    // No further read until the next start. What is known stays.
+    // Stops reading until the next start. Known records are kept.
     void pause();
 
     void set_poll_policy(poll_policy speed) { poll_policy_ = speed; }
 
-    // Reads now instead of after the interval.
+    // Reads now instead of after the interval. If a read is under way, the next one follows it at
+    // once.
     void read_now();
 
-    // Says that the records before this offset are known from elsewhere.
+    // Marks the records before this offset as known from another source.
     void skip_to(std::uint64_t offset);
 
-    // When the read that was reported last was sent.
+    // When the newest read was sent.
     monotonic_time read_started_at() const { return read_started_at_; }
 
-    // True once the newest records have been read.
+    // True once the newest record of each key has been read.
     bool is_complete() const { return complete_; }
 
-    // Since when every read has succeeded.
+    // Time since which every read has succeeded.
     monotonic_time healthy_since() const { return healthy_since_; }
 
-    // A new value, or null for a removal. Values of a key come in order of their offsets.
+    // Receives a new value, or null for a removal. Values of a key arrive in order of their
+    // offsets.
     std::function<void(const keyed_record& record)> on_record;
-    // After each read that succeeded.
+    // Called after each successful read.
     std::function<void()> on_read;
 
 private:
@@ -73,12 +75,12 @@
     bool read_again_ = false;
     std::uint64_t position_ = 0;
     std::map<std::string, std::uint64_t, std::less<>> offsets_;
-    std::set<std::string> listed_; // keys seen in the pages of the current listing
+    std::set<std::string> listed_; // keys in the pages of the current listing
     bool listing_in_progress_ = false;
     std::uint64_t listing_end_ = 0;
     monotonic_time healthy_since_;
     monotonic_time read_started_at_;
-    monotonic_time read_at_; // when a read succeeded last
+    monotonic_time read_at_; // when a read last succeeded
     bool paused_ = true;
     bool reading_ = false;
     timer_id timer_ = 0; // 0: none is scheduled
--- a/include/cell/keyed_log.h
+++ b/include/cell/keyed_log.h
@@ -10,10 +10,10 @@
 
 namespace cactusloom {
 
-// Collections of keyed records that the platform keeps.
+// Topics of keyed records that the platform keeps.
 enum class keyed_topic { configuration, workers, instances };
 
-// Newest value of a key, or its removal.
+// Value of a key, or its removal.
 struct keyed_record {
     std::string key;
     std::optional<std::string> value;
@@ -29,7 +29,8 @@
     bool has_more = false;  // newest() only: continue after the last key
 };
 
-// Access to the platform's keyed records. Callbacks run later on the loop, exactly once.
+// Access to the platform's log of keyed records. Callbacks run exactly once, later on the event
+// loop.
 class keyed_log {
 public:
     using callback = std::function<void(keyed_page)>;
@@ -39,11 +40,11 @@
     keyed_log& operator=(const keyed_log&) = delete;
     virtual ~keyed_log() = default;
 
-    // Records from an offset on; waits up to `wait` for the first one. `trimmed`: records from
-    // there on have been deleted.
+    // Reads records from an offset on; waits up to `wait` for the first one. `trimmed`: some of the
+    // requested records have been deleted.
     virtual void read(keyed_topic topic, std::uint64_t from, duration wait, callback fn) = 0;
 
-    // Newest record of each key, by pages in order of key.
+    // Reads the newest record of each key, in pages ordered by key.
     virtual void newest(keyed_topic topic, const std::string& after, callback fn) = 0;
 
     // Sets the value of a key; `fn` gets true once it is stored.
--- a/include/cell/mesh_codec.h
+++ b/include/cell/mesh_codec.h
@@ -7,8 +7,8 @@
 
 namespace cactusloom {
 
-// JSON form of the messages between instances. Both sides run this project's code; missing fields
-// take their default, so that neighbouring versions understand each other.
+// JSON form of the messages between instances. Both sides run this project's code; a missing field
+// takes its default, so that adjacent versions understand each other.
 Json::Value encode_instance(const instance_address& it);
 instance_address decode_instance(const Json::Value& value);
 Json::Value encode_instances(const std::vector<instance_address>& instances);
--- a/include/cell/overload_detector.h
+++ b/include/cell/overload_detector.h
@@ -4,17 +4,17 @@
 
 namespace cactusloom {
 
-// Tells from how late a periodic timer fires whether this process gets too little processor time
-// for its work: the machine has turned slow or the work is too much. One long pause does not count.
+// Detects from the lateness of a periodic timer that this process gets too little CPU time for its
+// work: the machine has become slow or the load is too high. A single long pause does not count.
 class overload_detector {
 public:
-    // The timer has fired `late` after its time, `elapsed` after it fired last.
+    // Adds a firing of the timer: `late` after its due time and `elapsed` after its last firing.
     void add_sample(duration late, duration elapsed, monotonic_time now);
 
     bool is_overloaded() const { return overloaded_; }
 
 private:
-    double late_share_ = 0; // smoothed
+    double late_share_ = 0; // exponentially smoothed
     bool overloaded_ = false;
     monotonic_time last_busy_at_;
 };
--- a/include/cell/worker_registry.h
+++ b/include/cell/worker_registry.h
@@ -9,9 +9,9 @@
 
 namespace cactusloom {
 
-// The workers that are to be used, from their entries in the platform's list. Entries also lapse
-// while the platform's store is away, and living workers are back soon after; a worker without an
-// entry is therefore kept for a while, counted while the list can be read.
+// Workers that may be used, from their entries in the platform's list. Entries also lapse while the
+// platform's store is unavailable, and live workers return soon after; a worker without an entry is
+// therefore kept for a while, counted only while the list can be read.
 class worker_registry {
 public:
     explicit worker_registry(const timer_service& timers) : timers_(timers) {}
@@ -20,8 +20,9 @@
     bool put(const worker_report& report);
     bool remove(const std::string& id);
 
-    // Takes out workers whose entry has been missing for too long. Call after each successful
-    // read. Returns true if any went.
+    // Removes workers whose entry has been missing for too long. Call after each successful read;
+    // `store_healthy_since` is the time since which every read has succeeded. Returns true if any
+    // was removed.
     bool expire(monotonic_time store_healthy_since);
 
     std::vector<worker_report> list() const;
--- a/src/cell/cell_election.cpp
+++ b/src/cell/cell_election.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// A much weaker instance would be strained by the same work.
+// A much weaker instance would be overloaded by the same work.
 constexpr double least_relief_strength = 0.5;
 
 std::uint64_t claim_of(const instance_view& view, std::string_view cell)
@@ -21,8 +21,8 @@
     return 0;
 }
 
-// A machine that refuses a connection has no process, but is not out of reach. The links across a
-// cut are not given up at one moment; until then all of them owe a reply.
+// A machine that refuses a connection is reachable, although it runs no process. Links across a
+// partition are not dropped all at the same moment; until then their replies are overdue.
 bool is_reached(const instance_view& it, std::string_view self)
 {
     return it.name == self || it.connection_refused || (it.alive && !it.reply_overdue);
@@ -103,7 +103,7 @@
 
 bool cell_election::is_in_minority(std::string_view self, std::span<const instance_view> views)
 {
-    constexpr std::size_t fewest_others = 2; // a single one is rather down than out of touch
+    constexpr std::size_t fewest_others = 2; // a single missing one is more likely down
     std::size_t known = 0;
     std::size_t reached = 0;
     const instance_view* first = nullptr;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -29,7 +29,7 @@
     mesh_.on_reconnect = [this](const std::string& peer) {
         for (auto& [id, job] : jobs_) {
             if (job->controller == peer) {
-                // Its outcome may have been lost with the old link.
+                // An outcome may have been lost with the old link.
                 job->lose_controller(timers_.monotonic_now(), "link replaced");
             }
         }
@@ -46,7 +46,7 @@
 {
     tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
     evaluate();
-    announce(); // the number of workers that obey changes after a claim
+    announce(); // the set of workers that accepted the token changes after a claim
     drop_lost_requesters();
     fail_jobs(unassigned_jobs_to_fail());
     fail_jobs(overdue_jobs());
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -1,4 +1,4 @@
-// Which cells this instance controls: claims, takeovers and handovers.
+// Claims, takeovers and handovers of the cells that this instance controls.
 #include "base/hash.h"
 #include "cell_service_internal.h"
 #include "claim_token.h"
@@ -9,14 +9,14 @@
 
 namespace {
 
-// Two beats and a connection are enough to hear who controls what.
+// Allows for a connection setup and two heartbeats, after which the claims of the peers are known.
 constexpr duration election_grace = std::chrono::milliseconds{700};
 constexpr duration fence_pause = std::chrono::milliseconds{200};
-// One controller of the weakest deployed kind (a quarter of a core) carries about 60 workers at
-// peak; a fleet beyond this size is divided by data centre.
+// A controller of the weakest deployed kind (a quarter of a core) handles about 60 workers at peak;
+// a fleet with more workers than this limit is split into one cell per data centre.
 constexpr std::size_t max_workers_of_whole_cell = 120;
 constexpr std::size_t min_workers_of_split_cells = 80;
-// A worker that is down or replaced does not hide what the others say.
+// More than one, so that a worker that is down or replaced does not decide the result.
 constexpr std::size_t probed_workers = 3;
 
 const char* to_string(claim_probe::probe_result result)
@@ -47,7 +47,7 @@
 
 } // namespace
 
-// True if an instance in touch claims workers of this cell too.
+// True if an instance in contact also claims workers of this cell.
 bool cell_service::is_contested(std::string_view cell) const
 {
     for (const auto& view : mesh_.claim_holders()) {
@@ -91,7 +91,7 @@
 {
     update_worker_list_mode();
     const auto now = timers_.monotonic_now();
-    // The links to other data centres take longer than those at home.
+    // Links to other data centres take longer to open than those within this one.
     const bool linked = now - started_at_ >= election_grace;
     const auto reached = mesh_.linked_views();
     const bool is_cut = linked &&
@@ -120,8 +120,8 @@
     redispatch();
 }
 
-// Instances that cannot get control do not read the list of workers: together they would read more
-// than the platform's store can send.
+// Instances that cannot become controller do not read the list of workers; together they would read
+// more than the platform's store can deliver.
 void cell_service::update_worker_list_mode()
 {
     auto list_mode = worker_list_mode::none;
@@ -137,9 +137,9 @@
     }
 }
 
-// A starting instance first hears who controls what. It waits no longer than until it knows the
-// state of all others, if nobody in touch controls anything or all of them have just started. Else
-// an instance that it does not reach may control the rest.
+// A starting instance first learns the existing claims. It may claim before the grace period ends
+// once the state of all candidates is known and either no instance in contact controls a cell or
+// all of them have just started; otherwise an unreachable instance may control the remaining cells.
 bool cell_service::is_ready_to_claim() const
 {
     return timers_.monotonic_now() - started_at_ >= election_grace ||
@@ -169,7 +169,7 @@
     }
 }
 
-// Claims the cell if nobody out of touch turns out to control its workers.
+// Claims the cell if a probe shows that no unreachable instance controls its workers.
 void cell_service::probe(const std::string& cell, std::uint64_t above)
 {
     auto& running = probes_[cell];
@@ -228,8 +228,9 @@
     on_claim();
 }
 
-// A worker obeys someone else. If that one is in touch, the election settles it; if not, the
-// higher token is a leftover or belongs to the smaller side of a cut.
+// A worker has accepted a higher token. If the holder is in contact, the election resolves the
+// conflict; if not, the token is left over from an earlier controller or belongs to the minority
+// side of a partition.
 void cell_service::on_fenced(const std::string& cell)
 {
     const auto found = controlled_cells_.find(cell);
@@ -247,7 +248,7 @@
         }
         it->second->fenced = false;
         if (is_contested(cell)) {
-            return; // one of the two gives way soon; the next look tells
+            return; // one of the two releases the cell soon; the next poll shows the result
         }
         if (minority_.in_minority()) {
             log_event("cell_yielded", "cell={} to=\"somebody out of touch\"", cell);
@@ -272,7 +273,7 @@
     announce();
     own->controller->release();
     update_worker_list_mode();
-    // Deferred: the controller may be on the call stack.
+    // Deferred because the controller may be on the call stack.
     timers_.schedule(duration::zero(), [own] {});
 }
 
@@ -294,7 +295,7 @@
     announce();
 }
 
-// A copy, for loops that give cells up.
+// A copy, for loops that release cells.
 std::vector<std::string> cell_service::controlled_cell_names() const
 {
     std::vector<std::string> names;
@@ -314,8 +315,8 @@
     return !mesh_.claim_holders().empty();
 }
 
-// Stops the jobs of instances that are out of touch. Their fronts wait longer than this before
-// they let the callers' tasks start elsewhere.
+// Stops the jobs of requesting instances that are out of contact. Such an instance waits longer
+// than this (lost_job_quarantine) before it lets the tasks of its jobs start elsewhere.
 void cell_service::drop_lost_requesters()
 {
     for (auto& row : controlled_cells_) {
--- a/src/cell/cell_service_internal.h
+++ b/src/cell/cell_service_internal.h
@@ -7,20 +7,20 @@
 
 namespace cactusloom {
 
-// A caller's job from its submission here until its answer.
+// A caller's job, from its submission to this instance until its answer.
 struct cell_service::submitted_job {
     job_request request;
     answer fn;
-    std::string controller; // empty: waits for one
+    std::string controller; // empty: waiting for one
     std::string cell;
-    std::set<std::string> refused_by; // cells that had no room
+    std::set<std::string> refused_by; // cells that had no capacity
     monotonic_time arrived;
     monotonic_time deadline;
     bool sent = false;              // a controller may have started tasks
     std::string sent_cell;          // the cell whose workers may run them
-    shared_worker_set sent_workers; // the newest that its controller has announced
-    worker_set former_workers;      // those of the controllers before
-    monotonic_time lost_at;         // when that controller went out of touch or out of control
+    shared_worker_set sent_workers; // newest set that its controller has announced
+    worker_set former_workers;      // worker sets of earlier controllers
+    monotonic_time lost_at;         // when contact with the controller, or its claim, was lost
     bool may_have_run = false;      // a lost controller may have started tasks
 
     void send_to(const std::string& name, const cell_claim& claim)
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -1,4 +1,4 @@
-// The jobs of this instance's callers: from submission through changes of control to the answer.
+// The jobs of this instance's callers, from submission through changes of controller to the answer.
 #include "cell/mesh_codec.h"
 #include "cell_choice.h"
 #include "cell_service_internal.h"
@@ -7,10 +7,11 @@
 
 namespace {
 
-// Time without any controller after which new jobs are refused instead of kept.
+// A job that could not be sent to any controller for this long is refused.
 constexpr duration controller_patience = std::chrono::seconds{1};
 constexpr duration controller_retry_after = std::chrono::seconds{1};
-// The controller ends jobs at their deadline; a front that hears nothing by then gives up.
+// The controller ends jobs at their deadline; the submitting instance ends a job itself if no
+// outcome has arrived by then.
 constexpr duration outcome_slack = std::chrono::milliseconds{100};
 
 } // namespace
@@ -20,7 +21,8 @@
     const auto now = timers_.monotonic_now();
     auto& job = jobs_[request.id];
     if (job) {
-        // The caller has sent the job again while it is under way: the newer connection counts.
+        // The caller has resubmitted the job while it is open: the newer connection replaces the
+        // older one.
         job->fn({job_end::unknown, {}, "submitted again"});
         job->fn = std::move(fn);
         job->deadline = std::max(job->deadline, now + request.time_left);
@@ -96,19 +98,19 @@
 {
     const auto& self = mesh_.self();
     const auto now = timers_.monotonic_now();
-    // Only a controller of the same workers can find the tasks that run. After the quarantine
-    // none of them does any more, and any controller may start anew.
+    // Only a controller of the same workers can find the tasks that still run. After the quarantine
+    // none of them runs any more, and any controller may start them again.
     const bool bound = job.sent && now - job.lost_at < lost_job_quarantine;
     const auto [target, target_claim] =
         choose_cell(claim_holders, {job.request.id, self.data_centre, job.refused_by,
                                     bound ? std::string_view(job.sent_cell) : std::string_view()});
-    // A job that waits here for a late reply is free to go to the next controller; one that was
-    // sent is bound to the workers of the silent one.
+    // A job that is held back here because of an overdue reply can still go to the next controller;
+    // once sent, it is bound to the workers of the controller that stopped replying.
     if (target == nullptr || mesh_.reply_overdue(target->name)) {
         return;
     }
     if (!bound) {
-        job.former_workers.clear(); // nothing runs any more for those that were asked before
+        job.former_workers.clear(); // no task of an earlier submission runs any more
     }
     job.request.resumed = bound;
     job.request.former_workers = job.former_workers;
@@ -183,12 +185,12 @@
 {
     const auto it = jobs_.find(job_id);
     if (it == jobs_.end() || it->second->controller != controller || it->second->cell != cell) {
-        return; // an answer to an earlier submission
+        return; // outcome of an earlier submission
     }
     auto& job = *it->second;
     if (outcome.end == job_end::moved) {
         job.lose_controller(timers_.monotonic_now(),
-                            "moved"); // the next evaluation finds the new one
+                            "moved"); // the next evaluation finds the new controller
         return;
     }
     if (outcome.end == job_end::not_run && job.may_have_run) {
@@ -198,8 +200,8 @@
     if (outcome.end == job_end::not_run) {
         job.refused_by.insert(cell);
         job.controller.clear();
-        job.sent = false;                     // it has certainly not run there
-        dispatch(job, mesh_.claim_holders()); // may end the job at once
+        job.sent = false;                     // no task has run there
+        dispatch(job, mesh_.claim_holders()); // may end the job synchronously
         const auto left = jobs_.find(job_id);
         if (left != jobs_.end() && left->second->controller.empty()) {
             finish(job_id, outcome);
@@ -220,8 +222,8 @@
     job->fn(outcome);
 }
 
-// Jobs that no controller in touch has, once this instance is on the smaller side of a cut. It
-// cannot say when it will be able to serve; other instances can at once.
+// Jobs without a controller in contact, once this instance is in the minority side of a partition.
+// It cannot tell when it will be able to serve them; other instances can serve them at once.
 std::vector<cell_service::ended_job> cell_service::unassigned_jobs_to_fail() const
 {
     std::vector<ended_job> out;
--- a/src/cell/claim_probe.cpp
+++ b/src/cell/claim_probe.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-// A waiting look of the controller is answered after 250 ms at most, and it raises its token 200 ms
-// after that.
+// A controller's long poll is answered after 250 ms at most, and it raises its token 200 ms after
+// that.
 constexpr duration reaction_time = std::chrono::milliseconds{600};
-// Tokens raised again and again before may be this many steps ahead.
+// A token that was raised repeatedly before may be this many steps ahead.
 constexpr int most_raises = 20;
 
 } // namespace
@@ -88,7 +88,7 @@
     }
 }
 
-// Deferred: the receiver may destroy the probe.
+// Deferred because `done` may destroy the probe.
 void claim_probe::finish(probe_result result)
 {
     timers_.schedule(duration::zero(), [this, result, alive = alive_] {
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Own reads, and news from more of those that have the version, arrive meanwhile.
+// Meanwhile an own read may complete, and more peers may announce that they have the version.
 constexpr duration ask_delay = std::chrono::milliseconds{50};
-// A large configuration takes 80 ms on the slowest link of 20 Mbit/s.
+// A large configuration takes 80 ms on the slowest link, of 20 Mbit/s.
 constexpr duration answer_patience = std::chrono::milliseconds{300};
 
 } // namespace
--- a/src/cell/control_candidates.cpp
+++ b/src/cell/control_candidates.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Links of a full mesh cost each instance less than 9 KB/s up to this size.
+// Up to this size, the links of a full mesh cost each instance less than 9 KB/s.
 constexpr std::size_t full_mesh_size = 12;
 constexpr std::size_t sound_per_data_centre = 3;
 
@@ -32,7 +32,7 @@
         std::ranges::sort(members, [&row](const auto* a, const auto* b) {
             return cell_election::ranks_before(row.first, *a, *b);
         });
-        // Each lost one adds one more, so that the number doubles until a survivor is found.
+        // Each lost candidate adds one more, so that the number doubles until a survivor is found.
         std::size_t sound = 0;
         std::size_t lost = 0;
         for (const auto* it : members) {
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-// Restarts and short cuts are over by then; other candidates are up meanwhile.
+// Longer than a restart or a short partition; other candidates are available meanwhile.
 constexpr duration replacement_delay = std::chrono::seconds{1};
-// Processes of machines that lose power together were seen to be back within 0.42 s of each other;
-// the rest is for the difference of their clocks.
+// Processes of machines that lost power together have been observed to restart within 0.42 s of
+// each other; the rest allows for clock differences.
 constexpr duration common_start_span = std::chrono::milliseconds{800};
 
 } // namespace
@@ -121,7 +121,7 @@
     config_version_ = config_version;
     if (changed) {
         ++state_number_;
-        send_state(); // a change of control must not wait for the next beat
+        send_state(); // a change of control must not wait for the next heartbeat
     }
 }
 
@@ -140,7 +140,7 @@
 bool instance_mesh::has_heard_from(std::string_view name) const
 {
     const auto it = last_heard_.find(name);
-    // Those that may have jobs here beat at the full rate.
+    // Instances that may have jobs here ping at the full rate.
     const auto limit = silence_limit + (claims_.empty() ? slow_heartbeat_slack : duration::zero());
     return it != last_heard_.end() && timers_.monotonic_now() - it->second < limit;
 }
@@ -187,7 +187,7 @@
 
 instance_view instance_mesh::view_of(const std::string& name, const peer& it) const
 {
-    if (!candidates().contains(name)) { // no own link: what it sends is all there is
+    if (!candidates().contains(name)) { // no own link: liveness follows from what the peer sends
         instance_view out{name, it.address.data_centre, it.address.cpu_share, has_heard_from(name)};
         out.leaving = true; // it is no candidate
         out.overloaded = it.overloaded;
@@ -249,7 +249,7 @@
 const std::set<std::string, std::less<>>& instance_mesh::candidates() const
 {
     if (!std::exchange(candidates_valid_, true)) {
-        // Strain passes; the choice must not change with it.
+        // Overload is temporary; the choice of candidates must not change with it.
         std::vector<instance_view> standings = {
             {self_.name, self_.data_centre, self_.cpu_share, true, false, claims_}};
         for (const auto& [name, it] : peers_) {
@@ -261,7 +261,8 @@
     return candidates_;
 }
 
-// Follows how long a candidate has been out of touch. Returns true if that changes who is one.
+// Tracks how long a candidate has been out of contact. Returns true if that changes the set of
+// candidates.
 bool instance_mesh::update_lost(peer& it, bool alive)
 {
     const auto now = timers_.monotonic_now();
@@ -272,7 +273,7 @@
     else if (it.out_of_touch_since == monotonic_time{}) {
         it.out_of_touch_since = now;
     }
-    bool lost = it.lost && !has_heard_from(it.address.name); // one without an own link
+    bool lost = it.lost && !has_heard_from(it.address.name); // for a peer without an own link
     if (linked) {
         lost = !alive && now - it.out_of_touch_since > replacement_delay;
     }
@@ -295,8 +296,8 @@
     return message;
 }
 
-// Takes over what a peer says of itself, unless a newer message has already arrived on another
-// link. Returns true if that changes who controls what.
+// Applies the state that a peer announces, unless a newer one has already arrived on another link.
+// Returns true if that may change who controls what.
 bool instance_mesh::apply_state(peer& it, const Json::Value& message)
 {
     const auto from = decode_instance(message["from"]);
@@ -309,7 +310,7 @@
     it.incarnation = from.incarnation;
     it.state_number = number;
     it.address = from;
-    candidates_valid_ &= !restarted; // it may be another machine under the name
+    candidates_valid_ &= !restarted; // another machine may have taken the name
     auto claims = decode_claims(message["claims"]);
     const bool leaving = message["leaving"].asBool();
     const bool overloaded = message["strained"].asBool();
@@ -353,7 +354,7 @@
         on_inbound(*own, text);
     };
     it->link->on_closed = [this, weak = std::weak_ptr(it)] {
-        // Deferred: the link must not be destroyed from within its own handler.
+        // Deferred because the link must not be destroyed from within its own handler.
         timers_.schedule(duration::zero(), [this, weak, alive = alive_] {
             if (const auto gone = *alive ? weak.lock() : nullptr) {
                 inbound_.erase(gone);
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -4,37 +4,38 @@
 
 namespace cactusloom {
 
-// Silence after which a process counts as lost though its machine answers. Six beats: a lost packet
-// is sent again within one to two hundred ms.
+// Silence after which a process counts as lost even though its machine answers. Six heartbeats: a
+// lost packet is retransmitted within one to two hundred ms.
 inline constexpr duration silence_limit = std::chrono::milliseconds{600};
 inline constexpr duration link_check_interval = std::chrono::milliseconds{50};
-// An instance that cannot get control beats those that its jobs do not depend on less often: a
-// candidate answers every instance of the deployment.
+// An instance that cannot become controller pings less often those peers that its jobs do not
+// depend on, because a candidate answers every instance of the deployment.
 inline constexpr duration slow_heartbeat_interval = std::chrono::milliseconds{500};
-// Silence that is allowed on such a link beyond the limits of the others.
+// Additional silence allowed on such a link.
 inline constexpr duration slow_heartbeat_slack = std::chrono::milliseconds{400};
 
 struct instance_mesh::peer {
     instance_address address;
     std::shared_ptr<frame_link> link;
-    std::shared_ptr<frame_link> probe; // second connection while the link is silent
+    std::shared_ptr<frame_link> probe; // second connection, opened while the link is silent
     monotonic_time probed_at;
     monotonic_time probe_answered_at; // zero: not yet
-    bool closed = false;              // the link is to be replaced at the next check
-    bool connection_refused = false;  // nothing listened at the last attempt
+    bool closed = false;              // the link will be replaced at the next check
+    bool connection_refused = false;  // no process listened at the last attempt
     bool unreachable = false;         // the last attempt was not answered at all
     bool was_connected = false;
     bool was_alive = false;
-    monotonic_time out_of_touch_since; // linked to but not alive; zero: alive, or no candidate
-    bool lost = false;                 // for so long that another candidate takes its place
+    monotonic_time
+        out_of_touch_since; // while linked to but not alive; zero: alive, or no candidate
+    bool lost = false;      // out of contact for so long that another candidate replaces it
     monotonic_time opened_at;
     monotonic_time last_pong;
     monotonic_time pinged_at;
-    monotonic_time last_message_at;  // when a message other than a beat was sent to it
-    monotonic_time unanswered_since; // oldest beat without a reply; zero: none
+    monotonic_time last_message_at;  // when a message other than a ping was sent to it
+    monotonic_time unanswered_since; // oldest ping without a reply; zero: none
     std::int64_t incarnation = 0;
-    std::uint64_t state_number = 0;      // of the newest state that it has sent
-    std::uint64_t sent_state_number = 0; // of the own state that was sent on this link last
+    std::uint64_t state_number = 0;      // newest state received from it
+    std::uint64_t sent_state_number = 0; // newest own state that was sent on this link
     std::vector<cell_claim> claims;
     bool leaving = false;
     bool overloaded = false;
@@ -44,7 +45,7 @@
 struct instance_mesh::inbound {
     std::unique_ptr<frame_link> link;
     std::string name;
-    std::uint64_t sent_state_number = 0; // of the own state that was sent on this link last
+    std::uint64_t sent_state_number = 0; // newest own state that was sent on this link
 };
 
 } // namespace cactusloom
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -1,4 +1,4 @@
-// The links of an instance: beats, silence, second connections, and their replacement.
+// Links of an instance: heartbeats, silence, probe connections and link replacement.
 #include "base/log.h"
 #include "http/json_text.h"
 #include "instance_mesh_internal.h"
@@ -10,15 +10,15 @@
 namespace {
 
 constexpr int checks_per_beat = 2;
-// A job's caller waits no longer for its controller.
+// No caller waits longer than this for the outcome of its job.
 constexpr duration use_time = std::chrono::seconds{5};
-// A reply takes a round trip (24 ms between regions) and a turn of the peer's loop.
+// Allows for a round trip (24 ms between regions) and an iteration of the peer's event loop.
 constexpr duration reply_patience = std::chrono::milliseconds{60};
-// Two beats and their replies are missing: a second connection tells a slow process from a lost
-// machine.
+// Two heartbeats and their replies are missing: a second connection then tells a slow process from
+// a lost machine.
 constexpr duration suspicion_limit = std::chrono::milliseconds{250};
-// The system of a reachable machine opens a connection within one round trip (24 ms between
-// regions), however busy its process is.
+// The kernel of a reachable machine accepts a connection within one round trip (24 ms between
+// regions), however busy the process is.
 constexpr duration handshake_limit = std::chrono::milliseconds{120};
 constexpr duration connect_limit = std::chrono::milliseconds{400};
 constexpr duration introduction_limit = std::chrono::seconds{2};
@@ -30,13 +30,13 @@
     if (it.connection_refused || it.unreachable || it.last_pong == monotonic_time{}) {
         return false;
     }
-    // After a pause of this process, its replies wait unread: the last check counts until the next.
+    // After a pause of this process, replies wait unread: the time of the last check counts until
+    // the next check.
     const auto as_of = std::min(timers_.monotonic_now(), verified_at_ + 2 * link_check_interval);
     return as_of - it.last_pong < silence_limit + extra_silence_allowed(it);
 }
 
-// True if much depends on the peer's liveness: this instance may have to take over from it, or its
-// jobs go there.
+// True if this instance may have to take over from the peer, or sends its jobs there.
 bool instance_mesh::is_monitored_closely(const peer& it) const
 {
     return is_candidate() ||
@@ -105,8 +105,8 @@
     }
 }
 
-// A beat or its reply. The state goes along only if it has changed since it was sent on the link,
-// as beats are most of what idle instances say.
+// Returns a ping or its reply. It includes the state only if that has changed since it was last
+// sent on the link, because heartbeats are most of the traffic of idle instances.
 std::string instance_mesh::heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const
 {
     Json::Value beat;
@@ -114,7 +114,7 @@
     if (std::exchange(sent_state_number, state_number_) == state_number_) {
         return write_json(beat);
     }
-    // The same text goes out on every link.
+    // The same text is sent on every link.
     if (std::exchange(heartbeat_cache_number_, state_number_) != state_number_) {
         heartbeat_cache_.clear();
     }
@@ -129,7 +129,7 @@
 
 void instance_mesh::send_pings()
 {
-    // Half a check less, so that the timer's lateness does not skip a turn.
+    // Shorter by half a check interval, so that timer lateness does not skip a turn.
     constexpr auto least_pause = slow_heartbeat_interval - link_check_interval / 2;
     const auto now = timers_.monotonic_now();
     for (const auto& [name, it] : peers_) {
@@ -151,7 +151,7 @@
     }
 }
 
-// Tells everybody, on links of either direction, without waiting for the next beat.
+// Sends the state on links of both directions without waiting for the next heartbeat.
 void instance_mesh::send_state()
 {
     for (const auto& [name, it] : peers_) {
@@ -164,7 +164,7 @@
     }
 }
 
-// Returns true if it changes whether this instance is strained.
+// Returns true if this instance has become overloaded or has recovered.
 bool instance_mesh::update_overload(duration late, duration elapsed)
 {
     const bool before = overload_detector_.is_overloaded();
@@ -175,12 +175,13 @@
     log_event(before ? "strain_over" : "strained", "late_ms={} of_ms={}", late.count() / 1000,
               elapsed.count() / 1000);
     ++state_number_;
-    send_state(); // who controls what must not wait for the next beat
+    send_state(); // a change of control must not wait for the next heartbeat
     return true;
 }
 
-// Replies wait unread after a pause of this process, so its time counts as nobody's silence. For
-// the peers it did pass: what they may have given up meanwhile (`has_heard_from`) is not excused.
+// Replies wait unread after a pause of this process, so the pause does not count as silence of the
+// peers. For the peers the time did pass: what they may have dropped meanwhile (`has_heard_from`)
+// is not restored.
 void instance_mesh::discount_pause(duration pause)
 {
     log_event("paused", "for_ms={}", pause.count() / 1000);
@@ -193,12 +194,12 @@
             it.last_pong += pause;
         }
         if (pause > silence_limit / 2) {
-            it.closed = true; // the peer may have dropped what it was asked for on this link
+            it.closed = true; // the peer may have dropped requests that were sent on this link
         }
     }
 }
 
-// Replaces a link that is closed, silent or cannot be opened in time.
+// Replaces a link that is closed, silent or not opened in time.
 void instance_mesh::update_link(peer& it)
 {
     const auto now = timers_.monotonic_now();
@@ -225,7 +226,7 @@
         return;
     }
     it.unreachable = !it.probe->is_connected() && now - it.probed_at > handshake_limit;
-    // A process that was only paused answers on both connections in one go.
+    // A process that was only paused answers on both connections at the same time.
     const bool broken = it.probe_answered_at != monotonic_time{} &&
                         now - it.probe_answered_at >= link_check_interval;
     if (it.unreachable || broken || silence > silence_limit + extra_silence_allowed(it)) {
@@ -235,8 +236,8 @@
     }
 }
 
-// A peer that has just been heard can be reached again: an attempt to connect from before, whose
-// opening packet was lost, would be repeated by the system after a second only.
+// Reopens a connection attempt that has stalled, since the peer has just been heard from and can be
+// reached again. If its SYN packet was lost, the kernel would repeat it only after a second.
 void instance_mesh::reconnect_if_stalled(peer& it)
 {
     if (it.link && !it.link->is_connected() &&
@@ -245,8 +246,8 @@
     }
 }
 
-// Opens a second connection beside a silent link. It tells a lost machine, which does not open it,
-// from a busy process, which does not reply, and from a broken link beside which it does.
+// Opens a second connection beside a silent link. A lost machine does not accept it, a busy process
+// accepts it but does not reply, and behind a broken link the process replies.
 void instance_mesh::probe(peer& it)
 {
     it.probed_at = timers_.monotonic_now();
@@ -309,10 +310,11 @@
         own->closed = true;
         const bool opened = own->was_connected;
         if (!opened) {
-            // A reset of the opening packet: no process listens there.
+            // The SYN packet was reset: no process listens there.
             own->connection_refused = true;
         }
-        // A closed link says little; whether a new one opens tells if the process lives.
+        // A closed link alone does not show whether the process is alive; the attempt to open a new
+        // one does.
         timers_.schedule(duration::zero(),
                          [this, opened, name = own->address.name, alive = alive_] {
                              if (!*alive) {
--- a/src/cell/instance_registry.cpp
+++ b/src/cell/instance_registry.cpp
@@ -10,9 +10,9 @@
 
 constexpr duration write_retry = std::chrono::milliseconds{300};
 constexpr duration refresh_interval = std::chrono::seconds{8};
-// Three refreshes may be missed before an instance that does not answer is taken as removed.
+// Three refreshes may be missed before an instance that does not answer is removed.
 constexpr duration forget_after = std::chrono::seconds{25};
-// Instances also learn of each other when they link; this only finds what nobody links to.
+// Instances also learn of each other when they link; this read only finds those without any link.
 constexpr keyed_follower::poll_policy read_pace = {{}, std::chrono::milliseconds{1500}};
 
 } // namespace
@@ -67,7 +67,7 @@
 {
     const auto now = timers_.monotonic_now();
     std::erase_if(last_refresh_, [&](const auto& it) {
-        // While the store was away nobody could refresh.
+        // No instance could refresh while the platform's store was unavailable.
         if (now - std::max(it.second, follower_.healthy_since()) <= forget_after) {
             return false;
         }
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr duration failure_pause = std::chrono::milliseconds{250};
-// Workers write once in 1.5 s each, so what has been written for longer than this beyond the usual
-// time between two reads is more than one record a key.
+// Each worker writes once in 1.5 s. If more than this time has passed beyond the usual pause
+// between two reads, there is more than one record for each key to read.
 constexpr duration longest_gap = std::chrono::seconds{2};
 
 const char* name_of(keyed_topic topic)
@@ -71,7 +71,7 @@
         next(duration::zero());
     }
     else {
-        read_again_ = true; // the read under way may have begun too early to count
+        read_again_ = true; // the current read may have started before the awaited change
     }
 }
 
@@ -127,7 +127,8 @@
     if (!listing_in_progress_) {
         listing_in_progress_ = true;
         listed_.clear();
-        // Later pages are not of the same moment; reading on from here covers what they miss.
+        // Later pages are of a later state of the topic; reading on from here covers what they
+        // miss.
         listing_end_ = page.end;
     }
     for (const auto& record : page.records) {
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Fields of a message of another version may have another type; those count as absent.
+// A field of a message from another version may have another type; it then counts as absent.
 std::string text_of(const Json::Value& value)
 {
     return value.isString() ? value.asString() : std::string();
--- a/src/cell/minority_tracker.cpp
+++ b/src/cell/minority_tracker.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Late replies tell of a cut before its links are given up, after 400 ms. A controller that does
-// not hear a front for 600 ms stops its jobs.
+// Overdue replies show a partition before its links are dropped, after 400 ms. A controller that
+// has not heard from a submitting instance for 600 ms stops its jobs.
 constexpr duration job_patience = std::chrono::milliseconds{500};
 
 } // namespace
--- a/src/cell/overload_detector.cpp
+++ b/src/cell/overload_detector.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-// The newest of some ten samples a second: about three late ones in a row raise the share over the
-// limit, one pause of any length does not.
+// Weight of the newest of about ten samples a second: about three late samples in a row raise the
+// share above the limit, a single pause of any length does not.
 constexpr double newest_weight = 0.3;
 constexpr double strained_share = 0.4;
 constexpr double calm_share = 0.1;
-// So that control does not move to and fro.
+// Keeps control from moving back and forth.
 constexpr duration calm_time = std::chrono::seconds{3};
 
 } // namespace
--- a/src/cell/worker_registry.cpp
+++ b/src/cell/worker_registry.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// The platform promises lapsed entries back about 2 s after its store's return.
+// The platform promises that lapsed entries are back about 2 s after its store has returned.
 constexpr duration missing_limit = std::chrono::milliseconds{2500};
 
 bool same_for_placement(const worker_report& a, const worker_report& b)
@@ -36,7 +36,7 @@
     if (it == entries_.end()) {
         return false;
     }
-    if (it->second.report.draining) { // it has left as announced
+    if (it->second.report.draining) { // it has left after draining
         entries_.erase(it);
         return true;
     }
