Rename local names of the cell service, its election and the mesh

File-local constants, private members and locals in include/cell and src/cell still had names of the project's own (patience, cut, beat, speed, own).

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -97,7 +97,7 @@
     void announce();
     bool is_ready_to_claim() const;
     bool is_contested(std::string_view cell) const;
-    std::vector<std::string> cells_to_control(isolation_tracker::phase cut) const;
+    std::vector<std::string> cells_to_control(isolation_tracker::phase partition_phase) const;
     std::vector<std::string> controlled_cell_names() const;
     std::vector<worker_report> workers_of(std::string_view cell) const;
     void drop_lost_requesters();
--- a/include/cell/isolation_tracker.h
+++ b/include/cell/isolation_tracker.h
@@ -21,7 +21,7 @@
     };
 
     phase update(bool is_isolated_data_centre, monotonic_time now);
-    phase at() const { return phase_; }
+    phase current_phase() const { return phase_; }
 
 private:
     phase phase_ = phase::connected;
--- a/include/cell/keyed_follower.h
+++ b/include/cell/keyed_follower.h
@@ -21,7 +21,7 @@
         bool newest_only = false; // read only the newest record of each key
     };
 
-    keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic, poll_policy speed);
+    keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic, poll_policy policy);
     ~keyed_follower();
     keyed_follower(const keyed_follower&) = delete;
     keyed_follower& operator=(const keyed_follower&) = delete;
@@ -32,7 +32,7 @@
     // Stops reading until the next start. Known records are kept.
     void pause();
 
-    void set_poll_policy(poll_policy speed) { poll_policy_ = speed; }
+    void set_poll_policy(poll_policy policy) { poll_policy_ = policy; }
 
     // Reads now instead of after the interval. If a read is under way, the next one follows it at
     // once.
@@ -57,7 +57,7 @@
     std::function<void()> on_read;
 
 private:
-    void next(duration delay);
+    void schedule_read(duration delay);
     void finish_read();
     void start_read();
     void read_newest(const std::string& after);
--- a/src/cell/cell_election.cpp
+++ b/src/cell/cell_election.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 // A much weaker instance would be overloaded by the same work.
-constexpr double least_relief_strength = 0.5;
+constexpr double min_relief_cpu_ratio = 0.5;
 
-std::uint64_t claim_of(const instance_view& view, std::string_view cell)
+std::uint64_t claimed_token(const instance_view& view, std::string_view cell)
 {
     for (const auto& it : view.claims) {
         if (it.cell == cell) {
@@ -23,7 +23,7 @@
 
 // A machine that refuses a connection is reachable, although it runs no process. Links across a
 // partition are not dropped all at the same moment; until then their replies are overdue.
-bool is_reached(const instance_view& it, std::string_view self)
+bool is_reachable(const instance_view& it, std::string_view self)
 {
     return it.name == self || it.connection_refused || (it.alive && !it.reply_overdue);
 }
@@ -36,10 +36,10 @@
     if (a.overloaded != b.overloaded) {
         return b.overloaded;
     }
-    const bool a_home = a.data_centre == cell;
-    const bool b_home = b.data_centre == cell;
-    if (a_home != b_home) {
-        return a_home;
+    const bool a_local = a.data_centre == cell;
+    const bool b_local = b.data_centre == cell;
+    if (a_local != b_local) {
+        return a_local;
     }
     if (a.cpu_share != b.cpu_share) {
         return a.cpu_share > b.cpu_share;
@@ -56,24 +56,24 @@
     const instance_view* holder = nullptr;
     const instance_view* best = nullptr;
     for (const auto& it : views) {
-        const auto token = claim_of(it, cell);
+        const auto token = claimed_token(it, cell);
         for (const auto& claim : it.claims) {
             out.highest_token = std::max(out.highest_token, claim.token);
         }
         if (!it.alive || it.leaving) {
             continue;
         }
-        if (token != 0 && (holder == nullptr || token > claim_of(*holder, cell))) {
+        if (token != 0 && (holder == nullptr || token > claimed_token(*holder, cell))) {
             holder = &it;
         }
         if (best == nullptr || ranks_before(cell, it, *best)) {
             best = &it;
         }
     }
-    const bool relieved = holder != nullptr && holder->overloaded && best != nullptr &&
-                          !best->overloaded &&
-                          best->cpu_share >= least_relief_strength * holder->cpu_share;
-    if (holder != nullptr && !relieved) {
+    const bool should_yield = holder != nullptr && holder->overloaded && best != nullptr &&
+                              !best->overloaded &&
+                              best->cpu_share >= min_relief_cpu_ratio * holder->cpu_share;
+    if (holder != nullptr && !should_yield) {
         out.controller = holder->name;
         return out;
     }
@@ -84,55 +84,55 @@
 bool cell_election::is_isolated_data_centre(std::string_view self,
                                             std::span<const instance_view> views)
 {
-    const auto own = std::ranges::find(views, self, &instance_view::name);
-    if (own == views.end()) {
+    const auto self_view = std::ranges::find(views, self, &instance_view::name);
+    if (self_view == views.end()) {
         return false;
     }
-    bool knows_others = false;
+    bool knows_other_data_centres = false;
     for (const auto& it : views) {
-        if (it.data_centre != own->data_centre) {
-            knows_others = true;
+        if (it.data_centre != self_view->data_centre) {
+            knows_other_data_centres = true;
             if (it.alive) {
                 return false;
             }
         }
     }
     const auto alive = std::ranges::count_if(views, &instance_view::alive);
-    return knows_others && static_cast<std::size_t>(alive) * 2 < views.size();
+    return knows_other_data_centres && static_cast<std::size_t>(alive) * 2 < views.size();
 }
 
 bool cell_election::is_in_minority(std::string_view self, std::span<const instance_view> views)
 {
-    constexpr std::size_t fewest_others = 2; // a single missing one is more likely down
+    constexpr std::size_t max_undecidable_views = 2; // a single missing one is more likely down
     std::size_t known = 0;
     std::size_t reached = 0;
     const instance_view* first = nullptr;
     for (const auto& it : views) {
         if (it.linked) {
             ++known;
-            reached += is_reached(it, self) ? 1 : 0;
+            reached += is_reachable(it, self) ? 1 : 0;
             first = first == nullptr || it.name < first->name ? &it : first;
         }
     }
-    if (known <= fewest_others) {
+    if (known <= max_undecidable_views) {
         return false;
     }
-    return reached * 2 < known || (reached * 2 == known && !is_reached(*first, self));
+    return reached * 2 < known || (reached * 2 == known && !is_reachable(*first, self));
 }
 
 bool cell_election::reaches_own_data_centre(std::string_view self,
                                             std::span<const instance_view> views)
 {
-    const auto own = std::ranges::find(views, self, &instance_view::name);
-    std::size_t at_home = 0;
+    const auto self_view = std::ranges::find(views, self, &instance_view::name);
+    std::size_t in_data_centre = 0;
     std::size_t reached = 0;
     for (const auto& it : views) {
-        if (own != views.end() && it.linked && it.data_centre == own->data_centre) {
-            ++at_home;
-            reached += is_reached(it, self) ? 1 : 0;
+        if (self_view != views.end() && it.linked && it.data_centre == self_view->data_centre) {
+            ++in_data_centre;
+            reached += is_reachable(it, self) ? 1 : 0;
         }
     }
-    return reached * 2 > at_home;
+    return reached * 2 > in_data_centre;
 }
 
 } // namespace cactusloom
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -61,8 +61,8 @@
 void cell_service::set_workers(std::vector<worker_report> workers)
 {
     workers_ = std::move(workers);
-    for (auto& [cell, own] : controlled_cells_) {
-        own->controller->set_workers(workers_of(cell));
+    for (auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->set_workers(workers_of(cell));
     }
 }
 
@@ -74,8 +74,8 @@
 
 void cell_service::set_worker_list_time(monotonic_time read_started_at)
 {
-    for (auto& [cell, own] : controlled_cells_) {
-        own->controller->set_worker_list_time(read_started_at);
+    for (auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->set_worker_list_time(read_started_at);
     }
 }
 
@@ -93,9 +93,9 @@
         on_submit(peer, message, reply);
     }
     else if (kind == "abandon") {
-        const auto own = controlled_cells_.find(message["cell"].asString());
-        if (own != controlled_cells_.end()) {
-            own->second->controller->abandon(message["id"].asString());
+        const auto controlled = controlled_cells_.find(message["cell"].asString());
+        if (controlled != controlled_cells_.end()) {
+            controlled->second->controller->abandon(message["id"].asString());
         }
     }
     else if (kind == "outcome") {
@@ -121,20 +121,20 @@
         out["outcome"] = encode_outcome(outcome);
         reply(out);
     };
-    const auto own = controlled_cells_.find(cell);
-    if (own == controlled_cells_.end()) {
+    const auto controlled = controlled_cells_.find(cell);
+    if (controlled == controlled_cells_.end()) {
         respond({job_end::moved, {}, "not in control"});
         return;
     }
-    own->second->requesters.insert(peer);
-    own->second->controller->submit(std::move(request), peer, std::move(respond));
+    controlled->second->requesters.insert(peer);
+    controlled->second->controller->submit(std::move(request), peer, std::move(respond));
 }
 
 std::size_t cell_service::pending_jobs(std::string_view queue) const
 {
     std::size_t n = 0;
-    for (const auto& [cell, own] : controlled_cells_) {
-        n += own->controller->pending_jobs(queue);
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        n += controlled->controller->pending_jobs(queue);
     }
     return n;
 }
@@ -142,8 +142,8 @@
 cell_counts cell_service::counts() const
 {
     cell_counts sum;
-    for (const auto& [cell, own] : controlled_cells_) {
-        sum += own->controller->counts();
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        sum += controlled->controller->counts();
     }
     return sum;
 }
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -11,13 +11,13 @@
 
 // Allows for a connection setup and two heartbeats, after which the claims of the peers are known.
 constexpr duration election_grace = std::chrono::milliseconds{700};
-constexpr duration fence_pause = std::chrono::milliseconds{200};
+constexpr duration fence_reaction_delay = std::chrono::milliseconds{200};
 // A controller of the weakest deployed kind (a quarter of a core) handles about 60 workers at peak;
 // a fleet with more workers than this limit is split into one cell per data centre.
-constexpr std::size_t max_workers_of_whole_cell = 120;
+constexpr std::size_t max_workers_of_single_cell = 120;
 constexpr std::size_t min_workers_of_split_cells = 80;
 // More than one, so that a worker that is down or replaced does not decide the result.
-constexpr std::size_t probed_workers = 3;
+constexpr std::size_t probed_worker_count = 3;
 
 const char* to_string(claim_probe::probe_result result)
 {
@@ -63,9 +63,10 @@
     return false;
 }
 
-std::vector<std::string> cell_service::cells_to_control(isolation_tracker::phase isolated) const
+std::vector<std::string>
+cell_service::cells_to_control(isolation_tracker::phase partition_phase) const
 {
-    if (isolated != isolation_tracker::phase::connected) {
+    if (partition_phase != isolation_tracker::phase::connected) {
         return {mesh_.self().data_centre};
     }
     if (!split_by_data_centre_) {
@@ -92,22 +93,23 @@
     update_worker_list_mode();
     const auto now = timers_.monotonic_now();
     // Links to other data centres take longer to open than those within this one.
-    const bool linked = now - started_at_ >= election_grace;
-    const auto reached = mesh_.linked_views();
-    const bool is_cut = linked &&
-                        cell_election::is_isolated_data_centre(mesh_.self().name, reached) &&
-                        cell_election::reaches_own_data_centre(mesh_.self().name, reached);
-    minority_.update(linked && cell_election::is_in_minority(mesh_.self().name, reached), is_cut,
-                     now);
+    const bool links_settled = now - started_at_ >= election_grace;
+    const auto linked_views = mesh_.linked_views();
+    const bool is_isolated =
+        links_settled && cell_election::is_isolated_data_centre(mesh_.self().name, linked_views) &&
+        cell_election::reaches_own_data_centre(mesh_.self().name, linked_views);
+    minority_.update(links_settled &&
+                         cell_election::is_in_minority(mesh_.self().name, linked_views),
+                     is_isolated, now);
     if (!minority_.in_minority()) {
         probes_.clear();
     }
     if (!leaving_ && mesh_.is_candidate() && is_ready_to_claim() && !workers_.empty()) {
         split_by_data_centre_ =
             workers_.size() >
-            (split_by_data_centre_ ? min_workers_of_split_cells : max_workers_of_whole_cell);
+            (split_by_data_centre_ ? min_workers_of_split_cells : max_workers_of_single_cell);
         const auto views = mesh_.views();
-        const auto names = cells_to_control(isolation_.update(is_cut, now));
+        const auto names = cells_to_control(isolation_.update(is_isolated, now));
         for (const auto& cell : controlled_cell_names()) {
             if (std::ranges::find(names, cell) == names.end()) {
                 release_cell(cell);
@@ -151,17 +153,19 @@
 {
     const auto& self = mesh_.self();
     const auto decision = cell_election::decide(cell, self.name, views);
-    const bool own = controlled_cells_.contains(cell);
-    if (own && decision.controller != self.name) {
+    const bool controlled = controlled_cells_.contains(cell);
+    if (controlled && decision.controller != self.name) {
         log_event("cell_yielded", "cell={} to={}", cell, decision.controller);
         release_cell(cell);
         return;
     }
-    if (own || !decision.should_claim || isolation_.at() == isolation_tracker::phase::rejoining ||
+    if (controlled || !decision.should_claim ||
+        isolation_.current_phase() == isolation_tracker::phase::rejoining ||
         minority_.is_fenced() || minority_.is_rejoining(timers_.monotonic_now())) {
         return;
     }
-    if (minority_.in_minority() && isolation_.at() != isolation_tracker::phase::isolated) {
+    if (minority_.in_minority() &&
+        isolation_.current_phase() != isolation_tracker::phase::isolated) {
         probe(cell, decision.highest_token);
     }
     else {
@@ -172,19 +176,19 @@
 // Claims the cell if a probe shows that no unreachable instance controls its workers.
 void cell_service::probe(const std::string& cell, std::uint64_t above)
 {
-    auto& running = probes_[cell];
-    if (running) {
+    auto& running_probe = probes_[cell];
+    if (running_probe) {
         return;
     }
     auto workers = workers_of(cell);
     std::erase_if(workers, [](const auto& it) { return it.draining; });
-    std::vector<worker_report> some;
-    for (std::size_t i = 0; i < probed_workers && i < workers.size(); ++i) {
-        some.push_back(workers[i * workers.size() / probed_workers]);
+    std::vector<worker_report> sample;
+    for (std::size_t i = 0; i < probed_worker_count && i < workers.size(); ++i) {
+        sample.push_back(workers[i * workers.size() / probed_worker_count]);
     }
-    log_event("cell_probed", "cell={} workers={}", cell, some.size());
-    running = std::make_unique<claim_probe>(
-        timers_, commands_, std::move(some), next_token(above),
+    log_event("cell_probed", "cell={} workers={}", cell, sample.size());
+    running_probe = std::make_unique<claim_probe>(
+        timers_, commands_, std::move(sample), next_token(above),
         [this, cell](claim_probe::probe_result result, std::uint64_t token) {
             const auto done = std::move(probes_[cell]);
             probes_.erase(cell);
@@ -204,25 +208,25 @@
     const auto wall =
         std::chrono::duration_cast<std::chrono::milliseconds>(timers_.wall_now().time_since_epoch())
             .count();
-    constexpr std::uint64_t low_bits = (std::uint64_t{1} << token_time_shift) - 1;
-    const auto own_bits = hash64(mesh_.self().name) & low_bits;
-    return std::max((static_cast<std::uint64_t>(wall) << token_time_shift) | own_bits,
-                    above + 1 + own_bits);
+    constexpr std::uint64_t low_bit_mask = (std::uint64_t{1} << token_time_shift) - 1;
+    const auto instance_bits = hash64(mesh_.self().name) & low_bit_mask;
+    return std::max((static_cast<std::uint64_t>(wall) << token_time_shift) | instance_bits,
+                    above + 1 + instance_bits);
 }
 
 void cell_service::claim(const std::string& cell, std::uint64_t above)
 {
     const auto token = next_token(above);
-    auto& own = controlled_cells_[cell];
-    if (!own) {
-        own = std::make_unique<controlled_cell>();
-        own->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
-        own->controller->on_fenced = [this, cell] { on_fenced(cell); };
-        own->controller->on_used_workers_changed = [this] { announce(); };
-        own->controller->set_workers(workers_of(cell));
+    auto& controlled = controlled_cells_[cell];
+    if (!controlled) {
+        controlled = std::make_unique<controlled_cell>();
+        controlled->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
+        controlled->controller->on_fenced = [this, cell] { on_fenced(cell); };
+        controlled->controller->on_used_workers_changed = [this] { announce(); };
+        controlled->controller->set_workers(workers_of(cell));
     }
-    own->token = token;
-    own->controller->claim(token);
+    controlled->token = token;
+    controlled->controller->claim(token);
     announce();
     update_worker_list_mode();
     on_claim();
@@ -237,7 +241,7 @@
     if (found == controlled_cells_.end() || std::exchange(found->second->fenced, true)) {
         return;
     }
-    timers_.schedule(fence_pause, [this, cell, alive = alive_] {
+    timers_.schedule(fence_reaction_delay, [this, cell, alive = alive_] {
         if (!*alive) {
             return;
         }
@@ -257,8 +261,8 @@
             return;
         }
         log_event("token_raised", "cell={} from={}", cell, it->second->token);
-        const auto seen = cell_election::decide(cell, mesh_.self().name, mesh_.views());
-        claim(cell, std::max(it->second->token + token_raise_step, seen.highest_token));
+        const auto decision = cell_election::decide(cell, mesh_.self().name, mesh_.views());
+        claim(cell, std::max(it->second->token + token_raise_step, decision.highest_token));
     });
 }
 
@@ -268,20 +272,20 @@
     if (it == controlled_cells_.end()) {
         return;
     }
-    const auto own = std::shared_ptr<controlled_cell>(std::move(it->second));
+    const auto controlled = std::shared_ptr<controlled_cell>(std::move(it->second));
     controlled_cells_.erase(it);
     announce();
-    own->controller->release();
+    controlled->controller->release();
     update_worker_list_mode();
     // Deferred because the controller may be on the call stack.
-    timers_.schedule(duration::zero(), [own] {});
+    timers_.schedule(duration::zero(), [controlled] {});
 }
 
 void cell_service::announce()
 {
     std::vector<cell_claim> claims;
-    for (const auto& [cell, own] : controlled_cells_) {
-        claims.push_back({cell, own->token, own->controller->used_workers()});
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        claims.push_back({cell, controlled->token, controlled->controller->used_workers()});
     }
     mesh_.announce(std::move(claims), leaving_, config_version_);
 }
@@ -299,7 +303,7 @@
 std::vector<std::string> cell_service::controlled_cell_names() const
 {
     std::vector<std::string> names;
-    for (const auto& [cell, own] : controlled_cells_) {
+    for (const auto& [cell, controlled] : controlled_cells_) {
         names.push_back(cell);
     }
     return names;
@@ -320,13 +324,13 @@
 void cell_service::drop_lost_requesters()
 {
     for (auto& row : controlled_cells_) {
-        auto& own = *row.second;
-        std::erase_if(own.requesters, [&](const std::string& requester) {
+        auto& controlled = *row.second;
+        std::erase_if(controlled.requesters, [&](const std::string& requester) {
             if (mesh_.has_heard_from(requester)) {
                 return false;
             }
             log_event("requester_lost", "instance={} cell={}", requester, row.first);
-            own.controller->abandon_all_of(requester);
+            controlled.controller->abandon_all_of(requester);
             return true;
         });
     }
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 // A job that could not be sent to any controller for this long is refused.
-constexpr duration controller_patience = std::chrono::seconds{1};
+constexpr duration no_controller_timeout = std::chrono::seconds{1};
 constexpr duration controller_retry_after = std::chrono::seconds{1};
 // The controller ends jobs at their deadline; the submitting instance ends a job itself if no
 // outcome has arrived by then.
-constexpr duration outcome_slack = std::chrono::milliseconds{100};
+constexpr duration outcome_grace = std::chrono::milliseconds{100};
 
 } // namespace
 
@@ -47,8 +47,9 @@
     const auto cell = it->second->cell;
     jobs_.erase(it);
     if (controller == mesh_.self().name) {
-        if (const auto own = controlled_cells_.find(cell); own != controlled_cells_.end()) {
-            own->second->controller->abandon(job_id);
+        if (const auto controlled = controlled_cells_.find(cell);
+            controlled != controlled_cells_.end()) {
+            controlled->second->controller->abandon(job_id);
         }
     }
     else if (!controller.empty()) {
@@ -123,12 +124,12 @@
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
     if (target->name == self.name) {
-        const auto own = controlled_cells_.find(target_claim->cell);
-        if (own == controlled_cells_.end()) {
+        const auto controlled = controlled_cells_.find(target_claim->cell);
+        if (controlled == controlled_cells_.end()) {
             return;
         }
         job.send_to(target->name, *target_claim);
-        own->second->controller->submit(
+        controlled->second->controller->submit(
             job.request, self.name,
             [this, alive = alive_, id, cell = target_claim->cell](const job_outcome& outcome) {
                 if (*alive) {
@@ -202,8 +203,8 @@
         job.controller.clear();
         job.sent = false;                     // no task has run there
         dispatch(job, mesh_.claim_holders()); // may end the job synchronously
-        const auto left = jobs_.find(job_id);
-        if (left != jobs_.end() && left->second->controller.empty()) {
+        const auto remaining = jobs_.find(job_id);
+        if (remaining != jobs_.end() && remaining->second->controller.empty()) {
             finish(job_id, outcome);
         }
         return;
@@ -246,11 +247,11 @@
     const auto now = timers_.monotonic_now();
     std::vector<ended_job> out;
     for (const auto& [id, job] : jobs_) {
-        if (!job->sent && now - job->arrived > controller_patience) {
+        if (!job->sent && now - job->arrived > no_controller_timeout) {
             out.emplace_back(
                 id, job_outcome{job_end::not_run, controller_retry_after, "no controller"});
         }
-        else if (now > job->deadline + outcome_slack) {
+        else if (now > job->deadline + outcome_grace) {
             out.emplace_back(id, job->sent ? job_outcome{job_end::unknown, {}, "no outcome"}
                                            : job_outcome{job_end::not_run, controller_retry_after,
                                                          "no controller"});
--- a/src/cell/claim_probe.cpp
+++ b/src/cell/claim_probe.cpp
@@ -10,9 +10,9 @@
 
 // A controller's long poll is answered after 250 ms at most, and it raises its token 200 ms after
 // that.
-constexpr duration reaction_time = std::chrono::milliseconds{600};
+constexpr duration fence_reaction_time = std::chrono::milliseconds{600};
 // A token that was raised repeatedly before may be this many steps ahead.
-constexpr int most_raises = 20;
+constexpr int max_token_raises = 20;
 
 } // namespace
 
@@ -62,14 +62,14 @@
 void claim_probe::on_first_replies()
 {
     if (!accepted_.empty()) {
-        timers_.schedule(reaction_time, [this, alive = alive_] {
+        timers_.schedule(fence_reaction_time, [this, alive = alive_] {
             if (*alive) {
                 workers_ = std::exchange(accepted_, {});
                 poll(&claim_probe::on_second_replies);
             }
         });
     }
-    else if (fenced_ != 0 && token_raises_++ < most_raises) {
+    else if (fenced_ != 0 && token_raises_++ < max_token_raises) {
         token_ += token_raise_step;
         poll(&claim_probe::on_first_replies);
     }
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 // Meanwhile an own read may complete, and more peers may announce that they have the version.
-constexpr duration ask_delay = std::chrono::milliseconds{50};
+constexpr duration request_delay = std::chrono::milliseconds{50};
 // A large configuration takes 80 ms on the slowest link, of 20 Mbit/s.
-constexpr duration answer_patience = std::chrono::milliseconds{300};
+constexpr duration reply_timeout = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -21,7 +21,7 @@
 {
     mesh_.on_newer_config = [this] {
         if (timer_ == 0) {
-            schedule_request(ask_delay);
+            schedule_request(request_delay);
         }
     };
 }
@@ -49,17 +49,17 @@
 void configuration_exchange::request_newer()
 {
     timer_ = 0;
-    const auto holders = mesh_.peers_with_newer_config(version_);
-    if (holders.empty()) {
+    const auto peers = mesh_.peers_with_newer_config(version_);
+    if (peers.empty()) {
         return;
     }
-    const auto& peer = holders[(hash64(mesh_.self().name) + attempts_++) % holders.size()];
+    const auto& peer = peers[(hash64(mesh_.self().name) + attempts_++) % peers.size()];
     Json::Value request;
     request["t"] = "config_request";
     if (!mesh_.send(peer, request)) {
         log_event("config_request_unsent", "instance={}", peer);
     }
-    schedule_request(answer_patience);
+    schedule_request(reply_timeout);
 }
 
 bool configuration_exchange::on_message(const std::string& peer, const Json::Value& message,
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 // Longer than a restart or a short partition; other candidates are available meanwhile.
-constexpr duration replacement_delay = std::chrono::seconds{1};
+constexpr duration candidate_replacement_delay = std::chrono::seconds{1};
 // Processes of machines that lost power together have been observed to restart within 0.42 s of
 // each other; the rest allows for clock differences.
-constexpr duration common_start_span = std::chrono::milliseconds{800};
+constexpr duration cold_start_window = std::chrono::milliseconds{800};
 
 } // namespace
 
@@ -224,7 +224,7 @@
 
 bool instance_mesh::is_cold_start() const
 {
-    const auto since = self_.incarnation - common_start_span.count() / 1000;
+    const auto since = self_.incarnation - cold_start_window.count() / 1000;
     return std::ranges::all_of(peers_, [&](const auto& row) {
         return !is_alive(*row.second) || row.second->incarnation >= since;
     });
@@ -250,13 +250,13 @@
 {
     if (!std::exchange(candidates_valid_, true)) {
         // Overload is temporary; the choice of candidates must not change with it.
-        std::vector<instance_view> standings = {
+        std::vector<instance_view> stable_views = {
             {self_.name, self_.data_centre, self_.cpu_share, true, false, claims_}};
         for (const auto& [name, it] : peers_) {
-            standings.push_back({name, it->address.data_centre, it->address.cpu_share, !it->lost,
-                                 false, it->claims});
+            stable_views.push_back({name, it->address.data_centre, it->address.cpu_share, !it->lost,
+                                    false, it->claims});
         }
-        candidates_ = control_candidates(standings);
+        candidates_ = control_candidates(stable_views);
     }
     return candidates_;
 }
@@ -275,7 +275,7 @@
     }
     bool lost = it.lost && !has_heard_from(it.address.name); // for a peer without an own link
     if (linked) {
-        lost = !alive && now - it.out_of_touch_since > replacement_delay;
+        lost = !alive && now - it.out_of_touch_since > candidate_replacement_delay;
     }
     if (std::exchange(it.lost, lost) == lost) {
         return false;
@@ -350,8 +350,8 @@
     const auto it = std::make_shared<inbound>();
     it->link = std::make_unique<frame_link>(std::move(stream));
     inbound_.insert(it);
-    it->link->on_message = [this, own = it.get()](std::string_view text) {
-        on_inbound(*own, text);
+    it->link->on_message = [this, inbound_link = it.get()](std::string_view text) {
+        on_inbound(*inbound_link, text);
     };
     it->link->on_closed = [this, weak = std::weak_ptr(it)] {
         // Deferred because the link must not be destroyed from within its own handler.
@@ -377,13 +377,13 @@
         const auto from = decode_instance(message["from"]);
         link.name = from.name;
         update_instances({from});
-        const auto known_instances = peers_.find(from.name);
-        if (known_instances != peers_.end() && apply_state(*known_instances->second, message)) {
+        const auto known_peer = peers_.find(from.name);
+        if (known_peer != peers_.end() && apply_state(*known_peer->second, message)) {
             on_change();
         }
     }
-    if (const auto known_instances = peers_.find(link.name); known_instances != peers_.end()) {
-        reconnect_if_stalled(*known_instances->second);
+    if (const auto known_peer = peers_.find(link.name); known_peer != peers_.end()) {
+        reconnect_if_stalled(*known_peer->second);
     }
     last_heard_[link.name] = timers_.monotonic_now();
     if (kind == "ping") {
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -9,19 +9,19 @@
 
 namespace {
 
-constexpr int checks_per_beat = 2;
+constexpr int checks_per_heartbeat = 2;
 // No caller waits longer than this for the outcome of its job.
-constexpr duration use_time = std::chrono::seconds{5};
+constexpr duration max_job_wait = std::chrono::seconds{5};
 // Allows for a round trip (24 ms between regions) and an iteration of the peer's event loop.
-constexpr duration reply_patience = std::chrono::milliseconds{60};
+constexpr duration reply_timeout = std::chrono::milliseconds{60};
 // Two heartbeats and their replies are missing: a second connection then tells a slow process from
 // a lost machine.
-constexpr duration suspicion_limit = std::chrono::milliseconds{250};
+constexpr duration suspicion_timeout = std::chrono::milliseconds{250};
 // The kernel of a reachable machine accepts a connection within one round trip (24 ms between
 // regions), however busy the process is.
-constexpr duration handshake_limit = std::chrono::milliseconds{120};
-constexpr duration connect_limit = std::chrono::milliseconds{400};
-constexpr duration introduction_limit = std::chrono::seconds{2};
+constexpr duration handshake_timeout = std::chrono::milliseconds{120};
+constexpr duration connect_timeout = std::chrono::milliseconds{400};
+constexpr duration discovery_timeout = std::chrono::seconds{2};
 
 } // namespace
 
@@ -42,7 +42,7 @@
     return is_candidate() ||
            (!it.claims.empty() && (it.address.data_centre == self_.data_centre ||
                                    (it.last_message_at != monotonic_time{} &&
-                                    timers_.monotonic_now() - it.last_message_at < use_time)));
+                                    timers_.monotonic_now() - it.last_message_at < max_job_wait)));
 }
 
 duration instance_mesh::extra_silence_allowed(const peer& it) const
@@ -53,7 +53,7 @@
 bool instance_mesh::reply_overdue(const peer& it) const
 {
     return it.unanswered_since != monotonic_time{} &&
-           timers_.monotonic_now() - it.unanswered_since > reply_patience;
+           timers_.monotonic_now() - it.unanswered_since > reply_timeout;
 }
 
 bool instance_mesh::reply_overdue(std::string_view name) const
@@ -76,7 +76,7 @@
         changed = update_overload(late, now - last);
     }
     std::erase_if(discovery_links_,
-                  [now](const auto& it) { return now - it.first > introduction_limit; });
+                  [now](const auto& it) { return now - it.first > discovery_timeout; });
     for (const auto& [name, it] : peers_) {
         if (!candidates().contains(name)) {
             it->link.reset();
@@ -97,7 +97,7 @@
         }
     }
     const bool promoted = !std::exchange(was_candidate_, is_candidate()) && is_candidate();
-    if (checks_++ % checks_per_beat == 0 || promoted) {
+    if (checks_++ % checks_per_heartbeat == 0 || promoted) {
         send_pings();
     }
     if (changed) {
@@ -109,10 +109,10 @@
 // sent on the link, because heartbeats are most of the traffic of idle instances.
 std::string instance_mesh::heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const
 {
-    Json::Value beat;
-    beat["t"] = kind;
+    Json::Value heartbeat;
+    heartbeat["t"] = kind;
     if (std::exchange(sent_state_number, state_number_) == state_number_) {
-        return write_json(beat);
+        return write_json(heartbeat);
     }
     // The same text is sent on every link.
     if (std::exchange(heartbeat_cache_number_, state_number_) != state_number_) {
@@ -120,9 +120,9 @@
     }
     auto& text = heartbeat_cache_[kind];
     if (text.empty()) {
-        beat = own_state();
-        beat["t"] = kind;
-        text = write_json(beat);
+        heartbeat = own_state();
+        heartbeat["t"] = kind;
+        text = write_json(heartbeat);
     }
     return text;
 }
@@ -130,10 +130,10 @@
 void instance_mesh::send_pings()
 {
     // Shorter by half a check interval, so that timer lateness does not skip a turn.
-    constexpr auto least_pause = slow_heartbeat_interval - link_check_interval / 2;
+    constexpr auto min_ping_interval = slow_heartbeat_interval - link_check_interval / 2;
     const auto now = timers_.monotonic_now();
     for (const auto& [name, it] : peers_) {
-        if (is_monitored_closely(*it) || now - it->pinged_at >= least_pause) {
+        if (is_monitored_closely(*it) || now - it->pinged_at >= min_ping_interval) {
             ping(*it);
         }
     }
@@ -208,16 +208,16 @@
         return;
     }
     if (!it.link->is_connected()) {
-        if (now - it.opened_at > handshake_limit) {
+        if (now - it.opened_at > handshake_timeout) {
             it.unreachable = true;
         }
-        if (now - it.opened_at > connect_limit) {
+        if (now - it.opened_at > connect_timeout) {
             open(it);
         }
         return;
     }
     const auto silence = now - std::max(it.last_pong, it.opened_at);
-    if (silence <= suspicion_limit + extra_silence_allowed(it)) {
+    if (silence <= suspicion_timeout + extra_silence_allowed(it)) {
         it.probe.reset();
         return;
     }
@@ -225,7 +225,7 @@
         probe(it);
         return;
     }
-    it.unreachable = !it.probe->is_connected() && now - it.probed_at > handshake_limit;
+    it.unreachable = !it.probe->is_connected() && now - it.probed_at > handshake_timeout;
     // A process that was only paused answers on both connections at the same time.
     const bool broken = it.probe_answered_at != monotonic_time{} &&
                         now - it.probe_answered_at >= link_check_interval;
@@ -241,7 +241,7 @@
 void instance_mesh::reconnect_if_stalled(peer& it)
 {
     if (it.link && !it.link->is_connected() &&
-        timers_.monotonic_now() - it.opened_at > handshake_limit) {
+        timers_.monotonic_now() - it.opened_at > handshake_timeout) {
         open(it);
     }
 }
@@ -259,14 +259,14 @@
         return;
     }
     it.probe = std::make_shared<frame_link>(stream.value());
-    it.probe->on_connected = [this, own = &it] {
-        std::uint64_t nothing_told = 0;
-        own->probe->send(heartbeat_text("ping", nothing_told));
+    it.probe->on_connected = [this, linked_peer = &it] {
+        std::uint64_t no_state_sent = 0;
+        linked_peer->probe->send(heartbeat_text("ping", no_state_sent));
     };
-    it.probe->on_message = [this, own = &it](std::string_view) {
-        own->probe_answered_at = timers_.monotonic_now();
+    it.probe->on_message = [this, linked_peer = &it](std::string_view) {
+        linked_peer->probe_answered_at = timers_.monotonic_now();
     };
-    it.probe->on_closed = [own = &it] { own->closed = true; };
+    it.probe->on_closed = [linked_peer = &it] { linked_peer->closed = true; };
 }
 
 void instance_mesh::open(peer& it)
@@ -284,39 +284,39 @@
         return;
     }
     it.link = std::make_shared<frame_link>(stream.value());
-    auto* own = &it;
-    it.link->on_connected = [this, own] {
-        own->was_connected = true;
-        own->connection_refused = false;
-        own->unreachable = false;
-        own->sent_state_number = 0;
-        own->link->send(heartbeat_text("ping", own->sent_state_number));
-        on_reconnect(own->address.name);
+    auto* linked_peer = &it;
+    it.link->on_connected = [this, linked_peer] {
+        linked_peer->was_connected = true;
+        linked_peer->connection_refused = false;
+        linked_peer->unreachable = false;
+        linked_peer->sent_state_number = 0;
+        linked_peer->link->send(heartbeat_text("ping", linked_peer->sent_state_number));
+        on_reconnect(linked_peer->address.name);
     };
-    it.link->on_message = [this, own](std::string_view text) {
+    it.link->on_message = [this, linked_peer](std::string_view text) {
         const auto message = parse_json(text);
         if (!message) {
-            log_event("peer_message_unreadable", "instance={} reason=\"{}\"", own->address.name,
-                      message.error().message);
+            log_event("peer_message_unreadable", "instance={} reason=\"{}\"",
+                      linked_peer->address.name, message.error().message);
             return;
         }
         if (message.value()["t"].asString() == "pong") {
-            on_pong(*own, message.value());
+            on_pong(*linked_peer, message.value());
             return;
         }
-        on_message(own->address.name, message.value(), [](const Json::Value&) {});
+        on_message(linked_peer->address.name, message.value(), [](const Json::Value&) {});
     };
-    it.link->on_closed = [this, own] {
-        own->closed = true;
-        const bool opened = own->was_connected;
+    it.link->on_closed = [this, linked_peer] {
+        linked_peer->closed = true;
+        const bool opened = linked_peer->was_connected;
         if (!opened) {
             // The SYN packet was reset: no process listens there.
-            own->connection_refused = true;
+            linked_peer->connection_refused = true;
         }
         // A closed link alone does not show whether the process is alive; the attempt to open a new
         // one does.
         timers_.schedule(duration::zero(),
-                         [this, opened, name = own->address.name, alive = alive_] {
+                         [this, opened, name = linked_peer->address.name, alive = alive_] {
                              if (!*alive) {
                                  return;
                              }
--- a/src/cell/instance_registry.cpp
+++ b/src/cell/instance_registry.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-constexpr duration write_retry = std::chrono::milliseconds{300};
+constexpr duration write_retry_delay = std::chrono::milliseconds{300};
 constexpr duration refresh_interval = std::chrono::seconds{8};
 // Three refreshes may be missed before an instance that does not answer is removed.
-constexpr duration forget_after = std::chrono::seconds{25};
+constexpr duration removal_delay = std::chrono::seconds{25};
 // Instances also learn of each other when they link; this read only finds those without any link.
-constexpr keyed_follower::poll_policy read_pace = {{}, std::chrono::milliseconds{1500}};
+constexpr keyed_follower::poll_policy read_policy = {{}, std::chrono::milliseconds{1500}};
 
 } // namespace
 
 instance_registry::instance_registry(timer_service& timers, keyed_log& log, instance_mesh& mesh)
     : timers_(timers), log_(log), mesh_(mesh),
-      follower_(timers, log, keyed_topic::instances, read_pace)
+      follower_(timers, log, keyed_topic::instances, read_policy)
 {
     follower_.on_record = [this](const keyed_record& record) {
         if (!record.value) {
@@ -57,8 +57,8 @@
     log_.put(keyed_topic::instances, mesh_.self().name, write_json(encode_instance(mesh_.self())),
              [this, alive = alive_](bool ok) {
                  if (*alive) {
-                     write_timer_ =
-                         timers_.schedule(ok ? refresh_interval : write_retry, [this] { write(); });
+                     write_timer_ = timers_.schedule(ok ? refresh_interval : write_retry_delay,
+                                                     [this] { write(); });
                  }
              });
 }
@@ -68,7 +68,7 @@
     const auto now = timers_.monotonic_now();
     std::erase_if(last_refresh_, [&](const auto& it) {
         // No instance could refresh while the platform's store was unavailable.
-        if (now - std::max(it.second, follower_.healthy_since()) <= forget_after) {
+        if (now - std::max(it.second, follower_.healthy_since()) <= removal_delay) {
             return false;
         }
         mesh_.remove_if_dead(it.first);
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr duration failure_pause = std::chrono::milliseconds{250};
+constexpr duration retry_delay = std::chrono::milliseconds{250};
 // Each worker writes once in 1.5 s. If more than this time has passed beyond the usual pause
 // between two reads, there is more than one record for each key to read.
-constexpr duration longest_gap = std::chrono::seconds{2};
+constexpr duration max_read_gap = std::chrono::seconds{2};
 
 const char* name_of(keyed_topic topic)
 {
@@ -31,9 +31,9 @@
 } // namespace
 
 keyed_follower::keyed_follower(timer_service& timers, keyed_log& log, keyed_topic topic,
-                               poll_policy speed)
+                               poll_policy policy)
     : on_record([](const keyed_record&) {}), on_read([] {}), timers_(timers), log_(log),
-      topic_(topic), poll_policy_(speed)
+      topic_(topic), poll_policy_(policy)
 {
 }
 
@@ -46,7 +46,7 @@
 void keyed_follower::start()
 {
     if (std::exchange(paused_, false) && !reading_) {
-        next(duration::zero());
+        schedule_read(duration::zero());
     }
 }
 
@@ -56,7 +56,7 @@
     timers_.cancel(std::exchange(timer_, 0));
 }
 
-void keyed_follower::next(duration delay)
+void keyed_follower::schedule_read(duration delay)
 {
     reading_ = false;
     if (!paused_) {
@@ -68,7 +68,7 @@
 {
     if (timer_ != 0) {
         timers_.cancel(timer_);
-        next(duration::zero());
+        schedule_read(duration::zero());
     }
     else {
         read_again_ = true; // the current read may have started before the awaited change
@@ -85,9 +85,9 @@
     timer_ = 0;
     reading_ = true;
     read_started_at_ = timers_.monotonic_now();
-    const auto usual = poll_policy_.interval + poll_policy_.wait;
+    const auto expected_gap = poll_policy_.interval + poll_policy_.wait;
     if (!complete_ || poll_policy_.newest_only ||
-        read_started_at_ - read_at_ > usual + longest_gap) {
+        read_started_at_ - read_at_ > expected_gap + max_read_gap) {
         listing_in_progress_ = false;
         read_newest("");
         return;
@@ -121,7 +121,7 @@
 {
     note_result(page.state == keyed_page::status::ok);
     if (page.state != keyed_page::status::ok) {
-        next(failure_pause);
+        schedule_read(retry_delay);
         return;
     }
     if (!listing_in_progress_) {
@@ -160,11 +160,11 @@
     note_result(page.state == keyed_page::status::ok);
     if (page.state == keyed_page::status::trimmed) {
         complete_ = false;
-        next(duration::zero());
+        schedule_read(duration::zero());
         return;
     }
     if (page.state != keyed_page::status::ok) {
-        next(failure_pause);
+        schedule_read(retry_delay);
         return;
     }
     for (const auto& record : page.records) {
@@ -178,7 +178,7 @@
 {
     read_at_ = timers_.monotonic_now();
     on_read();
-    next(std::exchange(read_again_, false) ? duration::zero() : poll_policy_.interval);
+    schedule_read(std::exchange(read_again_, false) ? duration::zero() : poll_policy_.interval);
 }
 
 void keyed_follower::apply(const keyed_record& record)
--- a/src/cell/minority_tracker.cpp
+++ b/src/cell/minority_tracker.cpp
@@ -8,7 +8,7 @@
 
 // Overdue replies show a partition before its links are dropped, after 400 ms. A controller that
 // has not heard from a submitting instance for 600 ms stops its jobs.
-constexpr duration job_patience = std::chrono::milliseconds{500};
+constexpr duration unassigned_job_timeout = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -34,7 +34,7 @@
 
 bool minority_tracker::should_fail_unassigned_jobs(monotonic_time now) const
 {
-    return in_minority() && !isolated_data_centre_ && now - since_ > job_patience;
+    return in_minority() && !isolated_data_centre_ && now - since_ > unassigned_job_timeout;
 }
 
 } // namespace cactusloom
