--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -35,7 +35,7 @@
         }
     }
 
-    // With a relay port, the others reach the instance through a relay.
+    // If `relay_port` is set, the other instances reach this one through a relay.
     void start(const std::string& name, int port, const std::string& data_centre = "dc",
                int relay_port = 0)
     {
@@ -87,7 +87,7 @@
         return done();
     }
 
-    // All links are up and one instance is in control.
+    // All links are open and exactly one instance controls workers.
     bool is_settled() const
     {
         return controller().size() == 1 && std::ranges::all_of(members, [this](const auto& it) {
@@ -127,8 +127,9 @@
 
 BOOST_FIXTURE_TEST_SUITE(service, instances_fixture)
 
-// Guards against callers that are served only by the instance that controls the workers, and
-// against open jobs that are lost or run twice when control moves, by handover or by death.
+// Guards against callers being served only by the instance that controls the workers, and against
+// open jobs being lost or run twice when control moves, by handover or by the death of the
+// controller.
 BOOST_AUTO_TEST_CASE(jobs_survive_a_handover_and_the_death_of_their_controller)
 {
     fleet.work = [](const std::string&) { return duration{400ms}; };
@@ -137,8 +138,8 @@
     start("c", 17403);
     BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
     auto first = controller();
-    std::string front = first == "c" ? "b" : "c";
-    submit(front, cell_fixture::job("j1", 4, 400ms));
+    std::string submitter = first == "c" ? "b" : "c";
+    submit(submitter, cell_fixture::job("j1", 4, 400ms));
     run_until([] { return false; }, 100ms);
     BOOST_TEST(fleet.total_starts() == 4U);
 
@@ -152,10 +153,10 @@
     stop(first);
     for (const auto& [name, it] : members) {
         if (name != second) {
-            front = name;
+            submitter = name;
         }
     }
-    submit(front, cell_fixture::job("j2", 4, 400ms));
+    submit(submitter, cell_fixture::job("j2", 4, 400ms));
     run_until([] { return false; }, 100ms);
     stop(second);
     BOOST_TEST(run_until([&] { return completed("j2"); }, 3s));
@@ -164,7 +165,7 @@
     }
 }
 
-// Guards against "not run" for a job that an earlier controller may have run.
+// Guards against reporting `not_run` for a job that an earlier controller may have run.
 BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_controller_is_unknown)
 {
     fleet.work = [](const std::string&) { return duration{5s}; };
@@ -172,66 +173,64 @@
     start("b", 17412);
     BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
     const auto first = controller();
-    const std::string front = first == "a" ? "b" : "a";
-    submit(front, cell_fixture::job("j", 1, 5s));
+    const std::string submitter = first == "a" ? "b" : "a";
+    submit(submitter, cell_fixture::job("j", 1, 5s));
     BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
     stop(first);
-    // Nobody controls the workers until the earlier run is certainly over; then the next controller
-    // has no worker for the job.
+    // No instance controls the workers until the earlier run is certainly over; then the next
+    // controller has no worker for the job.
     auto others = fleet.reports();
     for (auto& it : others) {
         it.service = "another service";
     }
-    members[front].cells->set_workers({});
+    members[submitter].cells->set_workers({});
     run_until([] { return false; }, 1300ms);
-    members[front].cells->set_workers(others);
+    members[submitter].cells->set_workers(others);
     BOOST_REQUIRE(run_until([&] { return outcomes.contains("j"); }, 4s));
     BOOST_TEST(to_string(outcomes["j"].end) == to_string(job_end::unknown));
 }
 
 // Guards against instances that read the list of workers, or claim them, although others rank
-// before them: three of a data centre are enough, and two claims cost every job a fight over its
-// workers.
+// before them: three per data centre are enough, and two claims make controllers compete for the
+// workers of every job.
 BOOST_AUTO_TEST_CASE(control_and_the_list_of_workers_are_left_to_the_candidates)
 {
-    for (int i = 0; i < 13; ++i) { // stronger, in touch with nobody
+    for (int i = 0; i < 13; ++i) { // larger CPU share, but unreachable
         const auto name = fmt::format("strong-{}", i);
         addresses[name] = {name, fmt::format("127.0.0.1:{}", 17460 + i), "dc", 2.0, 1};
     }
     start("weak", 17459);
-    std::vector<worker_list_mode> interests;
-    members["weak"].cells->on_worker_list_mode = [&](worker_list_mode it) {
-        interests.push_back(it);
-    };
+    std::vector<worker_list_mode> modes;
+    members["weak"].cells->on_worker_list_mode = [&](worker_list_mode it) { modes.push_back(it); };
     run_until([] { return false; }, 900ms);
-    BOOST_TEST(interests.empty());
+    BOOST_TEST(modes.empty());
     BOOST_TEST(!members["weak"].cells->controls_any());
-    // All of them stay lost: the last one left takes over.
+    // All of them stay lost, so the last remaining instance takes over.
     BOOST_TEST(run_until([&] { return members["weak"].cells->controls_any(); }, 4s));
-    BOOST_TEST((interests.back() == worker_list_mode::control));
+    BOOST_TEST((modes.back() == worker_list_mode::control));
 }
 
-// Guards against an instance that is out of touch with all others and competes for the workers that
-// these control: each claim from here would interrupt everybody else's jobs. Its callers are told
-// at once to go elsewhere.
-BOOST_AUTO_TEST_CASE(the_smaller_side_of_a_cut_leaves_the_workers_to_the_others)
+// Guards against an instance without contact to the others competing for the workers that these
+// control: each of its claims would interrupt all other jobs. Its callers are told at once to go
+// elsewhere.
+BOOST_AUTO_TEST_CASE(the_minority_side_of_a_partition_leaves_the_workers_to_the_others)
 {
-    std::vector<std::unique_ptr<black_hole_port>> unreachable;
+    std::vector<std::unique_ptr<black_hole_port>> unreachable_ports;
     for (int i = 0; i < 4; ++i) {
         const auto port = static_cast<std::uint16_t>(17480 + i);
         const auto name = fmt::format("other-{}", i);
-        unreachable.push_back(std::make_unique<black_hole_port>(port));
+        unreachable_ports.push_back(std::make_unique<black_hole_port>(port));
         addresses[name] = {name, fmt::format("127.0.0.1:{}", port), i < 2 ? "dc" : "dc-2", 1.0, 1};
     }
     start("a", 17479);
     auto& cells = *members["a"].cells;
-    // A starting instance is rather the first one up after a loss of power.
+    // A starting instance claims: it is more likely the first one up after a power loss.
     BOOST_REQUIRE(run_until([&] { return cells.controls_any(); }, 1s));
     submit("a", cell_fixture::job("j1", 1));
     BOOST_TEST(run_until([&] { return completed("j1"); }, 1s));
     run_until([] { return false; }, 700ms);
 
-    // Somebody out of touch has claimed the workers: they are left to that one.
+    // An unreachable controller has claimed the workers, so they are left to it.
     poll_command other;
     other.token = std::numeric_limits<std::uint64_t>::max() / 2;
     for (const auto& it : fleet.reports()) {
@@ -244,15 +243,16 @@
     BOOST_TEST(!cells.controls_any());
 }
 
-// Guards against data centres that stay without control for 0.7 s after all instances have lost
-// power, because the first one up has already claimed its own cell. Some are not back yet.
-BOOST_AUTO_TEST_CASE(every_cell_is_claimed_at_once_after_a_common_start)
+// Guards against data centres that stay without a controller for 0.7 s after all instances have
+// lost power, because the first one up has already claimed its own cell. Some instances are still
+// down.
+BOOST_AUTO_TEST_CASE(every_cell_is_claimed_at_once_after_a_cold_start)
 {
-    std::vector<std::unique_ptr<black_hole_port>> unreachable;
+    std::vector<std::unique_ptr<black_hole_port>> unreachable_ports;
     for (int i = 0; i < 2; ++i) {
         const auto port = static_cast<std::uint16_t>(17490 + i);
         const auto name = fmt::format("dark-{}", i);
-        unreachable.push_back(std::make_unique<black_hole_port>(port));
+        unreachable_ports.push_back(std::make_unique<black_hole_port>(port));
         addresses[name] = {name, fmt::format("127.0.0.1:{}", port), "dc-3", 1.0, 1};
     }
     for (int i = 0; i < 130; ++i) { // too many for one cell
@@ -273,8 +273,9 @@
         450ms));
 }
 
-// Guards against a service that stays away, after all instances have lost power, until the slowest
-// of them is back: those whose machines refuse connections have no process that controls anything.
+// Guards against a service that stays unavailable, after all instances have lost power, until the
+// slowest of them is back: an instance whose machine refuses connections has no process that
+// controls anything.
 BOOST_AUTO_TEST_CASE(the_first_instance_up_does_not_wait_for_those_that_are_down)
 {
     for (int i = 0; i < 4; ++i) {
@@ -286,22 +287,23 @@
 }
 
 // Guards against a second run of a task beside the first when control moves right after its start
-// to an instance whose list lacks the worker: the job must wait for as many workers as there were.
-BOOST_AUTO_TEST_CASE(a_young_job_is_not_started_anew_while_a_worker_is_missing)
+// to an instance whose list lacks the worker: the job must wait until all workers that the earlier
+// controller announced are known.
+BOOST_AUTO_TEST_CASE(a_resumed_job_is_not_started_again_while_a_worker_is_missing)
 {
     fleet.work = [](const std::string&) { return duration{5s}; };
     start("a", 17441);
     start("b", 17442);
     BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
-    run_until([] { return false; }, 100ms); // for the number of workers to be announced
+    run_until([] { return false; }, 100ms); // for the set of workers to be announced
     const auto first = controller();
-    const std::string front = first == "a" ? "b" : "a";
-    submit(front, cell_fixture::job("j", 1, 5s));
+    const std::string submitter = first == "a" ? "b" : "a";
+    submit(submitter, cell_fixture::job("j", 1, 5s));
     BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
     auto others = fleet.reports();
     std::erase_if(others, [&](const auto& it) { return fleet.running(it.id) != 0; });
     BOOST_REQUIRE(others.size() == 3U);
-    members[front].cells->set_workers(others);
+    members[submitter].cells->set_workers(others);
     members[first].cells->leave();
     run_until([] { return false; }, 600ms);
     BOOST_TEST(fleet.total_starts() == 1U);
@@ -310,9 +312,9 @@
     }
 }
 
-// Guards against jobs that are sent to a controller which has stopped replying, and are then bound
-// to its workers until its leases have lapsed: here one of its workers is missing in the next list.
-BOOST_AUTO_TEST_CASE(a_job_is_not_sent_to_a_controller_that_owes_a_reply)
+// Guards against jobs being sent to a controller that has stopped replying, which binds them to its
+// workers until its leases have lapsed. Here one of its workers is missing in the next list.
+BOOST_AUTO_TEST_CASE(a_job_is_not_sent_to_a_controller_with_an_overdue_reply)
 {
     start("b", 17461, "dc", 17462);
     BOOST_REQUIRE(run_until([&] { return controller() == "b"; }, 2s));
@@ -330,23 +332,23 @@
     BOOST_TEST(run_until([&] { return completed("j"); }, 600ms));
 }
 
-// Guards against an instance that starts on the smaller side of a cut and takes the workers from
-// the controller there, in the belief that nobody controls the whole.
-BOOST_AUTO_TEST_CASE(a_start_within_a_cut_leaves_control_where_it_is)
+// Guards against an instance that starts in the minority side of a partition and takes the workers
+// from the controller there, because it sees no controller of all workers.
+BOOST_AUTO_TEST_CASE(a_start_during_a_partition_does_not_move_control)
 {
     for (int i = 0; i < 4; ++i) {
         const auto name = fmt::format("far-{}", i);
         addresses[name] = {name, fmt::format("127.0.0.1:{}", 17453 + i), "other", 1.0, 1};
     }
     start("a", 17451);
-    // First all workers, then, as the smaller side of a cut, those of its own data centre.
+    // It first claims all workers; then, isolated by the partition, those of its own data centre.
     run_until([] { return false; }, 1s);
     BOOST_REQUIRE(controller() == "a");
     start("b", 17452);
     BOOST_TEST(!run_until([&] { return controller() != "a"; }, 1s));
 }
 
-// Guards against callers that wait for their deadline while nobody controls the workers.
+// Guards against callers waiting until their deadline while no instance controls the workers.
 BOOST_AUTO_TEST_CASE(without_a_controller_a_job_is_refused_as_not_run)
 {
     start("a", 17421);
@@ -357,35 +359,35 @@
     BOOST_TEST((outcomes["j"].retry_after >= 1s));
 }
 
-// Guards against connections that are cut off when an instance stops: a job that arrives too late
-// to be answered before is refused as not run, and one that is open at the end is answered as
-// unknown.
+// Guards against connections being closed without a reply when an instance stops: a job that
+// arrives too late to be answered before is refused as not run, and one that is open at the end is
+// answered as unknown.
 BOOST_AUTO_TEST_CASE(a_stopping_instance_answers_every_job)
 {
     fleet.work = [](const std::string&) { return duration{2s}; };
     start("a", 17471);
     BOOST_REQUIRE(run_until([&] { return controller() == "a"; }, 2s));
-    caller_request_handler desk(timers, *members["a"].cells);
+    caller_request_handler handler(timers, *members["a"].cells);
     queue_table table;
     table.version = 1;
     table.routes.push_back({"host", "/q/", 5s, cell_fixture::job("", 1).terms});
-    desk.set_queues(table);
+    handler.set_queues(table);
     std::map<std::string, caller_reply> replies;
-    const auto hand_in = [&](const std::string& id) {
-        submission order;
-        order.request = cell_fixture::job(id, 1, 100ms);
-        order.answer_at_end = true;
-        desk.submit("host", "/q/" + id, order,
-                    [&replies, id](const caller_reply& it) { replies[id] = it; });
+    const auto submit_request = [&](const std::string& id) {
+        submission new_submission;
+        new_submission.request = cell_fixture::job(id, 1, 100ms);
+        new_submission.answer_at_end = true;
+        handler.submit("host", "/q/" + id, new_submission,
+                       [&replies, id](const caller_reply& it) { replies[id] = it; });
     };
-    hand_in("open");
+    submit_request("open");
     BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
-    desk.begin_drain(timers.monotonic_now() + 80ms);
-    hand_in("late");
+    handler.begin_drain(timers.monotonic_now() + 80ms);
+    submit_request("late");
     BOOST_REQUIRE(replies.contains("late"));
     BOOST_TEST((replies["late"].what == caller_reply::kind::not_run));
     BOOST_TEST(fleet.total_starts() == 1U);
-    desk.end_open_jobs();
+    handler.end_open_jobs();
     BOOST_REQUIRE(replies.contains("open"));
     BOOST_TEST((replies["open"].what == caller_reply::kind::unknown_outcome));
     BOOST_TEST(run_until([&] { return fleet.running("w0") + fleet.running("w1") == 0; }, 500ms));
--- a/tests/cell/claim_probe_test.cpp
+++ b/tests/cell/claim_probe_test.cpp
@@ -26,8 +26,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(probes, probe_fixture)
 
-// Guards against workers that nobody takes over after all other instances have lost power.
-BOOST_AUTO_TEST_CASE(workers_of_a_lost_controller_are_free)
+// Guards against workers that no instance takes over after all others have lost power.
+BOOST_AUTO_TEST_CASE(workers_of_a_lost_controller_are_unclaimed)
 {
     add_workers(4);
     take_control(7);
@@ -38,8 +38,8 @@
     BOOST_TEST(token == 8U);
 }
 
-// Guards against a token that an earlier controller has raised far ahead.
-BOOST_AUTO_TEST_CASE(the_token_rises_until_the_workers_obey)
+// Guards against a probe that stops below a token which an earlier controller has raised far ahead.
+BOOST_AUTO_TEST_CASE(the_token_is_raised_until_the_workers_accept_it)
 {
     add_workers(4);
     constexpr std::uint64_t raised = 20'000'000;
@@ -51,9 +51,9 @@
     BOOST_TEST(token > raised);
 }
 
-// Guards against jobs that are interrupted since another part of the deployment, out of touch,
-// claims their workers.
-BOOST_AUTO_TEST_CASE(a_living_controller_is_noticed_and_loses_no_run)
+// Guards against jobs being interrupted because another part of the deployment, without contact to
+// theirs, claims their workers.
+BOOST_AUTO_TEST_CASE(a_live_controller_is_detected_and_loses_no_run)
 {
     add_workers(4);
     fleet.work = [](const std::string&) { return duration{900ms}; };
--- a/tests/cell/configuration_exchange_test.cpp
+++ b/tests/cell/configuration_exchange_test.cpp
@@ -18,7 +18,7 @@
         std::unique_ptr<configuration_exchange> exchange;
         std::int64_t version = -1;
         std::uint64_t next_offset = 0;
-        int asked = 0; // times that others have asked it
+        int requests_received = 0; // config_request messages from other instances
     };
 
     glib_timer_service timers;
@@ -39,20 +39,20 @@
             own.exchange = std::make_unique<configuration_exchange>(timers, *own.mesh);
             own.mesh->on_message = [&own](const std::string& peer, const Json::Value& message,
                                           const instance_mesh::sender& reply) {
-                own.asked += message["t"].asString() == "config_request" ? 1 : 0;
+                own.requests_received += message["t"].asString() == "config_request" ? 1 : 0;
                 BOOST_TEST(own.exchange->on_message(peer, message, reply));
             };
             own.exchange->on_configuration = [this, &own](const std::string& text,
                                                           std::uint64_t next) {
                 own.next_offset = next;
-                put_in_force(own, std::stoll(text), next - 1);
+                set_version(own, std::stoll(text), next - 1);
             };
             BOOST_REQUIRE(own.mesh->listen(it.address));
             own.mesh->update_instances(addresses);
         }
     }
 
-    static void put_in_force(member& own, std::int64_t version, std::uint64_t offset)
+    static void set_version(member& own, std::int64_t version, std::uint64_t offset)
     {
         if (version > own.version) {
             own.version = version;
@@ -81,30 +81,32 @@
 
 BOOST_FIXTURE_TEST_SUITE(configurations, exchange_fixture)
 
-// Guards against versions that arrive only with an instance's own read of the platform's log, which
-// takes seconds where hundreds of instances read at once. A change has 2 s to be in force.
+// Guards against a version that arrives only with an instance's own read of the platform's log,
+// which takes seconds where hundreds of instances read at once. A change must be in force within 2
+// s.
 BOOST_AUTO_TEST_CASE(a_version_that_one_instance_has_reaches_the_others_at_once)
 {
     start(4);
     run_until([] { return false; }, 200ms);
-    put_in_force(members["i2"], 5, 41);
+    set_version(members["i2"], 5, 41);
     BOOST_TEST(run_until([this] { return all_have(5); }, 500ms));
-    BOOST_TEST(members["i0"].next_offset == 42U); // nothing has to be read twice
-    put_in_force(members["i1"], 9, 57);
+    BOOST_TEST(members["i0"].next_offset == 42U); // the record is not read again
+    set_version(members["i1"], 9, 57);
     BOOST_TEST(run_until([this] { return all_have(9); }, 500ms));
 }
 
-// Guards against every instance asking the same one: a large configuration would take its link for
-// seconds.
-BOOST_AUTO_TEST_CASE(the_askers_spread_over_those_that_have_it)
+// Guards against all instances sending their request to the same peer: a large configuration would
+// occupy its link for seconds.
+BOOST_AUTO_TEST_CASE(requests_spread_over_the_peers_that_have_the_version)
 {
     start(8);
     run_until([] { return false; }, 200ms);
-    put_in_force(members["i0"], 5, 1);
-    put_in_force(members["i1"], 5, 1);
-    put_in_force(members["i2"], 5, 1);
+    set_version(members["i0"], 5, 1);
+    set_version(members["i1"], 5, 1);
+    set_version(members["i2"], 5, 1);
     BOOST_TEST(run_until([this] { return all_have(5); }, 500ms));
-    BOOST_TEST(std::max({members["i0"].asked, members["i1"].asked, members["i2"].asked}) <= 3);
+    BOOST_TEST(std::max({members["i0"].requests_received, members["i1"].requests_received,
+                         members["i2"].requests_received}) <= 3);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/control_candidates_test.cpp
+++ b/tests/cell/control_candidates_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Data centres "a" to "e" with `each` instances, of which every third is strong.
+// Data centres "a" to "e" with `each` instances, every third of them with a large CPU share.
 std::vector<instance_view> fleet(int each)
 {
     std::vector<instance_view> out;
@@ -41,9 +41,9 @@
 
 BOOST_AUTO_TEST_SUITE(candidates)
 
-// Guards against a share of instances that follow all workers: what the platform's store sends
-// would grow with instances times workers.
-BOOST_AUTO_TEST_CASE(their_number_does_not_grow_with_the_instances)
+// Guards against a fixed share of the instances reading all workers: the load on the platform's
+// store would grow with instances times workers.
+BOOST_AUTO_TEST_CASE(the_number_of_candidates_does_not_grow_with_the_instances)
 {
     BOOST_TEST(control_candidates(fleet(2)).size() == 10U); // few: all of them
     BOOST_TEST(control_candidates(fleet(6)).size() == 15U);
@@ -59,9 +59,10 @@
     }
 }
 
-// Guards against a deployment without control because its candidates are all lost: any number of
-// instances may be. Each round is the time after which one that is out of touch counts as lost.
-BOOST_AUTO_TEST_CASE(the_last_survivor_becomes_one_within_a_few_rounds)
+// Guards against a deployment without a controller because all candidates are lost; any number of
+// instances may be. Each round stands for the time after which an unreachable candidate counts as
+// lost.
+BOOST_AUTO_TEST_CASE(the_last_survivor_becomes_a_candidate_within_a_few_rounds)
 {
     auto views = fleet(60);
     const std::string survivor = "c59";
@@ -77,18 +78,18 @@
 }
 
 // Guards against links to many more instances when a single one is lost.
-BOOST_AUTO_TEST_CASE(a_single_loss_adds_few)
+BOOST_AUTO_TEST_CASE(a_single_loss_adds_few_candidates)
 {
     auto views = fleet(60);
     const auto first = control_candidates(views);
     member(views, *first.begin()).alive = false;
     const auto second = control_candidates(views);
-    BOOST_TEST(count_of(second, 'a') == 5U); // four sound ones and the lost one
+    BOOST_TEST(count_of(second, 'a') == 5U); // four live ones and the lost one
     BOOST_TEST(count_of(second, 'b') == 3U);
 }
 
-// Guards against a controller that loses its cell when a stronger instance joins.
-BOOST_AUTO_TEST_CASE(whoever_holds_a_claim_stays_one)
+// Guards against a controller losing its cell when a stronger instance joins.
+BOOST_AUTO_TEST_CASE(a_claim_holder_stays_a_candidate)
 {
     auto views = fleet(20);
     BOOST_REQUIRE(!control_candidates(views).contains("c7"));
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -77,8 +77,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(mesh, linked_instances)
 
-// Guards against jobs that stay with a controller whose link went silent until the whole silence
-// limit has passed, although its process answers on a new connection.
+// Guards against jobs that stay with a controller whose link has become silent until the whole
+// silence limit has passed, although its process answers on a new connection.
 BOOST_AUTO_TEST_CASE(a_silent_link_is_replaced_while_its_process_answers)
 {
     relay->blackhole_open_connections();
@@ -89,7 +89,7 @@
     BOOST_TEST(reconnects == 1);
 }
 
-// Guards against a slow process that is taken for a lost one: its machine opens connections.
+// Guards against a slow process counting as lost: its machine still accepts connections.
 BOOST_AUTO_TEST_CASE(a_process_that_is_slow_to_reply_stays_alive)
 {
     relay->delay(200ms); // 400 ms for a round trip
@@ -99,9 +99,9 @@
     BOOST_TEST(!was_down);
 }
 
-// Guards against 600 ms without control when a machine has lost power or is cut off: it does not
-// even open connections.
-BOOST_AUTO_TEST_CASE(a_machine_that_opens_no_connection_is_down_before_the_silence_limit)
+// Guards against 600 ms without a controller when a machine has lost power or is partitioned: it
+// does not even accept connections.
+BOOST_AUTO_TEST_CASE(a_machine_that_accepts_no_connection_is_down_before_the_silence_limit)
 {
     relay.reset();
     const black_hole_port port(17503);
@@ -109,19 +109,20 @@
     BOOST_TEST(a->knows_state_of_all());
 }
 
-// Guards against a process that judges others by a pause of its own, and claims control then.
-BOOST_AUTO_TEST_CASE(a_pause_of_this_process_is_nobodys_silence)
+// Guards against a process that counts its own pause as silence of its peers, and then claims
+// control.
+BOOST_AUTO_TEST_CASE(a_pause_of_this_process_does_not_count_as_silence_of_peers)
 {
     std::this_thread::sleep_for(1s);
-    BOOST_TEST(sees_b()); // before anything that has arrived is read, too
+    BOOST_TEST(sees_b()); // even before anything that has arrived is read
     run_for(300ms);
     BOOST_TEST(!was_down);
-    BOOST_TEST(reconnects == 1); // b may have dropped what it was asked for
+    BOOST_TEST(reconnects == 1); // b may have dropped pending requests
 }
 
-// Guards against beats that take more than what an instance may spend on control, 9 KB/s, with
+// Guards against heartbeats that take more than what an instance may spend on control, 9 KB/s, with
 // links to the eleven others of a full mesh. Changes must still arrive.
-BOOST_AUTO_TEST_CASE(beats_without_news_are_small)
+BOOST_AUTO_TEST_CASE(heartbeats_without_changes_are_small)
 {
     constexpr std::size_t bytes_per_s_and_link = 9000 / 11;
     b->announce({{"*", 7, {1, 2, 3}}}, false, 3);
@@ -137,13 +138,13 @@
 }
 
 // Guards against a candidate that answers each instance of a large deployment ten times a second,
-// and against claims that reach those that beat less often late: their jobs wait for them.
-BOOST_AUTO_TEST_CASE(instances_that_cannot_get_control_beat_less_but_hear_of_claims_at_once)
+// and against claims that reach the instances with slow heartbeats late: their jobs wait for them.
+BOOST_AUTO_TEST_CASE(non_candidates_ping_less_often_but_learn_of_claims_at_once)
 {
     constexpr std::size_t bytes_per_s_and_link = 9000 / 11 / 4; // a quarter of a full mesh's
     std::vector<instance_address> stronger;
     stronger.reserve(60);
-    for (int i = 0; i < 60; ++i) { // the last of them counts as lost after some seconds only
+    for (int i = 0; i < 60; ++i) { // the last of them counts as lost only after some seconds
         stronger.push_back(
             {fmt::format("s{}", i), fmt::format("127.0.0.1:{}", 17600 + i), "dc", 2.0, 1});
     }
--- a/tests/cell/registry_test.cpp
+++ b/tests/cell/registry_test.cpp
@@ -19,7 +19,7 @@
     return out;
 }
 
-// A topic in memory with the failures that the platform's store has.
+// An in-memory topic with the failure modes of the platform's store.
 class memory_topic final : public keyed_log {
 public:
     explicit memory_topic(timer_service& timers) : timers_(timers) {}
@@ -73,7 +73,7 @@
     }
 
     bool down = false;
-    std::uint64_t trimmed = 0; // records before it have been deleted
+    std::uint64_t trimmed = 0; // records before this offset have been deleted
     std::size_t reads = 0;
     std::size_t records_sent = 0;
 
@@ -105,7 +105,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(follower, follower_fixture)
 
-// Guards against changes that are missed across an outage, and against a restart from nothing.
+// Guards against changes being missed across an outage, and against starting again with no records.
 BOOST_AUTO_TEST_CASE(changes_are_seen_after_an_outage)
 {
     topic.append("a", "1");
@@ -122,8 +122,7 @@
     BOOST_TEST(values.at("b") == "1");
 }
 
-// Guards against a follower that stands still, or keeps removed keys, after the history was
-// deleted.
+// Guards against a follower that stalls, or keeps removed keys, after older records were deleted.
 BOOST_AUTO_TEST_CASE(deleted_history_is_replaced_by_the_newest_records)
 {
     topic.append("a", "1");
@@ -139,20 +138,20 @@
     BOOST_TEST(values.contains("c"));
 }
 
-// Guards against a list that is older than the wish for a new one.
-BOOST_AUTO_TEST_CASE(a_hurried_read_is_asked_for_afterwards)
+// Guards against a list that was read before the request for a new one.
+BOOST_AUTO_TEST_CASE(an_immediate_read_starts_after_its_request)
 {
     follower.start();
     timers.advance(50ms);
-    const auto wished_at = timers.monotonic_now();
+    const auto requested_at = timers.monotonic_now();
     follower.read_now();
     timers.advance(10ms);
-    BOOST_TEST((follower.read_started_at() >= wished_at));
+    BOOST_TEST((follower.read_started_at() >= requested_at));
 }
 
-// Guards against a standby that receives each beat of each worker between two reads, instead of one
-// record a worker.
-BOOST_AUTO_TEST_CASE(a_listing_carries_one_record_a_key)
+// Guards against a standby that receives every heartbeat of each worker between two reads instead
+// of one record per worker.
+BOOST_AUTO_TEST_CASE(a_listing_transfers_one_record_per_key)
 {
     follower.set_poll_policy({{}, 1s, true});
     follower.start();
@@ -169,8 +168,8 @@
     BOOST_TEST(topic.records_sent - before == 1U);
 }
 
-// Guards against a new controller that reads everything since its last listing as a standby.
-BOOST_AUTO_TEST_CASE(a_long_tail_is_replaced_by_a_listing)
+// Guards against a new controller that reads all records since its last listing as a standby.
+BOOST_AUTO_TEST_CASE(a_long_read_gap_is_replaced_by_a_listing)
 {
     follower.set_poll_policy({{}, 10s, true});
     follower.start();
@@ -186,8 +185,8 @@
     BOOST_TEST(topic.records_sent - before == 1U);
 }
 
-// Guards against a follower with a long interval that fetches unchanged records, a whole
-// configuration, again and again.
+// Guards against a follower with a long interval that repeatedly fetches unchanged records, such as
+// a whole configuration.
 BOOST_AUTO_TEST_CASE(a_long_interval_does_not_repeat_unchanged_records)
 {
     follower.set_poll_policy({{}, 3s});
@@ -200,8 +199,8 @@
     BOOST_TEST(values.at("a") == "2");
 }
 
-// Guards against an instance that reads what it does not use, and against one that does not catch
-// up when it needs the records again.
+// Guards against an instance that reads records it does not use, and against one that does not
+// catch up when it needs them again.
 BOOST_AUTO_TEST_CASE(a_paused_follower_reads_nothing_until_it_is_started_again)
 {
     topic.append("a", "1");
@@ -219,7 +218,7 @@
     BOOST_TEST(values.at("a") == "2");
 }
 
-// Guards against a record that a peer has passed on being fetched once more.
+// Guards against fetching a record again that a peer has already sent.
 BOOST_AUTO_TEST_CASE(records_known_from_elsewhere_are_skipped)
 {
     follower.start();
@@ -238,9 +237,9 @@
 
 BOOST_AUTO_TEST_SUITE(workers)
 
-// Guards against living workers that are dropped because their entries lapsed with the store, and
-// against workers that are kept for good.
-BOOST_AUTO_TEST_CASE(a_missing_entry_counts_after_a_readable_while)
+// Guards against dropping live workers because their entries lapsed while the platform's store was
+// unavailable, and against keeping lost workers forever.
+BOOST_AUTO_TEST_CASE(a_missing_entry_expires_only_while_the_list_is_readable)
 {
     virtual_timer_service timers;
     worker_registry registry(timers);
@@ -248,7 +247,7 @@
     timers.advance(1s);
     BOOST_TEST(!registry.remove("a"));
     timers.advance(10s);
-    BOOST_TEST(!registry.expire(timers.monotonic_now())); // the store has just come back
+    BOOST_TEST(!registry.expire(timers.monotonic_now())); // the store has just returned
     BOOST_TEST(registry.list().size() == 1U);
     BOOST_TEST(!registry.put(report("a")));
     registry.remove("a");
@@ -257,9 +256,9 @@
     BOOST_TEST(registry.empty());
 }
 
-// Guards against a worker that left as announced being waited for, and against a draining state
-// that passes unnoticed.
-BOOST_AUTO_TEST_CASE(draining_is_a_change_and_its_end_final)
+// Guards against waiting for a worker that left after draining, and against missing a change to the
+// draining state.
+BOOST_AUTO_TEST_CASE(draining_is_a_change_and_its_end_is_final)
 {
     virtual_timer_service timers;
     worker_registry registry(timers);
@@ -274,7 +273,7 @@
 
 BOOST_AUTO_TEST_SUITE(queues)
 
-// Guards against a submission that lands in the wrong queue.
+// Guards against a submission being routed to the wrong queue.
 BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
 {
     queue_table table;
