--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -42,7 +42,8 @@
     // Reports that the mesh knows every instance in the platform's list.
     void note_instances_known();
 
-    // Reports that the list of workers is as the platform had it at `read_started_at` or later.
+    // Sets the time of the list of workers: it is as the platform had it at `read_started_at` or
+    // later.
     void set_worker_list_time(monotonic_time read_started_at);
 
     // Called when this instance has claimed a cell and needs the current list of workers.
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -149,7 +149,7 @@
     std::int64_t config_version_ = -1;
     timer_id check_timer_ = 0;
     int checks_ = 0;
-    monotonic_time verified_at_;
+    monotonic_time last_check_at_;
     overload_detector overload_detector_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -190,8 +190,8 @@
     }
     auto& job = *it->second;
     if (outcome.end == job_end::moved) {
-        job.lose_controller(timers_.monotonic_now(),
-                            "moved"); // the next evaluation finds the new controller
+        // The next evaluation finds the new controller.
+        job.lose_controller(timers_.monotonic_now(), "moved");
         return;
     }
     if (outcome.end == job_end::not_run && job.may_have_run) {
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -268,14 +268,14 @@
     const auto now = timers_.monotonic_now();
     const bool linked = candidates().contains(it.address.name);
     if (alive || !linked) {
-        it.out_of_touch_since = {};
+        it.no_contact_since = {};
     }
-    else if (it.out_of_touch_since == monotonic_time{}) {
-        it.out_of_touch_since = now;
+    else if (it.no_contact_since == monotonic_time{}) {
+        it.no_contact_since = now;
     }
     bool lost = it.lost && !has_heard_from(it.address.name); // for a peer without an own link
     if (linked) {
-        lost = !alive && now - it.out_of_touch_since > candidate_replacement_delay;
+        lost = !alive && now - it.no_contact_since > candidate_replacement_delay;
     }
     if (std::exchange(it.lost, lost) == lost) {
         return false;
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -25,9 +25,8 @@
     bool unreachable = false;         // the last attempt was not answered at all
     bool was_connected = false;
     bool was_alive = false;
-    monotonic_time
-        out_of_touch_since; // while linked to but not alive; zero: alive, or no candidate
-    bool lost = false;      // out of contact for so long that another candidate replaces it
+    monotonic_time no_contact_since; // zero: alive, or no candidate
+    bool lost = false; // out of contact for so long that another candidate replaces it
     monotonic_time opened_at;
     monotonic_time last_pong;
     monotonic_time pinged_at;
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -32,7 +32,7 @@
     }
     // After a pause of this process, replies wait unread: the time of the last check counts until
     // the next check.
-    const auto as_of = std::min(timers_.monotonic_now(), verified_at_ + 2 * link_check_interval);
+    const auto as_of = std::min(timers_.monotonic_now(), last_check_at_ + 2 * link_check_interval);
     return as_of - it.last_pong < silence_limit + extra_silence_allowed(it);
 }
 
@@ -66,7 +66,7 @@
 {
     check_timer_ = timers_.schedule(link_check_interval, [this] { check(); });
     const auto now = timers_.monotonic_now();
-    const auto last = std::exchange(verified_at_, now);
+    const auto last = std::exchange(last_check_at_, now);
     bool changed = false;
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
@@ -168,7 +168,7 @@
 bool instance_mesh::update_overload(duration late, duration elapsed)
 {
     const bool before = overload_detector_.is_overloaded();
-    overload_detector_.add_sample(late, elapsed, verified_at_);
+    overload_detector_.add_sample(late, elapsed, last_check_at_);
     if (overload_detector_.is_overloaded() == before) {
         return false;
     }
