--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -1,4 +1,4 @@
-// Which cells this instance controls: claims, takeovers and handovers.
+// Claims, takeovers and handovers of the cells that this instance controls.
 #include "base/hash.h"
 #include "cell_service_internal.h"
 #include "claim_token.h"
@@ -9,15 +9,15 @@
 
 namespace {
 
-// Two beats and a connection are enough to hear who controls what.
+// Allows for a connection setup and two heartbeats, after which the claims of the peers are known.
 constexpr duration election_grace = std::chrono::milliseconds{700};
-constexpr duration fence_pause = std::chrono::milliseconds{200};
-// One controller of the weakest deployed kind (a quarter of a core) carries about 60 workers at
-// peak; a fleet beyond this size is divided by data centre.
-constexpr std::size_t max_workers_of_whole_cell = 120;
+constexpr duration fence_reaction_delay = std::chrono::milliseconds{200};
+// A controller of the weakest deployed kind (a quarter of a core) handles about 60 workers at peak;
+// a fleet with more workers than this limit is split into one cell per data centre.
+constexpr std::size_t max_workers_of_single_cell = 120;
 constexpr std::size_t min_workers_of_split_cells = 80;
-// A worker that is down or replaced does not hide what the others say.
-constexpr std::size_t probed_workers = 3;
+// More than one, so that a worker that is down or replaced does not decide the result.
+constexpr std::size_t probed_worker_count = 3;
 
 const char* to_string(claim_probe::probe_result result)
 {
@@ -47,7 +47,7 @@
 
 } // namespace
 
-// True if an instance in touch claims workers of this cell too.
+// True if an instance in contact also claims workers of this cell.
 bool cell_service::is_contested(std::string_view cell) const
 {
     for (const auto& view : mesh_.claim_holders()) {
@@ -63,9 +63,10 @@
     return false;
 }
 
-std::vector<std::string> cell_service::cells_to_control(isolation_tracker::phase isolated) const
+std::vector<std::string>
+cell_service::cells_to_control(isolation_tracker::phase partition_phase) const
 {
-    if (isolated != isolation_tracker::phase::connected) {
+    if (partition_phase != isolation_tracker::phase::connected) {
         return {mesh_.self().data_centre};
     }
     if (!split_by_data_centre_) {
@@ -91,23 +92,24 @@
 {
     update_worker_list_mode();
     const auto now = timers_.monotonic_now();
-    // The links to other data centres take longer than those at home.
-    const bool linked = now - started_at_ >= election_grace;
-    const auto reached = mesh_.linked_views();
-    const bool is_cut = linked &&
-                        cell_election::is_isolated_data_centre(mesh_.self().name, reached) &&
-                        cell_election::reaches_own_data_centre(mesh_.self().name, reached);
-    minority_.update(linked && cell_election::is_in_minority(mesh_.self().name, reached), is_cut,
-                     now);
+    // Links to other data centres take longer to open than those within this one.
+    const bool links_settled = now - started_at_ >= election_grace;
+    const auto linked_views = mesh_.linked_views();
+    const bool is_isolated =
+        links_settled && cell_election::is_isolated_data_centre(mesh_.self().name, linked_views) &&
+        cell_election::reaches_own_data_centre(mesh_.self().name, linked_views);
+    minority_.update(links_settled &&
+                         cell_election::is_in_minority(mesh_.self().name, linked_views),
+                     is_isolated, now);
     if (!minority_.in_minority()) {
         probes_.clear();
     }
     if (!leaving_ && mesh_.is_candidate() && is_ready_to_claim() && !workers_.empty()) {
         split_by_data_centre_ =
             workers_.size() >
-            (split_by_data_centre_ ? min_workers_of_split_cells : max_workers_of_whole_cell);
+            (split_by_data_centre_ ? min_workers_of_split_cells : max_workers_of_single_cell);
         const auto views = mesh_.views();
-        const auto names = cells_to_control(isolation_.update(is_cut, now));
+        const auto names = cells_to_control(isolation_.update(is_isolated, now));
         for (const auto& cell : controlled_cell_names()) {
             if (std::ranges::find(names, cell) == names.end()) {
                 release_cell(cell);
@@ -120,8 +122,8 @@
     redispatch();
 }
 
-// Instances that cannot get control do not read the list of workers: together they would read more
-// than the platform's store can send.
+// Instances that cannot become controller do not read the list of workers; together they would read
+// more than the platform's store can deliver.
 void cell_service::update_worker_list_mode()
 {
     auto list_mode = worker_list_mode::none;
@@ -137,9 +139,9 @@
     }
 }
 
-// A starting instance first hears who controls what. It waits no longer than until it knows the
-// state of all others, if nobody in touch controls anything or all of them have just started. Else
-// an instance that it does not reach may control the rest.
+// A starting instance first learns the existing claims. It may claim before the grace period ends
+// once the state of all candidates is known and either no instance in contact controls a cell or
+// all of them have just started; otherwise an unreachable instance may control the remaining cells.
 bool cell_service::is_ready_to_claim() const
 {
     return timers_.monotonic_now() - started_at_ >= election_grace ||
@@ -151,17 +153,19 @@
 {
     const auto& self = mesh_.self();
     const auto decision = cell_election::decide(cell, self.name, views);
-    const bool own = controlled_cells_.contains(cell);
-    if (own && decision.controller != self.name) {
+    const bool controlled = controlled_cells_.contains(cell);
+    if (controlled && decision.controller != self.name) {
         log_event("cell_yielded", "cell={} to={}", cell, decision.controller);
         release_cell(cell);
         return;
     }
-    if (own || !decision.should_claim || isolation_.at() == isolation_tracker::phase::rejoining ||
+    if (controlled || !decision.should_claim ||
+        isolation_.current_phase() == isolation_tracker::phase::rejoining ||
         minority_.is_fenced() || minority_.is_rejoining(timers_.monotonic_now())) {
         return;
     }
-    if (minority_.in_minority() && isolation_.at() != isolation_tracker::phase::isolated) {
+    if (minority_.in_minority() &&
+        isolation_.current_phase() != isolation_tracker::phase::isolated) {
         probe(cell, decision.highest_token);
     }
     else {
@@ -169,22 +173,22 @@
     }
 }
 
-// Claims the cell if nobody out of touch turns out to control its workers.
+// Claims the cell if a probe shows that no unreachable instance controls its workers.
 void cell_service::probe(const std::string& cell, std::uint64_t above)
 {
-    auto& running = probes_[cell];
-    if (running) {
+    auto& running_probe = probes_[cell];
+    if (running_probe) {
         return;
     }
     auto workers = workers_of(cell);
     std::erase_if(workers, [](const auto& it) { return it.draining; });
-    std::vector<worker_report> some;
-    for (std::size_t i = 0; i < probed_workers && i < workers.size(); ++i) {
-        some.push_back(workers[i * workers.size() / probed_workers]);
+    std::vector<worker_report> sample;
+    for (std::size_t i = 0; i < probed_worker_count && i < workers.size(); ++i) {
+        sample.push_back(workers[i * workers.size() / probed_worker_count]);
     }
-    log_event("cell_probed", "cell={} workers={}", cell, some.size());
-    running = std::make_unique<claim_probe>(
-        timers_, commands_, std::move(some), next_token(above),
+    log_event("cell_probed", "cell={} workers={}", cell, sample.size());
+    running_probe = std::make_unique<claim_probe>(
+        timers_, commands_, std::move(sample), next_token(above),
         [this, cell](claim_probe::probe_result result, std::uint64_t token) {
             const auto done = std::move(probes_[cell]);
             probes_.erase(cell);
@@ -204,39 +208,40 @@
     const auto wall =
         std::chrono::duration_cast<std::chrono::milliseconds>(timers_.wall_now().time_since_epoch())
             .count();
-    constexpr std::uint64_t low_bits = (std::uint64_t{1} << token_time_shift) - 1;
-    const auto own_bits = hash64(mesh_.self().name) & low_bits;
-    return std::max((static_cast<std::uint64_t>(wall) << token_time_shift) | own_bits,
-                    above + 1 + own_bits);
+    constexpr std::uint64_t low_bit_mask = (std::uint64_t{1} << token_time_shift) - 1;
+    const auto instance_bits = hash64(mesh_.self().name) & low_bit_mask;
+    return std::max((static_cast<std::uint64_t>(wall) << token_time_shift) | instance_bits,
+                    above + 1 + instance_bits);
 }
 
 void cell_service::claim(const std::string& cell, std::uint64_t above)
 {
     const auto token = next_token(above);
-    auto& own = controlled_cells_[cell];
-    if (!own) {
-        own = std::make_unique<controlled_cell>();
-        own->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
-        own->controller->on_fenced = [this, cell] { on_fenced(cell); };
-        own->controller->on_used_workers_changed = [this] { announce(); };
-        own->controller->set_workers(workers_of(cell));
+    auto& controlled = controlled_cells_[cell];
+    if (!controlled) {
+        controlled = std::make_unique<controlled_cell>();
+        controlled->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
+        controlled->controller->on_fenced = [this, cell] { on_fenced(cell); };
+        controlled->controller->on_used_workers_changed = [this] { announce(); };
+        controlled->controller->set_workers(workers_of(cell));
     }
-    own->token = token;
-    own->controller->claim(token);
+    controlled->token = token;
+    controlled->controller->claim(token);
     announce();
     update_worker_list_mode();
     on_claim();
 }
 
-// A worker obeys someone else. If that one is in touch, the election settles it; if not, the
-// higher token is a leftover or belongs to the smaller side of a cut.
+// A worker has accepted a higher token. If the holder is in contact, the election resolves the
+// conflict; if not, the token is left over from an earlier controller or belongs to the minority
+// side of a partition.
 void cell_service::on_fenced(const std::string& cell)
 {
     const auto found = controlled_cells_.find(cell);
     if (found == controlled_cells_.end() || std::exchange(found->second->fenced, true)) {
         return;
     }
-    timers_.schedule(fence_pause, [this, cell, alive = alive_] {
+    timers_.schedule(fence_reaction_delay, [this, cell, alive = alive_] {
         if (!*alive) {
             return;
         }
@@ -247,7 +252,7 @@
         }
         it->second->fenced = false;
         if (is_contested(cell)) {
-            return; // one of the two gives way soon; the next look tells
+            return; // one of the two releases the cell soon; the next poll shows the result
         }
         if (minority_.in_minority()) {
             log_event("cell_yielded", "cell={} to=\"somebody out of touch\"", cell);
@@ -256,8 +261,8 @@
             return;
         }
         log_event("token_raised", "cell={} from={}", cell, it->second->token);
-        const auto seen = cell_election::decide(cell, mesh_.self().name, mesh_.views());
-        claim(cell, std::max(it->second->token + token_raise_step, seen.highest_token));
+        const auto decision = cell_election::decide(cell, mesh_.self().name, mesh_.views());
+        claim(cell, std::max(it->second->token + token_raise_step, decision.highest_token));
     });
 }
 
@@ -267,20 +272,20 @@
     if (it == controlled_cells_.end()) {
         return;
     }
-    const auto own = std::shared_ptr<controlled_cell>(std::move(it->second));
+    const auto controlled = std::shared_ptr<controlled_cell>(std::move(it->second));
     controlled_cells_.erase(it);
     announce();
-    own->controller->release();
+    controlled->controller->release();
     update_worker_list_mode();
-    // Deferred: the controller may be on the call stack.
-    timers_.schedule(duration::zero(), [own] {});
+    // Deferred because the controller may be on the call stack.
+    timers_.schedule(duration::zero(), [controlled] {});
 }
 
 void cell_service::announce()
 {
     std::vector<cell_claim> claims;
-    for (const auto& [cell, own] : controlled_cells_) {
-        claims.push_back({cell, own->token, own->controller->used_workers()});
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        claims.push_back({cell, controlled->token, controlled->controller->used_workers()});
     }
     mesh_.announce(std::move(claims), leaving_, config_version_);
 }
@@ -294,11 +299,11 @@
     announce();
 }
 
-// A copy, for loops that give cells up.
+// A copy, for loops that release cells.
 std::vector<std::string> cell_service::controlled_cell_names() const
 {
     std::vector<std::string> names;
-    for (const auto& [cell, own] : controlled_cells_) {
+    for (const auto& [cell, controlled] : controlled_cells_) {
         names.push_back(cell);
     }
     return names;
@@ -314,18 +319,18 @@
     return !mesh_.claim_holders().empty();
 }
 
-// Stops the jobs of instances that are out of touch. Their fronts wait longer than this before
-// they let the callers' tasks start elsewhere.
+// Stops the jobs of requesting instances that are out of contact. Such an instance waits longer
+// than this (lost_job_quarantine) before it lets the tasks of its jobs start elsewhere.
 void cell_service::drop_lost_requesters()
 {
     for (auto& row : controlled_cells_) {
-        auto& own = *row.second;
-        std::erase_if(own.requesters, [&](const std::string& requester) {
+        auto& controlled = *row.second;
+        std::erase_if(controlled.requesters, [&](const std::string& requester) {
             if (mesh_.has_heard_from(requester)) {
                 return false;
             }
             log_event("requester_lost", "instance={} cell={}", requester, row.first);
-            own.controller->abandon_all_of(requester);
+            controlled.controller->abandon_all_of(requester);
             return true;
         });
     }
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -1,4 +1,4 @@
-// The jobs of this instance's callers: from submission through changes of control to the answer.
+// The jobs of this instance's callers, from submission through changes of controller to the answer.
 #include "cell/mesh_codec.h"
 #include "cell_choice.h"
 #include "cell_service_internal.h"
@@ -7,11 +7,12 @@
 
 namespace {
 
-// Time without any controller after which new jobs are refused instead of kept.
-constexpr duration controller_patience = std::chrono::seconds{1};
+// A job that could not be sent to any controller for this long is refused.
+constexpr duration no_controller_timeout = std::chrono::seconds{1};
 constexpr duration controller_retry_after = std::chrono::seconds{1};
-// The controller ends jobs at their deadline; a front that hears nothing by then gives up.
-constexpr duration outcome_slack = std::chrono::milliseconds{100};
+// The controller ends jobs at their deadline; the submitting instance ends a job itself if no
+// outcome has arrived by then.
+constexpr duration outcome_grace = std::chrono::milliseconds{100};
 
 } // namespace
 
@@ -20,7 +21,8 @@
     const auto now = timers_.monotonic_now();
     auto& job = jobs_[request.id];
     if (job) {
-        // The caller has sent the job again while it is under way: the newer connection counts.
+        // The caller has resubmitted the job while it is open: the newer connection replaces the
+        // older one.
         job->fn({job_end::unknown, {}, "submitted again"});
         job->fn = std::move(fn);
         job->deadline = std::max(job->deadline, now + request.time_left);
@@ -45,8 +47,9 @@
     const auto cell = it->second->cell;
     jobs_.erase(it);
     if (controller == mesh_.self().name) {
-        if (const auto own = controlled_cells_.find(cell); own != controlled_cells_.end()) {
-            own->second->controller->abandon(job_id);
+        if (const auto controlled = controlled_cells_.find(cell);
+            controlled != controlled_cells_.end()) {
+            controlled->second->controller->abandon(job_id);
         }
     }
     else if (!controller.empty()) {
@@ -96,19 +99,19 @@
 {
     const auto& self = mesh_.self();
     const auto now = timers_.monotonic_now();
-    // Only a controller of the same workers can find the tasks that run. After the quarantine
-    // none of them does any more, and any controller may start anew.
+    // Only a controller of the same workers can find the tasks that still run. After the quarantine
+    // none of them runs any more, and any controller may start them again.
     const bool bound = job.sent && now - job.lost_at < lost_job_quarantine;
     const auto [target, target_claim] =
         choose_cell(claim_holders, {job.request.id, self.data_centre, job.refused_by,
                                     bound ? std::string_view(job.sent_cell) : std::string_view()});
-    // A job that waits here for a late reply is free to go to the next controller; one that was
-    // sent is bound to the workers of the silent one.
+    // A job that is held back here because of an overdue reply can still go to the next controller;
+    // once sent, it is bound to the workers of the controller that stopped replying.
     if (target == nullptr || mesh_.reply_overdue(target->name)) {
         return;
     }
     if (!bound) {
-        job.former_workers.clear(); // nothing runs any more for those that were asked before
+        job.former_workers.clear(); // no task of an earlier submission runs any more
     }
     job.request.resumed = bound;
     job.request.former_workers = job.former_workers;
@@ -121,12 +124,12 @@
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
     if (target->name == self.name) {
-        const auto own = controlled_cells_.find(target_claim->cell);
-        if (own == controlled_cells_.end()) {
+        const auto controlled = controlled_cells_.find(target_claim->cell);
+        if (controlled == controlled_cells_.end()) {
             return;
         }
         job.send_to(target->name, *target_claim);
-        own->second->controller->submit(
+        controlled->second->controller->submit(
             job.request, self.name,
             [this, alive = alive_, id, cell = target_claim->cell](const job_outcome& outcome) {
                 if (*alive) {
@@ -183,12 +186,12 @@
 {
     const auto it = jobs_.find(job_id);
     if (it == jobs_.end() || it->second->controller != controller || it->second->cell != cell) {
-        return; // an answer to an earlier submission
+        return; // outcome of an earlier submission
     }
     auto& job = *it->second;
     if (outcome.end == job_end::moved) {
-        job.lose_controller(timers_.monotonic_now(),
-                            "moved"); // the next evaluation finds the new one
+        // The next evaluation finds the new controller.
+        job.lose_controller(timers_.monotonic_now(), "moved");
         return;
     }
     if (outcome.end == job_end::not_run && job.may_have_run) {
@@ -198,10 +201,10 @@
     if (outcome.end == job_end::not_run) {
         job.refused_by.insert(cell);
         job.controller.clear();
-        job.sent = false;                     // it has certainly not run there
-        dispatch(job, mesh_.claim_holders()); // may end the job at once
-        const auto left = jobs_.find(job_id);
-        if (left != jobs_.end() && left->second->controller.empty()) {
+        job.sent = false;                     // no task has run there
+        dispatch(job, mesh_.claim_holders()); // may end the job synchronously
+        const auto remaining = jobs_.find(job_id);
+        if (remaining != jobs_.end() && remaining->second->controller.empty()) {
             finish(job_id, outcome);
         }
         return;
@@ -220,8 +223,8 @@
     job->fn(outcome);
 }
 
-// Jobs that no controller in touch has, once this instance is on the smaller side of a cut. It
-// cannot say when it will be able to serve; other instances can at once.
+// Jobs without a controller in contact, once this instance is in the minority side of a partition.
+// It cannot tell when it will be able to serve them; other instances can serve them at once.
 std::vector<cell_service::ended_job> cell_service::unassigned_jobs_to_fail() const
 {
     std::vector<ended_job> out;
@@ -244,11 +247,11 @@
     const auto now = timers_.monotonic_now();
     std::vector<ended_job> out;
     for (const auto& [id, job] : jobs_) {
-        if (!job->sent && now - job->arrived > controller_patience) {
+        if (!job->sent && now - job->arrived > no_controller_timeout) {
             out.emplace_back(
                 id, job_outcome{job_end::not_run, controller_retry_after, "no controller"});
         }
-        else if (now > job->deadline + outcome_slack) {
+        else if (now > job->deadline + outcome_grace) {
             out.emplace_back(id, job->sent ? job_outcome{job_end::unknown, {}, "no outcome"}
                                            : job_outcome{job_end::not_run, controller_retry_after,
                                                          "no controller"});
