--- a/include/admission/fair_queue.h
+++ b/include/admission/fair_queue.h
@@ -13,46 +13,47 @@
 // Position of a team in deployment::teams.
 using team_index = std::uint32_t;
 
-// Number of a job as the owner of the queue uses it. Small numbers, reused after removal.
+// Job number assigned by the owner of the queue. Numbers are small and reused after removal.
 using queued_job = std::uint32_t;
 
-// Tasks that wait for a worker. Teams share the service by weight (deficit round robin over
-// expected run time) and the jobs of a team take turns, one task each, so that a large job does
-// not hold back small ones. Teams inside their quota go first; the others take what is left over.
-// All tasks of a job are alike, so a job is one entry with a count and every operation takes
-// constant time.
+// Queue of tasks that wait for a worker. Teams share the service by weight (deficit round robin
+// over expected run time) and the jobs of a team are served round robin, one task at a time, so
+// that a large job does not delay small ones. Teams over their quota are served only when no team
+// within its quota has tasks waiting. All tasks of a job are alike, so a job is one entry with a
+// count and every operation takes constant time.
 class fair_queue {
 public:
-    // One positive weight for each team. At most `max_tasks` tasks wait, except that each team
-    // always has its share by weight of that number, so the hard bound is twice `max_tasks`.
+    // Takes one positive weight per team. At most `max_tasks` tasks may wait, but each team may
+    // always use its share by weight of that number, so the hard bound is twice `max_tasks`.
     fair_queue(std::span<const double> weights, std::size_t max_tasks);
 
-    // Changes the weights and the bound. Teams keep their positions; there may be more of them.
+    // Changes the weights and the bound. Teams keep their positions and new ones may be appended.
     void update(std::span<const double> weights, std::size_t max_tasks);
 
-    // True if `count` more tasks of the team may wait.
+    // True if the team may add `count` tasks.
     bool has_room(team_index team, std::size_t count) const;
 
-    // Adds tasks of a job. `cost` is the expected run time of one task. The job goes behind the
-    // other jobs of its team unless it has tasks here already.
+    // Adds tasks of a job. `cost` is the expected run time of one task. A job without tasks in the
+    // queue is placed behind the other jobs of its team.
     void push(queued_job job, team_index team, duration cost, std::uint32_t count);
 
-    // Adds one task that was started and did not run; its job goes before the others of its team.
+    // Adds one task whose start failed without running it, and moves its job to the front of its
+    // team.
     void push_retry(queued_job job, team_index team, duration cost);
 
-    // The job whose task is next. Stays the same until the queue or a quota state changes.
+    // Job whose task is next. Stays the same until the queue or a quota state changes.
     std::optional<queued_job> front();
 
-    // Takes one task of the front job. Must follow front().
+    // Removes one task of the front job. front() must be called first.
     void pop();
 
-    // Takes all tasks of a job and returns how many there were.
+    // Removes all tasks of a job and returns their number.
     std::uint32_t remove(queued_job job);
 
-    // Tells whether a team has reached its quota.
+    // Sets whether a team has reached its quota.
     void set_over_quota(team_index team, bool is_over);
 
-    // Estimated number of tasks that are served before the last of `count` new tasks of a team.
+    // Estimates how many tasks would be served before the last of `count` new tasks of a team.
     std::size_t estimate_position(team_index team, std::size_t count) const;
 
     std::size_t size() const { return size_; }
@@ -71,8 +72,8 @@
 
     struct team_entry {
         double weight = 1.0;
-        double share = 0.0;   // of all weights
-        double quantum = 0.0; // microseconds of run time for each turn
+        double share = 0.0;   // fraction of the sum of weights
+        double quantum = 0.0; // microseconds of run time per turn
         double deficit = 0.0;
         std::size_t tasks = 0;
         std::uint32_t jobs = 0;
@@ -81,10 +82,10 @@
         std::uint32_t previous = none;
         std::uint32_t next = none;
         bool is_over_quota = false;
-        bool had_quantum = false; // in its current turn
+        bool had_quantum = false; // its deficit was raised in the current turn
     };
 
-    // A list of teams that have tasks, linked through team_entry.
+    // Intrusive list of teams that have tasks, linked through team_entry.
     struct team_list {
         std::uint32_t first = none;
         std::uint32_t last = none;
--- a/include/admission/team_quotas.h
+++ b/include/admission/team_quotas.h
@@ -8,11 +8,11 @@
 
 namespace cactusloom {
 
-// Counts the running tasks of each team against this instance's part of its quota. A team at its
-// quota may still run tasks while no team inside its quota has any waiting (see fair_queue).
+// Counts the running tasks of each team against this instance's share of its quota. A team at its
+// quota may still start tasks while no team within its quota has any waiting (see fair_queue).
 class team_quotas {
 public:
-    // `share` is this instance's part of the total load, 0 to 1.
+    // `share` is the fraction of the total load that this instance handles, 0 to 1.
     team_quotas(std::span<const team_quota> teams, double share);
 
     void record_start(team_index team) { ++teams_[team].running; }
@@ -25,17 +25,17 @@
 
     std::uint32_t running(team_index team) const { return teams_[team].running; }
 
-    // Changes the limits, when members come and go. The caller must ask is_over() again.
+    // Changes the limits after a change of membership. The caller must call is_over() again.
     void set_share(double share);
 
-    // Changes the quotas. Teams keep their positions; there may be more of them. The caller must
-    // ask is_over() again.
+    // Changes the quotas. Teams keep their positions and new ones may be appended. The caller must
+    // call is_over() again.
     void update(std::span<const team_quota> teams);
 
 private:
     struct entry {
-        std::uint32_t total_limit = 0; // over all instances; 0 for none
-        std::uint32_t limit = 0;       // of this instance; 0 for none
+        std::uint32_t total_limit = 0; // over all instances; 0 for no limit
+        std::uint32_t limit = 0;       // of this instance; 0 for no limit
         std::uint32_t running = 0;
     };
 
--- a/include/dispatch/job_observer.h
+++ b/include/dispatch/job_observer.h
@@ -9,10 +9,10 @@
 
 namespace cactusloom {
 
-// Number of a job within one incarnation; never reused.
+// Number of a job, unique within one incarnation of the process.
 using job_number = std::uint64_t;
 
-// A job that was accepted or refused. The views are valid during the call only.
+// An accepted or refused submission. The views are only valid during the call.
 struct received_job {
     std::string_view id;
     std::string_view customer;
@@ -21,7 +21,7 @@
     wall_time received;
 };
 
-// How a job ended. Times are zero if the step never happened.
+// How a job ended. The time of a step that never happened is zero.
 struct finished_job {
     std::string_view id;
     job_state state = job_state::unknown;
@@ -31,8 +31,8 @@
     wall_time finished;
 };
 
-// Learns what happens to each job, for records. The calls must return quickly and must not call
-// back into the dispatcher.
+// Receives the events of all jobs, for record keeping. Implementations must return quickly and
+// must not call back into the dispatcher.
 class job_observer {
 public:
     job_observer() = default;
@@ -42,18 +42,18 @@
 
     virtual void job_received(job_number job, const received_job& details) = 0;
 
-    // Called for every start message, so a retried task is reported more than once.
+    // Called for every start request, so a retried task is reported more than once.
     virtual void task_started(job_number job, std::uint32_t task, worker_id worker) = 0;
 
-    // Called once for each task_started, with how that start ended. Certainly-not-run statuses tell
-    // that the start does not count against the limit of one.
+    // Called once for each task_started(), with the result of that start. A start for which
+    // is_certainly_not_run() holds does not count as a run of the task.
     virtual void task_ended(job_number job, std::uint32_t task, worker_id worker,
                             start_status status) = 0;
 
-    // Called once for each job that was reported as received. Starts may still end later.
+    // Called once for each job passed to job_received(). task_ended() may still follow.
     virtual void job_finished(job_number job, const finished_job& details) = 0;
 
-    // A submission that was refused; nothing of it ran under this submission.
+    // Called for a refused submission. No task was started for it.
     virtual void job_refused(const received_job& details, const error& reason) = 0;
 };
 
--- a/include/dispatch/job_service.h
+++ b/include/dispatch/job_service.h
@@ -14,27 +14,27 @@
 
 struct deployment;
 
-// A submission as it reaches the owning instance, already checked for size limits.
+// A submission as received by the instance that owns its id. Size limits were already checked.
 struct job_request {
-    std::string id; // whole submission id, "<prefix>.<suffix>"
+    std::string id; // submission id, "<prefix>.<suffix>"
     std::string customer;
     std::string kind;
-    std::vector<std::string> payloads; // one for each task
+    std::vector<std::string> payloads; // one per task
     duration deadline{};               // from now
 };
 
 enum class job_state {
     running,
     completed,
-    failed_not_run,   // certain: no task of the job ran
+    failed_not_run,   // it is certain that no task of the job ran
     failed_after_run, // at least one task ran and the job failed
-    unknown,          // a reply was lost, so at least one task may or may not have run
+    unknown,          // no reply for at least one task, which may or may not have run
 };
 
-// Returns the name used in JSON, for example "failed_not_run".
+// Name used in JSON, for example "failed_not_run".
 const char* to_string(job_state state);
 
-// The whole answer of a job. `answers` has one entry for each task if the job completed, else none.
+// Result of a job. `answers` has one entry per task if the job completed, else it is empty.
 struct job_answer {
     job_state state = job_state::unknown;
     std::string reason;
@@ -49,7 +49,7 @@
     std::string reason;
 };
 
-// What the caller API needs from the dispatcher of this instance.
+// Interface of the dispatcher as the caller API uses it.
 class job_service {
 public:
     using answer_callback = std::function<void(const job_answer&)>;
@@ -59,29 +59,30 @@
     job_service& operator=(const job_service&) = delete;
     virtual ~job_service() = default;
 
-    // Takes a new document into force, with stable positions (config/stable_positions.h). Jobs that
-    // were accepted before go on under the rules that they were accepted with.
+    // Applies a new configuration, with stable positions (config/stable_positions.h). Jobs that
+    // were accepted earlier keep the settings under which they were accepted.
     virtual void apply(const deployment& settings) = 0;
 
-    // Accepts a job, or joins the running or finished one with the same id and the same content.
-    // Errors: `conflict` (same id, other content), `invalid_argument` (unknown kind or customer,
-    // can never run), `unavailable` (refused and certainly not run: overload, quota, shutting
-    // down), `not_found` (prefix expired or of another incarnation: outcome not known here).
+    // Accepts a job, or succeeds without effect if a job with the same id and content is running or
+    // finished. Errors: `conflict` (same id, other content), `invalid_argument` (malformed id,
+    // unknown kind or customer, no worker can ever run it), `unavailable` (refused and certainly
+    // not run: overload, full queue, too many ids, shutting down), `not_found` (prefix expired or
+    // of another incarnation, or answer dropped: the outcome is not known here).
     virtual result<void> submit(job_request request) = 0;
 
-    // Calls `done` once with the answer, or with state `running` when `limit` passes first.
-    // An unknown id yields state `unknown`. Never calls from inside wait().
+    // Calls `done` once with the answer, or with state `running` if `limit` passes first, or with
+    // state `unknown` for an unknown id. Never calls it from inside wait().
     virtual void wait(std::string_view id, duration limit, answer_callback done) = 0;
 
     virtual result<job_status> status(std::string_view id) const = 0;
 
-    // Cancels a job. Tasks that have not started never will; running tasks are stopped.
+    // Cancels a job: drops its queued tasks and stops the running ones.
     virtual result<void> cancel(std::string_view id) = 0;
 
-    // A prefix under which callers may make submission ids for this instance.
+    // Returns a new prefix from which callers build submission ids for this instance.
     virtual std::string issue_prefix() = 0;
 
-    // Refuses new submissions from now on and calls `drained` when no task is left.
+    // Refuses new submissions from now on and calls `drained` when no job is open.
     virtual void shut_down(std::function<void()> drained) = 0;
 };
 
--- a/include/entry/account_recorder.h
+++ b/include/entry/account_recorder.h
@@ -11,13 +11,14 @@
 class account_writer;
 struct deployment;
 
-// Turns the events of jobs into account records. One record a job, whatever its number of tasks.
+// Converts job events into account records, one record per job regardless of its number of tasks.
 class account_recorder final : public job_observer {
 public:
     // The writer must outlive the recorder.
     explicit account_recorder(account_writer& writer) : writer_(writer) {}
 
-    // The document in force, for names of workers, with its version for the records.
+    // Sets the current configuration, from which worker names are taken, and its version, which is
+    // written into the records.
     void apply(std::shared_ptr<const deployment> settings, std::uint64_t version);
 
     void job_received(job_number job, const received_job& details) override;
--- a/include/entry/entry_instance.h
+++ b/include/entry/entry_instance.h
@@ -28,14 +28,13 @@
     std::uint64_t seed = 0;
     config_follower_options config;
     failure_detector_settings detector;
-    std::vector<seed_peer> seeds; // used until the platform's list answers
+    std::vector<seed_peer> seeds; // used until the platform's instance list has replied
     bool keep_accounts = true;
     duration list_interval = std::chrono::seconds{5};
     duration account_close_limit = std::chrono::seconds{10};
 };
 
-// What an entry instance works with. All must outlive it; `list`, `config_peers` and `metrics` may
-// be null.
+// All must outlive the entry instance; `list`, `config_peers` and `metrics` may be null.
 struct entry_dependencies {
     timer_service& timers;
     log_service& log;
@@ -46,8 +45,8 @@
     counters* metrics = nullptr;
 };
 
-// One entry instance over the interfaces to its surroundings. It owns the modules and passes on
-// what concerns more than one of them: a new document, a change of members, a shutdown.
+// An entry instance: accepts submissions and dispatches their tasks. It owns the modules and passes
+// on events that concern several of them: a new configuration, a membership change, a shutdown.
 class entry_instance {
 public:
     using settings_callback = std::function<void(const deployment&)>;
@@ -59,18 +58,18 @@
 
     void start();
 
-    // True while the instance can take submissions: a document is in force, it is not shutting
-    // down, and no later incarnation of its name was seen.
+    // True while the instance accepts submissions: it has a configuration, is not shutting down,
+    // and no later incarnation with its name was seen.
     bool is_ready() const;
 
-    // The dispatcher, or null until the first document is in force.
+    // Returns the dispatcher, or null until the first configuration was applied.
     dispatcher* jobs() const { return jobs_.get(); }
 
-    // Settings in force with stable positions, or null until there are any.
+    // Returns the current settings with stable positions, or null until there are any.
     const deployment* settings() const { return settings_.get(); }
 
-    // Calls `fn` before the modules see a new document, so that the worker client knows the
-    // address of every worker by then.
+    // Registers `fn` to be called before the modules get a new configuration, so that the worker
+    // client knows the address of every worker first.
     void on_settings(settings_callback fn) { settings_callbacks_.push_back(std::move(fn)); }
 
     submission_location locate(std::string_view id) const;
@@ -81,8 +80,8 @@
     const failure_detector& membership() const { return detector_; }
     const account_writer* accounts() const { return accounts_.get(); }
 
-    // Refuses new submissions, finishes what runs, writes the remaining account records, says
-    // goodbye to the peers and calls `stopped`.
+    // Refuses new submissions, lets open jobs finish, writes the remaining account records, tells
+    // the peers that this instance leaves, and calls `stopped`.
     void shut_down(std::function<void()> stopped);
 
 private:
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -17,28 +17,29 @@
 // Position of a request kind in deployment::kinds.
 using kind_index = std::uint32_t;
 
-// What the router needs to know to place one task.
+// A task that needs a worker.
 struct routing_query {
     kind_index kind = 0;
-    std::uint64_t job_key = 0;           // tasks of one job share it, so they spread over racks
-    std::optional<worker_id> excluded{}; // worker of an earlier attempt
+    std::uint64_t job_key = 0;           // same for all tasks of a job, to spread them over racks
+    std::optional<worker_id> excluded{}; // worker of the previous attempt
 };
 
-// Facts about this instance that the platform's list and the peers supply.
+// Properties of this instance, from the platform's instance list and the membership.
 struct router_options {
     std::uint64_t seed = 0;
-    double share = 1.0; // this instance's part of the total load, 0 to 1
-    // Sum of the shares of the instances before this one in an order that all agree on, for
-    // example by name. With it the instances divide each worker's slots without overlap. Below
-    // zero if unknown: the slots are then divided at random.
+    double share = 1.0; // fraction of the total load that this instance handles, 0 to 1
+    // Sum of the shares of all instances that precede this one in an order common to all, for
+    // example by name. It lets the instances divide each worker's slots without overlap.
+    // Negative if unknown; a random position is then used.
     double share_begin = -1.0;
 };
 
-// Chooses workers and learns from what comes back. A deployment strategy is selected by name.
-// Worker ids are positions in deployment::workers. No call allocates in steady state.
+// Chooses a worker for each task and learns from replies and load reports. The strategy is
+// selected by name in the dispatch profile. A worker id is a position in deployment::workers.
+// No call allocates memory in steady state.
 class router {
 public:
-    // Returns null if the profile names an unknown strategy.
+    // Returns null if the strategy named in the profile is unknown.
     static std::unique_ptr<router> make(const deployment& settings, const clock& time,
                                         router_options options);
 
@@ -47,40 +48,42 @@
     router& operator=(const router&) = delete;
     virtual ~router() = default;
 
-    // Takes a new document into force. Kinds and workers keep their positions and new ones are
-    // appended (config/stable_positions.h); retired ones get no new work. What was learned about
-    // the others is kept, and outcomes of running tasks may still be recorded.
+    // Applies a new configuration. Kinds and workers keep their positions, new ones are appended
+    // (config/stable_positions.h) and retired ones get no new tasks. Learned state of the others is
+    // kept, and ends of running tasks may still be recorded.
     virtual void apply(const deployment& settings) = 0;
 
     // Picks a worker that has room for the task, or nothing if the task should wait.
     virtual std::optional<worker_id> pick(const routing_query& query) = 0;
 
-    // True if some worker could run the kind at some time (features fit and slots exist).
+    // True if some worker has the features that the kind needs and at least one slot.
     virtual bool can_ever_run(kind_index kind) const = 0;
 
-    // Must be called when a start is handed to the worker client.
+    // Must be called when a start request is passed to the worker client.
     virtual void record_start(worker_id worker, kind_index kind) = 0;
 
-    // Must be called once for each record_start; `elapsed` is the time since then.
+    // Must be called once for each record_start(); `elapsed` is the time since that call.
     virtual void record_end(worker_id worker, kind_index kind, const start_reply& reply,
                             duration elapsed) = 0;
 
-    // A report that did not come with a reply, for example the platform's usage report.
+    // Records a load report that did not arrive in a reply, for example the platform's usage
+    // report.
     virtual void record_load(worker_id worker, const worker_load& load) = 0;
 
-    // A leaving worker is never picked again unless it is reported as staying.
+    // Marks a worker as leaving or staying. A leaving worker is never picked.
     virtual void set_leaving(worker_id worker, bool leaving) = 0;
 
-    // Changes this instance's part of the total load, when members come and go.
+    // Changes this instance's share of the total load. Called when the membership changes.
     virtual void set_share(double share) = 0;
 
-    // The same with the sum of the shares before this one, as in router_options.
+    // Also changes the sum of the preceding shares; see router_options::share_begin.
     virtual void set_share_range(double /*begin*/, double share) { set_share(share); }
 
-    // Learned run-time quantile of a kind over all workers, or the declared run time at first.
+    // Quantile of the observed run times of a kind over all workers; the declared run time until
+    // enough replies have arrived.
     virtual duration run_time_quantile(kind_index kind, double quantile) const = 0;
 
-    // Expected wait until the `position`-th queued task (from 0) gets a slot.
+    // Estimated time until the queued task at `position` (from 0) gets a slot.
     virtual duration expected_wait(std::size_t position) const = 0;
 };
 
--- a/include/submission/submission_registry.h
+++ b/include/submission/submission_registry.h
@@ -9,34 +9,34 @@
 
 namespace cactusloom {
 
-// How long ids under a prefix may be submitted for the first time.
+// Time after the issue of a prefix during which ids with it may be submitted for the first time.
 inline constexpr duration prefix_validity = std::chrono::seconds{120};
 
-// Remembers which submission ids this incarnation has accepted, so that none is accepted twice.
+// Records which submission ids this incarnation has accepted, so that none is accepted twice.
 //
-// An id is remembered until its prefix expires; after that the age of the prefix alone refuses it.
-// Forgetting an id therefore never makes it acceptable again. Ids are kept by the time their
-// prefix was issued, so that expired ones are dropped table by table without being looked at.
-// An id is stored as its 64-bit hash: a collision refuses an id that was never seen, which is
-// safe, and never accepts one twice.
+// An id is kept until its prefix expires and is refused by the age of its prefix afterwards, so
+// dropping it never makes it acceptable again. Ids are grouped by the issue time of their prefix,
+// so that expired ids are dropped a table at a time. Only the 64-bit hash of an id is stored: a
+// collision makes the registry refuse an id that was never seen, which is safe, but never accept
+// one twice.
 class submission_registry {
 public:
     enum class verdict {
-        fresh,    // not seen; now remembered, and the caller must run it
-        known,    // seen with the same body
-        conflict, // seen with another body
-        expired,  // too old to tell whether it was seen
-        invalid,  // claims an issue time in the future
-        full,     // not seen, not remembered: must be refused as not run
+        fresh,    // not seen before; claim() has recorded it and the caller must run it
+        known,    // seen before with the same body
+        conflict, // seen before with another body
+        expired,  // too old to know whether it was seen
+        invalid,  // the issue time is in the future
+        full,     // not seen before, but not recorded either: must be refused as not run
     };
 
     explicit submission_registry(std::size_t max_ids) : max_ids_(max_ids) {}
 
-    // Looks an id up and remembers it if it is new. `issued` comes from its prefix.
+    // Looks up an id and records it if it is new. `issued` is the issue time of its prefix.
     verdict try_insert(std::uint64_t id_hash, std::uint64_t body_digest, monotonic_time issued,
                        monotonic_time now);
 
-    // Looks an id up without remembering it. Never returns `full`.
+    // Looks up an id without recording it. Never returns `full`.
     verdict find(std::uint64_t id_hash, std::uint64_t body_digest, monotonic_time issued,
                  monotonic_time now) const;
 
@@ -45,11 +45,11 @@
 
 private:
     struct entry {
-        std::uint64_t id_hash = 0; // zero marks a free place
+        std::uint64_t id_hash = 0; // zero marks a free slot
         std::uint64_t body_digest = 0;
     };
 
-    // The ids whose prefixes were issued in one span of time. Open addressing, linear probing.
+    // Ids whose prefixes were issued in one time interval. Open addressing with linear probing.
     struct table {
         std::vector<entry> entries;
         std::size_t used = 0;
@@ -62,7 +62,7 @@
 
     std::size_t max_ids_;
     std::size_t size_ = 0;
-    std::int64_t first_bucket_ = 0; // span of tables_.front()
+    std::int64_t first_bucket_ = 0; // time interval of tables_.front()
     std::deque<table> tables_;
 };
 
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -7,12 +7,13 @@
 namespace cactusloom {
 namespace {
 
-// Costs outside these bounds would let wrong run times starve a team or make turns long.
+// Bounds on the cost of a task. Without them a wrong run time could starve a team or lengthen the
+// turns.
 constexpr duration min_cost = std::chrono::milliseconds{1};
 constexpr duration max_cost = std::chrono::seconds{1};
 
-// The team with the least weight can serve the most expensive task after this many turns, which
-// bounds the search for the next task. More turns make the service smoother.
+// Turns after which the team with the least weight can serve a task of max_cost. Bounds the search
+// for the next task; more turns make the service smoother.
 constexpr double turns_for_max_cost = 8.0;
 
 } // namespace
@@ -89,7 +90,7 @@
         const team_index team = served.first;
         team_entry& it = teams_[team];
         if (!it.had_quantum) {
-            // The bound keeps a team that changes rings often from saving up quanta.
+            // The bound keeps a team that often changes between the lists from accumulating quanta.
             it.deficit = std::min(it.deficit + it.quantum,
                                   it.quantum + static_cast<double>(max_cost.count()));
             it.had_quantum = true;
@@ -154,7 +155,7 @@
 std::size_t fair_queue::estimate_position(team_index team, std::size_t count) const
 {
     const team_entry& it = teams_[team];
-    // The jobs of the team alternate, so each is served at most `count` tasks meanwhile.
+    // The jobs of a team are served round robin, so each gets at most `count` tasks meanwhile.
     const std::size_t own = std::min(it.tasks, it.jobs * count) + count;
     const double others_weight = active_weight_ - (it.jobs > 0 ? it.weight : 0.0);
     const double by_weight = static_cast<double>(own) * std::max(0.0, others_weight) / it.weight;
@@ -197,7 +198,7 @@
     if (--it.jobs == 0) {
         active_weight_ -= it.weight;
         unlink_team(entry.team);
-        // A team that has nothing waiting saves nothing up for later.
+        // A team without waiting tasks keeps no deficit for later.
         it.deficit = 0.0;
     }
 }
--- a/src/admission/team_quotas.cpp
+++ b/src/admission/team_quotas.cpp
@@ -23,7 +23,7 @@
 {
     share_ = share;
     for (entry& it : teams_) {
-        // At least one, because zero stands for no limit and a team must get somewhere.
+        // At least one, because zero stands for no limit and every team must be able to progress.
         const double part = std::ceil(it.total_limit * std::clamp(share, 0.0, 1.0));
         it.limit = it.total_limit == 0 ? 0 : std::max(1U, static_cast<std::uint32_t>(part));
     }
--- a/src/dispatch/dispatch_counts.h
+++ b/src/dispatch/dispatch_counts.h
@@ -4,7 +4,7 @@
 
 namespace cactusloom {
 
-// The counts of the dispatcher, looked up once.
+// Counters of the dispatcher, looked up by name once.
 struct dispatch_counts {
     explicit dispatch_counts(counters& all)
         : jobs_accepted(all.get("jobs_accepted")), jobs_joined(all.get("jobs_joined")),
@@ -30,18 +30,18 @@
     std::uint64_t& jobs_failed_after_run;
     std::uint64_t& jobs_unknown;
     std::uint64_t& jobs_cancelled;
-    std::uint64_t& answers_dropped; // before the end of their retention, to stay in the bound
+    std::uint64_t& answers_dropped; // before the end of their retention, to bound the memory
     std::uint64_t& task_starts;
     std::uint64_t& task_retries;
     std::uint64_t& task_hedges;
     std::uint64_t& hedges_won;
     std::uint64_t& tasks_shed;
     std::uint64_t& replies;
-    std::uint64_t& late_replies;    // after the task was given up or had been answered
-    std::uint64_t& replies_missing; // none until the deadline and its grace
+    std::uint64_t& late_replies;    // after the attempt was abandoned or already answered
+    std::uint64_t& replies_missing; // no reply by the deadline plus grace
     std::uint64_t& stops;
     std::uint64_t& lease_renewals;
-    std::uint64_t& leases_lapsed; // seen by the holder, that is, it was paused
+    std::uint64_t& leases_lapsed; // not renewed in time, since this process was paused
     std::uint64_t& retry_budget_empty;
 };
 
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -9,26 +9,26 @@
 namespace cactusloom {
 namespace {
 
-// Waiting tasks are offered to the router again this often, because room can also appear without
-// a reply: a load report ages, a worker returns from ejection.
+// Interval at which queued tasks are offered to the router again, since room can also appear
+// without a reply: a load report ages, an ejected worker returns.
 constexpr duration dispatch_interval = std::chrono::milliseconds{10};
 
-// Bound on starts in one turn of the loop.
+// Bound on starts in one iteration of the event loop.
 constexpr int max_starts_per_turn = 256;
 
-// Completed tasks of a kind from which on its learned run time decides about shedding. Declared
-// run times are often far off, and shedding by them would keep the true ones from being learned.
+// Completed tasks of a kind before its run times are used for shedding. Declared run times are
+// often far off, and shedding by them would prevent the true ones from being learned.
 constexpr std::uint64_t min_samples = 20;
 
-// A prediction is taken to be an eighth too low: at ten times the capacity 2.2 % of the accepted
-// tasks had to be shed without it, because the run times vary.
+// Predicted waits are increased by an eighth (1 / prediction_slack) because run times vary. Without
+// it, 2.2 % of the accepted tasks are shed at ten times the capacity.
 constexpr int prediction_slack = 8;
 
 constexpr duration refresh_interval = std::chrono::milliseconds{50};
 constexpr duration shortest_deadline = std::chrono::milliseconds{1};
 
-// Digest of what a repeated submission must have in common with the first one. The deadline is
-// not part of it, since a caller that repeats a submission has less time left.
+// Digest of the content that must be equal when a submission is repeated. It excludes the deadline,
+// since a caller that repeats a submission has less time left.
 std::uint64_t digest_of(const job_request& request)
 {
     std::uint64_t digest = hash64(request.customer, request.payloads.size());
@@ -70,7 +70,7 @@
     retries_.set_ratio(settings.profile.retry_ratio);
     hedges_.apply(settings.profile);
 
-    // Waiting and running tasks refer to teams by position, so positions are kept.
+    // Queued and running tasks refer to teams by position, so positions must not change.
     std::unordered_map<std::string_view, team_index> positions;
     const auto place = [this](const team_quota& team) {
         const auto it = std::find_if(teams_.begin(), teams_.end(),
@@ -163,7 +163,7 @@
     if (auto checked = check(request); !checked) {
         return refuse(request, checked.error());
     }
-    // Refused submissions are not remembered: nothing of them ran, so they may be tried again.
+    // Refused submissions are not recorded: none of their tasks ran, so they may be repeated.
     if (registry_.try_insert(id_hash, digest, prefix.issued, now()) != verdict::fresh) {
         return refuse(request, {errc::unavailable, "too many submissions are remembered"});
     }
@@ -171,7 +171,7 @@
     return boost::outcome_v2::success();
 }
 
-// Looks for a reason not to run a new submission.
+// Returns the reason for refusing a new submission, if there is one.
 result<void> dispatcher::engine::check(const job_request& request) const
 {
     const auto kind = kinds_by_name_.find(request.kind);
@@ -315,7 +315,7 @@
         schedule_deferred_work();
         return;
     }
-    // The number is unique among the waiters of a job and fits into the key of its timer.
+    // The number identifies a waiter of the job and fits into the key of its timer.
     constexpr std::uint32_t number_mask = (1U << 28U) - 1;
     const std::uint32_t number = ++job.last_waiter & number_mask;
     const auto timer = wheel_.add(now() + limit, timer_key(timer_kind::wait, slot, number));
@@ -349,8 +349,8 @@
         return boost::outcome_v2::success();
     }
     ++counts_.jobs_cancelled;
-    // The stops are sent in later turns, a bounded number in each, so that a wave of
-    // cancellations does not hold up the loop.
+    // Stops are sent in later iterations of the event loop, a bounded number in each, so that many
+    // cancellations at once do not block the loop.
     for (const task_record& task : job.tasks) {
         for (const std::uint32_t index : task.attempts) {
             if (index != no_index) {
@@ -397,7 +397,7 @@
 
 std::size_t dispatcher::engine::bytes() const
 {
-    constexpr std::size_t map_node = 40; // next pointer, value and the overhead of malloc
+    constexpr std::size_t map_node = 40; // next pointer, value and malloc overhead
     std::size_t sum = sizeof(*this) + registry_.bytes() + wheel_.bytes() +
                       jobs_.size() * sizeof(job_record) + jobs_by_id_.size() * map_node +
                       jobs_by_id_.bucket_count() * sizeof(void*) +
@@ -416,7 +416,7 @@
     return sum;
 }
 
-// Starts waiting tasks while the router finds workers with room, up to the bound of a turn.
+// Starts queued tasks while the router finds workers with room, up to max_starts_per_turn.
 void dispatcher::engine::dispatch_queued()
 {
     int starts_left = max_starts_per_turn;
@@ -433,7 +433,7 @@
     }
 }
 
-// Returns whether tasks are left waiting.
+// Returns whether tasks are left in the queue.
 bool dispatcher::engine::dispatch_from(fair_queue& queue, int& starts_left)
 {
     while (const auto slot = queue.front()) {
@@ -539,15 +539,15 @@
     const start_request request{task_id(job, attempt), kind.name,
                                 job.payloads_or_answers[task_number], job.accepted_settings->lease,
                                 std::max(job.deadline - time, duration::zero())};
-    // The capture fits into the function's own storage, so a start allocates nothing here.
+    // The capture fits into the small-object buffer of std::function, so no memory is allocated.
     const std::uint32_t generation = attempt.generation;
     workers_.start(worker, request, [this, index, generation](start_reply reply) {
         on_reply(index, generation, std::move(reply));
     });
 }
 
-// True if a task that had to wait would start too late to finish within its deadline. Tasks that
-// start without waiting always get their chance.
+// True if a queued task would start too late to finish within its deadline. False for a task that
+// starts at the time of receipt.
 bool dispatcher::engine::would_miss_deadline(const job_record& job, monotonic_time time)
 {
     if (time == job.received) {
@@ -565,7 +565,7 @@
                                                                           monotonic_time time)
 {
     kind_state& state = kinds_[kind];
-    // Quantiles change slowly and are looked up for each task, so they are kept for a while.
+    // Quantiles change slowly and are needed for each task, so they are cached.
     if (state.median == duration::zero() || time - state.refreshed >= refresh_interval) {
         state.refreshed = time;
         state.median = router_.run_time_quantile(kind, 0.5);
@@ -617,7 +617,7 @@
     }
 }
 
-// Decides what becomes of a task after an attempt that did not complete it.
+// Retries or ends a task after an attempt that did not complete it.
 void dispatcher::engine::attempt_failed(std::uint32_t slot, std::uint32_t task_number,
                                         const start_reply& reply, monotonic_time lease_end)
 {
@@ -638,14 +638,14 @@
         break;
     case start_status::completed:
     case start_status::reply_lost:
-    default: // a status that no version of the protocol has proves nothing
+    default: // an unknown status does not prove whether the task ran
         task.is_unknown = true;
         may_retry = kind.second_start && !task.has_run &&
                     hedges_.can_afford(hedge_policy::messages_per_retry);
         break;
     }
     if (task.is_open()) {
-        return; // its other attempt may still complete
+        return; // the other attempt may still complete
     }
     const monotonic_time time = now();
     if (may_retry && !job.is_failing && task.starts < max_starts_per_task && time < lease_end &&
@@ -663,15 +663,15 @@
     }
 }
 
-// Ends an attempt without its reply, which will be ignored. The worker is asked to stop.
+// Stops an attempt and closes it without a reply; a later reply is ignored.
 void dispatcher::engine::abandon_attempt(std::uint32_t index, start_status status)
 {
     send_stop(attempts_[index]);
     close_attempt(index, status);
 }
 
-// Sends the stop and counts the worker's slot as free at once. If the stop is slow, the worker
-// refuses the next task as busy, and that task has certainly not run.
+// Sends a stop and releases the worker's slot at once. If the worker has not stopped the task yet,
+// it refuses the next one as busy, and that one has certainly not run.
 void dispatcher::engine::send_stop(attempt_record& attempt)
 {
     if (!attempt.stop_sent) {
@@ -697,7 +697,7 @@
     update_quota(job.team);
 }
 
-// Frees the record of an attempt. The new generation makes a later reply to it recognisable.
+// Frees the record of an attempt and changes its generation, so that a late reply is recognised.
 void dispatcher::engine::close_attempt(std::uint32_t index, start_status status)
 {
     attempt_record& attempt = attempts_[index];
@@ -721,8 +721,8 @@
     free_attempts_.push_back(index);
 }
 
-// Marks a job as failed: what waits is dropped at once, what runs is waited for, so that the
-// answer can tell truthfully what ran.
+// Marks a job as failed. Queued tasks are dropped at once, but the ends of running tasks are
+// awaited so that the answer states correctly what ran.
 void dispatcher::engine::fail_job(std::uint32_t slot, std::string_view reason)
 {
     job_record& job = jobs_[slot];
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -15,7 +15,7 @@
 
 namespace cactusloom {
 
-// State and rules of the dispatcher. One record for each job, task and open start; all are found
+// Implementation of the dispatcher. Jobs, tasks and open attempts have one record each, addressed
 // by index.
 class dispatcher::engine {
 public:
@@ -36,10 +36,10 @@
     const latency_recorder& latency() const { return latency_; }
 
 private:
-    // What a timer of the wheel is for.
+    // Purpose of a timer in the wheel.
     enum class timer_kind : std::uint8_t { job, attempt, retry, wait, dispatch_queued, retention };
 
-    // A task is started at most this often, however large the retry budget is.
+    // Bound on the starts of a task, regardless of the retry budget.
     static constexpr unsigned max_starts_per_task = 5;
 
     static constexpr std::uint64_t timer_key(timer_kind what, std::uint32_t first,
@@ -48,9 +48,9 @@
         return static_cast<std::uint64_t>(what) << 60U | std::uint64_t{second} << 32U | first;
     }
 
-    // What is known of a request kind, with run times as the router has learned them.
+    // State of a request kind, with cached run-time quantiles of the router.
     struct kind_state {
-        std::uint32_t queue = 0; // kinds with the same needs wait in the same queue
+        std::uint32_t queue = 0; // shared by the kinds that need the same features
         std::uint64_t samples = 0;
         monotonic_time refreshed;
         duration median{};
@@ -63,14 +63,14 @@
         std::shared_ptr<const job_answer> answer;
     };
 
-    // Submissions.
+    // Submission.
     result<void> check(const job_request& request) const;
     result<void> refuse(const job_request& request, error reason);
     void accept(job_request request, std::uint64_t id_hash, std::uint64_t digest);
     std::uint32_t find(std::string_view id) const;
     std::uint32_t add_job();
 
-    // Starting tasks.
+    // Starts of tasks.
     void dispatch_queued();
     bool dispatch_from(fair_queue& queue, int& starts_left);
     void start_next(std::uint32_t slot, worker_id worker);
@@ -105,7 +105,7 @@
     void arm_timer(attempt_record& attempt, std::uint32_t index);
     void retry_later(std::uint32_t slot, std::uint32_t task);
 
-    // Work that is left to a later turn of the loop.
+    // Work deferred to a later iteration of the event loop.
     void schedule_deferred_work();
     void run_deferred_work();
     void deliver();
@@ -114,22 +114,22 @@
     void update_quota(team_index team);
     monotonic_time now() const { return timers_.monotonic_now(); }
 
-    std::shared_ptr<const deployment> settings_; // replaced as a whole
+    std::shared_ptr<const deployment> settings_; // never modified in place
     const dispatcher_options options_;
     worker_client& workers_;
     router& router_;
     timer_service& timers_;
     job_observer* observer_;
-    counters own_counters_; // used when the owner wants none
+    counters own_counters_; // used if the owner passes none
     latency_recorder latency_;
     dispatch_counts counts_;
 
     std::unordered_map<std::string_view, kind_index> kinds_by_name_;
     std::unordered_map<std::string_view, team_index> teams_by_customer_;
     std::vector<kind_state> kinds_;
-    std::vector<team_quota> teams_; // by position; a team that is no longer listed keeps its place
+    std::vector<team_quota> teams_; // by position; removed teams keep theirs
     std::vector<fair_queue> queues_;
-    std::vector<std::vector<std::string>> queue_needs_; // of the kinds that wait in each queue
+    std::vector<std::vector<std::string>> queue_needs_; // worker features, by queue
     team_quotas quotas_;
     retry_budget retries_;
     hedge_policy hedges_;
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -6,7 +6,7 @@
 namespace cactusloom {
 namespace {
 
-// A timer that runs this much too late shows that the process was paused.
+// A timer that runs late by more than this indicates that the process was paused.
 constexpr duration pause_threshold = std::chrono::milliseconds{100};
 
 constexpr std::size_t max_stops_per_turn = 256;
@@ -60,7 +60,7 @@
     deliver();
 }
 
-// The deadline of a job has passed, or the time that its last replies were given.
+// Handles the deadline of a job, and later the end of the grace for its last replies.
 void dispatcher::engine::on_job_due(std::uint32_t slot)
 {
     job_record& job = jobs_[slot];
@@ -74,7 +74,8 @@
             return;
         }
     }
-    // After a pause the replies may be waiting in the sockets, so they get their time once more.
+    // After a pause of the process, replies may be waiting in the sockets, so the grace is granted
+    // once more.
     const bool was_paused = time > limit + pause_threshold && !job.grace_extended;
     job.grace_extended = job.grace_extended || was_paused;
     if (!is_cancelled && (time < limit || was_paused)) {
@@ -91,7 +92,8 @@
             ++counts_.replies_missing;
             task.is_unknown = true;
             task.state = task_state::ended;
-            // The router learns that the worker was silent, unless it was asked to stop.
+            // Reports a lost reply to the router, unless a stop was sent and the slot was released
+            // then.
             release_slot(attempts_[index], {});
             abandon_attempt(index, start_status::reply_lost);
         }
@@ -114,8 +116,8 @@
     }
     const monotonic_time time = now();
     if (time >= attempt.lease_end) {
-        // The process was paused past the lease. The worker has stopped the task or will, and
-        // another holder may act on it, so this one only waits for the reply.
+        // The process was paused past the end of the lease. The worker stops the task by itself and
+        // another holder may act on it, so the lease is not renewed and only the reply is awaited.
         ++counts_.leases_lapsed;
         return;
     }
@@ -123,7 +125,7 @@
         attempt.hedge_at = monotonic_time::max();
         try_hedge(index);
     }
-    // A hedge may have moved the records.
+    // try_hedge() may have reallocated the records.
     attempt_record& it = attempts_[index];
     if (time >= it.renew_at) {
         ++counts_.lease_renewals;
@@ -140,7 +142,7 @@
 {
     const attempt_record& attempt = attempts_[index];
     const job_record& job = jobs_[attempt.job];
-    // Tasks that have not run at all need a free slot more than a second start does.
+    // A queued task has not run at all and needs a free slot more than a hedge does.
     if (job.is_failing || job.tasks[attempt.task].starts >= max_starts_per_task ||
         now() >= job.deadline || queues_[job.queue].size() > 0 ||
         !hedges_.can_afford(hedge_policy::messages_per_hedge)) {
@@ -177,14 +179,14 @@
     task.retry_timer = timer_wheel::none;
     const monotonic_time time = now();
     if (time >= job.deadline) {
-        return; // the timer of the job deals with it
+        return; // handled by the timer of the job
     }
     if (time >= job.received + std::chrono::milliseconds{task.lease_end_ms}) {
         task.state = task_state::ended;
         fail_job(slot, "not retried after the end of the lease");
         return;
     }
-    // Waiting for a token sends nothing, so it cannot add to an overload.
+    // Waiting for a token sends no messages, so it does not add to an overload.
     if (!retries_.try_take()) {
         ++counts_.retry_budget_empty;
         retry_later(slot, task_number);
@@ -235,7 +237,7 @@
            : has_run  ? counts_.jobs_failed_after_run
                       : counts_.jobs_failed_not_run);
     }
-    // Only the answer is kept; a retained job must be small.
+    // Only the answer is kept, so that retained jobs are small.
     release_memory(job.payloads_or_answers);
     release_memory(job.retry_queue);
     job.accepted_settings.reset();
@@ -270,8 +272,8 @@
     }
 }
 
-// Forgets answers whose retention has ended, or only those that exceed the bound of memory. The
-// registry still knows their ids, so they are never run again.
+// Drops answers in excess of the memory bound and, unless `only_excess`, those whose retention has
+// ended. The registry still knows their ids, so that they are never run again.
 void dispatcher::engine::drop_old_answers(bool only_excess)
 {
     const monotonic_time time = now();
@@ -329,8 +331,8 @@
     }
 }
 
-// Hands out what was ready when it was called; what callers cause meanwhile waits for a later
-// turn, so that a caller that waits again at once cannot hold up the loop.
+// Calls the callbacks that are ready now. Those added meanwhile are left to a later iteration of
+// the event loop, so that a caller that waits again at once cannot block the loop.
 void dispatcher::engine::deliver()
 {
     if (deliveries_.empty()) {
@@ -348,7 +350,7 @@
 
 std::string_view dispatcher::engine::task_id(const job_record& job, const attempt_record& attempt)
 {
-    // A suffix may contain dots too, but exactly two fields follow it, so no two starts share one.
+    // The id may contain dots too, but exactly two fields follow it, so the task id is unique.
     task_id_.clear();
     fmt::format_to(std::back_inserter(task_id_), "{}.{}.{}", job.id, attempt.task,
                    attempt.start_number);
--- a/src/dispatch/hedge_policy.cpp
+++ b/src/dispatch/hedge_policy.cpp
@@ -5,10 +5,11 @@
 namespace cactusloom {
 namespace {
 
-// Bounds how much of the budget quiet times can save up for a burst, in messages.
+// Bound on the tokens that can be saved for a burst, in messages.
 constexpr double max_tokens = 300.0;
 
-// A quantile of fewer samples says little, and a declared run time is often far off.
+// Minimum number of samples: a quantile of fewer is unreliable, and a declared run time is often
+// far off.
 constexpr std::uint64_t min_samples = 100;
 
 } // namespace
@@ -31,7 +32,7 @@
 
 void hedge_policy::record_extra_messages(double count)
 {
-    // Retries and renewals are not asked for here, so the account may be overdrawn.
+    // Retries and renewals do not check the budget first, so the balance may become negative.
     tokens_ = std::max(-max_tokens, tokens_ - count);
 }
 
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -5,10 +5,10 @@
 namespace cactusloom {
 namespace {
 
-// Lets an instance retry before it has many starts behind it.
+// Allows retries shortly after the start of the process.
 constexpr double initial_tokens = 10.0;
 
-// Bounds the burst of retries after a long time without any.
+// Bounds a burst of retries after a long time without any.
 constexpr double max_tokens = 100.0;
 
 constexpr duration first_backoff = std::chrono::milliseconds{2};
--- a/src/dispatch/timer_wheel.cpp
+++ b/src/dispatch/timer_wheel.cpp
@@ -10,7 +10,7 @@
 
 constexpr duration tick_length = std::chrono::milliseconds{1};
 
-// Bounds the work of one turn of the loop when many timers are due together.
+// Bounds the work of one iteration of the event loop when many timers are due together.
 constexpr int max_timers_per_turn = 512;
 
 std::int64_t floor_tick(monotonic_time time)
@@ -107,7 +107,7 @@
     armed_ = timers_.schedule(due - timers_.monotonic_now(), [this] { run(); });
 }
 
-// Runs what is due, at most a bounded number in one turn of the loop.
+// Runs due timers, at most max_timers_per_turn in one iteration of the event loop.
 void timer_wheel::run()
 {
     armed_ = 0;
@@ -137,7 +137,8 @@
     }
 }
 
-// The next tick after the cursor whose slot has timers, perhaps of a later turn of the wheel.
+// Returns the next tick after the cursor whose slot holds timers, which may be due only in a later
+// revolution of the wheel.
 std::int64_t timer_wheel::next_tick() const
 {
     const std::size_t start = static_cast<std::size_t>((cursor_ + 1) % slot_count);
--- a/src/entry/account_recorder.cpp
+++ b/src/entry/account_recorder.cpp
@@ -113,12 +113,12 @@
 
 void account_recorder::job_refused(const received_job& details, const error& reason)
 {
-    // A conflict or an id that is not known here says nothing about the submission of that id.
+    // These refusals say nothing about the outcome of the submission with this id.
     if (reason.code == errc::conflict || reason.code == errc::not_found) {
         return;
     }
     account_record record = make_record(details);
-    // A refused id may be submitted again and then has an end of its own.
+    // A refused id may be submitted again and then gets its own record, so this one is renamed.
     record.receipt.submission_id = fmt::format("{}#refused-{}", details.id, ++refusals_);
     record.decided = details.received;
     record.answered = details.received;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -12,7 +12,7 @@
 namespace cactusloom {
 namespace {
 
-// Enough for an offset in decimal; peers compare it with their own.
+// Text that peers compare with their own to detect a different configuration version.
 std::string make_summary(log_offset version)
 {
     return std::to_string(version);
@@ -143,8 +143,8 @@
     if (!router_) {
         return;
     }
-    // Instances and workers of a data centre share its links, so a cut seen between instances
-    // spares the tasks that would be lost in finding it out worker by worker.
+    // Instances and workers of a data centre share its links, so its workers are treated as
+    // leaving, instead of losing tasks until each of them is found unreachable.
     for (std::size_t n = 0; n < settings_->workers.size(); ++n) {
         if (settings_->workers[n].data_centre == data_centre) {
             router_->set_leaving(static_cast<worker_id>(n), !reachable);
@@ -162,7 +162,7 @@
                                   const result<std::vector<listed_instance>>& reply) {
         const auto self = alive.lock();
         if (!self || !reply) {
-            return; // an old list is better than none, so the hints stay
+            return; // keep the seed peers of the last successful fetch
         }
         std::vector<seed_peer> hints;
         for (const listed_instance& it : reply.value()) {
--- a/src/routing/job_spread.cpp
+++ b/src/routing/job_spread.cpp
@@ -13,7 +13,7 @@
 
 std::size_t job_spread::find(std::uint64_t job_key)
 {
-    // Fibonacci hashing: neighbouring keys fall on different places.
+    // Fibonacci hashing, which maps consecutive keys to different slots.
     const std::size_t place = (job_key * 0x9E3779B97F4A7C15U) >> 58U;
     if (keys_[place] != job_key) {
         keys_[place] = job_key;
--- a/src/routing/job_spread.h
+++ b/src/routing/job_spread.h
@@ -6,14 +6,14 @@
 
 namespace cactusloom {
 
-// Where the tasks of recent jobs were placed, by rack, so that one lost rack hits a small part
-// of each job. A fixed number of jobs is remembered; a new one takes the place of an old one.
+// Counts the tasks of recent jobs by rack, so that the loss of a rack affects a small part of each
+// job. Keeps a fixed number of jobs; a new job replaces an older one with the same hash slot.
 class job_spread {
 public:
     explicit job_spread(std::span<const float> rack_slot_share);
 
-    // Writes the penalty of each rack for the next task of a job, 0 to 1: by how much the rack's
-    // part of the job exceeds its part of the slots.
+    // Penalty of each rack for the next task of a job, 0 to 1: the excess of the rack's share of
+    // the job over its share of the slots. The result is valid until the next call.
     std::span<const float> penalties(std::uint64_t job_key);
 
     void add(std::uint64_t job_key, std::size_t rack);
@@ -24,7 +24,7 @@
     std::size_t find(std::uint64_t job_key);
 
     std::vector<float> rack_slot_share_;
-    std::vector<float> counts_; // jobs x racks
+    std::vector<float> counts_; // by job and rack
     std::vector<float> totals_;
     std::vector<std::uint64_t> keys_;
     std::vector<float> penalties_;
--- a/src/routing/placement_cost.h
+++ b/src/routing/placement_cost.h
@@ -8,33 +8,34 @@
 
 namespace cactusloom {
 
-// Weight of a task's own run time against its wait.
+// Weight of the run time of a task relative to its wait.
 inline constexpr float run_weight = 1.0F;
-// Price of a fast slot, in mean run times for a worker of speed 1, when all own slots are taken.
-// Without it every task takes the slot where it finishes first and fills the fast workers at the
-// cost of later tasks. With it short tasks go to slow workers, where they lose little.
+// Price of a slot on a worker of speed 1 when all own slots are taken, in mean run times. The price
+// grows with speed. Without it every task takes the slot where it finishes first, which fills the
+// fast workers at the expense of later tasks; with it short tasks go to slow workers, where they
+// lose little.
 inline constexpr float fast_slot_price = 1.2F;
-// Part of the own slots in use from which on fast slots have a price.
+// Utilisation of the own slots above which fast slots have a price.
 inline constexpr float fast_slot_price_threshold = 0.2F;
-// Slots of others that must look free, beyond the task's own, before one is borrowed. Reports
-// are old, and all instances see the same free slots.
+// Number of further slots that must appear free before a slot outside the own share is borrowed.
+// Load reports are old, and all instances see the same free slots.
 inline constexpr float borrow_margin = 3.0F;
-// Tasks by which the margin shrinks for each mean run time of backlog. The worker's queue then
-// takes the place of a shared one.
+// Tasks by which borrow_margin shrinks per mean run time of backlog. Below zero, tasks go to the
+// queues of the workers instead of waiting in the queue of the instance.
 inline constexpr float borrow_growth = 10.0F;
-// Tasks by which the true load may differ from the estimate.
+// Error bound of the estimated load of a worker, in tasks.
 inline constexpr float load_uncertainty = 1.0F;
-// Doubt about the usual load, per square second without a report.
+// Growth of the staleness of the mean peer load, per square second without a report.
 inline constexpr float staleness_growth = 0.1F;
-// Cost of having all of a job in one rack, in mean run times.
+// Cost of placing all tasks of a job in one rack, in mean run times.
 inline constexpr float rack_weight = 0.1F;
-// Gain a second, over the expected wait for a better slot, from which a task is held back for it.
-// High, since tasks behind the held one wait too.
+// Ratio of expected gain to expected wait above which a task is deferred until a better slot is
+// free. High, because the tasks queued behind it wait too.
 inline constexpr float defer_threshold = 16.0F;
-// Mean run times of backlog after which any slot is taken.
+// Waiting time after which no task is deferred any longer, in mean run times.
 inline constexpr float defer_backlog_limit = 0.3F;
 
-// Predicts what it costs to place a task on a worker now, and whether the worker has room.
+// Estimates the cost, in seconds, of starting a task on a worker now, and the worker's free room.
 class placement_cost {
 public:
     explicit placement_cost(const placement_input& task)
@@ -50,15 +51,15 @@
     {
     }
 
-    // Tasks of other instances that the worker is expected to hold.
+    // Expected number of tasks of other instances on the worker.
     float peer_load(worker_id worker) const
     {
         const worker_table& table = *workers_;
         const auto age = static_cast<float>(task_->now - table.reported_at[worker]);
-        // A worker's load forgets its state within about one run time, so an old report says
-        // little beyond the usual load: weight 1 / recency. Without any reply for seconds even
-        // the usual load is in doubt: weight 1 / doubt. This also ends a state in which nothing
-        // is sent because all workers once looked full.
+        // The load of a worker changes completely within about one run time, so a report is
+        // blended into the mean peer load with weight 1 / recency. Without a reply for seconds the
+        // mean itself is stale and is blended into the default with weight 1 / staleness, so that
+        // workers that once looked full are tried again.
         const float recency = 1 + age * load_decay_rate_ * table.speed[worker];
         const float staleness = 1 + age * age * staleness_growth;
         const float both = 1 / (recency * staleness);
@@ -67,8 +68,8 @@
                        (table.peer_load[worker] - table.mean_peer_load[worker]));
     }
 
-    // Number of tasks that may be started on the worker now: what is left of the own slots, or
-    // of slots that look free.
+    // Number of tasks that may be started on the worker now: the free own slots or, if more, the
+    // slots that appear free and may be borrowed.
     float room(worker_id worker, float peer_load) const
     {
         const worker_table& table = *workers_;
@@ -81,7 +82,7 @@
 
     float room(worker_id worker) const { return room(worker, peer_load(worker)); }
 
-    // Cost in seconds of a task that need not wait on the worker.
+    // Cost in seconds of a task that does not wait on the worker.
     float base_cost(worker_id worker) const
     {
         return run_cost_ * workers_->inverse_speed[worker] +
@@ -89,26 +90,26 @@
                task_->rack_penalty[workers_->rack[worker]] * rack_cost_;
     }
 
-    // Expected seconds that a task waits on the worker.
+    // Expected wait on the worker in seconds.
     float expected_wait(worker_id worker, float peer_load) const
     {
         const worker_table& table = *workers_;
         const float excess = peer_load + table.outstanding[worker] + 1 - table.slots[worker];
-        // The load is an estimate, so a wait is possible below full load and may be absent above
-        // it: the mean excess when the load lies evenly within load_uncertainty of the estimate.
+        // The load is only an estimate. This is the mean number of tasks in excess of the slots if
+        // the true load is uniformly distributed within load_uncertainty of the estimate.
         const float low = std::clamp(excess + load_uncertainty, 0.0F, 2 * load_uncertainty);
         const float waiting_time =
             low * low / (4 * load_uncertainty) + std::max(excess - load_uncertainty, 0.0F);
         return waiting_time * mean_run_ * table.inverse_slots[worker] * table.inverse_speed[worker];
     }
 
-    // Own tasks that end on the worker in a second.
+    // Own tasks completed by the worker per second.
     float completion_rate(worker_id worker) const
     {
         return workers_->outstanding[worker] * load_decay_rate_ * workers_->speed[worker];
     }
 
-    // True while the backlog is too short to take whatever slot is free.
+    // True while the backlog is short enough to wait for a better slot.
     bool may_defer() const { return task_->waiting_time * load_decay_rate_ < defer_backlog_limit; }
 
 private:
--- a/src/routing/run_time_model.cpp
+++ b/src/routing/run_time_model.cpp
@@ -8,11 +8,12 @@
 
 constexpr float min_run_time = 1e-4F;
 constexpr float buckets_per_octave = 8;
-// Runs that the histogram holds before all counts are halved, so that it follows changes.
+// Samples after which all histogram counts are halved, so that the histogram follows changes.
 constexpr float histogram_runs = 4096;
-// Runs that a mean covers. Kinds mix short and long tasks, so fewer would make the mean wander.
+// Window of the running means, in runs. A kind mixes short and long tasks, so a shorter window
+// would make the mean fluctuate.
 constexpr float mean_runs = 1000;
-// Used when a kind declares no run time: the middle of the usual 50 ms to 1 s.
+// For kinds that declare no run time: the middle of the usual range of 50 ms to 1 s.
 constexpr float default_run_time = 0.2F;
 
 } // namespace
@@ -44,7 +45,7 @@
     seconds = std::max(seconds, min_run_time);
     kind_state& state = kinds_[kind];
     const float normalised = seconds / inverse_speed;
-    // The declaration counts as one run.
+    // The declared run time counts as one run.
     state.runs = std::min(state.runs + 1, mean_runs);
     const float gain = 1 / (state.runs + 1);
     state.mean += (normalised - state.mean) * gain;
--- a/src/routing/run_time_model.h
+++ b/src/routing/run_time_model.h
@@ -9,37 +9,39 @@
 
 namespace cactusloom {
 
-// Run times of each request kind, learned from replies in constant memory. Means are normalised
-// to a worker of speed 1, quantiles are over the workers that were used.
+// Run-time statistics of each request kind, learned from replies in constant memory. Means are
+// normalised to a worker of speed 1; quantiles are of the run times as observed.
 class run_time_model {
 public:
     explicit run_time_model(const deployment& settings);
 
-    // Takes the kinds of a new document. Known kinds keep what was learned.
+    // Adds the kinds of a new configuration. Known kinds keep their statistics.
     void apply(const deployment& settings);
 
-    // Takes in a run of `seconds` on a worker whose inverse speed is `inverse_speed`.
+    // Records a run of `seconds` on a worker whose inverse speed is `inverse_speed`.
     void learn(std::uint32_t kind, float seconds, float inverse_speed);
 
-    // Mean seconds at speed 1. Half of a wrong declaration is gone after two replies.
+    // Mean run time in seconds at speed 1. Half of an error in the declared run time is gone after
+    // one reply.
     float mean(std::uint32_t kind) const { return kinds_[kind].mean; }
 
-    // Mean of ln seconds at speed 1.
+    // Mean of the natural logarithm of the run time in seconds at speed 1.
     float log_mean(std::uint32_t kind) const { return kinds_[kind].log_mean; }
 
-    // False while the mean still carries much of the declared run time, which is often wrong.
+    // False while the declared run time, which is often wrong, still dominates the mean.
     bool is_learned(std::uint32_t kind) const { return kinds_[kind].runs >= 10; }
 
-    // Mean seconds at speed 1 over the kinds that were run lately.
+    // Mean run time in seconds at speed 1 over recent runs of all kinds.
     float mean() const { return mean_; }
 
-    // Mean seconds as observed, on the workers that were used.
+    // Mean run time in seconds over recent runs of all kinds, as observed.
     float observed_mean() const { return observed_mean_; }
 
     duration quantile(std::uint32_t kind, double quantile) const;
 
 private:
-    // Buckets grow by 2^(1/8) from 100 us, so a quantile is within 9 % and 160 reach 100 s.
+    // Bucket bounds grow by 2^(1/8) from 100 us, so a quantile is within 9 % and 160 buckets reach
+    // 100 s.
     static constexpr std::size_t buckets = 160;
 
     struct kind_state {
--- a/src/routing/strategy.cpp
+++ b/src/routing/strategy.cpp
@@ -11,11 +11,11 @@
 namespace cactusloom {
 namespace {
 
-// Workers looked at for one decision. With more workers than this a random part is looked at,
-// which keeps the cost of a decision flat.
+// Workers considered per decision. With more workers a random subset is considered, which bounds
+// the cost of a decision.
 constexpr std::uint32_t max_candidates = 64;
 
-// Room without knowledge of others' load: as many own tasks as the worker has slots.
+// Room of a worker as if no other instance used it: one own task per slot.
 float local_room(const placement_input& task, worker_id worker)
 {
     const worker_table& table = *task.workers;
@@ -27,7 +27,7 @@
     return task.is_allowed(worker) && local_room(task, worker) >= 1;
 }
 
-// Visits up to `most` distinct workers from a random one on. Stops when `fn` returns true.
+// Visits up to `most` distinct workers, starting at a random one. Stops when `fn` returns true.
 template<typename Fn>
 void visit(random_engine& random, std::uint32_t n, std::uint32_t most, const Fn& fn)
 {
@@ -125,7 +125,7 @@
     random_engine random_;
 };
 
-// Two random workers, the one with fewer own tasks.
+// Power of two choices: of two random workers, the one with fewer own tasks.
 class two_choices_strategy final : public strategy {
 public:
     explicit two_choices_strategy(std::uint32_t seed) : random_(seed) {}
@@ -143,7 +143,7 @@
                 return {.worker = has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b};
             }
         }
-        // Most workers are full: take any that is not.
+        // Most workers are full, so take any that is not.
         std::optional<worker_id> found;
         visit(random_, n, n, [&](worker_id id) {
             if (has_local_room(task, id)) {
@@ -163,7 +163,7 @@
     random_engine random_;
 };
 
-// The predicted finish over two random workers or over all of them.
+// Takes the worker with the lowest estimated cost among `candidates` random workers.
 class finish_strategy final : public strategy {
 public:
     finish_strategy(std::uint32_t seed, std::uint32_t candidates)
@@ -217,16 +217,16 @@
     }
 
 private:
-    // A worker without room, whose next free slot may be worth waiting for.
+    // A worker without room whose next free slot may be worth waiting for.
     struct full_worker {
         float cost;
         float completion_rate;
     };
 
-    // True if the wait for a slot on one of the full workers costs less than it gains.
+    // True if a slot on one of the full workers is expected to gain more than waiting for it costs.
     static bool is_worth_deferring(std::span<const full_worker> full, float least)
     {
-        // Gain times rate, summed, compares with 1: the expected gain over the expected wait.
+        // The sum of gain times rate is the expected gain over the expected wait.
         float gain = 0;
         for (const full_worker& it : full) {
             gain += std::max(least - it.cost, 0.0F) * it.completion_rate;
--- a/src/routing/strategy.h
+++ b/src/routing/strategy.h
@@ -12,22 +12,22 @@
 
 class run_time_model;
 
-// All that a strategy may read when it places one task.
+// Input of one placement decision.
 struct placement_input {
     const worker_table* workers = nullptr;
     const run_time_model* run_times = nullptr;
-    std::span<const float> limits{};          // own tasks a worker may hold, by health
-    std::span<const std::uint8_t> eligible{}; // whether the worker has the kind's features
+    std::span<const float> limits{};          // own tasks allowed on each worker, by its health
+    std::span<const std::uint8_t> eligible{}; // whether each worker has the kind's features
     std::span<const float> rack_penalty{};    // by rack, 0 to 1
     std::uint32_t kind = 0;
     worker_id excluded = ~worker_id{0};
-    float utilisation = 0;      // part of this instance's own slots that are taken
-    float blocked_time = 0;     // seconds for which picks have found no room
-    float waiting_time = 0;     // seconds for which tasks have waited for any reason
-    float overcommit_limit = 0; // tasks that a worker may be given beyond its slots
-    double now = 0;             // as worker_table::seconds() counts
+    float utilisation = 0;      // own outstanding tasks over own slots
+    float blocked_time = 0;     // seconds since picks began to find no room
+    float waiting_time = 0;     // seconds since picks began to return no worker for any reason
+    float overcommit_limit = 0; // tasks that a worker may be given in excess of its slots
+    double now = 0;             // in the time of worker_table::seconds()
 
-    // True if the worker may be given the task at all, apart from its load.
+    // True if the worker may be given the task, regardless of its load.
     bool is_allowed(worker_id worker) const
     {
         return eligible[worker] != 0 && workers->leaving[worker] == 0 && worker != excluded &&
@@ -35,13 +35,13 @@
     }
 };
 
-// A worker, or the reason for none.
+// The chosen worker, or the reason why there is none.
 struct choice {
     std::optional<worker_id> worker{};
-    bool deferred = false; // there is room, but waiting for a better worker costs less
+    bool deferred = false; // there is room, but waiting for a better worker is cheaper
 };
 
-// Chooses a worker that has room, or nothing. Implementations keep no state about workers.
+// Chooses a worker that has room for a task. Implementations keep no state about workers.
 class strategy {
 public:
     // Returns null for an unknown name.
@@ -54,7 +54,7 @@
 
     virtual choice choose(const placement_input& task) = 0;
 
-    // Number of further tasks that this instance may start on the worker now.
+    // Number of tasks that this instance may start on the worker now.
     virtual float room(const placement_input& task, worker_id worker) const = 0;
 };
 
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -13,24 +13,24 @@
 namespace {
 
 // Pause after a refusal, in mean run times. A full worker with eight slots frees one within an
-// eighth of a run time and then has its own queue to serve; asking again sooner costs two
-// messages each time.
+// eighth of a run time and then serves its own queue first; each earlier attempt costs two
+// messages.
 constexpr float refusal_pause = 0.5F;
 
-// Part of the profile's message budget that refusals may take; a refusal costs two messages.
-// The rest is for lease renewals and hedges.
+// Share of the profile's message budget for refusals, which cost two messages each. The rest is
+// left to lease renewals and hedges.
 constexpr float refusal_budget_share = 0.8F;
-// Bounds of the number of tasks that a worker may be given beyond its slots, and the step by
-// which a refusal lowers it.
+// Initial value and bounds of the number of tasks that a worker may be given in excess of its
+// slots, and the step by which a refusal lowers it.
 constexpr float initial_overcommit_limit = 2.0F;
-// With a lower bound an instance with a backlog is held to its own slots for good: with reports 2 s
-// old, p99 of lough_tapioca at 95 % load was then 22 times the ideal's.
+// A lower minimum confines an instance with a backlog to its own slots permanently: with reports
+// 2 s old, p99 of lough_tapioca at 95 % load is then 22 times that of the ideal scheduler.
 constexpr float min_overcommit_limit = 0.0F;
 constexpr float max_overcommit_limit = 8.0F;
 constexpr float overcommit_limit_step = 0.25F;
 
-// Seconds without a pick that found no room after which the queue is taken to be empty. Longer
-// than the usual time between two ends of own tasks, after which the queue is looked at again.
+// Seconds without an unsuccessful pick after which the queue counts as empty. Longer than the usual
+// time between two ends of own tasks, since each end triggers the next pick.
 constexpr double backlog_gap = 0.05;
 
 std::vector<std::uint8_t> eligible_workers(const deployment& settings, const request_kind& kind)
@@ -47,7 +47,7 @@
     return eligible;
 }
 
-// Without a known place among the instances a random one is as good as any.
+// Uses a random position among the instances if it is not known.
 double initial_share_begin(const router_options& options)
 {
     random_engine random(static_cast<std::uint32_t>(options.seed) | 4096U);
@@ -99,7 +99,7 @@
     health_.apply(workers_.rack, workers_.racks);
     spread_ = job_spread(workers_.rack_slot_share);
     if (settings.profile.routing != strategy_name_) {
-        // Validation refuses unknown names; should one get here, the old strategy stays.
+        // Validation rejects unknown names. Keep the old strategy if one gets here.
         if (auto next = strategy::make(settings.profile.routing, seed_)) {
             strategy_ = std::move(next);
             strategy_name_ = settings.profile.routing;
@@ -199,12 +199,12 @@
     case start_status::refused_busy:
         workers_.record_refusal(worker, now, run_times_.observed_mean() * refusal_pause);
         adjust_overcommit_limit(true);
-        return; // says nothing about health: the worker is only full
+        return; // a full worker may be healthy
     case start_status::refused_leaving:
         workers_.leaving[worker] = 1;
         return;
     case start_status::stopped:
-        return; // ended at our request
+        return; // ended at the request of this instance
     case start_status::completed:
         adjust_overcommit_limit(false);
         workers_.slow_start_limit[worker] += 2;
@@ -218,7 +218,7 @@
 
 void table_router::adjust_overcommit_limit(bool refused)
 {
-    // Steps up and down are in balance when the part of refused starts is what the budget allows.
+    // The steps up and down balance when refusals use exactly the budgeted messages.
     const float step =
         refused ? -overcommit_limit_step : overcommit_limit_step * allowed_refusal_ratio_;
     overcommit_limit_ =
@@ -229,7 +229,8 @@
 {
     const float seconds = std::max(static_cast<float>(run_time.count()) * 1e-6F, 1e-4F);
     if (run_times_.is_learned(kind)) {
-        // Only then: a declared run time that is off by ten would make every worker look slow.
+        // A declared run time that is wrong by a factor of ten would make every worker look slow or
+        // fast.
         workers_.learn_speed(worker, run_times_.log_mean(kind) - std::log(seconds));
     }
     run_times_.learn(kind, seconds, workers_.inverse_speed[worker]);
@@ -267,7 +268,7 @@
     if (room > static_cast<double>(position)) {
         return duration::zero();
     }
-    // Own tasks end at this rate in steady state, and each end frees a slot for the next one.
+    // In steady state own tasks end at this rate, and each end frees a slot.
     const double rate = std::max(workers_.total_outstanding, 1.0) / run_times_.observed_mean();
     return duration{
         static_cast<std::int64_t>((static_cast<double>(position) - room + 1) / rate * 1e6)};
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -12,7 +12,7 @@
 
 namespace cactusloom {
 
-// The router of one instance: what it knows, and the strategy that decides from it.
+// The router of one instance: its state about workers and kinds, and the strategy in use.
 class table_router final : public router {
 public:
     table_router(const deployment& settings, const clock& time, router_options options,
@@ -45,14 +45,14 @@
     const clock* time_;
     double share_begin_;
     double blocked_since_ = 0;
-    double last_blocked_ = -1; // last time that a pick found no room
+    double last_blocked_ = -1; // last time a pick found no room
     double waiting_since_ = 0;
-    double last_waited_ = -1; // last time that a pick returned nothing for any reason
+    double last_waited_ = -1; // last time a pick returned no worker for any reason
     worker_table workers_;
     run_time_model run_times_;
     worker_health health_;
     job_spread spread_;
-    float allowed_refusal_ratio_ = 0; // for each start
+    float allowed_refusal_ratio_ = 0; // refusals per completed start
     float overcommit_limit_;
     std::unique_ptr<strategy> strategy_;
     std::vector<std::vector<std::uint8_t>> eligible_; // by kind and worker
--- a/src/routing/worker_health.cpp
+++ b/src/routing/worker_health.cpp
@@ -7,24 +7,26 @@
 namespace {
 
 constexpr float unlimited = 1e9F;
-// Seconds over which outcomes are forgotten. Long enough to hold a few tasks of each worker
-// when an instance sees one or two replies a second from it.
+// Time constant of the decay of outcomes, in seconds. Covers a few tasks of each worker when an
+// instance gets one or two replies a second from it.
 constexpr double decay_time = 5.0;
-// A worker must be worse than the fleet by this much, besides three standard errors.
+// Amount, in addition to three standard errors, by which the failure rate of a worker must exceed
+// that of the fleet.
 constexpr double outlier_margin = 0.2;
 constexpr std::uint32_t min_failures = 3;
-// Seconds to the first probe. Nine instances probing at this interval touch about four tasks a
-// second with a failing worker, and the interval doubles with each failed probe.
+// Seconds to the first probe. With nine instances, probes at this interval send about four tasks a
+// second to a failing worker; the interval doubles with each failed probe.
 constexpr double initial_probe_interval = 2.0;
 constexpr double max_probe_interval = 30.0;
 constexpr std::uint32_t probation_successes = 3;
-// Failure rate that a fleet is assumed to have at least.
+// Lower bound of the failure rate of the fleet.
 constexpr double min_failure_rate = 0.02;
-// Losses of one rack within this many seconds count as one event.
+// Workers of a rack that become unreachable within this many seconds count as one event.
 constexpr double rack_window = 2.0;
-// With more racks lost at once, the fault is taken to be ours or the whole fleet's.
+// If more racks are lost at once, the fault is assumed to be in this instance or fleet-wide.
 constexpr std::size_t max_lost_racks = 2;
-// Part of the fleet whose last task failed above which nobody is singled out.
+// Fraction of workers whose last task failed above which the fault is considered fleet-wide and no
+// worker is ejected.
 constexpr double fleet_fault_part = 0.4;
 
 } // namespace
@@ -38,7 +40,8 @@
 
 void worker_health::apply(std::vector<std::uint16_t> rack_of_worker, std::size_t racks)
 {
-    // A worker may have moved to another rack, so lost racks start over with single tasks.
+    // A worker may have moved to another rack, so the workers of lost racks start over on
+    // probation.
     for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
         if (racks_[rack].lost) {
             restore_rack(rack);
@@ -106,7 +109,7 @@
     }
     ++it.failures_in_row;
     it.successes_in_row = 0;
-    // Failures of tasks started before the ejection do not lengthen the interval.
+    // Only a failed probe lengthens the interval, not a task started before the ejection.
     if (it.state == health_state::ejected && it.probe_in_flight) {
         it.probe_interval = std::min(it.probe_interval * 2, max_probe_interval);
         it.probe_at = now + it.probe_interval;
@@ -134,8 +137,8 @@
         limits_[worker] = 1;
         break;
     case health_state::healthy:
-        // A worker that fails at once frees its slots at once; a single task at a time keeps it
-        // from drawing work while its failures are counted.
+        // A worker that fails tasks immediately always has free slots. One task at a time keeps it
+        // from attracting tasks until enough failures are counted.
         limits_[worker] = it.last_failed && !fleet_fault_ ? 1 : unlimited;
         break;
     }
@@ -163,8 +166,8 @@
     const double others = std::max(tasks_ - worker.tasks, 0.0);
     const double other_failures = std::max(failures_ - worker.failures, 0.0);
     const auto failed_elsewhere = static_cast<double>(last_failed_ - (worker.last_failed ? 1 : 0));
-    // The part of workers whose last task failed reacts sooner than the rate of tasks, and a
-    // single worker that fails quickly cannot raise it.
+    // The fraction of workers whose last task failed reacts sooner than the failure rate of tasks,
+    // and a single worker that fails quickly cannot raise it.
     const double fleet = std::max(
         {(other_failures + 0.1) / (others + 10),
          failed_elsewhere / static_cast<double>(std::max<std::size_t>(workers_.size() - 1, 1))});
@@ -244,8 +247,8 @@
         const auto size = static_cast<double>(racks_[rack].workers);
         const double fleet = std::max({static_cast<double>(outside) / std::max(n - size, 1.0),
                                        failures_ / std::max(tasks_, 1.0), min_failure_rate});
-        // Losses spread over the fleet hit half of some rack by chance; four standard errors
-        // keep that from being taken for a lost rack.
+        // Unreachable workers all over the fleet may by chance include half of a rack; four
+        // standard errors keep that from being taken for a lost rack.
         const double threshold = fleet + 4 * std::sqrt(fleet * (1 - fleet) / size);
         const auto lost = static_cast<double>(inside);
         if (!racks_[rack].lost && inside >= 2 && lost * 2 >= size && lost / size > threshold) {
@@ -268,7 +271,7 @@
     }
     recently_failed_.clear();
     if (fleet_fault_ && ejected_ > 0) {
-        // The ejected workers are no worse than the rest.
+        // In a fleet-wide fault the ejected workers are no worse than the rest.
         for (worker_id id = 0; id < workers_.size(); ++id) {
             if (workers_[id].state == health_state::ejected) {
                 set_state(id, health_state::healthy);
--- a/src/routing/worker_health.h
+++ b/src/routing/worker_health.h
@@ -12,21 +12,21 @@
 
 enum class task_outcome : std::uint8_t { success, failure, unreachable };
 
-// Judges workers against the rest of the fleet. A worker that is much worse than the others is
-// ejected and comes back through probation with single tasks; a rack whose workers are lost
-// together is taken out as one event. At most a tenth of the workers are ejected, not counting
-// lost racks. Times are seconds on any monotonic line.
+// Outlier detection over the workers. A worker that fails much more often than the fleet is ejected
+// and returns through probation, with one task at a time; a rack whose workers become unreachable
+// together is ejected as a whole. At most a tenth of the workers are ejected, not counting lost
+// racks. Times are seconds on any monotonic clock.
 class worker_health {
 public:
     worker_health(std::vector<std::uint16_t> rack_of_worker, std::size_t racks, std::uint64_t seed);
 
-    // Takes the racks of a new document. Known workers keep their standing.
+    // Applies the racks of a new configuration. Known workers keep their state.
     void apply(std::vector<std::uint16_t> rack_of_worker, std::size_t racks);
 
     void record(worker_id worker, task_outcome outcome, double now);
 
-    // Judges what was recorded since the last call. Call before reading limits: outcomes that
-    // arrive together are then judged together, so a fleet-wide fault is seen as such.
+    // Evaluates the outcomes recorded since the last call. Must be called before limits(). Outcomes
+    // that arrive together are thus evaluated together, so that a fleet-wide fault is recognised.
     void evaluate(double now)
     {
         if (has_new_failures_) {
@@ -34,13 +34,14 @@
         }
     }
 
-    // Own tasks that the worker may hold: 0 while ejected, 1 while in doubt, else unlimited.
+    // Own tasks allowed on each worker: 0 while ejected, 1 on probation or after a failure, else
+    // unlimited.
     const std::vector<float>& limits() const { return limits_; }
 
     bool is_probe_due(double now) const { return now >= next_probe_; }
 
-    // Workers to be probed with a single task, one call each, until nothing is returned.
-    // `eligible` tells whether the worker can take the task at hand.
+    // Returns a worker that is due for a probe with a single task, or nothing if none is.
+    // `eligible` tells whether a worker can take the task at hand.
     template<typename Eligible>
     std::optional<worker_id> begin_probe(double now, const Eligible& eligible);
 
@@ -88,9 +89,9 @@
     std::vector<worker_record> workers_;
     std::vector<rack_record> racks_;
     std::vector<float> limits_;
-    std::vector<worker_id> recently_failed_; // workers that failed since the last judgement
+    std::vector<worker_id> recently_failed_; // workers that failed since the last evaluation
     random_engine random_;
-    double failures_ = 0; // decayed, over the fleet
+    double failures_ = 0; // decayed, over all workers
     double tasks_ = 0;
     double updated_at_ = 0;
     double next_probe_ = std::numeric_limits<double>::infinity();
@@ -116,7 +117,7 @@
         if (!(rack_due || worker_due) || !eligible(id)) {
             continue;
         }
-        // The next probe is due after a whole interval even if this one is never answered.
+        // The next probe is due after a full interval even if this one gets no reply.
         (rack_due ? rack.probe_at : worker.probe_at) =
             now + (rack_due ? rack.probe_interval : worker.probe_interval);
         worker.probe_in_flight = true;
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -8,17 +8,17 @@
 namespace cactusloom {
 namespace {
 
-// Part of a new report in the long-term mean of the others' load.
+// Weight of a new report in the long-term mean of the peer load.
 constexpr float peer_load_gain = 0.1F;
-// Runs that a speed covers. Run times of one kind vary by a factor of two or so, and the mean
-// of 100 of them is then known within about 6 %.
+// Window of the slow mean of a speed, in runs. Run times of one kind vary by a factor of about two,
+// so the mean of 100 is accurate to about 6 %.
 constexpr float speed_runs = 100;
 constexpr float fast_gain = 0.125F;
-// A difference of ln speed that chance does not explain: three standard errors of the fast mean.
+// Difference of ln speed that is taken for a change: three standard errors of the fast mean.
 constexpr float speed_change = 0.7F;
-// First speeds are drawn towards the fleet's mean as if this many runs had shown it.
+// Weight of the fleet's mean speed in the first estimates, in runs.
 constexpr float prior_runs = 3;
-// Own tasks that a worker may hold before its first reply.
+// Own tasks that a worker may be given before its first reply.
 constexpr float initial_slow_start_limit = 2;
 
 } // namespace
@@ -75,8 +75,9 @@
     const double part = std::clamp(share, 0.001, 1.0);
     total_own_slots = 0;
     for (std::size_t i = 0; i < size(); ++i) {
-        // The slots lie on a line from 0 to `slots`, shifted by a different fraction for each
-        // worker, so that an instance with less than one slot has one on some workers.
+        // Each instance owns an interval of the range from 0 to the number of slots. The offset
+        // differs between workers, so that a share of less than one slot yields one on some of
+        // them.
         const double first = begin * static_cast<double>(slots[i]) + offsets_[i];
         const double last = first + part * static_cast<double>(slots[i]);
         own_slots[i] = static_cast<float>(std::floor(last) - std::floor(first));
@@ -95,7 +96,7 @@
 {
     const float total = static_cast<float>(load.running) + static_cast<float>(load.queued);
     if (total < outstanding[worker]) {
-        // The report is older than some of our starts, so nothing follows about the others.
+        // The report is older than some own starts, so it says nothing about the other instances.
         return;
     }
     peer_load[worker] = total - outstanding[worker];
--- a/src/routing/worker_table.h
+++ b/src/routing/worker_table.h
@@ -11,50 +11,53 @@
 
 namespace cactusloom {
 
-// What one instance knows about every worker, as a struct of arrays so that a scan over all
-// workers reads few cache lines. Positions are worker ids.
+// State of all workers as seen by one instance, indexed by worker id. A struct of arrays, so that a
+// scan over all workers reads few cache lines.
 struct worker_table {
     worker_table(const deployment& settings, double share_begin, double share);
 
-    // Takes the workers of a new document. Known workers keep their positions and what was learned.
+    // Applies the workers of a new configuration. Known workers keep their positions and learned
+    // state.
     void apply(const deployment& settings);
 
     std::size_t size() const { return slots.size(); }
 
-    // Recomputes this instance's part of each worker's slots. Instances whose ranges do not
-    // overlap get different slots, so that all quotas of a worker add up to its slots.
+    // Recomputes this instance's share of each worker's slots. Instances whose ranges do not
+    // overlap get different slots, so that the shares of a worker add up to its slots.
     void set_share(double begin, double share);
 
-    // Takes in a load report. Its own tasks are subtracted, what remains is the others' load.
+    // Records a load report. The load of other instances is the total minus the own tasks.
     void record_report(worker_id worker, const worker_load& load, monotonic_time now);
 
-    // A refusal proves that the worker is full, whatever an older report says. It gets no task
-    // for `pause` seconds.
+    // Records a refusal, which proves that the worker is full whatever an older report says. The
+    // worker gets no task for `pause` seconds.
     void record_refusal(worker_id worker, monotonic_time now, float pause);
 
-    // Learns from one run: `log_ratio` is ln(expected normalised run time / observed run time).
+    // Updates the speed from one run. `log_ratio` is ln(expected normalised run time / observed run
+    // time).
     void learn_speed(worker_id worker, float log_ratio);
 
     std::vector<float> slots;
     std::vector<float> outstanding;       // own tasks started and not ended
-    std::vector<float> peer_load;         // other instances' tasks when last reported
-    std::vector<float> mean_peer_load;    // long-term mean of `peer_load`
-    std::vector<float> default_peer_load; // `peer_load` while nothing was reported
-    std::vector<float> own_slots;         // own slots, a whole number
-    std::vector<double> reported_at;      // as seconds() counts
-    std::vector<double> busy_until;       // after a refusal
-    std::vector<float> speed;             // 1 is the speed that normalised run times refer to
+    std::vector<float> peer_load;         // tasks of other instances, as last reported
+    std::vector<float> mean_peer_load;    // long-term mean of peer_load
+    std::vector<float> default_peer_load; // expected peer_load without any report
+    std::vector<float> own_slots;         // this instance's share of the slots, a whole number
+    std::vector<double> reported_at;      // in the time of seconds()
+    std::vector<double> busy_until;       // end of the pause after a refusal
+    std::vector<float> speed;             // 1 is the speed of normalised run times
     std::vector<float> inverse_speed;
     std::vector<float> inverse_slots;
-    std::vector<float> slow_start_limit; // bound on own outstanding tasks until replies have come
+    std::vector<float>
+        slow_start_limit; // bound on own outstanding tasks; grows with each completion
     std::vector<std::uint16_t> rack;
     std::vector<std::uint8_t> leaving;
     std::size_t racks = 0;
-    std::vector<float> rack_slot_share; // part of all slots, by rack
+    std::vector<float> rack_slot_share; // fraction of all slots, by rack
     double total_outstanding = 0;
-    double total_own_slots = 1; // part of all slots, at least one
+    double total_own_slots = 1; // own slots over all workers, at least one
 
-    // Seconds since the table was made.
+    // Converts a time to the time scale of the members, in seconds.
     double seconds(monotonic_time now) const;
 
 private:
@@ -68,7 +71,7 @@
     double share_begin_;
     double share_;
     std::vector<speed_state> speeds_;
-    std::vector<double> offsets_; // by worker, 0 to 1, the same on all instances
+    std::vector<double> offsets_; // by worker, 0 to 1, equal on all instances
     monotonic_time origin_{};
 };
 
--- a/src/submission/submission_id.cpp
+++ b/src/submission/submission_id.cpp
@@ -19,7 +19,7 @@
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-';
 }
 
-// Characters that would not be safe in a URL, or that separate fields, become '_' and two digits.
+// Escapes characters that are unsafe in a URL or separate fields as '_' and two hex digits.
 void append_escaped(std::string& out, std::string_view name)
 {
     for (const char c : name) {
--- a/src/submission/submission_registry.cpp
+++ b/src/submission/submission_registry.cpp
@@ -5,7 +5,8 @@
 namespace cactusloom {
 namespace {
 
-// Short spans drop expired ids soon; 31 tables cover the validity.
+// Length of the time interval of one table. Short, so that expired ids are dropped soon; 31 tables
+// cover prefix_validity.
 constexpr duration bucket_length = std::chrono::seconds{4};
 constexpr std::size_t min_table_size = 16;
 
@@ -14,7 +15,7 @@
     return time.time_since_epoch() / bucket_length;
 }
 
-// Zero marks a free place.
+// Zero marks a free slot.
 std::uint64_t to_key(std::uint64_t id_hash)
 {
     return id_hash == 0 ? ~std::uint64_t{0} : id_hash;
@@ -30,7 +31,7 @@
     if (issued > now) {
         return verdict::invalid;
     }
-    // The age is checked first, so the answer does not depend on when tables are dropped.
+    // The age is checked first, so that the result does not depend on when tables are dropped.
     if (now - issued > prefix_validity) {
         return verdict::expired;
     }
@@ -55,7 +56,7 @@
         return verdict::full;
     }
     table& home = table_at(bucket_of(issued));
-    // At three quarters full the expected probe length is still below three.
+    // Maximum load factor of three quarters, at which the expected probe length is below three.
     if (home.used * 4 >= home.entries.size() * 3) {
         std::vector<entry> larger(std::max(min_table_size, home.entries.size() * 2));
         for (const entry& old : home.entries) {
@@ -80,8 +81,8 @@
     return sum;
 }
 
-// Returns the place that holds the id, or the free place where it belongs. The size is a power of
-// two and at least one place is free.
+// Returns the slot that holds the id, or the free slot where it belongs. The size must be a power
+// of two and at least one slot must be free.
 std::size_t submission_registry::find_slot(const std::vector<entry>& entries, std::uint64_t id_hash)
 {
     const std::size_t mask = entries.size() - 1;
