--- a/bench/account_bench.cpp
+++ b/bench/account_bench.cpp
@@ -1,5 +1,6 @@
-// Prints bytes and CPU per account record, and appends and bytes a second of whole deployments.
-// Virtual time and fixed seeds; CPU is of this process and includes the generated load.
+// Measures bytes and CPU time per account record, and appends and bytes per second of whole
+// deployments. Runs in virtual time with fixed seeds; the CPU time is that of this process and
+// includes load generation.
 #include "account/account_reader.h"
 #include "account/account_writer.h"
 #include "base/random.h"
@@ -20,7 +21,7 @@
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-// Stores nothing but counts; answers after 5 ms, as a synced write takes several ms.
+// Counts appends without storing them; confirms after 5 ms, the order of a synced disk write.
 class counting_log final : public log_service {
 public:
     explicit counting_log(timer_service& timers) : timers_(timers) {}
@@ -106,7 +107,7 @@
                static_cast<double>(bytes) / records, write_us, read_us);
 }
 
-// One instance's part of the deployment's load for a minute of virtual time.
+// Runs one instance's share of the load of a deployment for a minute of virtual time.
 void measure_deployment(const profile& of, std::size_t instances, double requests_per_second)
 {
     constexpr auto span = 60s;
--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -1,5 +1,5 @@
-// Cost of configuration at the size of design.md section 1.7, and the time until an edit is in
-// force.
+// Measures the cost of the configuration modules at the size of design.md section 1.7, and the time
+// until an edit is applied by all instances.
 
 #include "base/random.h"
 #include "config/config_follower.h"
@@ -22,7 +22,7 @@
 
 constexpr int worker_count = 1000;
 constexpr int team_count = 77;
-constexpr int customer_count = 2000; // assumed; the design page states no number
+constexpr int customer_count = 2000; // not specified in the design page
 constexpr double changes_per_day = 4300;
 constexpr double seconds_per_day = 86400;
 
@@ -134,7 +134,7 @@
     }
 }
 
-// CPU and bytes of one accepted edit, by section, and the memory of the ledger.
+// Measures CPU time and bytes of an accepted edit, by section, and the memory of the state machine.
 void measure_ledger()
 {
     const auto heap_before = heap_megabytes();
@@ -163,7 +163,7 @@
                (encoded - start) * 1e3, (cpu_seconds() - encoded) * 1e3, restored.has_value());
 }
 
-// Nine followers on one log in virtual time.
+// Nine instances that follow one log in virtual time.
 class fleet {
 public:
     static constexpr int instance_count = 9;
@@ -182,7 +182,7 @@
                     in_force_at = timers.monotonic_now();
                 }
             });
-            // Instances start at different times, so their polls are spread over the interval.
+            // Instances start at different times, so that their polls are spread over the interval.
             timers.schedule(n * options.poll_interval / instance_count,
                             [this, n] { followers[static_cast<std::size_t>(n)]->start(); });
         }
@@ -236,8 +236,8 @@
                times.back());
 }
 
-// Control cost of one node. The CPU includes the in-memory log, so it is an upper bound; the bytes
-// are contents of records, to which each request adds its headers.
+// Measures the configuration traffic and CPU time per node. The CPU time includes the in-memory
+// log, so it is an upper bound; the bytes are record contents without request headers.
 void measure_node(const char* mix, std::span<const section_kind> kinds)
 {
     const auto heap_before = heap_megabytes();
@@ -278,7 +278,7 @@
                (heap - static_cast<double>(log_bytes) / (1 << 20)) / node_count);
 }
 
-// CPU time of a new instance that reads a log alone.
+// Measures the start of an instance that reads the whole log without the help of peers.
 void measure_cold_start()
 {
     fleet all({});
--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -1,5 +1,5 @@
-// Compares routing strategies with an ideal that has one queue and full, instant knowledge.
-// Everything runs in virtual time from fixed seeds, so two runs print the same table.
+// Compares the routing strategies with an ideal scheduler that has a single queue and complete,
+// instantaneous knowledge. Runs in virtual time with fixed seeds, so the output is reproducible.
 #include "ideal_scheduler.h"
 #include "routing_simulation.h"
 
@@ -17,7 +17,7 @@
     "random",      "round_robin",        "fewest_outstanding",
     "two_choices", "two_choices_finish", "predicted_finish"};
 
-// A profile as the deployments set it.
+// A dispatch profile as set by the deployments.
 struct profile {
     const char* name;
     double message_budget;
@@ -72,7 +72,7 @@
         next.load = kind == fault::burst ? 0.5 : 0.8;
         next.jobs = kind == fault::cancellation;
         if (kind == fault::declared) {
-            next.warm_up = 0; // what matters is the time before anything is learned
+            next.warm_up = 0; // measures the time before run times are learned
         }
         made.push_back(next);
     }
@@ -126,7 +126,7 @@
         for (const profile& it : profiles) {
             const bool is_main = std::string_view(strategy) == "predicted_finish";
             if (!is_main && it.message_budget < 2.1) {
-                continue; // the baselines know no profile
+                continue; // the baselines ignore the message budget
             }
             const outcome result =
                 routing_simulation(settings, input, strategy, it.message_budget).run();
--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -8,15 +8,15 @@
 #include <fmt/format.h>
 #include <vector>
 
-// CPU per task through the dispatcher with a worker client that answers from memory, so that
-// neither HTTP nor the router's decision is part of the figure; and bytes held.
+// Measures the CPU time per task of the dispatcher and its memory. An in-memory worker client and a
+// trivial router keep HTTP and routing decisions out of the result.
 
 using namespace cactusloom;
 using namespace std::chrono_literals;
 
 namespace {
 
-// Always has room; the cost of a real decision is measured in the benchmark of the router.
+// Router that always picks worker 0; router_bench measures real decisions.
 class open_router final : public router {
 public:
     bool has_room = true;
@@ -42,7 +42,7 @@
     duration expected_wait(std::size_t /*position*/) const override { return duration::zero(); }
 };
 
-// Keeps the callbacks until they are asked for.
+// Worker client that completes all open starts when answer_all() is called.
 class instant_workers final : public worker_client {
 public:
     void start(worker_id /*worker*/, const start_request& request, callback done) override
@@ -84,7 +84,7 @@
             dispatcher::dependencies{workers, task_router, timers, nullptr, &metrics});
     }
 
-    // Submits one job and waits for its answer.
+    // Submits one job and registers a wait for its answer.
     void submit(std::size_t tasks)
     {
         job_request request;
@@ -111,7 +111,7 @@
     std::uint64_t answered = 0;
 };
 
-// Submission, start, reply, answer and, later, the end of the retention.
+// Measures a task from submission to answer, including the later end of the answer's retention.
 void through_the_dispatcher(benchmark::State& state)
 {
     bench_setup it;
@@ -136,7 +136,7 @@
 }
 BENCHMARK(through_the_dispatcher)->Arg(1)->Arg(10)->Arg(700);
 
-// Memory of jobs that wait, and of their answers.
+// Measures the memory of queued jobs and of retained answers.
 void memory(benchmark::State& state)
 {
     const auto tasks = static_cast<std::size_t>(state.range(0));
@@ -162,7 +162,7 @@
 }
 BENCHMARK(memory)->Arg(1)->Arg(700)->Iterations(1);
 
-// Ids as they come at 9,000 a second until the first of them expire.
+// Measures the id registry at 9,000 ids a second for longer than a prefix is valid.
 void remembered_ids(benchmark::State& state)
 {
     for ([[maybe_unused]] auto _ : state) {
--- a/bench/ideal_scheduler.h
+++ b/bench/ideal_scheduler.h
@@ -6,9 +6,9 @@
 
 namespace cactusloom::bench {
 
-// One queue with full and instant knowledge of workers and run times: each task in order of arrival
-// goes to the slot with the least wait, faster workers and longer tasks first among near equals.
-// Faults are known at the moment they happen.
+// Ideal scheduler: one queue with complete, instantaneous knowledge of workers and run times. Each
+// task, in order of arrival, takes the slot with the least wait plus a small weight of its run
+// time, which prefers faster workers among similar waits. Faults are known the moment they happen.
 class ideal_scheduler {
 public:
     ideal_scheduler(const scenario& settings, const workload_trace& input, double round_trip)
@@ -45,10 +45,10 @@
 
 private:
     static constexpr double never = 1e18;
-    // Weight of the run time against the wait when a slot is chosen. With 1 each task takes the
-    // slot where it finishes first, which fills the fast workers' queues at the cost of all later
-    // tasks: at 80 % load the mean is then 18 % and p99 14 % higher than with 0.1. With 0 the
-    // mean is 1 % lower but p99 31 % higher, since long tasks start on slow workers.
+    // Weight of the run time relative to the wait when a slot is chosen. With 1 each task takes the
+    // slot where it finishes first, which fills the queues of fast workers at the expense of later
+    // tasks: at 80 % load the mean is 18 % and p99 14 % higher than with 0.1. With 0 the mean is
+    // 1 % lower but p99 31 % higher, since long tasks start on slow workers.
     static constexpr double run_weight = 0.1;
 
     struct assignment {
@@ -79,7 +79,7 @@
         }
     }
 
-    // Applies the fault and places the tasks that have not started again.
+    // Applies the fault and places all tasks again that have not started yet.
     void inject_fault()
     {
         const double now = trace_->fault_at;
@@ -111,7 +111,7 @@
                 again.push_back(it.task);
             }
             else if (is_dead) {
-                finish_[it.task] = never; // ran when the worker was lost
+                finish_[it.task] = never; // was running when its worker was lost
             }
             else {
                 free_at_[it.slot] = finish_[it.task];
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -1,5 +1,5 @@
-// Load tool: a closed loop of callers against an instance, or against workers directly for
-// comparison. Prints one table row. Started by tools/bench_sockets.
+// Load generator: a closed loop of callers against an instance or, for comparison, directly against
+// workers. Prints one table row. Run by tools/bench_sockets.
 #include "base/glib_timer_service.h"
 #include "config/deployment.h"
 #include "http/http_client.h"
@@ -21,7 +21,7 @@
 
 struct options {
     std::string address; // of the instance
-    std::string workers; // "ip:port,..." to call directly instead
+    std::string workers; // "ip:port,...", to call directly instead
     std::string customer = "demo";
     std::string kind = "stock_confirm";
     int callers = 32;
@@ -50,7 +50,7 @@
     return next == -1 && (into.address.empty() != into.workers.empty());
 }
 
-// Keeps a number of requests open until enough have ended, and times each one.
+// Keeps a fixed number of requests open until enough have ended, and times each one.
 class closed_loop {
 public:
     using request = std::function<void(int number, std::function<void(bool)> done)>;
@@ -156,7 +156,8 @@
             const bool good = reply.end == http_outcome::replied && reply.status == 200 &&
                               reply.body.find("\"completed\"") != std::string::npos;
             if (good) {
-                prefix = reply.header("Cactusloom-Id-Prefix"); // as callers do, at no extra message
+                prefix =
+                    reply.header("Cactusloom-Id-Prefix"); // as callers do; needs no extra message
             }
             done(good);
         });
--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -1,5 +1,6 @@
-// Prints the cost of the failure detector per node and the time until a dead peer is noticed.
-// Virtual time, fixed seeds; CPU includes the in-memory network, so it is an upper bound.
+// Measures the cost of the failure detector per node and the time to detect a dead peer. Runs in
+// virtual time with fixed seeds; the CPU time includes the in-memory network, so it is an upper
+// bound.
 #include "tests/membership/cluster.h"
 
 #include <algorithm>
@@ -27,7 +28,7 @@
     return sum;
 }
 
-// Runs `seconds` and prints what each node sent a second.
+// Runs for `seconds` and prints the traffic and CPU time per node and second.
 void measure(cluster& it, const char* phase, unsigned seconds)
 {
     std::map<std::string, std::uint64_t> before;
@@ -83,7 +84,8 @@
     measure(it, "data centre back, 15 s", 15);
 }
 
-// Time from a death until the first and the last live node holds the peer dead.
+// Measures the time from the death of a node until the first and the last live node consider it
+// dead.
 void measure_notice(unsigned n)
 {
     std::vector<double> first;
--- a/bench/router_bench.cpp
+++ b/bench/router_bench.cpp
@@ -1,4 +1,4 @@
-// Cost of one routing decision with its start and end, and the allocations it makes.
+// Measures the cost of a routing decision with its start and end, and counts its allocations.
 #include "base/clock.h"
 #include "routing/router.h"
 
@@ -15,7 +15,7 @@
 
 } // namespace
 
-// Not inlined: GCC would take malloc() and delete for a mismatched pair.
+// Not inlined, since GCC would warn about malloc() and delete as a mismatched pair.
 [[gnu::noinline]] void* operator new(std::size_t size)
 {
     ++allocations;
@@ -65,7 +65,7 @@
     return made;
 }
 
-// One pick, start and end at 80 % load of the instance's own part, with a full queue of ends.
+// One pick, start and end at 80 % utilisation of the instance's share of the slots.
 void decide(benchmark::State& state)
 {
     const auto workers = static_cast<std::size_t>(state.range(1));
@@ -105,7 +105,7 @@
     state.SetLabel(strategies.at(static_cast<std::size_t>(state.range(0))));
 }
 
-// A pick alone, without the learning that a reply brings.
+// A pick alone, without the model updates of a reply.
 void pick_only(benchmark::State& state)
 {
     const auto workers = static_cast<std::size_t>(state.range(1));
--- a/bench/routing_simulation.h
+++ b/bench/routing_simulation.h
@@ -10,7 +10,7 @@
 
 namespace cactusloom::bench {
 
-// Seconds of a message one way. The design allows under 1 ms for a round trip.
+// One-way latency of a message in seconds. The design requires a round trip below 1 ms.
 constexpr double one_way = 0.00025;
 
 class bench_clock final : public clock {
@@ -24,7 +24,7 @@
     double seconds = 0;
 };
 
-// Instances with a router and a FIFO queue each, and small fake workers, on one event queue.
+// Discrete-event simulation of instances, each with a router and a FIFO queue, and of workers.
 class routing_simulation {
 public:
     routing_simulation(const scenario& settings, const workload_trace& input,
@@ -61,7 +61,7 @@
             add(trace_->requests.front().at, event_type::arrival, 0);
         }
         add(trace_->fault_at, event_type::inject_fault, 0);
-        // A strategy that cannot keep up ends here with requests that are not counted.
+        // Ends the run of a strategy that cannot keep up; its open requests are not counted.
         const double limit = settings_->warm_up + settings_->length + 300;
         while (!events_.empty() && events_.top().at < limit) {
             const event next = events_.top();
@@ -78,7 +78,7 @@
 
     struct event {
         double at;
-        std::uint64_t number; // order of events at the same time
+        std::uint64_t number; // orders events at the same time
         event_type type;
         std::uint32_t subject;
         std::uint32_t attempt;
@@ -129,9 +129,9 @@
         bool polling = false;
     };
 
-    // Tasks that wait on a worker at most: as many as it has slots.
+    // Capacity of the queue of a worker, equal to its slots.
     static constexpr std::size_t worker_queue = slots_per_worker;
-    // Seconds between two looks at a queue that found no room.
+    // Seconds between two attempts to drain a queue when no worker has room.
     static constexpr double poll_interval = 0.005;
     static constexpr double renew_interval = 2.5;
 
@@ -376,7 +376,7 @@
         for (std::uint32_t id = 0; id < tasks_.size(); ++id) {
             task_state& task = tasks_[id];
             const bool is_there = task.in_flight && task.worker == broken;
-            // A task still under way to the worker meets the fault when it arrives.
+            // A task whose start request is still in flight meets the fault on arrival.
             if (is_there && clock_.seconds - task.sent_at > one_way) {
                 task.running = false;
                 reply(id,
@@ -396,7 +396,7 @@
             for (std::uint32_t k = 0; k < request.tasks; ++k) {
                 const std::uint32_t id = request.first_task + k;
                 if (tasks_[id].running) {
-                    count_message(); // the stop
+                    count_message(); // stop request
                     finish(id, start_status::stopped);
                 }
             }
--- a/bench/workload_trace.h
+++ b/bench/workload_trace.h
@@ -18,13 +18,13 @@
 
 enum class fault { none, straggler, failing_worker, lost_rack, burst, cancellation, declared };
 
-// One row of the benchmark. Times are seconds.
+// A scenario of the benchmark. Times are in seconds.
 struct scenario {
     std::string name;
     bool jobs = false; // a mix of single requests and jobs, else single requests only
     std::uint32_t instances = 9;
-    double load = 0.8; // part of slots x speed
-    double lag = 0;    // age of the load that a reply carries
+    double load = 0.8; // fraction of the capacity, that is, slots x speed
+    double lag = 0;    // age of the load report in a reply
     fault kind = fault::none;
     double warm_up = 60;
     double length = 180; // measured, after the warm-up
@@ -41,10 +41,10 @@
     std::uint32_t kind = 0;
     std::uint32_t first_task = 0;
     std::uint32_t tasks = 1;
-    bool cancelled = false; // at the time of the fault, if it is not answered by then
+    bool cancelled = false; // at the time of the fault, if not answered by then
 };
 
-// Everything that is the same for every strategy and for the ideal.
+// Input of a run, the same for all strategies and the ideal scheduler.
 struct workload_trace {
     std::vector<trace_request> requests;
     std::vector<double> work;  // by task: seconds at speed 1
@@ -53,8 +53,8 @@
     double fault_at = 0;
 };
 
-// Run times of three kinds: medians 120, 300 and 500 ms; one in fifty of the third kind runs
-// eight times longer, which gives the few tasks of several seconds.
+// Draws run times of three kinds with medians of 120, 300 and 500 ms. One in fifty tasks of the
+// third kind takes eight times as long, which yields a few tasks of several seconds.
 class work_source {
 public:
     explicit work_source(random_engine& random) : random_(&random) {}
@@ -81,7 +81,7 @@
     made.fault_at = settings.warm_up + 10;
     double capacity = 0;
     for (std::uint32_t i = 0; i < settings.workers; ++i) {
-        // Speeds from 1 to 4, divided by their mean.
+        // Speeds are uniform from 1 to 4, divided by the mean.
         made.speed.push_back((1 + 3 * uniform(random)) / 2.5);
         capacity += made.speed.back() * slots_per_worker;
     }
@@ -99,7 +99,7 @@
     const std::array<double, 3> kind_weights{0.5, 0.3, 0.2};
     boost::random::discrete_distribution<std::uint32_t> choose_kind(kind_weights.begin(),
                                                                     kind_weights.end());
-    // Of the jobs workload's tasks about a seventh are single requests.
+    // In the jobs workload about a seventh of the tasks are single requests.
     const std::array<double, 4> size_weights{0.9, 0.07, 0.027, 0.003};
     constexpr std::array<std::uint32_t, 4> job_sizes{1, 10, 100, 700};
     boost::random::discrete_distribution<std::size_t> choose_size(size_weights.begin(),
@@ -114,7 +114,7 @@
     const double rate = settings.load * capacity / mean_work / mean_tasks;
     const double end = settings.warm_up + settings.length;
     for (double at = 0;;) {
-        // A burst of ten times lasts one second and comes every thirty.
+        // A burst of ten times the rate lasts one second and repeats every thirty.
         const double phase = std::fmod(at, 30.0);
         const bool in_burst = settings.kind == fault::burst && phase >= 10 && phase < 11;
         at += boost::random::exponential_distribution<double>(in_burst ? rate * 10 : rate)(random);
@@ -143,7 +143,7 @@
     deployment made;
     made.profile.routing = strategy;
     made.profile.message_budget = message_budget;
-    // Off by ten in both directions for the fault `declared`.
+    // For the fault `declared`, run times are wrong by a factor of ten in both directions.
     const bool wrong = settings.kind == fault::declared;
     const std::array<double, 3> declared{wrong ? 1.2 : 0.12, wrong ? 0.03 : 0.3, wrong ? 5 : 0.5};
     for (std::size_t i = 0; i < declared.size(); ++i) {
@@ -162,14 +162,14 @@
     return made;
 }
 
-// What a run gives back.
+// Results of a run.
 struct outcome {
     std::vector<double> responses; // seconds, of measured requests that were completed
-    double messages = 0;           // in the measured time
+    double messages = 0;           // sent in the measured time
     double tasks = 0;
     double refused = 0;
     double failed = 0;          // measured requests that failed
-    double late_fault_hits = 0; // tasks that met the fault more than 1 s after it
+    double late_fault_hits = 0; // starts that failed more than 1 s after the fault
     double tasks_late = 0;      // tasks that ended more than 1 s after the fault
     double picks = 0;
 };
