Reword comments at the head of tests

The comments of the tests of routing, dispatch, admission, submission and entry now state the failure that each test guards against in plain terms. The bound in fault_test.cpp is 0.5 % of 4,000 counted tasks; the old comment spoke of 1,600 tasks and 40 a worker, which no row counts.

--- a/tests/admission/fair_queue_test.cpp
+++ b/tests/admission/fair_queue_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Takes `count` tasks and returns how many each job got.
+// Takes `count` tasks from the queue and returns how many belonged to each job.
 std::map<queued_job, int> serve(fair_queue& queue, int count)
 {
     std::map<queued_job, int> served;
@@ -27,7 +27,7 @@
 
 BOOST_AUTO_TEST_SUITE(fair_queues)
 
-// Guards against service that does not follow the weights or the run time of the tasks.
+// Guards against service that is not proportional to the weights in run time.
 BOOST_AUTO_TEST_CASE(teams_share_run_time_by_weight)
 {
     struct row {
@@ -58,7 +58,7 @@
     }
 }
 
-// Guards against a team among 77 that is forgotten or served twice in a round.
+// Guards against a team, one of 77, that is skipped or served twice in a round.
 BOOST_AUTO_TEST_CASE(seventy_seven_teams_take_turns)
 {
     const std::vector<double> weights(77, 1.0);
@@ -71,7 +71,7 @@
     }
 }
 
-// Guards against jobs of a team that wait for each other.
+// Guards against a job that is only served after an earlier job of its team.
 BOOST_AUTO_TEST_CASE(jobs_of_a_team_alternate)
 {
     fair_queue queue{std::vector<double>{1.0}, 1000};
@@ -84,7 +84,7 @@
     BOOST_TEST(served[0] == 10);
 }
 
-// Guards against a retried task that waits behind everything once more.
+// Guards against a retried task that is queued behind all others again.
 BOOST_AUTO_TEST_CASE(retried_task_goes_first)
 {
     fair_queue queue{std::vector<double>{1.0}, 1000};
@@ -96,7 +96,8 @@
     BOOST_TEST(*queue.front() == 1U);
 }
 
-// Guards against quotas that hold back work while nobody else has any.
+// Guards against a team over its quota that is served before others, or not served when no other
+// team has tasks.
 BOOST_AUTO_TEST_CASE(team_over_quota_goes_last_but_is_served)
 {
     fair_queue queue{std::vector<double>{1.0, 1.0}, 1000};
@@ -112,7 +113,7 @@
     BOOST_TEST(*queue.front() == 0U);
 }
 
-// Guards against a queue that one team fills up for the others, or that grows without bound.
+// Guards against one team taking up the whole queue, and against a queue that grows without bound.
 BOOST_AUTO_TEST_CASE(bound_leaves_each_team_its_share)
 {
     fair_queue queue{std::vector<double>{1.0, 3.0}, 100};
@@ -123,7 +124,7 @@
     BOOST_TEST(!queue.has_room(1, 76));
 }
 
-// Guards against counts and lists that disagree after any order of calls.
+// Guards against counts that no longer match the lists after some sequence of calls.
 BOOST_AUTO_TEST_CASE(random_calls_keep_the_books)
 {
     random_engine random{3};
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -14,7 +14,7 @@
 
 using namespace std::chrono_literals;
 
-// Virtual time that can also jump, as it does for a process that is paused: timers then run late.
+// Virtual time that can also jump ahead, as for a paused process, whose timers then run late.
 class pausable_timer_service final : public timer_service {
 public:
     monotonic_time monotonic_now() const override { return timers_.monotonic_now() + paused_; }
@@ -33,7 +33,7 @@
     duration paused_{};
 };
 
-// Gives tasks to the first worker with a free slot and knows nothing else.
+// Router that picks the first worker with a free slot.
 class fake_router final : public router {
 public:
     std::vector<int> running;
@@ -72,15 +72,15 @@
     }
 };
 
-// What a worker does with one start.
+// Reaction of a worker to one start request.
 struct behaviour {
     start_status status = start_status::completed;
     duration after = 50ms;
     int replies = 1;
-    bool runs = true; // for reply_lost: whether the lost reply belongs to a task that ran
+    bool runs = true; // for reply_lost: whether the task ran
 };
 
-// Short names for the rows of the tables.
+// Short names for the tables in the tests.
 inline behaviour ok(duration after, int replies = 1)
 {
     return {start_status::completed, after, replies};
@@ -102,20 +102,20 @@
 inline constexpr auto after_run = job_state::failed_after_run;
 inline constexpr auto unknown = job_state::unknown;
 
-// Follows a script and remembers what truly happened to each task.
+// Worker client that follows a script and records what actually happened to each task.
 class fake_workers final : public worker_client {
 public:
     explicit fake_workers(pausable_timer_service& timers) : timers_(timers) {}
 
-    std::vector<behaviour> script;                   // by number of the start; the last one repeats
-    std::map<std::string, int, std::less<>> ran;     // by id of job and task
+    std::vector<behaviour> script;                   // one per start; the last one repeats
+    std::map<std::string, int, std::less<>> ran;     // runs, by job id and task number
     std::map<std::string, bool, std::less<>> unsafe; // tasks whose last start may have run
     std::set<std::string> second_starts;             // tasks started although they may have run
     std::size_t starts = 0;
     std::size_t stops = 0;
     std::size_t renewals = 0;
     std::vector<duration> times_left;
-    std::vector<std::string> order; // payloads as started
+    std::vector<std::string> order; // payloads in order of starts
 
     void start(worker_id /*worker*/, const start_request& request, callback done) override
     {
@@ -171,7 +171,7 @@
     std::map<std::string, callback> callbacks_;
 };
 
-// Keeps what it is told, to be compared with the answers.
+// Records job events for comparison with the answers.
 class recording_observer final : public job_observer {
 public:
     std::map<job_number, std::string> received;
@@ -205,7 +205,7 @@
     }
 };
 
-// A dispatcher with fakes around it. Kinds: "once", "idem" (idempotent), "twice" (second_start).
+// A dispatcher with fake dependencies. Kinds: "once", "idem" (idempotent), "twice" (second_start).
 struct fixture {
     explicit fixture(std::size_t workers = 2, deployment changed = base())
         : settings(std::move(changed)), client(timers)
@@ -253,7 +253,7 @@
         return it;
     }
 
-    // Submits, waits for the answer and remembers it.
+    // Submits a job, waits for its answer and records it.
     result<void> send(const job_request& it)
     {
         auto outcome = service->submit(it);
@@ -272,7 +272,7 @@
         });
     }
 
-    // Compares every answer with what the workers saw.
+    // Checks all answers, records and counters against what the workers executed.
     void check(std::string_view what)
     {
         for (const auto& [id, job] : sent) {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -18,8 +18,8 @@
 
 BOOST_AUTO_TEST_SUITE(dispatching)
 
-// Each row is what the workers do with the starts of one task, and what the caller must then see.
-// Guards against second starts, false "not run" and lost or doubled answers.
+// Each row scripts the replies to the starts of one task and the expected answer. Guards against
+// unwanted second starts, a wrong "not run", and lost or duplicate answers.
 BOOST_AUTO_TEST_CASE(one_task_under_each_fault)
 {
     struct row {
@@ -70,7 +70,7 @@
     }
 }
 
-// Guards against a repeated reply that is taken for the answer to the next request.
+// Guards against a duplicate reply that is taken for the reply to the next request.
 BOOST_AUTO_TEST_CASE(repeated_reply_meets_the_next_request)
 {
     fixture f;
@@ -86,8 +86,8 @@
     f.check("repeated reply");
 }
 
-// Each row does something to a job of three tasks on one worker with two slots at a given time.
-// Guards against answers that are partial or untrue when a job is cut short.
+// Each row cancels a job of three tasks, on one worker with two slots, or shuts down at a given
+// time. Guards against partial or incorrect answers.
 BOOST_AUTO_TEST_CASE(jobs_cut_short)
 {
     struct row {
@@ -127,7 +127,7 @@
     }
 }
 
-// Guards against a cancelled job that still starts, or that is not reported as not run.
+// Guards against tasks of a cancelled job that still start, and against reporting them as run.
 BOOST_AUTO_TEST_CASE(cancel_before_start_never_starts)
 {
     fixture f{1};
@@ -143,7 +143,8 @@
     f.check("cancel before start");
 }
 
-// Guards against waiting tasks that outlive their deadline or carry a stale one to the worker.
+// Guards against queued tasks that start after their deadline, and against a start request that
+// does not subtract the time in the queue from the time left.
 BOOST_AUTO_TEST_CASE(deadline_is_kept_and_carried_along)
 {
     fixture f{1};
@@ -163,13 +164,13 @@
     f.check("deadline");
 }
 
-// Each row submits twice, or to the wrong place. Guards against a second run and against an
-// answer that belongs to something else.
+// Each row submits twice, with a change in between. Guards against a second run and against the
+// answer of another submission.
 BOOST_AUTO_TEST_CASE(resubmission)
 {
     struct row {
         const char* what;
-        duration pause; // between the two
+        duration pause; // between the two submissions
         std::function<void(fixture&, job_request&)> change;
         std::optional<errc> expected;
         std::size_t starts;
@@ -221,8 +222,8 @@
     }
 }
 
-// Each row is a submission that must be refused at once with a reason, and leave nothing behind.
-// Guards against jobs that wait for something that can never come.
+// Each row is a submission that must be refused at once with a reason. Guards against accepted jobs
+// that can never complete, and against state left behind by a refusal.
 BOOST_AUTO_TEST_CASE(refusals)
 {
     struct row {
@@ -262,7 +263,7 @@
     }
 }
 
-// Guards against a new document that moves accepted jobs to other kinds, teams or rules.
+// Guards against a new configuration that changes the kind, team or settings of accepted jobs.
 BOOST_AUTO_TEST_CASE(new_document_while_jobs_run)
 {
     fixture f{1};
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -19,10 +19,10 @@
     return it;
 }
 
-// Completes so many tasks that the run times count as learned and the budgets have tokens.
+// Completes enough tasks for the run times to count as learned and the budgets to hold tokens.
 void warm_up(fixture& f, const char* kind)
 {
-    // Shorter than the run time that the router reports, so that nothing is hedged meanwhile.
+    // Shorter than the run time that the router reports, so that no task is hedged.
     f.client.script = {ok(40ms)};
     for (int n = 0; n < 20; ++n) {
         BOOST_TEST(f.send(f.request(kind, 8)).has_value());
@@ -35,8 +35,8 @@
 
 BOOST_AUTO_TEST_SUITE(dispatching_under_load)
 
-// Each row pauses the process at some point of a task. Guards against a holder that acts under a
-// lease that ended while it was paused.
+// Each row pauses the process at some point of a task. Guards against a dispatcher that acts under
+// a lease that ended during the pause.
 BOOST_AUTO_TEST_CASE(paused_holder)
 {
     struct row {
@@ -81,8 +81,8 @@
     }
 }
 
-// Each row is a straggler. Guards against second starts that were not asked for or not affordable
-// and against two answers.
+// Each row is a slow or lost task. Guards against second starts that the kind does not allow or the
+// budget does not cover, and against two answers.
 BOOST_AUTO_TEST_CASE(hedging_and_second_starts)
 {
     struct row {
@@ -131,7 +131,7 @@
     }
 }
 
-// Guards against retries that multiply the load while every worker refuses.
+// Guards against retries that multiply the load while all workers refuse tasks.
 BOOST_AUTO_TEST_CASE(retries_stay_within_their_budget)
 {
     fixture f{50};
@@ -146,7 +146,7 @@
     f.check("all refuse");
 }
 
-// Guards against a large job that holds back the small ones of its own team or of others.
+// Guards against a large job that delays small ones of its own team or of others.
 BOOST_AUTO_TEST_CASE(single_requests_beside_a_job_of_700)
 {
     fixture f{1};
@@ -158,14 +158,15 @@
     BOOST_TEST(f.send(own).has_value());
     BOOST_TEST(f.send(other).has_value());
     f.timers.advance(20s);
-    // The ideal is the next free slot, 45 ms away, and the run time of 50 ms.
+    // The minimum is 45 ms until the next slot is free plus the run time of 50 ms.
     BOOST_TEST((f.answered.at(own.id) - sent <= 100ms));
     BOOST_TEST((f.answered.at(other.id) - sent <= 100ms));
     BOOST_TEST(f.count("jobs_completed") == 3U);
     f.check("700 beside 1");
 }
 
-// Guards against quotas that leave slots idle, and against borrowers that keep what they borrowed.
+// Guards against quotas that leave slots idle, and against a team over its quota that keeps its
+// slots when another team has tasks.
 BOOST_AUTO_TEST_CASE(quota_is_lent_while_idle_and_returned)
 {
     auto settings = fixture::base();
@@ -177,7 +178,7 @@
     f.client.order.clear();
     BOOST_TEST(f.send(f.request("once", 12, 20s, "ben")).has_value());
     f.timers.advance(46ms);
-    // Of the eight slots that became free, b gets its six and a its two.
+    // Of the eight slots that became free, team b gets six and team a two.
     BOOST_REQUIRE(f.client.order.size() == 8U);
     BOOST_TEST(std::count_if(f.client.order.begin(), f.client.order.end(),
                              [](const auto& it) { return it.starts_with("ben"); }) == 6);
@@ -185,9 +186,9 @@
     f.check("quota");
 }
 
-// Guards against overload that wastes capacity on tasks that finish too late, at ten times what
-// the workers can do: goodput at least 95 % of capacity, p99 of accepted work inside its deadline.
-// Without a prediction by the router the queue alone sheds; then the p99 is that of started work.
+// Guards against wasting capacity on tasks that finish too late, under a load of ten times the
+// capacity: goodput must be at least 95 % of capacity and the p99 of accepted tasks within their
+// deadline. Without a predicted wait only the queue sheds tasks, and the p99 is of started tasks.
 BOOST_DATA_TEST_CASE(burst_of_ten_times_the_capacity, boost::unit_test::data::make({true, false}),
                      is_predicted)
 {
@@ -230,7 +231,7 @@
     f.check("burst");
 }
 
-// Guards against a wave of cancellations that holds up the loop or leaves slots occupied.
+// Guards against a burst of cancellations that blocks the event loop or leaves slots occupied.
 BOOST_AUTO_TEST_CASE(cancellation_wave_of_5000)
 {
     fixture f{400};
@@ -246,7 +247,7 @@
     for (const auto& id : ids) {
         BOOST_TEST(f.service->cancel(id).has_value());
     }
-    // The waiting tasks are gone at once, the stops follow in bounded portions.
+    // The queued tasks are dropped at once; the stops follow in batches of bounded size.
     BOOST_TEST(f.service->queued_tasks() == 0U);
     std::size_t most = 0;
     for (std::size_t before = 0; f.client.stops < 3200U && f.timers.run_next();) {
@@ -262,7 +263,7 @@
     f.check("wave");
 }
 
-// Guards against a shutdown that cuts off accepted work, or that reports its end too early.
+// Guards against a shutdown that drops accepted jobs or reports its end too early.
 BOOST_AUTO_TEST_CASE(shutdown_under_load)
 {
     fixture f{1};
--- a/tests/entry/submission_locator_test.cpp
+++ b/tests/entry/submission_locator_test.cpp
@@ -30,7 +30,7 @@
            ".a1";
 }
 
-// One state of knowledge about the owner "b" with incarnation 20, and where its id is served.
+// State of the membership with respect to owner "b", incarnation 20, and the expected result.
 struct location_case {
     const char* name;
     std::string id;
--- a/tests/routing/fault_test.cpp
+++ b/tests/routing/fault_test.cpp
@@ -38,9 +38,9 @@
     return made;
 }
 
-// One router and workers that answer as a test tells them. Each step lasts 1 ms, adds a task to
-// the queue, starts what has room, and ends tasks that have run 200 ms or that their worker fails
-// at once. At 1,000 tasks a second 200 of the 320 slots are in use.
+// One router with simulated workers whose replies are set by the test. Each step takes 1 ms, adds a
+// task to the queue, starts queued tasks while there is room, and ends tasks that have run 200 ms
+// or, on a failing worker, 1 ms. At 1,000 tasks a second 200 of the 320 slots are in use.
 struct fault_harness {
     explicit fault_harness(const char* strategy = "predicted_finish", double share = 0.8)
         : routes(router::make(make_deployment(strategy), time, {.seed = 7, .share = share}))
@@ -126,19 +126,19 @@
     std::vector<task> running;
     std::uint64_t jobs = 0;
     std::uint64_t queued = 0;
-    worker_id reported_leaving = fleet; // the worker whose replies say that it leaves
-    int reported = -1;                  // load in every reply, or -1 for this instance's own tasks
+    worker_id reported_leaving = fleet; // worker whose replies report it as leaving
+    int reported = -1;                  // load in every reply, or -1 for the number of own tasks
 };
 
-// A fault, what is sent, and how many tasks the workers that are hit may get.
+// A fault of some workers and bounds on the tasks that are started on them.
 struct fault_row {
     const char* fault;
-    start_status answer; // of the workers that are hit
-    worker_id hit;       // workers 0 to hit - 1 are hit
-    int first_steps;     // ms under the fault before counting
-    int counted_steps;   // ms counted
+    start_status answer; // of the faulty workers
+    worker_id hit;       // workers 0 to hit - 1 are faulty
+    int first_steps;     // ms after the fault before tasks are counted
+    int counted_steps;   // ms during which tasks are counted
     std::uint32_t at_least;
-    std::uint32_t at_most; // tasks started on the workers that were hit
+    std::uint32_t at_most; // tasks started on the faulty workers
 };
 
 std::ostream& operator<<(std::ostream& out, const fault_row& row)
@@ -146,19 +146,20 @@
     return out << row.fault;
 }
 
-// Bounds: 0.5 % of the tasks after the first second; 40 tasks a worker is the even part of 1,600.
+// The bound of 20 is 0.5 % of the 4,000 tasks counted after the first second.
 const std::array<fault_row, 6> fault_rows{{
-    // Fails when ejection or the single-task limit is missing: a quick failure frees the slot.
+    // Fails without ejection or the single-task limit, since a quick failure frees the slot.
     {"one worker fails every task at once", start_status::task_failed, 1, 1000, 4000, 0, 20},
-    // Fails when losses are not counted as failures of a worker.
+    // Fails if unreachable workers are not counted as failing.
     {"one worker is unreachable", start_status::not_sent, 1, 1000, 4000, 0, 20},
-    // Fails when the rack is not seen as one event: the tenth that may be ejected is 4 of its 8.
+    // Fails if the rack is not ejected as a whole: at most a tenth of the workers may be ejected
+    // one by one, which is 4 of its 8.
     {"a rack is lost", start_status::reply_lost, per_rack, 1000, 4000, 0, 20},
-    // Fails when workers are judged by an absolute rate.
+    // Fails if workers are judged by their absolute failure rate.
     {"every worker fails", start_status::task_failed, fleet, 1000, 4000, 3900, 4000},
-    // Fails when losses of all racks are taken for the loss of each.
+    // Fails if the whole fleet being unreachable is taken for the loss of each rack.
     {"every worker is unreachable", start_status::reply_lost, fleet, 1000, 4000, 3900, 4000},
-    // Fails when a leaving worker is only tried less often.
+    // Fails if a leaving worker is still tried, even if less often.
     {"a worker refuses because it leaves", start_status::refused_leaving, 1, 1000, 4000, 0, 0},
 }};
 
@@ -188,7 +189,8 @@
     BOOST_TEST(bench.picked_in(0, fleet) >= 3900U);
 }
 
-// Guards against a worker that stays ejected after its fault has ended.
+// Guards against a worker that stays ejected after its fault has ended, and against one that gets
+// its full load back at once.
 BOOST_DATA_TEST_CASE(recovered_workers_return_through_single_tasks,
                      boost::unit_test::data::make({1U, per_rack}), hit)
 {
@@ -197,15 +199,15 @@
     std::fill_n(bench.behaviour.begin(), hit, start_status::reply_lost);
     bench.run(1000);
     bench.behaviour.fill(start_status::completed);
-    bench.run(1200); // the first probe is due 2 s after the ejection
+    bench.run(1200); // the first probe is due 2 s after ejection
     for (worker_id id = 0; id < hit; ++id) {
         BOOST_TEST(bench.most[id] <= 1U);
     }
     bench.run(5000);
-    BOOST_TEST(bench.picked_in(0, hit) >= hit * 60U); // the even part is 125
+    BOOST_TEST(bench.picked_in(0, hit) >= hit * 60U); // an equal share is 125
 }
 
-// Guards against a cold instance that takes a worker without reports for an idle one.
+// Guards against a new instance that takes workers without load reports for idle ones.
 BOOST_AUTO_TEST_CASE(cold_instance_does_not_flood_a_worker)
 {
     virtual_timer_service time;
@@ -222,7 +224,7 @@
     BOOST_TEST(*std::min_element(held.begin(), held.end()) >= 1U);
 }
 
-// Guards against instances that all herd on workers which old reports show as free.
+// Guards against herding: all instances sending to the workers that old reports show as free.
 BOOST_AUTO_TEST_CASE(nine_instances_with_frozen_reports_do_not_overfill_a_worker)
 {
     virtual_timer_service time;
@@ -234,7 +236,7 @@
                                        .share = 1.0 / 9,
                                        .share_begin = i / 9.0}));
     }
-    // Workers 0 to 3 looked idle in a report of two seconds ago, all others full.
+    // A report from two seconds ago shows workers 0 to 3 as idle and all others as full.
     for (const auto& it : routes) {
         for (worker_id id = 0; id < fleet; ++id) {
             const bool idle = id < 4;
@@ -251,13 +253,13 @@
             }
         }
     }
-    // Without borrowing the quotas of a worker add up to its slots; nine instances that each
-    // borrowed from an idle-looking worker would put over three times as many on it.
+    // Without borrowing, the own slots of all instances add up to the slots of a worker. If each of
+    // the nine borrowed from a worker that looks idle, it would get over three times as many.
     BOOST_TEST(*std::max_element(held.begin(), held.end()) <= 2 * slots);
     BOOST_TEST(std::accumulate(held.begin(), held.end(), 0U) >= fleet * slots * 9 / 10);
 }
 
-// Guards against slots that belong to two instances or to none.
+// Guards against slots that are assigned to two instances or to none.
 BOOST_AUTO_TEST_CASE(slots_are_divided_without_overlap)
 {
     virtual_timer_service time;
@@ -276,7 +278,7 @@
     }
 }
 
-// Guards against a state in which nothing is sent because every worker once looked full.
+// Guards against an instance that sends nothing any more because every worker once looked full.
 BOOST_AUTO_TEST_CASE(full_reports_do_not_stop_an_instance_for_good)
 {
     fault_harness bench("predicted_finish", 0.01);
@@ -290,7 +292,8 @@
     BOOST_TEST(bench.picked_in(0, fleet) >= 10U);
 }
 
-// Guards against a profile name that is taken for another strategy, and against one that herds.
+// Guards against a strategy that sends tasks to leaving workers or leaves workers unused, and
+// against an unknown name that selects some strategy.
 BOOST_DATA_TEST_CASE(every_strategy_serves_and_skips_leaving_workers,
                      boost::unit_test::data::make({"random", "round_robin", "fewest_outstanding",
                                                    "two_choices", "two_choices_finish",
@@ -309,12 +312,13 @@
     BOOST_TEST(!router::make(make_deployment("no_such_strategy"), time, {}));
 }
 
-// Guards against a job that a single lost rack would hit as a whole.
+// Guards against placing all tasks of a job in one rack, so that the loss of the rack hits them
+// all.
 BOOST_AUTO_TEST_CASE(tasks_of_a_job_are_spread_over_racks)
 {
     virtual_timer_service time;
     const auto routes = router::make(make_deployment(), time, {.seed = 3, .share = 1.0});
-    // Rack 0 is idle and all others are half full, so that load alone would choose rack 0.
+    // Rack 0 is idle and all others are half full, so that load alone would favour rack 0.
     for (worker_id id = 0; id < fleet; ++id) {
         routes->record_load(id, {.running = static_cast<std::uint16_t>(id < per_rack ? 0 : 4)});
     }
@@ -328,7 +332,8 @@
     BOOST_TEST(*std::max_element(counts.begin(), counts.end()) <= 3U);
 }
 
-// Guards against a declared run time that outlives the first replies, in either direction.
+// Guards against a wrong declared run time, too short or too long, that persists after the first
+// replies.
 BOOST_DATA_TEST_CASE(declared_run_time_off_by_ten_is_forgotten,
                      boost::unit_test::data::make({20, 2000}), declared_ms)
 {
@@ -340,14 +345,14 @@
         model.learn(0, i % 10 == 9 ? 1.0F : 0.2F, 1.0F);
     }
     BOOST_TEST(model.mean(0) == 0.28F, boost::test_tools::tolerance(0.1F));
-    // A bucket is 9 % wide.
+    // Histogram buckets are 9 % wide.
     BOOST_TEST(static_cast<double>(model.quantile(0, 0.5).count()) == 200e3,
                boost::test_tools::tolerance(0.1));
     BOOST_TEST(static_cast<double>(model.quantile(0, 0.95).count()) == 1e6,
                boost::test_tools::tolerance(0.1));
 }
 
-// Guards against a leaving worker that still answers and gets new work.
+// Guards against new tasks for a worker that reports that it is leaving but still completes tasks.
 BOOST_AUTO_TEST_CASE(load_report_that_says_leaving_ends_new_work)
 {
     fault_harness bench;
@@ -358,8 +363,8 @@
     BOOST_TEST(bench.picked[2] == 0U);
 }
 
-// Guards against ejections when the fault is not the worker's: the failing part of each worker's
-// tasks is the same, whether the failures come in order of workers, at random or as losses.
+// Guards against ejections in a fleet-wide fault, in which all workers fail the same fraction of
+// their tasks, by failed tasks or by missing replies.
 BOOST_DATA_TEST_CASE(fault_of_the_whole_fleet_ejects_none,
                      boost::unit_test::data::make({30, 60, 100}) *
                          boost::unit_test::data::make({false, true}),
@@ -379,13 +384,13 @@
         BOOST_TEST(health.ejected() == 0U);
         BOOST_TEST(health.lost_racks() == 0U);
     }
-    // With most tasks failing, single tasks would cost the capacity that is left.
+    // When most tasks fail, the single-task limit would take away the remaining capacity.
     const auto limited = std::count(health.limits().begin(), health.limits().end(), 1.0F);
     BOOST_TEST((percent < 60 || limited == 0));
 }
 
-// Guards against a worker that draws work by failing quickly, and against one that is trusted
-// with full load again after a single good answer.
+// Guards against a worker that attracts tasks by failing quickly, and against one that gets its
+// full load back after a single success.
 BOOST_AUTO_TEST_CASE(doubtful_workers_hold_one_task)
 {
     worker_health health(racks_of_fleet(), fleet / per_rack, 1);
@@ -411,7 +416,7 @@
     BOOST_TEST(health.limits()[4] > slots);
 }
 
-// Guards against more than a tenth of the workers ejected, and against ejecting the wrong ones.
+// Guards against ejecting more than a tenth of the workers, and against ejecting healthy ones.
 BOOST_AUTO_TEST_CASE(at_most_a_tenth_is_ejected)
 {
     worker_health health(std::vector<std::uint16_t>(fleet, 0), 1, 1);
@@ -429,7 +434,7 @@
     BOOST_TEST(std::count(health.limits().begin() + 8, health.limits().end(), 0.0F) == 0);
 }
 
-// Guards against several events for one lost rack, which would use up the ejections.
+// Guards against ejecting the workers of a lost rack one by one, which would use up the ejections.
 BOOST_AUTO_TEST_CASE(lost_rack_is_one_event)
 {
     worker_health health(racks_of_fleet(), fleet / per_rack, 1);
@@ -446,8 +451,8 @@
                per_rack);
 }
 
-// Guards against a document that takes effect only after a restart, and against outcomes that are
-// credited to another worker after it.
+// Guards against a new configuration that takes effect only after a restart, and against outcomes
+// of earlier starts that are then recorded for another worker.
 BOOST_AUTO_TEST_CASE(new_document_adds_and_retires_workers)
 {
     deployment settings = make_deployment();
@@ -479,7 +484,7 @@
     BOOST_TEST(routes->pick({}).value_or(fleet) < fleet);
 }
 
-// Guards against a kind that waits for ever for a feature that no worker has.
+// Guards against tasks that wait forever for a feature that no worker has.
 BOOST_AUTO_TEST_CASE(kind_that_fits_nowhere_can_never_run)
 {
     deployment settings = make_deployment();
@@ -495,7 +500,8 @@
     BOOST_TEST(!routes->pick({.excluded = 5}).has_value());
 }
 
-// Guards against a document that resets what was learned or sends work to what it removed.
+// Guards against a new configuration that resets learned state or that lets tasks go to removed
+// workers or kinds.
 BOOST_AUTO_TEST_CASE(new_document_keeps_the_known_and_retires_the_rest)
 {
     fault_harness bench;
@@ -528,7 +534,7 @@
     BOOST_TEST(is_used);
 }
 
-// Guards against a wait of zero for a queue that no slot is free for.
+// Guards against a predicted wait of zero when no slot is free for the queue.
 BOOST_AUTO_TEST_CASE(expected_wait_grows_with_the_position)
 {
     fault_harness bench;
--- a/tests/submission/submission_id_test.cpp
+++ b/tests/submission/submission_id_test.cpp
@@ -18,20 +18,20 @@
 
 BOOST_AUTO_TEST_SUITE(submission_ids)
 
-// Guards against names with separators or unsafe characters that come back changed.
+// Guards against names with separators or unsafe characters that are parsed to something else.
 BOOST_AUTO_TEST_CASE(prefix_survives_the_round_trip_and_is_url_safe)
 {
     const auto text = make_prefix(example(), key);
     BOOST_TEST(text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                       "0123456789-_~") == std::string::npos);
-    const std::string whole = text + ".order.7"; // the parsed suffix is a view into it
+    const std::string whole = text + ".order.7"; // must outlive the parsed suffix, a view into it
     const auto id = parse_submission_id(whole, key);
     BOOST_REQUIRE(id.has_value());
     BOOST_TEST((id.value().prefix == example()));
     BOOST_TEST(id.value().suffix == "order.7");
 }
 
-// Guards against a mangled id that is taken for one that was issued here.
+// Guards against a damaged id that is accepted as issued by this deployment.
 BOOST_AUTO_TEST_CASE(every_changed_character_of_a_prefix_is_found)
 {
     const auto text = make_prefix(example(), key);
@@ -43,7 +43,7 @@
     BOOST_TEST(!parse_prefix(text, key + 1).has_value());
 }
 
-// Guards against malformed ids that are accepted or read out of bounds.
+// Guards against malformed ids that are accepted or that cause reads out of bounds.
 BOOST_AUTO_TEST_CASE(malformed_ids_are_refused)
 {
     const auto prefix = make_prefix(example(), key);
--- a/tests/submission/submission_registry_test.cpp
+++ b/tests/submission/submission_registry_test.cpp
@@ -10,7 +10,7 @@
 
 BOOST_AUTO_TEST_SUITE(submission_registries)
 
-// Each row guards against a submission that is accepted although it may have run already.
+// Guards against accepting a submission that may have run already.
 BOOST_AUTO_TEST_CASE(verdict_follows_id_body_and_age)
 {
     struct row {
@@ -46,7 +46,7 @@
     }
 }
 
-// Guards against a bound that is kept by forgetting ids that could be submitted again.
+// Guards against a full registry that drops ids which could still be submitted again.
 BOOST_AUTO_TEST_CASE(full_registry_refuses_new_ids_and_keeps_the_old)
 {
     submission_registry registry{50};
@@ -63,7 +63,7 @@
     BOOST_TEST(registry.size() == 1U);
 }
 
-// Guards against an id that is fresh twice under random order, age and growth of the tables.
+// Guards against accepting an id twice, under random order and age and while the tables grow.
 BOOST_AUTO_TEST_CASE(no_id_is_fresh_twice)
 {
     random_engine random{11};
@@ -72,7 +72,7 @@
     for (int n = 0; n < 50000; ++n) {
         const auto now = monotonic_time{10ms * n + 200s};
         const std::uint64_t id = draw_below(random, 4000);
-        // The issue time is part of the id, so it is the same at every repetition.
+        // The issue time is part of the id, so it is the same each time.
         const auto issued = monotonic_time{100ms * static_cast<int>(id) + 200s};
         if (registry.try_insert(id * 0x9e3779b97f4a7c15U, 0, issued, now) == verdict::fresh) {
             BOOST_TEST(accepted.insert(id).second);
