--- a/bench/account_bench.cpp
+++ b/bench/account_bench.cpp
@@ -52,18 +52,18 @@
     unsigned workers; // in the deployment
 };
 
-account_record make_record(random_engine& random, std::uint64_t number, const profile& of,
+account_record make_record(random_engine& random, std::uint64_t number, const profile& shape,
                            wall_time now)
 {
     account_record it;
     it.receipt = {fmt::format("member-{:05}", draw_below(random, 50000)),
                   fmt::format("i042-65b1a0c2d3-dc3-0000f3a1-9c41.{:012x}", number), "stamp_check",
-                  of.tasks, now};
+                  shape.tasks, now};
     it.decided = now + duration{draw_below(random, 2000)};
     it.answered = it.decided + duration{50000 + draw_below(random, 950000)};
-    std::vector<std::uint32_t> starts(of.workers);
-    for (unsigned i = 0; i < of.tasks; ++i) {
-        ++starts[static_cast<std::size_t>(random()) % of.workers];
+    std::vector<std::uint32_t> starts(shape.workers);
+    for (unsigned i = 0; i < shape.tasks; ++i) {
+        ++starts[static_cast<std::size_t>(random()) % shape.workers];
     }
     for (std::size_t i = 0; i < starts.size(); ++i) {
         if (starts[i] > 0) {
@@ -76,7 +76,7 @@
     return it;
 }
 
-void measure_record(const profile& of, std::size_t per_batch)
+void measure_record(const profile& shape, std::size_t per_batch)
 {
     random_engine random(7);
     virtual_timer_service timers;
@@ -86,9 +86,9 @@
     batch.number = 123456;
     batch.written = timers.wall_now();
     for (std::size_t i = 0; i < per_batch; ++i) {
-        batch.ends.push_back(make_record(random, i, of, timers.wall_now()));
+        batch.ends.push_back(make_record(random, i, shape, timers.wall_now()));
     }
-    const auto rounds = std::max<std::size_t>(1, 20000 / per_batch / (of.tasks > 1 ? 20 : 1));
+    const auto rounds = std::max<std::size_t>(1, 20000 / per_batch / (shape.tasks > 1 ? 20 : 1));
     std::size_t bytes = 0;
     auto start = cpu_seconds();
     std::string text;
@@ -103,12 +103,12 @@
         bytes += decode_batch(text).has_value() ? 0 : 1;
     }
     const auto read_us = 1e6 * (cpu_seconds() - start) / records;
-    fmt::print("| {} | {} | {:.0f} | {:.2f} | {:.2f} |\n", of.name, per_batch,
+    fmt::print("| {} | {} | {:.0f} | {:.2f} | {:.2f} |\n", shape.name, per_batch,
                static_cast<double>(bytes) / records, write_us, read_us);
 }
 
 // Runs one instance's share of the load of a deployment for a minute of virtual time.
-void measure_deployment(const profile& of, std::size_t instances, double requests_per_second)
+void measure_deployment(const profile& shape, std::size_t instances, double requests_per_second)
 {
     constexpr auto span = 60s;
     random_engine random(11);
@@ -124,7 +124,7 @@
         static_cast<duration::rep>(1e6 * static_cast<double>(instances) / requests_per_second)};
     std::uint64_t number = 0;
     std::function<void()> arrive = [&] {
-        auto record = make_record(random, ++number, of, timers.wall_now());
+        auto record = make_record(random, ++number, shape, timers.wall_now());
         writer.received(record.receipt);
         const auto run_time = record.answered - record.receipt.received;
         timers.schedule(run_time, [&writer, record = std::move(record)]() mutable {
@@ -140,7 +140,7 @@
     const auto& stats = writer.stats();
     fmt::print(
         "| {} | {} | {:.0f} | {:.1f} | {:.0f} | {:.0f} | {:.0f} | {:.0f} | {:.1f} | {:.2f} |\n",
-        of.name, instances, requests_per_second, all * static_cast<double>(log.appends),
+        shape.name, instances, requests_per_second, all * static_cast<double>(log.appends),
         all * static_cast<double>(log.bytes) / 1000, static_cast<double>(log.largest) / 1000,
         static_cast<double>(log.bytes) /
             static_cast<double>(std::max<std::uint64_t>(stats.ends, 1)),
--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -108,7 +108,7 @@
             state_machine.version_of(section.name), section.text(n)};
 }
 
-config_state_machine make_ledger()
+config_state_machine make_state_machine()
 {
     config_state_machine state_machine;
     const config_edit first{"first", "platform", std::string(whole_document), 0, first_document()};
@@ -135,10 +135,10 @@
 }
 
 // Measures CPU time and bytes of an accepted edit, by section, and the memory of the state machine.
-void measure_ledger()
+void measure_state_machine()
 {
     const auto heap_before = heap_megabytes();
-    auto state_machine = make_ledger();
+    auto state_machine = make_state_machine();
     int n = 0;
     for (const auto& section : sections) {
         constexpr int edits = 200;
@@ -214,21 +214,22 @@
 
 void measure_time_until_in_force()
 {
-    fleet all({});
+    fleet instances({});
     random_engine random(1);
     std::vector<double> times;
     constexpr int edits = 500;
     for (int n = 0; n < edits; ++n) {
-        all.timers.advance(duration{2'000'000 + draw_below(random, 4096) * 1000});
-        const auto start = all.timers.monotonic_now();
+        instances.timers.advance(duration{2'000'000 + draw_below(random, 4096) * 1000});
+        const auto start = instances.timers.monotonic_now();
         const auto instance = draw_below(random, fleet::instance_count);
-        all.submit(instance, make_edit(all.followers[0]->state_machine(), sections[3], n));
-        all.timers.advance(7s);
-        if (all.in_force_count != fleet::instance_count) {
+        instances.submit(instance,
+                         make_edit(instances.followers[0]->state_machine(), sections[3], n));
+        instances.timers.advance(7s);
+        if (instances.in_force_count != fleet::instance_count) {
             fmt::print("edit {} was not in force everywhere after 7 s\n", n);
             std::exit(1);
         }
-        times.push_back(static_cast<double>((all.in_force_at - start).count()) * 1e-6);
+        times.push_back(static_cast<double>((instances.in_force_at - start).count()) * 1e-6);
     }
     std::sort(times.begin(), times.end());
     fmt::print("in_force instances={} edits={} p50_s={:.3f} p99_s={:.3f} max_s={:.3f}\n",
@@ -241,31 +242,31 @@
 void measure_node(const char* mix, std::span<const section_kind> kinds)
 {
     const auto heap_before = heap_megabytes();
-    fleet all({});
+    fleet instances({});
     std::size_t bytes = 0;
-    for (const auto& it : all.links) {
+    for (const auto& it : instances.links) {
         bytes += it->bytes_received() + it->bytes_sent();
     }
-    const auto reads = all.log.read_count();
+    const auto reads = instances.log.read_count();
     constexpr int edits = 360;
     const auto interval =
         duration{static_cast<std::int64_t>(seconds_per_day / changes_per_day * 1e6)};
     const auto start = cpu_seconds();
     for (int n = 0; n < edits; ++n) {
         const auto& section = kinds[static_cast<std::size_t>(n) % kinds.size()];
-        all.submit(static_cast<std::size_t>(n) % fleet::instance_count,
-                   make_edit(all.followers[0]->state_machine(), section, n));
-        all.timers.advance(interval);
+        instances.submit(static_cast<std::size_t>(n) % fleet::instance_count,
+                         make_edit(instances.followers[0]->state_machine(), section, n));
+        instances.timers.advance(interval);
     }
     const auto cpu = cpu_seconds() - start;
     const auto seconds = edits * seconds_per_day / changes_per_day;
     std::size_t bytes_after = 0;
-    for (const auto& it : all.links) {
+    for (const auto& it : instances.links) {
         bytes_after += it->bytes_received() + it->bytes_sent();
     }
     const auto heap = heap_megabytes() - heap_before;
     std::size_t log_bytes = 0;
-    for (const auto& it : all.log.page("config").records) {
+    for (const auto& it : instances.log.page("config").records) {
         log_bytes += it.content.size();
     }
     constexpr double node_count = fleet::instance_count;
@@ -274,38 +275,38 @@
                "(limit 32)\n",
                mix, changes_per_day, cpu / seconds / node_count * 100,
                static_cast<double>(bytes_after - bytes) / seconds / node_count,
-               static_cast<double>(all.log.read_count() - reads) / seconds / node_count,
+               static_cast<double>(instances.log.read_count() - reads) / seconds / node_count,
                (heap - static_cast<double>(log_bytes) / (1 << 20)) / node_count);
 }
 
 // Measures the start of an instance that reads the whole log without the help of peers.
 void measure_cold_start()
 {
-    fleet all({});
+    fleet instances({});
     for (int n = 0; n < 4300; ++n) {
-        all.submit(0,
-                   make_edit(all.followers[0]->state_machine(), sections[n % 50 == 0 ? 0 : 3], n));
-        all.timers.advance(2s);
+        instances.submit(0, make_edit(instances.followers[0]->state_machine(),
+                                      sections[n % 50 == 0 ? 0 : 3], n));
+        instances.timers.advance(2s);
     }
-    partitionable_log link(all.log);
-    config_follower fresh(link, all.timers, nullptr, {});
+    partitionable_log link(instances.log);
+    config_follower new_follower(link, instances.timers, nullptr, {});
     const auto start = cpu_seconds();
-    const auto virtual_start = all.timers.monotonic_now();
-    fresh.start();
-    while (!fresh.is_ready()) {
-        all.timers.run_next();
+    const auto virtual_start = instances.timers.monotonic_now();
+    new_follower.start();
+    while (!new_follower.is_ready()) {
+        instances.timers.run_next();
     }
     fmt::print("cold_start records={} cpu_ms={:.0f} virtual_ms={} bytes={} applied={}\n",
-               all.log.page("config").end, (cpu_seconds() - start) * 1e3,
-               (all.timers.monotonic_now() - virtual_start).count() / 1000, link.bytes_received(),
-               fresh.counts().records_applied);
+               instances.log.page("config").end, (cpu_seconds() - start) * 1e3,
+               (instances.timers.monotonic_now() - virtual_start).count() / 1000,
+               link.bytes_received(), new_follower.counts().records_applied);
 }
 
 } // namespace
 
 int main()
 {
-    measure_ledger();
+    measure_state_machine();
     measure_time_until_in_force();
     measure_node("even", sections);
     measure_node("workers_only", std::span(sections).first(1));
--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -115,7 +115,7 @@
 void print_scenario(const scenario& settings, const options& chosen)
 {
     const workload_trace input = make_trace(settings);
-    const summary ideal(ideal_scheduler(settings, input, 2 * one_way).run().responses);
+    const summary ideal(ideal_scheduler(settings, input, 2 * one_way_latency).run().responses);
     fmt::print("| {} | ideal | {:.0f} ms | {:.0f} ms | {:.0f} ms | {:.0f} ms | 2 | | |\n",
                settings.name, ideal.mean * 1e3, ideal.median * 1e3, ideal.p99 * 1e3,
                ideal.p999 * 1e3);
@@ -130,15 +130,16 @@
             }
             const outcome result =
                 routing_simulation(settings, input, strategy, it.message_budget).run();
-            const summary mine(result.responses);
-            const double touched =
-                result.tasks_late > 0 ? 100 * result.late_fault_hits / result.tasks_late : 0;
+            const summary measured(result.responses);
+            const double touched = result.tasks_after_fault > 0
+                                       ? 100 * result.late_fault_hits / result.tasks_after_fault
+                                       : 0;
             fmt::print("| | {}{}{} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.0f} | {:.3f} "
                        "|\n",
                        strategy, is_main ? ", " : "", is_main ? it.name : "",
-                       mine.mean / ideal.mean, mine.median / ideal.median, mine.p99 / ideal.p99,
-                       mine.p999 / ideal.p999, result.messages / std::max(result.tasks, 1.0),
-                       result.failed, touched);
+                       measured.mean / ideal.mean, measured.median / ideal.median,
+                       measured.p99 / ideal.p99, measured.p999 / ideal.p999,
+                       result.messages / std::max(result.tasks, 1.0), result.failed, touched);
             std::fflush(stdout);
         }
     }
--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // Router that always picks worker 0; router_bench measures real decisions.
-class open_router final : public router {
+class trivial_router final : public router {
 public:
     bool has_room = true;
 
@@ -43,7 +43,7 @@
 };
 
 // Worker client that completes all open starts when answer_all() is called.
-class instant_workers final : public worker_client {
+class fake_workers final : public worker_client {
 public:
     void start(worker_id /*worker*/, const start_request& request, callback done) override
     {
@@ -69,8 +69,8 @@
     std::vector<callback> open_;
 };
 
-struct bench_setup {
-    bench_setup()
+struct bench_fixture {
+    bench_fixture()
     {
         settings.kinds = {{"stamp_check", false, false, 50ms, 2s, {}}};
         for (int n = 0; n < 77; ++n) {
@@ -103,8 +103,8 @@
 
     deployment settings;
     virtual_timer_service timers;
-    instant_workers workers;
-    open_router task_router;
+    fake_workers workers;
+    trivial_router task_router;
     counters metrics;
     std::unique_ptr<dispatcher> service;
     std::uint64_t last = 0;
@@ -114,7 +114,7 @@
 // Measures a task from submission to answer, including the later end of the answer's retention.
 void through_the_dispatcher(benchmark::State& state)
 {
-    bench_setup it;
+    bench_fixture it;
     const auto tasks = static_cast<std::size_t>(state.range(0));
     const std::size_t jobs = std::max<std::size_t>(1, 100 / tasks);
     for ([[maybe_unused]] auto _ : state) {
@@ -142,7 +142,7 @@
     const auto tasks = static_cast<std::size_t>(state.range(0));
     const std::size_t jobs = 100'000 / tasks;
     for ([[maybe_unused]] auto _ : state) {
-        bench_setup it;
+        bench_fixture it;
         it.task_router.has_room = false;
         const std::size_t empty = it.service->bytes();
         for (std::size_t n = 0; n < jobs; ++n) {
--- a/bench/ideal_scheduler.h
+++ b/bench/ideal_scheduler.h
@@ -101,14 +101,14 @@
             }
         }
         std::fill(free_at_.begin(), free_at_.end(), now);
-        std::vector<std::uint32_t> again;
+        std::vector<std::uint32_t> unstarted;
         for (const assignment& it : assignments_) {
             const bool is_dead = it.slot / slots_per_worker < dead;
             if (finish_[it.task] <= now || cancelled[it.task]) {
                 continue;
             }
             if (it.start > now) {
-                again.push_back(it.task);
+                unstarted.push_back(it.task);
             }
             else if (is_dead) {
                 finish_[it.task] = never; // was running when its worker was lost
@@ -118,7 +118,7 @@
             }
         }
         std::fill_n(free_at_.begin(), dead * slots_per_worker, never * 2);
-        for (const std::uint32_t task : again) {
+        for (const std::uint32_t task : unstarted) {
             place(task, now);
         }
     }
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -55,17 +55,17 @@
 public:
     using request = std::function<void(int number, std::function<void(bool)> done)>;
 
-    closed_loop(const options& given, timer_service& timers, request send)
-        : given_(given), timers_(timers), send_(std::move(send))
+    closed_loop(const options& settings, timer_service& timers, request send)
+        : settings_(settings), timers_(timers), send_(std::move(send))
     {
     }
 
     void run()
     {
-        for (int n = 0; n < given_.callers; ++n) {
+        for (int n = 0; n < settings_.callers; ++n) {
             next();
         }
-        while (ended_ < given_.warm_up + given_.requests) {
+        while (ended_ < settings_.warm_up + settings_.requests) {
             g_main_context_iteration(nullptr, TRUE);
         }
     }
@@ -74,40 +74,42 @@
     {
         std::sort(times_.begin(), times_.end());
         const double seconds = static_cast<double>((last_ - first_).count()) / 1e6;
-        return fmt::format("| {} | {} | {} | {:.0f} | {:.2f} | {:.2f} | {} |", name, given_.callers,
-                           given_.tasks, static_cast<double>(given_.requests) / seconds,
-                           quantile(0.5), quantile(0.99), failures_);
+        return fmt::format("| {} | {} | {} | {:.0f} | {:.2f} | {:.2f} | {} |", name,
+                           settings_.callers, settings_.tasks,
+                           static_cast<double>(settings_.requests) / seconds, quantile(0.5),
+                           quantile(0.99), failures_);
     }
 
 private:
     double quantile(double part) const
     {
-        const auto place = static_cast<std::size_t>(part * static_cast<double>(times_.size() - 1));
-        return static_cast<double>(times_[place].count()) / 1e3;
+        const auto position =
+            static_cast<std::size_t>(part * static_cast<double>(times_.size() - 1));
+        return static_cast<double>(times_[position].count()) / 1e3;
     }
 
     void next()
     {
-        if (sent_ >= given_.warm_up + given_.requests) {
+        if (sent_ >= settings_.warm_up + settings_.requests) {
             return;
         }
         const int number = sent_++;
         const auto begin = timers_.monotonic_now();
-        send_(number, [this, begin](bool good) {
+        send_(number, [this, begin](bool succeeded) {
             const auto now = timers_.monotonic_now();
-            if (++ended_ == given_.warm_up) {
+            if (++ended_ == settings_.warm_up) {
                 first_ = now;
             }
-            if (ended_ > given_.warm_up) {
+            if (ended_ > settings_.warm_up) {
                 times_.push_back(now - begin);
-                failures_ += good ? 0 : 1;
+                failures_ += succeeded ? 0 : 1;
             }
             last_ = now;
             next();
         });
     }
 
-    options given_;
+    options settings_;
     timer_service& timers_;
     request send_;
     int sent_ = 0;
@@ -118,26 +120,26 @@
     std::vector<duration> times_;
 };
 
-std::string make_body(const options& given, const std::string& id)
+std::string make_body(const options& settings, const std::string& id)
 {
-    if (given.tasks == 1) {
+    if (settings.tasks == 1) {
         return fmt::format(R"({{"id":"{}","customer":"{}","kind":"{}","payload":"x"}})", id,
-                           given.customer, given.kind);
+                           settings.customer, settings.kind);
     }
     std::string list;
-    for (int n = 0; n < given.tasks; ++n) {
+    for (int n = 0; n < settings.tasks; ++n) {
         list += n == 0 ? "\"x\"" : ",\"x\"";
     }
     return fmt::format(R"({{"id":"{}","customer":"{}","kind":"{}","tasks":[{}]}})", id,
-                       given.customer, given.kind, list);
+                       settings.customer, settings.kind, list);
 }
 
-void run_against_instance(const options& given, timer_service& timers)
+void run_against_instance(const options& settings, timer_service& timers)
 {
     http_client client(timers, {});
     std::string prefix;
     http_call first;
-    first.address = given.address;
+    first.address = settings.address;
     first.target = "/v1/prefix";
     client.send(first, [&](const http_reply& reply) {
         prefix = reply.end == http_outcome::replied ? reply.header("Cactusloom-Id-Prefix") : "none";
@@ -145,38 +147,38 @@
     while (prefix.empty()) {
         g_main_context_iteration(nullptr, TRUE);
     }
-    closed_loop load(given, timers, [&](int number, const std::function<void(bool)>& done) {
+    closed_loop load(settings, timers, [&](int number, const std::function<void(bool)>& done) {
         http_call call;
         call.method = "POST";
-        call.address = given.address;
-        call.target = given.tasks == 1 ? "/v1/requests?wait_ms=10000" : "/v1/jobs?wait_ms=10000";
+        call.address = settings.address;
+        call.target = settings.tasks == 1 ? "/v1/requests?wait_ms=10000" : "/v1/jobs?wait_ms=10000";
         call.headers = {{"Content-Type", "application/json"}};
-        call.body = make_body(given, fmt::format("{}.b{}", prefix, number));
+        call.body = make_body(settings, fmt::format("{}.b{}", prefix, number));
         client.send(call, [&prefix, done](const http_reply& reply) {
-            const bool good = reply.end == http_outcome::replied && reply.status == 200 &&
-                              reply.body.find("\"completed\"") != std::string::npos;
-            if (good) {
+            const bool succeeded = reply.end == http_outcome::replied && reply.status == 200 &&
+                                   reply.body.find("\"completed\"") != std::string::npos;
+            if (succeeded) {
                 prefix =
                     reply.header("Cactusloom-Id-Prefix"); // as callers do; needs no extra message
             }
-            done(good);
+            done(succeeded);
         });
     });
     load.run();
     fmt::print("{}\n", load.row("through an instance"));
 }
 
-void run_against_workers(const options& given, timer_service& timers)
+void run_against_workers(const options& settings, timer_service& timers)
 {
     std::vector<worker_settings> workers;
-    std::istringstream list(given.workers);
+    std::istringstream list(settings.workers);
     for (std::string address; std::getline(list, address, ',');) {
         workers.emplace_back().address = address;
     }
     http_worker_client client(timers, workers);
-    closed_loop load(given, timers, [&](int number, const std::function<void(bool)>& done) {
+    closed_loop load(settings, timers, [&](int number, const std::function<void(bool)>& done) {
         const std::string id = fmt::format("direct-{}", number);
-        const start_request request{id, given.kind, "x", std::chrono::seconds{5},
+        const start_request request{id, settings.kind, "x", std::chrono::seconds{5},
                                     std::chrono::seconds{10}};
         client.start(
             static_cast<worker_id>(number) % static_cast<worker_id>(workers.size()), request,
@@ -190,17 +192,17 @@
 
 int main(int argc, const char** argv)
 {
-    options given;
-    if (!read_options(argc, argv, given)) {
+    options settings;
+    if (!read_options(argc, argv, settings)) {
         fmt::print(stderr, "load_bench: give either --address or --workers; try --help\n");
         return 2;
     }
     glib_timer_service timers;
-    if (given.workers.empty()) {
-        run_against_instance(given, timers);
+    if (settings.workers.empty()) {
+        run_against_instance(settings, timers);
     }
     else {
-        run_against_workers(given, timers);
+        run_against_workers(settings, timers);
     }
     return 0;
 }
--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-struct usage {
+struct traffic_sum {
     std::uint64_t bytes = 0;
     std::uint64_t messages = 0;
 };
 
-usage sent_bytes(cluster& it)
+traffic_sum total_traffic(cluster& it)
 {
-    usage sum;
+    traffic_sum sum;
     for (const auto& [name, node] : it.nodes()) {
         const auto& traffic = node->detector->traffic();
         sum.bytes += traffic.bytes_sent;
@@ -35,11 +35,11 @@
     for (const auto& [name, node] : it.nodes()) {
         before[name] = node->detector->traffic().bytes_sent;
     }
-    const auto start = sent_bytes(it);
+    const auto start = total_traffic(it);
     const auto cpu = std::clock();
     it.run(std::chrono::seconds{seconds});
     const double cpu_ms = 1e3 * static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC;
-    const auto end = sent_bytes(it);
+    const auto end = total_traffic(it);
     std::uint64_t largest = 0;
     for (const auto& [name, node] : it.nodes()) {
         largest = std::max(largest, node->detector->traffic().bytes_sent - before[name]);
@@ -52,7 +52,7 @@
                cpu_ms / node_seconds);
 }
 
-void fill(cluster& it, unsigned n)
+void start_instances(cluster& it, unsigned n)
 {
     for (unsigned i = 1; i <= n; ++i) {
         it.start(i, i % 5 + 1);
@@ -63,7 +63,7 @@
 void measure_cost(unsigned n)
 {
     cluster it(1);
-    fill(it, n);
+    start_instances(it, n);
     measure(it, "start of all at once, 10 s", 10);
     it.run(60s);
     measure(it, "quiet, 60 s", 60);
@@ -86,13 +86,13 @@
 
 // Measures the time from the death of a node until the first and the last live node consider it
 // dead.
-void measure_notice(unsigned n)
+void measure_detection(unsigned n)
 {
     std::vector<double> first;
     std::vector<double> last;
     for (std::uint32_t seed = 1; seed <= (n > 50 ? 3U : 10U); ++seed) {
         cluster it(seed);
-        fill(it, n);
+        start_instances(it, n);
         it.run(40s);
         it.kill("i002");
         const auto died = it.now();
@@ -137,7 +137,7 @@
     fmt::print("| Instances | Runs | First node, median | First node, worst | Last node, median | "
                "Last node, worst |\n|---|---|---|---|---|---|\n");
     for (const auto n : sizes) {
-        measure_notice(n);
+        measure_detection(n);
     }
     return 0;
 }
--- a/bench/router_bench.cpp
+++ b/bench/router_bench.cpp
@@ -42,7 +42,7 @@
     "random",      "round_robin",        "fewest_outstanding",
     "two_choices", "two_choices_finish", "predicted_finish"};
 
-class stepping_clock final : public clock {
+class manual_clock final : public clock {
 public:
     monotonic_time monotonic_now() const override { return now; }
     wall_time wall_now() const override { return {}; }
@@ -69,19 +69,19 @@
 void decide(benchmark::State& state)
 {
     const auto workers = static_cast<std::size_t>(state.range(1));
-    stepping_clock time;
-    const auto routes = router::make(
+    manual_clock time;
+    const auto task_router = router::make(
         make_deployment(strategies.at(static_cast<std::size_t>(state.range(0))), workers), time,
         {.seed = 1, .share = 1.0 / 9});
     std::vector<worker_id> running(workers * 7 / 10);
     const auto start = [&](std::uint64_t job) {
         const auto worker =
-            routes->pick({.kind = static_cast<kind_index>(job % 3), .job_key = job / 8});
+            task_router->pick({.kind = static_cast<kind_index>(job % 3), .job_key = job / 8});
         if (!worker) {
             state.SkipWithError("no worker has room");
             return worker_id{0};
         }
-        routes->record_start(*worker, 0);
+        task_router->record_start(*worker, 0);
         return *worker;
     };
     start_reply reply;
@@ -97,7 +97,7 @@
     for (auto _ : state) { // NOLINT(clang-analyzer-deadcode.DeadStores)
         time.now += duration{1000};
         reply.run_time = duration{100'000 + static_cast<std::int64_t>(job % 97) * 5'000};
-        routes->record_end(running[oldest], 0, reply, reply.run_time);
+        task_router->record_end(running[oldest], 0, reply, reply.run_time);
         running[oldest] = start(++job);
         oldest = oldest + 1 < running.size() ? oldest + 1 : 0;
     }
@@ -109,15 +109,15 @@
 void pick_only(benchmark::State& state)
 {
     const auto workers = static_cast<std::size_t>(state.range(1));
-    stepping_clock time;
-    const auto routes = router::make(
+    manual_clock time;
+    const auto task_router = router::make(
         make_deployment(strategies.at(static_cast<std::size_t>(state.range(0))), workers), time,
         {.seed = 1, .share = 1.0 / 9});
     std::uint64_t job = 0;
     for (auto _ : state) { // NOLINT(clang-analyzer-deadcode.DeadStores)
         time.now += duration{1000};
         ++job;
-        benchmark::DoNotOptimize(routes->pick({.kind = 0, .job_key = job / 8}));
+        benchmark::DoNotOptimize(task_router->pick({.kind = 0, .job_key = job / 8}));
     }
     state.SetLabel(strategies.at(static_cast<std::size_t>(state.range(0))));
 }
--- a/bench/routing_simulation.h
+++ b/bench/routing_simulation.h
@@ -11,7 +11,7 @@
 namespace cactusloom::bench {
 
 // One-way latency of a message in seconds. The design requires a round trip below 1 ms.
-constexpr double one_way = 0.00025;
+constexpr double one_way_latency = 0.00025;
 
 class bench_clock final : public clock {
 public:
@@ -36,7 +36,7 @@
         double begin = 0;
         for (std::size_t i = 0; i < input.share.size(); ++i) {
             instances_.emplace_back();
-            instances_.back().routes =
+            instances_.back().task_router =
                 router::make(deployment_, clock_,
                              {.seed = settings.seed * 1000003ULL + i * 7919ULL,
                               .share = input.share[i],
@@ -124,7 +124,7 @@
     };
 
     struct instance_state {
-        std::unique_ptr<router> routes;
+        std::unique_ptr<router> task_router;
         std::deque<std::uint32_t> queue;
         bool polling = false;
     };
@@ -150,7 +150,7 @@
     {
         switch (it.type) {
         case event_type::arrival:
-            arrive(it.subject);
+            handle_arrival(it.subject);
             break;
         case event_type::start:
             start(it.subject);
@@ -161,7 +161,7 @@
             }
             break;
         case event_type::reply:
-            take_reply(it.subject);
+            handle_reply(it.subject);
             break;
         case event_type::poll:
             instances_[it.subject].polling = false;
@@ -173,7 +173,7 @@
         }
     }
 
-    void arrive(std::uint32_t number)
+    void handle_arrival(std::uint32_t number)
     {
         const trace_request& request = trace_->requests[number];
         if (number + 1 < trace_->requests.size()) {
@@ -199,18 +199,18 @@
             const std::uint32_t kind = trace_->requests[task.request].kind;
             result_.picks += 1;
             const auto worker =
-                instance.routes->pick({.kind = kind, .job_key = task.request + 1ULL});
+                instance.task_router->pick({.kind = kind, .job_key = task.request + 1ULL});
             if (!worker) {
                 break;
             }
             instance.queue.pop_front();
-            instance.routes->record_start(*worker, kind);
+            instance.task_router->record_start(*worker, kind);
             task.worker = *worker;
             task.sent_at = clock_.seconds;
             task.in_flight = true;
             ++task.attempt;
             count_message();
-            add(clock_.seconds + one_way, event_type::start, id);
+            add(clock_.seconds + one_way_latency, event_type::start, id);
         }
         if (!instance.queue.empty() && !instance.polling) {
             instance.polling = true;
@@ -235,7 +235,7 @@
         }
         else if (worker.queue.size() < worker_queue) {
             worker.queue.push_back(id);
-            note_load(worker);
+            record_load_change(worker);
         }
         else {
             result_.refused += is_measured() ? 1 : 0;
@@ -248,7 +248,7 @@
         task_state& task = tasks_[id];
         worker_state& worker = workers_[task.worker];
         ++worker.running;
-        note_load(worker);
+        record_load_change(worker);
         task.running = true;
         task.started_at = clock_.seconds;
         task.run_time = trace_->work[id] / worker.speed;
@@ -266,11 +266,11 @@
             worker.queue.pop_front();
             begin(next);
         }
-        note_load(worker);
+        record_load_change(worker);
         reply(id, status);
     }
 
-    void note_load(worker_state& worker) const
+    void record_load_change(worker_state& worker) const
     {
         const worker_load load{.running = static_cast<std::uint16_t>(worker.running),
                                .queued = static_cast<std::uint16_t>(worker.queue.size()),
@@ -289,14 +289,14 @@
         task.status = status;
         task.has_load = status != start_status::not_sent && status != start_status::reply_lost;
         if (task.has_load) {
-            note_load(worker);
+            record_load_change(worker);
             task.load = worker.history.front().load;
             count_message();
         }
-        add(clock_.seconds + one_way, event_type::reply, id);
+        add(clock_.seconds + one_way_latency, event_type::reply, id);
     }
 
-    void take_reply(std::uint32_t id)
+    void handle_reply(std::uint32_t id)
     {
         task_state& task = tasks_[id];
         const trace_request& request = trace_->requests[task.request];
@@ -311,11 +311,11 @@
             reply.run_time = duration{static_cast<std::int64_t>(task.run_time * 1e6)};
             count_message(std::floor(elapsed / renew_interval));
         }
-        instance.routes->record_end(task.worker, request.kind, reply,
-                                    duration{static_cast<std::int64_t>(elapsed * 1e6)});
-        const bool is_late =
+        instance.task_router->record_end(task.worker, request.kind, reply,
+                                         duration{static_cast<std::int64_t>(elapsed * 1e6)});
+        const bool is_after_fault =
             settings_->kind != fault::none && clock_.seconds > trace_->fault_at + 1;
-        if (is_late && task.status != start_status::completed &&
+        if (is_after_fault && task.status != start_status::completed &&
             task.status != start_status::refused_busy) {
             result_.late_fault_hits += 1;
         }
@@ -324,7 +324,7 @@
         }
         else {
             end_task(id, task.status == start_status::completed);
-            result_.tasks_late += is_late ? 1 : 0;
+            result_.tasks_after_fault += is_after_fault ? 1 : 0;
         }
         drain(request.instance);
     }
@@ -363,7 +363,7 @@
             }
         }
         else if (settings_->kind == fault::cancellation) {
-            cancel_wave();
+            cancel_requests();
         }
     }
 
@@ -377,7 +377,7 @@
             task_state& task = tasks_[id];
             const bool is_there = task.in_flight && task.worker == broken;
             // A task whose start request is still in flight meets the fault on arrival.
-            if (is_there && clock_.seconds - task.sent_at > one_way) {
+            if (is_there && clock_.seconds - task.sent_at > one_way_latency) {
                 task.running = false;
                 reply(id,
                       state == mode::dead ? start_status::reply_lost : start_status::task_failed);
@@ -385,7 +385,7 @@
         }
     }
 
-    void cancel_wave()
+    void cancel_requests()
     {
         for (std::uint32_t i = 0; i < requests_.size(); ++i) {
             const trace_request& request = trace_->requests[i];
--- a/bench/workload_trace.h
+++ b/bench/workload_trace.h
@@ -168,9 +168,9 @@
     double messages = 0;           // sent in the measured time
     double tasks = 0;
     double refused = 0;
-    double failed = 0;          // measured requests that failed
-    double late_fault_hits = 0; // starts that failed more than 1 s after the fault
-    double tasks_late = 0;      // tasks that ended more than 1 s after the fault
+    double failed = 0;            // measured requests that failed
+    double late_fault_hits = 0;   // starts that failed more than 1 s after the fault
+    double tasks_after_fault = 0; // tasks that ended more than 1 s after the fault
     double picks = 0;
 };
 
--- a/include/dispatch/dispatcher.h
+++ b/include/dispatch/dispatcher.h
@@ -41,7 +41,7 @@
         counters* metrics = nullptr;
     };
 
-    dispatcher(const deployment& settings, dispatcher_options options, const dependencies& with);
+    dispatcher(const deployment& settings, dispatcher_options options, const dependencies& deps);
     ~dispatcher() override;
 
     // The new settings must have been applied to the router first, since it is queried about new
--- a/include/submission/submission_registry.h
+++ b/include/submission/submission_registry.h
@@ -57,7 +57,7 @@
 
     static std::size_t find_slot(const std::vector<entry>& entries, std::uint64_t id_hash);
     const entry* find_entry(std::uint64_t id_hash, monotonic_time issued) const;
-    table& table_at(std::int64_t span);
+    table& table_at(std::int64_t bucket);
     void drop_expired(monotonic_time now);
 
     std::size_t max_ids_;
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -206,20 +206,20 @@
 void fair_queue::link_team(team_index team)
 {
     team_entry& it = teams_[team];
-    team_list& home = list_of(team);
-    it.previous = home.last;
+    team_list& list = list_of(team);
+    it.previous = list.last;
     it.next = none;
-    (home.last == none ? home.first : teams_[home.last].next) = team;
-    home.last = team;
+    (list.last == none ? list.first : teams_[list.last].next) = team;
+    list.last = team;
     it.had_quantum = false;
 }
 
 void fair_queue::unlink_team(team_index team)
 {
     team_entry& it = teams_[team];
-    team_list& home = list_of(team);
-    (it.previous == none ? home.first : teams_[it.previous].next) = it.next;
-    (it.next == none ? home.last : teams_[it.next].previous) = it.previous;
+    team_list& list = list_of(team);
+    (it.previous == none ? list.first : teams_[it.previous].next) = it.next;
+    (it.next == none ? list.last : teams_[it.next].previous) = it.previous;
 }
 
 } // namespace cactusloom
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -22,8 +22,8 @@
 }
 
 dispatcher::dispatcher(const deployment& settings, dispatcher_options options,
-                       const dependencies& with)
-    : engine_(std::make_unique<engine>(settings, std::move(options), with))
+                       const dependencies& deps)
+    : engine_(std::make_unique<engine>(settings, std::move(options), deps))
 {
 }
 
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -14,7 +14,7 @@
 constexpr duration dispatch_interval = std::chrono::milliseconds{10};
 
 // Bound on starts in one iteration of the event loop.
-constexpr int max_starts_per_turn = 256;
+constexpr int max_starts_per_iteration = 256;
 
 // Completed tasks of a kind before its run times are used for shedding. Declared run times are
 // often far off, and shedding by them would prevent the true ones from being learned.
@@ -24,8 +24,8 @@
 // it, 2.2 % of the accepted tasks are shed at ten times the capacity.
 constexpr int prediction_slack = 8;
 
-constexpr duration refresh_interval = std::chrono::milliseconds{50};
-constexpr duration shortest_deadline = std::chrono::milliseconds{1};
+constexpr duration quantile_refresh_interval = std::chrono::milliseconds{50};
+constexpr duration min_deadline = std::chrono::milliseconds{1};
 
 // Digest of the content that must be equal when a submission is repeated. It excludes the deadline,
 // since a caller that repeats a submission has less time left.
@@ -41,11 +41,11 @@
 
 std::vector<double> weights_of(const std::vector<team_quota>& teams)
 {
-    constexpr double least_weight = 0.001;
+    constexpr double min_weight = 0.001;
     std::vector<double> weights;
     weights.reserve(teams.size());
     for (const team_quota& it : teams) {
-        weights.push_back(std::max(it.weight, least_weight));
+        weights.push_back(std::max(it.weight, min_weight));
     }
     return weights;
 }
@@ -53,13 +53,13 @@
 } // namespace
 
 dispatcher::engine::engine(const deployment& settings, dispatcher_options options,
-                           const dependencies& with)
-    : options_(std::move(options)), workers_(with.workers), router_(with.task_router),
-      timers_(with.timers), observer_(with.observer),
-      counts_(with.metrics != nullptr ? *with.metrics : own_counters_), quotas_({}, options_.share),
+                           const dependencies& deps)
+    : options_(std::move(options)), workers_(deps.workers), router_(deps.task_router),
+      timers_(deps.timers), observer_(deps.observer),
+      counts_(deps.metrics != nullptr ? *deps.metrics : own_counters_), quotas_({}, options_.share),
       retries_(settings.profile.retry_ratio, static_cast<std::uint32_t>(options_.seed) + 1),
       hedges_(settings.profile), registry_(options_.max_remembered_ids),
-      wheel_(with.timers, [this](std::uint64_t key) { on_due(key); })
+      wheel_(deps.timers, [this](std::uint64_t key) { on_due(key); })
 {
     apply(settings);
 }
@@ -72,7 +72,7 @@
 
     // Queued and running tasks refer to teams by position, so positions must not change.
     std::unordered_map<std::string_view, team_index> positions;
-    const auto place = [this](const team_quota& team) {
+    const auto find_or_add = [this](const team_quota& team) {
         const auto it = std::find_if(teams_.begin(), teams_.end(),
                                      [&](const auto& known) { return known.name == team.name; });
         const auto n = static_cast<team_index>(it - teams_.begin());
@@ -85,9 +85,9 @@
         return n;
     };
     for (const team_quota& team : settings_->teams) {
-        positions.emplace(team.name, place(team));
+        positions.emplace(team.name, find_or_add(team));
     }
-    const team_index fallback = settings_->teams.empty() ? place({}) : 0;
+    const team_index fallback = settings_->teams.empty() ? find_or_add({}) : 0;
     quotas_.update(teams_);
     const auto weights = weights_of(teams_);
     for (fair_queue& queue : queues_) {
@@ -190,8 +190,7 @@
                                    settings_->limits.max_tasks_per_job, tasks));
     }
     if (request.deadline != duration::zero() &&
-        (request.deadline < shortest_deadline ||
-         request.deadline > settings_->limits.max_deadline)) {
+        (request.deadline < min_deadline || request.deadline > settings_->limits.max_deadline)) {
         return failure(errc::invalid_argument,
                        fmt::format("a deadline is 1 to {} ms",
                                    settings_->limits.max_deadline / std::chrono::milliseconds{1}));
@@ -218,11 +217,12 @@
         const auto position = queue.estimate_position(team->second, tasks);
         const duration margin =
             state.samples < min_samples ? duration::zero() : std::min(state.p99, limit / 2);
-        const duration start = router_.expected_wait(position);
-        if (start > duration::zero() && start + start / prediction_slack + margin > limit) {
+        const duration predicted_wait = router_.expected_wait(position);
+        if (predicted_wait > duration::zero() &&
+            predicted_wait + predicted_wait / prediction_slack + margin > limit) {
             return failure(errc::unavailable,
                            fmt::format("overload: predicted start after {} ms, deadline {} ms",
-                                       start / std::chrono::milliseconds{1},
+                                       predicted_wait / std::chrono::milliseconds{1},
                                        limit / std::chrono::milliseconds{1}));
         }
     }
@@ -242,8 +242,8 @@
 
 void dispatcher::engine::accept(job_request request, std::uint64_t id_hash, std::uint64_t digest)
 {
-    const std::uint32_t slot = add_job();
-    job_record& job = jobs_[slot];
+    const std::uint32_t job_index = add_job();
+    job_record& job = jobs_[job_index];
     const kind_index kind = kinds_by_name_.find(request.kind)->second;
     const request_kind& settings = settings_->kinds[kind];
     duration limit = request.deadline;
@@ -265,7 +265,7 @@
     job.team = teams_by_customer_.find(request.customer)->second;
     job.size = static_cast<std::uint32_t>(request.payloads.size());
     job.tasks.resize(job.size);
-    job.timer = wheel_.add(job.deadline, timer_key(timer_kind::job, slot));
+    job.timer = wheel_.add(job.deadline, timer_key(timer_kind::job, job_index));
     ++open_jobs_;
     ++counts_.jobs_accepted;
     if (observer_ != nullptr) {
@@ -274,8 +274,9 @@
     }
     job.id = std::move(request.id);
     job.payloads_or_answers = std::move(request.payloads);
-    jobs_by_id_.emplace(id_hash, slot);
-    queues_[job.queue].push(slot, job.team, refreshed_state(kind, job.received).median, job.size);
+    jobs_by_id_.emplace(id_hash, job_index);
+    queues_[job.queue].push(job_index, job.team, refreshed_state(kind, job.received).median,
+                            job.size);
     dispatch_queued();
     if (!deliveries_.empty()) {
         schedule_deferred_work();
@@ -294,22 +295,22 @@
         jobs_.emplace_back();
         return static_cast<std::uint32_t>(jobs_.size() - 1);
     }
-    const std::uint32_t slot = free_jobs_.back();
+    const std::uint32_t job_index = free_jobs_.back();
     free_jobs_.pop_back();
-    return slot;
+    return job_index;
 }
 
 void dispatcher::engine::wait(std::string_view id, duration limit, answer_callback done)
 {
-    const std::uint32_t slot = find(id);
-    if (slot == no_index) {
+    const std::uint32_t job_index = find(id);
+    if (job_index == no_index) {
         auto answer = std::make_shared<job_answer>();
         answer->reason = "the id is not known here";
         deliveries_.push_back({std::move(done), std::move(answer)});
         schedule_deferred_work();
         return;
     }
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     if (job.is_finished()) {
         deliveries_.push_back({std::move(done), job.answer});
         schedule_deferred_work();
@@ -318,17 +319,17 @@
     // The number identifies a waiter of the job and fits into the key of its timer.
     constexpr std::uint32_t number_mask = (1U << 28U) - 1;
     const std::uint32_t number = ++job.last_waiter & number_mask;
-    const auto timer = wheel_.add(now() + limit, timer_key(timer_kind::wait, slot, number));
+    const auto timer = wheel_.add(now() + limit, timer_key(timer_kind::wait, job_index, number));
     job.waiters.push_back({number, timer, std::move(done)});
 }
 
 result<job_status> dispatcher::engine::status(std::string_view id) const
 {
-    const std::uint32_t slot = find(id);
-    if (slot == no_index) {
+    const std::uint32_t job_index = find(id);
+    if (job_index == no_index) {
         return failure(errc::not_found, "the id is not known here");
     }
-    const job_record& job = jobs_[slot];
+    const job_record& job = jobs_[job_index];
     job_status status;
     status.state = job.is_finished() ? job.answer->state : job_state::running;
     status.tasks = job.size;
@@ -340,11 +341,11 @@
 
 result<void> dispatcher::engine::cancel(std::string_view id)
 {
-    const std::uint32_t slot = find(id);
-    if (slot == no_index) {
+    const std::uint32_t job_index = find(id);
+    if (job_index == no_index) {
         return failure(errc::not_found, "the id is not known here");
     }
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     if (job.is_finished() || job.is_failing) {
         return boost::outcome_v2::success();
     }
@@ -352,15 +353,15 @@
     // Stops are sent in later iterations of the event loop, a bounded number in each, so that many
     // cancellations at once do not block the loop.
     for (const task_record& task : job.tasks) {
-        for (const std::uint32_t index : task.attempts) {
-            if (index != no_index) {
-                pending_stops_.emplace_back(index, attempts_[index].generation);
+        for (const std::uint32_t attempt_index : task.attempts) {
+            if (attempt_index != no_index) {
+                pending_stops_.emplace_back(attempt_index, attempts_[attempt_index].generation);
             }
         }
     }
     wheel_.cancel(job.timer);
-    job.timer = wheel_.add(now() + options_.reply_grace, timer_key(timer_kind::job, slot));
-    fail_job(slot, "cancelled");
+    job.timer = wheel_.add(now() + options_.reply_grace, timer_key(timer_kind::job, job_index));
+    fail_job(job_index, "cancelled");
     schedule_deferred_work();
     return boost::outcome_v2::success();
 }
@@ -397,9 +398,9 @@
 
 std::size_t dispatcher::engine::bytes() const
 {
-    constexpr std::size_t map_node = 40; // next pointer, value and malloc overhead
+    constexpr std::size_t map_node_bytes = 40; // next pointer, value and malloc overhead
     std::size_t sum = sizeof(*this) + registry_.bytes() + wheel_.bytes() +
-                      jobs_.size() * sizeof(job_record) + jobs_by_id_.size() * map_node +
+                      jobs_.size() * sizeof(job_record) + jobs_by_id_.size() * map_node_bytes +
                       jobs_by_id_.bucket_count() * sizeof(void*) +
                       attempts_.capacity() * sizeof(attempt_record);
     for (const job_record& job : jobs_) {
@@ -416,18 +417,18 @@
     return sum;
 }
 
-// Starts queued tasks while the router finds workers with room, up to max_starts_per_turn.
+// Starts queued tasks while the router finds workers with room, up to max_starts_per_iteration.
 void dispatcher::engine::dispatch_queued()
 {
-    int starts_left = max_starts_per_turn;
-    bool is_waiting = false;
+    int starts_left = max_starts_per_iteration;
+    bool has_queued = false;
     for (fair_queue& queue : queues_) {
-        is_waiting = dispatch_from(queue, starts_left) || is_waiting;
+        has_queued = dispatch_from(queue, starts_left) || has_queued;
     }
     if (starts_left == 0) {
         schedule_deferred_work();
     }
-    else if (is_waiting && dispatch_timer_ == timer_wheel::none) {
+    else if (has_queued && dispatch_timer_ == timer_wheel::none) {
         dispatch_timer_ =
             wheel_.add(now() + dispatch_interval, timer_key(timer_kind::dispatch_queued, 0));
     }
@@ -436,13 +437,13 @@
 // Returns whether tasks are left in the queue.
 bool dispatcher::engine::dispatch_from(fair_queue& queue, int& starts_left)
 {
-    while (const auto slot = queue.front()) {
+    while (const auto job_index = queue.front()) {
         if (starts_left == 0) {
             return true;
         }
-        const job_record& job = jobs_[*slot];
+        const job_record& job = jobs_[*job_index];
         if (would_miss_deadline(job, now())) {
-            fail_job(*slot, "shed: would not finish within its deadline");
+            fail_job(*job_index, "shed: would not finish within its deadline");
             --starts_left;
             continue;
         }
@@ -455,15 +456,15 @@
             return true;
         }
         queue.pop();
-        start_next(*slot, *worker);
+        start_next(*job_index, *worker);
         --starts_left;
     }
     return false;
 }
 
-void dispatcher::engine::start_next(std::uint32_t slot, worker_id worker)
+void dispatcher::engine::start_next(std::uint32_t job_index, worker_id worker)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     std::uint32_t task = 0;
     if (job.retry_queue.empty()) {
         task = job.next_waiting++;
@@ -480,35 +481,35 @@
         ++counts_.task_retries;
         hedges_.record_extra_messages(hedge_policy::messages_per_retry);
     }
-    start_attempt(slot, task, worker);
+    start_attempt(job_index, task, worker);
 }
 
-void dispatcher::engine::start_attempt(std::uint32_t slot, std::uint32_t task_number,
+void dispatcher::engine::start_attempt(std::uint32_t job_index, std::uint32_t task_number,
                                        worker_id worker)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
     const request_kind& kind = job.accepted_settings->kinds[job.kind];
     const monotonic_time time = now();
-    std::uint32_t index = 0;
+    std::uint32_t attempt_index = 0;
     if (free_attempts_.empty()) {
-        index = static_cast<std::uint32_t>(attempts_.size());
+        attempt_index = static_cast<std::uint32_t>(attempts_.size());
         attempts_.emplace_back();
     }
     else {
-        index = free_attempts_.back();
+        attempt_index = free_attempts_.back();
         free_attempts_.pop_back();
     }
     if (!task.is_open()) {
         ++job.open_tasks;
     }
-    task.attempts[task.attempts[0] == no_index ? 0 : 1] = index;
+    task.attempts[task.attempts[0] == no_index ? 0 : 1] = attempt_index;
     task.state = task_state::running;
     task.last_worker = worker;
     ++task.starts;
 
-    attempt_record& attempt = attempts_[index];
-    attempt.job = slot;
+    attempt_record& attempt = attempts_[attempt_index];
+    attempt.job = job_index;
     attempt.task = task_number;
     attempt.worker = worker;
     attempt.start_number = task.starts;
@@ -527,7 +528,7 @@
             attempt.hedge_at = time + *delay;
         }
     }
-    arm_timer(attempt, index);
+    arm_timer(attempt, attempt_index);
 
     ++counts_.task_starts;
     quotas_.record_start(job.team);
@@ -541,8 +542,8 @@
                                 std::max(job.deadline - time, duration::zero())};
     // The capture fits into the small-object buffer of std::function, so no memory is allocated.
     const std::uint32_t generation = attempt.generation;
-    workers_.start(worker, request, [this, index, generation](start_reply reply) {
-        on_reply(index, generation, std::move(reply));
+    workers_.start(worker, request, [this, attempt_index, generation](start_reply reply) {
+        on_reply(attempt_index, generation, std::move(reply));
     });
 }
 
@@ -553,12 +554,12 @@
     if (time == job.received) {
         return false;
     }
-    const duration left = job.deadline - time;
+    const duration time_left = job.deadline - time;
     const kind_state& state = refreshed_state(job.kind, time);
     const duration margin = state.samples < min_samples
                                 ? duration::zero()
                                 : std::min(state.p99, (job.deadline - job.received) / 2);
-    return left <= duration::zero() || left < margin;
+    return time_left <= duration::zero() || time_left < margin;
 }
 
 const dispatcher::engine::kind_state& dispatcher::engine::refreshed_state(kind_index kind,
@@ -566,7 +567,7 @@
 {
     kind_state& state = kinds_[kind];
     // Quantiles change slowly and are needed for each task, so they are cached.
-    if (state.median == duration::zero() || time - state.refreshed >= refresh_interval) {
+    if (state.median == duration::zero() || time - state.refreshed >= quantile_refresh_interval) {
         state.refreshed = time;
         state.median = router_.run_time_quantile(kind, 0.5);
         state.p99 = router_.run_time_quantile(kind, 0.99);
@@ -575,36 +576,38 @@
     return state;
 }
 
-void dispatcher::engine::on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply)
+void dispatcher::engine::on_reply(std::uint32_t attempt_index, std::uint32_t generation,
+                                  start_reply reply)
 {
     ++counts_.replies;
-    if (!attempts_[index].is_open || attempts_[index].generation != generation) {
+    if (!attempts_[attempt_index].is_open || attempts_[attempt_index].generation != generation) {
         ++counts_.late_replies;
         return;
     }
-    attempt_record& attempt = attempts_[index];
-    const std::uint32_t slot = attempt.job;
+    attempt_record& attempt = attempts_[attempt_index];
+    const std::uint32_t job_index = attempt.job;
     const std::uint32_t task = attempt.task;
     const monotonic_time lease_end = attempt.lease_end;
-    const bool is_hedge = attempt.start_number > 1 && jobs_[slot].tasks[task].attempts[1] == index;
+    const bool is_hedge =
+        attempt.start_number > 1 && jobs_[job_index].tasks[task].attempts[1] == attempt_index;
     release_slot(attempt, reply);
-    close_attempt(index, reply.status);
+    close_attempt(attempt_index, reply.status);
     if (reply.status == start_status::completed) {
         counts_.hedges_won += is_hedge ? 1 : 0;
-        complete_task(slot, task, std::move(reply.payload));
+        complete_task(job_index, task, std::move(reply.payload));
     }
     else {
-        attempt_failed(slot, task, reply, lease_end);
+        attempt_failed(job_index, task, reply, lease_end);
     }
-    finish_if_done(slot);
+    finish_if_done(job_index);
     dispatch_queued();
     deliver();
 }
 
-void dispatcher::engine::complete_task(std::uint32_t slot, std::uint32_t task_number,
+void dispatcher::engine::complete_task(std::uint32_t job_index, std::uint32_t task_number,
                                        std::string answer)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
     task.state = task_state::completed;
     ++job.completed;
@@ -618,10 +621,10 @@
 }
 
 // Retries or ends a task after an attempt that did not complete it.
-void dispatcher::engine::attempt_failed(std::uint32_t slot, std::uint32_t task_number,
+void dispatcher::engine::attempt_failed(std::uint32_t job_index, std::uint32_t task_number,
                                         const start_reply& reply, monotonic_time lease_end)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
     const request_kind& kind = job.accepted_settings->kinds[job.kind];
     bool may_retry = false;
@@ -650,7 +653,7 @@
     const monotonic_time time = now();
     if (may_retry && !job.is_failing && task.starts < max_starts_per_task && time < lease_end &&
         time < job.deadline) {
-        retry_later(slot, task_number);
+        retry_later(job_index, task_number);
         return;
     }
     task.state = task_state::ended;
@@ -658,16 +661,16 @@
         const std::string_view what = task.is_unknown ? "no reply from the worker"
                                       : task.has_run  ? "the task failed"
                                                       : "no worker took the task";
-        fail_job(slot, reply.payload.empty() ? std::string{what}
-                                             : fmt::format("{}: {}", what, reply.payload));
+        fail_job(job_index, reply.payload.empty() ? std::string{what}
+                                                  : fmt::format("{}: {}", what, reply.payload));
     }
 }
 
 // Stops an attempt and closes it without a reply; a later reply is ignored.
-void dispatcher::engine::abandon_attempt(std::uint32_t index, start_status status)
+void dispatcher::engine::abandon_attempt(std::uint32_t attempt_index, start_status status)
 {
-    send_stop(attempts_[index]);
-    close_attempt(index, status);
+    send_stop(attempts_[attempt_index]);
+    close_attempt(attempt_index, status);
 }
 
 // Sends a stop and releases the worker's slot at once. If the worker has not stopped the task yet,
@@ -698,14 +701,14 @@
 }
 
 // Frees the record of an attempt and changes its generation, so that a late reply is recognised.
-void dispatcher::engine::close_attempt(std::uint32_t index, start_status status)
+void dispatcher::engine::close_attempt(std::uint32_t attempt_index, start_status status)
 {
-    attempt_record& attempt = attempts_[index];
+    attempt_record& attempt = attempts_[attempt_index];
     assert(attempt.is_open && !attempt.holds_slot);
     job_record& job = jobs_[attempt.job];
     task_record& task = job.tasks[attempt.task];
     for (std::uint32_t& it : task.attempts) {
-        if (it == index) {
+        if (it == attempt_index) {
             it = no_index;
         }
     }
@@ -718,32 +721,32 @@
     wheel_.cancel(attempt.timer);
     attempt.is_open = false;
     ++attempt.generation;
-    free_attempts_.push_back(index);
+    free_attempts_.push_back(attempt_index);
 }
 
 // Marks a job as failed. Queued tasks are dropped at once, but the ends of running tasks are
 // awaited so that the answer states correctly what ran.
-void dispatcher::engine::fail_job(std::uint32_t slot, std::string_view reason)
+void dispatcher::engine::fail_job(std::uint32_t job_index, std::string_view reason)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     if (job.is_failing) {
         return;
     }
     job.is_failing = true;
     job.reason = reason;
-    counts_.tasks_shed += queues_[job.queue].remove(slot);
+    counts_.tasks_shed += queues_[job.queue].remove(job_index);
     for (task_record& task : job.tasks) {
         wheel_.cancel(task.retry_timer);
     }
-    finish_if_done(slot);
+    finish_if_done(job_index);
 }
 
-void dispatcher::engine::finish_if_done(std::uint32_t slot)
+void dispatcher::engine::finish_if_done(std::uint32_t job_index)
 {
-    const job_record& job = jobs_[slot];
+    const job_record& job = jobs_[job_index];
     if (job.number != 0 && !job.is_finished() &&
         (job.completed == job.size || (job.is_failing && job.open_tasks == 0))) {
-        finish(slot);
+        finish(job_index);
     }
 }
 
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -19,7 +19,7 @@
 // by index.
 class dispatcher::engine {
 public:
-    engine(const deployment& settings, dispatcher_options options, const dependencies& with);
+    engine(const deployment& settings, dispatcher_options options, const dependencies& deps);
     ~engine();
 
     void apply(const deployment& settings);
@@ -42,10 +42,10 @@
     // Bound on the starts of a task, regardless of the retry budget.
     static constexpr unsigned max_starts_per_task = 5;
 
-    static constexpr std::uint64_t timer_key(timer_kind what, std::uint32_t first,
+    static constexpr std::uint64_t timer_key(timer_kind purpose, std::uint32_t first,
                                              std::uint32_t second = 0)
     {
-        return static_cast<std::uint64_t>(what) << 60U | std::uint64_t{second} << 32U | first;
+        return static_cast<std::uint64_t>(purpose) << 60U | std::uint64_t{second} << 32U | first;
     }
 
     // State of a request kind, with cached run-time quantiles of the router.
@@ -73,37 +73,37 @@
     // Starts of tasks.
     void dispatch_queued();
     bool dispatch_from(fair_queue& queue, int& starts_left);
-    void start_next(std::uint32_t slot, worker_id worker);
-    void start_attempt(std::uint32_t slot, std::uint32_t task, worker_id worker);
+    void start_next(std::uint32_t job_index, worker_id worker);
+    void start_attempt(std::uint32_t job_index, std::uint32_t task, worker_id worker);
     bool would_miss_deadline(const job_record& job, monotonic_time now);
     const kind_state& refreshed_state(kind_index kind, monotonic_time now);
 
     // Ends of attempts.
-    void on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply);
-    void complete_task(std::uint32_t slot, std::uint32_t task, std::string answer);
-    void attempt_failed(std::uint32_t slot, std::uint32_t task, const start_reply& reply,
+    void on_reply(std::uint32_t attempt_index, std::uint32_t generation, start_reply reply);
+    void complete_task(std::uint32_t job_index, std::uint32_t task, std::string answer);
+    void attempt_failed(std::uint32_t job_index, std::uint32_t task, const start_reply& reply,
                         monotonic_time lease_end);
-    void abandon_attempt(std::uint32_t index, start_status status);
+    void abandon_attempt(std::uint32_t attempt_index, start_status status);
     void send_stop(attempt_record& attempt);
     void release_slot(attempt_record& attempt, const start_reply& reply);
-    void close_attempt(std::uint32_t index, start_status status);
+    void close_attempt(std::uint32_t attempt_index, start_status status);
 
     // Ends of jobs.
-    void fail_job(std::uint32_t slot, std::string_view reason);
-    void finish_if_done(std::uint32_t slot);
-    void finish(std::uint32_t slot);
-    void drop_job(std::uint32_t slot);
+    void fail_job(std::uint32_t job_index, std::string_view reason);
+    void finish_if_done(std::uint32_t job_index);
+    void finish(std::uint32_t job_index);
+    void drop_job(std::uint32_t job_index);
     void drop_old_answers(bool only_excess);
 
     // Timers.
     void on_due(std::uint64_t key);
-    void on_job_due(std::uint32_t slot);
-    void on_attempt_due(std::uint32_t index);
-    void on_retry_due(std::uint32_t slot, std::uint32_t task);
-    void on_wait_due(std::uint32_t slot, std::uint32_t number);
-    void try_hedge(std::uint32_t index);
-    void arm_timer(attempt_record& attempt, std::uint32_t index);
-    void retry_later(std::uint32_t slot, std::uint32_t task);
+    void on_job_due(std::uint32_t job_index);
+    void on_attempt_due(std::uint32_t attempt_index);
+    void on_retry_due(std::uint32_t job_index, std::uint32_t task);
+    void on_wait_due(std::uint32_t job_index, std::uint32_t number);
+    void try_hedge(std::uint32_t attempt_index);
+    void arm_timer(attempt_record& attempt, std::uint32_t attempt_index);
+    void retry_later(std::uint32_t job_index, std::uint32_t task);
 
     // Work deferred to a later iteration of the event loop.
     void schedule_deferred_work();
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -9,8 +9,8 @@
 // A timer that runs late by more than this indicates that the process was paused.
 constexpr duration pause_threshold = std::chrono::milliseconds{100};
 
-constexpr std::size_t max_stops_per_turn = 256;
-constexpr std::size_t max_drops_per_turn = 512;
+constexpr std::size_t max_stops_per_iteration = 256;
+constexpr std::size_t max_drops_per_iteration = 512;
 constexpr duration retention_interval = std::chrono::milliseconds{100};
 
 template<typename Container>
@@ -61,15 +61,15 @@
 }
 
 // Handles the deadline of a job, and later the end of the grace for its last replies.
-void dispatcher::engine::on_job_due(std::uint32_t slot)
+void dispatcher::engine::on_job_due(std::uint32_t job_index)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     job.timer = timer_wheel::none;
     const monotonic_time time = now();
     const monotonic_time limit = job.deadline + options_.reply_grace;
     const bool is_cancelled = job.is_failing && time < job.deadline;
     if (!is_cancelled && !job.is_failing && job.completed + job.open_tasks < job.size) {
-        fail_job(slot, "the deadline passed before a worker took the task");
+        fail_job(job_index, "the deadline passed before a worker took the task");
         if (job.is_finished() || job.number == 0) {
             return;
         }
@@ -80,13 +80,13 @@
     job.grace_extended = job.grace_extended || was_paused;
     if (!is_cancelled && (time < limit || was_paused)) {
         job.timer = wheel_.add(was_paused ? time + options_.reply_grace : limit,
-                               timer_key(timer_kind::job, slot));
+                               timer_key(timer_kind::job, job_index));
         return;
     }
     for (std::size_t n = 0; n < job.tasks.size(); ++n) {
         task_record& task = job.tasks[n];
-        for (const std::uint32_t index : task.attempts) {
-            if (index == no_index) {
+        for (const std::uint32_t attempt_index : task.attempts) {
+            if (attempt_index == no_index) {
                 continue;
             }
             ++counts_.replies_missing;
@@ -94,22 +94,22 @@
             task.state = task_state::ended;
             // Reports a lost reply to the router, unless a stop was sent and the slot was released
             // then.
-            release_slot(attempts_[index], {});
-            abandon_attempt(index, start_status::reply_lost);
+            release_slot(attempts_[attempt_index], {});
+            abandon_attempt(attempt_index, start_status::reply_lost);
         }
     }
     if (job.is_failing) {
-        finish_if_done(slot);
+        finish_if_done(job_index);
     }
     else {
-        fail_job(slot, "no reply from the worker within the deadline");
+        fail_job(job_index, "no reply from the worker within the deadline");
     }
     dispatch_queued();
 }
 
-void dispatcher::engine::on_attempt_due(std::uint32_t index)
+void dispatcher::engine::on_attempt_due(std::uint32_t attempt_index)
 {
-    attempt_record& attempt = attempts_[index];
+    attempt_record& attempt = attempts_[attempt_index];
     attempt.timer = timer_wheel::none;
     if (attempt.stop_sent) {
         return;
@@ -123,10 +123,10 @@
     }
     if (time >= attempt.hedge_at) {
         attempt.hedge_at = monotonic_time::max();
-        try_hedge(index);
+        try_hedge(attempt_index);
     }
     // try_hedge() may have reallocated the records.
-    attempt_record& it = attempts_[index];
+    attempt_record& it = attempts_[attempt_index];
     if (time >= it.renew_at) {
         ++counts_.lease_renewals;
         hedges_.record_extra_messages(1.0);
@@ -135,12 +135,12 @@
         it.lease_end = time + lease;
         it.renew_at = time + lease / 2;
     }
-    arm_timer(it, index);
+    arm_timer(it, attempt_index);
 }
 
-void dispatcher::engine::try_hedge(std::uint32_t index)
+void dispatcher::engine::try_hedge(std::uint32_t attempt_index)
 {
-    const attempt_record& attempt = attempts_[index];
+    const attempt_record& attempt = attempts_[attempt_index];
     const job_record& job = jobs_[attempt.job];
     // A queued task has not run at all and needs a free slot more than a hedge does.
     if (job.is_failing || job.tasks[attempt.task].starts >= max_starts_per_task ||
@@ -157,24 +157,24 @@
     start_attempt(attempt.job, attempt.task, *worker);
 }
 
-void dispatcher::engine::arm_timer(attempt_record& attempt, std::uint32_t index)
+void dispatcher::engine::arm_timer(attempt_record& attempt, std::uint32_t attempt_index)
 {
     attempt.timer = wheel_.add(std::min(attempt.renew_at, attempt.hedge_at),
-                               timer_key(timer_kind::attempt, index));
+                               timer_key(timer_kind::attempt, attempt_index));
 }
 
-void dispatcher::engine::retry_later(std::uint32_t slot, std::uint32_t task_number)
+void dispatcher::engine::retry_later(std::uint32_t job_index, std::uint32_t task_number)
 {
-    task_record& task = jobs_[slot].tasks[task_number];
+    task_record& task = jobs_[job_index].tasks[task_number];
     task.state = task_state::backing_off;
     task.backoffs = static_cast<std::uint8_t>(std::min(task.backoffs + 1, 255));
     task.retry_timer = wheel_.add(now() + retries_.backoff(task.backoffs),
-                                  timer_key(timer_kind::retry, slot, task_number));
+                                  timer_key(timer_kind::retry, job_index, task_number));
 }
 
-void dispatcher::engine::on_retry_due(std::uint32_t slot, std::uint32_t task_number)
+void dispatcher::engine::on_retry_due(std::uint32_t job_index, std::uint32_t task_number)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
     task.retry_timer = timer_wheel::none;
     const monotonic_time time = now();
@@ -183,24 +183,24 @@
     }
     if (time >= job.received + std::chrono::milliseconds{task.lease_end_ms}) {
         task.state = task_state::ended;
-        fail_job(slot, "not retried after the end of the lease");
+        fail_job(job_index, "not retried after the end of the lease");
         return;
     }
     // Waiting for a token sends no messages, so it does not add to an overload.
     if (!retries_.try_take()) {
         ++counts_.retry_budget_empty;
-        retry_later(slot, task_number);
+        retry_later(job_index, task_number);
         return;
     }
     task.state = task_state::waiting;
     job.retry_queue.push_back(task_number);
-    queues_[job.queue].push_retry(slot, job.team, refreshed_state(job.kind, time).median);
+    queues_[job.queue].push_retry(job_index, job.team, refreshed_state(job.kind, time).median);
     dispatch_queued();
 }
 
-void dispatcher::engine::on_wait_due(std::uint32_t slot, std::uint32_t number)
+void dispatcher::engine::on_wait_due(std::uint32_t job_index, std::uint32_t number)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     const auto it = std::find_if(job.waiters.begin(), job.waiters.end(),
                                  [number](const auto& waiter) { return waiter.number == number; });
     if (it == job.waiters.end()) {
@@ -212,9 +212,9 @@
     job.waiters.erase(it);
 }
 
-void dispatcher::engine::finish(std::uint32_t slot)
+void dispatcher::engine::finish(std::uint32_t job_index)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     auto answer = std::make_shared<job_answer>();
     if (job.completed == job.size) {
         answer->state = job_state::completed;
@@ -264,7 +264,7 @@
                                  job.started > 0 ? to_wall(job.first_start) : wall_time{},
                                  to_wall(job.finished_at)});
     }
-    retained_.push_back(slot);
+    retained_.push_back(job_index);
     retained_bytes_ += retained_size(job);
     drop_old_answers(true);
     if (is_shutting_down_ && open_jobs_ == 0) {
@@ -278,7 +278,7 @@
 {
     const monotonic_time time = now();
     const duration retention = settings_->limits.answer_retention;
-    for (std::size_t n = 0; n < max_drops_per_turn && !retained_.empty(); ++n) {
+    for (std::size_t n = 0; n < max_drops_per_iteration && !retained_.empty(); ++n) {
         const job_record& oldest = jobs_[retained_.front()];
         const bool is_excess = retained_bytes_ > options_.max_retained_bytes;
         if (!is_excess && (only_excess || time < oldest.finished_at + retention)) {
@@ -295,13 +295,13 @@
     }
 }
 
-void dispatcher::engine::drop_job(std::uint32_t slot)
+void dispatcher::engine::drop_job(std::uint32_t job_index)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     retained_bytes_ -= retained_size(job);
     jobs_by_id_.erase(job.id_hash);
     job = job_record{};
-    free_jobs_.push_back(slot);
+    free_jobs_.push_back(job_index);
 }
 
 void dispatcher::engine::schedule_deferred_work()
@@ -314,11 +314,11 @@
 void dispatcher::engine::run_deferred_work()
 {
     deferred_work_timer_ = 0;
-    for (std::size_t n = 0; n < max_stops_per_turn && !pending_stops_.empty(); ++n) {
-        const auto [index, generation] = pending_stops_.front();
+    for (std::size_t n = 0; n < max_stops_per_iteration && !pending_stops_.empty(); ++n) {
+        const auto [attempt_index, generation] = pending_stops_.front();
         pending_stops_.pop_front();
-        if (attempts_[index].is_open && attempts_[index].generation == generation) {
-            send_stop(attempts_[index]);
+        if (attempts_[attempt_index].is_open && attempts_[attempt_index].generation == generation) {
+            send_stop(attempts_[attempt_index]);
         }
     }
     dispatch_queued();
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -38,9 +38,9 @@
 duration retry_budget::backoff(unsigned retry)
 {
     const unsigned doublings = std::min(retry > 0 ? retry - 1 : 0, 6U);
-    const duration middle = std::min(first_backoff * (1 << doublings), longest_backoff);
-    const auto span = static_cast<std::uint32_t>(middle.count());
-    return middle / 2 + duration{draw_below(random_, span)};
+    const duration nominal = std::min(first_backoff * (1 << doublings), longest_backoff);
+    const auto span = static_cast<std::uint32_t>(nominal.count());
+    return nominal / 2 + duration{draw_below(random_, span)};
 }
 
 } // namespace cactusloom
--- a/src/dispatch/timer_wheel.cpp
+++ b/src/dispatch/timer_wheel.cpp
@@ -11,7 +11,7 @@
 constexpr duration tick_length = std::chrono::milliseconds{1};
 
 // Bounds the work of one iteration of the event loop when many timers are due together.
-constexpr int max_timers_per_turn = 512;
+constexpr int max_timers_per_iteration = 512;
 
 std::int64_t floor_tick(monotonic_time time)
 {
@@ -107,7 +107,7 @@
     armed_ = timers_.schedule(due - timers_.monotonic_now(), [this] { run(); });
 }
 
-// Runs due timers, at most max_timers_per_turn in one iteration of the event loop.
+// Runs due timers, at most max_timers_per_iteration in one iteration of the event loop.
 void timer_wheel::run()
 {
     armed_ = 0;
@@ -124,7 +124,7 @@
         }
     }
     cursor_ = std::max(cursor_, now);
-    for (int n = 0; n < max_timers_per_turn && heads_[due_slot] != none; ++n) {
+    for (int n = 0; n < max_timers_per_iteration && heads_[due_slot] != none; ++n) {
         handle timer = heads_[due_slot];
         const std::uint64_t key = nodes_[timer].key;
         cancel(timer);
--- a/src/routing/job_spread.h
+++ b/src/routing/job_spread.h
@@ -19,9 +19,9 @@
     void add(std::uint64_t job_key, std::size_t rack);
 
 private:
-    static constexpr std::size_t jobs = 64;
+    static constexpr std::size_t max_jobs = 64;
 
-    std::size_t find(std::uint64_t job_key);
+    std::size_t find_or_replace(std::uint64_t job_key);
 
     std::vector<float> rack_slot_share_;
     std::vector<float> counts_; // by job and rack
--- a/src/routing/placement_cost.h
+++ b/src/routing/placement_cost.h
@@ -38,13 +38,15 @@
 // Estimates the cost, in seconds, of starting a task on a worker now, and the worker's free room.
 class placement_cost {
 public:
-    explicit placement_cost(const placement_input& task)
-        : task_(&task), workers_(task.workers), mean_run_(task.run_times->mean()),
-          load_decay_rate_(1 / mean_run_), run_cost_(task.run_times->mean(task.kind) * run_weight),
-          overcommit_(std::min(borrow_growth * task.blocked_time * load_decay_rate_ - borrow_margin,
-                               task.overcommit_limit)),
+    explicit placement_cost(const placement_input& input)
+        : input_(&input), workers_(input.workers), mean_run_(input.run_times->mean()),
+          load_decay_rate_(1 / mean_run_),
+          run_cost_(input.run_times->mean(input.kind) * run_weight),
+          overcommit_(
+              std::min(borrow_growth * input.blocked_time * load_decay_rate_ - borrow_margin,
+                       input.overcommit_limit)),
           fast_slot_price_(fast_slot_price * mean_run_ *
-                           std::clamp((task.utilisation - fast_slot_price_threshold) /
+                           std::clamp((input.utilisation - fast_slot_price_threshold) /
                                           (1 - fast_slot_price_threshold),
                                       0.0F, 1.0F)),
           rack_cost_(rack_weight * mean_run_)
@@ -55,17 +57,18 @@
     float peer_load(worker_id worker) const
     {
         const worker_table& table = *workers_;
-        const auto age = static_cast<float>(task_->now - table.reported_at[worker]);
+        const auto age = static_cast<float>(input_->now - table.reported_at[worker]);
         // The load of a worker changes completely within about one run time, so a report is
         // blended into the mean peer load with weight 1 / recency. Without a reply for seconds the
         // mean itself is stale and is blended into the default with weight 1 / staleness, so that
         // workers that once looked full are tried again.
         const float recency = 1 + age * load_decay_rate_ * table.speed[worker];
         const float staleness = 1 + age * age * staleness_growth;
-        const float both = 1 / (recency * staleness);
+        const float recency_and_staleness = 1 / (recency * staleness);
         return table.default_peer_load[worker] +
-               both * (recency * (table.mean_peer_load[worker] - table.default_peer_load[worker]) +
-                       (table.peer_load[worker] - table.mean_peer_load[worker]));
+               recency_and_staleness *
+                   (recency * (table.mean_peer_load[worker] - table.default_peer_load[worker]) +
+                    (table.peer_load[worker] - table.mean_peer_load[worker]));
     }
 
     // Number of tasks that may be started on the worker now: the free own slots or, if more, the
@@ -74,10 +77,10 @@
     {
         const worker_table& table = *workers_;
         const float own = table.outstanding[worker];
-        const float most = std::min({table.slots[worker] + std::max(overcommit_, 0.0F),
-                                     table.slow_start_limit[worker], task_->limits[worker]});
+        const float own_limit = std::min({table.slots[worker] + std::max(overcommit_, 0.0F),
+                                          table.slow_start_limit[worker], input_->limits[worker]});
         const float borrowed = table.slots[worker] + overcommit_ - own - peer_load;
-        return std::min(std::max(table.own_slots[worker] - own, borrowed), most - own);
+        return std::min(std::max(table.own_slots[worker] - own, borrowed), own_limit - own);
     }
 
     float room(worker_id worker) const { return room(worker, peer_load(worker)); }
@@ -87,7 +90,7 @@
     {
         return run_cost_ * workers_->inverse_speed[worker] +
                fast_slot_price_ * workers_->speed[worker] +
-               task_->rack_penalty[workers_->rack[worker]] * rack_cost_;
+               input_->rack_penalty[workers_->rack[worker]] * rack_cost_;
     }
 
     // Expected wait on the worker in seconds.
@@ -110,10 +113,10 @@
     }
 
     // True while the backlog is short enough to wait for a better slot.
-    bool may_defer() const { return task_->waiting_time * load_decay_rate_ < defer_backlog_limit; }
+    bool may_defer() const { return input_->waiting_time * load_decay_rate_ < defer_backlog_limit; }
 
 private:
-    const placement_input* task_;
+    const placement_input* input_;
     const worker_table* workers_;
     float mean_run_;
     float load_decay_rate_;
--- a/src/routing/strategy.cpp
+++ b/src/routing/strategy.cpp
@@ -16,23 +16,23 @@
 constexpr std::uint32_t max_candidates = 64;
 
 // Room of a worker as if no other instance used it: one own task per slot.
-float local_room(const placement_input& task, worker_id worker)
+float local_room(const placement_input& input, worker_id worker)
 {
-    const worker_table& table = *task.workers;
-    return std::min(table.slots[worker], task.limits[worker]) - table.outstanding[worker];
+    const worker_table& table = *input.workers;
+    return std::min(table.slots[worker], input.limits[worker]) - table.outstanding[worker];
 }
 
-bool has_local_room(const placement_input& task, worker_id worker)
+bool has_local_room(const placement_input& input, worker_id worker)
 {
-    return task.is_allowed(worker) && local_room(task, worker) >= 1;
+    return input.is_allowed(worker) && local_room(input, worker) >= 1;
 }
 
-// Visits up to `most` distinct workers, starting at a random one. Stops when `fn` returns true.
+// Visits up to `count` distinct workers, starting at a random one. Stops when `fn` returns true.
 template<typename Fn>
-void visit(random_engine& random, std::uint32_t n, std::uint32_t most, const Fn& fn)
+void visit(random_engine& random, std::uint32_t n, std::uint32_t count, const Fn& fn)
 {
     std::uint32_t id = draw_below(random, n);
-    for (std::uint32_t i = 0; i < most; ++i) {
+    for (std::uint32_t i = 0; i < count; ++i) {
         if (fn(id)) {
             return;
         }
@@ -44,18 +44,18 @@
 public:
     explicit random_strategy(std::uint32_t seed) : random_(seed) {}
 
-    choice choose(const placement_input& task) override
+    choice choose(const placement_input& input) override
     {
-        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        const auto n = static_cast<std::uint32_t>(input.workers->size());
         for (int i = 0; i < 4; ++i) {
             const worker_id id = draw_below(random_, n);
-            if (has_local_room(task, id)) {
+            if (has_local_room(input, id)) {
                 return {.worker = id};
             }
         }
         std::optional<worker_id> found;
         visit(random_, n, n, [&](worker_id id) {
-            if (has_local_room(task, id)) {
+            if (has_local_room(input, id)) {
                 found = id;
             }
             return found.has_value();
@@ -63,9 +63,9 @@
         return {.worker = found};
     }
 
-    float room(const placement_input& task, worker_id worker) const override
+    float room(const placement_input& input, worker_id worker) const override
     {
-        return local_room(task, worker);
+        return local_room(input, worker);
     }
 
 private:
@@ -76,21 +76,21 @@
 public:
     explicit round_robin_strategy(std::uint32_t seed) : next_(seed) {}
 
-    choice choose(const placement_input& task) override
+    choice choose(const placement_input& input) override
     {
-        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        const auto n = static_cast<std::uint32_t>(input.workers->size());
         for (std::uint32_t i = 0; i < n; ++i) {
             next_ = next_ + 1 < n ? next_ + 1 : 0;
-            if (has_local_room(task, next_)) {
+            if (has_local_room(input, next_)) {
                 return {.worker = next_};
             }
         }
         return {};
     }
 
-    float room(const placement_input& task, worker_id worker) const override
+    float room(const placement_input& input, worker_id worker) const override
     {
-        return local_room(task, worker);
+        return local_room(input, worker);
     }
 
 private:
@@ -101,14 +101,14 @@
 public:
     explicit fewest_outstanding_strategy(std::uint32_t seed) : random_(seed) {}
 
-    choice choose(const placement_input& task) override
+    choice choose(const placement_input& input) override
     {
-        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        const auto n = static_cast<std::uint32_t>(input.workers->size());
         std::optional<worker_id> best;
         float fewest = std::numeric_limits<float>::infinity();
         visit(random_, n, std::min(n, max_candidates), [&](worker_id id) {
-            if (task.workers->outstanding[id] < fewest && has_local_room(task, id)) {
-                fewest = task.workers->outstanding[id];
+            if (input.workers->outstanding[id] < fewest && has_local_room(input, id)) {
+                fewest = input.workers->outstanding[id];
                 best = id;
             }
             return fewest == 0;
@@ -116,9 +116,9 @@
         return {.worker = best};
     }
 
-    float room(const placement_input& task, worker_id worker) const override
+    float room(const placement_input& input, worker_id worker) const override
     {
-        return local_room(task, worker);
+        return local_room(input, worker);
     }
 
 private:
@@ -130,23 +130,23 @@
 public:
     explicit two_choices_strategy(std::uint32_t seed) : random_(seed) {}
 
-    choice choose(const placement_input& task) override
+    choice choose(const placement_input& input) override
     {
-        const auto n = static_cast<std::uint32_t>(task.workers->size());
+        const auto n = static_cast<std::uint32_t>(input.workers->size());
         for (int i = 0; i < 4; ++i) {
             const worker_id a = draw_below(random_, n);
             const worker_id b = draw_below(random_, n);
-            const bool has_a = has_local_room(task, a);
-            const bool has_b = has_local_room(task, b);
+            const bool has_a = has_local_room(input, a);
+            const bool has_b = has_local_room(input, b);
             if (has_a || has_b) {
-                const auto& outstanding = task.workers->outstanding;
+                const auto& outstanding = input.workers->outstanding;
                 return {.worker = has_a && (!has_b || outstanding[a] <= outstanding[b]) ? a : b};
             }
         }
         // Most workers are full, so take any that is not.
         std::optional<worker_id> found;
         visit(random_, n, n, [&](worker_id id) {
-            if (has_local_room(task, id)) {
+            if (has_local_room(input, id)) {
                 found = id;
             }
             return found.has_value();
@@ -154,9 +154,9 @@
         return {.worker = found};
     }
 
-    float room(const placement_input& task, worker_id worker) const override
+    float room(const placement_input& input, worker_id worker) const override
     {
-        return local_room(task, worker);
+        return local_room(input, worker);
     }
 
 private:
@@ -171,27 +171,27 @@
     {
     }
 
-    choice choose(const placement_input& task) override
+    choice choose(const placement_input& input) override
     {
-        const auto n = static_cast<std::uint32_t>(task.workers->size());
-        const placement_cost estimate(task);
+        const auto n = static_cast<std::uint32_t>(input.workers->size());
+        const placement_cost estimate(input);
         std::optional<worker_id> best;
-        float least = std::numeric_limits<float>::infinity();
+        float lowest_cost = std::numeric_limits<float>::infinity();
         std::array<full_worker, max_candidates> full{};
-        std::size_t seen_full = 0;
+        std::size_t full_count = 0;
         const auto consider = [&](worker_id id) {
-            if (!task.is_allowed(id)) {
+            if (!input.is_allowed(id)) {
                 return false;
             }
             const float peer_load = estimate.peer_load(id);
             const float cost = estimate.base_cost(id);
             if (estimate.room(id, peer_load) < 1) {
-                if (seen_full < full.size()) {
-                    full[seen_full++] = {cost, estimate.completion_rate(id)};
+                if (full_count < full.size()) {
+                    full[full_count++] = {cost, estimate.completion_rate(id)};
                 }
             }
-            else if (cost + estimate.expected_wait(id, peer_load) < least) {
-                least = cost + estimate.expected_wait(id, peer_load);
+            else if (cost + estimate.expected_wait(id, peer_load) < lowest_cost) {
+                lowest_cost = cost + estimate.expected_wait(id, peer_load);
                 best = id;
             }
             return false;
@@ -205,15 +205,15 @@
             visit(random_, n, std::min(n, max_candidates), consider);
         }
         if (best && candidates_ > 2 && estimate.may_defer() &&
-            is_worth_deferring({full.data(), seen_full}, least)) {
+            is_worth_deferring({full.data(), full_count}, lowest_cost)) {
             return {.deferred = true};
         }
         return {.worker = best};
     }
 
-    float room(const placement_input& task, worker_id worker) const override
+    float room(const placement_input& input, worker_id worker) const override
     {
-        return placement_cost(task).room(worker);
+        return placement_cost(input).room(worker);
     }
 
 private:
@@ -224,12 +224,12 @@
     };
 
     // True if a slot on one of the full workers is expected to gain more than waiting for it costs.
-    static bool is_worth_deferring(std::span<const full_worker> full, float least)
+    static bool is_worth_deferring(std::span<const full_worker> full, float lowest_cost)
     {
         // The sum of gain times rate is the expected gain over the expected wait.
         float gain = 0;
         for (const full_worker& it : full) {
-            gain += std::max(least - it.cost, 0.0F) * it.completion_rate;
+            gain += std::max(lowest_cost - it.cost, 0.0F) * it.completion_rate;
         }
         return gain > defer_threshold;
     }
@@ -239,7 +239,7 @@
 };
 
 template<typename T>
-std::unique_ptr<strategy> make_plain(std::uint32_t seed)
+std::unique_ptr<strategy> make_strategy(std::uint32_t seed)
 {
     return std::make_unique<T>(seed);
 }
@@ -254,13 +254,13 @@
     return std::make_unique<finish_strategy>(seed, max_candidates);
 }
 
-using maker = std::unique_ptr<strategy> (*)(std::uint32_t seed);
+using factory = std::unique_ptr<strategy> (*)(std::uint32_t seed);
 
-constexpr std::array<std::pair<std::string_view, maker>, 6> makers{{
-    {"random", make_plain<random_strategy>},
-    {"round_robin", make_plain<round_robin_strategy>},
-    {"fewest_outstanding", make_plain<fewest_outstanding_strategy>},
-    {"two_choices", make_plain<two_choices_strategy>},
+constexpr std::array<std::pair<std::string_view, factory>, 6> factories{{
+    {"random", make_strategy<random_strategy>},
+    {"round_robin", make_strategy<round_robin_strategy>},
+    {"fewest_outstanding", make_strategy<fewest_outstanding_strategy>},
+    {"two_choices", make_strategy<two_choices_strategy>},
     {"two_choices_finish", make_two_choices_finish},
     {"predicted_finish", make_predicted_finish},
 }};
@@ -269,10 +269,10 @@
 
 std::unique_ptr<strategy> strategy::make(std::string_view name, std::uint64_t seed)
 {
-    const auto it = std::find_if(makers.begin(), makers.end(),
+    const auto it = std::find_if(factories.begin(), factories.end(),
                                  [name](const auto& entry) { return entry.first == name; });
     // taus88 needs seeds of at least 4096.
-    return it == makers.end() ? nullptr : it->second(static_cast<std::uint32_t>(seed) | 4096U);
+    return it == factories.end() ? nullptr : it->second(static_cast<std::uint32_t>(seed) | 4096U);
 }
 
 } // namespace cactusloom
--- a/src/routing/strategy.h
+++ b/src/routing/strategy.h
@@ -52,10 +52,10 @@
     strategy& operator=(const strategy&) = delete;
     virtual ~strategy() = default;
 
-    virtual choice choose(const placement_input& task) = 0;
+    virtual choice choose(const placement_input& input) = 0;
 
     // Number of tasks that this instance may start on the worker now.
-    virtual float room(const placement_input& task, worker_id worker) const = 0;
+    virtual float room(const placement_input& input, worker_id worker) const = 0;
 };
 
 } // namespace cactusloom
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -31,7 +31,7 @@
 
 // Seconds without an unsuccessful pick after which the queue counts as empty. Longer than the usual
 // time between two ends of own tasks, since each end triggers the next pick.
-constexpr double backlog_gap = 0.05;
+constexpr double queue_idle_time = 0.05;
 
 std::vector<std::uint8_t> eligible_workers(const deployment& settings, const request_kind& kind)
 {
@@ -142,26 +142,26 @@
     }
     const double now = workers_.seconds(time_->monotonic_now());
     health_.evaluate(now);
-    placement_input task = make_placement_input(query, now);
+    placement_input input = make_placement_input(query, now);
     if (health_.is_probe_due(now)) {
         const auto probe = health_.begin_probe(now, [&](worker_id id) {
-            return task.is_allowed(id) && workers_.outstanding[id] < workers_.slots[id];
+            return input.is_allowed(id) && workers_.outstanding[id] < workers_.slots[id];
         });
         if (probe) {
             return probe;
         }
     }
-    task.rack_penalty = spread_.penalties(query.job_key);
-    if (now - last_blocked_ > backlog_gap) {
+    input.rack_penalty = spread_.penalties(query.job_key);
+    if (now - last_blocked_ > queue_idle_time) {
         blocked_since_ = now;
     }
-    task.utilisation = static_cast<float>(workers_.total_outstanding / workers_.total_own_slots);
-    task.blocked_time = static_cast<float>(now - blocked_since_);
-    if (now - last_waited_ > backlog_gap) {
+    input.utilisation = static_cast<float>(workers_.total_outstanding / workers_.total_own_slots);
+    input.blocked_time = static_cast<float>(now - blocked_since_);
+    if (now - last_waited_ > queue_idle_time) {
         waiting_since_ = now;
     }
-    task.waiting_time = static_cast<float>(now - waiting_since_);
-    const choice chosen = strategy_->choose(task);
+    input.waiting_time = static_cast<float>(now - waiting_since_);
+    const choice chosen = strategy_->choose(input);
     if (chosen.worker) {
         spread_.add(query.job_key, workers_.rack[*chosen.worker]);
     }
@@ -258,11 +258,12 @@
     if (eligible_.empty()) {
         return duration::zero();
     }
-    const placement_input task = make_placement_input({}, workers_.seconds(time_->monotonic_now()));
+    const placement_input input =
+        make_placement_input({}, workers_.seconds(time_->monotonic_now()));
     double room = 0;
     for (worker_id id = 0; id < workers_.size() && room <= static_cast<double>(position); ++id) {
         if (workers_.leaving[id] == 0) {
-            room += std::floor(std::max(strategy_->room(task, id), 0.0F));
+            room += std::floor(std::max(strategy_->room(input, id), 0.0F));
         }
     }
     if (room > static_cast<double>(position)) {
--- a/src/routing/worker_health.cpp
+++ b/src/routing/worker_health.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t max_lost_racks = 2;
 // Fraction of workers whose last task failed above which the fault is considered fleet-wide and no
 // worker is ejected.
-constexpr double fleet_fault_part = 0.4;
+constexpr double fleet_fault_fraction = 0.4;
 
 } // namespace
 
@@ -84,8 +84,8 @@
     it.last_failed = failed;
     it.last_unreachable = outcome == task_outcome::unreachable;
     if (!failed) {
-        it.failures_in_row = 0;
-        ++it.successes_in_row;
+        it.consecutive_failures = 0;
+        ++it.consecutive_successes;
         if (it.state == health_state::rack_lost) {
             restore_rack(rack_of_worker_[worker]);
         }
@@ -93,7 +93,7 @@
             set_state(worker, health_state::probation);
         }
         else if (it.state == health_state::probation &&
-                 it.successes_in_row >= probation_successes) {
+                 it.consecutive_successes >= probation_successes) {
             set_state(worker, health_state::healthy);
         }
         update_limit(worker);
@@ -107,8 +107,8 @@
         recently_failed_.end()) {
         recently_failed_.push_back(worker);
     }
-    ++it.failures_in_row;
-    it.successes_in_row = 0;
+    ++it.consecutive_failures;
+    it.consecutive_successes = 0;
     // Only a failed probe lengthens the interval, not a task started before the ejection.
     if (it.state == health_state::ejected && it.probe_in_flight) {
         it.probe_interval = std::min(it.probe_interval * 2, max_probe_interval);
@@ -156,25 +156,27 @@
     }
     it.state = state;
     it.probe_in_flight = false;
-    it.successes_in_row = 0;
+    it.consecutive_successes = 0;
     update_limit(worker);
     update_next_probe();
 }
 
 bool worker_health::is_outlier(const worker_record& worker) const
 {
-    const double others = std::max(tasks_ - worker.tasks, 0.0);
+    const double other_tasks = std::max(tasks_ - worker.tasks, 0.0);
     const double other_failures = std::max(failures_ - worker.failures, 0.0);
-    const auto failed_elsewhere = static_cast<double>(last_failed_ - (worker.last_failed ? 1 : 0));
+    const auto other_failed_workers =
+        static_cast<double>(last_failed_ - (worker.last_failed ? 1 : 0));
     // The fraction of workers whose last task failed reacts sooner than the failure rate of tasks,
     // and a single worker that fails quickly cannot raise it.
-    const double fleet = std::max(
-        {(other_failures + 0.1) / (others + 10),
-         failed_elsewhere / static_cast<double>(std::max<std::size_t>(workers_.size() - 1, 1))});
+    const double fleet =
+        std::max({(other_failures + 0.1) / (other_tasks + 10),
+                  other_failed_workers /
+                      static_cast<double>(std::max<std::size_t>(workers_.size() - 1, 1))});
     const auto is_worse = [fleet](double rate, double tasks) {
         return rate > fleet + outlier_margin + 3 * std::sqrt(fleet * (1 - fleet) / tasks);
     };
-    if (worker.failures_in_row >= min_failures && is_worse(1, worker.failures_in_row)) {
+    if (worker.consecutive_failures >= min_failures && is_worse(1, worker.consecutive_failures)) {
         return true;
     }
     return worker.failures >= min_failures &&
@@ -212,7 +214,7 @@
         if (rack_of_worker_[id] == rack) {
             last_failed_ -= workers_[id].last_failed ? 1U : 0U;
             workers_[id].last_failed = false;
-            workers_[id].failures_in_row = 0;
+            workers_[id].consecutive_failures = 0;
             set_state(id, health_state::probation);
         }
     }
@@ -223,7 +225,7 @@
     has_new_failures_ = false;
     const auto n = static_cast<double>(workers_.size());
     const bool fleet_fault =
-        workers_.size() > 2 && static_cast<double>(last_failed_) > fleet_fault_part * n;
+        workers_.size() > 2 && static_cast<double>(last_failed_) > fleet_fault_fraction * n;
     if (fleet_fault != fleet_fault_) {
         fleet_fault_ = fleet_fault;
         for (worker_id id = 0; id < workers_.size(); ++id) {
@@ -235,23 +237,23 @@
             continue;
         }
         racks_[rack].check_pending = false;
-        std::size_t inside = 0;
-        std::size_t outside = 0;
+        std::size_t lost_inside = 0;
+        std::size_t lost_outside = 0;
         for (worker_id id = 0; id < workers_.size(); ++id) {
             const worker_record& it = workers_[id];
             const bool lost = it.last_unreachable && now - it.unreachable_at <= rack_window;
-            const bool known = racks_[rack_of_worker_[id]].lost;
-            inside += lost && rack_of_worker_[id] == rack ? 1U : 0U;
-            outside += lost && !known && rack_of_worker_[id] != rack ? 1U : 0U;
+            const bool already_lost = racks_[rack_of_worker_[id]].lost;
+            lost_inside += lost && rack_of_worker_[id] == rack ? 1U : 0U;
+            lost_outside += lost && !already_lost && rack_of_worker_[id] != rack ? 1U : 0U;
         }
         const auto size = static_cast<double>(racks_[rack].workers);
-        const double fleet = std::max({static_cast<double>(outside) / std::max(n - size, 1.0),
+        const double fleet = std::max({static_cast<double>(lost_outside) / std::max(n - size, 1.0),
                                        failures_ / std::max(tasks_, 1.0), min_failure_rate});
         // Unreachable workers all over the fleet may by chance include half of a rack; four
         // standard errors keep that from being taken for a lost rack.
         const double threshold = fleet + 4 * std::sqrt(fleet * (1 - fleet) / size);
-        const auto lost = static_cast<double>(inside);
-        if (!racks_[rack].lost && inside >= 2 && lost * 2 >= size && lost / size > threshold) {
+        const auto lost = static_cast<double>(lost_inside);
+        if (!racks_[rack].lost && lost_inside >= 2 && lost * 2 >= size && lost / size > threshold) {
             eject_rack(rack, now);
         }
     }
--- a/src/routing/worker_health.h
+++ b/src/routing/worker_health.h
@@ -57,8 +57,8 @@
         bool last_failed = false;
         bool last_unreachable = false;
         bool probe_in_flight = false;
-        std::uint32_t failures_in_row = 0;
-        std::uint32_t successes_in_row = 0;
+        std::uint32_t consecutive_failures = 0;
+        std::uint32_t consecutive_successes = 0;
         double failures = 0; // decayed
         double tasks = 0;    // decayed
         double updated_at = 0;
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -12,12 +12,12 @@
 constexpr float peer_load_gain = 0.1F;
 // Window of the slow mean of a speed, in runs. Run times of one kind vary by a factor of about two,
 // so the mean of 100 is accurate to about 6 %.
-constexpr float speed_runs = 100;
+constexpr float speed_window = 100;
 constexpr float fast_gain = 0.125F;
 // Difference of ln speed that is taken for a change: three standard errors of the fast mean.
-constexpr float speed_change = 0.7F;
+constexpr float speed_change_threshold = 0.7F;
 // Weight of the fleet's mean speed in the first estimates, in runs.
-constexpr float prior_runs = 3;
+constexpr float prior_weight = 3;
 // Own tasks that a worker may be given before its first reply.
 constexpr float initial_slow_start_limit = 2;
 
@@ -72,17 +72,17 @@
 {
     share_begin_ = begin;
     share_ = share;
-    const double part = std::clamp(share, 0.001, 1.0);
+    const double fraction = std::clamp(share, 0.001, 1.0);
     total_own_slots = 0;
     for (std::size_t i = 0; i < size(); ++i) {
         // Each instance owns an interval of the range from 0 to the number of slots. The offset
         // differs between workers, so that a share of less than one slot yields one on some of
         // them.
         const double first = begin * static_cast<double>(slots[i]) + offsets_[i];
-        const double last = first + part * static_cast<double>(slots[i]);
+        const double last = first + fraction * static_cast<double>(slots[i]);
         own_slots[i] = static_cast<float>(std::floor(last) - std::floor(first));
         total_own_slots += own_slots[i];
-        default_peer_load[i] = slots[i] * static_cast<float>(1 - part);
+        default_peer_load[i] = slots[i] * static_cast<float>(1 - fraction);
     }
     total_own_slots = std::max(total_own_slots, 1.0);
 }
@@ -114,10 +114,10 @@
 void worker_table::learn_speed(worker_id worker, float log_ratio)
 {
     speed_state& state = speeds_[worker];
-    state.runs = std::min(state.runs + 1, speed_runs);
-    state.slow_mean += (log_ratio - state.slow_mean) / (state.runs + prior_runs);
+    state.runs = std::min(state.runs + 1, speed_window);
+    state.slow_mean += (log_ratio - state.slow_mean) / (state.runs + prior_weight);
     state.fast_mean += (log_ratio - state.fast_mean) * fast_gain;
-    if (state.runs >= 16 && std::abs(state.fast_mean - state.slow_mean) > speed_change) {
+    if (state.runs >= 16 && std::abs(state.fast_mean - state.slow_mean) > speed_change_threshold) {
         state.slow_mean = state.fast_mean;
         state.runs = 4;
     }
--- a/src/submission/submission_id.cpp
+++ b/src/submission/submission_id.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t checksum_digits = 12;
 constexpr std::size_t field_count = 5;
 
-bool is_plain(char c)
+bool is_unreserved(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-';
 }
@@ -23,7 +23,7 @@
 void append_escaped(std::string& out, std::string_view name)
 {
     for (const char c : name) {
-        if (is_plain(c)) {
+        if (is_unreserved(c)) {
             out.push_back(c);
         }
         else {
@@ -48,7 +48,7 @@
     std::string name;
     name.reserve(text.size());
     for (std::size_t n = 0; n < text.size(); ++n) {
-        if (is_plain(text[n])) {
+        if (is_unreserved(text[n])) {
             name.push_back(text[n]);
             continue;
         }
@@ -123,7 +123,7 @@
     const auto dot = text.find('.');
     const auto suffix = dot == std::string_view::npos ? std::string_view{} : text.substr(dot + 1);
     const bool is_safe = std::all_of(suffix.begin(), suffix.end(), [](char c) {
-        return is_plain(c) || c == '_' || c == '~' || c == '.';
+        return is_unreserved(c) || c == '_' || c == '~' || c == '.';
     });
     if (suffix.empty() || suffix.size() > max_suffix_length || !is_safe) {
         return failure(errc::invalid_argument,
--- a/src/submission/submission_registry.cpp
+++ b/src/submission/submission_registry.cpp
@@ -16,7 +16,7 @@
 }
 
 // Zero marks a free slot.
-std::uint64_t to_key(std::uint64_t id_hash)
+std::uint64_t nonzero_hash(std::uint64_t id_hash)
 {
     return id_hash == 0 ? ~std::uint64_t{0} : id_hash;
 }
@@ -35,7 +35,7 @@
     if (now - issued > prefix_validity) {
         return verdict::expired;
     }
-    const entry* it = find_entry(to_key(id_hash), issued);
+    const entry* it = find_entry(nonzero_hash(id_hash), issued);
     if (it == nullptr) {
         return verdict::fresh;
     }
@@ -55,19 +55,20 @@
     if (size_ >= max_ids_) {
         return verdict::full;
     }
-    table& home = table_at(bucket_of(issued));
+    table& target = table_at(bucket_of(issued));
     // Maximum load factor of three quarters, at which the expected probe length is below three.
-    if (home.used * 4 >= home.entries.size() * 3) {
-        std::vector<entry> larger(std::max(min_table_size, home.entries.size() * 2));
-        for (const entry& old : home.entries) {
+    if (target.used * 4 >= target.entries.size() * 3) {
+        std::vector<entry> larger(std::max(min_table_size, target.entries.size() * 2));
+        for (const entry& old : target.entries) {
             if (old.id_hash != 0) {
                 larger[find_slot(larger, old.id_hash)] = old;
             }
         }
-        home.entries = std::move(larger);
+        target.entries = std::move(larger);
     }
-    home.entries[find_slot(home.entries, to_key(id_hash))] = {to_key(id_hash), body_digest};
-    ++home.used;
+    target.entries[find_slot(target.entries, nonzero_hash(id_hash))] = {nonzero_hash(id_hash),
+                                                                        body_digest};
+    ++target.used;
     ++size_;
     return verdict::fresh;
 }
@@ -100,27 +101,27 @@
     if (n < 0 || n >= static_cast<std::int64_t>(tables_.size())) {
         return nullptr;
     }
-    const table& home = tables_[static_cast<std::size_t>(n)];
-    if (home.entries.empty()) {
+    const table& target = tables_[static_cast<std::size_t>(n)];
+    if (target.entries.empty()) {
         return nullptr;
     }
-    const entry& found = home.entries[find_slot(home.entries, id_hash)];
+    const entry& found = target.entries[find_slot(target.entries, id_hash)];
     return found.id_hash == 0 ? nullptr : &found;
 }
 
-submission_registry::table& submission_registry::table_at(std::int64_t span)
+submission_registry::table& submission_registry::table_at(std::int64_t bucket)
 {
     if (tables_.empty()) {
-        first_bucket_ = span;
+        first_bucket_ = bucket;
     }
-    while (span < first_bucket_) {
+    while (bucket < first_bucket_) {
         tables_.emplace_front();
         --first_bucket_;
     }
-    while (span >= first_bucket_ + static_cast<std::int64_t>(tables_.size())) {
+    while (bucket >= first_bucket_ + static_cast<std::int64_t>(tables_.size())) {
         tables_.emplace_back();
     }
-    return tables_[static_cast<std::size_t>(span - first_bucket_)];
+    return tables_[static_cast<std::size_t>(bucket - first_bucket_)];
 }
 
 void submission_registry::drop_expired(monotonic_time now)
