Rename tests and their local names to what they check

They now name the checked behaviour in tests/ of routing, dispatch, admission, submission and entry, and a few labels of table rows are plainer; no check changes.

--- a/tests/admission/fair_queue_test.cpp
+++ b/tests/admission/fair_queue_test.cpp
@@ -59,7 +59,7 @@
 }
 
 // Guards against a team, one of 77, that is skipped or served twice in a round.
-BOOST_AUTO_TEST_CASE(seventy_seven_teams_take_turns)
+BOOST_AUTO_TEST_CASE(seventy_seven_teams_are_served_equally)
 {
     const std::vector<double> weights(77, 1.0);
     fair_queue queue{weights, 1'000'000};
@@ -72,7 +72,7 @@
 }
 
 // Guards against a job that is only served after an earlier job of its team.
-BOOST_AUTO_TEST_CASE(jobs_of_a_team_alternate)
+BOOST_AUTO_TEST_CASE(jobs_of_a_team_are_served_round_robin)
 {
     fair_queue queue{std::vector<double>{1.0}, 1000};
     queue.push(0, 0, 50ms, 700);
@@ -114,7 +114,7 @@
 }
 
 // Guards against one team taking up the whole queue, and against a queue that grows without bound.
-BOOST_AUTO_TEST_CASE(bound_leaves_each_team_its_share)
+BOOST_AUTO_TEST_CASE(each_team_may_use_its_share_of_the_bound)
 {
     fair_queue queue{std::vector<double>{1.0, 3.0}, 100};
     BOOST_TEST(!queue.has_room(0, 101));
@@ -125,7 +125,7 @@
 }
 
 // Guards against counts that no longer match the lists after some sequence of calls.
-BOOST_AUTO_TEST_CASE(random_calls_keep_the_books)
+BOOST_AUTO_TEST_CASE(random_calls_keep_counts_consistent)
 {
     random_engine random{3};
     const std::vector<double> weights{1.0, 2.0, 0.5, 7.0, 1.0};
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -107,10 +107,10 @@
 public:
     explicit fake_workers(pausable_timer_service& timers) : timers_(timers) {}
 
-    std::vector<behaviour> script;                   // one per start; the last one repeats
-    std::map<std::string, int, std::less<>> ran;     // runs, by job id and task number
-    std::map<std::string, bool, std::less<>> unsafe; // tasks whose last start may have run
-    std::set<std::string> second_starts;             // tasks started although they may have run
+    std::vector<behaviour> script;                         // one per start; the last one repeats
+    std::map<std::string, int, std::less<>> ran;           // runs, by job id and task number
+    std::map<std::string, bool, std::less<>> may_have_run; // tasks whose last start may have run
+    std::set<std::string> second_starts; // tasks started although they may have run
     std::size_t starts = 0;
     std::size_t stops = 0;
     std::size_t renewals = 0;
@@ -122,12 +122,12 @@
         const std::string id{request.task_id};
         const std::string task = id.substr(0, id.rfind('.'));
         BOOST_TEST(ids_.insert(id).second, id);
-        if (unsafe[task]) {
+        if (may_have_run[task]) {
             second_starts.insert(task);
         }
         const behaviour it = script[std::min(starts++, script.size() - 1)];
-        unsafe[task] = !is_certainly_not_run(it.status);
-        ran[task] += unsafe[task] && it.runs ? 1 : 0;
+        may_have_run[task] = !is_certainly_not_run(it.status);
+        ran[task] += may_have_run[task] && it.runs ? 1 : 0;
         times_left.push_back(request.time_left);
         order.emplace_back(request.payload);
         start_reply reply;
@@ -259,12 +259,12 @@
         auto outcome = service->submit(it);
         if (outcome) {
             sent[it.id] = it;
-            listen(it.id);
+            await_answer(it.id);
         }
         return outcome;
     }
 
-    void listen(const std::string& id)
+    void await_answer(const std::string& id)
     {
         service->wait(id, 120s, [this, id](const job_answer& answer) {
             answers[id].push_back(answer);
@@ -279,7 +279,8 @@
             const auto& all = answers[id];
             BOOST_TEST(!all.empty(), what << ": no answer");
             for (const job_answer& it : all) {
-                BOOST_TEST((it.state == observer.finished[id]), what << ": not what was recorded");
+                BOOST_TEST((it.state == observer.finished[id]),
+                           what << ": differs from the record");
                 check_answer(what, job, it);
             }
         }
@@ -308,7 +309,7 @@
                 BOOST_TEST(it.answers[n] == "answer to " + job.payloads[n], what);
             }
             if (it.state == job_state::failed_not_run) {
-                BOOST_TEST(client.ran[task] == 0, what << ": says not run, but it ran");
+                BOOST_TEST(client.ran[task] == 0, what << ": reported as not run, but it ran");
             }
         }
         BOOST_TEST((is_complete || !it.reason.empty()), what);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -71,7 +71,7 @@
 }
 
 // Guards against a duplicate reply that is taken for the reply to the next request.
-BOOST_AUTO_TEST_CASE(repeated_reply_meets_the_next_request)
+BOOST_AUTO_TEST_CASE(duplicate_reply_does_not_answer_the_next_request)
 {
     fixture f;
     f.client.script = {ok(50ms, 2), ok(100ms)};
@@ -88,7 +88,7 @@
 
 // Each row cancels a job of three tasks, on one worker with two slots, or shuts down at a given
 // time. Guards against partial or incorrect answers.
-BOOST_AUTO_TEST_CASE(jobs_cut_short)
+BOOST_AUTO_TEST_CASE(cancel_or_shutdown_of_a_running_job)
 {
     struct row {
         const char* what;
@@ -145,7 +145,7 @@
 
 // Guards against queued tasks that start after their deadline, and against a start request that
 // does not subtract the time in the queue from the time left.
-BOOST_AUTO_TEST_CASE(deadline_is_kept_and_carried_along)
+BOOST_AUTO_TEST_CASE(deadline_is_enforced_and_passed_to_workers)
 {
     fixture f{1};
     f.task_router.slots = 1;
@@ -178,7 +178,7 @@
     const auto same = [](fixture& /*f*/, job_request& /*it*/) {};
     const auto new_suffix = [](fixture& /*f*/, job_request& it) { it.id += "x"; };
     const auto other_body = [](fixture& /*f*/, job_request& it) { it.payloads[0] += "x"; };
-    const auto other_split = [](fixture& /*f*/, job_request& it) {
+    const auto moved_bytes = [](fixture& /*f*/, job_request& it) {
         it.payloads = {it.payloads[0] + it.payloads[1], ""};
     };
     const auto mangled = [](fixture& /*f*/, job_request& it) { it.id[0] = 'x'; };
@@ -193,7 +193,7 @@
         {"same after the retention", 65s, same, errc::not_found, 2},
         {"same after the prefix expired", 130s, same, errc::not_found, 2},
         {"other body while running", 10ms, other_body, errc::conflict, 2},
-        {"bytes moved between payloads", 10ms, other_split, errc::conflict, 2},
+        {"bytes moved between payloads", 10ms, moved_bytes, errc::conflict, 2},
         {"other body after the retention", 65s, other_body, errc::conflict, 2},
         {"other id, expired prefix", 121s, new_suffix, errc::not_found, 2},
         {"other id, valid prefix", 119s, new_suffix, std::nullopt, 4},
@@ -264,7 +264,7 @@
 }
 
 // Guards against a new configuration that changes the kind, team or settings of accepted jobs.
-BOOST_AUTO_TEST_CASE(new_document_while_jobs_run)
+BOOST_AUTO_TEST_CASE(new_configuration_keeps_running_jobs)
 {
     fixture f{1};
     f.task_router.slots = 1;
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -37,7 +37,7 @@
 
 // Each row pauses the process at some point of a task. Guards against a dispatcher that acts under
 // a lease that ended during the pause.
-BOOST_AUTO_TEST_CASE(paused_holder)
+BOOST_AUTO_TEST_CASE(paused_process)
 {
     struct row {
         const char* what;
@@ -147,7 +147,7 @@
 }
 
 // Guards against a large job that delays small ones of its own team or of others.
-BOOST_AUTO_TEST_CASE(single_requests_beside_a_job_of_700)
+BOOST_AUTO_TEST_CASE(job_of_700_tasks_does_not_delay_single_requests)
 {
     fixture f{1};
     BOOST_TEST(f.send(f.request("once", 700, 10s)).has_value());
@@ -232,7 +232,7 @@
 }
 
 // Guards against a burst of cancellations that blocks the event loop or leaves slots occupied.
-BOOST_AUTO_TEST_CASE(cancellation_wave_of_5000)
+BOOST_AUTO_TEST_CASE(cancellation_of_5000_jobs)
 {
     fixture f{400};
     f.client.script = {ok(1s)};
--- a/tests/entry/submission_locator_test.cpp
+++ b/tests/entry/submission_locator_test.cpp
@@ -38,40 +38,41 @@
     submission_place expected;
 };
 
-void know_owner(member_table& table)
+void add_live_owner(member_table& table)
 {
     table.apply(make_member("b", "south", 20), monotonic_time{});
 }
 
-void owner_died(member_table& table)
+void add_dead_owner(member_table& table)
 {
     member it = make_member("b", "south", 20);
     it.state = member_state::dead;
     table.apply(it, monotonic_time{});
 }
 
-void owner_restarted(member_table& table)
+void add_restarted_owner(member_table& table)
 {
     table.apply(make_member("b", "south", 21), monotonic_time{});
 }
 
-void owner_cut_off(member_table& table)
+void add_unreachable_owner(member_table& table)
 {
-    know_owner(table);
+    add_live_owner(table);
     table.set_reachable("south", false);
 }
 
 const location_case cases[] = {
-    {"own id", make_id("a", 10), know_owner, submission_place::local},
-    {"own name, earlier incarnation", make_id("a", 9), know_owner, submission_place::gone},
-    {"live owner", make_id("b", 20), know_owner, submission_place::remote},
-    {"dead owner", make_id("b", 20), owner_died, submission_place::gone},
-    {"restarted owner", make_id("b", 20), owner_restarted, submission_place::gone},
-    {"owner in a cut-off data centre", make_id("b", 20), owner_cut_off,
+    {"own id", make_id("a", 10), add_live_owner, submission_place::local},
+    {"own name, earlier incarnation", make_id("a", 9), add_live_owner, submission_place::gone},
+    {"live owner", make_id("b", 20), add_live_owner, submission_place::remote},
+    {"dead owner", make_id("b", 20), add_dead_owner, submission_place::gone},
+    {"restarted owner", make_id("b", 20), add_restarted_owner, submission_place::gone},
+    {"owner in an unreachable data centre", make_id("b", 20), add_unreachable_owner,
      submission_place::unreachable},
-    {"owner never heard of", make_id("c", 5), know_owner, submission_place::unreachable},
-    {"damaged id", make_id("a", 10).replace(0, 1, "b"), know_owner, submission_place::malformed},
-    {"no prefix", "plain", know_owner, submission_place::malformed},
+    {"owner never heard of", make_id("c", 5), add_live_owner, submission_place::unreachable},
+    {"damaged id", make_id("a", 10).replace(0, 1, "b"), add_live_owner,
+     submission_place::malformed},
+    {"no prefix", "plain", add_live_owner, submission_place::malformed},
 };
 
 } // namespace
--- a/tests/routing/fault_test.cpp
+++ b/tests/routing/fault_test.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-constexpr std::uint32_t fleet = 40;
+constexpr std::uint32_t worker_count = 40;
 constexpr std::uint32_t slots = 8;
-constexpr std::uint32_t per_rack = 8;
+constexpr std::uint32_t workers_per_rack = 8;
 
 deployment make_deployment(const char* strategy = "predicted_finish")
 {
@@ -28,10 +28,10 @@
     made.profile.routing = strategy;
     made.kinds.resize(1);
     made.kinds[0].declared_run_time = 200ms;
-    for (std::uint32_t i = 0; i < fleet; ++i) {
+    for (std::uint32_t i = 0; i < worker_count; ++i) {
         worker_settings worker;
         worker.name = "w" + std::to_string(i);
-        worker.rack = "r" + std::to_string(i / per_rack);
+        worker.rack = "r" + std::to_string(i / workers_per_rack);
         worker.slots = slots;
         made.workers.push_back(worker);
     }
@@ -43,7 +43,7 @@
 // or, on a failing worker, 1 ms. At 1,000 tasks a second 200 of the 320 slots are in use.
 struct fault_harness {
     explicit fault_harness(const char* strategy = "predicted_finish", double share = 0.8)
-        : routes(router::make(make_deployment(strategy), time, {.seed = 7, .share = share}))
+        : task_router(router::make(make_deployment(strategy), time, {.seed = 7, .share = share}))
     {
         behaviour.fill(start_status::completed);
     }
@@ -62,14 +62,14 @@
             }
         }
         for (++queued; queued > 0; --queued) {
-            const auto worker = routes->pick({.kind = 0, .job_key = ++jobs});
+            const auto worker = task_router->pick({.kind = 0, .job_key = ++jobs});
             if (!worker) {
                 break;
             }
-            routes->record_start(*worker, 0);
+            task_router->record_start(*worker, 0);
             running.push_back({*worker, time.monotonic_now()});
-            ++picked[*worker];
-            most[*worker] = std::max(most[*worker], held(*worker));
+            ++starts_by_worker[*worker];
+            max_held[*worker] = std::max(max_held[*worker], held(*worker));
         }
     }
 
@@ -83,9 +83,9 @@
         reply.has_load =
             reply.status != start_status::reply_lost && reply.status != start_status::not_sent;
         reply.load.running = static_cast<std::uint16_t>(
-            reported >= 0 ? static_cast<std::uint32_t>(reported) : held(worker));
-        reply.load.leaving = reported_leaving == worker;
-        routes->record_end(worker, 0, reply, age);
+            reported_load >= 0 ? static_cast<std::uint32_t>(reported_load) : held(worker));
+        reply.load.leaving = reported_leaving_worker == worker;
+        task_router->record_end(worker, 0, reply, age);
     }
 
     std::uint32_t held(worker_id worker) const
@@ -97,18 +97,18 @@
 
     void run(int steps)
     {
-        picked.fill(0);
-        most.fill(0);
+        starts_by_worker.fill(0);
+        max_held.fill(0);
         for (int i = 0; i < steps; ++i) {
             step();
         }
     }
 
-    std::uint32_t picked_in(worker_id first, worker_id last) const
+    std::uint32_t starts_on(worker_id first, worker_id last) const
     {
         std::uint32_t sum = 0;
         for (worker_id id = first; id < last; ++id) {
-            sum += picked[id];
+            sum += starts_by_worker[id];
         }
         return sum;
     }
@@ -119,23 +119,23 @@
     };
 
     virtual_timer_service time;
-    std::unique_ptr<router> routes;
-    std::array<start_status, fleet> behaviour{};
-    std::array<std::uint32_t, fleet> picked{};
-    std::array<std::uint32_t, fleet> most{};
+    std::unique_ptr<router> task_router;
+    std::array<start_status, worker_count> behaviour{};
+    std::array<std::uint32_t, worker_count> starts_by_worker{};
+    std::array<std::uint32_t, worker_count> max_held{};
     std::vector<task> running;
     std::uint64_t jobs = 0;
     std::uint64_t queued = 0;
-    worker_id reported_leaving = fleet; // worker whose replies report it as leaving
-    int reported = -1;                  // load in every reply, or -1 for the number of own tasks
+    worker_id reported_leaving_worker = worker_count; // worker whose replies report it as leaving
+    int reported_load = -1; // load in every reply, or -1 for the number of own tasks
 };
 
 // A fault of some workers and bounds on the tasks that are started on them.
 struct fault_row {
     const char* fault;
     start_status answer; // of the faulty workers
-    worker_id hit;       // workers 0 to hit - 1 are faulty
-    int first_steps;     // ms after the fault before tasks are counted
+    worker_id faulty;    // number of faulty workers, from worker 0 on
+    int settle_steps;    // ms after the fault before tasks are counted
     int counted_steps;   // ms during which tasks are counted
     std::uint32_t at_least;
     std::uint32_t at_most; // tasks started on the faulty workers
@@ -149,25 +149,25 @@
 // The bound of 20 is 0.5 % of the 4,000 tasks counted after the first second.
 const std::array<fault_row, 6> fault_rows{{
     // Fails without ejection or the single-task limit, since a quick failure frees the slot.
-    {"one worker fails every task at once", start_status::task_failed, 1, 1000, 4000, 0, 20},
+    {"one worker fails every task immediately", start_status::task_failed, 1, 1000, 4000, 0, 20},
     // Fails if unreachable workers are not counted as failing.
     {"one worker is unreachable", start_status::not_sent, 1, 1000, 4000, 0, 20},
     // Fails if the rack is not ejected as a whole: at most a tenth of the workers may be ejected
     // one by one, which is 4 of its 8.
-    {"a rack is lost", start_status::reply_lost, per_rack, 1000, 4000, 0, 20},
+    {"a rack is lost", start_status::reply_lost, workers_per_rack, 1000, 4000, 0, 20},
     // Fails if workers are judged by their absolute failure rate.
-    {"every worker fails", start_status::task_failed, fleet, 1000, 4000, 3900, 4000},
+    {"every worker fails", start_status::task_failed, worker_count, 1000, 4000, 3900, 4000},
     // Fails if the whole fleet being unreachable is taken for the loss of each rack.
-    {"every worker is unreachable", start_status::reply_lost, fleet, 1000, 4000, 3900, 4000},
+    {"every worker is unreachable", start_status::reply_lost, worker_count, 1000, 4000, 3900, 4000},
     // Fails if a leaving worker is still tried, even if less often.
-    {"a worker refuses because it leaves", start_status::refused_leaving, 1, 1000, 4000, 0, 0},
+    {"a leaving worker refuses tasks", start_status::refused_leaving, 1, 1000, 4000, 0, 0},
 }};
 
-std::vector<std::uint16_t> racks_of_fleet()
+std::vector<std::uint16_t> make_racks()
 {
-    std::vector<std::uint16_t> racks(fleet);
-    for (std::uint32_t i = 0; i < fleet; ++i) {
-        racks[i] = static_cast<std::uint16_t>(i / per_rack);
+    std::vector<std::uint16_t> racks(worker_count);
+    for (std::uint32_t i = 0; i < worker_count; ++i) {
+        racks[i] = static_cast<std::uint16_t>(i / workers_per_rack);
     }
     return racks;
 }
@@ -176,47 +176,47 @@
 
 BOOST_AUTO_TEST_SUITE(routing_faults)
 
-BOOST_DATA_TEST_CASE(workers_that_are_hit_get_only_what_the_row_allows, fault_rows, row)
+BOOST_DATA_TEST_CASE(faulty_workers_get_bounded_starts, fault_rows, row)
 {
-    fault_harness bench;
-    bench.run(2000);
-    BOOST_TEST(bench.picked_in(0, fleet) >= 1900U);
-    std::fill_n(bench.behaviour.begin(), row.hit, row.answer);
-    bench.run(row.first_steps);
-    bench.run(row.counted_steps);
-    BOOST_TEST(bench.picked_in(0, row.hit) >= row.at_least);
-    BOOST_TEST(bench.picked_in(0, row.hit) <= row.at_most);
-    BOOST_TEST(bench.picked_in(0, fleet) >= 3900U);
+    fault_harness harness;
+    harness.run(2000);
+    BOOST_TEST(harness.starts_on(0, worker_count) >= 1900U);
+    std::fill_n(harness.behaviour.begin(), row.faulty, row.answer);
+    harness.run(row.settle_steps);
+    harness.run(row.counted_steps);
+    BOOST_TEST(harness.starts_on(0, row.faulty) >= row.at_least);
+    BOOST_TEST(harness.starts_on(0, row.faulty) <= row.at_most);
+    BOOST_TEST(harness.starts_on(0, worker_count) >= 3900U);
 }
 
 // Guards against a worker that stays ejected after its fault has ended, and against one that gets
 // its full load back at once.
-BOOST_DATA_TEST_CASE(recovered_workers_return_through_single_tasks,
-                     boost::unit_test::data::make({1U, per_rack}), hit)
+BOOST_DATA_TEST_CASE(recovered_workers_return_through_probation,
+                     boost::unit_test::data::make({1U, workers_per_rack}), faulty)
 {
-    fault_harness bench;
-    bench.run(2000);
-    std::fill_n(bench.behaviour.begin(), hit, start_status::reply_lost);
-    bench.run(1000);
-    bench.behaviour.fill(start_status::completed);
-    bench.run(1200); // the first probe is due 2 s after ejection
-    for (worker_id id = 0; id < hit; ++id) {
-        BOOST_TEST(bench.most[id] <= 1U);
+    fault_harness harness;
+    harness.run(2000);
+    std::fill_n(harness.behaviour.begin(), faulty, start_status::reply_lost);
+    harness.run(1000);
+    harness.behaviour.fill(start_status::completed);
+    harness.run(1200); // the first probe is due 2 s after ejection
+    for (worker_id id = 0; id < faulty; ++id) {
+        BOOST_TEST(harness.max_held[id] <= 1U);
     }
-    bench.run(5000);
-    BOOST_TEST(bench.picked_in(0, hit) >= hit * 60U); // an equal share is 125
+    harness.run(5000);
+    BOOST_TEST(harness.starts_on(0, faulty) >= faulty * 60U); // an equal share is 125
 }
 
 // Guards against a new instance that takes workers without load reports for idle ones.
-BOOST_AUTO_TEST_CASE(cold_instance_does_not_flood_a_worker)
+BOOST_AUTO_TEST_CASE(new_instance_does_not_overload_a_worker)
 {
     virtual_timer_service time;
-    const auto routes =
+    const auto task_router =
         router::make(make_deployment(), time, {.seed = 3, .share = 1.0, .share_begin = 0});
-    std::array<std::uint32_t, fleet> held{};
+    std::array<std::uint32_t, worker_count> held{};
     for (std::uint64_t job = 1; job <= 700; ++job) {
-        if (const auto worker = routes->pick({.kind = 0, .job_key = 1})) {
-            routes->record_start(*worker, 0);
+        if (const auto worker = task_router->pick({.kind = 0, .job_key = 1})) {
+            task_router->record_start(*worker, 0);
             ++held[*worker];
         }
     }
@@ -225,28 +225,28 @@
 }
 
 // Guards against herding: all instances sending to the workers that old reports show as free.
-BOOST_AUTO_TEST_CASE(nine_instances_with_frozen_reports_do_not_overfill_a_worker)
+BOOST_AUTO_TEST_CASE(nine_instances_with_old_reports_do_not_overload_a_worker)
 {
     virtual_timer_service time;
-    std::vector<std::unique_ptr<router>> routes;
-    routes.reserve(9);
+    std::vector<std::unique_ptr<router>> routers;
+    routers.reserve(9);
     for (int i = 0; i < 9; ++i) {
-        routes.push_back(router::make(make_deployment(), time,
-                                      {.seed = 5U + static_cast<std::uint64_t>(i),
-                                       .share = 1.0 / 9,
-                                       .share_begin = i / 9.0}));
+        routers.push_back(router::make(make_deployment(), time,
+                                       {.seed = 5U + static_cast<std::uint64_t>(i),
+                                        .share = 1.0 / 9,
+                                        .share_begin = i / 9.0}));
     }
     // A report from two seconds ago shows workers 0 to 3 as idle and all others as full.
-    for (const auto& it : routes) {
-        for (worker_id id = 0; id < fleet; ++id) {
+    for (const auto& it : routers) {
+        for (worker_id id = 0; id < worker_count; ++id) {
             const bool idle = id < 4;
             it->record_load(id, {.running = static_cast<std::uint16_t>(idle ? 0 : slots)});
         }
     }
     time.advance(2s);
-    std::array<std::uint32_t, fleet> held{};
+    std::array<std::uint32_t, worker_count> held{};
     for (int i = 0; i < 200; ++i) {
-        for (const auto& it : routes) {
+        for (const auto& it : routers) {
             if (const auto worker = it->pick({.kind = 0, .job_key = 1})) {
                 it->record_start(*worker, 0);
                 ++held[*worker];
@@ -256,7 +256,7 @@
     // Without borrowing, the own slots of all instances add up to the slots of a worker. If each of
     // the nine borrowed from a worker that looks idle, it would get over three times as many.
     BOOST_TEST(*std::max_element(held.begin(), held.end()) <= 2 * slots);
-    BOOST_TEST(std::accumulate(held.begin(), held.end(), 0U) >= fleet * slots * 9 / 10);
+    BOOST_TEST(std::accumulate(held.begin(), held.end(), 0U) >= worker_count * slots * 9 / 10);
 }
 
 // Guards against slots that are assigned to two instances or to none.
@@ -264,11 +264,11 @@
 {
     virtual_timer_service time;
     const std::array<double, 5> shares{0.05, 0.1, 0.2, 0.25, 0.4};
-    std::array<float, fleet> sums{};
+    std::array<float, worker_count> sums{};
     double begin = 0;
     for (const double share : shares) {
         const worker_table table(make_deployment(), begin, share);
-        for (worker_id id = 0; id < fleet; ++id) {
+        for (worker_id id = 0; id < worker_count; ++id) {
             sums[id] += table.own_slots[id];
         }
         begin += share;
@@ -279,35 +279,35 @@
 }
 
 // Guards against an instance that sends nothing any more because every worker once looked full.
-BOOST_AUTO_TEST_CASE(full_reports_do_not_stop_an_instance_for_good)
+BOOST_AUTO_TEST_CASE(full_reports_do_not_stop_an_instance_permanently)
 {
-    fault_harness bench("predicted_finish", 0.01);
-    bench.reported = 2 * slots;
-    bench.run(2000);
-    bench.running.clear();
-    for (worker_id id = 0; id < fleet; ++id) {
-        bench.routes->record_load(id, {.running = slots, .queued = slots});
+    fault_harness harness("predicted_finish", 0.01);
+    harness.reported_load = 2 * slots;
+    harness.run(2000);
+    harness.running.clear();
+    for (worker_id id = 0; id < worker_count; ++id) {
+        harness.task_router->record_load(id, {.running = slots, .queued = slots});
     }
-    bench.run(10000);
-    BOOST_TEST(bench.picked_in(0, fleet) >= 10U);
+    harness.run(10000);
+    BOOST_TEST(harness.starts_on(0, worker_count) >= 10U);
 }
 
 // Guards against a strategy that sends tasks to leaving workers or leaves workers unused, and
 // against an unknown name that selects some strategy.
-BOOST_DATA_TEST_CASE(every_strategy_serves_and_skips_leaving_workers,
+BOOST_DATA_TEST_CASE(every_strategy_starts_tasks_and_skips_leaving_workers,
                      boost::unit_test::data::make({"random", "round_robin", "fewest_outstanding",
                                                    "two_choices", "two_choices_finish",
                                                    "predicted_finish"}),
                      name)
 {
-    fault_harness bench(name);
-    bench.routes->set_leaving(3, true);
-    bench.run(3000);
-    BOOST_TEST(bench.picked_in(0, fleet) >= 2700U);
-    BOOST_TEST(bench.picked[3] == 0U);
-    bench.routes->set_leaving(3, false);
-    bench.run(3000);
-    BOOST_TEST(bench.picked[3] > 0U);
+    fault_harness harness(name);
+    harness.task_router->set_leaving(3, true);
+    harness.run(3000);
+    BOOST_TEST(harness.starts_on(0, worker_count) >= 2700U);
+    BOOST_TEST(harness.starts_by_worker[3] == 0U);
+    harness.task_router->set_leaving(3, false);
+    harness.run(3000);
+    BOOST_TEST(harness.starts_by_worker[3] > 0U);
     virtual_timer_service time;
     BOOST_TEST(!router::make(make_deployment("no_such_strategy"), time, {}));
 }
@@ -317,24 +317,25 @@
 BOOST_AUTO_TEST_CASE(tasks_of_a_job_are_spread_over_racks)
 {
     virtual_timer_service time;
-    const auto routes = router::make(make_deployment(), time, {.seed = 3, .share = 1.0});
+    const auto task_router = router::make(make_deployment(), time, {.seed = 3, .share = 1.0});
     // Rack 0 is idle and all others are half full, so that load alone would favour rack 0.
-    for (worker_id id = 0; id < fleet; ++id) {
-        routes->record_load(id, {.running = static_cast<std::uint16_t>(id < per_rack ? 0 : 4)});
+    for (worker_id id = 0; id < worker_count; ++id) {
+        task_router->record_load(
+            id, {.running = static_cast<std::uint16_t>(id < workers_per_rack ? 0 : 4)});
     }
-    std::array<std::uint32_t, fleet / per_rack> counts{};
+    std::array<std::uint32_t, worker_count / workers_per_rack> counts{};
     for (int i = 0; i < 10; ++i) {
-        const auto worker = routes->pick({.kind = 0, .job_key = 9});
+        const auto worker = task_router->pick({.kind = 0, .job_key = 9});
         BOOST_REQUIRE(worker.has_value());
-        routes->record_start(*worker, 0);
-        ++counts[*worker / per_rack];
+        task_router->record_start(*worker, 0);
+        ++counts[*worker / workers_per_rack];
     }
     BOOST_TEST(*std::max_element(counts.begin(), counts.end()) <= 3U);
 }
 
 // Guards against a wrong declared run time, too short or too long, that persists after the first
 // replies.
-BOOST_DATA_TEST_CASE(declared_run_time_off_by_ten_is_forgotten,
+BOOST_DATA_TEST_CASE(wrong_declared_run_time_is_replaced_by_learned_one,
                      boost::unit_test::data::make({20, 2000}), declared_ms)
 {
     deployment settings = make_deployment();
@@ -353,29 +354,29 @@
 }
 
 // Guards against new tasks for a worker that reports that it is leaving but still completes tasks.
-BOOST_AUTO_TEST_CASE(load_report_that_says_leaving_ends_new_work)
+BOOST_AUTO_TEST_CASE(leaving_in_a_load_report_stops_new_tasks)
 {
-    fault_harness bench;
-    bench.run(1000);
-    bench.reported_leaving = 2;
-    bench.run(300); // one task has ended by then
-    bench.run(2000);
-    BOOST_TEST(bench.picked[2] == 0U);
+    fault_harness harness;
+    harness.run(1000);
+    harness.reported_leaving_worker = 2;
+    harness.run(300); // one task has ended by then
+    harness.run(2000);
+    BOOST_TEST(harness.starts_by_worker[2] == 0U);
 }
 
 // Guards against ejections in a fleet-wide fault, in which all workers fail the same fraction of
 // their tasks, by failed tasks or by missing replies.
-BOOST_DATA_TEST_CASE(fault_of_the_whole_fleet_ejects_none,
+BOOST_DATA_TEST_CASE(fleet_wide_fault_ejects_no_worker,
                      boost::unit_test::data::make({30, 60, 100}) *
                          boost::unit_test::data::make({false, true}),
-                     percent, is_loss)
+                     percent, is_unreachable)
 {
-    const auto outcome = is_loss ? task_outcome::unreachable : task_outcome::failure;
-    worker_health health(racks_of_fleet(), fleet / per_rack, 1);
+    const auto outcome = is_unreachable ? task_outcome::unreachable : task_outcome::failure;
+    worker_health health(make_racks(), worker_count / workers_per_rack, 1);
     std::uint32_t draw = 1;
     for (int i = 0; i < 200; ++i) {
         const double now = 0.4 * i;
-        for (worker_id id = 0; id < fleet; ++id) {
+        for (worker_id id = 0; id < worker_count; ++id) {
             draw = draw * 1664525U + 1013904223U;
             const bool fails = i >= 20 && (draw >> 16U) % 100 < static_cast<std::uint32_t>(percent);
             health.record(id, fails ? outcome : task_outcome::success, now);
@@ -391,10 +392,10 @@
 
 // Guards against a worker that attracts tasks by failing quickly, and against one that gets its
 // full load back after a single success.
-BOOST_AUTO_TEST_CASE(doubtful_workers_hold_one_task)
+BOOST_AUTO_TEST_CASE(workers_on_probation_hold_one_task)
 {
-    worker_health health(racks_of_fleet(), fleet / per_rack, 1);
-    for (worker_id id = 0; id < fleet; ++id) {
+    worker_health health(make_racks(), worker_count / workers_per_rack, 1);
+    for (worker_id id = 0; id < worker_count; ++id) {
         health.record(id, task_outcome::success, 1.0);
     }
     health.record(4, task_outcome::failure, 1.1);
@@ -419,46 +420,46 @@
 // Guards against ejecting more than a tenth of the workers, and against ejecting healthy ones.
 BOOST_AUTO_TEST_CASE(at_most_a_tenth_is_ejected)
 {
-    worker_health health(std::vector<std::uint16_t>(fleet, 0), 1, 1);
+    worker_health health(std::vector<std::uint16_t>(worker_count, 0), 1, 1);
     double now = 0;
     for (int i = 0; i < 400; ++i) {
-        for (worker_id id = 0; id < fleet; ++id) {
+        for (worker_id id = 0; id < worker_count; ++id) {
             now += 0.001;
             const bool fails = i >= 20 && id < 8;
             health.record(id, fails ? task_outcome::failure : task_outcome::success, now);
             health.evaluate(now);
         }
-        BOOST_TEST(health.ejected() <= fleet / 10);
+        BOOST_TEST(health.ejected() <= worker_count / 10);
     }
-    BOOST_TEST(health.ejected() == fleet / 10);
+    BOOST_TEST(health.ejected() == worker_count / 10);
     BOOST_TEST(std::count(health.limits().begin() + 8, health.limits().end(), 0.0F) == 0);
 }
 
 // Guards against ejecting the workers of a lost rack one by one, which would use up the ejections.
-BOOST_AUTO_TEST_CASE(lost_rack_is_one_event)
+BOOST_AUTO_TEST_CASE(lost_rack_is_ejected_as_a_whole)
 {
-    worker_health health(racks_of_fleet(), fleet / per_rack, 1);
-    for (worker_id id = 0; id < fleet; ++id) {
+    worker_health health(make_racks(), worker_count / workers_per_rack, 1);
+    for (worker_id id = 0; id < worker_count; ++id) {
         health.record(id, task_outcome::success, 1.0);
     }
-    for (worker_id id = 0; id < per_rack - 2; ++id) {
+    for (worker_id id = 0; id < workers_per_rack - 2; ++id) {
         health.record(id, task_outcome::unreachable, 2.0);
     }
     health.evaluate(2.0);
     BOOST_TEST(health.rack_events() == 1U);
     BOOST_TEST(health.ejected() == 0U);
-    BOOST_TEST(std::count(health.limits().begin(), health.limits().begin() + per_rack, 0.0F) ==
-               per_rack);
+    BOOST_TEST(std::count(health.limits().begin(), health.limits().begin() + workers_per_rack,
+                          0.0F) == workers_per_rack);
 }
 
 // Guards against a new configuration that takes effect only after a restart, and against outcomes
 // of earlier starts that are then recorded for another worker.
-BOOST_AUTO_TEST_CASE(new_document_adds_and_retires_workers)
+BOOST_AUTO_TEST_CASE(new_configuration_adds_and_retires_workers)
 {
     deployment settings = make_deployment();
     virtual_timer_service time;
-    auto routes = router::make(settings, time, {.seed = 3, .share = 1.0, .share_begin = 0.0});
-    routes->record_start(5, 0);
+    auto task_router = router::make(settings, time, {.seed = 3, .share = 1.0, .share_begin = 0.0});
+    task_router->record_start(5, 0);
     for (worker_settings& worker : settings.workers) {
         worker.retired = true;
     }
@@ -470,66 +471,66 @@
     request_kind kind;
     kind.needs = {"accelerator"};
     settings.kinds.push_back(kind);
-    routes->apply(settings);
-    BOOST_TEST(routes->pick({}).value_or(0) == fleet);
-    BOOST_TEST(!routes->can_ever_run(1));
+    task_router->apply(settings);
+    BOOST_TEST(task_router->pick({}).value_or(0) == worker_count);
+    BOOST_TEST(!task_router->can_ever_run(1));
     start_reply reply;
     reply.status = start_status::completed;
     reply.run_time = 200ms;
-    routes->record_end(5, 0, reply, 200ms);
+    task_router->record_end(5, 0, reply, 200ms);
     for (worker_settings& worker : settings.workers) {
         worker.retired = worker.name == "new";
     }
-    routes->apply(settings);
-    BOOST_TEST(routes->pick({}).value_or(fleet) < fleet);
+    task_router->apply(settings);
+    BOOST_TEST(task_router->pick({}).value_or(worker_count) < worker_count);
 }
 
 // Guards against tasks that wait forever for a feature that no worker has.
-BOOST_AUTO_TEST_CASE(kind_that_fits_nowhere_can_never_run)
+BOOST_AUTO_TEST_CASE(kind_without_eligible_worker_can_never_run)
 {
     deployment settings = make_deployment();
     settings.kinds[0].needs = {"accelerator"};
     virtual_timer_service time;
-    auto routes = router::make(settings, time, {});
-    BOOST_TEST(!routes->can_ever_run(0));
-    BOOST_TEST(!routes->pick({}).has_value());
+    auto task_router = router::make(settings, time, {});
+    BOOST_TEST(!task_router->can_ever_run(0));
+    BOOST_TEST(!task_router->pick({}).has_value());
     settings.workers[5].features = {"accelerator"};
-    routes = router::make(settings, time, {});
-    BOOST_TEST(routes->can_ever_run(0));
-    BOOST_TEST(routes->pick({}).value_or(0) == 5U);
-    BOOST_TEST(!routes->pick({.excluded = 5}).has_value());
+    task_router = router::make(settings, time, {});
+    BOOST_TEST(task_router->can_ever_run(0));
+    BOOST_TEST(task_router->pick({}).value_or(0) == 5U);
+    BOOST_TEST(!task_router->pick({.excluded = 5}).has_value());
 }
 
 // Guards against a new configuration that resets learned state or that lets tasks go to removed
 // workers or kinds.
-BOOST_AUTO_TEST_CASE(new_document_keeps_the_known_and_retires_the_rest)
+BOOST_AUTO_TEST_CASE(new_configuration_keeps_learned_state)
 {
-    fault_harness bench;
-    bench.run(1000);
-    const auto learned = bench.routes->run_time_quantile(0, 0.5);
+    fault_harness harness;
+    harness.run(1000);
+    const auto learned = harness.task_router->run_time_quantile(0, 0.5);
     deployment next = make_deployment();
     next.workers[1].retired = true;
     next.kinds[0].declared_run_time = 9s;
     next.kinds.push_back(next.kinds[0]);
     next.kinds[0].retired = true;
-    bench.routes->apply(next);
-    BOOST_TEST(!bench.routes->can_ever_run(0));
-    BOOST_TEST(bench.routes->can_ever_run(1));
-    BOOST_TEST(bench.routes->run_time_quantile(0, 0.5).count() == learned.count());
-    bench.run(2000);
-    BOOST_TEST(bench.picked[1] == 0U);
-    BOOST_TEST(bench.picked_in(0, fleet) >= 1900U);
+    harness.task_router->apply(next);
+    BOOST_TEST(!harness.task_router->can_ever_run(0));
+    BOOST_TEST(harness.task_router->can_ever_run(1));
+    BOOST_TEST(harness.task_router->run_time_quantile(0, 0.5).count() == learned.count());
+    harness.run(2000);
+    BOOST_TEST(harness.starts_by_worker[1] == 0U);
+    BOOST_TEST(harness.starts_on(0, worker_count) >= 1900U);
     next.workers.push_back(next.workers[0]);
     next.workers.back().name = "added";
     next.workers.back().rack = "another rack";
-    bench.routes->apply(next);
+    harness.task_router->apply(next);
     bool is_used = false;
     for (std::uint64_t job = 1; job <= 400 && !is_used; ++job) {
-        const auto worker = bench.routes->pick({.kind = 0, .job_key = job});
+        const auto worker = harness.task_router->pick({.kind = 0, .job_key = job});
         if (worker) {
-            bench.routes->record_start(*worker, 0);
+            harness.task_router->record_start(*worker, 0);
         }
-        is_used = worker.value_or(0) == fleet;
+        is_used = worker.value_or(0) == worker_count;
     }
     BOOST_TEST(is_used);
 }
@@ -537,12 +538,12 @@
 // Guards against a predicted wait of zero when no slot is free for the queue.
 BOOST_AUTO_TEST_CASE(expected_wait_grows_with_the_position)
 {
-    fault_harness bench;
-    BOOST_TEST(bench.routes->expected_wait(0).count() == 0);
-    const auto near = bench.routes->expected_wait(1000);
-    const auto far = bench.routes->expected_wait(2000);
-    BOOST_TEST(near.count() > 0);
-    BOOST_TEST(far > near);
+    fault_harness harness;
+    BOOST_TEST(harness.task_router->expected_wait(0).count() == 0);
+    const auto near_wait = harness.task_router->expected_wait(1000);
+    const auto far_wait = harness.task_router->expected_wait(2000);
+    BOOST_TEST(near_wait.count() > 0);
+    BOOST_TEST(far_wait > near_wait);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/submission/submission_id_test.cpp
+++ b/tests/submission/submission_id_test.cpp
@@ -32,7 +32,7 @@
 }
 
 // Guards against a damaged id that is accepted as issued by this deployment.
-BOOST_AUTO_TEST_CASE(every_changed_character_of_a_prefix_is_found)
+BOOST_AUTO_TEST_CASE(every_changed_character_of_a_prefix_is_detected)
 {
     const auto text = make_prefix(example(), key);
     for (std::size_t n = 0; n < text.size(); ++n) {
--- a/tests/submission/submission_registry_test.cpp
+++ b/tests/submission/submission_registry_test.cpp
@@ -11,7 +11,7 @@
 BOOST_AUTO_TEST_SUITE(submission_registries)
 
 // Guards against accepting a submission that may have run already.
-BOOST_AUTO_TEST_CASE(verdict_follows_id_body_and_age)
+BOOST_AUTO_TEST_CASE(verdict_depends_on_id_body_and_age)
 {
     struct row {
         const char* what;
@@ -47,7 +47,7 @@
 }
 
 // Guards against a full registry that drops ids which could still be submitted again.
-BOOST_AUTO_TEST_CASE(full_registry_refuses_new_ids_and_keeps_the_old)
+BOOST_AUTO_TEST_CASE(full_registry_refuses_new_ids_and_keeps_old_ones)
 {
     submission_registry registry{50};
     for (std::uint64_t id = 1; id <= 50; ++id) {
@@ -64,7 +64,7 @@
 }
 
 // Guards against accepting an id twice, under random order and age and while the tables grow.
-BOOST_AUTO_TEST_CASE(no_id_is_fresh_twice)
+BOOST_AUTO_TEST_CASE(no_id_is_accepted_twice)
 {
     random_engine random{11};
     submission_registry registry{100000};
