Correct a stale call name and two terms in routing comments

A comment of submission_registry.h still named claim(), which is now try_insert(); the mean excess load in placement_cost.h is a number of tasks and is named so; table_router.cpp's reason for the pause after a refusal was ambiguous.

--- a/include/submission/submission_registry.h
+++ b/include/submission/submission_registry.h
@@ -22,7 +22,7 @@
 class submission_registry {
 public:
     enum class verdict {
-        fresh,    // not seen before; claim() has recorded it and the caller must run it
+        fresh,    // not seen before; try_insert() has recorded it and the caller must run it
         known,    // seen before with the same body
         conflict, // seen before with another body
         expired,  // too old to know whether it was seen
--- a/src/routing/placement_cost.h
+++ b/src/routing/placement_cost.h
@@ -101,9 +101,10 @@
         // The load is only an estimate. This is the mean number of tasks in excess of the slots if
         // the true load is uniformly distributed within load_uncertainty of the estimate.
         const float low = std::clamp(excess + load_uncertainty, 0.0F, 2 * load_uncertainty);
-        const float waiting_time =
+        const float waiting_tasks =
             low * low / (4 * load_uncertainty) + std::max(excess - load_uncertainty, 0.0F);
-        return waiting_time * mean_run_ * table.inverse_slots[worker] * table.inverse_speed[worker];
+        return waiting_tasks * mean_run_ * table.inverse_slots[worker] *
+               table.inverse_speed[worker];
     }
 
     // Own tasks completed by the worker per second.
--- a/src/routing/table_router.cpp
+++ b/src/routing/table_router.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Pause after a refusal, in mean run times. A full worker with eight slots frees one within an
-// eighth of a run time and then serves its own queue first; each earlier attempt costs two
+// eighth of a run time and then serves its own queue first; an attempt before that costs two
 // messages.
 constexpr float refusal_pause = 0.5F;
 
