--- a/bench/routing_simulation.h
+++ b/bench/routing_simulation.h
@@ -10,8 +10,8 @@
 
 namespace cactusloom::bench {
 
-// Seconds of a message one way. The design allows under 1 ms for a round trip.
-constexpr double one_way = 0.00025;
+// One-way latency of a message in seconds. The design requires a round trip below 1 ms.
+constexpr double one_way_latency = 0.00025;
 
 class bench_clock final : public clock {
 public:
@@ -24,7 +24,7 @@
     double seconds = 0;
 };
 
-// Instances with a router and a FIFO queue each, and small fake workers, on one event queue.
+// Discrete-event simulation of instances, each with a router and a FIFO queue, and of workers.
 class routing_simulation {
 public:
     routing_simulation(const scenario& settings, const workload_trace& input,
@@ -36,7 +36,7 @@
         double begin = 0;
         for (std::size_t i = 0; i < input.share.size(); ++i) {
             instances_.emplace_back();
-            instances_.back().routes =
+            instances_.back().task_router =
                 router::make(deployment_, clock_,
                              {.seed = settings.seed * 1000003ULL + i * 7919ULL,
                               .share = input.share[i],
@@ -61,7 +61,7 @@
             add(trace_->requests.front().at, event_type::arrival, 0);
         }
         add(trace_->fault_at, event_type::inject_fault, 0);
-        // A strategy that cannot keep up ends here with requests that are not counted.
+        // Ends the run of a strategy that cannot keep up; its open requests are not counted.
         const double limit = settings_->warm_up + settings_->length + 300;
         while (!events_.empty() && events_.top().at < limit) {
             const event next = events_.top();
@@ -78,7 +78,7 @@
 
     struct event {
         double at;
-        std::uint64_t number; // order of events at the same time
+        std::uint64_t number; // orders events at the same time
         event_type type;
         std::uint32_t subject;
         std::uint32_t attempt;
@@ -124,14 +124,14 @@
     };
 
     struct instance_state {
-        std::unique_ptr<router> routes;
+        std::unique_ptr<router> task_router;
         std::deque<std::uint32_t> queue;
         bool polling = false;
     };
 
-    // Tasks that wait on a worker at most: as many as it has slots.
+    // Capacity of the queue of a worker, equal to its slots.
     static constexpr std::size_t worker_queue = slots_per_worker;
-    // Seconds between two looks at a queue that found no room.
+    // Seconds between two attempts to drain a queue when no worker has room.
     static constexpr double poll_interval = 0.005;
     static constexpr double renew_interval = 2.5;
 
@@ -150,7 +150,7 @@
     {
         switch (it.type) {
         case event_type::arrival:
-            arrive(it.subject);
+            handle_arrival(it.subject);
             break;
         case event_type::start:
             start(it.subject);
@@ -161,7 +161,7 @@
             }
             break;
         case event_type::reply:
-            take_reply(it.subject);
+            handle_reply(it.subject);
             break;
         case event_type::poll:
             instances_[it.subject].polling = false;
@@ -173,7 +173,7 @@
         }
     }
 
-    void arrive(std::uint32_t number)
+    void handle_arrival(std::uint32_t number)
     {
         const trace_request& request = trace_->requests[number];
         if (number + 1 < trace_->requests.size()) {
@@ -199,18 +199,18 @@
             const std::uint32_t kind = trace_->requests[task.request].kind;
             result_.picks += 1;
             const auto worker =
-                instance.routes->pick({.kind = kind, .job_key = task.request + 1ULL});
+                instance.task_router->pick({.kind = kind, .job_key = task.request + 1ULL});
             if (!worker) {
                 break;
             }
             instance.queue.pop_front();
-            instance.routes->record_start(*worker, kind);
+            instance.task_router->record_start(*worker, kind);
             task.worker = *worker;
             task.sent_at = clock_.seconds;
             task.in_flight = true;
             ++task.attempt;
             count_message();
-            add(clock_.seconds + one_way, event_type::start, id);
+            add(clock_.seconds + one_way_latency, event_type::start, id);
         }
         if (!instance.queue.empty() && !instance.polling) {
             instance.polling = true;
@@ -235,7 +235,7 @@
         }
         else if (worker.queue.size() < worker_queue) {
             worker.queue.push_back(id);
-            note_load(worker);
+            record_load_change(worker);
         }
         else {
             result_.refused += is_measured() ? 1 : 0;
@@ -248,7 +248,7 @@
         task_state& task = tasks_[id];
         worker_state& worker = workers_[task.worker];
         ++worker.running;
-        note_load(worker);
+        record_load_change(worker);
         task.running = true;
         task.started_at = clock_.seconds;
         task.run_time = trace_->work[id] / worker.speed;
@@ -266,11 +266,11 @@
             worker.queue.pop_front();
             begin(next);
         }
-        note_load(worker);
+        record_load_change(worker);
         reply(id, status);
     }
 
-    void note_load(worker_state& worker) const
+    void record_load_change(worker_state& worker) const
     {
         const worker_load load{.running = static_cast<std::uint16_t>(worker.running),
                                .queued = static_cast<std::uint16_t>(worker.queue.size()),
@@ -289,14 +289,14 @@
         task.status = status;
         task.has_load = status != start_status::not_sent && status != start_status::reply_lost;
         if (task.has_load) {
-            note_load(worker);
+            record_load_change(worker);
             task.load = worker.history.front().load;
             count_message();
         }
-        add(clock_.seconds + one_way, event_type::reply, id);
+        add(clock_.seconds + one_way_latency, event_type::reply, id);
     }
 
-    void take_reply(std::uint32_t id)
+    void handle_reply(std::uint32_t id)
     {
         task_state& task = tasks_[id];
         const trace_request& request = trace_->requests[task.request];
@@ -311,11 +311,11 @@
             reply.run_time = duration{static_cast<std::int64_t>(task.run_time * 1e6)};
             count_message(std::floor(elapsed / renew_interval));
         }
-        instance.routes->record_end(task.worker, request.kind, reply,
-                                    duration{static_cast<std::int64_t>(elapsed * 1e6)});
-        const bool is_late =
+        instance.task_router->record_end(task.worker, request.kind, reply,
+                                         duration{static_cast<std::int64_t>(elapsed * 1e6)});
+        const bool is_after_fault =
             settings_->kind != fault::none && clock_.seconds > trace_->fault_at + 1;
-        if (is_late && task.status != start_status::completed &&
+        if (is_after_fault && task.status != start_status::completed &&
             task.status != start_status::refused_busy) {
             result_.late_fault_hits += 1;
         }
@@ -324,7 +324,7 @@
         }
         else {
             end_task(id, task.status == start_status::completed);
-            result_.tasks_late += is_late ? 1 : 0;
+            result_.tasks_after_fault += is_after_fault ? 1 : 0;
         }
         drain(request.instance);
     }
@@ -363,7 +363,7 @@
             }
         }
         else if (settings_->kind == fault::cancellation) {
-            cancel_wave();
+            cancel_requests();
         }
     }
 
@@ -376,8 +376,8 @@
         for (std::uint32_t id = 0; id < tasks_.size(); ++id) {
             task_state& task = tasks_[id];
             const bool is_there = task.in_flight && task.worker == broken;
-            // A task still under way to the worker meets the fault when it arrives.
-            if (is_there && clock_.seconds - task.sent_at > one_way) {
+            // A task whose start request is still in flight meets the fault on arrival.
+            if (is_there && clock_.seconds - task.sent_at > one_way_latency) {
                 task.running = false;
                 reply(id,
                       state == mode::dead ? start_status::reply_lost : start_status::task_failed);
@@ -385,7 +385,7 @@
         }
     }
 
-    void cancel_wave()
+    void cancel_requests()
     {
         for (std::uint32_t i = 0; i < requests_.size(); ++i) {
             const trace_request& request = trace_->requests[i];
@@ -396,7 +396,7 @@
             for (std::uint32_t k = 0; k < request.tasks; ++k) {
                 const std::uint32_t id = request.first_task + k;
                 if (tasks_[id].running) {
-                    count_message(); // the stop
+                    count_message(); // stop request
                     finish(id, start_status::stopped);
                 }
             }
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -15,11 +15,11 @@
 
 namespace cactusloom {
 
-// State and rules of the dispatcher. One record for each job, task and open start; all are found
+// Implementation of the dispatcher. Jobs, tasks and open attempts have one record each, addressed
 // by index.
 class dispatcher::engine {
 public:
-    engine(const deployment& settings, dispatcher_options options, const dependencies& with);
+    engine(const deployment& settings, dispatcher_options options, const dependencies& deps);
     ~engine();
 
     void apply(const deployment& settings);
@@ -36,21 +36,21 @@
     const latency_recorder& latency() const { return latency_; }
 
 private:
-    // What a timer of the wheel is for.
+    // Purpose of a timer in the wheel.
     enum class timer_kind : std::uint8_t { job, attempt, retry, wait, dispatch_queued, retention };
 
-    // A task is started at most this often, however large the retry budget is.
+    // Bound on the starts of a task, regardless of the retry budget.
     static constexpr unsigned max_starts_per_task = 5;
 
-    static constexpr std::uint64_t timer_key(timer_kind what, std::uint32_t first,
+    static constexpr std::uint64_t timer_key(timer_kind purpose, std::uint32_t first,
                                              std::uint32_t second = 0)
     {
-        return static_cast<std::uint64_t>(what) << 60U | std::uint64_t{second} << 32U | first;
+        return static_cast<std::uint64_t>(purpose) << 60U | std::uint64_t{second} << 32U | first;
     }
 
-    // What is known of a request kind, with run times as the router has learned them.
+    // State of a request kind, with cached run-time quantiles of the router.
     struct kind_state {
-        std::uint32_t queue = 0; // kinds with the same needs wait in the same queue
+        std::uint32_t queue = 0; // shared by the kinds that need the same features
         std::uint64_t samples = 0;
         monotonic_time refreshed;
         duration median{};
@@ -63,49 +63,49 @@
         std::shared_ptr<const job_answer> answer;
     };
 
-    // Submissions.
+    // Submission.
     result<void> check(const job_request& request) const;
     result<void> refuse(const job_request& request, error reason);
     void accept(job_request request, std::uint64_t id_hash, std::uint64_t digest);
     std::uint32_t find(std::string_view id) const;
     std::uint32_t add_job();
 
-    // Starting tasks.
+    // Starts of tasks.
     void dispatch_queued();
     bool dispatch_from(fair_queue& queue, int& starts_left);
-    void start_next(std::uint32_t slot, worker_id worker);
-    void start_attempt(std::uint32_t slot, std::uint32_t task, worker_id worker);
+    void start_next(std::uint32_t job_index, worker_id worker);
+    void start_attempt(std::uint32_t job_index, std::uint32_t task, worker_id worker);
     bool would_miss_deadline(const job_record& job, monotonic_time now);
     const kind_state& refreshed_state(kind_index kind, monotonic_time now);
 
     // Ends of attempts.
-    void on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply);
-    void complete_task(std::uint32_t slot, std::uint32_t task, std::string answer);
-    void attempt_failed(std::uint32_t slot, std::uint32_t task, const start_reply& reply,
+    void on_reply(std::uint32_t attempt_index, std::uint32_t generation, start_reply reply);
+    void complete_task(std::uint32_t job_index, std::uint32_t task, std::string answer);
+    void attempt_failed(std::uint32_t job_index, std::uint32_t task, const start_reply& reply,
                         monotonic_time lease_end);
-    void abandon_attempt(std::uint32_t index, start_status status);
+    void abandon_attempt(std::uint32_t attempt_index, start_status status);
     void send_stop(attempt_record& attempt);
     void release_slot(attempt_record& attempt, const start_reply& reply);
-    void close_attempt(std::uint32_t index, start_status status);
+    void close_attempt(std::uint32_t attempt_index, start_status status);
 
     // Ends of jobs.
-    void fail_job(std::uint32_t slot, std::string_view reason);
-    void finish_if_done(std::uint32_t slot);
-    void finish(std::uint32_t slot);
-    void drop_job(std::uint32_t slot);
+    void fail_job(std::uint32_t job_index, std::string_view reason);
+    void finish_if_done(std::uint32_t job_index);
+    void finish(std::uint32_t job_index);
+    void drop_job(std::uint32_t job_index);
     void drop_old_answers(bool only_excess);
 
     // Timers.
     void on_due(std::uint64_t key);
-    void on_job_due(std::uint32_t slot);
-    void on_attempt_due(std::uint32_t index);
-    void on_retry_due(std::uint32_t slot, std::uint32_t task);
-    void on_wait_due(std::uint32_t slot, std::uint32_t number);
-    void try_hedge(std::uint32_t index);
-    void arm_timer(attempt_record& attempt, std::uint32_t index);
-    void retry_later(std::uint32_t slot, std::uint32_t task);
-
-    // Work that is left to a later turn of the loop.
+    void on_job_due(std::uint32_t job_index);
+    void on_attempt_due(std::uint32_t attempt_index);
+    void on_retry_due(std::uint32_t job_index, std::uint32_t task);
+    void on_wait_due(std::uint32_t job_index, std::uint32_t number);
+    void try_hedge(std::uint32_t attempt_index);
+    void arm_timer(attempt_record& attempt, std::uint32_t attempt_index);
+    void retry_later(std::uint32_t job_index, std::uint32_t task);
+
+    // Work deferred to a later iteration of the event loop.
     void schedule_deferred_work();
     void run_deferred_work();
     void deliver();
@@ -114,22 +114,22 @@
     void update_quota(team_index team);
     monotonic_time now() const { return timers_.monotonic_now(); }
 
-    std::shared_ptr<const deployment> settings_; // replaced as a whole
+    std::shared_ptr<const deployment> settings_; // never modified in place
     const dispatcher_options options_;
     worker_client& workers_;
     router& router_;
     timer_service& timers_;
     job_observer* observer_;
-    counters own_counters_; // used when the owner wants none
+    counters own_counters_; // used if the owner passes none
     latency_recorder latency_;
     dispatch_counts counts_;
 
     std::unordered_map<std::string_view, kind_index> kinds_by_name_;
     std::unordered_map<std::string_view, team_index> teams_by_customer_;
     std::vector<kind_state> kinds_;
-    std::vector<team_quota> teams_; // by position; a team that is no longer listed keeps its place
+    std::vector<team_quota> teams_; // by position; removed teams keep theirs
     std::vector<fair_queue> queues_;
-    std::vector<std::vector<std::string>> queue_needs_; // of the kinds that wait in each queue
+    std::vector<std::vector<std::string>> queue_needs_; // worker features, by queue
     team_quotas quotas_;
     retry_budget retries_;
     hedge_policy hedges_;
--- a/src/routing/worker_table.cpp
+++ b/src/routing/worker_table.cpp
@@ -8,17 +8,17 @@
 namespace cactusloom {
 namespace {
 
-// Part of a new report in the long-term mean of the others' load.
+// Weight of a new report in the long-term mean of the peer load.
 constexpr float peer_load_gain = 0.1F;
-// Runs that a speed covers. Run times of one kind vary by a factor of two or so, and the mean
-// of 100 of them is then known within about 6 %.
-constexpr float speed_runs = 100;
+// Window of the slow mean of a speed, in runs. Run times of one kind vary by a factor of about two,
+// so the mean of 100 is accurate to about 6 %.
+constexpr float speed_window = 100;
 constexpr float fast_gain = 0.125F;
-// A difference of ln speed that chance does not explain: three standard errors of the fast mean.
-constexpr float speed_change = 0.7F;
-// First speeds are drawn towards the fleet's mean as if this many runs had shown it.
-constexpr float prior_runs = 3;
-// Own tasks that a worker may hold before its first reply.
+// Difference of ln speed that is taken for a change: three standard errors of the fast mean.
+constexpr float speed_change_threshold = 0.7F;
+// Weight of the fleet's mean speed in the first estimates, in runs.
+constexpr float prior_weight = 3;
+// Own tasks that a worker may be given before its first reply.
 constexpr float initial_slow_start_limit = 2;
 
 } // namespace
@@ -72,16 +72,17 @@
 {
     share_begin_ = begin;
     share_ = share;
-    const double part = std::clamp(share, 0.001, 1.0);
+    const double fraction = std::clamp(share, 0.001, 1.0);
     total_own_slots = 0;
     for (std::size_t i = 0; i < size(); ++i) {
-        // The slots lie on a line from 0 to `slots`, shifted by a different fraction for each
-        // worker, so that an instance with less than one slot has one on some workers.
+        // Each instance owns an interval of the range from 0 to the number of slots. The offset
+        // differs between workers, so that a share of less than one slot yields one on some of
+        // them.
         const double first = begin * static_cast<double>(slots[i]) + offsets_[i];
-        const double last = first + part * static_cast<double>(slots[i]);
+        const double last = first + fraction * static_cast<double>(slots[i]);
         own_slots[i] = static_cast<float>(std::floor(last) - std::floor(first));
         total_own_slots += own_slots[i];
-        default_peer_load[i] = slots[i] * static_cast<float>(1 - part);
+        default_peer_load[i] = slots[i] * static_cast<float>(1 - fraction);
     }
     total_own_slots = std::max(total_own_slots, 1.0);
 }
@@ -95,7 +96,7 @@
 {
     const float total = static_cast<float>(load.running) + static_cast<float>(load.queued);
     if (total < outstanding[worker]) {
-        // The report is older than some of our starts, so nothing follows about the others.
+        // The report is older than some own starts, so it says nothing about the other instances.
         return;
     }
     peer_load[worker] = total - outstanding[worker];
@@ -113,10 +114,10 @@
 void worker_table::learn_speed(worker_id worker, float log_ratio)
 {
     speed_state& state = speeds_[worker];
-    state.runs = std::min(state.runs + 1, speed_runs);
-    state.slow_mean += (log_ratio - state.slow_mean) / (state.runs + prior_runs);
+    state.runs = std::min(state.runs + 1, speed_window);
+    state.slow_mean += (log_ratio - state.slow_mean) / (state.runs + prior_weight);
     state.fast_mean += (log_ratio - state.fast_mean) * fast_gain;
-    if (state.runs >= 16 && std::abs(state.fast_mean - state.slow_mean) > speed_change) {
+    if (state.runs >= 16 && std::abs(state.fast_mean - state.slow_mean) > speed_change_threshold) {
         state.slow_mean = state.fast_mean;
         state.runs = 4;
     }
