--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets a person runs. Each installs what it needs and builds on its own.
+# Targets for developers. Each installs the packages that it needs and builds what it uses.
 SHELL := /bin/bash
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
@@ -33,7 +33,7 @@
 	@git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs -r clang-format --dry-run -Werror
 	@echo "format: clean"
 
-# Uses the compile commands of the release build, so that nothing is compiled a second time.
+# Uses the compile commands of the release build; needs no build of its own.
 lint: packages
 	@$(CONFIGURE) -B build/release -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 	@git ls-files -co --exclude-standard '*.cpp' | xargs -r -P $(JOBS) -n 1 clang-tidy --quiet -p build/release
--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,5 +1,5 @@
-# A module is one static library made from src/<name>/*.cpp with headers in include/<name>/.
-# A module without sources yet is an interface library, so that others can link to it.
+# A module is a static library of src/<name>/*.cpp with headers in include/<name>/. A module without
+# sources is an interface library, so that others can link to it.
 function(cactusloom_module name)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
     if(sources)
@@ -13,7 +13,8 @@
     endif()
 endfunction()
 
-# Stand-ins for the platform: stand_in/*.cpp with headers beside them, included as "stand_in/x.h".
+# Stand-ins for the platform: stand_in/*.cpp with headers in the same folder, included as
+# "stand_in/x.h".
 function(cactusloom_stand_in)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/stand_in/*.cpp)
     add_library(cactusloom_stand_in STATIC ${sources})
@@ -21,14 +22,14 @@
     target_link_libraries(cactusloom_stand_in PUBLIC ${ARGN})
 endfunction()
 
-# One Boost.Test program for each folder tests/<name>/ that holds *.cpp. Cases listed in
-# KNOWN-RED.txt as "test: <folder>/<suite>/<case>" are left out of the run; make test prints them.
+# One Boost.Test program for each folder tests/<name>/ with *.cpp files. Cases listed in KNOWN-RED.txt
+# as "test: <folder>/<suite>/<case>" are excluded from the run; make test prints them.
 function(cactusloom_tests)
     set(known_red_file ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
     set_property(DIRECTORY ${CMAKE_SOURCE_DIR} APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
         ${known_red_file})
     file(STRINGS ${known_red_file} known_red REGEX "^test: ")
-    # Compiled and linted once instead of once a program.
+    # Compiled and linted once instead of once per program.
     add_library(cactusloom_test_main OBJECT ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
     target_compile_definitions(cactusloom_test_main PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(cactusloom_test_main PRIVATE Boost::unit_test_framework)
--- a/include/base/clock.h
+++ b/include/base/clock.h
@@ -4,7 +4,7 @@
 
 namespace cactusloom {
 
-// Source of time. Decision code takes a clock, so that tests run in virtual time.
+// Source of time, an interface so that tests can run in simulated time.
 class clock {
 public:
     clock() = default;
--- a/include/base/error.h
+++ b/include/base/error.h
@@ -4,12 +4,12 @@
 
 namespace cactusloom {
 
-// Says what kind of failure an operation met, so that callers can choose a reaction.
+// Category of a failure, by which callers choose their reaction.
 enum class errc {
     invalid_argument,
     not_found,
     conflict,
-    unavailable, // certainly had no effect
+    unavailable, // guaranteed to have had no effect
     reply_lost,  // may have taken effect
     limit_exceeded,
     timed_out,
@@ -17,7 +17,7 @@
     internal,
 };
 
-// A failure with a message for a person.
+// A failure with a human-readable message.
 struct error {
     errc code = errc::internal;
     std::string message;
--- a/include/base/glib_timer_service.h
+++ b/include/base/glib_timer_service.h
@@ -8,7 +8,7 @@
 
 namespace cactusloom {
 
-// Timer service on a GLib main context. One GSource serves all timers through an ordered queue.
+// Timer service on a GLib main context. All timers share one GSource with an ordered queue.
 class glib_timer_service final : public timer_service {
 public:
     // Uses the default context when `context` is null. The context must outlive the service.
--- a/include/base/hash.h
+++ b/include/base/hash.h
@@ -5,7 +5,7 @@
 
 namespace cactusloom {
 
-// XXH3 hash of a text. Stable across processes and versions, not for secrets.
+// XXH3 hash. Stable across processes and versions; not cryptographic.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
 } // namespace cactusloom
--- a/include/base/time.h
+++ b/include/base/time.h
@@ -6,7 +6,7 @@
 
 using duration = std::chrono::microseconds;
 
-// Tag of the monotonic time line of one process. Values of two processes are not comparable.
+// Clock type of monotonic time points. Values of different processes are not comparable.
 struct monotonic_tag {
     using rep = std::chrono::microseconds::rep;
     using period = std::chrono::microseconds::period;
@@ -17,7 +17,7 @@
 
 using monotonic_time = std::chrono::time_point<monotonic_tag, duration>;
 
-// Time since the Unix epoch. Used for records only, never for decisions.
+// Time since the Unix epoch, for records only; decisions use monotonic time.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;
 
 } // namespace cactusloom
--- a/include/base/timer_queue.h
+++ b/include/base/timer_queue.h
@@ -9,14 +9,14 @@
 
 namespace cactusloom {
 
-// Callbacks ordered by due time, first scheduled first among equals. Shared by the real and the
-// virtual timer service.
+// Callbacks ordered by due time; equal due times in order of scheduling. Used by the real and the
+// simulated timer service.
 class timer_queue {
 public:
     timer_id add(monotonic_time due, std::function<void()> fn);
     void cancel(timer_id id);
 
-    // Due time of the earliest callback, if there is one.
+    // Due time of the earliest callback, if any.
     std::optional<monotonic_time> next_due() const;
 
     // Removes and returns the earliest callback due at or before `now`, or an empty function.
--- a/include/base/timer_service.h
+++ b/include/base/timer_service.h
@@ -10,13 +10,14 @@
 // Identifies a scheduled callback. Zero is never issued.
 using timer_id = std::uint64_t;
 
-// Runs callbacks at a later time on the loop's thread. It is also the clock of its subscribers.
+// Runs callbacks at a later time on the thread of the event loop. It is also the clock of its
+// users.
 class timer_service : public clock {
 public:
-    // Runs `fn` once after `delay`; a delay of zero runs it on a later turn of the loop.
+    // Runs `fn` once after `delay`, never from inside the call, even if the delay is zero.
     virtual timer_id schedule(duration delay, std::function<void()> fn) = 0;
 
-    // Forgets a callback. An id that has run or was cancelled is ignored.
+    // Cancels a callback. Ignores an id that has run or was cancelled.
     virtual void cancel(timer_id id) = 0;
 };
 
--- a/include/daemon/instance.h
+++ b/include/daemon/instance.h
@@ -11,11 +11,12 @@
 
 class timer_service;
 
-// One entry instance: the object graph behind a listening socket.
+// One entry instance: owns all components of the process and serves callers and peers on one
+// socket.
 class instance {
 public:
-    // Builds the graph and listens. `timers` must outlive the instance.
-    // Errors: `unavailable` (address in use), `invalid_argument` (document or settings).
+    // Creates the components and listens. `timers` must outlive the instance. Errors: `unavailable`
+    // (address in use), `invalid_argument` (configuration document or settings).
     static result<std::unique_ptr<instance>> start(const daemon_settings& settings,
                                                    timer_service& timers);
     ~instance();
@@ -24,7 +25,7 @@
 
     std::string address() const;
 
-    // Refuses new work, finishes what is running, then calls `stopped`.
+    // Rejects new work, finishes running work, then calls `stopped`.
     void shut_down(std::function<void()> stopped);
 
 private:
--- a/include/http/caller_api.h
+++ b/include/http/caller_api.h
@@ -12,18 +12,19 @@
 class job_service;
 struct deployment;
 
-// What the caller API needs from the rest of the instance. All must outlive the API. Functions that
-// are empty answer 404.
+// What the caller API needs from the rest of the instance. Everything the functions refer to must
+// outlive the API. `account` and the configuration functions may be empty; their resources then
+// answer 404.
 struct caller_api_dependencies {
     using text_callback = std::function<void(result<std::string>)>; // JSON text
 
     std::function<std::string()> issue_prefix;
-    std::function<job_service*()> jobs;          // null until a document is in force
+    std::function<job_service*()> jobs;          // null until a configuration is active
     std::function<const deployment*()> settings; // same
-    std::function<result<void>()> ready;         // whether new callers should come here
+    std::function<result<void>()> ready;         // success: the instance accepts new callers
     std::function<std::string()> status;         // JSON text
     std::function<std::string()> metrics;        // Prometheus text format
-    std::function<bool(const http_exchange_ptr&, std::string_view id)> forward; // true: taken over
+    std::function<bool(const http_exchange_ptr&, std::string_view id)> forward; // true: it answers
     std::function<void(std::string_view customer, text_callback)> account;
     std::function<result<std::string>()> show_config; // JSON text
     std::function<void(text_callback)> config_history;
@@ -38,7 +39,7 @@
     {
     }
 
-    // Answers an exchange now or later. Suits http_server::handler.
+    // Answers an exchange, immediately or later. Can be used as http_server::handler.
     void serve(const http_exchange_ptr& exchange);
 
     struct counters {
@@ -63,7 +64,7 @@
     void serve_ready(const http_exchange_ptr& exchange, std::string_view rest);
 
     void submit(const http_exchange_ptr& exchange, bool single);
-    // Null after it refused the exchange because no document is in force.
+    // Returns null after rejecting the exchange because no configuration is active.
     job_service* find_jobs(const http_exchange_ptr& exchange);
     void answer_later(const http_exchange_ptr& exchange, const std::string& id, duration limit,
                       bool single);
--- a/include/http/forwarder.h
+++ b/include/http/forwarder.h
@@ -10,8 +10,8 @@
 
 namespace cactusloom {
 
-// Passes requests about a submission id to the instance that owns the id: one hop, plain HTTP. A
-// request that was forwarded once is never forwarded again.
+// Forwards requests to the instance that owns their submission id: one hop, plain HTTP. A forwarded
+// request is never forwarded again.
 class forwarder {
 public:
     using find_owner = std::function<submission_location(std::string_view id)>;
@@ -20,8 +20,8 @@
     // `timers` must outlive the forwarder.
     forwarder(timer_service& timers, std::string own_name, find_owner find, prefix_source prefix);
 
-    // Takes the exchange over if another instance owns the id. Answers `unknown` if that instance
-    // is gone, is not reached, or does not reply.
+    // Returns true and answers the exchange if another instance owns the id. Answers with state
+    // `unknown` if that instance is gone, is unreachable or does not reply.
     bool forward(const http_exchange_ptr& exchange, std::string_view id);
 
     struct counters {
--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -10,21 +10,21 @@
 
 namespace cactusloom {
 
-// One request. The client never sends it a second time by itself.
+// A request. The client never resends it on its own.
 struct http_call {
     std::string method = "GET";
     std::string address; // "ip:port"
     std::string target;  // path and query, encoded
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    duration limit = std::chrono::seconds{10}; // for the whole exchange
+    duration limit = std::chrono::seconds{10}; // timeout of the whole exchange
     bool fresh_connection = false;
 };
 
 enum class http_outcome {
     replied,
-    not_sent,   // no byte of the request left this process
-    reply_lost, // the request may have arrived
+    not_sent,   // no byte of the request was sent
+    reply_lost, // the request may have been received
 };
 
 struct http_reply {
@@ -32,8 +32,8 @@
     unsigned status = 0;
     std::string body;
     std::string reason;                             // why there is no reply
-    bool timed_out = false;                         // the limit passed
-    std::function<std::string(const char*)> header; // only callable inside the callback
+    bool timed_out = false;                         // `limit` of the call expired
+    std::function<std::string(const char*)> header; // valid only during the callback
 };
 
 struct http_client_options {
@@ -41,19 +41,19 @@
     std::size_t max_connections_per_address = 64;
 };
 
-// Non-blocking HTTP/1.1 client on the loop of the calling thread, with kept-alive connections.
-// A connection whose request passes its limit is closed.
+// Nonblocking HTTP/1.1 client with keep-alive connections on the event loop of the calling thread.
+// A connection is closed when its request times out.
 class http_client {
 public:
     using callback = std::function<void(const http_reply&)>;
 
-    // `timers` must outlive the client. Calls still open at destruction are not reported.
+    // `timers` must outlive the client. Requests in flight at destruction are not reported.
     http_client(timer_service& timers, http_client_options options);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    // `done` runs exactly once and never from inside send().
+    // Sends a request. `done` is called exactly once, never from inside send().
     void send(const http_call& call, callback done);
 
     struct state;
--- a/include/http/http_instance_list.h
+++ b/include/http/http_instance_list.h
@@ -7,7 +7,7 @@
 
 namespace cactusloom {
 
-// Reads the platform's list of instances by HTTP, as docs/platform.md describes.
+// Reads the platform's instance list over HTTP; see docs/platform.md.
 class http_instance_list final : public instance_list {
 public:
     // `timers` must outlive the list.
--- a/include/http/http_log_service.h
+++ b/include/http/http_log_service.h
@@ -7,8 +7,8 @@
 
 namespace cactusloom {
 
-// Reaches the platform's log by HTTP, as docs/platform.md describes. Repeats nothing by itself:
-// the users of the log know which repetitions are harmless.
+// Accesses the platform's log over HTTP; see docs/platform.md. It never retries: the users of the
+// log know which operations are safe to retry.
 class http_log_service final : public log_service {
 public:
     // `timers` must outlive the service.
--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -11,18 +11,18 @@
 
 namespace cactusloom {
 
-// Limits that keep one caller from taking the resources of the others.
+// Limits that keep one caller from starving the others.
 struct http_server_limits {
     std::size_t max_body_bytes = 1U << 20U;
     std::size_t max_connections = 4096;
     duration header_timeout =
-        std::chrono::seconds{60}; // for a whole header, from accept or last reply
+        std::chrono::seconds{60}; // for a whole header, since accept or the last reply
     duration body_timeout =
-        std::chrono::seconds{10}; // for a whole body, from the end of the header
+        std::chrono::seconds{10}; // for a whole body, since the end of the header
 };
 
-// One request and its reply. It may be answered at any later time; a caller that hung up is
-// answered into the void.
+// One request and its reply. It may be answered at any later time; a reply to a disconnected caller
+// is discarded.
 class http_exchange {
 public:
     http_exchange() = default;
@@ -38,7 +38,7 @@
     virtual std::string raw_query() const = 0;                   // as sent, without the '?'
 
     virtual void set_header(const char* name, const std::string& value) = 0;
-    // Sends the reply. Only the first call counts.
+    // Sends the reply. Later calls have no effect.
     virtual void reply(unsigned status, std::string_view body,
                        const char* content_type = "application/json") = 0;
     // Closes the connection without a reply.
@@ -47,7 +47,8 @@
 
 using http_exchange_ptr = std::shared_ptr<http_exchange>;
 
-// HTTP/1.1 server on the loop of the calling thread, with bounds on bodies, connections and time.
+// HTTP/1.1 server on the event loop of the calling thread, with limits on body size, connections
+// and time.
 class http_server {
 public:
     using handler = std::function<void(http_exchange_ptr)>;
@@ -62,13 +63,13 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    std::string address() const; // "ip:port" with the port in use
+    std::string address() const; // "ip:port" with the bound port
     std::size_t open_connections() const;
-    std::size_t open_exchanges() const;        // read and not answered yet
-    std::uint64_t refused_connections() const; // beyond the limit
-    std::uint64_t slow_connections() const;    // closed because a request took too long to arrive
+    std::size_t open_exchanges() const;        // received but not answered yet
+    std::uint64_t refused_connections() const; // closed on accept: over max_connections
+    std::uint64_t slow_connections() const;    // closed: a request took too long to arrive
 
-    // Closes the listening socket; open connections go on.
+    // Closes the listening socket; open connections stay.
     void stop_accepting();
 
     struct state;
--- a/include/http/http_worker_client.h
+++ b/include/http/http_worker_client.h
@@ -11,14 +11,14 @@
 
 struct worker_settings;
 
-// Sends tasks to workers by HTTP, as docs/platform.md describes. Worker ids are positions in the
-// list of addresses.
+// Sends tasks to workers over HTTP; see docs/platform.md. A worker id is an index into the list of
+// workers.
 class http_worker_client final : public worker_client {
 public:
     // `timers` must outlive the client.
     http_worker_client(timer_service& timers, const std::vector<worker_settings>& workers);
 
-    // Takes the list of a new document. Open calls keep the address that they were sent to.
+    // Replaces the list of workers. Requests in flight keep their address.
     void set_workers(const std::vector<worker_settings>& workers);
 
     void start(worker_id worker, const start_request& request, callback done) override;
--- a/include/http/json_text.h
+++ b/include/http/json_text.h
@@ -8,10 +8,10 @@
 
 namespace cactusloom {
 
-// Parses a whole JSON text. Duplicate keys, trailing text and deep nesting are errors.
+// Parses a complete JSON text. Duplicate keys, trailing characters and deep nesting are errors.
 result<Json::Value> parse_json(std::string_view text);
 
-// Writes JSON without white space.
+// Writes JSON without whitespace.
 std::string write_json(const Json::Value& value);
 
 } // namespace cactusloom
--- a/include/http/peer_rpc.h
+++ b/include/http/peer_rpc.h
@@ -14,7 +14,7 @@
 // Path of the JSON-RPC endpoint, on the same address as the caller API.
 inline constexpr std::string_view peer_path = "/v1/peer";
 
-// Sends JSON-RPC texts to other instances by HTTP, without blocking.
+// Sends JSON-RPC requests to other instances over HTTP, without blocking.
 class peer_rpc_client final : public peer_transport {
 public:
     // `timers` must outlive the client.
@@ -27,16 +27,17 @@
     http_client client_;
 };
 
-// What the endpoint calls. Both must be set.
+// Handlers of the endpoint's methods. Both must be set.
 struct peer_rpc_handlers {
-    // Methods "membership.*". The failure detector reads the texts itself and may answer later,
-    // which jsonrpccpp's server cannot.
+    // Methods "membership.*". The failure detector parses the request itself and may answer later;
+    // jsonrpccpp's server can only answer immediately.
     std::function<void(std::string_view request, std::function<void(std::string)>)> membership;
-    // Method "config.state": the state for a peer, empty if there is nothing newer.
+    // Method "config.state": the configuration state for a peer, empty if there is nothing newer.
     std::function<std::string(std::uint64_t newer_than)> config_state;
 };
 
-// Answers JSON-RPC requests of other instances. "config.*" goes through jsonrpccpp's server.
+// Answers JSON-RPC requests of other instances. Methods other than "membership.*" go through
+// jsonrpccpp's server.
 class peer_rpc_server {
 public:
     explicit peer_rpc_server(peer_rpc_handlers handlers);
@@ -44,7 +45,7 @@
     peer_rpc_server(const peer_rpc_server&) = delete;
     peer_rpc_server& operator=(const peer_rpc_server&) = delete;
 
-    // Answers one request to peer_path.
+    // Answers one request to `peer_path`.
     void serve(const http_exchange_ptr& exchange);
 
 private:
@@ -53,7 +54,7 @@
     std::unique_ptr<methods> methods_;
 };
 
-// Text of a "config.state" request, and the state in a reply to it.
+// Builds a "config.state" request, and extracts the state from its reply.
 std::string make_config_state_request(std::uint64_t newer_than);
 result<std::string> read_config_state_reply(std::string_view text);
 
--- a/include/http/platform_codec.h
+++ b/include/http/platform_codec.h
@@ -9,7 +9,7 @@
 
 namespace cactusloom {
 
-// JSON texts of the log and the list, as docs/platform.md describes them. Parsing errors are
+// JSON bodies of the log and the instance list; see docs/platform.md. Parse errors have code
 // `invalid_argument`.
 std::string format_offset(log_offset offset);
 result<log_offset> parse_offset(std::string_view text);
@@ -20,9 +20,9 @@
 std::string format_instances(const std::vector<listed_instance>& instances);
 result<std::vector<listed_instance>> parse_instances(std::string_view text);
 
-// Error reply of the log: the code says whether a record may have been stored.
+// Error reply of the log: the code tells whether the record may have been stored.
 std::string format_platform_error(const error& reason);
-// The error in the text, or one of code `internal` if there is none.
+// Returns the error in the text, or one with code `internal` if the text has none.
 error parse_platform_error(std::string_view text);
 
 } // namespace cactusloom
--- a/include/http/worker_codec.h
+++ b/include/http/worker_codec.h
@@ -9,8 +9,8 @@
 
 namespace cactusloom {
 
-// Names of the worker protocol of docs/platform.md. Facts about a task travel in headers and the
-// payload is the body, so that payloads are neither escaped nor parsed on the way.
+// Headers of the worker protocol; see docs/platform.md. Metadata of a task is sent in headers and
+// the payload as the body, so that payloads are neither escaped nor parsed.
 namespace worker_header {
 inline constexpr const char* task_id = "Task-Id";
 inline constexpr const char* kind = "Task-Kind";
@@ -21,20 +21,21 @@
 inline constexpr const char* load = "Worker-Load"; // "<running> <queued> <0 or 1 for leaving>"
 } // namespace worker_header
 
-// Percent-encodes all but the unreserved characters, so that a text is safe in a header or path.
+// Percent-encodes all but the unreserved characters, for use in a header or path.
 std::string percent_encode(std::string_view text);
 
-// Undoes percent_encode; nothing if the text is not valid.
+// Reverses percent_encode; nullopt if the text is malformed.
 std::optional<std::string> percent_decode(std::string_view text);
 
-// Name of a status as workers send it. `reply_lost` and `not_sent` are never sent.
+// Name of a status in the worker protocol. Workers never send `reply_lost` and `not_sent`, and the
+// parser rejects them.
 const char* to_string(start_status status);
 std::optional<start_status> parse_start_status(std::string_view text);
 
 std::string format_load(const worker_load& load);
 std::optional<worker_load> parse_load(std::string_view text);
 
-// Reads a whole number of decimal digits; nothing for any other text.
+// Parses a decimal integer; nullopt if the text is anything else.
 std::optional<std::int64_t> parse_number(std::string_view text);
 
 } // namespace cactusloom
--- a/include/metrics/counters.h
+++ b/include/metrics/counters.h
@@ -8,18 +8,18 @@
 
 namespace cactusloom {
 
-// Named counts of events since the start of the process.
+// Named event counters since the start of the process.
 class counters {
 public:
     counters() = default;
     counters(const counters&) = delete;
     counters& operator=(const counters&) = delete;
 
-    // Returns the count with this name, made with zero at first. The reference stays valid, so
-    // a user looks its counts up once and then only increments.
+    // Returns the counter with this name, creating it with zero. The reference stays valid, so that
+    // users look up a counter once and then only increment it.
     std::uint64_t& get(std::string_view name);
 
-    // All counts in the order they were made.
+    // All counters in order of creation.
     const std::deque<std::pair<std::string, std::uint64_t>>& all() const { return counts_; }
 
 private:
--- a/include/metrics/latency_histogram.h
+++ b/include/metrics/latency_histogram.h
@@ -18,8 +18,8 @@
 
     void record(duration latency);
 
-    // Appends the cumulative buckets, the sum and the count in the text exposition format. `labels`
-    // is empty or a list such as `end="completed"`.
+    // Appends cumulative buckets, sum and count in the Prometheus text format. `labels` is empty or
+    // a list such as `end="completed"`.
     void format(std::string& out, std::string_view name, std::string_view labels) const;
 
 private:
--- a/include/metrics/latency_recorder.h
+++ b/include/metrics/latency_recorder.h
@@ -7,11 +7,11 @@
 
 namespace cactusloom {
 
-// Estimates quantiles of a latency over the recent past in constant memory.
+// Estimates quantiles of recent latencies in constant memory.
 class latency_recorder {
 public:
     struct summary {
-        std::uint64_t count = 0; // since the start
+        std::uint64_t count = 0; // since the process started
         duration p50{};
         duration p90{};
         duration p99{};
@@ -22,7 +22,7 @@
 
     void record(duration latency);
 
-    // Quantiles of up to 11,000 recent samples. Below five samples they mean little.
+    // Quantiles over up to 11,000 recent samples; not meaningful below five samples.
     summary read() const;
 
 private:
--- a/include/net/frame_link.h
+++ b/include/net/frame_link.h
@@ -9,11 +9,11 @@
 
 namespace cactusloom {
 
-// Messages over one TCP connection, each preceded by its length (4 bytes, big-endian). Messages
-// of one loop turn leave in one write.
+// Exchanges messages over one TCP connection, each with a 4-byte big-endian length prefix. Messages
+// sent in one iteration of the event loop are written together.
 class frame_link {
 public:
-    // Takes over a stream. A message over `max_frame_bytes` ends the link.
+    // Takes ownership of a stream. A received message over `max_frame_bytes` closes the connection.
     explicit frame_link(std::shared_ptr<tcp_stream> stream);
     ~frame_link();
     frame_link(const frame_link&) = delete;
@@ -23,7 +23,7 @@
     bool is_connected() const { return stream_->is_connected(); }
     std::size_t unsent() const { return stream_->unsent(); }
 
-    // Handlers run on the loop; they must not destroy the link from within.
+    // Called on the event loop. A handler must not destroy the link.
     std::function<void()> on_connected;
     std::function<void(std::string_view)> on_message;
     std::function<void()> on_closed;
--- a/include/net/http_message.h
+++ b/include/net/http_message.h
@@ -8,7 +8,7 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
-// Request to be sent. The connection adds Host and Content-Length.
+// A request to send. The connection adds Host and Content-Length.
 struct http_request {
     std::string method = "GET";
     std::string target = "/";
@@ -16,15 +16,15 @@
     std::string body;
 };
 
-// Reply as received.
+// A received reply.
 struct http_response {
     int status = 0;
     std::string body;
 };
 
-// Why a call has no reply.
+// Why a request got no reply.
 enum class call_failure {
-    not_sent,   // certainly had no effect
+    not_sent,   // guaranteed to have had no effect
     reply_lost, // the peer may have acted on it
 };
 
--- a/include/net/poller.h
+++ b/include/net/poller.h
@@ -8,8 +8,8 @@
 
 namespace cactusloom {
 
-// Watches descriptors through one epoll set that the GLib loop polls as a single source. A set of
-// hundreds of sockets then costs the loop two system calls a turn.
+// Watches file descriptors through one epoll set that is a single source of the GLib main loop, so
+// that hundreds of sockets cost two system calls per loop iteration.
 class poller {
 public:
     // Receives the epoll events (EPOLLIN, EPOLLOUT, ...) of one descriptor.
@@ -21,16 +21,16 @@
     poller(const poller&) = delete;
     poller& operator=(const poller&) = delete;
 
-    // Starts to watch. The descriptor must not be watched already.
+    // Starts watching a descriptor that is not watched yet.
     void add(int descriptor, std::uint32_t events, handler fn);
 
     // Changes the events of a watched descriptor.
     void modify(int descriptor, std::uint32_t events);
 
-    // Stops to watch; call before the descriptor is closed.
+    // Stops watching; must be called before the descriptor is closed.
     void remove(int descriptor);
 
-    // Runs `fn` once before the loop waits again, so that writes of one turn go out together.
+    // Runs `fn` once before the loop blocks again, so that writes of one iteration are batched.
     void defer(std::function<void()> fn);
 
 private:
--- a/include/net/pooled_http_client.h
+++ b/include/net/pooled_http_client.h
@@ -13,9 +13,9 @@
 
 namespace cactusloom {
 
-// HTTP/1.1 client with kept-alive connections, one call at a time on each. It never sends a call
-// twice. A connection whose call ran into its time limit is closed, so that a silent connection
-// is used once at most.
+// HTTP/1.1 client with a pool of keep-alive connections and one request at a time on each. It never
+// resends a request. A connection is closed when a request on it times out, so that a dead
+// connection costs at most one request.
 class pooled_http_client {
 public:
     using outcome = std::variant<http_response, call_failure>;
@@ -26,13 +26,14 @@
     pooled_http_client(const pooled_http_client&) = delete;
     pooled_http_client& operator=(const pooled_http_client&) = delete;
 
-    // Calls "ip:port". `fn` runs later on the loop, exactly once, unless the client is destroyed.
+    // Sends a request to `address`, an "ip:port". `fn` runs later on the event loop, exactly once
+    // unless the client is destroyed first.
     void call(const std::string& address, const http_request& request, duration limit, callback fn);
 
     // Closes the idle connections to an address.
     void close_idle_connections(const std::string& address);
 
-    // Connections opened so far, for the metrics.
+    // Number of connections opened so far, for the metrics.
     std::uint64_t connections_opened() const { return connections_opened_; }
 
 private:
--- a/include/net/stream_http_server.h
+++ b/include/net/stream_http_server.h
@@ -13,7 +13,7 @@
 
 namespace cactusloom {
 
-// Bounds of a server, from the configuration in force.
+// Limits of a server, from the active configuration.
 struct stream_http_server_limits {
     std::uint32_t header_bytes = 16384;
     std::uint32_t body_bytes = 262144;
@@ -22,7 +22,7 @@
     std::size_t connections = 3000;
 };
 
-// Request as received. Header names are in lower case.
+// A received request. Header names are in lower case.
 struct received_request {
     std::string method;
     std::string target;
@@ -33,16 +33,17 @@
     std::string_view header(std::string_view name) const;
 };
 
-// Answers one request, now or later. Copies refer to the same request; the first answer counts.
+// Answers one request, immediately or later. Copies refer to the same request; only the first
+// answer is sent.
 class http_responder {
 public:
-    // Called at most once if the caller hangs up before the answer.
+    // Sets the handler that is called at most once, if the caller disconnects before the answer.
     void on_client_disconnect(std::function<void()> fn) const;
 
-    // The body is JSON unless a Content-Type header says otherwise.
+    // Sends the answer. The content type is application/json unless `headers` has a Content-Type.
     void answer(int status, std::string_view body, const header_list& headers = {}) const;
 
-    // Ends the connection without an answer: the caller cannot know whether the request ran.
+    // Closes the connection without an answer: the caller cannot tell whether the request ran.
     void close_without_reply() const;
 
 private:
@@ -51,12 +52,14 @@
     std::shared_ptr<exchange> exchange_;
 };
 
-// HTTP/1.1 server with one request at a time on each connection.
+// HTTP/1.1 server that handles one request at a time per connection.
 class stream_http_server {
 public:
     using request_handler = std::function<void(received_request, http_responder)>;
     class connection;
 
+    // Listens on `address`, an "ip:port"; port 0 lets the kernel choose. `fn` receives every
+    // request.
     static result<std::unique_ptr<stream_http_server>>
     listen(poller& events, timer_service& timers, std::string_view address, request_handler fn);
 
@@ -66,7 +69,7 @@
 
     void set_limits(const stream_http_server_limits& limits);
 
-    // From now on every answer closes its connection and idle connections are closed.
+    // From now on, closes idle connections, and every other connection after its answer.
     void begin_drain();
 
     std::size_t connection_count() const;
--- a/include/net/tcp_stream.h
+++ b/include/net/tcp_stream.h
@@ -9,31 +9,32 @@
 
 namespace cactusloom {
 
-// One nonblocking TCP connection. Callbacks run on the loop; after on_closed no other follows.
-// A stream lives until it is closed and its last owner lets go of it.
+// A nonblocking TCP connection. Callbacks run on the event loop; on_closed is the last one. The
+// poller holds only a weak reference: the owners keep the stream alive.
 class tcp_stream final : public std::enable_shared_from_this<tcp_stream> {
 public:
-    // Starts to connect to "ip:port". Error `invalid_argument`: not an IPv4 address with a port;
-    // `unavailable`: no descriptor left.
+    // Starts connecting to "ip:port". Error `invalid_argument`: not an IPv4 address with a port;
+    // `unavailable`: no file descriptor left, or the connect failed immediately.
     static result<std::shared_ptr<tcp_stream>> connect(poller& events, std::string_view address);
 
-    // Takes over an accepted descriptor.
+    // Takes ownership of an accepted socket.
     static std::shared_ptr<tcp_stream> adopt(poller& events, int descriptor);
 
     ~tcp_stream();
     tcp_stream(const tcp_stream&) = delete;
     tcp_stream& operator=(const tcp_stream&) = delete;
 
-    // Queues bytes; they leave before the loop waits again, or once the connection is open.
+    // Queues bytes. They are sent before the loop blocks again, or once the connection is
+    // established.
     void write(std::string_view data);
 
-    // Closes the connection. on_closed is not called. Bytes still queued are lost.
+    // Closes the connection and discards queued bytes. on_closed is not called.
     void close();
 
     bool is_open() const { return descriptor_ >= 0; }
     bool is_connected() const { return connected_; }
 
-    // Bytes that the peer has not taken yet.
+    // Queued bytes that the kernel has not accepted yet.
     std::size_t unsent() const { return output_.size() - sent_; }
 
     std::function<void()> on_connected;
@@ -58,7 +59,7 @@
     std::size_t sent_ = 0;
 };
 
-// Listens on "ip:port" and passes each accepted connection on.
+// Listens on "ip:port" and passes each accepted connection to a handler.
 class tcp_listener {
 public:
     using accept_handler = std::function<void(std::shared_ptr<tcp_stream>)>;
@@ -69,7 +70,7 @@
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
 
-    // Port in use, also where the address asked for any (port 0).
+    // Bound port; chosen by the kernel if port 0 was requested.
     int port() const;
 
 private:
--- a/src/base/glib_timer_service.cpp
+++ b/src/base/glib_timer_service.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-// A bound on callbacks in one turn keeps sockets served while many timers are due.
+// Limits the callbacks per loop iteration, so that sockets are served while many timers are due.
 constexpr int max_callbacks_per_turn = 256;
 
 gint64 to_ready_time(monotonic_time time)
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// State of the one output; the process has one thread.
+// Process-wide state; not synchronized because the process is single-threaded.
 struct log_output {
     std::uint64_t dropped = 0;
     std::uint64_t reported = 0;
--- a/src/daemon/config_endpoints.h
+++ b/src/daemon/config_endpoints.h
@@ -9,13 +9,12 @@
 
 namespace cactusloom {
 
-// JSON of the configuration endpoints of the caller API.
+// JSON bodies of the configuration endpoints of the caller API.
 std::string format_config(const config_follower& follower);
 std::string format_config_history(const config_follower& follower);
 
-// Puts the edit in `body` into the log and reports the log's verdict:
-// {"id", "author", "section", "base_version", "content"}. Error `invalid_argument` for anything
-// else.
+// Appends the edit in `body` to the log and reports its verdict. `body` must be
+// {"id", "author", "section", "base_version", "content"}; error `invalid_argument` otherwise.
 void submit_config_edit(config_follower& follower, std::string_view body,
                         std::function<void(result<std::string>)> done);
 
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -37,13 +37,13 @@
 
 } // namespace
 
-// Members are destroyed in reverse order: what sends or serves goes before what it calls.
+// Order matters: members are destroyed in reverse, so that each goes before the ones that it uses.
 struct instance::components {
     daemon_settings settings;
     timer_service& timers;
     std::uint64_t id_key = 0;
     counters counts;
-    std::string first_document; // text to publish to an empty log
+    std::string first_document; // published if the log is empty
     timer_id housekeeping_timer = 0;
     timer_id drain_timer = 0;
 
@@ -148,8 +148,8 @@
     api = std::make_unique<caller_api>(std::move(with));
 }
 
-// A log without any document is filled from the file of the settings. Several instances may do so
-// at once: the edit id follows from the text, so the log's order decides.
+// Publishes the document of the settings if the log has none. Several instances may do so at once:
+// the edit id is a hash of the text, so that the first record in the log wins.
 void instance::components::publish_first_document()
 {
     config_follower& follower = entry->configuration();
@@ -249,7 +249,7 @@
     self.name = settings.name;
     self.data_centre = settings.data_centre;
     self.address = settings.advertise.empty() ? raw->server->address() : settings.advertise;
-    // Greater after every restart, as long as the host's clock does not go back beyond it.
+    // Increases with every restart unless the host's clock is set back to before the last start.
     self.incarnation = static_cast<std::uint64_t>(timers.wall_now().time_since_epoch().count());
     raw->make_entry(std::move(self));
     raw->make_api();
@@ -263,7 +263,7 @@
     return components_->server->address();
 }
 
-// Replies to callers that wait are sent before the socket goes.
+// Waits until all waiting callers have their reply before the socket is closed.
 void instance::components::send_last_replies(const std::function<void()>& stopped)
 {
     if (server->open_exchanges() == 0) {
--- a/src/daemon/peer_config_client.cpp
+++ b/src/daemon/peer_config_client.cpp
@@ -10,7 +10,7 @@
 namespace cactusloom {
 namespace {
 
-// Shorter than the follower's own limit for an answer of all peers.
+// Shorter than the follower's timeout for the replies of all peers.
 constexpr duration state_limit = std::chrono::milliseconds{800};
 constexpr std::size_t peers_asked = 3;
 
--- a/src/daemon/peer_config_client.h
+++ b/src/daemon/peer_config_client.h
@@ -13,10 +13,10 @@
 class peer_transport;
 class timer_service;
 
-// Asks a few reachable members for their configuration.
+// Fetches the configuration state from up to three random reachable members.
 class peer_config_client final : public config_peer_source {
 public:
-    // All must outlive the source. `members` is called for each fetch.
+    // The references must outlive this object. `members` is called for each fetch.
     peer_config_client(timer_service& timers, peer_transport& transport,
                        std::function<const member_table&()> members, std::uint32_t seed)
         : timers_(timers), transport_(transport), members_(std::move(members)), random_(seed)
--- a/src/daemon/platform_services.h
+++ b/src/daemon/platform_services.h
@@ -12,10 +12,11 @@
 
 namespace cactusloom {
 
-// The platform as the settings name it: by HTTP, or embedded stand-ins where no address is given.
+// Services of the platform as selected by the settings: over HTTP, or in-process stand-ins if no
+// address is given.
 class platform_services {
 public:
-    // `timers` must outlive the access. Error `invalid_argument`: a setting names no known mode.
+    // `timers` must outlive the services. Error `invalid_argument`: unknown worker mode.
     static result<std::unique_ptr<platform_services>> make(const daemon_settings& settings,
                                                            timer_service& timers);
     platform_services() = default;
@@ -27,7 +28,7 @@
     virtual instance_list* list() = 0; // null if there is none
     virtual worker_client& workers() = 0;
 
-    // Follows the workers of a new document. Positions keep their meaning.
+    // Applies the workers of a new configuration. Indexes of workers stay the same.
     virtual void apply(const deployment& settings) = 0;
 };
 
--- a/src/daemon/status_report.h
+++ b/src/daemon/status_report.h
@@ -10,7 +10,7 @@
 class forwarder;
 class http_server;
 
-// The parts that a report looks at.
+// Sources of the reports.
 struct report_sources {
     const entry_instance& entry;
     const forwarder& forwards;
@@ -19,10 +19,10 @@
     const counters& counts;
 };
 
-// JSON for a person or a program that asks how the instance is.
+// Status of the instance in JSON.
 std::string format_status_report(const report_sources& from);
 
-// Counts and gauges in the text format of Prometheus.
+// Counters and gauges in the Prometheus text format.
 std::string format_metrics(const report_sources& from);
 
 } // namespace cactusloom
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -11,8 +11,8 @@
 namespace cactusloom {
 namespace {
 
-// A waiting caller is answered at the latest this long after the deadline of its request, which
-// covers the dispatcher's own timers.
+// A waiting caller is answered at most this long after the deadline of its request. Covers the
+// latency of the dispatcher's own timers.
 constexpr duration answer_grace = std::chrono::seconds{2};
 
 constexpr const char* prefix_header = "Cactusloom-Id-Prefix";
@@ -22,7 +22,7 @@
 struct caller_api::route {
     std::string_view method;
     std::string_view path;
-    bool has_rest; // the path goes on with a name
+    bool has_rest; // the path continues with a name
     void (caller_api::*serve)(const http_exchange_ptr&, std::string_view);
 };
 
@@ -197,7 +197,7 @@
     }
     const auto wait = exchange->query("wait_ms");
     const auto wait_ms = parse_number(wait.empty() ? "0" : wait);
-    constexpr std::int64_t longest_wait_ms = 62'000; // the longest deadline and the grace
+    constexpr std::int64_t longest_wait_ms = 62'000; // the longest deadline plus answer_grace
     if (!wait_ms || *wait_ms < 0) {
         refuse(exchange, {errc::invalid_argument, "'wait_ms' must be a whole number"}, id);
         return;
--- a/src/http/caller_codec.cpp
+++ b/src/http/caller_codec.cpp
@@ -38,7 +38,7 @@
     if (value.isNull()) {
         const auto it = std::find_if(settings.kinds.begin(), settings.kinds.end(),
                                      [&](const auto& entry) { return entry.name == kind; });
-        // An unknown kind is refused by the dispatcher; any deadline serves until then.
+        // The dispatcher rejects an unknown kind, so any deadline will do.
         return it == settings.kinds.end() || it->default_deadline <= duration::zero()
                    ? settings.limits.max_deadline
                    : it->default_deadline;
@@ -198,7 +198,7 @@
     case errc::not_ready:
         return job_state::failed_not_run;
     default:
-        // A conflict proves nothing about the first submission with this id, which may be running.
+        // A conflict proves nothing about the first submission with this id; it may be running.
         return job_state::unknown;
     }
 }
--- a/src/http/forwarder.cpp
+++ b/src/http/forwarder.cpp
@@ -11,10 +11,10 @@
 constexpr const char* forwarded_header = "Cactusloom-Forwarded-By";
 constexpr const char* prefix_header = "Cactusloom-Id-Prefix";
 
-// The longest deadline, the grace of the owner's answer, and two hops.
+// The longest deadline, the owner's answer grace period and two network hops.
 constexpr duration reply_limit = std::chrono::seconds{64};
 
-// Rebuilds the path and query. Submission ids need no escapes.
+// Rebuilds path and query. Submission ids need no percent-encoding.
 std::string make_target(const http_exchange& exchange)
 {
     const std::string query = exchange.raw_query();
@@ -34,7 +34,8 @@
 bool forwarder::forward(const http_exchange_ptr& exchange, std::string_view id)
 {
     const submission_location owner = find_(id);
-    // The dispatcher refuses malformed ids, since no instance can have accepted one.
+    // Malformed ids are left to the dispatcher, which rejects them; no instance can have accepted
+    // one.
     if (owner.place == submission_place::local || owner.place == submission_place::malformed) {
         return false;
     }
@@ -63,7 +64,7 @@
             exchange->reply(reply.status, reply.body);
             return;
         }
-        // An earlier message with this id may have reached the owner, so even a message that was
+        // An earlier request with this id may have reached the owner, so even a request that was
         // not sent proves nothing.
         ++counts_.owner_silent;
         exchange->reply(404, format_refusal(id, {errc::not_found,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 struct http_client::state {
-    timer_service* timers = nullptr; // null once the client is gone
+    timer_service* timers = nullptr; // null after the client is destroyed
     object_ptr<SoupSession> session;
     std::unordered_set<open_call*> calls;
 };
@@ -28,12 +28,12 @@
     object_ptr<GCancellable> cancellable;
     http_client::callback done;
     timer_id limit_timer = 0;
-    bool started = false; // a byte may have left this process
+    bool started = false; // a byte may have been sent
     bool timed_out = false;
 };
 
-// The library sends an idempotent request again when a kept-alive connection breaks. A start must
-// not go out twice, so the second sending is cancelled before the library picks a connection.
+// libsoup resends an idempotent request when a keep-alive connection breaks. A start must not be
+// sent twice, so the resend is cancelled before libsoup picks a connection.
 void forbid_second_sending(SoupMessage* /*message*/, gpointer data)
 {
     g_cancellable_cancel(static_cast<open_call*>(data)->cancellable.get());
@@ -80,7 +80,7 @@
     }
 }
 
-// Returns null for an address that cannot be one.
+// Returns null if the address is not valid.
 SoupMessage* make_message(const http_call& call)
 {
     const std::string text = fmt::format("http://{}{}", call.address, call.target);
@@ -106,14 +106,14 @@
         "max-conns", static_cast<int>(options.max_connections), "max-conns-per-host",
         static_cast<int>(options.max_connections_per_address), "timeout", 0U, "idle-timeout", 30U,
         "user-agent", "cactusloom", nullptr));
-    // Addresses are IP numbers of our own settings: no proxies and no decoding of replies.
+    // The peers are known IP addresses: no proxies and no decoding of replies.
     soup_session_set_proxy_resolver(state_->session.get(), nullptr);
     soup_session_remove_feature_by_type(state_->session.get(), SOUP_TYPE_CONTENT_DECODER);
 }
 
 http_client::~http_client()
 {
-    // The library ends the calls on a later turn of the loop, when the timers may be gone.
+    // libsoup completes the calls in a later loop iteration, when the timers may be destroyed.
     for (const auto* it : state_->calls) {
         state_->timers->cancel(it->limit_timer);
     }
@@ -141,7 +141,7 @@
         return;
     }
     SoupMessage* message = open->message.get();
-    // Only messages with this flag use kept-alive connections.
+    // libsoup reuses keep-alive connections only for messages marked idempotent.
     soup_message_add_flags(message, call.fresh_connection ? SOUP_MESSAGE_NEW_CONNECTION
                                                           : SOUP_MESSAGE_IDEMPOTENT);
     soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
--- a/src/http/http_log_service.cpp
+++ b/src/http/http_log_service.cpp
@@ -8,10 +8,10 @@
 namespace cactusloom {
 namespace {
 
-// Beyond this a reply is taken for lost. The log takes several ms when it is well.
+// A reply that takes longer counts as lost. A healthy log takes several milliseconds.
 constexpr duration reply_limit = std::chrono::seconds{5};
 
-// Certain refusals keep their code. All else may have stored the record.
+// Errors defined by the protocol keep their code. In all other cases the record may be stored.
 error to_append_error(const http_reply& reply)
 {
     if (reply.end == http_outcome::not_sent) {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -14,7 +14,7 @@
 namespace cactusloom {
 namespace {
 
-// How often connections that are too slow are looked for. It adds at most this to each limit.
+// Interval of the search for slow connections. Adds at most this to each time limit.
 constexpr duration sweep_interval = std::chrono::seconds{1};
 constexpr int listen_backlog = 1024;
 
@@ -23,9 +23,9 @@
 struct connection {
     connection_phase phase = connection_phase::header;
     monotonic_time since{};
-    GSocket* socket = nullptr; // owned by the library's stream
+    GSocket* socket = nullptr; // owned by libsoup's stream
     bool closed = false;
-    bool refused = false; // answered already; what still arrives is dropped
+    bool refused = false; // answered already; further input is discarded
 };
 
 object_ptr<GSocketAddress> parse_address(const std::string& text)
@@ -144,8 +144,8 @@
     bool finished_ = false;
 };
 
-// The library keeps connections alive only while it has a listener of its own. It gets a datagram
-// socket that is connected to itself, so nothing ever arrives there.
+// libsoup keeps connections alive only while it has a listener of its own. It gets a datagram
+// socket that is connected to itself, so that nothing ever arrives there.
 bool add_quiet_listener(SoupServer* server, GError** ec)
 {
     const object_ptr<GSocketAddress> loopback(
@@ -169,8 +169,8 @@
     object_ptr<SoupServer> server;
     object_ptr<GSocket> listener;
     GSource* accept_source = nullptr;
-    // By the remote address object, which is what a message of the library gives. The library has
-    // no socket for connections that it did not accept itself.
+    // Keyed by the remote address object, which libsoup's messages provide. They provide no socket
+    // for connections that libsoup did not accept itself.
     std::unordered_map<GSocketAddress*, connection> connections;
     std::shared_ptr<bool> open = std::make_shared<bool>(true);
     std::uint64_t refused = 0;
@@ -209,7 +209,8 @@
 
 void http_server::state::accept_all()
 {
-    // A bound on accepts in one turn keeps open connections served during a connection storm.
+    // The limit of accepts per loop iteration keeps open connections served during a connection
+    // storm.
     for (int n = 0; n < 64; ++n) {
         glib_error ec;
         object_ptr<GSocket> socket(g_socket_accept(listener.get(), nullptr, ec.out()));
@@ -227,7 +228,7 @@
         object_ptr<GSocketAddress> local(g_socket_get_local_address(socket.get(), nullptr));
         object_ptr<GSocketAddress> remote(g_socket_get_remote_address(socket.get(), nullptr));
         if (!local || !remote) {
-            continue; // the caller has gone already
+            continue; // the caller has disconnected already
         }
         watch_stream(stream.get(), remote.get());
         if (!soup_server_accept_iostream(server.get(), G_IO_STREAM(stream.get()), local.get(),
@@ -241,7 +242,8 @@
 {
     connections[remote] = {connection_phase::header, timers->monotonic_now(),
                            g_socket_connection_get_socket(stream), false, false};
-    // The entry goes when the library drops the stream, which may be after this server has gone.
+    // Erases the entry when libsoup releases the stream, which may be after this server is
+    // destroyed.
     struct link {
         state* owner;
         std::shared_ptr<bool> open;
@@ -283,9 +285,9 @@
     }
 }
 
-// The library has no way to answer before it read the whole body, so the reply goes to the socket
-// directly. The rest of the body is read and dropped until the caller closes or the body's time
-// limit ends; closing at once would reset the connection, and the caller might lose the reply.
+// libsoup cannot answer before it has read the whole body, so the reply is written directly to the
+// socket. The rest of the body is read and discarded until the caller closes or the body times out;
+// an immediate close would reset the connection, and the caller could lose the reply.
 void http_server::state::refuse_body(SoupServerMessage* message)
 {
     const auto it = connections.find(soup_server_message_get_remote_address(message));
@@ -376,7 +378,7 @@
                          static_cast<state*>(data)->set_phase(message, connection_phase::answering);
                      }),
                      raw);
-    // The library reports the next request only once its first byte arrives.
+    // libsoup reports the next request only when its first byte arrives.
     g_signal_connect(self->server.get(), "request-finished",
                      G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
                          static_cast<state*>(data)->set_phase(message, connection_phase::header);
--- a/src/http/http_worker_client.cpp
+++ b/src/http/http_worker_client.cpp
@@ -9,7 +9,7 @@
 namespace cactusloom {
 namespace {
 
-// A worker may answer a little after the deadline; beyond this the connection is given up.
+// A worker may reply slightly after the deadline; after this time the connection is closed.
 constexpr duration reply_grace = std::chrono::seconds{1};
 constexpr duration control_limit = std::chrono::seconds{2};
 
@@ -22,14 +22,14 @@
         total += it.max_connections;
         most = std::max(most, it.max_connections);
     }
-    // A share of the process's descriptors stays free for callers.
+    // Leaves file descriptors of the process for callers.
     options.max_connections = std::clamp<std::size_t>(total, 64, 16384);
     options.max_connections_per_address = most > 0 ? most : 64;
     return options;
 }
 
-// Reads the reply of a worker to a start. Whatever does not follow the protocol proves nothing, so
-// it counts as a lost reply.
+// Reads a worker's reply to a start. A reply that violates the protocol proves nothing and counts
+// as lost.
 start_reply read_reply(const http_reply& reply, std::string_view encoded_id)
 {
     start_reply found;
--- a/src/http/json_text.cpp
+++ b/src/http/json_text.cpp
@@ -22,7 +22,7 @@
             return failure(errc::invalid_argument, "not valid JSON: " + problems);
         }
     }
-    catch (const std::exception& ec) { // the library throws when the nesting is too deep
+    catch (const std::exception& ec) { // jsoncpp throws if the nesting is too deep
         return failure(errc::invalid_argument, std::string("not valid JSON: ") + ec.what());
     }
     return root;
--- a/src/http/peer_rpc.cpp
+++ b/src/http/peer_rpc.cpp
@@ -11,7 +11,7 @@
 constexpr const char* config_state_method = "config.state";
 constexpr std::string_view membership_methods = "membership.";
 
-// Hands texts to jsonrpccpp and keeps the reply for the exchange that brought the request.
+// Connects jsonrpccpp to HTTP exchanges: sends the reply to the exchange of the request.
 class exchange_connector final : public jsonrpc::AbstractServerConnector {
 public:
     bool StartListening() override { return true; } // NOLINT: the library's names
@@ -54,7 +54,7 @@
     exchange_connector connector;
 };
 
-// The connector is a base, so that it is there before the server that registers with it.
+// The connector is a base class, so that it is constructed before the server that uses it.
 struct peer_rpc_server::methods final : connector_holder,
                                         jsonrpc::AbstractServer<peer_rpc_server::methods> {
     explicit methods(const peer_rpc_handlers& with)
--- a/src/http/platform_codec.cpp
+++ b/src/http/platform_codec.cpp
@@ -64,7 +64,7 @@
             !it["content"].isString()) {
             return malformed("record");
         }
-        // Readers rely on offsets that grow by one.
+        // Readers rely on offsets without gaps.
         if (!page.records.empty() &&
             page.records.back().offset + 1 != log_offset{it["offset"].asUInt64()}) {
             return malformed("order of records");
--- a/src/http/worker_codec.cpp
+++ b/src/http/worker_codec.cpp
@@ -79,7 +79,7 @@
 std::optional<start_status> parse_start_status(std::string_view text)
 {
     for (const auto& it : status_names) {
-        // A worker cannot know that its own message was lost or not sent.
+        // A worker cannot know that its own reply was lost or the request was not sent.
         if (it.name == text && it.status != start_status::reply_lost &&
             it.status != start_status::not_sent) {
             return it.status;
--- a/src/metrics/latency_histogram.cpp
+++ b/src/metrics/latency_histogram.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Edges in seconds. Objectives of the deployments lie between 0.1 and 3 s.
+// Bucket bounds in seconds. Latency objectives of deployments are between 0.1 and 3 s.
 std::vector<double> edges()
 {
     return {0, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 1.5, 2.5, 5, 10};
@@ -49,7 +49,7 @@
         fmt::format_to(std::back_inserter(out), "{}_bucket{{{}{}le=\"{}\"}} {}\n", name, labels,
                        comma, axis.bin(i).upper(), total);
     }
-    total += static_cast<double>(buckets_->counts.at(axis.size())); // beyond the last edge
+    total += static_cast<double>(buckets_->counts.at(axis.size())); // above the last bound
     fmt::format_to(std::back_inserter(out), "{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels,
                    comma, total);
     fmt::format_to(std::back_inserter(out), "{}_sum{{{}}} {}\n{}_count{{{}}} {}\n", name, labels,
--- a/src/metrics/latency_recorder.cpp
+++ b/src/metrics/latency_recorder.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::array<double, 5> marks{0.25, 0.5, 0.75, 0.9, 0.99};
 
-// The estimator never forgets, so two windows take turns to follow a change of load.
+// The estimator never discards samples, so windows are rotated to follow changes of the load.
 constexpr std::uint64_t window_size = 10000;
 
 } // namespace
@@ -42,7 +42,7 @@
 
 latency_recorder::summary latency_recorder::read() const
 {
-    // The estimator is only exact enough once its window has some hundred samples.
+    // The estimator is accurate only after several hundred samples.
     const bool is_young = previous_ && acc::count(current_->samples) < window_size / 10;
     const auto values = acc::extended_p_square((is_young ? previous_ : current_)->samples);
     const auto at = [&](std::size_t n) {
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -43,7 +43,7 @@
 struct poller::state {
     int epoll = -1;
     GSource* source = nullptr;
-    // Handlers are shared so that one may remove its own descriptor while it runs.
+    // Shared, so that a handler may remove its own descriptor while it runs.
     std::unordered_map<int, std::shared_ptr<handler>> handlers;
     std::vector<std::function<void()>> deferred;
 };
@@ -55,7 +55,7 @@
     auto* it = reinterpret_cast<epoll_source*>(state_->source);
     it->owner = this;
     it->run_deferred = [](poller* self) {
-        // Deferred work may defer again; a bounded number of rounds keeps the loop going.
+        // Deferred functions may defer others; the limit on rounds keeps the loop responsive.
         constexpr int max_rounds = 4;
         for (int n = 0; n < max_rounds && !self->state_->deferred.empty(); ++n) {
             const auto batch = std::exchange(self->state_->deferred, {});
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -17,11 +17,12 @@
 
 namespace {
 
-// Peers close idle connections after 15 s by default; a younger bound avoids the race.
+// Peers close idle connections after 15 s by default; a shorter limit avoids sending a request
+// while the peer closes the connection.
 constexpr duration idle_limit = std::chrono::seconds{9};
-// A limit that fires this late shows that the process was paused, with replies waiting unread.
+// A timeout that fires this late means that the process was paused and replies may wait unread.
 constexpr duration pause_threshold = std::chrono::milliseconds{10};
-// Enough for the loop to read its sockets before the limit is applied.
+// Lets the loop read its sockets before the timeout takes effect.
 constexpr duration read_grace = std::chrono::milliseconds{2};
 constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
@@ -42,7 +43,7 @@
 
 } // namespace
 
-// One connection with at most one call under way.
+// One connection with at most one request in flight.
 class pooled_http_client::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(pooled_http_client& client, pool& home, std::shared_ptr<tcp_stream> stream)
@@ -112,7 +113,7 @@
 
 void pooled_http_client::connection::receive(std::string_view data)
 {
-    if (!fn_) { // bytes without a call: the connection cannot be trusted any more
+    if (!fn_) { // data without a request: the stream is out of sync
         stream_->close();
         lose();
         return;
@@ -142,7 +143,7 @@
 
 void pooled_http_client::connection::lose()
 {
-    // Nothing is written before the connection is open.
+    // Nothing is sent before the connection is established.
     finish(connected_ ? call_failure::reply_lost : call_failure::not_sent, false);
 }
 
--- a/src/net/stream_http_server.cpp
+++ b/src/net/stream_http_server.cpp
@@ -83,7 +83,7 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     std::string input_;
     std::shared_ptr<http_responder::exchange> exchange_;
-    monotonic_time since_; // when the connection became idle or the current request began
+    monotonic_time since_; // when the connection became idle or the current request started
     bool keep_alive_ = true;
 };
 
@@ -227,7 +227,7 @@
             }
         });
     }
-    // A closing connection is kept until the peer has read the answer; the sweep ends it.
+    // A connection to be closed stays open until the answer is sent; the sweep closes it.
 }
 
 void stream_http_server::connection::end()
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -19,9 +19,10 @@
 
 constexpr int listen_backlog = 512;
 constexpr std::size_t read_chunk = 16384;
-// Bounds what one connection takes of a turn; level-triggered events bring the rest.
+// Limits the work for one connection per loop iteration; level-triggered events bring the rest.
 constexpr int max_reads_per_event = 4;
-// A peer without power acknowledges nothing; the kernel then gives up after this many ms.
+// The kernel closes a connection whose peer acknowledges nothing for this time, for example after a
+// power failure.
 constexpr int user_timeout_ms = 3000;
 
 std::optional<sockaddr_in> parse_address(std::string_view text)
--- a/stand_in/loopback_proxy.cpp
+++ b/stand_in/loopback_proxy.cpp
@@ -64,7 +64,7 @@
         };
     };
     const auto on_closed = [this, weak] {
-        // Deferred: a stream must not be destroyed from within its own handler.
+        // Deferred: a stream must not be destroyed inside its own handler.
         timers_.schedule(duration::zero(), [this, weak, alive = alive_] {
             if (const auto own = *alive ? weak.lock() : nullptr) {
                 drop(own);
--- a/stand_in/loopback_proxy.h
+++ b/stand_in/loopback_proxy.h
@@ -9,27 +9,27 @@
 
 namespace cactusloom {
 
-// Relays TCP connections to a target and harms them as a network does: delays, cuts in one or both
-// directions, closed connections, and connections that go silent for good while new ones work.
+// Relays TCP connections to a target and injects network faults: delays, partitions in one or both
+// directions, closed connections, and dead connections while new ones work.
 class loopback_proxy {
 public:
-    // Listens on "ip:port". Error: the address cannot be used.
+    // Listens on `address` and relays to `target`, both "ip:port". Error: `address` cannot be used.
     static result<std::unique_ptr<loopback_proxy>>
     start(poller& events, timer_service& timers, std::string_view address, std::string target);
     ~loopback_proxy();
     loopback_proxy(const loopback_proxy&) = delete;
     loopback_proxy& operator=(const loopback_proxy&) = delete;
 
-    // Connections that are open now carry nothing any more, without being closed.
+    // Drops all further traffic on the currently open connections without closing them.
     void blackhole_open_connections();
     void close_open_connections();
 
-    // Holds back what flows towards the target or towards the client until `heal`.
+    // Hold back all data towards the target or towards the client until heal().
     void block_to_target() { blocks_to_target_ = true; }
     void block_to_client() { blocks_to_client_ = true; }
     void delay(duration by) { delay_ = by; }
 
-    // Ends cuts and delays and delivers what was held back.
+    // Removes partitions and delays and delivers the held data.
     void heal();
 
     std::size_t relayed_bytes() const { return relayed_bytes_; }
--- a/stand_in/memory_instance_list.h
+++ b/stand_in/memory_instance_list.h
@@ -5,7 +5,7 @@
 
 namespace cactusloom {
 
-// The platform's list of instances in memory. Replies come one turn of the loop later.
+// In-memory instance list of the platform. Replies are delivered asynchronously.
 class memory_instance_list final : public instance_list {
 public:
     explicit memory_instance_list(timer_service& timers) : timers_(timers) {}
--- a/stand_in/memory_log.h
+++ b/stand_in/memory_log.h
@@ -9,9 +9,9 @@
 
 namespace cactusloom {
 
-// The platform's log in memory, with the faults of the real one. Every request takes effect after
-// half of its latency and is answered after the whole of it, never from inside the call. The timer
-// service must outlive the log, and the log must outlive the requests that it has not answered.
+// In-memory log of the platform with the faults of the real one. A request takes effect after half
+// of its latency and is answered after all of it, never from inside the call. The timer service
+// must outlive the log, and the log must outlive its unanswered requests.
 class memory_log final : public log_service {
 public:
     explicit memory_log(timer_service& timers) : timers_(timers) {}
@@ -20,10 +20,11 @@
     void read(std::string_view stream, log_offset from, std::size_t max_records,
               read_callback done) override;
 
-    // A synced write takes several ms, a read about one round trip.
+    // Latencies of requests. In reality a synced write takes several ms, a read about one round
+    // trip.
     void set_latency(duration append, duration read);
 
-    // Records older than this are dropped at the next request. The default keeps all.
+    // Records older than this are deleted at the next request. The default keeps all.
     void set_retention(duration age) { retention_ = age; }
 
     // While down, requests fail with `unavailable` and have no effect.
@@ -32,22 +33,22 @@
     // While silent, requests have no effect and are never answered.
     void set_silent(bool silent) { silent_ = silent; }
 
-    // The replies of the next `n` appends are lost after the append took effect.
+    // The next `n` appends are stored but reported as `reply_lost`.
     void lose_append_replies(std::size_t n) { lost_replies_ = n; }
 
-    // The next `n` appends are lost on the way: reported as `reply_lost` and not stored.
+    // The next `n` appends are reported as `reply_lost` and not stored.
     void lose_append_requests(std::size_t n) { lost_requests_ = n; }
 
-    // Drops the records before `offset`, as retention does.
+    // Deletes the records before `offset`, as retention does.
     void drop_before(std::string_view stream, log_offset offset);
 
-    // Rewinds a stream, so that `end` is the offset of the next append.
+    // Truncates a stream, so that `end` is the offset of the next append.
     void rewind(std::string_view stream, log_offset end);
 
-    // Puts other content at an offset that readers may know already.
+    // Overwrites the record at an offset that readers may have read already.
     void replace(std::string_view stream, log_offset offset, std::string content);
 
-    // What is stored now, without latency.
+    // Returns all stored records immediately.
     log_page page(std::string_view stream) const;
 
     std::size_t append_count() const { return append_count_; }
--- a/stand_in/memory_peer_network.cpp
+++ b/stand_in/memory_peer_network.cpp
@@ -15,7 +15,7 @@
     {
         auto* own = network_.find(address_);
         if (own == nullptr || own->generation != generation_) {
-            return; // the process is gone, and its callbacks with it
+            return; // the sending process has ended, and its callbacks with it
         }
         auto call = std::make_shared<open_call>(open_call{std::move(done), 0});
         auto& timers = *own->timers;
--- a/stand_in/memory_peer_network.h
+++ b/stand_in/memory_peer_network.h
@@ -11,8 +11,8 @@
 
 namespace cactusloom {
 
-// Carries peer requests between instances in one process. A link that is down loses messages
-// without a sign, as a network does; the sender only sees its time limit.
+// In-process network for peer requests. A link that is down drops messages silently, as a real
+// network does; the sender only sees a timeout.
 class memory_peer_network {
 public:
     using reply_callback = std::function<void(std::string)>;
@@ -21,17 +21,19 @@
 
     explicit memory_peer_network(duration latency) : latency_(latency) {}
 
-    // Connects an instance. Requests and replies reach it through its own timer service, so that a
-    // paused instance receives nothing until it goes on. The network must outlive the transport.
+    // Connects an instance. Requests and replies are delivered through its own timer service, so
+    // that a paused instance receives nothing until it resumes. The network must outlive the
+    // transport.
     std::unique_ptr<peer_transport> connect(std::string address, timer_service& timers);
 
-    // Serves the requests that reach an address.
+    // Sets the handler of requests to an address.
     void listen(const std::string& address, handler fn);
 
-    // Drops everything to and from an address, as if its process had died.
+    // Drops all traffic to and from an address, as if its process had crashed.
     void disconnect(std::string_view address);
 
-    // Decides for each message, by addresses, whether it passes. By default all pass.
+    // Sets the predicate that decides by addresses whether a message is delivered. The default
+    // delivers all.
     void set_rule(link_rule rule) { rule_ = std::move(rule); }
 
 private:
@@ -39,7 +41,7 @@
     struct endpoint {
         timer_service* timers = nullptr;
         handler serve;
-        std::uint64_t generation = 0; // tells a new process at the address from an old one
+        std::uint64_t generation = 0; // distinguishes a restarted process from its predecessor
     };
 
     struct open_call {
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -68,7 +68,7 @@
     return (timers_.monotonic_now() - it.born).count() / 1000;
 }
 
-// A fixed sequence that spreads evenly, so that a share is met without a seed.
+// Deterministic low-discrepancy sequence: true for the given share of calls, without a seed.
 bool memory_worker_fleet::draw(double share)
 {
     constexpr std::uint32_t golden = 2654435769U;
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -12,20 +12,20 @@
 
 namespace cactusloom {
 
-// Workers in memory that follow the platform's contract for leased runs: fencing tokens, leases on
-// their own clock, ends kept until they are taken note of, no check of their room. It records what
-// a dispatcher must never do: start beyond a worker's room, or run a task twice at the same time.
+// In-memory workers that implement the platform's contract for leased runs: fencing tokens, leases
+// on the worker's own clock, ends kept until acknowledged, no check of their capacity. It records
+// violations by the dispatcher: exceeding a worker's capacity, or running a task twice at once.
 class memory_worker_fleet final : public worker_commands {
 public:
-    // What goes wrong at one worker.
+    // Injected faults of one worker.
     struct faults {
-        bool silent = false;       // neither takes orders nor answers; runs go on
-        double lost_replies = 0;   // share of orders that are carried out without a reply
-        double delayed_starts = 0; // share of starts without a reply that run seconds later
+        bool silent = false;       // ignores requests; runs continue
+        double lost_replies = 0;   // share of requests that are executed without a reply
+        double delayed_starts = 0; // share of starts that get no reply and run seconds later
         bool fails_all = false;
         bool hangs = false;         // runs make no progress
-        bool ignores_stops = false; // stops are lost on their way
-        double slowness = 1;        // run times are multiplied
+        bool ignores_stops = false; // stop requests are lost
+        double slowness = 1;        // factor of run times
     };
 
     explicit memory_worker_fleet(timer_service& timers) : timers_(timers) {}
@@ -38,12 +38,12 @@
     std::vector<worker_report> reports() const;
     faults& fault(const std::string& id) { return workers_.at(id).fault; }
 
-    // Loses everything that runs there; the worker comes back empty under the same id.
+    // Restarts a worker under the same id; all its runs are lost.
     void restart(const std::string& id);
 
-    // Work of a task at speed 1; the default is 100 ms for every task.
+    // Run time of a task at speed 1; 100 ms if unset.
     std::function<duration(const std::string& task)> work;
-    // Needs of a task, for the check of the room.
+    // Resource demand of a task, for the capacity check; one CPU if unset.
     std::function<task_demand(const std::string& task)> demand;
 
     std::size_t starts_of(const std::string& task) const;
--- a/stand_in/partitionable_log.h
+++ b/stand_in/partitionable_log.h
@@ -6,12 +6,12 @@
 
 namespace cactusloom {
 
-// One instance's way to the log. Cutting it off does not touch the others, as in a partition.
+// One instance's connection to the log, which can be partitioned independently of the others.
 class partitionable_log final : public log_service {
 public:
     explicit partitionable_log(log_service& log) : log_(log) {}
 
-    // While cut off, requests are never answered, and replies under way are lost.
+    // While partitioned, requests are never answered and replies in flight are lost.
     void set_partitioned(bool partitioned) { *partitioned_ = partitioned; }
 
     void append(std::string_view stream, std::string content, append_callback done) override;
@@ -23,7 +23,7 @@
 
 private:
     log_service& log_;
-    // Shared with callbacks that may outlive the link.
+    // Shared with callbacks that may outlive this object.
     std::shared_ptr<bool> partitioned_ = std::make_shared<bool>(false);
     std::shared_ptr<std::size_t> bytes_received_ = std::make_shared<std::size_t>(0);
     std::size_t bytes_sent_ = 0;
--- a/stand_in/platform_stand_in_server.cpp
+++ b/stand_in/platform_stand_in_server.cpp
@@ -8,8 +8,7 @@
 
 void reply_error(const http_exchange_ptr& exchange, const error& reason)
 {
-    // What the caller must not learn as certain is shown the way the real service shows it: by a
-    // connection that breaks.
+    // A lost reply appears to the caller as with the real service: as a closed connection.
     if (reason.code == errc::reply_lost) {
         exchange->close_without_reply();
         return;
--- a/stand_in/platform_stand_in_server.h
+++ b/stand_in/platform_stand_in_server.h
@@ -10,7 +10,7 @@
 class instance_list;
 class log_service;
 
-// Serves a log and an instance list by HTTP, as docs/platform.md describes.
+// Serves a log and an instance list over HTTP; see docs/platform.md.
 class platform_stand_in_server {
 public:
     // Port 0 lets the kernel choose. All arguments must outlive the server.
--- a/stand_in/tools/platform_stand_in.cpp
+++ b/stand_in/tools/platform_stand_in.cpp
@@ -1,4 +1,4 @@
-// Serves a log, an instance list and workers on loopback ports, for tests and measurements.
+// Serves a log, an instance list and workers on loopback ports, for tests and benchmarks.
 #include "base/glib_timer_service.h"
 #include "stand_in/memory_instance_list.h"
 #include "stand_in/memory_log.h"
@@ -100,13 +100,13 @@
         }
         workers.push_back(std::move(worker).value());
     }
-    // A script reads the addresses from these lines.
+    // Scripts parse the addresses from these lines.
     fmt::print("platform {}\n", server.value()->address());
     for (const auto& it : workers) {
         fmt::print("worker {}\n", it->address());
     }
     (void)std::fflush(stdout);
     GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
-    g_main_loop_run(loop); // until the script that started it ends it
+    g_main_loop_run(loop); // until the process is killed
     return 0;
 }
--- a/stand_in/virtual_timer_service.cpp
+++ b/stand_in/virtual_timer_service.cpp
@@ -5,7 +5,7 @@
 namespace cactusloom {
 namespace {
 
-// Any fixed date serves; records of a run then carry the same times in every run.
+// A fixed date, so that every run records the same times.
 constexpr auto wall_origin = wall_time{std::chrono::hours{24 * 365 * 50}};
 
 } // namespace
--- a/stand_in/virtual_timer_service.h
+++ b/stand_in/virtual_timer_service.h
@@ -4,7 +4,7 @@
 
 namespace cactusloom {
 
-// Timer service whose time moves only when a test or benchmark moves it.
+// Timer service with simulated time that only tests and benchmarks advance.
 class virtual_timer_service final : public timer_service {
 public:
     monotonic_time monotonic_now() const override { return now_; }
@@ -12,10 +12,10 @@
     timer_id schedule(duration delay, std::function<void()> fn) override;
     void cancel(timer_id id) override;
 
-    // Runs every callback due within `span` in order and ends `span` later.
+    // Advances time by `span` and runs the callbacks that become due, in order.
     void advance(duration span);
 
-    // Runs the next callback and moves time to it. Returns false if there is none.
+    // Advances time to the next callback and runs it. Returns false if there is none.
     bool run_next();
 
 private:
--- a/stand_in/worker_stand_in.cpp
+++ b/stand_in/worker_stand_in.cpp
@@ -47,7 +47,7 @@
     while (running_.size() < behaviour_.slots && !queue_.empty()) {
         const task_ptr it = queue_.front();
         queue_.pop_front();
-        // A repeated start runs beside the first one.
+        // A duplicate start runs concurrently with the first one.
         std::string key = it->id;
         while (running_.contains(key)) {
             key += '+';
--- a/stand_in/worker_stand_in.h
+++ b/stand_in/worker_stand_in.h
@@ -12,13 +12,13 @@
 
 namespace cactusloom {
 
-// What a worker stand-in does with the tasks that it accepts.
+// Fault of a worker stand-in, applied to the tasks that it accepts.
 enum class worker_fault {
     none,
-    fails_tasks,      // runs each task and reports that it failed
-    never_replies,    // accepts and stays silent
-    closes,           // reads the request and closes without a reply (HTTP), loses the reply
-    replies_garbage,  // replies with text that does not follow the protocol
+    fails_tasks,      // runs each task and reports a failure
+    never_replies,    // accepts and never replies
+    closes,           // closes the connection after the request (HTTP) or drops the reply
+    replies_garbage,  // replies with data that violates the protocol
     replies_for_other // replies with the id of another task
 };
 
@@ -34,15 +34,15 @@
     bool leaving = false;
 };
 
-// A worker in memory: slots, a bounded FIFO queue, run times by kind, leases and faults. The answer
-// to a task is "<kind>:<payload>". It runs a repeated start again, so that tests see the fault.
+// In-memory worker with slots, a bounded FIFO queue, run times by kind, leases and faults. The
+// result of a task is "<kind>:<payload>". A duplicate start runs again, so that tests detect it.
 class worker_stand_in {
 public:
     using callback = worker_client::callback;
 
     worker_stand_in(timer_service& timers, worker_behaviour behaviour);
 
-    // `done` runs once, never from inside start(); not at all under `never_replies`.
+    // `done` is called once, never from inside start(); not at all with `never_replies`.
     void start(const start_request& request, callback done);
     void renew(std::string_view task_id, duration lease);
     void stop(std::string_view task_id);
@@ -51,7 +51,7 @@
     void set_behaviour(worker_behaviour behaviour) { behaviour_ = std::move(behaviour); }
     const worker_behaviour& behaviour() const { return behaviour_; }
 
-    // How often each task id was accepted; more than one breaks the invariant.
+    // Number of accepted starts per task id. More than one violates at-most-once execution.
     const std::map<std::string, int, std::less<>>& starts() const { return starts_; }
     int most_starts_of_a_task() const;
 
--- a/stand_in/worker_stand_in_client.cpp
+++ b/stand_in/worker_stand_in_client.cpp
@@ -5,7 +5,7 @@
 namespace cactusloom {
 namespace {
 
-// As in the HTTP client: a silent worker is given up this long after the caller's deadline.
+// As in http_worker_client: timeout of a worker that does not reply, after the caller's deadline.
 constexpr duration reply_grace = std::chrono::seconds{1};
 
 bool loses_reply(worker_fault fault)
--- a/stand_in/worker_stand_in_client.h
+++ b/stand_in/worker_stand_in_client.h
@@ -6,8 +6,8 @@
 
 namespace cactusloom {
 
-// Reaches worker stand-ins of the same process without a network. Worker ids are positions in the
-// list. Faults of the network appear as lost replies.
+// Calls worker stand-ins in the same process without a network. Worker ids are indexes into the
+// list. Network faults appear as lost replies.
 class worker_stand_in_client final : public worker_client {
 public:
     using workers = std::vector<std::shared_ptr<worker_stand_in>>;
@@ -19,7 +19,7 @@
     void renew(worker_id worker, std::string_view task_id, duration lease) override;
     void stop(worker_id worker, std::string_view task_id) override;
 
-    // Grows or shrinks with the document. New positions get a worker of their own.
+    // Replaces the list of workers, for a changed configuration.
     void set_workers(workers targets) { workers_ = std::move(targets); }
     const workers& targets() const { return workers_; }
 
--- a/stand_in/worker_stand_in_server.cpp
+++ b/stand_in/worker_stand_in_server.cpp
@@ -89,7 +89,7 @@
                    [exchange, encoded_id, worker = worker_](const start_reply& reply) {
                        send_reply(exchange, encoded_id, reply, worker->behaviour().fault);
                    });
-    // A silent worker keeps the connection open: the exchange must not be dropped.
+    // Keeps the connection of an unanswered request open; a destroyed exchange would be answered.
     if (worker_->behaviour().fault == worker_fault::never_replies) {
         silent_.push_back(exchange);
     }
--- a/stand_in/worker_stand_in_server.h
+++ b/stand_in/worker_stand_in_server.h
@@ -9,7 +9,7 @@
 
 namespace cactusloom {
 
-// Serves one worker stand-in by HTTP, as docs/platform.md describes.
+// Serves one worker stand-in over HTTP; see docs/platform.md.
 class worker_stand_in_server {
 public:
     // Port 0 lets the kernel choose. `timers` must outlive the server.
--- a/tests/base/timer_queue_test.cpp
+++ b/tests/base/timer_queue_test.cpp
@@ -10,7 +10,7 @@
 
 BOOST_AUTO_TEST_SUITE(timers)
 
-// Guards against timers that run in the order of scheduling instead of due time.
+// Guards against timers that run in order of scheduling instead of due time.
 BOOST_AUTO_TEST_CASE(callbacks_run_in_order_of_due_time)
 {
     virtual_timer_service timers;
@@ -34,7 +34,7 @@
     BOOST_TEST(!ran);
 }
 
-// Guards against a loop that never wakes for a timer scheduled from inside a callback.
+// Guards against a loop that does not wake up for a timer scheduled inside a callback.
 BOOST_AUTO_TEST_CASE(glib_service_runs_nested_timers)
 {
     GMainContext* context = g_main_context_new();
--- a/tests/daemon/caller_api_test.cpp
+++ b/tests/daemon/caller_api_test.cpp
@@ -12,7 +12,7 @@
 struct bad_body {
     const char* name;
     const char* target;
-    const char* body; // ID stands for a fresh id
+    const char* body; // "ID" is replaced by a new id
     unsigned status;
 };
 
@@ -88,8 +88,8 @@
 
 BOOST_AUTO_TEST_SUITE(caller_faults)
 
-// Guards against a malformed submission that starts something, ends the daemon, or is answered
-// without a state, a reason and a prefix. One instance serves all rows.
+// Guards against a malformed submission that starts a task, crashes the daemon, or gets a reply
+// without a state, a reason or a prefix. One instance serves all rows.
 BOOST_AUTO_TEST_CASE(bad_submissions_start_nothing)
 {
     daemon_fixture it;
@@ -122,8 +122,8 @@
     BOOST_TEST(good.body["state"].asString() == "completed");
 }
 
-// Guards against a second start when a caller resubmits, whether it waits, hung up, or changed the
-// body (invariants 1 and 3).
+// Guards against a second start when a caller resubmits after waiting, after a disconnect, or with
+// a different body (invariants 1 and 3).
 BOOST_AUTO_TEST_CASE(resubmissions_start_nothing)
 {
     daemon_fixture it;
@@ -133,7 +133,7 @@
     it.set_behaviour(slow);
     const std::string id = it.prefix_of(one) + ".s";
     {
-        // This caller hangs up while it waits.
+        // This caller disconnects while it waits.
         http_client gone(it.timers, {});
         http_call call;
         call.method = "POST";
@@ -156,7 +156,7 @@
     BOOST_TEST(it.starts_of(id) == 1);
     const auto status = it.ask("GET", one.address(), "/v1/jobs/" + id);
     BOOST_TEST(status.body["started"].asInt() == 1);
-    // A cancelled task had begun, so its job must not claim that it did not run.
+    // The cancelled task had started, so the job must not report that it did not run.
     it.ask("DELETE", one.address(), "/v1/jobs/" + id);
     const auto ended = it.ask("GET", one.address(), "/v1/jobs/" + id + "/answer?wait_ms=60000");
     BOOST_TEST(ended.body["state"].asString() != "failed_not_run");
--- a/tests/daemon/daemon_fixture.h
+++ b/tests/daemon/daemon_fixture.h
@@ -19,7 +19,7 @@
 
 namespace cactusloom {
 
-// A platform over loopback sockets and any number of instances, all on the loop of the test.
+// A platform on loopback sockets and any number of instances, all on the event loop of the test.
 class daemon_fixture {
 public:
     explicit daemon_fixture(int worker_count = 4)
@@ -56,7 +56,7 @@
         return it;
     }
 
-    // Starts an instance, lists it, and waits until it is ready.
+    // Starts an instance, adds it to the instance list and waits until it is ready.
     instance& start(const std::string& name)
     {
         auto made = instance::start(settings(name), timers);
@@ -118,7 +118,7 @@
         return ask("GET", it.address(), "/v1/prefix").prefix;
     }
 
-    // Body of a request for a member of the demonstration document.
+    // Body of a request for a member in examples/demo.toml.
     static std::string request(const std::string& id, const std::string& payload = "letter")
     {
         return R"({"id":")" + id + R"(","customer":"kiosk-01","kind":"stamp_check","payload":")" +
@@ -155,7 +155,7 @@
     http_client client{timers, {}};
 
 private:
-    // The demonstration document with the addresses of this platform's workers.
+    // Writes examples/demo.toml with the addresses of this platform's workers to a temporary file.
     void write_document(const std::string& entries)
     {
         std::ifstream in(EXAMPLES_DIR "/demo.toml");
--- a/tests/daemon/instances_test.cpp
+++ b/tests/daemon/instances_test.cpp
@@ -29,8 +29,8 @@
 
 BOOST_AUTO_TEST_SUITE(instances)
 
-// Guards against a second start when a caller's messages reach different instances, and against an
-// instance that answers for an id it does not own.
+// Guards against a second start when a caller's requests reach different instances, and against an
+// instance that answers for an id that it does not own.
 BOOST_AUTO_TEST_CASE(two_instances_serve_the_same_callers)
 {
     daemon_fixture it;
@@ -49,7 +49,7 @@
     BOOST_TEST(it.ask("GET", two.address(), "/v1/jobs/" + id).body["finished"].asInt() == 1);
     BOOST_TEST(it.starts_of(id) == 1);
 
-    // The owner goes: its ids are unknown elsewhere, and nothing of them starts again.
+    // After the owner is destroyed its ids are unknown elsewhere and start nothing.
     const std::string late = it.prefix_of(one) + ".late";
     it.instances.front().reset();
     const auto lost = it.ask("POST", two.address(), "/v1/requests", daemon_fixture::request(late));
@@ -58,14 +58,14 @@
     BOOST_TEST(lost.prefix.starts_with("two~"));
     BOOST_TEST(it.starts_of(late) == 0);
 
-    // A restarted instance of the same name does not own the ids of the one before.
+    // A restarted instance of the same name does not own the ids of its predecessor.
     instance& again = it.start("one");
     const auto old = it.ask("POST", again.address(), "/v1/requests", daemon_fixture::request(id));
     BOOST_TEST(old.body["state"].asString() == "unknown");
     BOOST_TEST(it.starts_of(id) == 1);
 }
 
-// Guards against two instances that pass a request on to each other without end.
+// Guards against two instances that forward a request to each other endlessly.
 BOOST_AUTO_TEST_CASE(a_request_is_forwarded_once)
 {
     daemon_fixture it;
@@ -87,7 +87,8 @@
     BOOST_TEST(it.starts_of(id) == 0);
 }
 
-// Guards against a document that needs a restart, and against an edit of somebody else's section.
+// Guards against a document that takes effect only after a restart, and against an edit of a
+// section by a team that does not own it.
 BOOST_AUTO_TEST_CASE(new_document_takes_effect)
 {
     daemon_fixture it;
@@ -124,7 +125,7 @@
     BOOST_TEST(history.body["changes"].size() == 3U);
 }
 
-// Guards against a shutdown that cuts off a running request or takes new ones (invariant 7).
+// Guards against a shutdown that aborts running requests or accepts new ones (invariant 7).
 BOOST_AUTO_TEST_CASE(shutdown_finishes_what_is_running)
 {
     daemon_fixture it;
@@ -148,7 +149,7 @@
     BOOST_TEST(it.starts_of(prefix + ".t") == 0);
 }
 
-// Guards against serving that depends on the log or the list: both are silent here.
+// Guards against requests that depend on the log or the instance list: both are down here.
 BOOST_AUTO_TEST_CASE(serving_goes_on_without_the_platform)
 {
     daemon_fixture it;
@@ -162,7 +163,7 @@
                std::string::npos);
 }
 
-// Guards against an instance that serves before it knows any document.
+// Guards against an instance that accepts requests before it has a configuration.
 BOOST_AUTO_TEST_CASE(not_ready_without_a_document)
 {
     daemon_fixture it;
@@ -176,7 +177,7 @@
     BOOST_TEST(refused.body["state"].asString() == "failed_not_run");
 }
 
-// Guards against a start on an address in use and on a document with faults.
+// Guards against a start with an address in use, an invalid document or an unknown worker mode.
 BOOST_AUTO_TEST_CASE(start_faults)
 {
     daemon_fixture it;
--- a/tests/daemon/operations_page_test.cpp
+++ b/tests/daemon/operations_page_test.cpp
@@ -20,7 +20,7 @@
 
 BOOST_AUTO_TEST_SUITE(operations_page_test)
 
-// Guards against a flag that the operators' page does not have.
+// Guards against a flag that is missing in docs/OPERATIONS.md.
 BOOST_AUTO_TEST_CASE(every_flag_is_on_the_page)
 {
     const char* arguments[] = {"cactusloomd", "--help"};
@@ -37,7 +37,7 @@
     BOOST_TEST(n >= 10U);
 }
 
-// Guards against a counter that the operators' page does not have.
+// Guards against a counter that is missing in docs/OPERATIONS.md.
 BOOST_AUTO_TEST_CASE(every_dispatch_counter_is_on_the_page)
 {
     counters all;
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -29,7 +29,7 @@
     unsetenv("CACTUSLOOM_DATA_CENTRE");
 }
 
-// Guards against settings that are taken silently although they make no sense.
+// Guards against invalid settings that are accepted silently.
 BOOST_AUTO_TEST_CASE(faults)
 {
     BOOST_TEST(!read({"--no-such-flag"}));
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -12,7 +12,7 @@
 
 namespace http_limits {
 
-// A server whose limits run on virtual time, so that slow callers need no waiting.
+// A server with simulated time, so that tests of slow callers need not wait.
 struct bench {
     virtual_timer_service time;
     std::vector<http_exchange_ptr> held;
@@ -46,7 +46,7 @@
 
 BOOST_AUTO_TEST_SUITE(http_limits)
 
-// Guards against a body that is read into memory although it is declared too large.
+// Guards against reading a body into memory whose declared length is too large.
 BOOST_AUTO_TEST_CASE(declared_body_too_large)
 {
     bench it({.max_body_bytes = 100});
@@ -78,8 +78,8 @@
     BOOST_TEST(it.served == 1U);
 }
 
-// Guards against a connection for each request: the library closes connections of a server that
-// has no listener of its own.
+// Guards against one connection per request: libsoup closes the connections of a server that has no
+// listener of its own.
 BOOST_AUTO_TEST_CASE(connection_is_kept)
 {
     bench it({});
@@ -92,7 +92,7 @@
     BOOST_TEST(it.served == 2U);
 }
 
-// Guards against a caller that holds a connection by sending a body slowly.
+// Guards against a caller that occupies a connection by sending a body slowly.
 BOOST_AUTO_TEST_CASE(slow_body)
 {
     bench it({.body_timeout = 10s});
@@ -110,7 +110,7 @@
     BOOST_TEST(!quick.closed());
 }
 
-// Guards against connections that never complete a request head.
+// Guards against connections that never complete a request header.
 BOOST_AUTO_TEST_CASE(slow_head)
 {
     bench it({.header_timeout = 60s});
@@ -123,7 +123,7 @@
     run_until([&] { return it.server->open_connections() == 0; });
 }
 
-// Guards against a long wait for an answer that is taken for a slow caller.
+// Guards against treating a long wait for an answer as a slow caller.
 BOOST_AUTO_TEST_CASE(waiting_for_an_answer_is_not_slow)
 {
     bench it({});
@@ -139,7 +139,7 @@
     run_until([&] { return it.server->open_exchanges() == 0; });
 }
 
-// Guards against one caller that takes all connections without a bound.
+// Guards against an unlimited number of connections.
 BOOST_AUTO_TEST_CASE(too_many_connections)
 {
     bench it({.max_connections = 2});
@@ -156,7 +156,7 @@
     run_until([&] { return fourth.received("\r\n\r\ny"); });
 }
 
-// Guards against use of a connection whose caller hung up while it waited.
+// Guards against use of a connection after its caller disconnected while waiting.
 BOOST_AUTO_TEST_CASE(caller_hangs_up)
 {
     bench it({});
@@ -192,7 +192,7 @@
     BOOST_TEST(!caller.received("late"));
 }
 
-// Guards against a daemon that starts although another process has its port.
+// Guards against a daemon that starts although its port is in use, and against malformed addresses.
 BOOST_AUTO_TEST_CASE(address_faults)
 {
     bench it({});
--- a/tests/http/loop.h
+++ b/tests/http/loop.h
@@ -5,19 +5,19 @@
 
 namespace cactusloom {
 
-// Runs the loop until `done()` holds. A test that never gets there is ended by its runner.
+// Runs the event loop until `done()` is true. The test runner's timeout ends a test that hangs.
 template<typename Predicate>
 void run_until(Predicate done)
 {
     while (!done()) {
-        // Sockets that only the predicate reads do not wake the loop, so it never blocks.
+        // Never blocks, because sockets that only the predicate reads do not wake the loop.
         if (!g_main_context_iteration(nullptr, FALSE)) {
             g_usleep(200);
         }
     }
 }
 
-// Runs what is ready now, without waiting.
+// Dispatches all ready sources without blocking.
 inline void run_ready()
 {
     while (g_main_context_iteration(nullptr, FALSE)) {
--- a/tests/http/no_resend_test.cpp
+++ b/tests/http/no_resend_test.cpp
@@ -12,9 +12,9 @@
 using namespace cactusloom;
 using namespace std::chrono_literals;
 
-// Guards against the HTTP library sending a start again by itself: a non-idempotent task would run
-// twice (invariants 1 and 5). The library may do so on kept-alive connections, so every row
-// first makes one that is known to be good.
+// Guards against libsoup resending a start on its own: a non-idempotent task would run twice
+// (invariants 1 and 5). It may do so on keep-alive connections, so every row first establishes a
+// working one.
 namespace no_resend {
 
 struct resend_case {
@@ -91,18 +91,17 @@
     outcome second;
     start(client, "second", second);
     run_until([&] { return second.done; });
-    // A second sending would reach the peer on a later turn of the loop.
+    // A resend would reach the peer in a later loop iteration.
     bool settled = false;
     timers.schedule(50ms, [&] { settled = true; });
     run_until([&] { return settled; });
     BOOST_TEST(static_cast<int>(second.reply.status) == static_cast<int>(start_status::reply_lost));
     BOOST_TEST(peer.heads_begun() - begun == 1);
     BOOST_TEST(count_of(peer, "second") <= 1);
-    BOOST_TEST(peer.connections() == 1); // the second start did go over the kept connection
+    BOOST_TEST(peer.connections() == 1); // the second start used the keep-alive connection
 }
 
-// The library treats methods that HTTP calls idempotent differently, so they have rows of their
-// own.
+// libsoup treats methods that HTTP defines as idempotent differently, so they have their own rows.
 BOOST_DATA_TEST_CASE(idempotent_methods,
                      boost::unit_test::data::make({"GET", "PUT", "DELETE"}) *
                          boost::unit_test::data::make({raw_peer::action::close,
@@ -134,7 +133,8 @@
     BOOST_TEST(peer.heads_begun() == 2);
 }
 
-// Replies that make some clients ask again: a redirect, a request for credentials, a time-out.
+// Replies that make some clients send another request: redirects, an authentication request, a
+// timeout, a retry hint.
 BOOST_DATA_TEST_CASE(replies_that_invite_a_second_request,
                      boost::unit_test::data::make({"301 Moved Permanently\r\nLocation: /v1/tasks",
                                                    "308 Permanent Redirect\r\n"
@@ -156,8 +156,8 @@
     BOOST_TEST(peer.heads_begun() == 1);
 }
 
-// The connection goes stale between requests: the peer closes it and the client sends before its
-// loop has seen that. The start may arrive on a new connection, but only once.
+// The peer closes the connection between requests, and the client sends before its loop has
+// noticed. The start may arrive on a new connection, but only once.
 BOOST_AUTO_TEST_CASE(stale_connection)
 {
     glib_timer_service timers;
@@ -175,7 +175,7 @@
     BOOST_TEST(count_of(peer, "second") <= 1);
 }
 
-// A refused connection proves that nothing was sent, so the task may go to another worker.
+// A refused connection proves that nothing was sent, so that the task can go to another worker.
 BOOST_AUTO_TEST_CASE(nobody_listens)
 {
     glib_timer_service timers;
@@ -191,7 +191,7 @@
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::not_sent));
 }
 
-// A worker that never replies must not hold the caller beyond the limit.
+// A worker that never replies must not block the caller beyond the time limit.
 BOOST_AUTO_TEST_CASE(silent_worker)
 {
     glib_timer_service timers;
@@ -206,8 +206,8 @@
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
 }
 
-// Guards against a call that outlives its client and the timers: its end used to cancel a timer of
-// a service that was gone.
+// Guards against a request that outlives its client and the timers: its completion used to cancel a
+// timer of a destroyed service.
 BOOST_AUTO_TEST_CASE(client_and_timers_go_first)
 {
     const raw_peer peer([](int, const std::string&) { return raw_peer::action::silence; });
--- a/tests/http/platform_contract_test.cpp
+++ b/tests/http/platform_contract_test.cpp
@@ -16,7 +16,7 @@
 
 namespace platform_contract {
 
-// A log and a list with both ways to them.
+// A log and an instance list, accessible in memory and over HTTP.
 struct bench {
     glib_timer_service timers;
     memory_log log{timers};
@@ -61,8 +61,8 @@
 
 BOOST_AUTO_TEST_SUITE(platform_contract)
 
-// Guards against a difference between the log in memory and the log over HTTP, so that tests with
-// the one hold for the other.
+// Guards against differences between the log in memory and over HTTP, so that tests with one are
+// valid for the other.
 BOOST_DATA_TEST_CASE(log_keeps_records, boost::unit_test::data::make({false, true}), remote)
 {
     bench it;
@@ -83,7 +83,7 @@
     BOOST_TEST(read(log, 7, 10).value().records.empty());
 }
 
-// Guards against reporting a stored record as certainly not stored, or the other way round.
+// Guards against reporting a stored record as not stored, or the other way round.
 BOOST_DATA_TEST_CASE(log_errors_say_what_is_certain, boost::unit_test::data::make({false, true}),
                      remote)
 {
@@ -140,8 +140,8 @@
     {"error of a gateway", "HTTP/1.1 502 Bad\r\nContent-Length: 2\r\n\r\nno"},
 };
 
-// Guards against trusting a reply that does not follow the protocol: it must count as lost, since
-// the record may be stored, and a read must not deliver records from it.
+// Guards against trusting a reply that violates the protocol: an append must count as lost, since
+// the record may be stored, and a read must fail.
 BOOST_DATA_TEST_CASE(replies_that_break_the_protocol, boost::unit_test::data::make(bad_replies))
 {
     glib_timer_service timers;
--- a/tests/http/raw_caller.h
+++ b/tests/http/raw_caller.h
@@ -9,7 +9,7 @@
 
 namespace cactusloom {
 
-// A caller below HTTP: sends bytes as it likes and keeps what it receives.
+// A caller on plain TCP: sends arbitrary bytes and keeps everything that it receives.
 class raw_caller {
 public:
     explicit raw_caller(const std::string& address)
@@ -33,7 +33,7 @@
         read();
         return buf_.find(text) != std::string::npos;
     }
-    // True once the other side closed the connection.
+    // True after the peer closed the connection.
     bool closed()
     {
         read();
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -12,12 +12,12 @@
 
 namespace cactusloom {
 
-// A peer below HTTP: reads whole requests and reacts to each as a script says. It shares the loop
-// with the test.
+// A scripted HTTP server on plain TCP: reads complete requests and reacts to each as the script
+// says. Runs on the event loop of the test.
 class raw_peer {
 public:
     enum class action { reply, close, reset, close_in_head, close_in_body, silence };
-    // Chooses the reaction to the n-th request (from 0) of the peer.
+    // Chooses the reaction to the n-th request (from 0) to this peer.
     using script = std::function<action(int n, const std::string& request)>;
 
     explicit raw_peer(script react);
@@ -28,9 +28,9 @@
     std::string address() const;
     int connections() const { return accepted_; }
     const std::vector<std::string>& requests() const { return requests_; }
-    // Requests that were begun, whole or not.
+    // Number of requests of which at least one byte arrived.
     int heads_begun() const { return heads_begun_; }
-    // Reset the connection after this many bytes of a request; 0 reads whole requests.
+    // Resets the connection after this many bytes of a request; 0 reads complete requests.
     void reset_after_bytes(std::size_t n) { reset_after_ = n; }
     // Closes all connections from this side.
     void close_all();
--- a/tests/http/raw_peer_test.cpp
+++ b/tests/http/raw_peer_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Guards against wrong use of the libraries, which they only report as text.
+// Makes warnings of GLib and libsoup fatal, because wrong use of them is reported only as text.
 struct fatal_criticals {
     fatal_criticals()
     {
--- a/tests/http/worker_contract_test.cpp
+++ b/tests/http/worker_contract_test.cpp
@@ -14,7 +14,7 @@
 
 namespace worker_contract {
 
-// One worker with both ways to it.
+// One worker, accessible in process or over HTTP.
 struct bench {
     glib_timer_service timers;
     std::shared_ptr<worker_stand_in> worker;
@@ -36,7 +36,7 @@
         client = std::make_unique<http_worker_client>(timers, workers);
     }
 
-    // Starts a task and puts its end into `into`, which must outlive the loop.
+    // Starts a task and appends its reply to `into`, which must outlive the event loop.
     void start(std::string_view id, std::vector<start_reply>& into, duration lease = 5s,
                duration time_left = 5s)
     {
@@ -75,7 +75,7 @@
 
 BOOST_AUTO_TEST_SUITE(worker_contract)
 
-// Guards against payloads that are changed on the way and against lost load reports.
+// Guards against payloads that are altered in transit and against lost load reports.
 BOOST_DATA_TEST_CASE(task_completes, both, remote)
 {
     bench it(remote, {});
@@ -90,7 +90,7 @@
     BOOST_TEST(it.worker->starts().at("job.1/0") == 1);
 }
 
-// Guards against treating a fault as proof that the task did not run, or as its answer.
+// Guards against treating a fault as proof that the task did not run, or as its result.
 BOOST_DATA_TEST_CASE(faults, both* boost::unit_test::data::make(fault_cases), remote, row)
 {
     worker_behaviour behaviour;
@@ -103,7 +103,7 @@
     BOOST_TEST(it.worker->most_starts_of_a_task() == 1);
 }
 
-// Guards against a refusal that hides that the task ran: a full or leaving worker starts nothing.
+// Guards against a refusal of a task that ran: a full or draining worker must start nothing.
 BOOST_DATA_TEST_CASE(refusals_are_certain, both, remote)
 {
     worker_behaviour behaviour;
@@ -131,8 +131,8 @@
     BOOST_TEST(code(first[0].status) == code(start_status::stopped));
 }
 
-// Guards against a task that goes on without its holder, and against one that is stopped although
-// the lease was renewed.
+// Guards against a task that continues after its lease expired, and against a renewal that does not
+// move the end of the lease.
 BOOST_DATA_TEST_CASE(leases, both, remote)
 {
     worker_behaviour behaviour;
--- a/tests/metrics/latency_recorder_test.cpp
+++ b/tests/metrics/latency_recorder_test.cpp
@@ -7,8 +7,8 @@
 
 BOOST_AUTO_TEST_SUITE(metrics)
 
-// Guards against quantiles that drift from the samples by more than the 5 % that an operator can
-// tell apart on a chart.
+// Guards against quantiles that deviate from the samples by more than 5 %, the difference that an
+// operator can see on a chart.
 BOOST_AUTO_TEST_CASE(quantiles_follow_the_samples)
 {
     latency_recorder latency;
@@ -22,7 +22,7 @@
     BOOST_TEST(static_cast<double>(found.p99.count()) == 990.0, boost::test_tools::tolerance(0.05));
 }
 
-// Guards against figures of an hour ago that hide a change.
+// Guards against old samples (an hour ago) that hide a change of the latency.
 BOOST_AUTO_TEST_CASE(old_samples_are_forgotten)
 {
     latency_recorder latency;
--- a/tests/net/pooled_http_client_test.cpp
+++ b/tests/net/pooled_http_client_test.cpp
@@ -33,8 +33,8 @@
     bool replied() const { return std::holds_alternative<http_response>(*outcome); }
 };
 
-// Takes one connection and answers its requests, or none, from a thread of its own, so that replies
-// arrive while the loop of the test stands still.
+// Accepts one connection and answers all or none of its requests in its own thread, so that replies
+// arrive while the event loop of the test is blocked.
 class blocking_peer {
 public:
     explicit blocking_peer(bool replies) : replies_(replies)
@@ -62,7 +62,7 @@
             if (!replies_) {
                 continue;
             }
-            std::this_thread::sleep_for(20ms); // the loop of the test stands still by then
+            std::this_thread::sleep_for(20ms); // the event loop is blocked by then
             constexpr std::string_view reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
             g_socket_send(socket, reply.data(), reply.size(), nullptr, nullptr);
         }
@@ -78,7 +78,7 @@
 
 BOOST_AUTO_TEST_SUITE(pooled_client)
 
-// Guards against replies that count as lost because this process was paused while they arrived.
+// Guards against counting a reply as lost that arrived while this process was paused.
 BOOST_AUTO_TEST_CASE(a_reply_that_waits_unread_after_a_pause_is_taken)
 {
     std::optional<client_fixture> own(std::in_place);
@@ -94,7 +94,7 @@
     own.reset(); // closes the connection, which ends the peer
 }
 
-// Guards against calls that never end: a peer that says nothing costs the limit, not more.
+// Guards against requests that never time out.
 BOOST_AUTO_TEST_CASE(a_silent_peer_costs_the_limit)
 {
     std::optional<client_fixture> own(std::in_place);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -9,7 +9,7 @@
 
 BOOST_AUTO_TEST_SUITE(messages)
 
-// Guards against a job whose needs are read wrongly.
+// Guards against a job whose requirements are decoded wrongly.
 BOOST_AUTO_TEST_CASE(a_job_is_decoded_with_all_its_steps)
 {
     const auto job = decode_job_body(
@@ -28,7 +28,7 @@
     BOOST_TEST(it.request.steps[1].max_per_worker == 2U);
 }
 
-// Guards against jobs that are accepted although their kind is not offered.
+// Guards against accepting jobs that need unsupported features.
 BOOST_AUTO_TEST_CASE(features_that_are_not_offered_are_named)
 {
     struct row {
@@ -49,7 +49,7 @@
     }
 }
 
-// Guards against malformed bodies that end the process or run as something else.
+// Guards against malformed bodies that crash the process or are decoded as something else.
 BOOST_AUTO_TEST_CASE(malformed_jobs_are_errors)
 {
     const char* bodies[] = {"",
@@ -67,7 +67,7 @@
     }
 }
 
-// Guards against entries of other writers being taken for workers.
+// Guards against treating entries of other writers as workers.
 BOOST_AUTO_TEST_CASE(entries_that_name_no_worker_are_ignored)
 {
     const auto good = decode_worker_entry(
@@ -90,7 +90,7 @@
     }
 }
 
-// Guards against replies that are taken as "not run" although they say nothing of that.
+// Guards against treating replies as "not run" that do not prove it.
 BOOST_AUTO_TEST_CASE(replies_of_workers_map_to_what_is_certain)
 {
     struct row {
@@ -117,7 +117,7 @@
     BOOST_TEST(decode_order_reply(200, R"({"clockMs":5})").clock_ms == 5);
 }
 
-// Guards against a list of runs that is read wrongly, or taken as empty when it cannot be read.
+// Guards against a list of runs that is decoded wrongly, or treated as empty if it is unreadable.
 BOOST_AUTO_TEST_CASE(a_look_lists_runs_and_ends)
 {
     const auto it =
@@ -134,7 +134,7 @@
     BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(command_status::reply_lost));
 }
 
-// Guards against a configuration that is applied in part.
+// Guards against a configuration that is applied partially.
 BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_or_refused)
 {
     const auto table = decode_queue_table(
@@ -153,8 +153,8 @@
 
 BOOST_AUTO_TEST_SUITE(store)
 
-// Guards against records that are cut at the wrong place, and against reading records again that
-// concern nobody.
+// Guards against records that are split at the wrong place, and against a next offset that would
+// read them again.
 BOOST_AUTO_TEST_CASE(records_are_read_back_as_written)
 {
     std::string body(16, '\0');
@@ -188,7 +188,7 @@
 
 BOOST_AUTO_TEST_SUITE(settings)
 
-// Guards against a start with settings that lack something, and against finding faults one by one.
+// Guards against a start with missing settings, and against reporting only the first error.
 BOOST_AUTO_TEST_CASE(all_findings_are_reported_together)
 {
     const auto empty = parse_node_settings("[limits]\ncpuShare = -1\n");
--- a/tests/stand_in/memory_log_test.cpp
+++ b/tests/stand_in/memory_log_test.cpp
@@ -34,7 +34,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(memory_log_contract, fixture)
 
-// Guards against offsets with gaps and pages beyond the limit or before the retained records.
+// Guards against offsets with gaps, and pages that exceed the limit or contain deleted records.
 BOOST_AUTO_TEST_CASE(offsets_grow_by_one_and_reads_are_bounded)
 {
     for (const auto* content : {"a", "b", "c", "d"}) {
@@ -51,7 +51,8 @@
     BOOST_TEST(seen->value().records.empty());
 }
 
-// Guards against a stand-in that is kinder than the log: a lost reply may hide a stored record.
+// Guards against a stand-in with fewer faults than the real log: after a lost reply the record may
+// be stored.
 BOOST_AUTO_TEST_CASE(faults_are_as_stated)
 {
     log.lose_append_replies(1);
@@ -73,7 +74,7 @@
     BOOST_TEST(seen->value().records[0].content == "a");
 }
 
-// Guards against retention that moves the offsets of the records that remain.
+// Guards against retention that changes the offsets of the remaining records.
 BOOST_AUTO_TEST_CASE(retention_and_rewinding_keep_offsets)
 {
     log.set_retention(1min);
--- a/tools/cactusloomctl/account.cpp
+++ b/tools/cactusloomctl/account.cpp
@@ -11,7 +11,7 @@
 namespace cactusloom::ctl {
 namespace {
 
-// Runs the loop until `fill` has put something into its argument.
+// Calls `start` with a callback and runs the event loop until the callback has received a result.
 template<typename T, typename Start>
 result<T> wait_for(Start start)
 {
@@ -50,7 +50,7 @@
     return done.value().missed == 0 ? exit_ok : exit_failed;
 }
 
-// Reads log and archive here, so that an operator needs no instance for it.
+// Reads log and archive directly, so that no instance is needed.
 int read_log(const options& given)
 {
     std::unique_ptr<account_archive> archive;
--- a/tools/cactusloomctl/command.h
+++ b/tools/cactusloomctl/command.h
@@ -13,11 +13,11 @@
     exit_ok = 0,
     exit_failed = 1,  // the answer is a failure, or a check found problems
     exit_usage = 2,   // wrong arguments
-    exit_unknown = 3, // the outcome is not known; check before submitting under a new id
+    exit_unknown = 3, // unknown outcome; check before submitting with a new id
     exit_unreachable = 4,
 };
 
-// What the flags before and after the subcommand say.
+// Values of the flags before and after the subcommand.
 struct options {
     std::string address = "127.0.0.1:7400";
     std::string customer;
@@ -34,7 +34,7 @@
     std::vector<std::string> arguments; // after the subcommand
 };
 
-// Sends one request and waits for its end.
+// Outcome of a request.
 struct reply {
     http_outcome end = http_outcome::reply_lost;
     unsigned status = 0;
@@ -42,9 +42,10 @@
     std::string reason;
     std::string id_prefix;
 };
+// Sends one request and waits for its outcome.
 reply exchange(const http_call& call);
 
-// Waits without sending anything.
+// Sleeps without running the event loop.
 void pause(duration span);
 
 int run_submit(const options& given);
@@ -55,13 +56,13 @@
 int run_config(const options& given);
 int run_account(const options& given);
 
-// Sends a GET and prints the reply. Exit code by the HTTP status.
+// Sends a GET request and prints the reply. The exit code follows from the HTTP status.
 int print_resource(const options& given, const std::string& target);
 
-// Reads a file, or gives nothing and says why.
+// Reads a file; prints the reason and returns nullopt on failure.
 std::optional<std::string> read_file(const std::string& path);
 
-// Prints a JSON text as it is or as "name: value" lines, as --json says.
+// Prints a JSON text unchanged (`json`) or as "name: value" lines.
 void print_reply(const std::string& body, bool json);
 
 } // namespace cactusloom::ctl
--- a/tools/cactusloomctl/config.cpp
+++ b/tools/cactusloomctl/config.cpp
@@ -15,7 +15,7 @@
     std::uint64_t version = 0;
 };
 
-// The document in force, or nothing after printing why.
+// The active document; `code` is not exit_ok if it could not be fetched and the reason was printed.
 struct document_in_force {
     int code = exit_ok;
     std::map<std::string, section_in_force> sections;
@@ -48,7 +48,7 @@
     return found;
 }
 
-// Parses a file as a whole document, or prints its faults.
+// Parses a file as a complete document; prints its errors and returns nullopt on failure.
 std::optional<document> parse_file(const std::string& path)
 {
     const auto text = read_file(path);
@@ -130,7 +130,7 @@
     if (found.code != exit_ok) {
         return found.code;
     }
-    // The file may be a whole document or the text of one section.
+    // The file may be a complete document or a single section.
     std::string content = *text;
     if (const auto whole = document::parse(*text); whole && given.section != whole_document) {
         content = whole.value().section_text(given.section);
@@ -171,7 +171,7 @@
 struct action {
     std::string_view name;
     int (*run)(const options&);
-    std::size_t arguments; // with the action's own name
+    std::size_t arguments; // number, including the name of the action
 };
 
 constexpr action actions[] = {
--- a/tools/cactusloomctl/submit.cpp
+++ b/tools/cactusloomctl/submit.cpp
@@ -8,7 +8,7 @@
 namespace cactusloom::ctl {
 namespace {
 
-// The connection is given this long beyond the deadline of the request.
+// Added to the deadline of the request for the timeout of the HTTP call.
 constexpr duration reply_grace = std::chrono::seconds{5};
 constexpr duration default_wait = std::chrono::seconds{65};
 constexpr duration first_pause = std::chrono::milliseconds{100};
@@ -78,7 +78,7 @@
     bool may_have_arrived = false;
     std::string last_reason;
     auto wait = first_pause;
-    // The same id is submitted again: the instance joins the running job or gives its answer.
+    // Retries use the same id: the instance joins the running job or returns its answer.
     for (int n = 0; n < std::max(given.tries, 1); ++n) {
         if (n > 0) {
             pause(wait);
@@ -92,7 +92,7 @@
                 return exit_unknown;
             }
             const auto code = to_exit_code(root.value()["state"].asString());
-            // A refusal of a repetition does not cover what an earlier message may still start.
+            // Rejecting a retry does not rule out that an earlier request starts the job.
             if (code == exit_failed && may_have_arrived && answer.status >= 400) {
                 Json::Value open = root.value();
                 open["reason"] = "an earlier message got no reply; the repetition was refused: " +
@@ -107,7 +107,7 @@
         may_have_arrived = may_have_arrived || answer.end == http_outcome::reply_lost;
         last_reason = answer.reason;
     }
-    // An id that was given may have been submitted before by somebody else.
+    // An id from the command line may have been submitted before.
     const bool is_known_not_run = !may_have_arrived && given.id.empty();
     Json::Value root(Json::objectValue);
     root["id"] = id;
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -53,7 +53,7 @@
     g_main_loop_unref(life.loop);
 }
 
-// Runs an instance on the users' platform, whose settings file replaces flags and environment.
+// Runs an instance on the users' platform, where a settings file replaces flags and environment.
 int run_on_platform()
 {
     const auto settings = platform_adapter::read_node_settings();
@@ -87,7 +87,7 @@
 int main(int argc, const char** argv)
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
-    // Until the loop takes them, signals wait: SIGHUP would end a process that is just starting.
+    // Signals stay pending until the loop handles them; SIGHUP would kill a process during startup.
     signal_source::block({SIGTERM, SIGINT, SIGHUP});
     make_log_nonblocking();
     if (argc == 2 && std::string_view(argv[1]) == "platform") {
--- a/tools/cactusloomd/signal_source.h
+++ b/tools/cactusloomd/signal_source.h
@@ -6,14 +6,14 @@
 
 namespace cactusloom {
 
-// Delivers signals through the loop. g_unix_signal_add is not used because it starts a thread of
-// GLib's own ("gmain"); a signalfd needs none. Must be made before anything starts a thread.
+// Delivers signals through the event loop. Uses a signalfd because g_unix_signal_add starts a GLib
+// thread ("gmain"). Must be constructed before the process starts any thread.
 class signal_source {
 public:
     signal_source(std::initializer_list<int> signals, std::function<void(int)> on_signal);
     ~signal_source();
 
-    // Keeps signals pending until a source for them is made.
+    // Blocks signals, so that they stay pending until a signal_source for them is constructed.
     static void block(std::initializer_list<int> signals);
 
     signal_source(const signal_source&) = delete;
