--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -69,7 +69,7 @@
 {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0 && fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0) {
-        log_event("log_may_block", "reason=\"cannot change standard output\"");
+        log_event("log_may_block", "reason=\"cannot make standard output nonblocking\"");
     }
 }
 
--- a/src/daemon/platform_services.cpp
+++ b/src/daemon/platform_services.cpp
@@ -81,7 +81,7 @@
     const auto& mode = settings.worker_mode;
     if (mode != "auto" && mode != "http" && mode != "embedded") {
         return failure(errc::invalid_argument,
-                       fmt::format("--worker-mode is '{}', not auto, http or embedded", mode));
+                       fmt::format("--worker-mode must be auto, http or embedded, not '{}'", mode));
     }
     const bool http_workers = mode == "http" || (mode == "auto" && !settings.log_address.empty());
     return std::unique_ptr<platform_services>(
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -363,7 +363,8 @@
                        fmt::format("cannot listen on {}: {}", address, ec.message()));
     }
     if (!add_quiet_listener(self->server.get(), ec.out())) {
-        return failure(errc::unavailable, fmt::format("cannot keep connections: {}", ec.message()));
+        return failure(errc::unavailable,
+                       fmt::format("cannot create the keep-alive listener: {}", ec.message()));
     }
     auto* raw = self.get();
     g_signal_connect(self->server.get(), "request-started",
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -64,7 +64,8 @@
     }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
-        return failure(errc::unavailable, fmt::format("no socket: {}", std::strerror(errno)));
+        return failure(errc::unavailable,
+                       fmt::format("cannot create a socket: {}", std::strerror(errno)));
     }
     set_options(descriptor);
     const int ec =
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -153,8 +153,8 @@
         used += row.demand.cpu_millis;
     }
     if (used > it.report.capacity.cpu_millis) {
-        violations_.push_back(
-            fmt::format("{} over its room: {} of {}", id, used, it.report.capacity.cpu_millis));
+        violations_.push_back(fmt::format("{} over its capacity: {} of {} CPU millis", id, used,
+                                          it.report.capacity.cpu_millis));
     }
     auto& places = places_[task];
     if (!places.empty()) {
--- a/tools/cactusloomctl/config.cpp
+++ b/tools/cactusloomctl/config.cpp
@@ -37,7 +37,7 @@
     const auto root = parse_json(answer.body);
     if (answer.status != 200 || !root || !root.value().isObject() ||
         !root.value()["sections"].isArray()) {
-        fmt::print(stderr, "config: the reply is not a document: {}\n", answer.body);
+        fmt::print(stderr, "config: the reply contains no document: {}\n", answer.body);
         found.code = exit_failed;
         return found;
     }
--- a/tools/cactusloomctl/submit.cpp
+++ b/tools/cactusloomctl/submit.cpp
@@ -88,7 +88,7 @@
         if (answer.end == http_outcome::replied) {
             const auto root = parse_json(answer.body);
             if (!root || !root.value().isObject() || !root.value()["state"].isString()) {
-                fmt::print(stderr, "submit: the reply is not an answer: {}\n", answer.body);
+                fmt::print(stderr, "submit: the reply has no job state: {}\n", answer.body);
                 return exit_unknown;
             }
             const auto code = to_exit_code(root.value()["state"].asString());
--- a/tools/cactusloomd/main.cpp
+++ b/tools/cactusloomd/main.cpp
@@ -18,7 +18,7 @@
     GMainLoop* loop = nullptr;
     std::function<void(std::function<void()>)> shut_down;
     std::function<void()> reload = [] {
-        log_event("reload_ignored", "reason=\"settings are flags\"");
+        log_event("reload_ignored", "reason=\"settings come from flags, which need a restart\"");
     };
     timer_service* timers = nullptr;
     std::chrono::seconds limit{};
