--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -70,11 +70,11 @@
     void make_entry(member self_member);
     void make_api();
     void publish_first_document();
-    void keep_house();
+    void run_housekeeping();
     result<void> check_ready() const;
     report_sources sources() const { return {*entry, *forwards, *server, *api, counts}; }
     void answer_account(std::string_view customer, caller_api_dependencies::text_callback done);
-    void send_last_replies(const std::function<void()>& stopped);
+    void finish_open_exchanges(const std::function<void()>& stopped);
 };
 
 std::string instance::components::issue_prefix() const
@@ -169,10 +169,10 @@
     });
 }
 
-void instance::components::keep_house()
+void instance::components::run_housekeeping()
 {
     publish_first_document();
-    housekeeping_timer = timers.schedule(housekeeping_interval, [this] { keep_house(); });
+    housekeeping_timer = timers.schedule(housekeeping_interval, [this] { run_housekeeping(); });
 }
 
 result<void> instance::components::check_ready() const
@@ -254,7 +254,7 @@
     raw->make_entry(std::move(self));
     raw->make_api();
     raw->entry->start();
-    raw->keep_house();
+    raw->run_housekeeping();
     return std::unique_ptr<instance>(new instance(std::move(graph)));
 }
 
@@ -264,20 +264,21 @@
 }
 
 // Waits until all waiting callers have their reply before the socket is closed.
-void instance::components::send_last_replies(const std::function<void()>& stopped)
+void instance::components::finish_open_exchanges(const std::function<void()>& stopped)
 {
     if (server->open_exchanges() == 0) {
         stopped();
         return;
     }
     drain_timer =
-        timers.schedule(drain_check_interval, [this, stopped] { send_last_replies(stopped); });
+        timers.schedule(drain_check_interval, [this, stopped] { finish_open_exchanges(stopped); });
 }
 
 void instance::shut_down(std::function<void()> stopped)
 {
     auto* raw = components_.get();
-    raw->entry->shut_down([raw, stopped = std::move(stopped)] { raw->send_last_replies(stopped); });
+    raw->entry->shut_down(
+        [raw, stopped = std::move(stopped)] { raw->finish_open_exchanges(stopped); });
 }
 
 } // namespace cactusloom
--- a/src/daemon/peer_config_client.cpp
+++ b/src/daemon/peer_config_client.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 // Shorter than the follower's timeout for the replies of all peers.
-constexpr duration state_limit = std::chrono::milliseconds{800};
-constexpr std::size_t peers_asked = 3;
+constexpr duration state_timeout = std::chrono::milliseconds{800};
+constexpr std::size_t max_peers = 3;
 
-struct collection {
+struct pending_fetch {
     std::vector<std::string> states;
     std::size_t open = 0;
     config_peer_source::callback done;
@@ -31,11 +31,11 @@
             addresses.push_back(entry.info.address);
         }
     }
-    while (addresses.size() > peers_asked) {
+    while (addresses.size() > max_peers) {
         addresses.erase(addresses.begin() +
                         draw_below(random_, static_cast<std::uint32_t>(addresses.size())));
     }
-    auto all = std::make_shared<collection>();
+    auto all = std::make_shared<pending_fetch>();
     all->open = addresses.size();
     all->done = std::move(done);
     if (addresses.empty()) {
@@ -43,7 +43,7 @@
         return;
     }
     for (const auto& it : addresses) {
-        transport_.send(it, make_config_state_request(newer_than), state_limit,
+        transport_.send(it, make_config_state_request(newer_than), state_timeout,
                         [all](const result<std::string>& reply) {
                             if (reply) {
                                 if (auto state = read_config_state_reply(reply.value())) {
--- a/src/daemon/platform_services.cpp
+++ b/src/daemon/platform_services.cpp
@@ -11,9 +11,9 @@
 namespace cactusloom {
 namespace {
 
-class configured_access final : public platform_services {
+class configured_services final : public platform_services {
 public:
-    configured_access(const daemon_settings& settings, timer_service& timers, bool http_workers)
+    configured_services(const daemon_settings& settings, timer_service& timers, bool http_workers)
         : timers_(timers), http_workers_(http_workers)
     {
         if (settings.log_address.empty()) {
@@ -85,7 +85,7 @@
     }
     const bool http_workers = mode == "http" || (mode == "auto" && !settings.log_address.empty());
     return std::unique_ptr<platform_services>(
-        std::make_unique<configured_access>(settings, timers, http_workers));
+        std::make_unique<configured_services>(settings, timers, http_workers));
 }
 
 } // namespace cactusloom
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -22,8 +22,8 @@
 struct number_setting {
     const char* name;
     int daemon_settings::*value;
-    int least;
-    int most;
+    int minimum;
+    int maximum;
     const char* description;
 };
 
@@ -59,11 +59,11 @@
 {
     int value = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (ec != std::errc{} || end != text.data() + text.size() || value < setting.least ||
-        value > setting.most) {
+    if (ec != std::errc{} || end != text.data() + text.size() || value < setting.minimum ||
+        value > setting.maximum) {
         return failure(errc::invalid_argument,
                        fmt::format("--{} must be a whole number from {} to {}", setting.name,
-                                   setting.least, setting.most));
+                                   setting.minimum, setting.maximum));
     }
     return value;
 }
@@ -157,8 +157,8 @@
                        fmt::format("{}: {}", poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
                                    poptStrerror(next)));
     }
-    if (const char* stray = poptGetArg(context.get())) {
-        return failure(errc::invalid_argument, fmt::format("unexpected argument '{}'", stray));
+    if (const char* unexpected = poptGetArg(context.get())) {
+        return failure(errc::invalid_argument, fmt::format("unexpected argument '{}'", unexpected));
     }
     return found;
 }
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -47,10 +47,10 @@
     const auto path = exchange->path();
     bool path_known = false;
     for (const auto& it : routes) {
-        const bool fits = it.has_rest ? path.starts_with(it.path) && path.size() > it.path.size()
-                                      : path == it.path;
-        path_known = path_known || fits;
-        if (fits && exchange->method() == it.method) {
+        const bool matches = it.has_rest ? path.starts_with(it.path) && path.size() > it.path.size()
+                                         : path == it.path;
+        path_known = path_known || matches;
+        if (matches && exchange->method() == it.method) {
             (this->*it.serve)(exchange, path.substr(it.path.size()));
             return;
         }
@@ -130,12 +130,12 @@
         refuse(exchange, accepted.error(), id);
         return;
     }
-    const auto longest = deadline + answer_grace;
+    const auto max_wait = deadline + answer_grace;
     if (single || wait_ms) {
         const auto limit = wait_ms ? std::min(duration{std::chrono::milliseconds{
                                                   std::min<std::int64_t>(*wait_ms, 3'600'000)}},
-                                              longest)
-                                   : longest;
+                                              max_wait)
+                                   : max_wait;
         answer_later(exchange, id, limit, single);
         return;
     }
@@ -197,13 +197,12 @@
     }
     const auto wait = exchange->query("wait_ms");
     const auto wait_ms = parse_number(wait.empty() ? "0" : wait);
-    constexpr std::int64_t longest_wait_ms = 62'000; // the longest deadline plus answer_grace
+    constexpr std::int64_t max_wait_ms = 62'000; // the longest deadline plus answer_grace
     if (!wait_ms || *wait_ms < 0) {
         refuse(exchange, {errc::invalid_argument, "'wait_ms' must be a whole number"}, id);
         return;
     }
-    answer_later(exchange, id,
-                 duration{std::chrono::milliseconds{std::min(*wait_ms, longest_wait_ms)}},
+    answer_later(exchange, id, duration{std::chrono::milliseconds{std::min(*wait_ms, max_wait_ms)}},
                  status.value().tasks == 1 && exchange->query("form") == "single");
 }
 
--- a/src/http/caller_codec.cpp
+++ b/src/http/caller_codec.cpp
@@ -17,22 +17,22 @@
     return {text.data(), text.data() + text.size()};
 }
 
-result<std::string> take_text(const Json::Value& root, const char* name, std::size_t longest)
+result<std::string> parse_string(const Json::Value& root, const char* name, std::size_t max_bytes)
 {
     const Json::Value& value = root[name];
     if (!value.isString()) {
         return failure(errc::invalid_argument, fmt::format("'{}' must be a text", name));
     }
     std::string text = value.asString();
-    if (text.empty() || text.size() > longest) {
+    if (text.empty() || text.size() > max_bytes) {
         return failure(errc::invalid_argument,
-                       fmt::format("'{}' must have 1 to {} bytes", name, longest));
+                       fmt::format("'{}' must have 1 to {} bytes", name, max_bytes));
     }
     return text;
 }
 
-result<duration> take_deadline(const Json::Value& root, std::string_view kind,
-                               const deployment& settings)
+result<duration> parse_deadline(const Json::Value& root, std::string_view kind,
+                                const deployment& settings)
 {
     const Json::Value& value = root["deadline_ms"];
     if (value.isNull()) {
@@ -43,17 +43,17 @@
                    ? settings.limits.max_deadline
                    : it->default_deadline;
     }
-    const auto most =
+    const auto max_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(settings.limits.max_deadline).count();
-    if (!value.isInt64() || value.asInt64() < 1 || value.asInt64() > most) {
+    if (!value.isInt64() || value.asInt64() < 1 || value.asInt64() > max_ms) {
         return failure(errc::invalid_argument,
-                       fmt::format("'deadline_ms' must be a whole number from 1 to {}", most));
+                       fmt::format("'deadline_ms' must be a whole number from 1 to {}", max_ms));
     }
     return duration{std::chrono::milliseconds{value.asInt64()}};
 }
 
-result<std::vector<std::string>> take_tasks(const Json::Value& root, bool single,
-                                            const deployment& settings)
+result<std::vector<std::string>> parse_tasks(const Json::Value& root, bool single,
+                                             const deployment& settings)
 {
     std::vector<std::string> payloads;
     if (single) {
@@ -111,7 +111,7 @@
         }
     }
     job_request request;
-    auto id = take_text(fields, "id", max_submission_id_length);
+    auto id = parse_string(fields, "id", max_submission_id_length);
     if (!id) {
         return id.error();
     }
@@ -121,22 +121,22 @@
                        "'id' must be a prefix of an instance, a dot, and a suffix of letters, "
                        "digits, '-', '_', '~' or '.'");
     }
-    auto customer = take_text(fields, "customer", max_name_length);
+    auto customer = parse_string(fields, "customer", max_name_length);
     if (!customer) {
         return customer.error();
     }
     request.customer = std::move(customer).value();
-    auto kind = take_text(fields, "kind", max_name_length);
+    auto kind = parse_string(fields, "kind", max_name_length);
     if (!kind) {
         return kind.error();
     }
     request.kind = std::move(kind).value();
-    auto payloads = take_tasks(fields, single, settings);
+    auto payloads = parse_tasks(fields, single, settings);
     if (!payloads) {
         return payloads.error();
     }
     request.payloads = std::move(payloads).value();
-    auto deadline = take_deadline(fields, request.kind, settings);
+    auto deadline = parse_deadline(fields, request.kind, settings);
     if (!deadline) {
         return deadline.error();
     }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -34,12 +34,12 @@
 
 // libsoup resends an idempotent request when a keep-alive connection breaks. A start must not be
 // sent twice, so the resend is cancelled before libsoup picks a connection.
-void forbid_second_sending(SoupMessage* /*message*/, gpointer data)
+void cancel_resend(SoupMessage* /*message*/, gpointer data)
 {
     g_cancellable_cancel(static_cast<open_call*>(data)->cancellable.get());
 }
 
-void note_start(SoupMessage* /*message*/, gpointer data)
+void mark_started(SoupMessage* /*message*/, gpointer data)
 {
     static_cast<open_call*>(data)->started = true;
 }
@@ -155,8 +155,8 @@
         g_bytes_unref(bytes);
     }
     open->cancellable.reset(g_cancellable_new());
-    g_signal_connect(message, "starting", G_CALLBACK(note_start), open.get());
-    g_signal_connect(message, "restarted", G_CALLBACK(forbid_second_sending), open.get());
+    g_signal_connect(message, "starting", G_CALLBACK(mark_started), open.get());
+    g_signal_connect(message, "restarted", G_CALLBACK(cancel_resend), open.get());
     auto* raw = open.release();
     state_->calls.insert(raw);
     raw->limit_timer = state_->timers->schedule(call.limit, [raw] {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -146,18 +146,19 @@
 
 // libsoup keeps connections alive only while it has a listener of its own. It gets a datagram
 // socket that is connected to itself, so that nothing ever arrives there.
-bool add_quiet_listener(SoupServer* server, GError** ec)
+bool add_keep_alive_listener(SoupServer* server, GError** ec)
 {
     const object_ptr<GSocketAddress> loopback(
         g_inet_socket_address_new_from_string("127.0.0.1", 0));
-    const object_ptr<GSocket> quiet(
+    const object_ptr<GSocket> datagram_socket(
         g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, ec));
-    if (!quiet || !g_socket_bind(quiet.get(), loopback.get(), FALSE, ec)) {
+    if (!datagram_socket || !g_socket_bind(datagram_socket.get(), loopback.get(), FALSE, ec)) {
         return false;
     }
-    const object_ptr<GSocketAddress> own(g_socket_get_local_address(quiet.get(), ec));
-    return own && g_socket_connect(quiet.get(), own.get(), nullptr, ec) != FALSE &&
-           soup_server_listen_socket(server, quiet.get(), SoupServerListenOptions{}, ec) != FALSE;
+    const object_ptr<GSocketAddress> own(g_socket_get_local_address(datagram_socket.get(), ec));
+    return own && g_socket_connect(datagram_socket.get(), own.get(), nullptr, ec) != FALSE &&
+           soup_server_listen_socket(server, datagram_socket.get(), SoupServerListenOptions{},
+                                     ec) != FALSE;
 }
 
 } // namespace
@@ -182,8 +183,8 @@
     void set_phase(SoupServerMessage* message, connection_phase phase);
     void watch(SoupServerMessage* message);
     void watch_stream(GSocketConnection* stream, GSocketAddress* remote);
-    void refuse_body(SoupServerMessage* message);
-    bool was_refused(SoupServerMessage* message) const;
+    void reject_body(SoupServerMessage* message);
+    bool was_rejected(SoupServerMessage* message) const;
     void stop_accepting();
     ~state();
 };
@@ -244,7 +245,7 @@
                            g_socket_connection_get_socket(stream), false, false};
     // Erases the entry when libsoup releases the stream, which may be after this server is
     // destroyed.
-    struct link {
+    struct stream_entry {
         state* owner;
         std::shared_ptr<bool> open;
         object_ptr<GSocketAddress> remote;
@@ -252,13 +253,14 @@
     g_object_weak_ref(
         G_OBJECT(stream),
         [](gpointer data, GObject*) {
-            const std::unique_ptr<link> it(static_cast<link*>(data));
+            const std::unique_ptr<stream_entry> it(static_cast<stream_entry*>(data));
             if (*it->open) {
                 it->owner->connections.erase(it->remote.get());
             }
         },
-        new link{this, open,
-                 object_ptr<GSocketAddress>(static_cast<GSocketAddress*>(g_object_ref(remote)))});
+        new stream_entry{
+            this, open,
+            object_ptr<GSocketAddress>(static_cast<GSocketAddress*>(g_object_ref(remote)))});
 }
 
 void http_server::state::sweep()
@@ -288,7 +290,7 @@
 // libsoup cannot answer before it has read the whole body, so the reply is written directly to the
 // socket. The rest of the body is read and discarded until the caller closes or the body times out;
 // an immediate close would reset the connection, and the caller could lose the reply.
-void http_server::state::refuse_body(SoupServerMessage* message)
+void http_server::state::reject_body(SoupServerMessage* message)
 {
     const auto it = connections.find(soup_server_message_get_remote_address(message));
     if (it == connections.end() || std::exchange(it->second.refused, true)) {
@@ -303,7 +305,7 @@
     g_socket_shutdown(it->second.socket, FALSE, TRUE, nullptr);
 }
 
-bool http_server::state::was_refused(SoupServerMessage* message) const
+bool http_server::state::was_rejected(SoupServerMessage* message) const
 {
     const auto it = connections.find(soup_server_message_get_remote_address(message));
     return it != connections.end() && it->second.refused;
@@ -317,7 +319,7 @@
                          const auto size = soup_message_headers_get_content_length(
                              soup_server_message_get_request_headers(msg));
                          if (size > static_cast<goffset>(self->limits.max_body_bytes)) {
-                             self->refuse_body(msg);
+                             self->reject_body(msg);
                          }
                      }),
                      this);
@@ -326,7 +328,7 @@
                          auto* self = static_cast<state*>(data);
                          const auto* body = soup_server_message_get_request_body(msg);
                          if (body->length > static_cast<goffset>(self->limits.max_body_bytes)) {
-                             self->refuse_body(msg);
+                             self->reject_body(msg);
                          }
                      }),
                      this);
@@ -362,7 +364,7 @@
         return failure(errc::unavailable,
                        fmt::format("cannot listen on {}: {}", address, ec.message()));
     }
-    if (!add_quiet_listener(self->server.get(), ec.out())) {
+    if (!add_keep_alive_listener(self->server.get(), ec.out())) {
         return failure(errc::unavailable,
                        fmt::format("cannot create the keep-alive listener: {}", ec.message()));
     }
@@ -389,7 +391,7 @@
         self->server.get(), nullptr,
         [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
             auto* owner = static_cast<state*>(data);
-            if (owner->was_refused(message)) {
+            if (owner->was_rejected(message)) {
                 soup_server_message_set_status(message, 413, nullptr);
                 return;
             }
--- a/src/metrics/latency_histogram.cpp
+++ b/src/metrics/latency_histogram.cpp
@@ -12,19 +12,19 @@
 namespace {
 
 // Bucket bounds in seconds. Latency objectives of deployments are between 0.1 and 3 s.
-std::vector<double> edges()
+std::vector<double> bucket_bounds()
 {
     return {0, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 1.5, 2.5, 5, 10};
 }
 
 using histogram_type =
-    decltype(boost::histogram::make_histogram(boost::histogram::axis::variable<>(edges())));
+    decltype(boost::histogram::make_histogram(boost::histogram::axis::variable<>(bucket_bounds())));
 
 } // namespace
 
 struct latency_histogram::buckets {
     histogram_type counts =
-        boost::histogram::make_histogram(boost::histogram::axis::variable<>(edges()));
+        boost::histogram::make_histogram(boost::histogram::axis::variable<>(bucket_bounds()));
 };
 
 latency_histogram::latency_histogram() : buckets_(std::make_unique<buckets>()) {}
--- a/src/metrics/latency_recorder.cpp
+++ b/src/metrics/latency_recorder.cpp
@@ -12,7 +12,7 @@
 
 namespace acc = boost::accumulators;
 
-constexpr std::array<double, 5> marks{0.25, 0.5, 0.75, 0.9, 0.99};
+constexpr std::array<double, 5> quantile_points{0.25, 0.5, 0.75, 0.9, 0.99};
 
 // The estimator never discards samples, so windows are rotated to follow changes of the load.
 constexpr std::uint64_t window_size = 10000;
@@ -23,7 +23,7 @@
     using accumulator =
         acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>>;
 
-    accumulator samples{acc::tag::extended_p_square::probabilities = marks};
+    accumulator samples{acc::tag::extended_p_square::probabilities = quantile_points};
 };
 
 latency_recorder::latency_recorder() : current_(std::make_unique<window>()) {}
@@ -43,8 +43,8 @@
 latency_recorder::summary latency_recorder::read() const
 {
     // The estimator is accurate only after several hundred samples.
-    const bool is_young = previous_ && acc::count(current_->samples) < window_size / 10;
-    const auto values = acc::extended_p_square((is_young ? previous_ : current_)->samples);
+    const bool has_few_samples = previous_ && acc::count(current_->samples) < window_size / 10;
+    const auto values = acc::extended_p_square((has_few_samples ? previous_ : current_)->samples);
     const auto at = [&](std::size_t n) {
         return duration{static_cast<duration::rep>(std::lround(values[n]))};
     };
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -46,8 +46,8 @@
 // One connection with at most one request in flight.
 class pooled_http_client::connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(pooled_http_client& client, pool& home, std::shared_ptr<tcp_stream> stream)
-        : client_(client), home_(home), stream_(std::move(stream))
+    connection(pooled_http_client& client, pool& address_pool, std::shared_ptr<tcp_stream> stream)
+        : client_(client), pool_(address_pool), stream_(std::move(stream))
     {
     }
 
@@ -60,14 +60,14 @@
         stream_->close();
     }
 
-    void attach()
+    void set_handlers()
     {
         stream_->on_connected = [this] { connected_ = true; };
         stream_->on_data = [this](std::string_view data) { receive(data); };
-        stream_->on_closed = [this] { lose(); };
+        stream_->on_closed = [this] { on_closed(); };
     }
 
-    void begin(const std::string& text, duration limit, callback fn)
+    void send(const std::string& text, duration limit, callback fn)
     {
         fn_ = std::move(fn);
         parser_.emplace();
@@ -77,26 +77,26 @@
         const auto due = client_.timers_.monotonic_now() + limit;
         limit_timer_ = client_.timers_.schedule(limit, [this, due] {
             if (client_.timers_.monotonic_now() - due < pause_threshold) {
-                expire();
+                on_timeout();
                 return;
             }
-            limit_timer_ = client_.timers_.schedule(read_grace, [this] { expire(); });
+            limit_timer_ = client_.timers_.schedule(read_grace, [this] { on_timeout(); });
         });
     }
 
-    bool usable(monotonic_time now) const
+    bool is_usable(monotonic_time now) const
     {
         return stream_->is_open() && now - idle_since_ < idle_limit;
     }
 
 private:
     void receive(std::string_view data);
-    void expire();
-    void lose();
-    void finish(outcome value, bool keep);
+    void on_timeout();
+    void on_closed();
+    void finish(outcome value, bool keep_alive);
 
     pooled_http_client& client_;
-    pool& home_;
+    pool& pool_;
     std::shared_ptr<tcp_stream> stream_;
     callback fn_;
     std::optional<http::response_parser<http::string_body>> parser_;
@@ -115,7 +115,7 @@
 {
     if (!fn_) { // data without a request: the stream is out of sync
         stream_->close();
-        lose();
+        on_closed();
         return;
     }
     input_.append(data);
@@ -124,7 +124,7 @@
     input_.erase(0, n);
     if (ec && ec != http::error::need_more) {
         stream_->close();
-        lose();
+        on_closed();
         return;
     }
     if (parser_->is_done()) {
@@ -134,28 +134,28 @@
     }
 }
 
-void pooled_http_client::connection::expire()
+void pooled_http_client::connection::on_timeout()
 {
     limit_timer_ = 0;
     stream_->close();
-    lose();
+    on_closed();
 }
 
-void pooled_http_client::connection::lose()
+void pooled_http_client::connection::on_closed()
 {
     // Nothing is sent before the connection is established.
     finish(connected_ ? call_failure::reply_lost : call_failure::not_sent, false);
 }
 
-void pooled_http_client::connection::finish(outcome value, bool keep)
+void pooled_http_client::connection::finish(outcome value, bool keep_alive)
 {
     const auto self = shared_from_this();
     client_.timers_.cancel(std::exchange(limit_timer_, 0));
-    std::erase(home_.idle, self);
-    home_.busy.remove(self);
-    if (keep) {
+    std::erase(pool_.idle, self);
+    pool_.busy.remove(self);
+    if (keep_alive) {
         idle_since_ = client_.timers_.monotonic_now();
-        home_.idle.push_back(self);
+        pool_.idle.push_back(self);
     }
     else {
         stream_->close();
@@ -175,18 +175,18 @@
 void pooled_http_client::call(const std::string& address, const http_request& request,
                               duration limit, callback fn)
 {
-    auto& home = pools_[address];
-    if (!home) {
-        home = std::make_unique<pool>();
+    auto& address_pool = pools_[address];
+    if (!address_pool) {
+        address_pool = std::make_unique<pool>();
     }
     const auto text = serialize(address, request);
     const auto now = timers_.monotonic_now();
-    while (!home->idle.empty()) {
-        auto it = std::move(home->idle.back());
-        home->idle.pop_back();
-        if (it->usable(now)) {
-            home->busy.push_back(it);
-            it->begin(text, limit, std::move(fn));
+    while (!address_pool->idle.empty()) {
+        auto it = std::move(address_pool->idle.back());
+        address_pool->idle.pop_back();
+        if (it->is_usable(now)) {
+            address_pool->busy.push_back(it);
+            it->send(text, limit, std::move(fn));
             return;
         }
     }
@@ -197,10 +197,10 @@
         return;
     }
     ++connections_opened_;
-    const auto it = std::make_shared<connection>(*this, *home, stream.value());
-    it->attach();
-    home->busy.push_back(it);
-    it->begin(text, limit, std::move(fn));
+    const auto it = std::make_shared<connection>(*this, *address_pool, stream.value());
+    it->set_handlers();
+    address_pool->busy.push_back(it);
+    it->send(text, limit, std::move(fn));
 }
 
 void pooled_http_client::close_idle_connections(const std::string& address)
--- a/src/net/stream_http_server.cpp
+++ b/src/net/stream_http_server.cpp
@@ -21,7 +21,7 @@
 
 constexpr duration sweep_interval = std::chrono::seconds{1};
 
-std::string_view reason_of(int status)
+std::string_view reason_phrase(int status)
 {
     const auto text = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
     return {text.data(), text.size()};
@@ -62,14 +62,14 @@
 class stream_http_server::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(state& server, std::shared_ptr<tcp_stream> stream)
-        : server_(server), stream_(std::move(stream)), since_(server.timers->monotonic_now())
+        : server_(server), stream_(std::move(stream)), state_since_(server.timers->monotonic_now())
     {
     }
 
-    void attach();
+    void set_handlers();
     void answer(int status, std::string_view body, const header_list& headers);
     void end();
-    bool busy() const { return exchange_ != nullptr; }
+    bool is_busy() const { return exchange_ != nullptr; }
     void sweep(monotonic_time now);
 
 private:
@@ -83,23 +83,23 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     std::string input_;
     std::shared_ptr<http_responder::exchange> exchange_;
-    monotonic_time since_; // when the connection became idle or the current request started
+    monotonic_time state_since_; // when the connection became idle or the current request started
     bool keep_alive_ = true;
 };
 
 struct http_responder::exchange {
     std::weak_ptr<stream_http_server::connection> connection;
-    std::function<void()> abandoned;
+    std::function<void()> on_disconnect;
 };
 
 void http_responder::on_client_disconnect(std::function<void()> fn) const
 {
-    exchange_->abandoned = std::move(fn);
+    exchange_->on_disconnect = std::move(fn);
 }
 
 void http_responder::answer(int status, std::string_view body, const header_list& headers) const
 {
-    exchange_->abandoned = nullptr;
+    exchange_->on_disconnect = nullptr;
     if (const auto it = std::exchange(exchange_->connection, {}).lock()) {
         it->answer(status, body, headers);
     }
@@ -107,13 +107,13 @@
 
 void http_responder::close_without_reply() const
 {
-    exchange_->abandoned = nullptr;
+    exchange_->on_disconnect = nullptr;
     if (const auto it = std::exchange(exchange_->connection, {}).lock()) {
         it->end();
     }
 }
 
-void stream_http_server::connection::attach()
+void stream_http_server::connection::set_handlers()
 {
     stream_->on_data = [this](std::string_view data) { receive(data); };
     stream_->on_closed = [this] { end(); };
@@ -121,8 +121,8 @@
 
 void stream_http_server::connection::receive(std::string_view data)
 {
-    if (input_.empty() && !parser_ && !busy()) {
-        since_ = server_.timers->monotonic_now();
+    if (input_.empty() && !parser_ && !is_busy()) {
+        state_since_ = server_.timers->monotonic_now();
     }
     input_.append(data);
     const std::size_t bound =
@@ -131,7 +131,7 @@
         end();
         return;
     }
-    if (!busy()) {
+    if (!is_busy()) {
         parse();
     }
 }
@@ -139,7 +139,7 @@
 void stream_http_server::connection::parse()
 {
     const auto self = shared_from_this();
-    while (!input_.empty() && !busy() && stream_->is_open()) {
+    while (!input_.empty() && !is_busy() && stream_->is_open()) {
         if (!parser_) {
             parser_.emplace();
             parser_->eager(true);
@@ -207,10 +207,10 @@
     --server_.open_requests;
     const bool keep = keep_alive_ && !server_.draining;
     std::string text = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", status,
-                                   reason_of(status), body.size());
-    const bool typed =
+                                   reason_phrase(status), body.size());
+    const bool has_content_type =
         std::ranges::any_of(headers, [](const auto& it) { return it.first == "Content-Type"; });
-    if (!typed) {
+    if (!has_content_type) {
         text += "Content-Type: application/json\r\n";
     }
     for (const auto& [name, value] : headers) {
@@ -219,10 +219,10 @@
     text += keep ? "\r\n" : "Connection: close\r\n\r\n";
     text += body;
     stream_->write(text);
-    since_ = server_.timers->monotonic_now();
+    state_since_ = server_.timers->monotonic_now();
     if (keep && !input_.empty()) {
         server_.events->defer([self = shared_from_this()] {
-            if (!self->busy()) {
+            if (!self->is_busy()) {
                 self->parse();
             }
         });
@@ -240,7 +240,7 @@
     if (const auto it = std::exchange(exchange_, nullptr)) {
         --server_.open_requests;
         it->connection.reset();
-        if (const auto fn = std::exchange(it->abandoned, nullptr)) {
+        if (const auto fn = std::exchange(it->on_disconnect, nullptr)) {
             fn();
         }
     }
@@ -248,14 +248,14 @@
 
 void stream_http_server::connection::sweep(monotonic_time now)
 {
-    if (busy()) {
+    if (is_busy()) {
         return;
     }
     const bool receiving = parser_.has_value() || !input_.empty();
     const auto limit = receiving ? server_.limits.header_timeout : server_.limits.idle_timeout;
     const bool closing = !keep_alive_ && !receiving && stream_->unsent() == 0;
-    if (now - since_ > limit || (closing && now - since_ > sweep_interval) ||
-        (server_.draining && !receiving && now - since_ > sweep_interval)) {
+    if (now - state_since_ > limit || (closing && now - state_since_ > sweep_interval) ||
+        (server_.draining && !receiving && now - state_since_ > sweep_interval)) {
         end();
     }
 }
@@ -286,7 +286,7 @@
         }
         const auto accepted = std::make_shared<connection>(*it, std::move(stream));
         it->connections.insert(accepted);
-        accepted->attach();
+        accepted->set_handlers();
     });
     if (!listener) {
         return listener.error();
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr duration hop = std::chrono::milliseconds{1};
-constexpr std::int64_t longest_lease_ms = 1000;
+constexpr duration hop_latency = std::chrono::milliseconds{1};
+constexpr std::int64_t max_lease_ms = 1000;
 constexpr duration reply_limit = std::chrono::milliseconds{80};
-constexpr duration late_by = std::chrono::seconds{3};
+constexpr duration start_delay = std::chrono::seconds{3};
 
 } // namespace
 
@@ -46,7 +46,7 @@
     auto& it = workers_.at(id);
     for (const auto& [task, run] : it.runs) {
         timers_.cancel(run.end_timer);
-        places_[task].erase(id);
+        running_on_[task].erase(id);
     }
     worker fresh;
     fresh.report = it.report;
@@ -69,16 +69,16 @@
 }
 
 // Deterministic low-discrepancy sequence: true for the given share of calls, without a seed.
-bool memory_worker_fleet::draw(double share)
+bool memory_worker_fleet::sample(double share)
 {
     constexpr std::uint32_t golden = 2654435769U;
-    draws_ += golden;
-    return static_cast<double>(draws_) / 4294967296.0 < share;
+    sample_state_ += golden;
+    return static_cast<double>(sample_state_) / 4294967296.0 < share;
 }
 
 void memory_worker_fleet::extend_lease(worker& it, std::int64_t deadline_ms)
 {
-    const auto latest = clock_of(it) + longest_lease_ms;
+    const auto latest = clock_of(it) + max_lease_ms;
     it.lease_end_ms = std::max(it.lease_end_ms, std::min(deadline_ms, latest));
 }
 
@@ -108,13 +108,13 @@
     highest = std::max(highest, run->second.run);
     it.finished.push_back({++it.last_number, task, run->second.run, how});
     it.runs.erase(run);
-    places_[task].erase(it.report.id);
+    running_on_[task].erase(it.report.id);
     complete_pending_polls(it);
 }
 
-command_status memory_worker_fleet::carry_out(worker& it, const std::string& task,
-                                              std::uint32_t run, std::int64_t deadline_ms,
-                                              std::uint64_t token)
+command_status memory_worker_fleet::execute_start(worker& it, const std::string& task,
+                                                  std::uint32_t run, std::int64_t deadline_ms,
+                                                  std::uint64_t token)
 {
     if (token < it.token) {
         return command_status::fenced;
@@ -156,11 +156,11 @@
         violations_.push_back(fmt::format("{} over its capacity: {} of {} CPU millis", id, used,
                                           it.report.capacity.cpu_millis));
     }
-    auto& places = places_[task];
-    if (!places.empty()) {
-        violations_.push_back(fmt::format("{} on {} and {}", task, *places.begin(), id));
+    auto& running_workers = running_on_[task];
+    if (!running_workers.empty()) {
+        violations_.push_back(fmt::format("{} on {} and {}", task, *running_workers.begin(), id));
     }
-    places.insert(id);
+    running_workers.insert(id);
     ++starts_[task];
     ++total_starts_;
     const bool first = it.runs.empty();
@@ -175,26 +175,26 @@
                                 std::function<void(command_reply)> fn)
 {
     const start_command copy{command.task, command.run, {}, command.deadline_ms, command.token};
-    timers_.schedule(hop, [this, id = target.id, copy, fn = std::move(fn)] {
+    timers_.schedule(hop_latency, [this, id = target.id, copy, fn = std::move(fn)] {
         auto& it = workers_.at(id);
         const auto lose = [&] { timers_.schedule(reply_limit, [fn] { fn({}); }); };
         if (it.fault.silent) {
             lose();
             return;
         }
-        if (draw(it.fault.delayed_starts)) {
-            timers_.schedule(late_by, [this, id, copy] {
-                carry_out(workers_.at(id), copy.task, copy.run, copy.deadline_ms, copy.token);
+        if (sample(it.fault.delayed_starts)) {
+            timers_.schedule(start_delay, [this, id, copy] {
+                execute_start(workers_.at(id), copy.task, copy.run, copy.deadline_ms, copy.token);
             });
             lose();
             return;
         }
-        const auto status = carry_out(it, copy.task, copy.run, copy.deadline_ms, copy.token);
-        if (draw(it.fault.lost_replies)) {
+        const auto status = execute_start(it, copy.task, copy.run, copy.deadline_ms, copy.token);
+        if (sample(it.fault.lost_replies)) {
             lose();
             return;
         }
-        timers_.schedule(hop, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
+        timers_.schedule(hop_latency, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
     });
 }
 
@@ -202,7 +202,7 @@
                                std::uint32_t run, std::uint64_t token,
                                std::function<void(command_reply)> fn)
 {
-    timers_.schedule(hop, [this, id = target.id, task, run, token, fn = std::move(fn)] {
+    timers_.schedule(hop_latency, [this, id = target.id, task, run, token, fn = std::move(fn)] {
         auto& it = workers_.at(id);
         if (it.fault.silent || it.fault.ignores_stops) {
             timers_.schedule(reply_limit, [fn] { fn({}); });
@@ -221,7 +221,7 @@
                 end(it, task, run_end::stopped);
             }
         }
-        timers_.schedule(hop, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
+        timers_.schedule(hop_latency, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
     });
 }
 
@@ -246,23 +246,23 @@
 {
     const auto waiting = std::exchange(it.waiting, {});
     for (const auto& row : waiting) {
-        timers_.schedule(hop, [fn = row.fn, reply = list(it)] { fn(reply); });
+        timers_.schedule(hop_latency, [fn = row.fn, reply = list(it)] { fn(reply); });
     }
 }
 
 void memory_worker_fleet::poll(const worker_report& target, const poll_command& command,
                                std::function<void(poll_reply)> fn)
 {
-    timers_.schedule(hop, [this, id = target.id, command, fn = std::move(fn)] {
+    timers_.schedule(hop_latency, [this, id = target.id, command, fn = std::move(fn)] {
         auto& it = workers_.at(id);
-        if (it.fault.silent || draw(it.fault.lost_replies)) {
+        if (it.fault.silent || sample(it.fault.lost_replies)) {
             timers_.schedule(command.wait + reply_limit, [fn] { fn({}); });
             return;
         }
         if (command.token < it.token) {
             poll_reply fenced;
             fenced.status = command_status::fenced;
-            timers_.schedule(hop, [fn, fenced] { fn(fenced); });
+            timers_.schedule(hop_latency, [fn, fenced] { fn(fenced); });
             return;
         }
         it.token = command.token;
@@ -272,7 +272,7 @@
             extend_lease(it, command.deadline_ms);
         }
         if (!it.finished.empty() || command.wait == duration::zero()) {
-            timers_.schedule(hop, [fn, reply = list(it)] { fn(reply); });
+            timers_.schedule(hop_latency, [fn, reply = list(it)] { fn(reply); });
             return;
         }
         const auto number = ++last_poll_;
@@ -283,7 +283,7 @@
             if (row != worker.waiting.end()) {
                 const auto answer = row->fn;
                 worker.waiting.erase(row);
-                timers_.schedule(hop, [answer, reply = list(worker)] { answer(reply); });
+                timers_.schedule(hop_latency, [answer, reply = list(worker)] { answer(reply); });
             }
         });
     });
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -85,23 +85,23 @@
     };
 
     std::int64_t clock_of(const worker& it) const;
-    command_status carry_out(worker& it, const std::string& task, std::uint32_t run,
-                             std::int64_t deadline_ms, std::uint64_t token);
+    command_status execute_start(worker& it, const std::string& task, std::uint32_t run,
+                                 std::int64_t deadline_ms, std::uint64_t token);
     void end(worker& it, const std::string& task, run_end how);
     void extend_lease(worker& it, std::int64_t deadline_ms);
     void check_lease(const std::string& id);
     poll_reply list(const worker& it) const;
     void complete_pending_polls(worker& it);
-    bool draw(double share);
+    bool sample(double share);
 
     timer_service& timers_;
     std::map<std::string, worker> workers_;
     std::map<std::string, std::size_t> starts_;
-    std::map<std::string, std::set<std::string>> places_; // task -> workers that run it
+    std::map<std::string, std::set<std::string>> running_on_; // task -> workers that run it
     std::vector<std::string> violations_;
     std::size_t total_starts_ = 0;
     std::uint64_t last_poll_ = 0;
-    std::uint32_t draws_ = 0;
+    std::uint32_t sample_state_ = 0;
 };
 
 } // namespace cactusloom
