Rename test cases and fixtures of http, net, platform, daemon and stand_in

Test names such as nobody_listens or server_goes_first told a story instead of naming the checked behaviour, and three fixtures were called bench.

--- a/tests/daemon/instances_test.cpp
+++ b/tests/daemon/instances_test.cpp
@@ -150,7 +150,7 @@
 }
 
 // Guards against requests that depend on the log or the instance list: both are down here.
-BOOST_AUTO_TEST_CASE(serving_goes_on_without_the_platform)
+BOOST_AUTO_TEST_CASE(requests_are_served_without_the_platform)
 {
     daemon_fixture it;
     instance& one = it.start("one");
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -13,14 +13,14 @@
 namespace http_limits {
 
 // A server with simulated time, so that tests of slow callers need not wait.
-struct bench {
+struct fixture {
     virtual_timer_service time;
     std::vector<http_exchange_ptr> held;
     bool hold = false;
     std::size_t served = 0;
     std::unique_ptr<http_server> server;
 
-    explicit bench(http_server_limits limits)
+    explicit fixture(http_server_limits limits)
     {
         server = std::move(http_server::listen("127.0.0.1:0", time, limits,
                                                [this](const http_exchange_ptr& it) {
@@ -49,7 +49,7 @@
 // Guards against reading a body into memory whose declared length is too large.
 BOOST_AUTO_TEST_CASE(declared_body_too_large)
 {
-    bench it({.max_body_bytes = 100});
+    fixture it({.max_body_bytes = 100});
     raw_caller caller(it.server->address());
     caller.send(post(101, ""));
     run_until([&] { return caller.closed() || caller.received("413"); });
@@ -60,7 +60,7 @@
 // Guards against a body that grows without a declared length.
 BOOST_AUTO_TEST_CASE(chunked_body_too_large)
 {
-    bench it({.max_body_bytes = 100});
+    fixture it({.max_body_bytes = 100});
     raw_caller caller(it.server->address());
     caller.send("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
     const std::string chunk = "64\r\n" + std::string(100, 'x') + "\r\n";
@@ -71,7 +71,7 @@
 
 BOOST_AUTO_TEST_CASE(body_of_the_largest_size)
 {
-    bench it({.max_body_bytes = 100});
+    fixture it({.max_body_bytes = 100});
     raw_caller caller(it.server->address());
     caller.send(post(100, std::string(100, 'x')));
     run_until([&] { return caller.received(std::string(100, 'x')); });
@@ -82,7 +82,7 @@
 // listener of its own.
 BOOST_AUTO_TEST_CASE(connection_is_kept)
 {
-    bench it({});
+    fixture it({});
     raw_caller caller(it.server->address());
     caller.send(post(1, "a"));
     run_until([&] { return caller.received("\r\n\r\na") || caller.closed(); });
@@ -95,7 +95,7 @@
 // Guards against a caller that occupies a connection by sending a body slowly.
 BOOST_AUTO_TEST_CASE(slow_body)
 {
-    bench it({.body_timeout = 10s});
+    fixture it({.body_timeout = 10s});
     raw_caller slow(it.server->address());
     slow.send(post(10, "x"));
     raw_caller quick(it.server->address());
@@ -111,9 +111,9 @@
 }
 
 // Guards against connections that never complete a request header.
-BOOST_AUTO_TEST_CASE(slow_head)
+BOOST_AUTO_TEST_CASE(slow_header)
 {
-    bench it({.header_timeout = 60s});
+    fixture it({.header_timeout = 60s});
     raw_caller slow(it.server->address());
     slow.send("POST /v1/jobs HTT");
     run_until([&] { return it.server->open_connections() == 1; });
@@ -126,7 +126,7 @@
 // Guards against treating a long wait for an answer as a slow caller.
 BOOST_AUTO_TEST_CASE(waiting_for_an_answer_is_not_slow)
 {
-    bench it({});
+    fixture it({});
     it.hold = true;
     raw_caller caller(it.server->address());
     caller.send(post(1, "y"));
@@ -142,7 +142,7 @@
 // Guards against an unlimited number of connections.
 BOOST_AUTO_TEST_CASE(too_many_connections)
 {
-    bench it({.max_connections = 2});
+    fixture it({.max_connections = 2});
     raw_caller first(it.server->address());
     raw_caller second(it.server->address());
     run_until([&] { return it.server->open_connections() == 2; });
@@ -157,9 +157,9 @@
 }
 
 // Guards against use of a connection after its caller disconnected while waiting.
-BOOST_AUTO_TEST_CASE(caller_hangs_up)
+BOOST_AUTO_TEST_CASE(caller_disconnects)
 {
-    bench it({});
+    fixture it({});
     it.hold = true;
     {
         raw_caller caller(it.server->address());
@@ -178,9 +178,9 @@
 }
 
 // Guards against an exchange that outlives its server.
-BOOST_AUTO_TEST_CASE(server_goes_first)
+BOOST_AUTO_TEST_CASE(exchange_outlives_server)
 {
-    bench it({});
+    fixture it({});
     it.hold = true;
     raw_caller caller(it.server->address());
     caller.send(post(1, "y"));
@@ -195,7 +195,7 @@
 // Guards against a daemon that starts although its port is in use, and against malformed addresses.
 BOOST_AUTO_TEST_CASE(address_faults)
 {
-    bench it({});
+    fixture it({});
     const auto listen = [&](const std::string& address) {
         return http_server::listen(address, it.time, {}, [](const http_exchange_ptr&) {});
     };
--- a/tests/http/no_resend_test.cpp
+++ b/tests/http/no_resend_test.cpp
@@ -74,7 +74,7 @@
 
 BOOST_AUTO_TEST_SUITE(no_resend)
 
-BOOST_DATA_TEST_CASE(broken_kept_alive_connection, boost::unit_test::data::make(resend_cases))
+BOOST_DATA_TEST_CASE(broken_keep_alive_connection, boost::unit_test::data::make(resend_cases))
 {
     glib_timer_service timers;
     raw_peer peer([&](int n, const std::string&) {
@@ -86,7 +86,7 @@
     start(client, "first", first);
     run_until([&] { return first.done; });
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::completed));
-    const int begun = peer.heads_begun();
+    const int begun = peer.requests_begun();
     peer.reset_after_bytes(sample.reset_after);
     outcome second;
     start(client, "second", second);
@@ -96,7 +96,7 @@
     timers.schedule(50ms, [&] { settled = true; });
     run_until([&] { return settled; });
     BOOST_TEST(static_cast<int>(second.reply.status) == static_cast<int>(start_status::reply_lost));
-    BOOST_TEST(peer.heads_begun() - begun == 1);
+    BOOST_TEST(peer.requests_begun() - begun == 1);
     BOOST_TEST(count_of(peer, "second") <= 1);
     BOOST_TEST(peer.connections() == 1); // the second start used the keep-alive connection
 }
@@ -130,7 +130,7 @@
     timers.schedule(50ms, [&] { settled = true; });
     run_until([&] { return settled; });
     BOOST_TEST(static_cast<int>(last) == static_cast<int>(http_outcome::reply_lost));
-    BOOST_TEST(peer.heads_begun() == 2);
+    BOOST_TEST(peer.requests_begun() == 2);
 }
 
 // Replies that make some clients send another request: redirects, an authentication request, a
@@ -153,7 +153,7 @@
     start(client, "first", first);
     run_until([&] { return first.done; });
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
-    BOOST_TEST(peer.heads_begun() == 1);
+    BOOST_TEST(peer.requests_begun() == 1);
 }
 
 // The peer closes the connection between requests, and the client sends before its loop has
@@ -176,7 +176,7 @@
 }
 
 // A refused connection proves that nothing was sent, so that the task can go to another worker.
-BOOST_AUTO_TEST_CASE(nobody_listens)
+BOOST_AUTO_TEST_CASE(connection_refused)
 {
     glib_timer_service timers;
     std::vector<worker_settings> workers;
@@ -208,7 +208,7 @@
 
 // Guards against a request that outlives its client and the timers: its completion used to cancel a
 // timer of a destroyed service.
-BOOST_AUTO_TEST_CASE(client_and_timers_go_first)
+BOOST_AUTO_TEST_CASE(request_outlives_client_and_timers)
 {
     const raw_peer peer([](int, const std::string&) { return raw_peer::action::silence; });
     bool reported = false;
--- a/tests/http/platform_contract_test.cpp
+++ b/tests/http/platform_contract_test.cpp
@@ -17,7 +17,7 @@
 namespace platform_contract {
 
 // A log and an instance list, accessible in memory and over HTTP.
-struct bench {
+struct fixture {
     glib_timer_service timers;
     memory_log log{timers};
     memory_instance_list list{timers};
@@ -25,7 +25,7 @@
     std::unique_ptr<http_log_service> remote_log;
     std::unique_ptr<http_instance_list> remote_list;
 
-    bench()
+    fixture()
     {
         log.set_latency(0ms, 0ms);
         server =
@@ -65,7 +65,7 @@
 // valid for the other.
 BOOST_DATA_TEST_CASE(log_keeps_records, boost::unit_test::data::make({false, true}), remote)
 {
-    bench it;
+    fixture it;
     auto& log = it.log_of(remote);
     const std::string odd = "{\"a\":\"\\u0000 \xC3\xA9\n\"}";
     BOOST_TEST(append(log, odd).value() == 0U);
@@ -87,7 +87,7 @@
 BOOST_DATA_TEST_CASE(log_errors_say_what_is_certain, boost::unit_test::data::make({false, true}),
                      remote)
 {
-    bench it;
+    fixture it;
     auto& log = it.log_of(remote);
     it.log.set_down(true);
     BOOST_TEST(static_cast<int>(append(log, "x").error().code) ==
@@ -103,7 +103,7 @@
 
 BOOST_DATA_TEST_CASE(list_names_instances, boost::unit_test::data::make({false, true}), remote)
 {
-    bench it;
+    fixture it;
     it.list.set_instances({{"a-1", "a", "127.0.0.1:1", false}, {"b-1", "b", "127.0.0.1:2", true}});
     instance_list& list = remote ? *it.remote_list : static_cast<instance_list&>(it.list);
     std::optional<result<std::vector<listed_instance>>> found;
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -29,7 +29,7 @@
     int connections() const { return accepted_; }
     const std::vector<std::string>& requests() const { return requests_; }
     // Number of requests of which at least one byte arrived.
-    int heads_begun() const { return heads_begun_; }
+    int requests_begun() const { return requests_begun_; }
     // Resets the connection after this many bytes of a request; 0 reads complete requests.
     void reset_after_bytes(std::size_t n) { reset_after_ = n; }
     // Closes all connections from this side.
@@ -57,7 +57,7 @@
     std::vector<std::string> requests_;
     std::string reply_;
     int accepted_ = 0;
-    int heads_begun_ = 0;
+    int requests_begun_ = 0;
     std::size_t reset_after_ = 0;
 };
 
--- a/tests/http/raw_peer_test.cpp
+++ b/tests/http/raw_peer_test.cpp
@@ -90,7 +90,7 @@
     }
     it.buf.append(chunk.data(), static_cast<std::size_t>(size));
     if (!std::exchange(it.begun, true)) {
-        ++heads_begun_;
+        ++requests_begun_;
     }
     if (reset_after_ > 0 && it.buf.size() >= reset_after_) {
         close(it, true);
--- a/tests/http/worker_contract_test.cpp
+++ b/tests/http/worker_contract_test.cpp
@@ -15,13 +15,13 @@
 namespace worker_contract {
 
 // One worker, accessible in process or over HTTP.
-struct bench {
+struct fixture {
     glib_timer_service timers;
     std::shared_ptr<worker_stand_in> worker;
     std::unique_ptr<worker_stand_in_server> server;
     std::unique_ptr<worker_client> client;
 
-    bench(bool remote, worker_behaviour behaviour)
+    fixture(bool remote, worker_behaviour behaviour)
         : worker(std::make_shared<worker_stand_in>(timers, std::move(behaviour)))
     {
         if (!remote) {
@@ -78,7 +78,7 @@
 // Guards against payloads that are altered in transit and against lost load reports.
 BOOST_DATA_TEST_CASE(task_completes, both, remote)
 {
-    bench it(remote, {});
+    fixture it(remote, {});
     std::vector<start_reply> ends;
     it.start("job.1/0", ends);
     BOOST_TEST(ends.empty());
@@ -95,7 +95,7 @@
 {
     worker_behaviour behaviour;
     behaviour.fault = row.fault;
-    bench it(remote, behaviour);
+    fixture it(remote, behaviour);
     std::vector<start_reply> ends;
     it.start("t", ends, 5s, 1ms);
     run_until([&] { return ends.size() == 1; });
@@ -110,7 +110,7 @@
     behaviour.slots = 1;
     behaviour.max_queue = 0;
     behaviour.default_run_time = 1h;
-    bench it(remote, behaviour);
+    fixture it(remote, behaviour);
     std::vector<start_reply> first;
     std::vector<start_reply> second;
     it.start("a", first);
@@ -137,7 +137,7 @@
 {
     worker_behaviour behaviour;
     behaviour.default_run_time = 1h;
-    bench it(remote, behaviour);
+    fixture it(remote, behaviour);
     std::vector<start_reply> lapsed;
     it.start("a", lapsed, 1ms);
     run_until([&] { return lapsed.size() == 1; });
@@ -153,7 +153,7 @@
 // Guards against a worker id that has no address.
 BOOST_DATA_TEST_CASE(unknown_worker, both, remote)
 {
-    bench it(remote, {});
+    fixture it(remote, {});
     std::vector<start_reply> ends;
     it.client->start(7, {"t", "k", "", 1s, 1s},
                      [&](const start_reply& reply) { ends.push_back(reply); });
--- a/tests/net/pooled_http_client_test.cpp
+++ b/tests/net/pooled_http_client_test.cpp
@@ -79,7 +79,7 @@
 BOOST_AUTO_TEST_SUITE(pooled_client)
 
 // Guards against counting a reply as lost that arrived while this process was paused.
-BOOST_AUTO_TEST_CASE(a_reply_that_waits_unread_after_a_pause_is_taken)
+BOOST_AUTO_TEST_CASE(a_reply_received_during_a_pause_is_delivered)
 {
     std::optional<client_fixture> own(std::in_place);
     const blocking_peer peer(true);
@@ -95,7 +95,7 @@
 }
 
 // Guards against requests that never time out.
-BOOST_AUTO_TEST_CASE(a_silent_peer_costs_the_limit)
+BOOST_AUTO_TEST_CASE(a_silent_peer_times_out)
 {
     std::optional<client_fixture> own(std::in_place);
     const blocking_peer peer(false);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -29,7 +29,7 @@
 }
 
 // Guards against accepting jobs that need unsupported features.
-BOOST_AUTO_TEST_CASE(features_that_are_not_offered_are_named)
+BOOST_AUTO_TEST_CASE(unsupported_features_are_reported)
 {
     struct row {
         const char* body;
@@ -91,7 +91,7 @@
 }
 
 // Guards against treating replies as "not run" that do not prove it.
-BOOST_AUTO_TEST_CASE(replies_of_workers_map_to_what_is_certain)
+BOOST_AUTO_TEST_CASE(replies_of_workers_map_to_certain_outcomes)
 {
     struct row {
         int status;
@@ -118,7 +118,7 @@
 }
 
 // Guards against a list of runs that is decoded wrongly, or treated as empty if it is unreadable.
-BOOST_AUTO_TEST_CASE(a_look_lists_runs_and_ends)
+BOOST_AUTO_TEST_CASE(a_poll_lists_runs_and_ends)
 {
     const auto it =
         decode_poll_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
--- a/tests/stand_in/memory_log_test.cpp
+++ b/tests/stand_in/memory_log_test.cpp
@@ -53,7 +53,7 @@
 
 // Guards against a stand-in with fewer faults than the real log: after a lost reply the record may
 // be stored.
-BOOST_AUTO_TEST_CASE(faults_are_as_stated)
+BOOST_AUTO_TEST_CASE(faults_follow_the_contract)
 {
     log.lose_append_replies(1);
     append("a");
