--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -19,9 +19,10 @@
 
 constexpr int listen_backlog = 512;
 constexpr std::size_t read_chunk = 16384;
-// Bounds what one connection takes of a turn; level-triggered events bring the rest.
+// Limits the work for one connection per loop iteration; level-triggered events bring the rest.
 constexpr int max_reads_per_event = 4;
-// A peer without power acknowledges nothing; the kernel then gives up after this many ms.
+// The kernel closes a connection whose peer acknowledges nothing for this time, for example after a
+// power failure.
 constexpr int user_timeout_ms = 3000;
 
 std::optional<sockaddr_in> parse_address(std::string_view text)
@@ -63,7 +64,8 @@
     }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
-        return failure(errc::unavailable, fmt::format("no socket: {}", std::strerror(errno)));
+        return failure(errc::unavailable,
+                       fmt::format("cannot create a socket: {}", std::strerror(errno)));
     }
     set_options(descriptor);
     const int ec =
--- a/tests/http/platform_contract_test.cpp
+++ b/tests/http/platform_contract_test.cpp
@@ -16,8 +16,8 @@
 
 namespace platform_contract {
 
-// A log and a list with both ways to them.
-struct bench {
+// A log and an instance list, accessible in memory and over HTTP.
+struct fixture {
     glib_timer_service timers;
     memory_log log{timers};
     memory_instance_list list{timers};
@@ -25,7 +25,7 @@
     std::unique_ptr<http_log_service> remote_log;
     std::unique_ptr<http_instance_list> remote_list;
 
-    bench()
+    fixture()
     {
         log.set_latency(0ms, 0ms);
         server =
@@ -61,11 +61,11 @@
 
 BOOST_AUTO_TEST_SUITE(platform_contract)
 
-// Guards against a difference between the log in memory and the log over HTTP, so that tests with
-// the one hold for the other.
+// Guards against differences between the log in memory and over HTTP, so that tests with one are
+// valid for the other.
 BOOST_DATA_TEST_CASE(log_keeps_records, boost::unit_test::data::make({false, true}), remote)
 {
-    bench it;
+    fixture it;
     auto& log = it.log_of(remote);
     const std::string odd = "{\"a\":\"\\u0000 \xC3\xA9\n\"}";
     BOOST_TEST(append(log, odd).value() == 0U);
@@ -83,11 +83,11 @@
     BOOST_TEST(read(log, 7, 10).value().records.empty());
 }
 
-// Guards against reporting a stored record as certainly not stored, or the other way round.
+// Guards against reporting a stored record as not stored, or the other way round.
 BOOST_DATA_TEST_CASE(log_errors_say_what_is_certain, boost::unit_test::data::make({false, true}),
                      remote)
 {
-    bench it;
+    fixture it;
     auto& log = it.log_of(remote);
     it.log.set_down(true);
     BOOST_TEST(static_cast<int>(append(log, "x").error().code) ==
@@ -103,7 +103,7 @@
 
 BOOST_DATA_TEST_CASE(list_names_instances, boost::unit_test::data::make({false, true}), remote)
 {
-    bench it;
+    fixture it;
     it.list.set_instances({{"a-1", "a", "127.0.0.1:1", false}, {"b-1", "b", "127.0.0.1:2", true}});
     instance_list& list = remote ? *it.remote_list : static_cast<instance_list&>(it.list);
     std::optional<result<std::vector<listed_instance>>> found;
@@ -140,8 +140,8 @@
     {"error of a gateway", "HTTP/1.1 502 Bad\r\nContent-Length: 2\r\n\r\nno"},
 };
 
-// Guards against trusting a reply that does not follow the protocol: it must count as lost, since
-// the record may be stored, and a read must not deliver records from it.
+// Guards against trusting a reply that violates the protocol: an append must count as lost, since
+// the record may be stored, and a read must fail.
 BOOST_DATA_TEST_CASE(replies_that_break_the_protocol, boost::unit_test::data::make(bad_replies))
 {
     glib_timer_service timers;
--- a/tests/http/raw_peer_test.cpp
+++ b/tests/http/raw_peer_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Guards against wrong use of the libraries, which they only report as text.
+// Makes warnings of GLib and libsoup fatal, because wrong use of them is reported only as text.
 struct fatal_criticals {
     fatal_criticals()
     {
@@ -90,7 +90,7 @@
     }
     it.buf.append(chunk.data(), static_cast<std::size_t>(size));
     if (!std::exchange(it.begun, true)) {
-        ++heads_begun_;
+        ++requests_begun_;
     }
     if (reset_after_ > 0 && it.buf.size() >= reset_after_) {
         close(it, true);
