--- a/include/account/account_archive.h
+++ b/include/account/account_archive.h
@@ -16,8 +16,8 @@
 public:
     enum class mode : std::uint8_t { read, append };
 
-    // Opens a file; in mode `append` it is made if absent, and locked against a second exporter
-    // (error `conflict`). A line that was cut short by a crash is left as it is and ignored.
+    // Opens a file; in mode `append` it is created if absent and locked against a second exporter
+    // (error `conflict`). A line truncated by a crash is left in place and ignored.
     static result<std::unique_ptr<account_archive>> open(const std::string& path, mode how);
     ~account_archive();
     account_archive(const account_archive&) = delete;
@@ -25,7 +25,7 @@
 
     // Offset that the next record must have or exceed.
     log_offset next_offset() const { return next_offset_; }
-    // Lines that could not be read. Their offsets appear as a hole.
+    // Lines that could not be decoded. Their offsets appear as a gap.
     std::size_t damaged_lines() const { return damaged_lines_; }
 
     // Adds a record. It is on the disk only after sync().
@@ -46,15 +46,15 @@
     std::size_t damaged_lines_ = 0;
 };
 
-// What one export did.
+// Result of one export.
 struct account_export {
     std::uint64_t exported = 0; // records
     std::uint64_t missed = 0;   // records that retention had dropped before this export
     log_offset reached = 0;
 };
 
-// Appends everything the log retains beyond the archive's end to the archive. Error `conflict` if
-// the log ends before the archive, which then belongs to another log.
+// Appends everything that the log retains beyond the archive's end to the archive. Error `conflict`
+// if the log ends before the archive, so that it is another log or has been rewound.
 void export_account(log_service& log, account_archive& archive,
                     std::function<void(result<account_export>)> done);
 
--- a/include/account/account_record.h
+++ b/include/account/account_record.h
@@ -13,7 +13,7 @@
 // Name of the log stream that holds account batches.
 constexpr std::string_view account_stream = "account";
 
-// Starts that one request made on one worker.
+// Task starts of one request on one worker.
 struct worker_use {
     std::string worker;
     std::uint32_t starts = 0; // starts that ran or may have run
@@ -24,7 +24,7 @@
     completed,
     failed_not_run,
     failed_after_run,
-    unknown, // the instance lost a reply and could not tell
+    unknown, // a reply was lost, so the instance cannot tell whether the request ran
     open,    // received, no end recorded; never written as an end
 };
 
@@ -39,8 +39,8 @@
     wall_time received;
 };
 
-// What happened to one request. The owning instance writes one record when the request ends, and
-// before that a receipt if the request outlives the batch interval.
+// The outcome of one request. The owning instance writes one record when the request ends, and
+// before that a receipt if the request stays open for account_writer_settings::receipt_age.
 struct account_record {
     account_receipt receipt;
     wall_time decided;  // first start sent, or refusal decided
@@ -54,16 +54,16 @@
 
     // Starts that ran or may have run, over all workers.
     std::uint64_t starts() const;
-    // True if more starts may have run than tasks and allowed second starts explain.
+    // True if more starts may have run than the tasks and the allowed second starts account for.
     bool has_duplicate_start() const
     {
         return starts() > std::uint64_t{receipt.tasks} + second_starts;
     }
-    // Memory that the record takes, for bounding a buffer.
+    // Memory of the record in bytes, for bounding a buffer.
     std::size_t memory_size() const;
 };
 
-// Records that a writer could not keep.
+// Records that a writer had to drop.
 struct dropped_records {
     std::uint64_t count = 0;
     wall_time from;
--- a/include/account/account_record_codec.h
+++ b/include/account/account_record_codec.h
@@ -13,31 +13,32 @@
 
 namespace cactusloom {
 
-// One append of one writer.
+// Records that a writer stores with one append.
 struct account_batch {
     std::string instance;
     std::uint64_t incarnation = 0;
     std::uint64_t number = 0; // from 1, grows by one within an incarnation
     wall_time written;
-    // Every request received before this time is in this batch or an earlier one, or in a gap.
+    // Low watermark: every request received before this time is in this batch, an earlier one or a
+    // gap.
     wall_time watermark;
-    bool is_last = false; // the writer shut down in order after this batch
+    bool is_last = false; // closing batch of an orderly shutdown
     std::optional<dropped_records> dropped;
     std::vector<account_receipt> receipts; // requests that were open when the batch was made
     std::vector<account_record> ends;
 };
 
-// Builds the text of a batch: a header line, then one JSON array a line. Worker names are written
-// once a batch and times as differences, since they are most of a record's bytes.
+// Encodes a batch as a header line followed by one JSON array a line. Worker names are written once
+// a batch and times as differences, since they make up most of a record's bytes.
 class account_batch_encoder {
 public:
-    // Uses the batch's header fields; its records are given to add().
+    // Uses the header fields only, most of them in finish(); records are passed to add().
     explicit account_batch_encoder(const account_batch& header);
 
     void add(const account_receipt& it);
     void add(const account_record& it);
 
-    // Bytes of the text so far.
+    // Estimated size of the text so far, in bytes.
     std::size_t size() const { return lines_.size() + header_bytes_ + names_bytes_; }
     std::string finish() &&;
 
@@ -54,7 +55,7 @@
 
 std::string encode_batch(const account_batch& batch);
 
-// Error `invalid_argument` if any line does not fit; no part of such a batch is used.
+// Error `invalid_argument` if any line is malformed; no part of such a batch is returned.
 result<account_batch> decode_batch(std::string_view text);
 
 } // namespace cactusloom
--- a/include/account/account_statement.h
+++ b/include/account/account_statement.h
@@ -12,11 +12,11 @@
 
 namespace cactusloom {
 
-// A span in which requests of the customer may be missing.
+// A time span in which requests of the customer may be missing.
 struct account_gap {
     enum class cause : std::uint8_t {
         dropped_by_writer, // the instance could not buffer them; count is of records
-        batch_missing,     // numbers of a writer are absent; count is of batches
+        batch_missing,     // batch numbers of a writer are missing; count is of batches
         unreadable_batch,  // count is of batches
         not_retained,      // neither in the archive nor in the log; count is of log records
         writer_ended,      // the instance ended without a closing batch; count is not known
@@ -46,7 +46,7 @@
     std::map<std::pair<std::string, account_outcome>, std::uint64_t> totals; // by kind and outcome
     wall_time from; // of the first and last batch read
     wall_time until;
-    // Requests received later may still be in the memory of an instance that goes on writing.
+    // Requests received after this time may still be buffered in a running instance.
     wall_time complete_until;
     std::vector<account_gap> gaps;
     std::vector<unknown_request> unknowns;
@@ -58,7 +58,8 @@
     bool is_complete() const;
 };
 
-// Plain text for the operator: whether the account is complete, totals, gaps, unknowns, doubles.
+// Plain text for the operator: whether the account is complete, totals, gaps, unknown outcomes and
+// duplicates.
 std::string to_text(const account_statement& statement);
 
 // Builds a statement from log records in order of offset, from an archive, the log or both.
@@ -66,16 +67,16 @@
 public:
     explicit account_statement_builder(std::string customer);
 
-    // Takes a record. One before next_offset() is ignored, since archive and log overlap; a jump
-    // beyond it is a gap.
+    // Adds a record. One before next_offset() is ignored, since archive and log overlap; skipped
+    // offsets are recorded as a gap.
     void add(const log_record& record);
 
-    // First offset that was not taken yet.
+    // Offset of the next record to be added.
     log_offset next_offset() const { return next_offset_; }
 
-    // Notes the log's end offset.
+    // Records the log's end offset.
     void note_log_end(log_offset end, wall_time now);
-    // Notes that the log could not be read further.
+    // Records that the rest of the log could not be read.
     void note_log_not_read(std::string why, wall_time now);
 
     account_statement finish(wall_time now) &&;
@@ -94,7 +95,7 @@
         wall_time last_written;
         wall_time watermark;
         bool is_closed = false;
-        std::uint64_t log_gaps_seen = 0; // holes of the log when it was last seen
+        std::uint64_t log_gaps_seen = 0; // gaps of the log before its newest batch
     };
     using writer_key = std::pair<std::string, std::uint64_t>; // instance and incarnation
     struct request {
--- a/include/account/account_writer.h
+++ b/include/account/account_writer.h
@@ -23,12 +23,12 @@
     std::uint64_t incarnation = 0;
     std::uint32_t appends_per_second = 100; // budget of all instances together
     duration min_interval = std::chrono::milliseconds{250};
-    // A quiet instance appends an empty batch this often, so that a reader can tell that it lives.
+    // An idle instance appends an empty batch this often, which shows readers that it is alive.
     duration idle_interval = std::chrono::seconds{60};
     // A receipt is written for a request that is open for this long. Most tasks end within a second
-    // and then cost one record in place of two.
+    // and then cost one record instead of two.
     duration receipt_age = std::chrono::seconds{1};
-    // A log behind a cut link never answers; without a limit the writer would wait for good.
+    // A log behind a broken link never replies; without a limit the writer would wait forever.
     duration append_timeout = std::chrono::seconds{5};
     duration max_backoff = std::chrono::seconds{10};
     std::size_t max_batch_bytes = std::size_t{256} << 10U;
@@ -39,14 +39,13 @@
     std::uint64_t batches = 0;  // stored
     std::uint64_t appends = 0;  // sent, repeats included
     std::uint64_t bytes = 0;    // of stored batches
-    std::uint64_t receipts = 0; // written for requests that outlived a batch interval
+    std::uint64_t receipts = 0; // written for requests that were open for receipt_age
     std::uint64_t ends = 0;
     std::uint64_t dropped = 0;
-    std::uint64_t refused_batches = 0; // the log refused them for their content or size
+    std::uint64_t refused_batches = 0; // rejected by the log for their content or size
 };
 
-// Writes the account records of one instance in batches to the log. Nothing on a request's path
-// waits for it.
+// Writes the account records of one instance to the log in batches. Requests never wait for it.
 class account_writer {
 public:
     using done_callback = std::function<void(result<void>)>;
@@ -60,18 +59,18 @@
     // Starts writing. The first batch, empty or not, announces the incarnation to readers.
     void start();
 
-    // Number of live instances, from which the batch interval follows.
+    // Sets the number of live instances, which determines the batch interval.
     void set_instances(std::size_t n);
     duration interval() const;
 
-    // Notes a request that was received. A repeated submission id is noted once.
+    // Records the receipt of a request. A repeated submission id is recorded once.
     void received(account_receipt receipt);
 
-    // Records the end of a request, whether or not its receipt was noted.
+    // Records the end of a request, whether or not its receipt was recorded.
     void ended(account_record record);
 
-    // Writes everything left and a closing batch, then calls `done`; with `timed_out` if that is
-    // not finished within `limit`. Records that come later are ignored.
+    // Writes all buffered records and a closing batch, then calls `done`; with `timed_out` if that
+    // is not finished within `limit`. Receipts are ignored from then on, ends once it is closed.
     void close(duration limit, done_callback done);
 
     std::size_t buffered_bytes() const { return buffered_bytes_; }
@@ -82,7 +81,7 @@
         account_receipt receipt;
         std::size_t bytes = 0;
         monotonic_time since;
-        // Place in unwritten_receipts_, or its end once a batch carries the receipt.
+        // Position in unwritten_receipts_, or its end once the receipt is in a batch.
         std::list<const open_request*>::iterator queue_position;
     };
     struct sent_batch {
@@ -119,9 +118,9 @@
     std::size_t buffered_bytes_ = 0;
     dropped_records dropped_;
 
-    std::unique_ptr<sent_batch> in_flight_; // kept, text and number, until its fate is known
+    std::unique_ptr<sent_batch> in_flight_; // kept with its number until stored or rejected
     std::uint64_t next_number_ = 1;
-    unsigned failures_ = 0; // appends that failed in a row
+    unsigned failures_ = 0; // consecutive failed appends
     monotonic_time last_stored_{};
     bool has_stored_ = false;
     bool awaiting_reply_ = false;
--- a/include/config/config_follower.h
+++ b/include/config/config_follower.h
@@ -19,54 +19,55 @@
     std::uint64_t seed = 0; // of the jitter; instances should differ
 
     duration poll_interval = std::chrono::seconds{1};
-    // With the log down, polls back off to this. Edits must be in force within 7 s of the log's
-    // return, so the backoff stays well under that.
+    // Longest delay between polls while the log is down. Edits must be in force within 7 s of the
+    // log's return, so the backoff stays well below that.
     duration max_backoff = std::chrono::seconds{4};
     duration read_timeout = std::chrono::seconds{3};
     duration append_timeout = std::chrono::seconds{5};
-    // How often the last known record is read again while nothing is appended, to notice a log that
-    // was rewritten. Before new records are applied it is read again in any case. A record may have
-    // a few hundred KB, which rules out reading it with every poll.
+    // How often the last known record is re-read while nothing is appended, to detect a rewritten
+    // log. It is also re-read before new records are applied. A record may have a few hundred KB,
+    // too much to read with every poll.
     duration verify_interval = std::chrono::minutes{5};
     duration peer_timeout = std::chrono::seconds{1};
-    // A reply to an edit that has no verdict by then says so.
+    // An edit without a verdict after this time ends with an error.
     duration edit_timeout = std::chrono::seconds{30};
 
     // Retention of the log. A snapshot is due when the newest is older than a quarter of it.
     duration retention = std::chrono::hours{24 * 7};
     // A snapshot is also due after this many records, which bounds the work of a cold start.
     std::size_t records_between_snapshots = 1000;
-    // Each rank among the live members waits this much longer before it writes a snapshot, so that
-    // usually only the first writes one.
+    // Delay before writing a snapshot per rank among the live members, so that usually only the
+    // first one writes it.
     duration snapshot_delay_per_rank = std::chrono::seconds{2};
 
-    // Folding one record takes up to a few ms, so few are taken in one turn of the loop.
+    // Applying one record takes up to a few ms, so an iteration of the event loop applies only few.
     std::size_t records_per_read = 32;
 };
 
-// How the log looks to an instance.
+// State of the log as seen by an instance.
 enum class config_log_state {
     unknown,   // not read yet
     following, // read to its end
     down,
-    regressed, // rewound or rewritten; nothing is applied until the known record is back
-    gap,       // retention dropped records that are needed, and no snapshot replaces them
+    regressed, // rewound or rewritten; nothing is applied until the last known record is back
+    gap,       // retention dropped needed records, and no snapshot covers them
 };
 
 const char* to_string(config_log_state state);
 
-// The configuration that decisions use.
+// The configuration in force, on which decisions are based.
 struct config_in_force {
     std::shared_ptr<const deployment> settings;
     log_offset version = 0; // offset of the newest accepted edit
 };
 
-// Keeps an instance's configuration up to date with the log, and with peers while the log is down.
+// Keeps an instance's configuration up to date from the log, and from peers while the log is down.
 class config_follower {
 public:
     using subscriber = std::function<void(const config_in_force&)>;
-    // Outcome by the log, or an error: `unavailable` (certainly not stored), `reply_lost` (may be
-    // stored and accepted later), `conflict` (the same edit is under way), `not_ready`.
+    // Outcome by the log, or an error: `unavailable` (not stored), `reply_lost` (may be stored and
+    // accepted later), `conflict` (the same edit is in progress), `invalid_argument` (no id),
+    // `limit_exceeded` (content too long).
     using edit_callback = std::function<void(result<edit_outcome>)>;
 
     // `peers` may be null. All three must outlive the follower.
@@ -78,17 +79,19 @@
 
     void start();
 
-    // Calls `fn` whenever a new document is in force, and from now on if there is one already.
+    // Calls `fn` with every configuration that comes into force, and at once if there is one
+    // already.
     void subscribe(subscriber fn);
 
-    // Puts an edit into the log, repeats it under the same id as long as its fate is open, and
-    // reports the verdict. Never calls back from inside the call.
+    // Appends an edit to the log, retries under the same id while its outcome is unknown, and
+    // reports the verdict. `done` never runs inside the call.
     void submit_edit(const config_edit& edit, edit_callback done);
 
-    // This instance's position among the live members, from 0. Until set, snapshots wait long.
+    // This instance's position among the live members, from 0. Until set, snapshots are delayed as
+    // for rank 10.
     void set_rank(std::size_t rank) { rank_ = rank; }
 
-    // True once a document is in force.
+    // True once a configuration is in force.
     bool is_ready() const { return in_force_.settings != nullptr; }
     const config_in_force& in_force() const { return in_force_; }
     const config_state_machine& state_machine() const { return state_machine_; }
@@ -101,7 +104,7 @@
         std::uint64_t records_applied = 0;
         std::uint64_t malformed_records = 0;
         std::uint64_t differing_snapshots = 0; // alarm: instances disagree about the same log
-        std::uint64_t refused_states = 0;      // alarm: a peer's or snapshot's state contradicts
+        std::uint64_t refused_states = 0;      // alarm: state of a peer or snapshot contradicts
         std::uint64_t adopted_states = 0;
         std::uint64_t snapshots_written = 0;
         std::uint64_t edits_repeated = 0;
@@ -176,7 +179,7 @@
     config_log_state log_state_ = config_log_state::unknown;
     counters counts_;
 
-    // Readiness: peers answer first, so that a rewound log cannot bring an old document in force.
+    // Readiness waits for the peers, so that a rewound log cannot put an old document in force.
     bool peers_answered_ = false;
     bool peer_state_seen_ = false;
     bool log_read_to_end_ = false;
@@ -184,12 +187,13 @@
 
     std::uint64_t poll_number_ = 0;
     bool poll_in_flight_ = false;
-    bool poll_requested_ = false; // a poll was asked for while one was open
-    bool poll_verifies_ = false;  // the open poll reads the last known record
-    log_offset poll_start_ = 0;   // next offset when the open poll was sent
+    bool poll_requested_ = false; // a poll was requested while one was in flight
+    bool poll_verifies_ = false;  // the poll in flight re-reads the last known record
+    log_offset poll_start_ = 0;   // next offset when the poll in flight was sent
     timer_id poll_timer_ = 0;
     timer_id read_timer_ = 0;
-    std::optional<log_page> unverified_page_; // new records that wait for the check
+    std::optional<log_page>
+        unverified_page_; // new records, kept until the last known one is verified
     std::optional<monotonic_time> verified_at_;
     bool tail_scanned_ = false;
     std::uint32_t failed_polls_ = 0;
@@ -204,7 +208,7 @@
     timer_id snapshot_timer_ = 0;
     monotonic_time next_snapshot_allowed_{};
 
-    // Replies may arrive after the follower is gone.
+    // Replies may arrive after the follower is destroyed.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/config/config_record.h
+++ b/include/config/config_record.h
@@ -11,10 +11,10 @@
 
 namespace cactusloom {
 
-// Section name of the edit that brings the first document of a log, with all of its sections.
+// Section name of an edit that contains the first document of a log, with all of its sections.
 inline constexpr std::string_view whole_document = "*";
 
-// A record that asks for a new text of a section.
+// A record that requests a new text of a section.
 struct config_edit {
     std::string id;              // chosen by the author; the same for each repeated append
     std::string author;          // team
@@ -34,23 +34,23 @@
 // Returns the name used in JSON, for example "stale_base".
 const char* to_string(edit_verdict verdict);
 
-// What the log says about one edit.
+// Result of one edit, determined by its place in the log.
 struct edit_outcome {
     std::string edit_id;
     log_offset offset = 0;
     edit_verdict verdict = edit_verdict::invalid;
     std::vector<finding> findings; // of an invalid edit
     std::string detail;            // what changed, or why not; at most 300 bytes
-    // The edit in force for the section after this one.
+    // The edit that is in force for the section after this one.
     log_offset current_version = 0;
     std::string current_author;
     std::string current_edit_id;
 };
 
-// One line of the audit history.
+// One entry of the audit history.
 struct config_change {
     log_offset offset = 0;
-    wall_time time; // of the log
+    wall_time time; // assigned by the log
     std::string edit_id;
     std::string author;
     std::string section;
@@ -62,7 +62,7 @@
     bool operator==(const config_change&) const = default;
 };
 
-// A section as a snapshot carries it.
+// A section in a snapshot.
 struct config_section {
     std::string name;
     std::string text;
@@ -73,7 +73,7 @@
     bool operator==(const config_section&) const = default;
 };
 
-// Everything that later verdicts depend on, as a function of the records before offset `next`.
+// The state that later verdicts depend on, determined by the records before offset `next`.
 struct config_snapshot {
     log_offset next = 0;
     std::uint64_t last_digest = 0;  // of the record at next - 1
--- a/include/config/config_record_codec.h
+++ b/include/config/config_record_codec.h
@@ -9,7 +9,7 @@
 
 using config_record = std::variant<config_edit, config_snapshot>;
 
-// JSON of the records of stream `config`, and of the state that peers hand to each other.
+// JSON of the records of stream `config`, and of the state that peers exchange.
 std::string encode(const config_edit& edit);
 std::string encode(const config_snapshot& snapshot);
 
--- a/include/config/config_state_machine.h
+++ b/include/config/config_state_machine.h
@@ -9,21 +9,21 @@
 
 namespace cactusloom {
 
-// What one record did to the ledger.
+// Effect of one record on the state machine.
 struct record_effect {
     std::optional<edit_outcome> edit; // set for an edit record
     bool document_changed = false;
     bool malformed = false;        // neither edit nor snapshot; has no effect
-    bool snapshot_differs = false; // a snapshot that contradicts this ledger; has no effect
+    bool snapshot_differs = false; // a snapshot that contradicts this state; has no effect
 };
 
-// The accepted configuration as a fold over the records of stream `config` in offset order. All
-// verdicts follow from the records alone: no clock, no random numbers, no local settings.
+// Replicated state machine of the configuration: applies the records of stream `config` in offset
+// order. Verdicts depend on the records alone, not on clocks, random numbers or local settings.
 class config_state_machine {
 public:
-    // Edits whose ids are remembered for telling repeated appends, and lines of the audit history.
-    // The count is part of the verdict rules: all instances must use the same one. 512 edits are
-    // almost three hours at 4,300 changes a day.
+    // Edits in the audit history, whose ids also identify repeated appends. Verdicts depend on this
+    // number, so all instances must use the same one. 512 edits are almost three hours at 4,300
+    // changes a day.
     static constexpr std::size_t history_capacity = 512;
 
     // Larger contents are invalid. 1,000 workers take about 110 KB.
@@ -32,13 +32,13 @@
     // Error `invalid_argument` if the snapshot's document is not valid or is incomplete.
     static result<config_state_machine> from_snapshot(const config_snapshot& snapshot);
 
-    // Takes the record at next_offset().
+    // Applies the record at next_offset().
     record_effect apply(const log_record& record);
 
-    // The verdict that the edit would get as the next record. For trying out an edit.
+    // The verdict that the edit would get as the next record. Changes nothing.
     edit_outcome evaluate(const config_edit& edit) const;
 
-    // The state as a snapshot. Needs a document.
+    // The state as a snapshot. Requires a document.
     config_snapshot snapshot() const;
 
     log_offset next_offset() const { return next_; }
@@ -66,8 +66,8 @@
     };
     const std::optional<snapshot_position>& newest_snapshot() const { return newest_snapshot_; }
 
-    // True if `later` can follow this state: it has read at least as much, no section has an older
-    // version, and sections of the same version have the same text.
+    // True if `later` can follow this state: it has applied at least as many records, no section
+    // has an older version, and sections of the same version have the same text.
     bool can_be_followed_by(const config_state_machine& later) const;
 
 private:
@@ -78,7 +78,7 @@
         std::uint64_t text_hash = 0;
     };
 
-    // Digests of the state before some offset, for comparing it with snapshots that arrive later.
+    // Digests of the state before offset `next`, for comparison with snapshots that are read later.
     struct state_checkpoint {
         log_offset next = 0;
         std::uint64_t chain = 0;
--- a/include/config/deployment.h
+++ b/include/config/deployment.h
@@ -8,15 +8,15 @@
 
 namespace cactusloom {
 
-// A kind of request that callers may submit, as the dispatch section declares it.
+// A kind of request that callers may submit, as declared in section request_kinds.
 struct request_kind {
     std::string name;
     bool idempotent = false;
     // Whether the system may start a task of this kind a second time (retry after a lost reply,
     // hedge). Only valid for idempotent kinds; off by default since no task may start twice.
     bool second_start = false;
-    duration declared_run_time{};   // often far off; only used until run times are learned
-    duration default_deadline{};    // used when the caller names none
+    duration declared_run_time{};   // often inaccurate; only used until run times are learned
+    duration default_deadline{};    // used if the caller sets none
     std::vector<std::string> needs; // worker features, for example "accelerator"
     bool retired = false;           // no longer in the document; see stable_positions.h
 };
@@ -46,7 +46,7 @@
     std::string team;
 };
 
-// The weights of the two measures and the limits that follow from them.
+// Weights of response time and message cost, and the dispatch settings that go with them.
 struct dispatch_profile {
     double response_time_weight = 1.0;  // importance of response time, 0 to 1
     double wasted_message_weight = 1.0; // importance of messages beyond the two needed, 0 to 1
@@ -71,7 +71,7 @@
     duration answer_retention = std::chrono::seconds{60};
 };
 
-// Everything that decisions need from the configuration document, checked and typed.
+// The validated and typed contents of the configuration document.
 struct deployment {
     std::string name;
     dispatch_profile profile;
--- a/include/config/document.h
+++ b/include/config/document.h
@@ -7,8 +7,8 @@
 
 namespace cactusloom {
 
-// A valid configuration document: the text of each section and the settings that follow from them.
-// A value type; replacing a section gives a new document.
+// A valid configuration document: the text of each section and the settings parsed from them. A
+// value type; replacing a section gives a new document.
 class document {
 public:
     static constexpr std::size_t section_count = 9;
@@ -36,7 +36,7 @@
     std::string text() const;
 
 private:
-    // Lines of the entries of the lists, for findings of checks across sections.
+    // Line numbers of the list entries, for findings of checks across sections.
     struct entry_lines {
         std::vector<std::uint32_t> kinds;
         std::vector<std::uint32_t> workers;
--- a/include/config/document_parser.h
+++ b/include/config/document_parser.h
@@ -11,8 +11,8 @@
 
 namespace cactusloom {
 
-// One fault of a configuration document. The line counts from 1; 0 means that something is missing
-// from the document, so that it has no line.
+// An error in a configuration document. The line counts from 1; it is 0 if something is missing
+// from the document and has no line.
 struct finding {
     std::string section;
     std::string key; // path inside the section, for example "list[3].address"
@@ -22,7 +22,7 @@
     bool operator==(const finding&) const = default;
 };
 
-// Either a value or everything that is wrong with the document. Never an empty list.
+// Either a value or all errors of the document, a list that is never empty.
 template<typename T>
 using checked =
     boost::outcome_v2::basic_result<T, std::vector<finding>, boost::outcome_v2::policy::terminate>;
--- a/include/membership/failure_detector.h
+++ b/include/membership/failure_detector.h
@@ -24,18 +24,18 @@
     duration indirect_timeout = std::chrono::milliseconds{650};
     unsigned indirect_peers = 3;
     unsigned suspicion_periods = 4;
-    // A member that is gone stays known for this long, so that late gossip does not revive it and
-    // so that two sides that declared each other dead meet again.
+    // Dead and departed members are kept for this long, so that late gossip does not resurrect them
+    // and so that the sides of a healed partition find each other again.
     duration dead_retention = std::chrono::minutes{10};
-    // Members of a data centre that stays cut off are given up after this time.
+    // Members of a data centre that stays partitioned are declared dead after this time.
     duration partition_retention = std::chrono::hours{1};
-    // A member that was steady for this long counts as steady again.
+    // A member's flap count is reset after this long without a flap.
     duration flap_reset_interval = std::chrono::minutes{5};
     duration seed_retry_interval = std::chrono::seconds{10};
 };
 
-// An instance as the platform's list names it. Only tells where to look: what members say about
-// themselves takes precedence.
+// An instance from the platform's list, used as a contact address for joining. What members gossip
+// about themselves takes precedence.
 struct seed_peer {
     std::string name;
     std::string data_centre;
@@ -43,17 +43,18 @@
     bool leaving = false;
 };
 
-// Messages of this instance, requests and replies, without the transport's own framing.
+// Traffic of this instance, requests and replies, without transport framing.
 struct membership_traffic {
     std::uint64_t messages_sent = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t messages_received = 0;
     std::uint64_t bytes_received = 0;
-    std::uint64_t rejected = 0; // texts that could not be decoded
+    std::uint64_t rejected = 0; // undecodable messages and replies with a wrong id
 };
 
-// SWIM-style failure detector. Pings one member each period, asks three others to ping it when it
-// is silent, suspects it before declaring it dead, and spreads changes on the same messages.
+// SWIM-style failure detector. Pings one member each period, falls back to indirect pings through
+// three others, marks a member suspect before declaring it dead, and piggybacks membership changes
+// on the same messages.
 class failure_detector {
 public:
     using reply_callback = std::function<void(std::string)>;
@@ -71,23 +72,23 @@
 
     void start();
 
-    // Replaces the hints with the platform's newest list, which may be stale.
+    // Replaces the seed peers with the platform's newest list, which may be stale.
     void set_seed_peers(std::vector<seed_peer> seed_peers);
 
-    // Text that every message of this instance carries, at most `max_summary_bytes` bytes.
+    // Sets the text that every message of this instance carries, at most `max_summary_bytes` bytes.
     void set_summary(std::string summary);
 
     // Changes this instance's capacity weight.
     void set_weight(double weight);
 
-    // Tells the others that this instance takes no new work. It stays a live member.
+    // Announces that this instance takes no new work. It stays a live member.
     void announce_leaving();
 
-    // Says goodbye to a few members and stops. `done` runs once they replied or timed out.
+    // Sends a leave notice to a few members and stops. `done` runs once they replied or timed out.
     void leave(std::function<void()> done);
 
-    // Answers one JSON-RPC request text from a peer. `reply` runs once with the reply text; for a
-    // ping before handle() returns, for a ping request after the probe of the target.
+    // Handles one JSON-RPC request from a peer. `reply` runs once with the reply text; for a ping
+    // before handle() returns, for a ping request after the probe of the target.
     void handle(std::string_view request, reply_callback reply);
 
     const member_table& members() const { return table_; }
@@ -96,7 +97,7 @@
     // no more work, since others no longer regard it as the owner of the name.
     bool is_superseded() const { return superseded_; }
 
-    // True once the table was copied from a member.
+    // True once the member table has been copied from another member.
     bool has_joined() const { return joined_; }
 
     void on_change(change_callback fn) { change_callbacks_.push_back(std::move(fn)); }
@@ -111,10 +112,10 @@
 
 private:
     struct rumour {
-        std::string name; // the table's entry is sent, so a rumour is never stale
+        std::string name; // the table's current entry is sent, so an update is never stale
         unsigned sent = 0;
     };
-    // One probe of one member: direct, then indirect.
+    // A probe of one member, first direct, then indirect.
     struct probe {
         std::string name;
         std::uint64_t incarnation = 0;
@@ -124,8 +125,8 @@
     // Where an update comes from.
     enum class update_source : std::uint8_t {
         rumour,
-        first_hand, // of the member itself, or a finding of this instance
-        page,       // of a table that is copied at the start
+        first_hand, // from the member itself, or detected by this instance
+        page,       // from the table copy made while joining
     };
     using reply_handler = std::function<void(result<membership_reply>)>;
 
@@ -171,9 +172,10 @@
     random_engine random_;
 
     std::vector<rumour> update_queue_;
-    std::vector<std::string> probe_round_; // names still to be pinged in this round, last first
-    std::string repeat_cursor_;            // where the repetition of known members goes on
-    std::vector<std::string> outdated_;    // names of which the last sender knew less than we do
+    std::vector<std::string>
+        probe_round_;                   // names still to be probed in this round, in reverse order
+    std::string repeat_cursor_;         // table entry that was repeated last
+    std::vector<std::string> outdated_; // names whose entry at the last sender was older than ours
     std::vector<seed_peer> seed_peers_;
     std::map<std::string, monotonic_time, std::less<>> seed_attempts_;
     std::size_t seed_cursor_ = 0;
--- a/include/membership/partition_detector.h
+++ b/include/membership/partition_detector.h
@@ -9,36 +9,36 @@
 
 namespace cactusloom {
 
-// Decides whether silence of members means that they died or that their data centre is cut off.
+// Decides whether unresponsive members are dead or their whole data centre is partitioned.
 class partition_detector {
 public:
     enum class verdict {
-        members_died, // somebody else there answers, or there is nobody else to ask
+        members_died, // another member there responds, or there is no other to probe
         partitioned,
         undecided, // too few members probed yet
     };
 
-    // `window` is the time within which an answer counts as recent.
+    // `window` is the time within which a contact counts as recent.
     explicit partition_detector(duration window) : window_(window) {}
 
-    // A member of the data centre answered or sent a request. Returns true if that ends a silence
-    // of the whole data centre, marked as a cut or not: misses from before then prove nothing about
-    // single members.
+    // Call when a member of the data centre replied or sent a request. Returns true if that ends a
+    // period without contact to the whole data centre, whether or not it was marked as partitioned:
+    // probes that failed in that period are no evidence against single members.
     bool heard(std::string_view data_centre, monotonic_time now);
 
-    // A probe into the data centre failed.
+    // Call when a probe of a member of the data centre failed.
     void record_failed_probe(std::string_view data_centre);
 
-    // Judges a data centre with `live` live members, of which `suspects` are suspect.
+    // Classifies a data centre with `live` live members, of which `suspects` are suspect.
     verdict classify(std::string_view data_centre, std::size_t live, std::size_t suspects,
                      monotonic_time now) const;
 
     void mark_partitioned(std::string_view data_centre, monotonic_time now);
     bool is_partitioned(std::string_view data_centre) const;
-    // Time since the data centre was marked, zero if it is not cut off.
+    // Time since the data centre was marked as partitioned, zero if it is not.
     duration partitioned_for(std::string_view data_centre, monotonic_time now) const;
 
-    // True if any data centre was heard from within the window.
+    // True if there was contact to any data centre within the window.
     bool any_recent_contact(monotonic_time now) const;
 
 private:
@@ -47,7 +47,7 @@
         monotonic_time partitioned_since{};
         bool has_contact = false;
         bool partitioned = false;
-        unsigned consecutive_contacts = 0; // in a row since it was marked
+        unsigned consecutive_contacts = 0; // since it was marked, without a failed probe between
     };
 
     bool is_recent(const contact& it, monotonic_time now) const
--- a/include/membership/peer_transport.h
+++ b/include/membership/peer_transport.h
@@ -9,7 +9,7 @@
 
 namespace cactusloom {
 
-// Carries request texts to other instances. The texts are JSON-RPC 2.0 requests and replies.
+// Sends JSON-RPC 2.0 requests to other instances and returns their replies.
 class peer_transport {
 public:
     using callback = std::function<void(result<std::string>)>;
--- a/src/account/account_archive.cpp
+++ b/src/account/account_archive.cpp
@@ -121,7 +121,7 @@
         }
         damaged_lines_ += record ? 0 : 1;
         if (in.eof()) {
-            // The last line has no end: the next one starts on a line of its own.
+            // The last line is truncated, so the next record starts on a new line.
             pending_ = "\n";
         }
     }
--- a/src/account/account_record_codec.cpp
+++ b/src/account/account_record_codec.cpp
@@ -23,7 +23,8 @@
     return wall_time{duration{us}};
 }
 
-// Writes a JSON text by hand: building a tree for every record costs several times the CPU.
+// Writes a JSON string directly: building a value tree for every record takes several times the
+// CPU time.
 void append_text(std::string& out, std::string_view text)
 {
     const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
@@ -137,7 +138,7 @@
         }
     }
     catch (const Json::Exception&) {
-        // jsoncpp throws when the stack limit is passed.
+        // jsoncpp throws when the stack limit is exceeded.
         return std::nullopt;
     }
     return value;
--- a/src/account/account_statement.cpp
+++ b/src/account/account_statement.cpp
@@ -12,7 +12,7 @@
 // ended, or that the log was down; the records in question are absent in both cases.
 constexpr auto writer_silence = std::chrono::minutes{3};
 
-// No request lasts longer than the largest deadline, 60 s; the rest is time to write its end.
+// No request lasts longer than the largest deadline, 60 s; the rest allows for writing its end.
 constexpr auto longest_request = std::chrono::minutes{2};
 
 std::string format_time(wall_time time)
@@ -151,8 +151,8 @@
     }
 }
 
-// Returns false for a batch that was taken before. Numbers that are skipped are noted, and a late
-// copy may still bring them.
+// Returns false for a duplicate batch. Skipped numbers are recorded as missing until a late copy
+// arrives.
 bool account_statement_builder::accept_number(writer& it, const account_batch& batch)
 {
     if (batch.number < it.next_number) {
@@ -171,7 +171,7 @@
         std::erase_if(it.missing, [](const auto& gap) { return gap.first > gap.last; });
         return true;
     }
-    // Numbers that fell into a hole of the log are part of that gap.
+    // Numbers lost in a gap of the log are reported with that gap.
     if (batch.number > it.next_number && it.log_gaps_seen == log_gaps_) {
         it.missing.push_back({it.next_number, batch.number - 1, it.last_written, batch.written});
     }
@@ -276,7 +276,7 @@
                 {account_gap::cause::batch_missing, gap.from, gap.until, gap.last - gap.first + 1,
                  fmt::format("{} batches {} to {}", key.first, gap.first, gap.last)});
         }
-        // After a hole the closing batch may lie in it, and that gap is reported already.
+        // The closing batch may lie in a gap of the log, which is reported already.
         if (!it.is_closed && it.log_gaps_seen == log_gaps_ && has_ended(key, it, now)) {
             const auto next = std::next(writers_.find(key));
             const bool is_replaced = next != writers_.end() && next->first.first == key.first;
--- a/src/account/account_writer.cpp
+++ b/src/account/account_writer.cpp
@@ -35,7 +35,7 @@
 
 void account_writer::start()
 {
-    // A phase by name spreads the appends of instances that start together.
+    // A phase derived from the name spreads the appends of instances that start together.
     const auto phase = duration{static_cast<duration::rep>(
         hash64(settings_.instance) % static_cast<std::uint64_t>(interval().count()))};
     schedule(phase);
@@ -62,7 +62,7 @@
     if (buffered_bytes_ + bytes > settings_.max_buffer_bytes ||
         open_.contains(receipt.submission_id)) {
         // Without a receipt the request still gets its record at the end; if the instance dies
-        // before, the reader sees a writer without a closing batch.
+        // before, readers see a writer without a closing batch.
         return;
     }
     buffered_bytes_ += bytes;
@@ -88,7 +88,7 @@
     }
     const auto bytes = record.memory_size();
     if (buffered_bytes_ + bytes > settings_.max_buffer_bytes) {
-        // The newest is dropped, not the oldest: the records kept stay one span without holes.
+        // The newest record is dropped, not the oldest, so that the kept ones have no gap.
         dropped_.add(record.receipt.received, timers_.wall_now());
         ++stats_.dropped;
         return;
@@ -207,7 +207,7 @@
 
 void account_writer::finish_attempt(std::uint64_t attempt, const result<log_offset>& stored)
 {
-    // A reply that comes after its time limit is ignored: the batch is repeated under its number.
+    // A reply after the timeout is ignored, since the batch is retried under the same number.
     if (awaiting_reply_ && attempt == stats_.appends) {
         timers_.cancel(append_timer_);
         finish(stored);
@@ -226,8 +226,8 @@
             drop_batch();
         }
         else {
-            // The batch may be stored. It is repeated with the same number and the same content,
-            // and readers drop the copy.
+            // The batch may have been stored. It is retried with the same number and content, and
+            // readers drop the duplicate.
             ++failures_;
         }
         schedule(backoff());
@@ -250,8 +250,8 @@
     schedule(closing_ ? duration::zero() : interval());
 }
 
-// A batch that the log refuses for its content would block all later ones. Its number stays unused,
-// and its records are reported as dropped.
+// A batch that the log rejects for its content would block all later ones, so its number stays
+// unused and its records are reported as dropped.
 void account_writer::drop_batch()
 {
     const auto count = in_flight_->ends + in_flight_->receipts;
@@ -282,8 +282,8 @@
     }
 }
 
-// Doubles from the batch interval, so that instances which wait for a log that is down do not
-// spend more than their budget on it.
+// Exponential backoff that starts at the batch interval, so that retries while the log is down stay
+// within the append budget.
 duration account_writer::backoff() const
 {
     const auto doublings = std::min(failures_, 6U);
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -10,10 +10,10 @@
 namespace cactusloom {
 namespace {
 
-// A snapshot that was written shows up with the next poll; writing again before is pointless.
+// A written snapshot is read with the next poll; until then another one is not needed.
 constexpr auto snapshot_pause = std::chrono::seconds{30};
 
-// Spreads the first repetition of a failed request.
+// Delay before the first retry of a failed request, jittered.
 constexpr auto first_backoff = std::chrono::milliseconds{500};
 
 } // namespace
@@ -122,7 +122,7 @@
     }
     failed_polls_ = 0;
     if (state_machine_.next_offset() != poll_start_) {
-        // State came from a peer meanwhile, so the page does not fit any more.
+        // State was adopted from a peer meanwhile, so the page no longer follows it.
         unverified_page_.reset();
         poll_after(duration::zero());
         return;
@@ -141,7 +141,7 @@
     unverified_page_.reset();
     poll_requested_ = false;
     log_failed_ = true;
-    // A regression stays reported until the known record has been seen again.
+    // A regression stays reported until the last known record is back.
     if (log_state_ != config_log_state::regressed) {
         set_log_state(config_log_state::down, reason);
         fetch_peer_states();
@@ -200,7 +200,7 @@
 
 void config_follower::handle_new_records(const log_page& page)
 {
-    // Records read in one go need one check only.
+    // Pages read in succession need one verification only.
     constexpr auto check_validity = std::chrono::milliseconds{100};
     const auto now = timers_.monotonic_now();
     const auto next = state_machine_.next_offset();
@@ -251,7 +251,8 @@
     }
 }
 
-// Without any state, a long log is read from its newest snapshots on, which bounds a cold start.
+// Without any state, a long log is read only near its end, where snapshots are, which bounds a cold
+// start.
 bool config_follower::start_tail_scan(const log_page& page)
 {
     const auto span = 2 * options_.records_between_snapshots;
@@ -266,7 +267,7 @@
 
 void config_follower::scan_page(const log_page& page)
 {
-    // Records dropped while scanning leave a hole in what was buffered.
+    // Records dropped during the scan leave a gap in the buffer, so the scan starts again.
     if (!scan_ || page.first_retained > scan_->next) {
         scan_ = scan{page.first_retained, page.first_retained, {}, std::nullopt};
     }
@@ -299,7 +300,7 @@
         return;
     }
     if (scan_->start > first_retained_) {
-        // No snapshot near the end, so everything that is retained is read.
+        // No snapshot near the end, so all retained records are read.
         scan_.reset();
         poll_after(duration::zero());
         return;
@@ -344,8 +345,8 @@
         ++counts_.differing_snapshots;
         log_event("config_snapshot_differs", "count={}", counts_.differing_snapshots);
     }
-    // The first verdict on an edit counts. A duplicate stands only for an original that the history
-    // has forgotten.
+    // The first verdict on an edit counts. A duplicate is reported only if the original is no
+    // longer in the history.
     if (effect.edit && edits_.contains(effect.edit->edit_id) &&
         (effect.edit->verdict != edit_verdict::duplicate ||
          !state_machine_.outcome_of(effect.edit->edit_id))) {
@@ -392,7 +393,7 @@
         }
     }
     peers_answered_ = true;
-    // After a regression nothing is taken over until the log is in order again.
+    // After a regression no state is adopted until the last known record is back.
     if (newest && log_state_ != config_log_state::regressed && adopt(std::move(*newest), "peer")) {
         scan_.reset();
         unverified_page_.reset();
@@ -412,7 +413,7 @@
 
 bool config_follower::adopt(config_state_machine later, const char* source)
 {
-    // Before a document is in force nothing can go back, so the state that has seen more is taken.
+    // Before a configuration is in force nothing can regress, so the newer state is taken.
     const bool fits = is_ready() ? state_machine_.can_be_followed_by(later)
                                  : later.next_offset() >= state_machine_.next_offset();
     if (!fits) {
@@ -438,7 +439,7 @@
     }
     in_force_ = {state_machine_.current().settings(), version};
     log_event("config_in_force", "version={}", version);
-    // A subscriber may subscribe another one.
+    // By index, since a subscriber may add another one.
     for (std::size_t n = 0; n < subscribers_.size(); ++n) {
         subscribers_[n](in_force_);
     }
@@ -534,7 +535,7 @@
         retry_edit(edit);
         return;
     }
-    // Stored; the verdict comes with the poll.
+    // The edit is stored; a poll reads its verdict.
     edit.timer = timers_.schedule(edit.deadline - timers_.monotonic_now(), [this, id] {
         finish_edit(id, failure(errc::reply_lost, "stored, but the log cannot be read"));
     });
@@ -594,8 +595,8 @@
     if (!newest || newest->next < first_retained_) {
         return true;
     }
-    // The age is read from wall clocks. A wrong one makes snapshots too frequent or leaves them to
-    // the other two rules and the other instances; no verdict depends on it.
+    // The age depends on wall clocks. A wrong clock makes snapshots too frequent or leaves them to
+    // the other two conditions and the other instances; no verdict depends on it.
     return timers_.wall_now() - newest->time > options_.retention / 4 ||
            state_machine_.next_offset() - newest->offset > options_.records_between_snapshots;
 }
@@ -619,7 +620,7 @@
     }
     next_snapshot_allowed_ = timers_.monotonic_now() + snapshot_pause;
     ++counts_.snapshots_written;
-    // The result does not matter: the record shows up in a poll, or the next attempt writes it.
+    // The result is ignored: a poll reads the record, or a later attempt writes it.
     log_.append(options_.stream, encode(state_machine_.snapshot()),
                 [](const result<log_offset>&) {});
 }
--- a/src/config/config_record_codec.cpp
+++ b/src/config/config_record_codec.cpp
@@ -19,7 +19,7 @@
     return Json::writeString(builder, value);
 }
 
-// JSON numbers of other tools lose digits above 2^53, so digests are written as text.
+// Other tools lose digits of JSON numbers above 2^53, so digests are written as text.
 std::string to_hex(std::uint64_t digest)
 {
     return fmt::format("{:016x}", digest);
@@ -56,7 +56,7 @@
     return json;
 }
 
-// Reads members of an object and remembers whether all were there and of the right type.
+// Reads members of a JSON object and tracks whether all were present and of the right type.
 class member_reader {
 public:
     explicit member_reader(const Json::Value& object) : object_(object), good_(object.isObject()) {}
--- a/src/config/config_state_machine.cpp
+++ b/src/config/config_state_machine.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t checkpoint_capacity = 128;
 constexpr std::size_t max_detail_bytes = 300;
 
-// Cuts a text without splitting a UTF-8 character.
+// Truncates a text without splitting a UTF-8 character.
 std::string shortened(std::string text)
 {
     if (text.size() > max_detail_bytes) {
@@ -250,7 +250,7 @@
         }
         return;
     }
-    // An id may be any text, since it comes from outside; the history stays bounded in bytes.
+    // Ids come from outside and may be any text; truncating them bounds the history in bytes.
     history_.push_back({outcome.offset, time, shortened(edit.id), shortened(edit.author),
                         shortened(edit.section), edit.base_version, outcome.verdict, outcome.detail,
                         0});
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -17,8 +17,8 @@
     "workers", "teams",      "customers", "account",
 };
 
-// Names that router::make accepts. Kept here because a document with another name would be accepted
-// by every instance and could then be served by none.
+// Names that router::make accepts. Checked here because otherwise every instance would accept a
+// document with another name and none could serve with it.
 constexpr std::array<std::string_view, 6> routing_names{"predicted_finish", "two_choices_finish",
                                                         "two_choices",      "fewest_outstanding",
                                                         "round_robin",      "random"};
@@ -50,7 +50,7 @@
     std::string_view text;
 };
 
-// The top-level name in a table header such as "[[teams]]", or nothing if the line is none.
+// The top-level name in a table header such as "[[teams]]", or empty if the line is no header.
 std::string_view header_name(std::string_view line)
 {
     const auto start = line.find_first_not_of(" \t");
@@ -65,9 +65,9 @@
     return line.substr(name, end == std::string_view::npos ? end : end - name);
 }
 
-// Cuts a document before the headers (and the comments directly above them) at which the section
-// changes. A line inside a multi-line text that looks like a header is cut wrongly; the parts then
-// fail to parse, so such a document is refused and never misread.
+// Splits a document before the headers (and the comments directly above them) at which the section
+// changes. A line inside a multi-line string that looks like a header causes a wrong split; the
+// parts then fail to parse, so such a document is rejected and never misread.
 std::vector<text_part> split_text(std::string_view text)
 {
     std::vector<text_part> parts;
@@ -225,7 +225,7 @@
     section_reader reader(table, std::string(name), "", findings_);
     reader.read_name("name", settings_.name);
     settings_.lease = deployment{}.lease;
-    // A lease under 100 ms would be renewed more often than most tasks last.
+    // Most tasks outlast a lease under 100 ms, which would have to be renewed for each of them.
     reader.read_milliseconds("lease_ms", settings_.lease, 100, 600'000);
     reader.finish();
 }
@@ -329,7 +329,7 @@
         reader.read("address", worker.address, true);
         reader.read_name("rack", worker.rack);
         reader.read_name("data_centre", worker.data_centre);
-        // Values for all workers may stand at the head of the section instead.
+        // Values for all workers may be given at the head of the section instead.
         reader.read("slots", worker.slots, 1, max_slots, slots == 0);
         reader.read("max_connections", worker.max_connections, 1, max_slots, max_connections == 0);
         reader.read_names("features", worker.features);
@@ -391,7 +391,8 @@
 {
     section_reader reader(table, std::string(name), "", findings_);
     settings_.account_appends_per_second = deployment{}.account_appends_per_second;
-    // The log takes several hundred appends a second in all; configuration needs its part.
+    // The log takes several hundred appends a second in total, and configuration needs some of
+    // them.
     reader.read("appends_per_second", settings_.account_appends_per_second, 1, 300);
     reader.finish();
 }
@@ -487,7 +488,7 @@
             report(section, "", 0, "section is missing");
         }
         else if (parts.size() != 1 || parts.front().section != section) {
-            // Composed documents put sections one after another, which needs a header on each.
+            // Sections are concatenated into a document, so each needs its own header.
             report(section, "", node->source().begin.line,
                    "must be written as a table with a header");
         }
--- a/src/config/section_reader.cpp
+++ b/src/config/section_reader.cpp
@@ -71,7 +71,7 @@
 {
     if (const auto* node = find(key, required)) {
         const auto value = node->is_number() ? node->value<double>() : std::nullopt;
-        // The negated form also refuses nan.
+        // The negated comparison also rejects NaN.
         if (!value || !(*value >= low && *value <= high)) {
             report(key, *node, fmt::format("must be a number from {} to {}", low, high));
         }
--- a/src/config/section_reader.h
+++ b/src/config/section_reader.h
@@ -9,8 +9,8 @@
 
 namespace cactusloom {
 
-// Reads the keys of one TOML table into typed fields and collects what is wrong with them. Keys
-// that were never asked for are reported as unknown by finish().
+// Reads the keys of one TOML table into typed fields and collects findings. finish() reports keys
+// that were never read as unknown.
 class section_reader {
 public:
     section_reader(const toml::table& table, std::string section, std::string path,
@@ -67,7 +67,7 @@
 
     void read_names(std::string_view key, std::vector<std::string>& field);
 
-    // Returns the array of tables under the key, or null after reporting what is wrong.
+    // Returns the array of tables under the key, or null after reporting a finding.
     const toml::array* read_list(std::string_view key);
 
     void finish();
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -10,35 +10,35 @@
 namespace cactusloom {
 namespace {
 
-// Updates beyond recent changes that a message repeats from the table. They repair what lost
-// messages left out, at a fixed cost for any number of members.
+// Table entries that a message repeats in addition to recent changes. They make up for lost
+// messages at a fixed cost for any number of members.
 constexpr std::size_t table_updates_per_message = 2;
 
-// Outdated entries of a peer that one reply puts right, so that room for rumours remains.
+// Stale entries of a peer that one reply corrects, so that room for queued updates remains.
 constexpr std::size_t max_corrections = 4;
 
-// Members with unconfirmed misses that are probed again each period, beside the regular one.
+// Suspects and members with failed probes that are probed each period, besides the regular probe.
 constexpr std::size_t max_unconfirmed_probes = 2;
 
-// One dead member is pinged every so many periods, so that the sides of a long partition that
-// declared each other dead meet again without the platform's list.
+// A dead member is pinged every so many periods, so that the sides of a long partition that
+// declared each other dead find each other again without the platform's list.
 constexpr std::uint64_t dead_probe_interval = 5;
 
-// Each update is sent this many times the logarithm of the number of members, which reaches all
-// of them with high probability in a push protocol.
+// Each update is sent this many times the logarithm of the number of members, which reaches all of
+// them with high probability in a push protocol.
 constexpr unsigned retransmit_factor = 2;
 
-// Sends that hearing a rumour back counts for. A rumour that returns is known widely; without
-// this, the rumours of a start of all instances fill the messages for minutes.
+// Number of sends that receiving the same update from a peer counts as. Such an update is widely
+// known; without this, the updates of a simultaneous start fill the messages for minutes.
 constexpr unsigned echo_weight = 2;
 
-// Members that are told of a goodbye directly.
+// Members that leave() notifies directly.
 constexpr std::size_t max_leave_messages = 5;
 
-// Hints tried each period until one answers. A stale list may name many that are gone.
+// Seed peers pinged each period until one replies. A stale list may name many that are gone.
 constexpr unsigned seeds_while_joining = 4;
 
-// A member that came back this often is as unsteady as it gets.
+// Further flaps of a member do not lengthen its suspicion any more.
 constexpr unsigned max_flaps = 3;
 
 } // namespace
@@ -61,7 +61,7 @@
 void failure_detector::start()
 {
     last_tick_ = timers_.monotonic_now();
-    // A random phase keeps instances that start together from pinging in step.
+    // A random phase keeps instances that start together from pinging at the same time.
     const auto phase =
         duration{draw_below(random_, static_cast<std::uint32_t>(settings_.period.count()))};
     tick_timer_ = timers_.schedule(phase, [this] { tick(); });
@@ -161,8 +161,8 @@
     probe_seeds();
 }
 
-// After a pause of this process the silence of others is its own. Suspicions get the lost time
-// back.
+// Missing replies prove nothing after a pause of this process, so suspicions are extended by the
+// lost time and failed probes are cleared.
 void failure_detector::extend_after_pause(duration lost)
 {
     for (auto& [name, entry] : table_.others()) {
@@ -206,13 +206,14 @@
             continue;
         }
         const auto& it = counts[data_centre];
-        // This instance is itself an answering member of its own data centre.
+        // This instance itself is a responsive member of its own data centre.
         const bool is_own = data_centre == table_.self().data_centre;
         switch (is_own ? partition_detector::verdict::members_died
                        : partition_detector_.classify(data_centre, it.live, it.suspects, now)) {
         case partition_detector::verdict::members_died:
-            // Without an own failed probe the suspicion is hearsay; the next period probes it. An
-            // instance that hears nobody is itself cut off and declares nobody dead.
+            // Without a failed probe of our own the suspicion is only relayed; the next period
+            // probes the member. An instance without any contact is itself partitioned and declares
+            // no member dead.
             if (!isolated && entry->failed_probes > 0) {
                 declare_dead(*entry);
             }
@@ -244,8 +245,8 @@
     });
 }
 
-// Shuffled round-robin: every member is pinged once a round, so the time until a dead member is
-// noticed by somebody is bounded.
+// Shuffled round-robin: every member is probed once a round, so the time until some instance
+// detects a dead member is bounded.
 void failure_detector::probe_next()
 {
     for (int rounds = 0; rounds < 2; ++rounds) {
@@ -270,8 +271,8 @@
     }
 }
 
-// Probes suspects and members with misses again, longest unheard first. A live suspect is told
-// about the suspicion by the ping itself and refutes it in the reply.
+// Probes suspects and members with failed probes again, fewest failures and longest without contact
+// first. The ping itself carries the suspicion, which a live suspect refutes in its reply.
 void failure_detector::probe_unconfirmed()
 {
     std::vector<const member_entry*> doubtful;
@@ -282,7 +283,7 @@
             doubtful.push_back(&entry);
         }
     }
-    // Members without an own miss go first: their suspicion is hearsay until they are probed.
+    // Members without a failed probe of our own go first: their suspicion is only relayed so far.
     std::sort(doubtful.begin(), doubtful.end(), [](const auto* a, const auto* b) {
         return std::pair(a->failed_probes, a->heard) < std::pair(b->failed_probes, b->heard);
     });
@@ -291,8 +292,8 @@
     }
 }
 
-// Pings one member beside a suspect in its data centre, to tell a death from a cut before the
-// suspicion ends.
+// Pings another member of a suspect's data centre, to tell a death from a partition before the
+// suspicion expires.
 void failure_detector::probe_suspect_data_centres()
 {
     std::vector<std::string_view> in_question;
@@ -399,7 +400,7 @@
     auto it = std::make_shared<probe>(probe{name, entry.info.incarnation, 0, false});
     const auto sent = timers_.monotonic_now();
     ping(entry.info.address, name, [this, it, sent](const result<membership_reply>& reply) {
-        // The address may have passed to another instance, whose answer proves nothing.
+        // The address may have been reassigned to another instance, whose reply proves nothing.
         if (reply && reply.value().gossip.from.name == it->name) {
             finish_probe(*it, true);
         }
@@ -415,8 +416,8 @@
     if (stopped_ || entry == nullptr) {
         return;
     }
-    // Indirect probes into a data centre that is cut off would cost six messages a period for
-    // hours without a new finding.
+    // Indirect probes into a partitioned data centre would cost six messages a period for hours
+    // without new information.
     const auto helpers = table_.is_reachable(entry->info.data_centre)
                              ? choose_indirect_probers(entry->info)
                              : std::vector<std::string>{};
@@ -470,7 +471,7 @@
     }
 }
 
-// Reads the whole table of a member in order of name. Pages keep each message bounded.
+// Reads the whole table of a member page by page in order of name, so that messages stay bounded.
 void failure_detector::copy_table(const std::string& address, const std::string& name,
                                   const std::string& after)
 {
@@ -482,7 +483,7 @@
     send(address, std::move(request), settings_.ping_timeout,
          [this, address, name, after](const result<membership_reply>& reply) {
              if (!reply) {
-                 joining_ = false; // the next contact starts over
+                 joining_ = false; // the next contact starts the copy again
                  return;
              }
              const auto& updates = reply.value().gossip.updates;
@@ -538,8 +539,8 @@
 
 void failure_detector::receive(const gossip_payload& gossip, bool is_table_copy)
 {
-    // What a page brings is known to the others already. Spreading it again from every joining
-    // instance would fill their messages for minutes.
+    // The others already know the entries of a table copy. Gossiping them again from every joining
+    // instance would fill the messages for minutes.
     const auto how = is_table_copy ? update_source::page : update_source::rumour;
     outdated_.clear();
     for (const auto& update : gossip.updates) {
@@ -573,12 +574,12 @@
     }
     const auto* known = table_.find(update.name);
     if (from != update_source::first_hand) {
-        // Hearsay about a data centre that is cut off cannot come from its members.
+        // A relayed death in a partitioned data centre cannot come from its members.
         if (update.state == member_state::dead && known != nullptr &&
             partition_detector_.is_partitioned(known->info.data_centre)) {
             return;
         }
-        // An unknown member that is gone needs no entry.
+        // An unknown member that is dead or has left needs no entry.
         if (known == nullptr && !is_live(update.state)) {
             return;
         }
@@ -647,8 +648,8 @@
     apply(update, update_source::first_hand);
 }
 
-// Contradicts a claim about this instance. Two processes with one name are told apart by the
-// incarnation; the earlier one gives way.
+// Refutes an update about this instance. Of two processes with one name, the one with the earlier
+// incarnation is superseded.
 void failure_detector::refute(const member& claim)
 {
     auto& self = table_.self();
@@ -684,7 +685,7 @@
 {
     gossip_payload gossip{table_.self(), summary_, {}};
     const auto add = [&](std::string_view name) {
-        // The message names this instance anyway, and the receiver knows itself.
+        // The sender's entry is in every message, and the receiver knows its own.
         if (name == table_.self().name || name == receiver) {
             return false;
         }
@@ -695,12 +696,12 @@
         gossip.updates.push_back(entry->info);
         return true;
     };
-    // The receiver learns at once what is believed about it, so that it can refute.
+    // The receiver's own entry comes first if it is not alive, so that it can refute it.
     const auto* believed = table_.find(receiver);
     if (believed != nullptr && believed->info.state != member_state::alive) {
         gossip.updates.push_back(believed->info);
     }
-    // A peer that told outdated news is put right on the next message to it, the reply.
+    // A peer that sent stale entries gets the current ones in the next message, the reply.
     for (const auto& name : std::exchange(outdated_, {})) {
         const bool already = !gossip.updates.empty() && gossip.updates.front().name == name;
         if (!already) {
@@ -711,7 +712,7 @@
         return std::any_of(gossip.updates.begin(), gossip.updates.end(),
                            [&](const member& update) { return update.name == name; });
     };
-    // Least spread first; a stable order keeps newer changes behind older ones of equal count.
+    // Least sent first; a stable order keeps newer changes behind older ones of equal count.
     std::stable_sort(update_queue_.begin(), update_queue_.end(),
                      [](const rumour& a, const rumour& b) { return a.sent < b.sent; });
     const auto limit = retransmit_limit();
@@ -739,8 +740,8 @@
             it = others.begin();
         }
         repeat_cursor_ = it->first;
-        // Gone members are repeated as well: who missed a goodbye would hold the member until its
-        // own probes fail.
+        // Dead and departed members are repeated as well: an instance that missed the leave notice
+        // would keep the member until its own probes fail.
         if (!is_named(it->first)) {
             add(it->first);
         }
@@ -748,7 +749,7 @@
     return gossip;
 }
 
-// An earlier process whose name has been taken over learns that from the first answer.
+// Tells an earlier process whose name has been taken over about its successor in the first reply.
 void failure_detector::add_successor(const member& sender, gossip_payload& gossip) const
 {
     const auto* entry = table_.find(sender.name);
@@ -777,8 +778,8 @@
     }
 }
 
-// One helper stands in the target's own data centre if possible: it can tell a dead member from a
-// cut between data centres.
+// One of them is in the target's own data centre if possible: it can tell a dead member from a
+// partition between data centres.
 std::vector<std::string> failure_detector::choose_indirect_probers(const member& target)
 {
     std::vector<std::string> near;
@@ -805,8 +806,8 @@
     return helpers;
 }
 
-// A member that returned from suspicion or death is given more time at the next silence, so that
-// a link that flaps does not move its state back and forth.
+// A member that returned from suspect or dead gets a longer suspicion the next time, so that a
+// flapping link does not toggle its state.
 duration failure_detector::suspicion_time(const member_entry& entry) const
 {
     return settings_.period * settings_.suspicion_periods *
@@ -818,7 +819,7 @@
     return 2 * std::min(entry.flap_count, max_flaps);
 }
 
-// A loss reported much later than its limit means that this process was paused.
+// A timeout that is reported much later than its limit means that this process was paused.
 bool failure_detector::was_paused(monotonic_time sent, duration limit) const
 {
     return timers_.monotonic_now() - sent > limit + settings_.period / 2;
--- a/src/membership/membership_codec.cpp
+++ b/src/membership/membership_codec.cpp
@@ -11,7 +11,7 @@
 constexpr const char* ping_method = "membership.ping";
 constexpr const char* ping_request_method = "membership.ping_request";
 
-// A member is an array, not an object: the names of eight fields would double its length.
+// A member is encoded as an array: the names of eight fields would double its length.
 Json::Value to_json(const member& it)
 {
     Json::Value array(Json::arrayValue);
@@ -127,7 +127,7 @@
         }
     }
     catch (const Json::Exception&) {
-        // jsoncpp throws when the stack limit is passed.
+        // jsoncpp throws when the stack limit is exceeded.
         return failure(errc::invalid_argument, "message is nested too deeply");
     }
     if (value["jsonrpc"] != "2.0" || !value["id"].isUInt64()) {
--- a/src/membership/partition_detector.cpp
+++ b/src/membership/partition_detector.cpp
@@ -5,10 +5,10 @@
 namespace cactusloom {
 namespace {
 
-// A cut that flaps would toggle the mark if a single answer removed it.
+// A flapping partition would toggle the mark if a single contact removed it.
 constexpr unsigned contacts_to_clear = 3;
 
-// With three silent members and no answer from anyone else a cut is far more likely than three
+// With three suspects and no contact to any other member, a partition is far more likely than three
 // deaths within one suspicion period. A larger number would take too long to collect when one
 // member a second is probed.
 constexpr std::size_t enough_suspects = 3;
