Reword the comments of the membership, config, account, soak and system tests

Heads of tests told stories in private terms. They now state in plain terms which failure a test guards against, in tests/membership, config, account, soak and system.

--- a/tests/account/account_test.cpp
+++ b/tests/account/account_test.cpp
@@ -60,7 +60,7 @@
         return it;
     }
 
-    // Receives and ends `n` requests "<prefix>0" and on, 100 ms apart.
+    // Records receipt and end of `n` requests, "<prefix>0" onwards, 100 ms apart.
     void serve(unsigned n, const std::string& prefix = "a.", const std::string& customer = "amina")
     {
         for (unsigned i = 0; i < n; ++i) {
@@ -114,7 +114,7 @@
     return *found;
 }
 
-// A fault, what is done, and what the statement of customer "amina" must show.
+// A fault, the actions that cause it and the checks of the statement of customer "amina".
 struct fault_case {
     const char* fault;
     void (*act)(bench&);
@@ -135,7 +135,7 @@
          BOOST_TEST((first.workers == std::vector<worker_use>{{"w1", 1}}));
          BOOST_TEST(first.configuration_version == 17U);
          BOOST_TEST((first.answered - first.receipt.received == 50ms));
-         // Requests that end within a batch interval cost no receipt.
+         // Requests that end within receipt_age need no receipt.
          BOOST_TEST(it.writer->stats().receipts == 0U);
          BOOST_TEST(it.log.max_open_appends == 1U);
      }},
@@ -475,8 +475,8 @@
 
 BOOST_AUTO_TEST_SUITE(account)
 
-// Guards against records that are lost, counted twice or given to another customer, and against
-// an account that calls itself complete when it is not.
+// Guards against records that are lost, counted twice or assigned to another customer, and against
+// an incomplete account that is reported as complete.
 BOOST_AUTO_TEST_CASE(faults)
 {
     for (const auto& row : cases) {
@@ -531,7 +531,7 @@
     BOOST_TEST((second.error().code == errc::conflict));
 }
 
-// Guards against texts that a decoder accepts although they do not fit, or that end the process.
+// Guards against malformed batches that are accepted or crash the process.
 BOOST_AUTO_TEST_CASE(codec_rejects_wrong_texts)
 {
     account_batch batch;
--- a/tests/account/fake_log.h
+++ b/tests/account/fake_log.h
@@ -9,7 +9,7 @@
 
 namespace cactusloom {
 
-// One stream of the log with the faults that account tests need.
+// In-memory log with one stream and the faults that account tests need.
 class fake_log final : public log_service {
 public:
     explicit fake_log(virtual_timer_service& timers) : timers_(timers) {}
--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -12,7 +12,7 @@
 
 namespace cactusloom {
 
-// Some followers on one log in virtual time, and the checks that hold after every fault.
+// Followers of one log in virtual time, and the checks that must hold after every fault.
 class config_cluster {
 public:
     struct instance final : config_peer_source {
@@ -72,7 +72,8 @@
 
     instance& at(std::size_t n) { return *instances[n]; }
 
-    // Runs virtual time in steps, so that the reference sees records before retention drops them.
+    // Advances virtual time in steps, so that the reference reads records before retention drops
+    // them.
     void run(duration span)
     {
         constexpr duration step = std::chrono::milliseconds{250};
@@ -120,8 +121,8 @@
         run(std::chrono::milliseconds{250});
     }
 
-    // All verdicts that two instances know of the same offset are equal, and equal to the verdicts
-    // of the whole log; equal prefixes give equal documents.
+    // Checks that all instances and the reference have equal verdicts for the same offset, and
+    // equal documents after the same records.
     void check_agreement() const
     {
         for (const auto& it : instances) {
@@ -133,7 +134,7 @@
         }
     }
 
-    // All instances have read everything and have the same document in force.
+    // Checks that all instances have read the whole log and have the same document in force.
     void check_convergence() const
     {
         for (const auto& it : instances) {
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -18,7 +18,7 @@
 const std::string customers_with_office = "[customers]\nlist = [{ id = \"desk\", team = "
                                           "\"office\" }]\n";
 
-// Everything is stored under other ids: an edit that another editor wrote into the log.
+// The record of an edit that another process appended to the log.
 std::string raw_edit(std::string id, log_offset base, int rate)
 {
     return encode(
@@ -149,7 +149,7 @@
          c.log.set_retention(c.options.retention);
          for (auto left = 2 * c.options.retention; left > 0s; left -= 250ms) {
              c.run(250ms);
-             // A new instance without peers could start at any time.
+             // A new instance without peers must be able to start at any time.
              BOOST_REQUIRE(c.log.page("config").first_retained <=
                            c.reference.newest_snapshot()->next);
          }
@@ -416,15 +416,15 @@
     }
 }
 
-// Guards against combinations of faults that no row names.
+// Guards against combinations of faults that the table does not list.
 BOOST_AUTO_TEST_CASE(random_faults)
 {
     for (std::uint32_t seed = 1; seed <= 30; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             random_engine random(seed * 7919U);
-            // With a log that loses records, instances that started after the loss may disagree
-            // with older ones, which is reported; what must still hold is that none goes back.
+            // If the log loses records, instances that started after the loss may disagree with
+            // older ones, which is reported. Even then none may go back to an older version.
             const bool is_log_kept = seed % 3 != 0;
             const auto cluster = make_cluster();
             auto& c = *cluster;
@@ -451,7 +451,7 @@
                     c.log.set_latency(5ms, draw_below(random, 4) == 0 ? 2800ms : 1ms);
                     break;
                 case 5:
-                    // Only what a snapshot covers: more would be lost for good.
+                    // Only records that a snapshot covers; others would be lost permanently.
                     if (const auto mark = c.reference.newest_snapshot()) {
                         c.log.drop_before("config", mark->next);
                     }
--- a/tests/config/document_diff_test.cpp
+++ b/tests/config/document_diff_test.cpp
@@ -9,7 +9,7 @@
 
 BOOST_AUTO_TEST_SUITE(document_diff)
 
-// Guards against a diff that repeats unchanged lines or names the wrong ones.
+// Guards against a diff that lists unchanged lines or wrong line numbers.
 BOOST_AUTO_TEST_CASE(only_changed_lines_are_listed)
 {
     BOOST_TEST(to_string(diff_lines("a\nb\nc\nd\n", "a\nx\nc\nd\ne\n")) == "2: -b\n2: +x\n5: +e\n");
@@ -30,7 +30,7 @@
     BOOST_TEST(diff_lines(before, after).size() == 4000U);
 }
 
-// Guards against changes without the section that operators need to find them.
+// Guards against changes that lack the section, which operators need to find them.
 BOOST_AUTO_TEST_CASE(documents_are_compared_by_section)
 {
     const auto before = document::parse(read_example("demo.toml")).value();
--- a/tests/config/document_parser_test.cpp
+++ b/tests/config/document_parser_test.cpp
@@ -32,7 +32,7 @@
     std::string_view at;      // first text on the expected line; empty for line 0
 };
 
-// Every row: what an operator gets wrong, and the finding that must name the place.
+// Each row is an error in a document and the finding that must report its place.
 constexpr fault_row fault_rows[] = {
     {"[limits]", "[limit]", "limit", "", "unknown section", "[limit]"},
     {"[limits]", "[limit]", "limits", "", "section is missing", ""},
@@ -79,7 +79,7 @@
 
 BOOST_AUTO_TEST_SUITE(document_parser)
 
-// Guards against shipped documents that the system itself would refuse.
+// Guards against shipped example documents that the parser rejects.
 BOOST_AUTO_TEST_CASE(examples_are_valid)
 {
     for (const auto* name : {"daak_dost.toml", "lough_tapioca.toml", "demo.toml"}) {
@@ -99,7 +99,7 @@
     BOOST_TEST(daak.workers[0].max_connections == 60U);
 }
 
-// Guards against faults that pass unseen or are reported at another place.
+// Guards against errors that are not reported or are reported at the wrong place.
 BOOST_AUTO_TEST_CASE(each_fault_is_found_where_it_is)
 {
     const auto good = read_example("demo.toml");
@@ -120,7 +120,7 @@
     }
 }
 
-// Guards against a parser that stops at the first fault, so that operators need a round for each.
+// Guards against a parser that stops at the first error, so that operators fix one per attempt.
 BOOST_AUTO_TEST_CASE(all_faults_are_reported_together)
 {
     auto text = read_example("demo.toml");
@@ -132,7 +132,7 @@
     BOOST_TEST(parsed.error().size() == 3U);
 }
 
-// Guards against a section edit that smuggles in another team's section or breaks the composition.
+// Guards against a section edit that contains another team's section or breaks the whole document.
 BOOST_AUTO_TEST_CASE(a_section_text_holds_its_section_only)
 {
     const auto base = document::parse(read_example("demo.toml")).value();
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -12,7 +12,7 @@
 
 namespace cactusloom {
 
-// Timers of one instance, which can be paused while time goes on for the others.
+// Timer service of one instance, which can be paused while time advances for the others.
 class pausable_timer_service final : public timer_service {
 public:
     explicit pausable_timer_service(timer_service& inner) : inner_(inner) {}
@@ -57,7 +57,7 @@
         std::unique_ptr<pausable_timer_service> timers;
         std::unique_ptr<peer_transport> transport;
         std::unique_ptr<failure_detector> detector;
-        unsigned deaths_seen = 0; // changes of any member to dead, as this node saw them
+        unsigned deaths_seen = 0; // changes of any member to dead that this node observed
     };
 
     explicit cluster(std::uint32_t seed) : seed_(seed) {}
@@ -75,7 +75,7 @@
     {
         auto& it = nodes_[place.name];
         if (it) {
-            // A process at another address runs on, as if its replacement was started too early.
+            // The old process keeps running at its address, as if its replacement came too early.
             retired_.push_back(std::move(it));
         }
         it = std::make_unique<node>();
@@ -102,7 +102,7 @@
         return *it;
     }
 
-    // Ends a process without a goodbye.
+    // Ends a process without a leave notice.
     void kill(const std::string& name)
     {
         auto it = std::move(nodes_[name]);
@@ -112,7 +112,7 @@
         retired_.push_back(std::move(it));
     }
 
-    // Announces, says goodbye and ends.
+    // Announces that the instance leaves, sends leave notices and ends the process.
     void leave(const std::string& name)
     {
         (*this)[name].detector->announce_leaving();
@@ -136,7 +136,7 @@
     node& operator[](const std::string& name) { return *nodes_.at(name); }
     std::map<std::string, std::unique_ptr<node>>& nodes() { return nodes_; }
 
-    // What `observer` holds of `name`: a state, or "unknown".
+    // The state of `name` in the table of `observer`, or "unknown".
     std::string view(const std::string& observer, const std::string& name)
     {
         const auto* entry = (*this)[observer].detector->members().find(name);
--- a/tests/membership/failure_detector_test.cpp
+++ b/tests/membership/failure_detector_test.cpp
@@ -13,7 +13,7 @@
     return (from == a && to == b) || (from == b && to == a);
 }
 
-// Cuts one data centre off from all others.
+// Partitions one data centre from all others.
 memory_peer_network::link_rule cut_around(cluster& it, const std::string& data_centre)
 {
     std::map<std::string, bool, std::less<>> inside;
@@ -33,8 +33,8 @@
     it.start(number, (number - 1) % 3 + 1, incarnation);
 }
 
-// A fault, what is done, and what must be seen. The cluster has nine instances i001 to i009 in
-// turn over dc1 to dc3 and has run for 30 s.
+// A fault, the actions that cause it and the checks afterwards. The cluster has nine instances,
+// i001 to i009, assigned in turn to dc1, dc2 and dc3, and has run for 30 s.
 struct fault_case {
     const char* fault;
     void (*act)(cluster&);
@@ -178,8 +178,8 @@
              return up || (from != "10.0.0.2:80" && to != "10.0.0.2:80");
          });
          it.run(3min);
-         // Nine interruptions; only the first ones, before the link is known to be unsteady,
-         // may remove the instance.
+         // Of the nine interruptions only the first ones, before flaps have lengthened the
+         // suspicion, may remove the instance.
          BOOST_TEST(it.deaths_seen() <= 2U * 8U);
          it.network().set_rule({});
          it.run(30s);
@@ -331,7 +331,7 @@
      }},
     {"two halves declare each other dead and heal",
      [](cluster& it) {
-         // Cuts inside each data centre look like deaths, since other members there answer.
+         // Partitions inside each data centre look like deaths, since other members there respond.
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return (from < "10.0.0.5") == (to < "10.0.0.5");
          });
@@ -347,7 +347,7 @@
 
 BOOST_AUTO_TEST_SUITE(membership)
 
-// Guards against wrong removals, missed deaths and views that never agree again.
+// Guards against removed live members, undetected deaths and tables that do not converge again.
 BOOST_AUTO_TEST_CASE(faults)
 {
     for (const auto& row : cases) {
@@ -369,8 +369,8 @@
     }
 }
 
-// Guards against a cut data centre of the design size whose members are declared dead before
-// enough of them have been probed.
+// Guards against a partitioned data centre of the design size whose members are declared dead
+// before enough of them have been probed.
 BOOST_AUTO_TEST_CASE(large_data_centre_is_cut_off)
 {
     cluster it(5);
@@ -390,7 +390,7 @@
     BOOST_TEST(it.deaths_seen() == 0U);
 }
 
-// Guards against control traffic that grows with the number of instances or passes 9 KB/s.
+// Guards against control traffic that grows with the number of instances or exceeds 9 KB/s.
 BOOST_AUTO_TEST_CASE(bytes_stay_flat)
 {
     const auto bytes_per_second = [](unsigned n) {
@@ -410,7 +410,7 @@
     BOOST_TEST(large < small + small / 4);
 }
 
-// Guards against a peer with a newer configuration that stays unknown.
+// Guards against a summary, such as the configuration's offset, that does not reach a peer.
 BOOST_AUTO_TEST_CASE(summary_reaches_others)
 {
     cluster it(1);
@@ -426,7 +426,7 @@
     BOOST_TEST(seen == "i001 4711");
 }
 
-// Guards against texts that are accepted although they do not fit, or that end the process.
+// Guards against malformed messages that are accepted or crash the process.
 BOOST_AUTO_TEST_CASE(codec_rejects_wrong_texts)
 {
     membership_request request;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -16,13 +16,13 @@
 
 constexpr int process_count = 4;
 constexpr int first_port = 18100;  // below the range of ephemeral ports
-constexpr int ports_per_seed = 10; // so that some seeds can be played side by side
+constexpr int ports_per_seed = 10; // so that several seeds can run in parallel
 constexpr duration submit_interval = std::chrono::milliseconds{25};
 constexpr duration caller_patience = std::chrono::milliseconds{3000};
-// Time for entries, elections and leases to settle after the last fault.
+// Time for instance entries, elections and leases to recover after the last fault.
 constexpr duration settle_time = std::chrono::seconds{4};
 constexpr duration calm_time = std::chrono::seconds{3};
-// A stated bound: a configuration is in force everywhere within 2 s.
+// Specified bound: a configuration is in force everywhere within 2 s.
 constexpr duration apply_limit = std::chrono::seconds{2};
 
 int base_port_of(std::uint32_t seed)
@@ -108,7 +108,7 @@
                        base_port_ + 1, base_port_ + 2, store);
 }
 
-// Returns the address under which the target is reached through the relay.
+// Returns the address at which the target is reached through the proxy.
 std::string soak::add_relay(const std::string& ip, const std::string& target)
 {
     auto address = fmt::format("{}:{}", ip, base_port_);
@@ -141,7 +141,7 @@
     posix_spawn_file_actions_destroy(&actions);
 }
 
-// Starts processes that have ended again after a short while, as the platform does.
+// Restarts processes that have ended after a short delay, as the platform does.
 void soak::collect_ended()
 {
     for (auto& it : processes_) {
@@ -231,7 +231,8 @@
     }
 }
 
-// Writes a new version and asks each instance for its queue once the bound has passed.
+// Writes a new configuration version and checks after the bound that each instance serves its
+// queue.
 void soak::check_configuration()
 {
     world_.put_configuration(++version_, "/v2/");
@@ -258,10 +259,10 @@
     submit();
     inject();
     run_for(length);
-    sending_ = false; // ends the faults, too
+    sending_ = false; // ends fault injection as well
     heal_everything();
     run_for(settle_time);
-    heal_everything(); // faults that had not yet ended by themselves
+    heal_everything(); // faults that had not ended yet
     sending_ = true;
     calm_ = true;
     submit();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,14 +13,14 @@
 
 namespace cactusloom {
 
-// Plays one seed: real daemons as separate processes against the platform in this process, with
-// processes that are killed, stopped, paused and restarted, a store that is away, and workers that
-// lose replies, carry out orders late, fail, hang or fall silent. Links between instances and the
-// ways to workers and the store lead through relays, which delay, cut one way, close or silence
-// connections. Faults overlap. It checks what callers and workers see.
+// Runs one seed: daemons as separate processes against a platform stand-in in this process, with
+// overlapping faults. Daemons are killed, stopped, paused and restarted, the store is unavailable,
+// and workers lose replies, execute messages late, fail tasks or hang. Connections between
+// instances and to workers and the store pass through proxies, which delay, cut one way, close or
+// silence them. Checks the replies to callers and the starts on workers.
 class soak {
 public:
-    // Seeds that failed before the relays existed are played without faults of the network.
+    // Seeds that failed before the proxies existed are run without network faults.
     enum class fault_set { all, without_network };
 
     explicit soak(std::uint32_t seed, fault_set faults = fault_set::all);
@@ -28,7 +28,8 @@
     soak(const soak&) = delete;
     soak& operator=(const soak&) = delete;
 
-    // Plays `length` of faults and a calm end. Returns what was broken, each with its time.
+    // Injects faults for `length`, then runs a while without any. Returns the violations, each with
+    // its time.
     std::vector<std::string> play(duration length);
 
     std::size_t completed() const { return completed_; }
@@ -46,7 +47,7 @@
         std::string advertised_link;
         pid_t pid = 0;
     };
-    // What one fault is played on, and for how long.
+    // Target and duration of one fault.
     struct fault_target {
         process* instance = nullptr;
         memory_worker_fleet::faults* worker = nullptr;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,4 +1,4 @@
-// The faults of the soak and their choice.
+// Fault injection of the soak test.
 #include "soak.h"
 
 #include <array>
@@ -28,7 +28,7 @@
         return;
     }
     timers_.schedule(inject_interval, [this] { inject(); });
-    // The order is part of what a seed means. Faults of the network come last.
+    // A seed selects faults by index, so the order must not change. Network faults come last.
     constexpr std::array<fault, 15> faults = {
         &soak::kill_one,          &soak::stop_one,
         &soak::pause_one,         &soak::kill_several,
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// CACTUSLOOM_SOAK_SEEDS="first-last" plays other seeds, CACTUSLOOM_SOAK_SECONDS their length.
+// CACTUSLOOM_SOAK_SEEDS="first-last" selects the seeds, CACTUSLOOM_SOAK_SECONDS the length of each.
 std::pair<std::uint32_t, std::uint32_t> seeds()
 {
     std::uint32_t first = 1;
@@ -32,8 +32,9 @@
 
 BOOST_AUTO_TEST_SUITE(fault_soak)
 
-// Guards against double runs, starts beyond a worker's room, untrue refusals, a service that does
-// not come back, and configurations that do not arrive, under overlapping faults of real processes.
+// Guards against tasks that run twice, starts beyond a worker's capacity, "not run" replies for
+// tasks that ran, a service that does not recover and configurations that are not applied, under
+// overlapping faults of real processes.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
 {
     const auto [first, last] = seeds();
@@ -51,7 +52,7 @@
     }
 }
 
-// Seeds that have failed once.
+// Seeds that failed in the past.
 BOOST_AUTO_TEST_CASE(former_failures_stay_mended)
 {
     // 117: SIGHUP reached a process between its start and its first loop turn and ended it.
--- a/tests/system/callers.cpp
+++ b/tests/system/callers.cpp
@@ -51,7 +51,7 @@
     if (!impatient_) {
         return;
     }
-    // Some callers resend while the first attempt still runs.
+    // Some callers resubmit while the first attempt is still running.
     const duration patience = draw(4) == 0 ? duration{50ms} : duration{4s};
     fleet_.timers().schedule(patience, [this, number] {
         submission& self = submissions_[number];
--- a/tests/system/callers.h
+++ b/tests/system/callers.h
@@ -6,7 +6,7 @@
 
 inline constexpr std::size_t instances = 6;
 
-// What one caller asked for, and everything that it was told.
+// A submission and all replies to it.
 struct submission {
     std::string id;
     std::string customer;
@@ -18,22 +18,23 @@
     std::vector<fleet::outcome> told;
 };
 
-// Callers that submit through random instances and resubmit what they believe lost, and the checks
-// of what must hold whatever happens to the instances meanwhile.
+// Callers that submit through random instances and resubmit after a timeout, and the checks of the
+// invariants that must hold under any fault of the instances.
 class callers {
 public:
     callers(fleet& entry, std::uint32_t seed) : fleet_(entry), random_(seed * 7919 + 4096) {}
 
-    // Up to `most` new submissions, each with a prefix from the instance that it reaches first.
+    // Sends up to `most` new submissions, each with a prefix from the instance that receives it.
     void submit_some(std::uint32_t most);
 
-    // One submission by way of instance `door`; returns its number, or nothing if no prefix is had.
+    // Sends one submission through instance `door`; returns its number, or nothing if that instance
+    // issues no prefix.
     std::optional<std::size_t> submit(std::size_t door, std::string kind, std::uint32_t tasks);
 
     // Sends a submission again, with the same id.
     void resubmit(std::size_t number, std::size_t door) { send(number, door); }
 
-    // With this off, each submission is sent once and no reply is lost.
+    // When off, each submission is sent once and no reply is lost.
     void set_impatient(bool impatient) { impatient_ = impatient; }
 
     const submission& operator[](std::size_t number) const { return submissions_[number]; }
@@ -41,9 +42,9 @@
     std::size_t count_told(job_state state) const;
     int starts_of(const std::string& payload) const;
 
-    // Returns every broken invariant: a task that started twice, an answer that is partial or not
-    // the caller's own, a false "not run", a configuration that went back, an account that differs
-    // from what the workers saw.
+    // Returns every invariant violation: a task that started twice, an answer that is partial or
+    // not the caller's own, a false "not run", a configuration that went back to an older version,
+    // an account that differs from the starts on the workers.
     std::vector<std::string> check();
 
     std::uint32_t draw(std::uint32_t bound) { return draw_below(random_, bound); }
--- a/tests/system/fake_platform.h
+++ b/tests/system/fake_platform.h
@@ -21,7 +21,7 @@
 }
 
 // Workers shared by all instances. They count starts by payload, which the test makes unique for
-// each task, so the count does not depend on what the instances claim.
+// each task, so the count is independent of what the instances report.
 class fake_workers {
 public:
     enum class health { good, fails_all, dead };
@@ -40,7 +40,7 @@
     worker& operator[](worker_id id) { return workers_[id]; }
     std::size_t size() const { return workers_.size(); }
 
-    // `done` gets the reply; it does not run if the worker is or becomes dead.
+    // `done` receives the reply; it does not run if the worker is or becomes dead.
     void start(worker_id id, std::string payload, const std::function<void(start_reply)>& done)
     {
         worker& it = workers_[id];
@@ -101,8 +101,8 @@
     std::map<std::string, int> starts_;
 };
 
-// One instance's way to the platform. Replies reach the instance through its own timers, so a
-// paused instance sees them when it goes on; after detach() nothing reaches it any more.
+// One instance's connection to the platform. Replies are delivered by the instance's own timers, so
+// a paused instance receives them when it resumes; after detach() it receives none.
 class platform_link final : public worker_client, public log_service {
 public:
     using reach_rule = std::function<bool(worker_id)>;
@@ -133,7 +133,7 @@
             reply(reply_with(start_status::not_sent));
             return;
         }
-        // A connection that broke on the way back looks like silence until the time limit.
+        // A connection that broke before the reply shows only as a timeout.
         timers_.schedule(request.time_left + one_way, [alive = alive_, once] {
             if (*alive && *once) {
                 std::exchange(*once, nullptr)(reply_with(start_status::reply_lost));
--- a/tests/system/fault_table_test.cpp
+++ b/tests/system/fault_table_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// A fleet under steady load. Faults come between two spans of load.
+// Instances under steady load. A test case injects its fault between two periods of load.
 struct scenario {
     scenario() : load(entry, 1)
     {
@@ -26,7 +26,7 @@
         }
     }
 
-    // Submissions without resubmission, for rows that look at one answer.
+    // One submission that is not resubmitted, for cases that check a single answer.
     std::size_t submit_one(std::size_t door, std::string kind)
     {
         load.set_impatient(false);
@@ -88,7 +88,7 @@
                        [&](const fleet::outcome& answer) { told.push_back(answer.state); });
         it.entry.run(1s);
     }
-    // Until the death is noticed the forwarded request is lost; then the answer is unknown. It is
+    // Until the death is detected the forwarded request is lost; then the answer is unknown. It is
     // never "not run", since another instance cannot know that, and nothing starts.
     BOOST_TEST(!told.empty());
     for (const job_state state : told) {
@@ -326,7 +326,8 @@
 
 BOOST_AUTO_TEST_SUITE(fault_table)
 
-// Guards the promises to callers and operators, one fault a row, two at once in the last rows.
+// Checks the guarantees to callers and operators, under one fault at a time and, in the last cases,
+// under two at once.
 BOOST_AUTO_TEST_CASE(invariants_hold_after_each_fault)
 {
     for (const fault_case& row : cases) {
--- a/tests/system/fleet.cpp
+++ b/tests/system/fleet.cpp
@@ -25,7 +25,7 @@
     return fmt::format("10.0.0.{}:80", number);
 }
 
-// Asks the instances that this one can talk to, as the peer RPC does.
+// Asks the instances that this one can reach, as the peer RPC does.
 class fleet_config_peers final : public config_peer_source {
 public:
     using ask = std::function<std::vector<std::string>(log_offset)>;
@@ -210,7 +210,7 @@
     nodes_.erase(number);
     network_.disconnect(it->address);
     it->platform->detach();
-    it->timers->pause(); // whatever the process still had scheduled never runs
+    it->timers->pause(); // timers that the process had scheduled never run
     it->instance.reset();
     retired_.push_back(std::move(it));
 }
@@ -282,7 +282,7 @@
     });
     if (owner == nodes_.end() || owner->second->paused ||
         !can_talk(owner->second->data_centre, it.data_centre)) {
-        return; // the forwarded request is lost, and with it the caller's reply
+        return; // the forwarded request is lost, so the caller gets no reply
     }
     if (owner->second->instance->locate(request.id).place != submission_place::local) {
         done({job_state::unknown, "the owner has changed", {}});
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -17,11 +17,11 @@
 inline constexpr std::size_t data_centres = 3;
 inline constexpr std::size_t worker_count = 6;
 
-// One section a line block, as operators would write it.
+// A configuration document as operators would write it.
 std::string fleet_document();
 
-// Entry instances made of the real modules, on fakes, in virtual time. Callers reach them through
-// serve(), which does what the HTTP layer does: it serves, forwards once, or says unknown.
+// Entry instances made of the real modules on fakes, in virtual time. Callers submit through
+// serve(), which acts like the HTTP layer: it serves, forwards once, or replies unknown.
 class fleet {
 public:
     struct node {
@@ -55,8 +55,8 @@
     void set_data_centre_cut(std::size_t data_centre, bool cut);
     void set_platform_cut(std::size_t data_centre, bool cut);
 
-    // A submission that reaches instance `number`. Nothing is called if that instance is dead,
-    // paused for good, or dies first; the caller then sees a lost connection.
+    // Passes a submission to instance `number`. `done` does not run if that instance is dead,
+    // paused or dies first; the caller then sees a lost connection.
     void serve(std::size_t number, job_request request, const reply& done);
     std::optional<std::string> prefix_of(std::size_t number);
 
@@ -74,7 +74,7 @@
     memory_log& log() { return log_; }
     fake_workers& workers() { return workers_; }
 
-    // Broken invariants that were seen while running.
+    // Invariant violations that were detected while running.
     std::vector<std::string>& faults() { return faults_; }
 
 private:
--- a/tests/system/random_faults_test.cpp
+++ b/tests/system/random_faults_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// One run: a fleet, callers that resubmit what they believe lost, and faults drawn from the seed.
+// One run: instances, callers that resubmit after a timeout, and faults drawn from the seed.
 class random_run {
 public:
     explicit random_run(std::uint32_t seed) : fleet_(seed), callers_(fleet_, seed)
@@ -203,9 +203,9 @@
 
 BOOST_AUTO_TEST_SUITE(system_test)
 
-// Guards the five invariants that no fault may break: no task starts twice, no partial answer, no
-// configuration goes back, no false "not run", and an account that matches what the workers saw.
-// CACTUSLOOM_TEST_SEED runs one seed alone.
+// Checks five invariants under random faults: no task starts twice, no partial answer, no
+// configuration goes back to an older version, no false "not run", and accounts match the starts on
+// the workers. CACTUSLOOM_TEST_SEED selects a single seed.
 BOOST_AUTO_TEST_CASE(invariants_hold_under_random_faults)
 {
     std::vector<std::uint32_t> seeds;
@@ -238,7 +238,7 @@
             }
         }
     }
-    // A run in which little is served would hold the invariants without testing them.
+    // Guards against runs that hold the invariants only because little is served.
     BOOST_TEST(completed > seeds.size() * 100);
 }
 
