--- a/src/account/account_record_codec.cpp
+++ b/src/account/account_record_codec.cpp
@@ -267,7 +267,7 @@
     while (!text.empty()) {
         const auto end = text.find('\n');
         if (end == std::string_view::npos) {
-            return failure(errc::invalid_argument, "batch ends inside a line");
+            return failure(errc::invalid_argument, "the last line of the batch is truncated");
         }
         const auto value = parse(text.substr(0, end));
         text.remove_prefix(end + 1);
@@ -289,14 +289,14 @@
         if ((*value)[0] == "r") {
             const auto it = to_receipt(*value, base);
             if (!it || value->size() != 6) {
-                return failure(errc::invalid_argument, "a receipt does not fit");
+                return failure(errc::invalid_argument, "a receipt is malformed");
             }
             batch.receipts.push_back(*it);
             continue;
         }
         auto it = (*value)[0] == "e" ? to_end(*value, base, names) : std::nullopt;
         if (!it) {
-            return failure(errc::invalid_argument, "a record does not fit");
+            return failure(errc::invalid_argument, "a record is malformed");
         }
         batch.ends.push_back(std::move(*it));
     }
