--- a/include/config/config_follower.h
+++ b/include/config/config_follower.h
@@ -192,8 +192,8 @@
     log_offset poll_start_ = 0;   // next offset when the poll in flight was sent
     timer_id poll_timer_ = 0;
     timer_id read_timer_ = 0;
-    std::optional<log_page>
-        unverified_page_; // new records, kept until the last known one is verified
+    // New records, kept until the last known one is verified.
+    std::optional<log_page> unverified_page_;
     std::optional<monotonic_time> verified_at_;
     bool tail_scanned_ = false;
     std::uint32_t failed_polls_ = 0;
--- a/include/membership/failure_detector.h
+++ b/include/membership/failure_detector.h
@@ -111,7 +111,7 @@
     const membership_traffic& traffic() const { return traffic_; }
 
 private:
-    struct rumour {
+    struct queued_update {
         std::string name; // the table's current entry is sent, so an update is never stale
         unsigned sent = 0;
     };
@@ -119,14 +119,14 @@
     struct probe {
         std::string name;
         std::uint64_t incarnation = 0;
-        unsigned open = 0;
+        unsigned pending_replies = 0;
         bool reached = false;
     };
     // Where an update comes from.
     enum class update_source : std::uint8_t {
-        rumour,
+        relayed,
         first_hand, // from the member itself, or detected by this instance
-        page,       // from the table copy made while joining
+        table_copy, // from the table copy made while joining
     };
     using reply_handler = std::function<void(result<membership_reply>)>;
 
@@ -171,11 +171,12 @@
     partition_detector partition_detector_;
     random_engine random_;
 
-    std::vector<rumour> update_queue_;
-    std::vector<std::string>
-        probe_round_;                   // names still to be probed in this round, in reverse order
-    std::string repeat_cursor_;         // table entry that was repeated last
-    std::vector<std::string> outdated_; // names whose entry at the last sender was older than ours
+    std::vector<queued_update> update_queue_;
+    // Names still to be probed in this round, in reverse order.
+    std::vector<std::string> probe_round_;
+    std::string repeat_cursor_; // table entry that was repeated last
+    // Names whose entry at the last sender was older than ours.
+    std::vector<std::string> stale_at_sender_;
     std::vector<seed_peer> seed_peers_;
     std::map<std::string, monotonic_time, std::less<>> seed_attempts_;
     std::size_t seed_cursor_ = 0;
--- a/include/membership/member_table.h
+++ b/include/membership/member_table.h
@@ -16,13 +16,13 @@
 // What this instance knows about another member beyond the shared description.
 struct member_entry {
     member info;
-    std::string summary;    // opaque text of the member's last direct message
-    monotonic_time heard{}; // last reply or request from it, also through an indirect probe
-    monotonic_time state_changed_at{}; // last change of state
-    monotonic_time deadline{};         // end of a suspicion
-    monotonic_time last_flap{};        // last return from suspect or dead
-    unsigned flap_count = 0;           // returns within one incarnation
-    unsigned failed_probes = 0;        // consecutive failed probes by this instance
+    std::string summary;           // opaque text of the member's last direct message
+    monotonic_time last_contact{}; // last reply or request from it, also through an indirect probe
+    monotonic_time state_changed_at{};   // last change of state
+    monotonic_time suspicion_deadline{}; // end of a suspicion
+    monotonic_time last_flap{};          // last return from suspect or dead
+    unsigned flap_count = 0;             // returns within one incarnation
+    unsigned failed_probes = 0;          // consecutive failed probes by this instance
     bool has_contact = false;
 };
 
--- a/include/membership/partition_detector.h
+++ b/include/membership/partition_detector.h
@@ -24,7 +24,7 @@
     // Call when a member of the data centre replied or sent a request. Returns true if that ends a
     // period without contact to the whole data centre, whether or not it was marked as partitioned:
     // probes that failed in that period are no evidence against single members.
-    bool heard(std::string_view data_centre, monotonic_time now);
+    bool record_contact(std::string_view data_centre, monotonic_time now);
 
     // Call when a probe of a member of the data centre failed.
     void record_failed_probe(std::string_view data_centre);
--- a/src/account/account_archive.cpp
+++ b/src/account/account_archive.cpp
@@ -28,8 +28,8 @@
     account_archive& archive;
     std::function<void(result<account_export>)> done;
     account_export report;
-    log_offset target = 0;
-    bool has_target = false;
+    log_offset end_offset = 0;
+    bool has_end_offset = false;
 };
 
 void export_page(const std::shared_ptr<export_run>& run)
@@ -46,9 +46,9 @@
                               fmt::format("log ends at {}, archive at {}", page.end, from)));
             return;
         }
-        if (!run->has_target) {
-            run->target = page.end;
-            run->has_target = true;
+        if (!run->has_end_offset) {
+            run->end_offset = page.end;
+            run->has_end_offset = true;
         }
         auto expected = from;
         for (const auto& record : page.records) {
@@ -65,7 +65,7 @@
             return;
         }
         run->report.reached = run->archive.next_offset();
-        if (page.records.empty() || expected >= run->target) {
+        if (page.records.empty() || expected >= run->end_offset) {
             run->done(run->report);
             return;
         }
--- a/src/account/account_reader.cpp
+++ b/src/account/account_reader.cpp
@@ -14,8 +14,8 @@
     const clock& time;
     account_statement_builder builder;
     std::function<void(result<account_statement>)> done;
-    log_offset target = 0;
-    bool has_target = false;
+    log_offset end_offset = 0;
+    bool has_end_offset = false;
 };
 
 void finish(account_read& run)
@@ -34,14 +34,14 @@
                           return;
                       }
                       const auto& page = read.value();
-                      if (!run->has_target) {
-                          run->target = page.end;
-                          run->has_target = true;
+                      if (!run->has_end_offset) {
+                          run->end_offset = page.end;
+                          run->has_end_offset = true;
                       }
                       for (const auto& record : page.records) {
                           run->builder.add(record);
                       }
-                      if (page.records.empty() || run->builder.next_offset() >= run->target) {
+                      if (page.records.empty() || run->builder.next_offset() >= run->end_offset) {
                           run->builder.note_log_end(
                               page.records.empty() ? page.end : run->builder.next_offset(),
                               run->time.wall_now());
--- a/src/account/account_writer.cpp
+++ b/src/account/account_writer.cpp
@@ -134,9 +134,9 @@
         return;
     }
     if (!in_flight_) {
-        const bool is_due =
+        const bool is_heartbeat_due =
             !has_stored_ || timers_.monotonic_now() - last_stored_ >= settings_.idle_interval;
-        if (!has_work() && !is_due && !closing_) {
+        if (!has_work() && !is_heartbeat_due && !closing_) {
             schedule(interval());
             return;
         }
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // A written snapshot is read with the next poll; until then another one is not needed.
-constexpr auto snapshot_pause = std::chrono::seconds{30};
+constexpr auto min_snapshot_interval = std::chrono::seconds{30};
 
 // Delay before the first retry of a failed request, jittered.
 constexpr auto first_backoff = std::chrono::milliseconds{500};
@@ -90,7 +90,7 @@
         !scan_ && poll_start_ > 0 &&
         (unverified_page_ || !verified_at_ || now - *verified_at_ >= options_.verify_interval);
     const auto number = ++poll_number_;
-    const auto answer = [this, alive = alive_, number](const result<log_page>& reply) {
+    const auto on_reply = [this, alive = alive_, number](const result<log_page>& reply) {
         if (*alive) {
             on_read(number, reply);
         }
@@ -100,11 +100,11 @@
         on_read_failed("no reply to a read of the log");
     });
     if (poll_verifies_) {
-        log_.read(options_.stream, poll_start_ - 1, 1, answer);
+        log_.read(options_.stream, poll_start_ - 1, 1, on_reply);
     }
     else {
         log_.read(options_.stream, scan_ ? scan_->next : poll_start_, options_.records_per_read,
-                  answer);
+                  on_reply);
     }
 }
 
@@ -201,15 +201,15 @@
 void config_follower::handle_new_records(const log_page& page)
 {
     // Pages read in succession need one verification only.
-    constexpr auto check_validity = std::chrono::milliseconds{100};
+    constexpr auto verification_validity = std::chrono::milliseconds{100};
     const auto now = timers_.monotonic_now();
     const auto next = state_machine_.next_offset();
-    const bool is_checked = verified_at_ && now - *verified_at_ < check_validity;
+    const bool is_verified = verified_at_ && now - *verified_at_ < verification_validity;
     if (scan_ || page.first_retained > next || start_tail_scan(page)) {
         scan_page(page);
         return;
     }
-    if (!page.records.empty() && !is_checked && can_verify_known_record(page)) {
+    if (!page.records.empty() && !is_verified && can_verify_known_record(page)) {
         unverified_page_ = page;
         poll_after(duration::zero());
         return;
@@ -363,15 +363,15 @@
     }
     peer_request_in_flight_ = true;
     const auto number = ++peer_request_;
-    const auto answer = [this, alive = alive_, number](const std::vector<std::string>& states) {
+    const auto on_reply = [this, alive = alive_, number](const std::vector<std::string>& states) {
         if (*alive && peer_request_in_flight_ && number == peer_request_) {
             peer_request_in_flight_ = false;
             timers_.cancel(peer_timer_);
             on_peer_states(states);
         }
     };
-    peer_timer_ = timers_.schedule(options_.peer_timeout, [answer] { answer({}); });
-    peers_->fetch(state_machine_.next_offset(), answer);
+    peer_timer_ = timers_.schedule(options_.peer_timeout, [on_reply] { on_reply({}); });
+    peers_->fetch(state_machine_.next_offset(), on_reply);
 }
 
 void config_follower::on_peer_states(const std::vector<std::string>& states)
@@ -414,9 +414,9 @@
 bool config_follower::adopt(config_state_machine later, const char* source)
 {
     // Before a configuration is in force nothing can regress, so the newer state is taken.
-    const bool fits = is_ready() ? state_machine_.can_be_followed_by(later)
-                                 : later.next_offset() >= state_machine_.next_offset();
-    if (!fits) {
+    const bool is_compatible = is_ready() ? state_machine_.can_be_followed_by(later)
+                                          : later.next_offset() >= state_machine_.next_offset();
+    if (!is_compatible) {
         ++counts_.refused_states;
         log_event("config_state_refused", "count={} source={}", counts_.refused_states, source);
         return false;
@@ -505,15 +505,15 @@
     auto& edit = it->second;
     const auto attempt = ++edit.attempt;
     counts_.edits_repeated += attempt > 1 ? 1 : 0;
-    const auto answer = [this, alive = alive_, id, attempt](const result<log_offset>& reply) {
+    const auto on_reply = [this, alive = alive_, id, attempt](const result<log_offset>& reply) {
         if (*alive) {
             on_append(id, attempt, reply);
         }
     };
-    edit.timer = timers_.schedule(options_.append_timeout, [answer] {
-        answer(failure(errc::reply_lost, "no reply to an append to the log"));
+    edit.timer = timers_.schedule(options_.append_timeout, [on_reply] {
+        on_reply(failure(errc::reply_lost, "no reply to an append to the log"));
     });
-    log_.append(options_.stream, edit.record, answer);
+    log_.append(options_.stream, edit.record, on_reply);
 }
 
 void config_follower::on_append(const std::string& id, std::uint64_t attempt,
@@ -566,9 +566,9 @@
         }
     }
     for (const auto& id : done) {
-        const auto fresh = new_outcomes_.find(id);
+        const auto found = new_outcomes_.find(id);
         finish_edit(id,
-                    fresh != new_outcomes_.end() ? fresh->second : *state_machine_.outcome_of(id));
+                    found != new_outcomes_.end() ? found->second : *state_machine_.outcome_of(id));
     }
     new_outcomes_.clear();
 }
@@ -618,7 +618,7 @@
     if (!is_snapshot_due()) {
         return;
     }
-    next_snapshot_allowed_ = timers_.monotonic_now() + snapshot_pause;
+    next_snapshot_allowed_ = timers_.monotonic_now() + min_snapshot_interval;
     ++counts_.snapshots_written;
     // The result is ignored: a poll reads the record, or a later attempt writes it.
     log_.append(options_.stream, encode(state_machine_.snapshot()),
--- a/src/config/config_state_machine.cpp
+++ b/src/config/config_state_machine.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t max_detail_bytes = 300;
 
 // Truncates a text without splitting a UTF-8 character.
-std::string shortened(std::string text)
+std::string truncated(std::string text)
 {
     if (text.size() > max_detail_bytes) {
         auto end = max_detail_bytes;
@@ -29,7 +29,7 @@
     return text;
 }
 
-std::string one_line(std::span<const finding> findings)
+std::string join_findings(std::span<const finding> findings)
 {
     auto text = to_string(findings);
     std::replace(text.begin(), text.end(), '\n', ';');
@@ -165,12 +165,12 @@
     fill_current(outcome, edit.section);
     const auto decide = [&](edit_verdict verdict, std::string detail) {
         outcome.verdict = verdict;
-        outcome.detail = shortened(std::move(detail));
+        outcome.detail = truncated(std::move(detail));
         return outcome;
     };
     const auto refuse = [&](std::vector<finding> findings) {
         outcome.findings = std::move(findings);
-        return decide(edit_verdict::invalid, one_line(outcome.findings));
+        return decide(edit_verdict::invalid, join_findings(outcome.findings));
     };
     if (outcome_of(edit.id) ||
         std::any_of(sections_.begin(), sections_.end(),
@@ -251,8 +251,8 @@
         return;
     }
     // Ids come from outside and may be any text; truncating them bounds the history in bytes.
-    history_.push_back({outcome.offset, time, shortened(edit.id), shortened(edit.author),
-                        shortened(edit.section), edit.base_version, outcome.verdict, outcome.detail,
+    history_.push_back({outcome.offset, time, truncated(edit.id), truncated(edit.author),
+                        truncated(edit.section), edit.base_version, outcome.verdict, outcome.detail,
                         0});
     if (history_.size() > history_capacity) {
         history_.pop_front();
@@ -345,17 +345,17 @@
 
 bool config_state_machine::contradicts(const config_snapshot& snapshot) const
 {
-    const auto mark =
+    const auto checkpoint =
         std::find_if(checkpoints_.begin(), checkpoints_.end(),
                      [&](const state_checkpoint& it) { return it.next == snapshot.next; });
-    if (mark == checkpoints_.end()) {
+    if (checkpoint == checkpoints_.end()) {
         return false;
     }
     std::uint64_t digest = 0;
     for (const auto& it : snapshot.sections) {
         digest = digest_of_section(digest, it.version, it.edit_id, hash64(it.text));
     }
-    return snapshot.chain_digest != mark->chain || digest != mark->sections;
+    return snapshot.chain_digest != checkpoint->chain || digest != checkpoint->sections;
 }
 
 std::uint64_t config_state_machine::sections_digest() const
--- a/src/config/section_reader.cpp
+++ b/src/config/section_reader.cpp
@@ -18,7 +18,7 @@
 
 const toml::node* section_reader::find(std::string_view key, bool required)
 {
-    known_.push_back(key);
+    read_keys_.push_back(key);
     const auto* node = table_.get(key);
     if (node == nullptr && required) {
         findings_.push_back({section_, path_ + std::string(key), line(), "is missing"});
@@ -122,7 +122,7 @@
 void section_reader::finish()
 {
     for (const auto& [key, node] : table_) {
-        if (std::find(known_.begin(), known_.end(), key.str()) == known_.end()) {
+        if (std::find(read_keys_.begin(), read_keys_.end(), key.str()) == read_keys_.end()) {
             findings_.push_back(
                 {section_, path_ + std::string(key.str()), key.source().begin.line, "unknown key"});
         }
--- a/src/config/section_reader.h
+++ b/src/config/section_reader.h
@@ -86,7 +86,7 @@
     std::string section_;
     std::string path_;
     std::vector<finding>& findings_;
-    std::vector<std::string_view> known_;
+    std::vector<std::string_view> read_keys_;
 };
 
 // True for a text that section_reader::read_name accepts.
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -36,7 +36,7 @@
 constexpr std::size_t max_leave_messages = 5;
 
 // Seed peers pinged each period until one replies. A stale list may name many that are gone.
-constexpr unsigned seeds_while_joining = 4;
+constexpr unsigned seed_pings_while_joining = 4;
 
 // Further flaps of a member do not lengthen its suspicion any more.
 constexpr unsigned max_flaps = 3;
@@ -76,7 +76,7 @@
                        : draw_below(random_, static_cast<std::uint32_t>(seed_peers_.size()));
     std::erase_if(seed_attempts_, [this](const auto& it) {
         return std::none_of(seed_peers_.begin(), seed_peers_.end(),
-                            [&](const seed_peer& hint) { return hint.name == it.first; });
+                            [&](const seed_peer& seed) { return seed.name == it.first; });
     });
 }
 
@@ -132,11 +132,11 @@
         timers_.schedule(duration::zero(), std::move(done));
         return;
     }
-    auto open = std::make_shared<std::size_t>(n);
+    auto pending_replies = std::make_shared<std::size_t>(n);
     auto finish = std::make_shared<std::function<void()>>(std::move(done));
     for (const auto& name : names) {
-        ping(table_.find(name)->info.address, name, [open, finish](const auto&) {
-            if (--*open == 0) {
+        ping(table_.find(name)->info.address, name, [pending_replies, finish](const auto&) {
+            if (--*pending_replies == 0) {
                 (*finish)();
             }
         });
@@ -167,7 +167,7 @@
 {
     for (auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::suspect) {
-            entry.deadline += lost;
+            entry.suspicion_deadline += lost;
         }
         entry.failed_probes = 0;
     }
@@ -190,7 +190,7 @@
         ++it.live;
         if (entry.info.state == member_state::suspect) {
             ++it.suspects;
-            if (entry.deadline <= now) {
+            if (entry.suspicion_deadline <= now) {
                 expired.push_back(&entry);
             }
         }
@@ -275,20 +275,21 @@
 // first. The ping itself carries the suspicion, which a live suspect refutes in its reply.
 void failure_detector::probe_unconfirmed()
 {
-    std::vector<const member_entry*> doubtful;
+    std::vector<const member_entry*> unconfirmed;
     for (const auto& [name, entry] : table_.others()) {
         if (is_live(entry.info.state) &&
             (entry.info.state == member_state::suspect || entry.failed_probes > 0) &&
             table_.is_reachable(entry.info.data_centre)) {
-            doubtful.push_back(&entry);
+            unconfirmed.push_back(&entry);
         }
     }
     // Members without a failed probe of our own go first: their suspicion is only relayed so far.
-    std::sort(doubtful.begin(), doubtful.end(), [](const auto* a, const auto* b) {
-        return std::pair(a->failed_probes, a->heard) < std::pair(b->failed_probes, b->heard);
+    std::sort(unconfirmed.begin(), unconfirmed.end(), [](const auto* a, const auto* b) {
+        return std::pair(a->failed_probes, a->last_contact) <
+               std::pair(b->failed_probes, b->last_contact);
     });
-    for (std::size_t i = 0; i < std::min(doubtful.size(), max_unconfirmed_probes); ++i) {
-        probe_member(doubtful[i]->info.name);
+    for (std::size_t i = 0; i < std::min(unconfirmed.size(), max_unconfirmed_probes); ++i) {
+        probe_member(unconfirmed[i]->info.name);
     }
 }
 
@@ -296,19 +297,19 @@
 // suspicion expires.
 void failure_detector::probe_suspect_data_centres()
 {
-    std::vector<std::string_view> in_question;
+    std::vector<std::string_view> suspect_data_centres;
     for (const auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::suspect &&
             table_.is_reachable(entry.info.data_centre) &&
-            std::find(in_question.begin(), in_question.end(), entry.info.data_centre) ==
-                in_question.end()) {
-            in_question.emplace_back(entry.info.data_centre);
+            std::find(suspect_data_centres.begin(), suspect_data_centres.end(),
+                      entry.info.data_centre) == suspect_data_centres.end()) {
+            suspect_data_centres.emplace_back(entry.info.data_centre);
         }
     }
-    if (in_question.empty()) {
+    if (suspect_data_centres.empty()) {
         return;
     }
-    const auto data_centre = in_question[ticks_ % in_question.size()];
+    const auto data_centre = suspect_data_centres[ticks_ % suspect_data_centres.size()];
     std::vector<const std::string*> names;
     for (const auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::alive && entry.failed_probes == 0 &&
@@ -324,18 +325,19 @@
 void failure_detector::probe_seeds()
 {
     const auto now = timers_.monotonic_now();
-    auto budget = joined_ ? 1U : seeds_while_joining;
+    auto budget = joined_ ? 1U : seed_pings_while_joining;
     for (std::size_t i = 0; i < seed_peers_.size() && budget > 0; ++i) {
-        const auto& hint = seed_peers_[seed_cursor_++ % seed_peers_.size()];
-        if (hint.name == table_.self().name || table_.find(hint.name) != nullptr) {
+        const auto& seed = seed_peers_[seed_cursor_++ % seed_peers_.size()];
+        if (seed.name == table_.self().name || table_.find(seed.name) != nullptr) {
             continue;
         }
-        const auto tried = seed_attempts_.find(hint.name);
-        if (tried != seed_attempts_.end() && now - tried->second < settings_.seed_retry_interval) {
+        const auto last_attempt = seed_attempts_.find(seed.name);
+        if (last_attempt != seed_attempts_.end() &&
+            now - last_attempt->second < settings_.seed_retry_interval) {
             continue;
         }
-        seed_attempts_[hint.name] = now;
-        ping(hint.address, hint.name, [](const auto&) {});
+        seed_attempts_[seed.name] = now;
+        ping(seed.address, seed.name, [](const auto&) {});
         --budget;
     }
     if (ticks_ % dead_probe_interval != 0) {
@@ -418,24 +420,24 @@
     }
     // Indirect probes into a partitioned data centre would cost six messages a period for hours
     // without new information.
-    const auto helpers = table_.is_reachable(entry->info.data_centre)
+    const auto probers = table_.is_reachable(entry->info.data_centre)
                              ? choose_indirect_probers(entry->info)
                              : std::vector<std::string>{};
-    if (helpers.empty()) {
+    if (probers.empty()) {
         finish_probe(*it, false);
         return;
     }
-    it->open = static_cast<unsigned>(helpers.size());
+    it->pending_replies = static_cast<unsigned>(probers.size());
     const auto sent = timers_.monotonic_now();
-    for (const auto& helper : helpers) {
+    for (const auto& prober : probers) {
         membership_request request;
         request.call = membership_request::method::ping_request;
-        request.gossip = make_gossip(helper);
+        request.gossip = make_gossip(prober);
         request.target = it->name;
         request.target_address = entry->info.address;
-        send(table_.find(helper)->info.address, std::move(request), settings_.indirect_timeout,
+        send(table_.find(prober)->info.address, std::move(request), settings_.indirect_timeout,
              [this, it, sent](const result<membership_reply>& reply) {
-                 --it->open;
+                 --it->pending_replies;
                  if (reply && reply.value().reached) {
                      if (reply.value().target && reply.value().target->name == it->name) {
                          apply(*reply.value().target, update_source::first_hand);
@@ -445,7 +447,7 @@
                          finish_probe(*it, true);
                      }
                  }
-                 else if (it->open == 0 && !it->reached &&
+                 else if (it->pending_replies == 0 && !it->reached &&
                           !was_paused(sent, settings_.indirect_timeout)) {
                      finish_probe(*it, false);
                  }
@@ -524,11 +526,12 @@
         return;
     }
     ping(request.target_address, request.target,
-         [this, answer, id = request.id, asker = request.gossip.from.name, target = request.target,
+         [this, answer, id = request.id, requester = request.gossip.from.name,
+          target = request.target,
           reply = std::move(reply)](const result<membership_reply>& found) {
              membership_reply out;
              out.id = id;
-             out.gossip = make_gossip(asker);
+             out.gossip = make_gossip(requester);
              out.reached = found && found.value().gossip.from.name == target;
              if (out.reached) {
                  out.target = found.value().gossip.from;
@@ -541,10 +544,10 @@
 {
     // The others already know the entries of a table copy. Gossiping them again from every joining
     // instance would fill the messages for minutes.
-    const auto how = is_table_copy ? update_source::page : update_source::rumour;
-    outdated_.clear();
+    const auto source = is_table_copy ? update_source::table_copy : update_source::relayed;
+    stale_at_sender_.clear();
     for (const auto& update : gossip.updates) {
-        apply(update, how);
+        apply(update, source);
     }
     apply(gossip.from, update_source::first_hand);
     if (gossip.from.name == table_.self().name) {
@@ -587,21 +590,22 @@
     if (const auto change = table_.apply(update, timers_.monotonic_now())) {
         auto& entry = *table_.find(update.name);
         if (entry.info.state == member_state::suspect) {
-            entry.deadline = timers_.monotonic_now() + suspicion_time(entry);
+            entry.suspicion_deadline = timers_.monotonic_now() + suspicion_time(entry);
         }
-        if (from != update_source::page) {
+        if (from != update_source::table_copy) {
             queue_update(update.name);
         }
         notify_change(*change);
     }
-    else if (from == update_source::rumour && known != nullptr && supersedes(known->info, update)) {
-        if (outdated_.size() < max_corrections) {
-            outdated_.push_back(update.name);
+    else if (from == update_source::relayed && known != nullptr &&
+             supersedes(known->info, update)) {
+        if (stale_at_sender_.size() < max_corrections) {
+            stale_at_sender_.push_back(update.name);
         }
     }
-    else if (from == update_source::rumour && known != nullptr && known->info == update) {
+    else if (from == update_source::relayed && known != nullptr && known->info == update) {
         const auto it = std::find_if(update_queue_.begin(), update_queue_.end(),
-                                     [&](const rumour& r) { return r.name == update.name; });
+                                     [&](const queued_update& r) { return r.name == update.name; });
         if (it != update_queue_.end()) {
             it->sent += echo_weight;
         }
@@ -612,11 +616,11 @@
 {
     auto& entry = *table_.find(name);
     const auto now = timers_.monotonic_now();
-    entry.heard = now;
+    entry.last_contact = now;
     entry.has_contact = true;
     entry.failed_probes = 0;
     const auto& data_centre = entry.info.data_centre;
-    if (!partition_detector_.heard(data_centre, now)) {
+    if (!partition_detector_.record_contact(data_centre, now)) {
         return;
     }
     const bool was_cut_off = !table_.is_reachable(data_centre);
@@ -624,7 +628,7 @@
     for (auto& [other, it] : table_.others()) {
         if (it.info.data_centre == data_centre && it.info.state == member_state::suspect) {
             it.failed_probes = 0;
-            it.deadline = now + suspicion_time(it);
+            it.suspicion_deadline = now + suspicion_time(it);
         }
     }
     for (const auto& fn : reachability_callbacks_) {
@@ -638,7 +642,7 @@
 {
     auto update = entry.info;
     update.state = member_state::suspect;
-    apply(update, update_source::rumour);
+    apply(update, update_source::relayed);
 }
 
 void failure_detector::declare_dead(member_entry& entry)
@@ -672,7 +676,7 @@
 
 void failure_detector::queue_update(std::string_view name)
 {
-    std::erase_if(update_queue_, [&](const rumour& it) { return it.name == name; });
+    std::erase_if(update_queue_, [&](const queued_update& it) { return it.name == name; });
     update_queue_.push_back({std::string(name), 0});
 }
 
@@ -697,12 +701,12 @@
         return true;
     };
     // The receiver's own entry comes first if it is not alive, so that it can refute it.
-    const auto* believed = table_.find(receiver);
-    if (believed != nullptr && believed->info.state != member_state::alive) {
-        gossip.updates.push_back(believed->info);
+    const auto* known_receiver = table_.find(receiver);
+    if (known_receiver != nullptr && known_receiver->info.state != member_state::alive) {
+        gossip.updates.push_back(known_receiver->info);
     }
     // A peer that sent stale entries gets the current ones in the next message, the reply.
-    for (const auto& name : std::exchange(outdated_, {})) {
+    for (const auto& name : std::exchange(stale_at_sender_, {})) {
         const bool already = !gossip.updates.empty() && gossip.updates.front().name == name;
         if (!already) {
             add(name);
@@ -713,8 +717,9 @@
                            [&](const member& update) { return update.name == name; });
     };
     // Least sent first; a stable order keeps newer changes behind older ones of equal count.
-    std::stable_sort(update_queue_.begin(), update_queue_.end(),
-                     [](const rumour& a, const rumour& b) { return a.sent < b.sent; });
+    std::stable_sort(
+        update_queue_.begin(), update_queue_.end(),
+        [](const queued_update& a, const queued_update& b) { return a.sent < b.sent; });
     const auto limit = retransmit_limit();
     for (auto& it : update_queue_) {
         if (gossip.updates.size() >= max_updates_per_message) {
@@ -729,7 +734,7 @@
         }
         it.sent += add(it.name) ? 1 : limit;
     }
-    std::erase_if(update_queue_, [&](const rumour& it) { return it.sent >= limit; });
+    std::erase_if(update_queue_, [&](const queued_update& it) { return it.sent >= limit; });
 
     const auto& others = table_.others();
     const auto room =
@@ -782,28 +787,29 @@
 // partition between data centres.
 std::vector<std::string> failure_detector::choose_indirect_probers(const member& target)
 {
-    std::vector<std::string> near;
+    std::vector<std::string> same_data_centre;
     std::vector<std::string> names;
     for (const auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::alive && entry.failed_probes == 0 &&
             name != target.name && table_.is_reachable(entry.info.data_centre)) {
-            (entry.info.data_centre == target.data_centre ? near : names).push_back(name);
+            (entry.info.data_centre == target.data_centre ? same_data_centre : names)
+                .push_back(name);
         }
     }
-    std::vector<std::string> helpers;
+    std::vector<std::string> probers;
     const auto draw = [&](std::vector<std::string>& from) {
         const auto i = draw_below(random_, static_cast<std::uint32_t>(from.size()));
-        helpers.push_back(std::move(from[i]));
+        probers.push_back(std::move(from[i]));
         from.erase(from.begin() + i);
     };
-    if (!near.empty()) {
-        draw(near);
+    if (!same_data_centre.empty()) {
+        draw(same_data_centre);
     }
-    names.insert(names.end(), near.begin(), near.end());
-    while (helpers.size() < settings_.indirect_peers && !names.empty()) {
+    names.insert(names.end(), same_data_centre.begin(), same_data_centre.end());
+    while (probers.size() < settings_.indirect_peers && !names.empty()) {
         draw(names);
     }
-    return helpers;
+    return probers;
 }
 
 // A member that returned from suspect or dead gets a longer suspicion the next time, so that a
--- a/src/membership/partition_detector.cpp
+++ b/src/membership/partition_detector.cpp
@@ -11,11 +11,11 @@
 // With three suspects and no contact to any other member, a partition is far more likely than three
 // deaths within one suspicion period. A larger number would take too long to collect when one
 // member a second is probed.
-constexpr std::size_t enough_suspects = 3;
+constexpr std::size_t min_partition_suspects = 3;
 
 } // namespace
 
-bool partition_detector::heard(std::string_view data_centre, monotonic_time now)
+bool partition_detector::record_contact(std::string_view data_centre, monotonic_time now)
 {
     auto it = contacts_.find(data_centre);
     if (it == contacts_.end()) {
@@ -50,7 +50,7 @@
     if (live < 2 || (it != contacts_.end() && is_recent(it->second, now))) {
         return verdict::members_died;
     }
-    const auto needed = std::min(live / 2 + 1, enough_suspects);
+    const auto needed = std::min(live / 2 + 1, min_partition_suspects);
     return suspects >= needed ? verdict::partitioned : verdict::undecided;
 }
 
