--- a/tests/account/account_test.cpp
+++ b/tests/account/account_test.cpp
@@ -18,7 +18,7 @@
 using cause = account_gap::cause;
 
 // One instance with a writer, its log, and an archive file that is removed at the end.
-struct bench {
+struct account_fixture {
     virtual_timer_service timers;
     fake_log log{timers};
     std::unique_ptr<account_writer> writer;
@@ -26,10 +26,10 @@
     std::unique_ptr<account_archive> archive;
     static inline unsigned runs = 0;
 
-    bench() { start(1); }
-    ~bench() { std::remove(path.c_str()); }
-    bench(const bench&) = delete;
-    bench& operator=(const bench&) = delete;
+    account_fixture() { start(1); }
+    ~account_fixture() { std::remove(path.c_str()); }
+    account_fixture(const account_fixture&) = delete;
+    account_fixture& operator=(const account_fixture&) = delete;
 
     void start(std::uint64_t incarnation, std::size_t max_buffer = std::size_t{8} << 20U)
     {
@@ -61,7 +61,8 @@
     }
 
     // Records receipt and end of `n` requests, "<prefix>0" onwards, 100 ms apart.
-    void serve(unsigned n, const std::string& prefix = "a.", const std::string& customer = "amina")
+    void run_requests(unsigned n, const std::string& prefix = "a.",
+                      const std::string& customer = "amina")
     {
         for (unsigned i = 0; i < n; ++i) {
             const auto id = prefix + std::to_string(i);
@@ -117,21 +118,21 @@
 // A fault, the actions that cause it and the checks of the statement of customer "amina".
 struct fault_case {
     const char* fault;
-    void (*act)(bench&);
-    void (*check)(bench&, const account_statement&);
+    void (*act)(account_fixture&);
+    void (*check)(account_fixture&, const account_statement&);
 };
 
 const fault_case cases[] = {
     {"none",
-     [](bench& it) {
-         it.serve(20);
+     [](account_fixture& it) {
+         it.run_requests(20);
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 20U);
-         BOOST_TEST((seen.totals.at({"stamp_check", account_outcome::completed}) == 20U));
-         const auto& first = seen.records.front();
+     [](account_fixture& it, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 20U);
+         BOOST_TEST((statement.totals.at({"stamp_check", account_outcome::completed}) == 20U));
+         const auto& first = statement.records.front();
          BOOST_TEST((first.workers == std::vector<worker_use>{{"w1", 1}}));
          BOOST_TEST(first.configuration_version == 17U);
          BOOST_TEST((first.answered - first.receipt.received == 50ms));
@@ -140,101 +141,102 @@
          BOOST_TEST(it.log.max_open_appends == 1U);
      }},
     {"append reply lost, batch repeated",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.log.lose_replies = 3;
-         it.serve(20);
+         it.run_requests(20);
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
+     [](account_fixture& it, const account_statement& statement) {
          BOOST_TEST(it.writer->stats().appends == it.writer->stats().batches + 3);
          BOOST_TEST(it.log.records.size() == it.writer->stats().appends);
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 20U);
-         BOOST_TEST(seen.duplicate_answers.empty());
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 20U);
+         BOOST_TEST(statement.duplicate_answers.empty());
      }},
     {"a copy of an old batch is stored late",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.log.put(it.log.records[1].content);
-         it.serve(10, "b.");
+         it.run_requests(10, "b.");
          it.close();
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 20U);
-         BOOST_TEST(seen.duplicate_answers.empty());
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 20U);
+         BOOST_TEST(statement.duplicate_answers.empty());
      }},
     {"log down for an hour and back",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.log.is_down = true;
-         it.serve(10, "b.");
+         it.run_requests(10, "b.");
          it.timers.advance(1h);
          it.log.is_down = false;
          it.timers.advance(30s);
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 20U);
+     [](account_fixture& it, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 20U);
          BOOST_TEST(it.writer->buffered_bytes() == 0U);
      }},
     {"buffer overflows while the log is down",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.start(2, 4000);
          it.timers.advance(1s);
          it.log.is_down = true;
-         it.serve(200);
+         it.run_requests(200);
          BOOST_TEST(it.writer->buffered_bytes() <= 4000U);
          it.log.is_down = false;
          it.timers.advance(30s);
-         it.serve(1, "after.");
+         it.run_requests(1, "after.");
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
-         const auto& gap = gap_of(seen, cause::dropped_by_writer);
+     [](account_fixture& it, const account_statement& statement) {
+         const auto& gap = gap_of(statement, cause::dropped_by_writer);
          BOOST_TEST(gap.count == it.writer->stats().dropped);
-         BOOST_TEST(gap.count + seen.records.size() == 201U);
+         BOOST_TEST(gap.count + statement.records.size() == 201U);
          BOOST_TEST((gap.until - gap.from >= 15s));
          BOOST_TEST((gap.until - gap.from <= 20s));
-         BOOST_TEST(!seen.is_complete());
-         BOOST_TEST(seen.records.back().receipt.submission_id == "after.0");
+         BOOST_TEST(!statement.is_complete());
+         BOOST_TEST(statement.records.back().receipt.submission_id == "after.0");
      }},
     {"log refuses a batch for its size",
-     [](bench& it) {
-         it.serve(5);
+     [](account_fixture& it) {
+         it.run_requests(5);
          it.log.refuse = 1;
-         it.serve(5, "b.");
+         it.run_requests(5, "b.");
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
-         BOOST_TEST(gap_of(seen, cause::dropped_by_writer).count + seen.records.size() == 10U);
+     [](account_fixture& it, const account_statement& statement) {
+         BOOST_TEST(gap_of(statement, cause::dropped_by_writer).count + statement.records.size() ==
+                    10U);
          BOOST_TEST(it.writer->stats().refused_batches == 1U);
      }},
     {"records beyond retention",
-     [](bench& it) {
-         it.serve(30);
+     [](account_fixture& it) {
+         it.run_requests(30);
          it.close();
          it.log.drop_before(4);
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(!seen.is_complete());
-         BOOST_TEST(seen.gaps.size() == 1U);
-         BOOST_TEST(gap_of(seen, cause::not_retained).count == 4U);
-         BOOST_TEST((gap_of(seen, cause::not_retained).from == wall_time{}));
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(!statement.is_complete());
+         BOOST_TEST(statement.gaps.size() == 1U);
+         BOOST_TEST(gap_of(statement, cause::not_retained).count == 4U);
+         BOOST_TEST((gap_of(statement, cause::not_retained).from == wall_time{}));
      }},
     {"everything beyond retention",
-     [](bench& it) {
-         it.serve(5);
+     [](account_fixture& it) {
+         it.run_requests(5);
          it.close();
          it.log.records.clear();
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(count(seen, cause::not_retained) == 1U);
-         BOOST_TEST(!seen.is_complete());
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(count(statement, cause::not_retained) == 1U);
+         BOOST_TEST(!statement.is_complete());
      }},
     {"instance killed with open and unwritten records, and replaced",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.writer->received(it.receipt("open.1"));
          it.timers.advance(2s);
          it.writer->received(it.receipt("lost.1"));
@@ -244,51 +246,54 @@
          it.timers.advance(1s);
          it.start(2);
          it.timers.advance(2s);
-         it.serve(3, "b.");
+         it.run_requests(3, "b.");
          it.close();
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(!seen.is_complete());
-         BOOST_TEST(seen.records.size() == 4U);
-         BOOST_TEST(seen.unknowns.size() == 1U);
-         BOOST_TEST(seen.unknowns.front().receipt.submission_id == "open.1");
-         BOOST_TEST(seen.unknowns.front().why == "the instance ended before it recorded the end");
-         BOOST_TEST(count(seen, cause::writer_ended) == 1U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(!statement.is_complete());
+         BOOST_TEST(statement.records.size() == 4U);
+         BOOST_TEST(statement.unknowns.size() == 1U);
+         BOOST_TEST(statement.unknowns.front().receipt.submission_id == "open.1");
+         BOOST_TEST(statement.unknowns.front().why ==
+                    "the instance ended before it recorded the end");
+         BOOST_TEST(count(statement, cause::writer_ended) == 1U);
          // "lost.1" was received 500 ms before the kill, and a batch without it followed.
-         const auto& gap = gap_of(seen, cause::writer_ended);
+         const auto& gap = gap_of(statement, cause::writer_ended);
          BOOST_TEST((gap.until - gap.from >= 1500ms));
      }},
     {"instance killed while idle and never replaced",
-     [](bench& it) {
-         it.serve(3);
+     [](account_fixture& it) {
+         it.run_requests(3);
          it.writer.reset();
          it.timers.advance(10min);
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(count(seen, cause::writer_ended) == 1U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(count(statement, cause::writer_ended) == 1U);
      }},
     {"instance idle for long and alive",
-     [](bench& it) {
-         it.serve(3);
+     [](account_fixture& it) {
+         it.run_requests(3);
          it.timers.advance(1h);
      },
-     [](bench& it, const account_statement& seen) {
-         BOOST_TEST(seen.gaps.empty());
+     [](account_fixture& it, const account_statement& statement) {
+         BOOST_TEST(statement.gaps.empty());
          BOOST_TEST(it.writer->stats().appends < 70U);
      }},
     {"request is open for less than its receipt needs",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.timers.advance(1s);
          const auto received = it.timers.wall_now();
          it.writer->received(it.receipt("short.1"));
-         it.serve(8, "b.");
+         it.run_requests(8, "b.");
          BOOST_TEST((it.read().complete_until <= received));
          it.writer->ended(it.end("short.1"));
          it.close();
      },
-     [](bench&, const account_statement& seen) { BOOST_TEST(seen.is_complete()); }},
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+     }},
     {"request outlives the batch interval and ends",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.writer->received(it.receipt("slow.1"));
          it.timers.advance(5s);
          BOOST_TEST(it.read().unknowns.front().why ==
@@ -296,61 +301,61 @@
          it.writer->ended(it.end("slow.1"));
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 1U);
+     [](account_fixture& it, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 1U);
          BOOST_TEST(it.writer->stats().receipts == 1U);
      }},
     {"two customers interleaved, one id a prefix of the other",
-     [](bench& it) {
+     [](account_fixture& it) {
          for (unsigned i = 0; i < 10; ++i) {
-             it.serve(1, fmt::format("a{}.", i), "amina");
-             it.serve(1, fmt::format("b{}.", i), "amina2");
+             it.run_requests(1, fmt::format("a{}.", i), "amina");
+             it.run_requests(1, fmt::format("b{}.", i), "amina2");
          }
          it.close();
      },
-     [](bench& it, const account_statement& seen) {
-         BOOST_TEST(seen.records.size() == 10U);
-         for (const auto& record : seen.records) {
+     [](account_fixture& it, const account_statement& statement) {
+         BOOST_TEST(statement.records.size() == 10U);
+         for (const auto& record : statement.records) {
              BOOST_TEST(record.receipt.customer == "amina");
          }
          BOOST_TEST(it.read("amina2").records.size() == 10U);
          BOOST_TEST(it.read("amin").records.empty());
      }},
     {"archive and log overlap",
-     [](bench& it) {
-         it.serve(15);
+     [](account_fixture& it) {
+         it.run_requests(15);
          it.timers.advance(1s);
          const auto exported = it.run_export();
          BOOST_TEST(exported.value().reached == it.log.end);
-         it.serve(15, "b.");
+         it.run_requests(15, "b.");
          it.close();
          it.log.drop_before(2);
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 30U);
-         BOOST_TEST(seen.duplicate_answers.empty());
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 30U);
+         BOOST_TEST(statement.duplicate_answers.empty());
      }},
     {"export is late: a hole between archive and log",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.timers.advance(1s);
          const auto reached = it.run_export().value().reached;
-         it.serve(30, "b.");
+         it.run_requests(30, "b.");
          it.close();
          it.log.drop_before(reached + 3);
          BOOST_TEST(it.run_export().value().missed == 3U);
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(!seen.is_complete());
-         BOOST_TEST(seen.gaps.size() == 1U);
-         BOOST_TEST(gap_of(seen, cause::not_retained).count == 3U);
-         BOOST_TEST((gap_of(seen, cause::not_retained).from != wall_time{}));
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(!statement.is_complete());
+         BOOST_TEST(statement.gaps.size() == 1U);
+         BOOST_TEST(gap_of(statement, cause::not_retained).count == 3U);
+         BOOST_TEST((gap_of(statement, cause::not_retained).from != wall_time{}));
      }},
     {"archive's last line cut short by a crash of the export",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.close();
          it.run_export().value();
          it.archive.reset();
@@ -361,13 +366,13 @@
          BOOST_TEST(it.archive->damaged_lines() == 1U);
          it.log.records.clear();
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 10U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 10U);
      }},
     {"log rewound behind the archive",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.close();
          it.run_export().value();
          it.log.records.resize(1);
@@ -375,45 +380,45 @@
          it.archive.reset();
          BOOST_TEST((it.run_export().error().code == errc::conflict));
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(count(seen, cause::log_regressed) == 1U);
-         BOOST_TEST(seen.records.size() == 10U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(count(statement, cause::log_regressed) == 1U);
+         BOOST_TEST(statement.records.size() == 10U);
      }},
     {"log down when the account is read",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.close();
          it.run_export().value();
          it.log.is_down = true;
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(count(seen, cause::log_not_read) == 1U);
-         BOOST_TEST(seen.records.size() == 10U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(count(statement, cause::log_not_read) == 1U);
+         BOOST_TEST(statement.records.size() == 10U);
      }},
     {"batch number missing and unreadable batch",
-     [](bench& it) {
-         it.serve(40);
+     [](account_fixture& it) {
+         it.run_requests(40);
          it.close();
          it.log.records[2].content = "{}\n";
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(count(seen, cause::unreadable_batch) == 1U);
-         BOOST_TEST(count(seen, cause::batch_missing) == 1U);
-         BOOST_TEST(gap_of(seen, cause::batch_missing).count == 1U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(count(statement, cause::unreadable_batch) == 1U);
+         BOOST_TEST(count(statement, cause::batch_missing) == 1U);
+         BOOST_TEST(gap_of(statement, cause::batch_missing).count == 1U);
      }},
     {"missing batch arrives late",
-     [](bench& it) {
-         it.serve(20);
+     [](account_fixture& it) {
+         it.run_requests(20);
          it.close();
          auto& records = it.log.records;
          std::swap(records[1].content, records[3].content);
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.is_complete());
-         BOOST_TEST(seen.records.size() == 20U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.is_complete());
+         BOOST_TEST(statement.records.size() == 20U);
      }},
     {"doubled answer and doubled start",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.writer->ended(it.end("twice.1"));
          it.timers.advance(1s);
          it.writer->ended(it.end("twice.1"));
@@ -426,48 +431,50 @@
          it.writer->ended(hedged);
          it.close();
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.duplicate_answers == std::vector<std::string>{"twice.1"});
-         BOOST_TEST(seen.duplicate_starts == std::vector<std::string>{"started.1"});
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.duplicate_answers == std::vector<std::string>{"twice.1"});
+         BOOST_TEST(statement.duplicate_starts == std::vector<std::string>{"started.1"});
      }},
     {"an id is owned by two incarnations",
-     [](bench& it) {
-         it.serve(1);
+     [](account_fixture& it) {
+         it.run_requests(1);
          it.close();
          it.start(2);
-         it.serve(1);
+         it.run_requests(1);
          it.close();
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(seen.duplicate_starts == std::vector<std::string>{"a.0"});
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.duplicate_starts == std::vector<std::string>{"a.0"});
      }},
     {"instance reports an unknown outcome",
-     [](bench& it) {
+     [](account_fixture& it) {
          it.writer->ended(it.end("u.1", "amina", account_outcome::unknown));
          it.close();
      },
-     [](bench&, const account_statement& seen) { BOOST_TEST(seen.unknowns.size() == 1U); }},
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(statement.unknowns.size() == 1U);
+     }},
     {"log down and reply lost, killed, replaced, archive late",
-     [](bench& it) {
-         it.serve(10);
+     [](account_fixture& it) {
+         it.run_requests(10);
          it.timers.advance(1s);
          const auto reached = it.run_export().value().reached;
          it.log.is_down = true;
-         it.serve(10, "b.");
+         it.run_requests(10, "b.");
          it.log.is_down = false;
          it.log.lose_replies = 1;
          it.timers.advance(20s);
          it.writer.reset();
          it.start(2);
-         it.serve(10, "c.");
+         it.run_requests(10, "c.");
          it.close();
          it.log.drop_before(reached + 1);
      },
-     [](bench&, const account_statement& seen) {
-         BOOST_TEST(count(seen, cause::not_retained) == 1U);
-         BOOST_TEST(seen.duplicate_answers.empty());
-         BOOST_TEST(!seen.is_complete());
-         BOOST_TEST(seen.records.size() == 30U);
+     [](account_fixture&, const account_statement& statement) {
+         BOOST_TEST(count(statement, cause::not_retained) == 1U);
+         BOOST_TEST(statement.duplicate_answers.empty());
+         BOOST_TEST(!statement.is_complete());
+         BOOST_TEST(statement.records.size() == 30U);
      }},
 };
 
@@ -482,11 +489,11 @@
     for (const auto& row : cases) {
         BOOST_TEST_CONTEXT(row.fault)
         {
-            bench it;
+            account_fixture it;
             row.act(it);
-            const auto seen = it.read();
-            BOOST_TEST_INFO(to_text(seen));
-            row.check(it, seen);
+            const auto statement = it.read();
+            BOOST_TEST_INFO(to_text(statement));
+            row.check(it, statement);
         }
     }
 }
@@ -494,10 +501,10 @@
 // Guards against a shutdown that hangs while the log is down, or that reports success.
 BOOST_AUTO_TEST_CASE(close_reports_what_it_could_not_write)
 {
-    bench it;
+    account_fixture it;
     it.timers.advance(1s);
     it.log.is_down = true;
-    it.serve(3);
+    it.run_requests(3);
     std::optional<result<void>> closed;
     it.writer->close(10s, [&](auto done) { closed = std::move(done); });
     it.timers.advance(9s);
@@ -510,7 +517,7 @@
 // Guards against instances that exceed the append budget of the deployment.
 BOOST_AUTO_TEST_CASE(interval_follows_from_instances_and_budget)
 {
-    bench it;
+    account_fixture it;
     const std::pair<std::size_t, duration> rows[] = {
         {1, 250ms}, {9, 250ms}, {50, 500ms}, {200, 2s}};
     for (const auto& [instances, interval] : rows) {
@@ -518,14 +525,14 @@
         BOOST_TEST((it.writer->interval() == interval));
     }
     const auto before = it.writer->stats().appends;
-    it.serve(600);
+    it.run_requests(600);
     BOOST_TEST(it.writer->stats().appends - before <= 31U);
 }
 
 // Guards against two exports that write to one archive.
 BOOST_AUTO_TEST_CASE(archive_is_locked)
 {
-    bench it;
+    account_fixture it;
     it.run_export().value();
     const auto second = account_archive::open(it.path, account_archive::mode::append);
     BOOST_TEST((second.error().code == errc::conflict));
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -185,7 +185,7 @@
          BOOST_TEST(c.at(0).follower->counts().differing_snapshots == 1U);
          BOOST_TEST(c.at(1).settings().account_appends_per_second == 100U);
      }},
-    {"records that are no records",
+    {"malformed records",
      [](config_cluster& c) {
          c.append_raw("");
          c.append_raw("{\"type\":\"edit\"}");
--- a/tests/config/document_parser_test.cpp
+++ b/tests/config/document_parser_test.cpp
@@ -100,7 +100,7 @@
 }
 
 // Guards against errors that are not reported or are reported at the wrong place.
-BOOST_AUTO_TEST_CASE(each_fault_is_found_where_it_is)
+BOOST_AUTO_TEST_CASE(each_error_is_reported_at_its_place)
 {
     const auto good = read_example("demo.toml");
     for (const auto& row : fault_rows) {
@@ -121,7 +121,7 @@
 }
 
 // Guards against a parser that stops at the first error, so that operators fix one per attempt.
-BOOST_AUTO_TEST_CASE(all_faults_are_reported_together)
+BOOST_AUTO_TEST_CASE(all_errors_are_reported_together)
 {
     auto text = read_example("demo.toml");
     text = replaced(text, "lease_ms = 5000", "lease_ms = 0");
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -23,7 +23,7 @@
     {
         return inner_.schedule(delay, [this, fn = std::move(fn)]() mutable {
             if (paused_) {
-                held_.push_back(std::move(fn));
+                deferred_.push_back(std::move(fn));
             }
             else {
                 fn();
@@ -36,7 +36,7 @@
     void resume()
     {
         paused_ = false;
-        for (auto& fn : std::exchange(held_, {})) {
+        for (auto& fn : std::exchange(deferred_, {})) {
             inner_.schedule(duration::zero(), std::move(fn));
         }
     }
@@ -44,7 +44,7 @@
 private:
     timer_service& inner_;
     bool paused_ = false;
-    std::vector<std::function<void()>> held_;
+    std::vector<std::function<void()>> deferred_;
 };
 
 // Instances of several data centres in virtual time.
@@ -71,23 +71,23 @@
         return start_unlisted(list_[name], incarnation);
     }
 
-    node& start_unlisted(const seed_peer& place, std::uint64_t incarnation)
+    node& start_unlisted(const seed_peer& peer, std::uint64_t incarnation)
     {
-        auto& it = nodes_[place.name];
+        auto& it = nodes_[peer.name];
         if (it) {
             // The old process keeps running at its address, as if its replacement came too early.
             retired_.push_back(std::move(it));
         }
         it = std::make_unique<node>();
-        it->name = place.name;
-        it->data_centre = place.data_centre;
-        it->address = place.address;
+        it->name = peer.name;
+        it->data_centre = peer.data_centre;
+        it->address = peer.address;
         it->timers = std::make_unique<pausable_timer_service>(timers_);
         it->transport = network_.connect(it->address, *it->timers);
         member self;
-        self.name = place.name;
-        self.data_centre = place.data_centre;
-        self.address = place.address;
+        self.name = peer.name;
+        self.data_centre = peer.data_centre;
+        self.address = peer.address;
         self.incarnation = incarnation;
         it->detector = std::make_unique<failure_detector>(*it->timers, *it->transport, self, seed_);
         auto* detector = it->detector.get();
--- a/tests/membership/failure_detector_test.cpp
+++ b/tests/membership/failure_detector_test.cpp
@@ -14,7 +14,7 @@
 }
 
 // Partitions one data centre from all others.
-memory_peer_network::link_rule cut_around(cluster& it, const std::string& data_centre)
+memory_peer_network::link_rule partition_around(cluster& it, const std::string& data_centre)
 {
     std::map<std::string, bool, std::less<>> inside;
     for (const auto& [name, node] : it.nodes()) {
@@ -199,7 +199,7 @@
      }},
     {"data centre cut off for two minutes",
      [](cluster& it) {
-         it.network().set_rule(cut_around(it, "dc3"));
+         it.network().set_rule(partition_around(it, "dc3"));
          it.run(2min);
          BOOST_TEST(it.deaths_seen() == 0U);
          for (const auto& [name, node] : it.nodes()) {
@@ -222,7 +222,7 @@
      }},
     {"data centre flaps every 15 s",
      [](cluster& it) {
-         const auto cut = cut_around(it, "dc3");
+         const auto cut = partition_around(it, "dc3");
          it.network().set_rule([&it, cut](std::string_view from, std::string_view to) {
              return it.now().time_since_epoch() / 15s % 2 == 0 || cut(from, to);
          });
@@ -236,7 +236,7 @@
      }},
     {"data centre cut off and an instance dies on this side",
      [](cluster& it) {
-         it.network().set_rule(cut_around(it, "dc3"));
+         it.network().set_rule(partition_around(it, "dc3"));
          it.run(20s);
          it.kill("i002");
          it.run(20s);
@@ -248,7 +248,7 @@
      [](cluster& it) { BOOST_TEST(it.views_agree()); }},
     {"data centre cut off while an instance of it is restarted",
      [](cluster& it) {
-         it.network().set_rule(cut_around(it, "dc3"));
+         it.network().set_rule(partition_around(it, "dc3"));
          it.run(20s);
          restart(it, 3, 2);
          it.run(20s);
@@ -307,7 +307,7 @@
      }},
     {"all instances killed and restarted one after another during a flapping data centre",
      [](cluster& it) {
-         const auto cut = cut_around(it, "dc3");
+         const auto cut = partition_around(it, "dc3");
          it.network().set_rule([&it, cut](std::string_view from, std::string_view to) {
              return it.now().time_since_epoch() / 15s % 2 == 0 || cut(from, to);
          });
@@ -380,7 +380,7 @@
     it.publish_list();
     it.run(40s);
     BOOST_TEST(it.views_agree());
-    it.network().set_rule(cut_around(it, "dc3"));
+    it.network().set_rule(partition_around(it, "dc3"));
     it.run(60s);
     BOOST_TEST(it.deaths_seen() == 0U);
     BOOST_TEST(!it["i001"].detector->members().is_reachable("dc3"));
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -18,10 +18,10 @@
 constexpr int first_port = 18100;  // below the range of ephemeral ports
 constexpr int ports_per_seed = 10; // so that several seeds can run in parallel
 constexpr duration submit_interval = std::chrono::milliseconds{25};
-constexpr duration caller_patience = std::chrono::milliseconds{3000};
+constexpr duration caller_timeout = std::chrono::milliseconds{3000};
 // Time for instance entries, elections and leases to recover after the last fault.
-constexpr duration settle_time = std::chrono::seconds{4};
-constexpr duration calm_time = std::chrono::seconds{3};
+constexpr duration recovery_time = std::chrono::seconds{4};
+constexpr duration time_after_faults = std::chrono::seconds{3};
 // Specified bound: a configuration is in force everywhere within 2 s.
 constexpr duration apply_limit = std::chrono::seconds{2};
 
@@ -39,19 +39,19 @@
 
 soak::soak(std::uint32_t seed, fault_set faults)
     : random_(seed + 1000), faults_(faults), base_port_(base_port_of(seed)),
-      client_(events_, timers_), world_(events_, timers_), began_(timers_.monotonic_now())
+      client_(events_, timers_), world_(events_, timers_), started_at_(timers_.monotonic_now())
 {
     folder_ = std::filesystem::temp_directory_path() /
               fmt::format("cactusloom-soak-{}-{}", getpid(), seed);
     std::filesystem::create_directories(folder_);
     if (!world_.serve_store(fmt::format("127.0.1.1:{}", base_port_))) {
-        findings_.push_back("the stand-in of the store cannot listen");
+        violations_.push_back("the stand-in of the store cannot listen");
     }
     for (int i = 0; i < worker_count; ++i) {
         const auto address = fmt::format("127.0.1.{}:{}", i + 10, base_port_);
-        const auto advertised = add_relay(fmt::format("127.0.5.{}", i + 1), address);
+        const auto advertised = add_proxy(fmt::format("127.0.5.{}", i + 1), address);
         if (!world_.add_worker(fmt::format("w{}", i), address, {2000, 1000, 0}, advertised)) {
-            findings_.push_back("a stand-in of a worker cannot listen");
+            violations_.push_back("a stand-in of a worker cannot listen");
         }
     }
     world_.put_configuration(version_, "/v1/");
@@ -80,9 +80,9 @@
     it.settings_file = fmt::format("{}/{}.toml", folder_, it.name);
     it.caller_address = fmt::format("{}:{}", ip_of(index), base_port_);
     const auto link = fmt::format("{}:{}", ip_of(index), base_port_ + 2);
-    it.advertised_link = add_relay(fmt::format("127.0.4.{}", index + 1), link);
+    it.advertised_link = add_proxy(fmt::format("127.0.4.{}", index + 1), link);
     const auto store =
-        add_relay(fmt::format("127.0.3.{}", index + 1), fmt::format("127.0.1.1:{}", base_port_));
+        add_proxy(fmt::format("127.0.3.{}", index + 1), fmt::format("127.0.1.1:{}", base_port_));
     std::ofstream(it.settings_file)
         << fmt::format(R"(node = "{0}"
 zone = "zone"
@@ -109,15 +109,15 @@
 }
 
 // Returns the address at which the target is reached through the proxy.
-std::string soak::add_relay(const std::string& ip, const std::string& target)
+std::string soak::add_proxy(const std::string& ip, const std::string& target)
 {
     auto address = fmt::format("{}:{}", ip, base_port_);
-    auto relay = loopback_proxy::start(events_, timers_, address, target);
-    if (!relay) {
-        findings_.push_back("a relay cannot listen: " + relay.error().message);
+    auto proxy = loopback_proxy::start(events_, timers_, address, target);
+    if (!proxy) {
+        violations_.push_back("a proxy cannot listen: " + proxy.error().message);
         return target;
     }
-    relays_.push_back(std::move(relay.value()));
+    proxies_.push_back(std::move(proxy.value()));
     return address;
 }
 
@@ -135,20 +135,20 @@
     std::string link = "CACTUSLOOM_ADVERTISE_LINK=" + it.advertised_link;
     char* environment[] = {settings.data(), link.data(), nullptr};
     if (posix_spawn(&it.pid, program.c_str(), &actions, nullptr, arguments, environment) != 0) {
-        findings_.push_back(it.name + " cannot be started");
+        violations_.push_back(it.name + " cannot be started");
         it.pid = 0;
     }
     posix_spawn_file_actions_destroy(&actions);
 }
 
 // Restarts processes that have ended after a short delay, as the platform does.
-void soak::collect_ended()
+void soak::restart_ended()
 {
     for (auto& it : processes_) {
         int status = 0;
         if (it.pid > 0 && waitpid(it.pid, &status, WNOHANG) == it.pid) {
             if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
-                findings_.push_back(
+                violations_.push_back(
                     fmt::format("{} {} ended by signal {}", now_text(), it.name, WTERMSIG(status)));
             }
             it.pid = 0;
@@ -160,8 +160,8 @@
 
 std::string soak::now_text() const
 {
-    return fmt::format("{:.3f} s",
-                       std::chrono::duration<double>(timers_.monotonic_now() - began_).count());
+    return fmt::format(
+        "{:.3f} s", std::chrono::duration<double>(timers_.monotonic_now() - started_at_).count());
 }
 
 void soak::run_for(duration span)
@@ -170,7 +170,7 @@
     timers_.schedule(span, [&over] { over = true; });
     while (!over) {
         g_main_context_iteration(nullptr, TRUE);
-        collect_ended();
+        restart_ended();
     }
 }
 
@@ -187,18 +187,18 @@
     call.target = "/v1/" + id;
     call.headers = {{"Host", "shop.example"},
                     {"Content-Type", "application/json"},
-                    {"Deadline-Ms", std::to_string(caller_patience.count() / 1000)}};
+                    {"Deadline-Ms", std::to_string(caller_timeout.count() / 1000)}};
     call.body = fmt::format(R"({{"spec":"x","bestEffort":true,"steps":[{{"count":{},"cpu":1000,)"
                             R"("memMb":10,"estimateMs":100}}]}})",
                             1 + draw(3));
     ++sent_;
-    calm_sent_ += calm_ ? 1 : 0;
-    const bool calm = calm_;
-    client_.call(target.caller_address, call, caller_patience + std::chrono::seconds{1},
-                 [this, id, calm](const pooled_http_client::outcome& outcome) {
+    sent_after_faults_ += faults_over_ ? 1 : 0;
+    const bool sent_after_faults = faults_over_;
+    client_.call(target.caller_address, call, caller_timeout + std::chrono::seconds{1},
+                 [this, id, sent_after_faults](const pooled_http_client::outcome& outcome) {
                      const auto before = completed_;
                      on_answer(id, outcome);
-                     calm_completed_ += calm && completed_ > before ? 1 : 0;
+                     completed_after_faults_ += sent_after_faults && completed_ > before ? 1 : 0;
                  });
 }
 
@@ -216,18 +216,18 @@
     if (reply->status == 503) {
         ++refused_;
         if (starts != 0) {
-            findings_.push_back(
+            violations_.push_back(
                 fmt::format("{} {} refused as not run after {} starts", now_text(), id, starts));
         }
     }
     else if (reply->status == 200 && reply->body.find("completed") != std::string::npos) {
         ++completed_;
         if (starts == 0) {
-            findings_.push_back(fmt::format("{} {} completed without a start", now_text(), id));
+            violations_.push_back(fmt::format("{} {} completed without a start", now_text(), id));
         }
     }
     else if (reply->status != 200) {
-        findings_.push_back(fmt::format("{} {} answered {}", now_text(), id, reply->status));
+        violations_.push_back(fmt::format("{} {} answered {}", now_text(), id, reply->status));
     }
 }
 
@@ -245,38 +245,38 @@
                      [this, name = it.name](const pooled_http_client::outcome& outcome) {
                          const auto* reply = std::get_if<http_response>(&outcome);
                          if (reply == nullptr || reply->status != 200) {
-                             findings_.push_back(fmt::format("{} {} does not know the new queue",
-                                                             now_text(), name));
+                             violations_.push_back(fmt::format("{} {} does not serve the new queue",
+                                                               now_text(), name));
                          }
                      });
     }
     run_for(std::chrono::milliseconds{1200});
 }
 
-std::vector<std::string> soak::play(duration length)
+std::vector<std::string> soak::run_faults(duration length)
 {
     run_for(std::chrono::milliseconds{1500});
     submit();
     inject();
     run_for(length);
     sending_ = false; // ends fault injection as well
-    heal_everything();
-    run_for(settle_time);
-    heal_everything(); // faults that had not ended yet
+    clear_all_faults();
+    run_for(recovery_time);
+    clear_all_faults(); // faults that had not ended yet
     sending_ = true;
-    calm_ = true;
+    faults_over_ = true;
     submit();
-    run_for(calm_time);
+    run_for(time_after_faults);
     sending_ = false;
-    run_for(caller_patience + std::chrono::seconds{1});
-    if (calm_completed_ * 100 < calm_sent_ * 95) {
-        findings_.push_back(fmt::format("{} of {} jobs completed after the last fault",
-                                        calm_completed_, calm_sent_));
+    run_for(caller_timeout + std::chrono::seconds{1});
+    if (completed_after_faults_ * 100 < sent_after_faults_ * 95) {
+        violations_.push_back(fmt::format("{} of {} jobs completed after the last fault",
+                                          completed_after_faults_, sent_after_faults_));
     }
     check_configuration();
-    findings_.insert(findings_.end(), world_.fleet().violations().begin(),
-                     world_.fleet().violations().end());
-    return findings_;
+    violations_.insert(violations_.end(), world_.fleet().violations().begin(),
+                       world_.fleet().violations().end());
+    return violations_;
 }
 
 } // namespace cactusloom
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -30,7 +30,7 @@
 
     // Injects faults for `length`, then runs a while without any. Returns the violations, each with
     // its time.
-    std::vector<std::string> play(duration length);
+    std::vector<std::string> run_faults(duration length);
 
     std::size_t completed() const { return completed_; }
     std::size_t refused() const { return refused_; }
@@ -51,40 +51,40 @@
     struct fault_target {
         process* instance = nullptr;
         memory_worker_fleet::faults* worker = nullptr;
-        duration lasts{};
+        duration length{};
     };
     using fault = void (soak::*)(const fault_target&);
 
     void write_settings(process& it, int index);
     void start(process& it);
-    void collect_ended();
+    void restart_ended();
     void run_for(duration span);
     void submit();
     void on_answer(const std::string& id, const pooled_http_client::outcome& outcome);
-    std::string add_relay(const std::string& ip, const std::string& target);
-    loopback_proxy& any_relay()
+    std::string add_proxy(const std::string& ip, const std::string& target);
+    loopback_proxy& any_proxy()
     {
-        return *relays_[draw(static_cast<std::uint32_t>(relays_.size()))];
+        return *proxies_[draw(static_cast<std::uint32_t>(proxies_.size()))];
     }
     static void signal(const process& it, int number);
 
     void inject();
-    void kill_one(const fault_target& on);
-    void stop_one(const fault_target& on);
-    void pause_one(const fault_target& on);
-    void kill_several(const fault_target& on);
+    void kill_instance(const fault_target& on);
+    void stop_instance(const fault_target& on);
+    void pause_instance(const fault_target& on);
+    void kill_several_instances(const fault_target& on);
     void silence_store(const fault_target& on);
     void refuse_at_store(const fault_target& on);
     void silence_worker(const fault_target& on);
     void lose_replies(const fault_target& on);
-    void delay_orders(const fault_target& on);
+    void delay_starts(const fault_target& on);
     void fail_tasks(const fault_target& on);
-    void reload_one(const fault_target& on);
+    void reload_instance(const fault_target& on);
     void delay_connections(const fault_target& on);
     void cut_one_way(const fault_target& on);
     void silence_connections(const fault_target& on);
     void close_connections(const fault_target& on);
-    void heal_everything();
+    void clear_all_faults();
     void check_configuration();
     std::string now_text() const;
     std::uint32_t draw(std::uint32_t bound) { return draw_below(random_, bound); }
@@ -96,15 +96,15 @@
     poller events_;
     pooled_http_client client_;
     platform_adapter::simulated_platform world_;
-    std::vector<std::unique_ptr<loopback_proxy>> relays_;
+    std::vector<std::unique_ptr<loopback_proxy>> proxies_;
     std::string folder_;
     std::vector<process> processes_;
-    std::vector<std::string> findings_;
-    monotonic_time began_;
+    std::vector<std::string> violations_;
+    monotonic_time started_at_;
     bool sending_ = true;
-    bool calm_ = false;
-    std::size_t calm_sent_ = 0;
-    std::size_t calm_completed_ = 0;
+    bool faults_over_ = false;
+    std::size_t sent_after_faults_ = 0;
+    std::size_t completed_after_faults_ = 0;
     std::uint64_t last_id_ = 0;
     std::int64_t version_ = 1;
     std::size_t sent_ = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr duration inject_interval = std::chrono::milliseconds{600};
-constexpr std::uint32_t least_ms = 300;
-constexpr std::uint32_t most_ms = 2800;
+constexpr std::uint32_t min_fault_ms = 300;
+constexpr std::uint32_t max_fault_ms = 2800;
 
 } // namespace
 
@@ -24,18 +24,18 @@
 
 void soak::inject()
 {
-    if (calm_ || !sending_) {
+    if (faults_over_ || !sending_) {
         return;
     }
     timers_.schedule(inject_interval, [this] { inject(); });
     // A seed selects faults by index, so the order must not change. Network faults come last.
     constexpr std::array<fault, 15> faults = {
-        &soak::kill_one,          &soak::stop_one,
-        &soak::pause_one,         &soak::kill_several,
+        &soak::kill_instance,     &soak::stop_instance,
+        &soak::pause_instance,    &soak::kill_several_instances,
         &soak::silence_store,     &soak::refuse_at_store,
         &soak::silence_worker,    &soak::lose_replies,
-        &soak::delay_orders,      &soak::fail_tasks,
-        &soak::reload_one,        &soak::delay_connections,
+        &soak::delay_starts,      &soak::fail_tasks,
+        &soak::reload_instance,   &soak::delay_connections,
         &soak::cut_one_way,       &soak::silence_connections,
         &soak::close_connections,
     };
@@ -43,34 +43,35 @@
     auto& instance = processes_[draw(static_cast<std::uint32_t>(processes_.size()))];
     auto& worker =
         world_.fleet().fault(fmt::format("w{}", draw(static_cast<std::uint32_t>(worker_count))));
-    const fault_target on{&instance, &worker,
-                          std::chrono::milliseconds{least_ms + draw(most_ms - least_ms)}};
+    const fault_target on{
+        &instance, &worker,
+        std::chrono::milliseconds{min_fault_ms + draw(max_fault_ms - min_fault_ms)}};
     const auto n =
         faults_ == fault_set::all ? static_cast<std::uint32_t>(faults.size()) : without_network;
     (this->*faults[draw(n)])(on);
 }
 
-void soak::kill_one(const fault_target& on)
+void soak::kill_instance(const fault_target& on)
 {
     signal(*on.instance, SIGKILL);
 }
 
-void soak::stop_one(const fault_target& on)
+void soak::stop_instance(const fault_target& on)
 {
     signal(*on.instance, SIGTERM);
 }
 
-void soak::pause_one(const fault_target& on)
+void soak::pause_instance(const fault_target& on)
 {
     signal(*on.instance, SIGSTOP);
-    timers_.schedule(on.lasts, [pid = on.instance->pid, it = on.instance] {
+    timers_.schedule(on.length, [pid = on.instance->pid, it = on.instance] {
         if (it->pid == pid) {
             signal(*it, SIGCONT);
         }
     });
 }
 
-void soak::kill_several(const fault_target& /*on*/)
+void soak::kill_several_instances(const fault_target& /*on*/)
 {
     for (const auto& it : processes_) {
         if (it.pid > 0 && draw(4) == 0) {
@@ -82,77 +83,79 @@
 void soak::silence_store(const fault_target& on)
 {
     world_.store = platform_adapter::simulated_platform::store_state::silent;
-    timers_.schedule(
-        on.lasts, [this] { world_.store = platform_adapter::simulated_platform::store_state::up; });
+    timers_.schedule(on.length, [this] {
+        world_.store = platform_adapter::simulated_platform::store_state::up;
+    });
 }
 
 void soak::refuse_at_store(const fault_target& on)
 {
     world_.store = platform_adapter::simulated_platform::store_state::refusing;
-    timers_.schedule(
-        on.lasts, [this] { world_.store = platform_adapter::simulated_platform::store_state::up; });
+    timers_.schedule(on.length, [this] {
+        world_.store = platform_adapter::simulated_platform::store_state::up;
+    });
 }
 
 void soak::silence_worker(const fault_target& on)
 {
     on.worker->silent = true;
-    timers_.schedule(on.lasts, [it = on.worker] { it->silent = false; });
+    timers_.schedule(on.length, [it = on.worker] { it->silent = false; });
 }
 
 void soak::lose_replies(const fault_target& on)
 {
     on.worker->lost_replies = 0.3;
-    timers_.schedule(on.lasts, [it = on.worker] { it->lost_replies = 0; });
+    timers_.schedule(on.length, [it = on.worker] { it->lost_replies = 0; });
 }
 
-void soak::delay_orders(const fault_target& on)
+void soak::delay_starts(const fault_target& on)
 {
     on.worker->delayed_starts = 0.3;
-    timers_.schedule(on.lasts, [it = on.worker] { it->delayed_starts = 0; });
+    timers_.schedule(on.length, [it = on.worker] { it->delayed_starts = 0; });
 }
 
 void soak::fail_tasks(const fault_target& on)
 {
     on.worker->fails_all = true;
-    timers_.schedule(on.lasts, [it = on.worker] { it->fails_all = false; });
+    timers_.schedule(on.length, [it = on.worker] { it->fails_all = false; });
 }
 
-void soak::reload_one(const fault_target& on)
+void soak::reload_instance(const fault_target& on)
 {
     signal(*on.instance, SIGHUP);
 }
 
 void soak::delay_connections(const fault_target& on)
 {
-    auto& relay = any_relay();
-    relay.delay(std::chrono::milliseconds{20 + draw(180)});
-    timers_.schedule(on.lasts, [&relay] { relay.heal(); });
+    auto& proxy = any_proxy();
+    proxy.delay(std::chrono::milliseconds{20 + draw(180)});
+    timers_.schedule(on.length, [&proxy] { proxy.heal(); });
 }
 
 void soak::cut_one_way(const fault_target& on)
 {
-    auto& relay = any_relay();
-    draw(2) == 0 ? relay.block_to_target() : relay.block_to_client();
-    timers_.schedule(on.lasts, [&relay] { relay.heal(); });
+    auto& proxy = any_proxy();
+    draw(2) == 0 ? proxy.block_to_target() : proxy.block_to_client();
+    timers_.schedule(on.length, [&proxy] { proxy.heal(); });
 }
 
 void soak::silence_connections(const fault_target& /*on*/)
 {
-    any_relay().blackhole_open_connections();
+    any_proxy().blackhole_open_connections();
 }
 
 void soak::close_connections(const fault_target& /*on*/)
 {
-    any_relay().close_open_connections();
+    any_proxy().close_open_connections();
 }
 
-void soak::heal_everything()
+void soak::clear_all_faults()
 {
     world_.store = platform_adapter::simulated_platform::store_state::up;
     for (int i = 0; i < worker_count; ++i) {
         world_.fleet().fault(fmt::format("w{}", i)) = {};
     }
-    for (const auto& it : relays_) {
+    for (const auto& it : proxies_) {
         it->heal();
     }
     for (const auto& it : processes_) {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -35,30 +35,30 @@
 // Guards against tasks that run twice, starts beyond a worker's capacity, "not run" replies for
 // tasks that ran, a service that does not recover and configurations that are not applied, under
 // overlapping faults of real processes.
-BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
+BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults)
 {
     const auto [first, last] = seeds();
     for (auto seed = first; seed <= last; ++seed) {
         soak run(seed);
-        const auto findings = run.play(length());
+        const auto violations = run.run_faults(length());
         BOOST_TEST_MESSAGE("seed " << seed << ": " << run.sent() << " sent, " << run.completed()
                                    << " completed, " << run.refused() << " refused, "
                                    << run.unknown() << " unknown");
-        for (const auto& it : findings) {
+        for (const auto& it : violations) {
             BOOST_ERROR("seed " << seed << ": " << it);
         }
-        BOOST_TEST(findings.empty());
+        BOOST_TEST(violations.empty());
         BOOST_TEST(run.completed() > 0U);
     }
 }
 
 // Seeds that failed in the past.
-BOOST_AUTO_TEST_CASE(former_failures_stay_mended)
+BOOST_AUTO_TEST_CASE(former_failures_stay_fixed)
 {
-    // 117: SIGHUP reached a process between its start and its first loop turn and ended it.
+    // 117: SIGHUP ended a process between its start and the first iteration of its event loop.
     for (const std::uint32_t seed : {117U}) {
         soak run(seed, soak::fault_set::without_network);
-        for (const auto& it : run.play(10s)) {
+        for (const auto& it : run.run_faults(10s)) {
             BOOST_ERROR("seed " << seed << ": " << it);
         }
         BOOST_TEST(run.completed() > 0U);
--- a/tests/system/callers.cpp
+++ b/tests/system/callers.cpp
@@ -4,17 +4,18 @@
 
 using namespace std::chrono_literals;
 
-void callers::submit_some(std::uint32_t most)
+void callers::submit_random(std::uint32_t max_count)
 {
-    for (std::uint32_t n = draw(most + 1); n > 0; --n) {
+    for (std::uint32_t n = draw(max_count + 1); n > 0; --n) {
         const std::uint32_t tasks = draw(5) == 0 ? 20 : 1 + draw(3);
         submit(draw(instances), draw(2) == 0 ? "van_booking" : "stock_confirm", tasks);
     }
 }
 
-std::optional<std::size_t> callers::submit(std::size_t door, std::string kind, std::uint32_t tasks)
+std::optional<std::size_t> callers::submit(std::size_t entry_index, std::string kind,
+                                           std::uint32_t tasks)
 {
-    const auto prefix = fleet_.prefix_of(door);
+    const auto prefix = fleet_.prefix_of(entry_index);
     if (!prefix) {
         return std::nullopt;
     }
@@ -28,11 +29,11 @@
         it.payloads.push_back(fmt::format("{}/{}", number, task));
     }
     submissions_.push_back(std::move(it));
-    send(number, impatient_ && draw(3) == 0 ? draw(instances) : door);
+    send(number, resubmits_ && draw(3) == 0 ? draw(instances) : entry_index);
     return number;
 }
 
-void callers::send(std::size_t number, std::size_t door)
+void callers::send(std::size_t number, std::size_t entry_index)
 {
     const submission& it = submissions_[number];
     job_request request;
@@ -41,33 +42,34 @@
     request.kind = it.kind;
     request.payloads = it.payloads;
     request.deadline = 3s;
-    const bool reply_is_lost = impatient_ && draw(10) == 0;
-    fleet_.serve(door, std::move(request), [this, number, reply_is_lost](fleet::outcome told) {
-        if (!reply_is_lost) {
-            submissions_[number].is_settled = true;
-            submissions_[number].told.push_back(std::move(told));
-        }
-    });
-    if (!impatient_) {
+    const bool reply_is_lost = resubmits_ && draw(10) == 0;
+    fleet_.serve(entry_index, std::move(request),
+                 [this, number, reply_is_lost](fleet::job_reply reply) {
+                     if (!reply_is_lost) {
+                         submissions_[number].has_reply = true;
+                         submissions_[number].replies.push_back(std::move(reply));
+                     }
+                 });
+    if (!resubmits_) {
         return;
     }
     // Some callers resubmit while the first attempt is still running.
-    const duration patience = draw(4) == 0 ? duration{50ms} : duration{4s};
-    fleet_.timers().schedule(patience, [this, number] {
+    const duration timeout = draw(4) == 0 ? duration{50ms} : duration{4s};
+    fleet_.timers().schedule(timeout, [this, number] {
         submission& self = submissions_[number];
-        if (!self.is_settled && self.resubmissions < 3) {
+        if (!self.has_reply && self.resubmissions < 3) {
             ++self.resubmissions;
             send(number, draw(instances));
         }
     });
 }
 
-std::size_t callers::count_told(job_state state) const
+std::size_t callers::count_replies(job_state state) const
 {
     std::size_t n = 0;
     for (const submission& it : submissions_) {
-        for (const fleet::outcome& told : it.told) {
-            n += told.state == state ? 1 : 0;
+        for (const fleet::job_reply& reply : it.replies) {
+            n += reply.state == state ? 1 : 0;
         }
     }
     return n;
@@ -82,45 +84,45 @@
 
 std::vector<std::string> callers::check()
 {
-    faults_ = fleet_.faults();
+    violations_ = fleet_.violations();
     check_starts();
     for (const submission& it : submissions_) {
-        for (const fleet::outcome& told : it.told) {
-            check_answer(it, told);
+        for (const fleet::job_reply& reply : it.replies) {
+            check_answer(it, reply);
         }
     }
     check_accounts();
-    return faults_;
+    return violations_;
 }
 
 void callers::check_starts()
 {
     for (const auto& [payload, n] : fleet_.workers().starts()) {
         if (n > 1) {
-            faults_.push_back(fmt::format("task {} started {} times", payload, n));
+            violations_.push_back(fmt::format("task {} started {} times", payload, n));
         }
     }
 }
 
-void callers::check_answer(const submission& it, const fleet::outcome& told)
+void callers::check_answer(const submission& it, const fleet::job_reply& reply)
 {
-    if (told.state == job_state::completed) {
-        bool whole = told.answers.size() == it.payloads.size();
+    if (reply.state == job_state::completed) {
+        bool whole = reply.answers.size() == it.payloads.size();
         for (std::size_t n = 0; whole && n < it.payloads.size(); ++n) {
-            whole = told.answers[n] == "ok:" + it.payloads[n];
+            whole = reply.answers[n] == "ok:" + it.payloads[n];
         }
         if (!whole) {
-            faults_.push_back("partial or wrong answer for " + it.id);
+            violations_.push_back("partial or wrong answer for " + it.id);
         }
     }
-    else if (!told.answers.empty()) {
-        faults_.push_back("answers with a failed job for " + it.id);
+    else if (!reply.answers.empty()) {
+        violations_.push_back("answers with a failed job for " + it.id);
     }
-    if (told.state == job_state::failed_not_run) {
+    if (reply.state == job_state::failed_not_run) {
         for (const std::string& payload : it.payloads) {
             if (starts_of(payload) > 0) {
-                faults_.push_back(fmt::format("{} was told not run ({}) but task {} ran", it.id,
-                                              told.reason, payload));
+                violations_.push_back(fmt::format("{} was told not run ({}) but task {} ran", it.id,
+                                                  reply.reason, payload));
             }
         }
     }
@@ -133,12 +135,13 @@
         record_map records;
         for (const account_record& record : statement.records) {
             if (record.receipt.customer != customer) {
-                faults_.push_back("a record of another customer in the account of " + customer);
+                violations_.push_back("a record of another customer in the account of " + customer);
             }
             records[record.receipt.submission_id] = &record;
         }
         if (!statement.duplicate_starts.empty() || !statement.duplicate_answers.empty()) {
-            faults_.push_back("the account of " + customer + " shows a doubled start or answer");
+            violations_.push_back("the account of " + customer +
+                                  " shows a duplicate start or answer");
         }
         for (const submission& it : submissions_) {
             if (it.customer == customer) {
@@ -158,18 +161,18 @@
     const auto found = records.find(it.id);
     if (found == records.end()) {
         if (starts > 0 && statement.is_complete() && it.sent < statement.complete_until) {
-            faults_.push_back(it.id + " ran but a complete account does not show it");
+            violations_.push_back(it.id + " ran but a complete account does not show it");
         }
         return;
     }
     const account_record& record = *found->second;
     if (record.outcome == account_outcome::completed &&
         record.starts() != static_cast<std::uint64_t>(starts)) {
-        faults_.push_back(fmt::format("the account shows {} starts of {}, the workers saw {}",
-                                      record.starts(), it.id, starts));
+        violations_.push_back(fmt::format("the account shows {} starts of {}, the workers saw {}",
+                                          record.starts(), it.id, starts));
     }
     if (record.outcome == account_outcome::failed_not_run && starts > 0) {
-        faults_.push_back("the account says not run of " + it.id + ", which ran");
+        violations_.push_back("the account says not run of " + it.id + ", which ran");
     }
 }
 
--- a/tests/system/fake_platform.h
+++ b/tests/system/fake_platform.h
@@ -112,7 +112,7 @@
     {
     }
 
-    void set_log_cut(bool cut) { log_cut_ = cut; }
+    void set_log_partitioned(bool partitioned) { log_partitioned_ = partitioned; }
     void set_rule(reach_rule rule) { rule_ = std::move(rule); }
     void detach() { *alive_ = false; }
 
@@ -123,7 +123,7 @@
             if (!*alive) {
                 return;
             }
-            timers_.schedule(one_way, [alive, once, it] {
+            timers_.schedule(network_delay, [alive, once, it] {
                 if (*alive && *once) {
                     std::exchange(*once, nullptr)(it);
                 }
@@ -134,7 +134,7 @@
             return;
         }
         // A connection that broke before the reply shows only as a timeout.
-        timers_.schedule(request.time_left + one_way, [alive = alive_, once] {
+        timers_.schedule(request.time_left + network_delay, [alive = alive_, once] {
             if (*alive && *once) {
                 std::exchange(*once, nullptr)(reply_with(start_status::reply_lost));
             }
@@ -152,7 +152,7 @@
 
     void append(std::string_view stream, std::string content, append_callback done) override
     {
-        if (!log_cut_) {
+        if (!log_partitioned_) {
             log_.append(stream, std::move(content), guarded<result<log_offset>>(std::move(done)));
         }
     }
@@ -160,19 +160,19 @@
     void read(std::string_view stream, log_offset from, std::size_t max_records,
               read_callback done) override
     {
-        if (!log_cut_) {
+        if (!log_partitioned_) {
             log_.read(stream, from, max_records, guarded<result<log_page>>(std::move(done)));
         }
     }
 
 private:
-    static constexpr duration one_way = std::chrono::milliseconds{1};
+    static constexpr duration network_delay = std::chrono::milliseconds{1};
 
     template<typename Reply>
     std::function<void(Reply)> guarded(std::function<void(Reply)> done)
     {
         return [this, alive = alive_, done = std::move(done)](Reply reply) {
-            if (*alive && !log_cut_) {
+            if (*alive && !log_partitioned_) {
                 timers_.schedule(duration::zero(), [alive, done, reply] {
                     if (*alive) {
                         done(reply);
@@ -186,7 +186,7 @@
     fake_workers& workers_;
     log_service& log_;
     reach_rule rule_;
-    bool log_cut_ = false;
+    bool log_partitioned_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/system/fault_table_test.cpp
+++ b/tests/system/fault_table_test.cpp
@@ -21,27 +21,27 @@
     void run(duration span)
     {
         for (duration done{}; done < span; done += 250ms) {
-            load.submit_some(3);
+            load.submit_random(3);
             entry.run(250ms);
         }
     }
 
     // One submission that is not resubmitted, for cases that check a single answer.
-    std::size_t submit_one(std::size_t door, std::string kind)
+    std::size_t submit_one(std::size_t entry_index, std::string kind)
     {
-        load.set_impatient(false);
-        const auto number = load.submit(door, std::move(kind), 1);
-        load.set_impatient(true);
+        load.set_resubmission(false);
+        const auto number = load.submit(entry_index, std::move(kind), 1);
+        load.set_resubmission(true);
         BOOST_REQUIRE(number.has_value());
         return *number;
     }
 
     int starts(std::size_t number) const { return load.starts_of(load[number].payloads[0]); }
 
-    job_state last_told(std::size_t number) const
+    job_state last_reply_state(std::size_t number) const
     {
-        BOOST_REQUIRE(!load[number].told.empty());
-        return load[number].told.back().state;
+        BOOST_REQUIRE(!load[number].replies.empty());
+        return load[number].replies.back().state;
     }
 
     std::size_t ready_instances()
@@ -58,10 +58,10 @@
         return entry[number].instance->configuration().in_force().version;
     }
 
-    void edit_profile(std::size_t door, int tenths)
+    void edit_profile(std::size_t entry_index, int tenths)
     {
         entry.edit(
-            door, "profile", "dispatch",
+            entry_index, "profile", "dispatch",
             fmt::format("[profile]\nresponse_time_weight = 0.5\nwasted_message_weight = 0.5\n"
                         "routing = \"predicted_finish\"\nmessage_budget = 2.2\n"
                         "hedge_quantile = 0.95\nretry_ratio = 0.{}\n",
@@ -82,16 +82,16 @@
     request.kind = "van_booking";
     request.payloads = {"never-sent"};
     request.deadline = 3s;
-    std::vector<job_state> told;
+    std::vector<job_state> replies;
     for (int n = 0; n < 12; ++n) {
         it.entry.serve(1, request,
-                       [&](const fleet::outcome& answer) { told.push_back(answer.state); });
+                       [&](const fleet::job_reply& answer) { replies.push_back(answer.state); });
         it.entry.run(1s);
     }
     // Until the death is detected the forwarded request is lost; then the answer is unknown. It is
     // never "not run", since another instance cannot know that, and nothing starts.
-    BOOST_TEST(!told.empty());
-    for (const job_state state : told) {
+    BOOST_TEST(!replies.empty());
+    for (const job_state state : replies) {
         BOOST_TEST(to_string(state) == to_string(job_state::unknown));
     }
     BOOST_TEST(it.load.starts_of("never-sent") == 0);
@@ -106,7 +106,7 @@
     it.entry.run(10s);
     it.load.resubmit(number, 1);
     it.entry.run(5s);
-    BOOST_TEST(to_string(it.last_told(number)) == to_string(job_state::unknown));
+    BOOST_TEST(to_string(it.last_reply_state(number)) == to_string(job_state::unknown));
     BOOST_TEST(it.starts(number) == 1);
 }
 
@@ -114,7 +114,7 @@
 {
     const std::size_t number = it.submit_one(0, "van_booking");
     it.entry.run(1s);
-    BOOST_TEST(to_string(it.last_told(number)) == to_string(job_state::completed));
+    BOOST_TEST(to_string(it.last_reply_state(number)) == to_string(job_state::completed));
     it.entry.kill(0);
     it.entry.run(10s);
     it.load.resubmit(number, 1);
@@ -127,14 +127,14 @@
 
 void resubmission_joins_the_running_job(scenario& it)
 {
-    it.load.set_impatient(false);
+    it.load.set_resubmission(false);
     const auto number = *it.load.submit(0, "van_booking", 1);
     it.entry.run(20ms);
     it.load.resubmit(number, 3);
     it.load.resubmit(number, 4);
     it.entry.run(5s);
-    BOOST_TEST(it.load[number].told.size() >= 3U);
-    BOOST_TEST(to_string(it.last_told(number)) == to_string(job_state::completed));
+    BOOST_TEST(it.load[number].replies.size() >= 3U);
+    BOOST_TEST(to_string(it.last_reply_state(number)) == to_string(job_state::completed));
     BOOST_TEST(it.starts(number) == 1);
 }
 
@@ -165,7 +165,7 @@
         it.entry.workers()[id].state = fake_workers::health::dead;
     }
     it.entry.run(6s);
-    BOOST_TEST(to_string(it.last_told(number)) == to_string(job_state::unknown));
+    BOOST_TEST(to_string(it.last_reply_state(number)) == to_string(job_state::unknown));
     for (worker_id id = 0; id < worker_count; ++id) {
         it.entry.workers()[id].state = fake_workers::health::good;
         it.entry.workers()[id].run_time = 100ms;
@@ -185,9 +185,9 @@
 void log_is_down_for_an_hour(scenario& it)
 {
     it.entry.log().set_down(true);
-    const std::size_t before = it.load.count_told(job_state::completed);
+    const std::size_t before = it.load.count_replies(job_state::completed);
     it.run(10s);
-    BOOST_TEST(it.load.count_told(job_state::completed) > before);
+    BOOST_TEST(it.load.count_replies(job_state::completed) > before);
     it.entry.run(1h);
     it.entry.kill(1);
     it.entry.start(1);
@@ -229,39 +229,39 @@
 
 void data_centre_is_cut_off(scenario& it)
 {
-    it.entry.set_data_centre_cut(1, true);
+    it.entry.set_data_centre_partitioned(1, true);
     it.entry.run(10s);
-    // Ids that are issued on a side are served on that side, non-idempotent kinds too.
+    // Ids issued on one side of a partition are served on that side, for non-idempotent kinds too.
     const std::size_t inside = it.submit_one(1, "van_booking");
     const std::size_t outside = it.submit_one(0, "van_booking");
     it.entry.run(4s);
-    BOOST_TEST(to_string(it.last_told(inside)) == to_string(job_state::completed));
-    BOOST_TEST(to_string(it.last_told(outside)) == to_string(job_state::completed));
+    BOOST_TEST(to_string(it.last_reply_state(inside)) == to_string(job_state::completed));
+    BOOST_TEST(to_string(it.last_reply_state(outside)) == to_string(job_state::completed));
     it.load.resubmit(inside, 0);
     it.run(10s);
-    BOOST_TEST(to_string(it.last_told(inside)) == to_string(job_state::unknown));
-    it.entry.set_data_centre_cut(1, false);
+    BOOST_TEST(to_string(it.last_reply_state(inside)) == to_string(job_state::unknown));
+    it.entry.set_data_centre_partitioned(1, false);
     it.run(15s);
     it.load.resubmit(inside, 0);
     it.entry.run(4s);
-    BOOST_TEST(to_string(it.last_told(inside)) == to_string(job_state::completed));
+    BOOST_TEST(to_string(it.last_reply_state(inside)) == to_string(job_state::completed));
     BOOST_TEST(it.starts(inside) == 1);
 }
 
 void data_centre_is_cut_off_from_the_platform_only(scenario& it)
 {
-    it.entry.set_platform_cut(2, true);
+    it.entry.set_platform_partitioned(2, true);
     it.edit_profile(0, 5);
     it.run(10s);
     // The instances of that data centre learn the new version from their peers.
     BOOST_TEST(it.version(2) == it.version(0));
-    it.entry.set_platform_cut(2, false);
+    it.entry.set_platform_partitioned(2, false);
     it.run(10s);
 }
 
 void all_instances_are_replaced_under_load(scenario& it)
 {
-    const std::size_t before = it.load.count_told(job_state::failed_after_run);
+    const std::size_t before = it.load.count_replies(job_state::failed_after_run);
     for (std::size_t n = 0; n < instances; ++n) {
         it.entry.shut_down(n);
         it.run(10s);
@@ -271,7 +271,7 @@
     }
     BOOST_TEST(it.ready_instances() == instances);
     // A graceful shutdown cuts off no request in progress.
-    BOOST_TEST(it.load.count_told(job_state::failed_after_run) == before);
+    BOOST_TEST(it.load.count_replies(job_state::failed_after_run) == before);
 }
 
 void instance_is_killed_while_the_log_is_down(scenario& it)
@@ -289,11 +289,11 @@
 void data_centre_is_cut_off_while_one_is_paused(scenario& it)
 {
     it.entry.set_paused(0, true);
-    it.entry.set_data_centre_cut(2, true);
+    it.entry.set_data_centre_partitioned(2, true);
     it.run(12s);
     it.entry.set_paused(0, false);
     it.run(3s);
-    it.entry.set_data_centre_cut(2, false);
+    it.entry.set_data_centre_partitioned(2, false);
     it.run(15s);
 }
 
@@ -337,9 +337,9 @@
             it.run(5s);
             row.run(it);
             it.entry.run(30s);
-            BOOST_TEST(it.load.count_told(job_state::completed) > 0U);
-            for (const std::string& fault : it.load.check()) {
-                BOOST_ERROR(fault);
+            BOOST_TEST(it.load.count_replies(job_state::completed) > 0U);
+            for (const std::string& violation : it.load.check()) {
+                BOOST_ERROR(violation);
             }
         }
     }
--- a/tests/system/fleet.cpp
+++ b/tests/system/fleet.cpp
@@ -10,12 +10,12 @@
 
 constexpr std::size_t instance_count = 6;
 
-std::size_t centre_of_instance(std::size_t number)
+std::size_t data_centre_of(std::size_t number)
 {
     return number % data_centres;
 }
 
-std::string centre_name(std::size_t n)
+std::string data_centre_name(std::size_t n)
 {
     return fmt::format("dc{}", n);
 }
@@ -123,7 +123,7 @@
 fleet::fleet(std::uint64_t seed) : seed_(seed)
 {
     for (worker_id id = 0; id < worker_count; ++id) {
-        workers_[id].data_centre = centre_name(id % data_centres);
+        workers_[id].data_centre = data_centre_name(id % data_centres);
     }
     config_edit first;
     first.id = "first";
@@ -132,8 +132,8 @@
     first.content = fleet_document();
     log_.append("config", encode(first), [](const result<log_offset>& /*stored*/) {});
     network_.set_rule([this](std::string_view from, std::string_view to) {
-        return can_talk(centre_of_address_.at(std::string(from)),
-                        centre_of_address_.at(std::string(to)));
+        return is_connected(data_centre_by_address_.at(std::string(from)),
+                            data_centre_by_address_.at(std::string(to)));
     });
 }
 
@@ -145,9 +145,9 @@
     }
 }
 
-bool fleet::can_talk(std::size_t a, std::size_t b) const
+bool fleet::is_connected(std::size_t a, std::size_t b) const
 {
-    return a == b || (!cut_.contains(a) && !cut_.contains(b));
+    return a == b || (!partitioned_.contains(a) && !partitioned_.contains(b));
 }
 
 fleet::node& fleet::start(std::size_t number)
@@ -155,22 +155,22 @@
     auto it = std::make_unique<node>();
     it->name = fmt::format("i{}", number);
     it->address = address_of(number);
-    it->data_centre = centre_of_instance(number);
-    centre_of_address_[it->address] = it->data_centre;
+    it->data_centre = data_centre_of(number);
+    data_centre_by_address_[it->address] = it->data_centre;
     it->timers = std::make_unique<pausable_timer_service>(timers_);
     it->platform = std::make_unique<platform_link>(*it->timers, workers_, log_);
-    it->platform->set_rule([this, centre = it->data_centre](worker_id id) {
-        return can_talk(centre, id % data_centres);
+    it->platform->set_rule([this, data_centre = it->data_centre](worker_id id) {
+        return is_connected(data_centre, id % data_centres);
     });
-    it->platform->set_log_cut(platform_cut_.contains(it->data_centre) ||
-                              cut_.contains(it->data_centre));
+    it->platform->set_log_partitioned(platform_partitioned_.contains(it->data_centre) ||
+                                      partitioned_.contains(it->data_centre));
     it->transport = network_.connect(it->address, *it->timers);
     it->config_peers = std::make_unique<fleet_config_peers>(
         *it->timers, [this, self = it.get()](log_offset newer_than) {
             std::vector<std::string> states;
             for (auto& [other, peer] : nodes_) {
                 if (peer.get() != self && !peer->paused &&
-                    can_talk(peer->data_centre, self->data_centre)) {
+                    is_connected(peer->data_centre, self->data_centre)) {
                     states.push_back(peer->instance->configuration().state_for_peer(newer_than));
                 }
             }
@@ -178,14 +178,14 @@
         });
     entry_options options;
     options.self.name = it->name;
-    options.self.data_centre = centre_name(it->data_centre);
+    options.self.data_centre = data_centre_name(it->data_centre);
     options.self.address = it->address;
     options.self.incarnation = ++incarnations_;
     options.checksum_key = checksum_key;
     options.seed = seed_ * 1000 + incarnations_;
     options.config.seed = options.seed;
     for (std::size_t other = 0; other < instance_count; ++other) {
-        options.seeds.push_back({fmt::format("i{}", other), centre_name(centre_of_instance(other)),
+        options.seeds.push_back({fmt::format("i{}", other), data_centre_name(data_centre_of(other)),
                                  address_of(other), false});
     }
     it->instance = std::make_unique<entry_instance>(
@@ -237,18 +237,19 @@
     nodes_.at(number)->instance->shut_down([] {});
 }
 
-void fleet::set_data_centre_cut(std::size_t data_centre, bool cut)
+void fleet::set_data_centre_partitioned(std::size_t data_centre, bool partitioned)
 {
-    cut ? (void)cut_.insert(data_centre) : (void)cut_.erase(data_centre);
-    set_platform_cut(data_centre, cut);
+    partitioned ? (void)partitioned_.insert(data_centre) : (void)partitioned_.erase(data_centre);
+    set_platform_partitioned(data_centre, partitioned);
 }
 
-void fleet::set_platform_cut(std::size_t data_centre, bool cut)
+void fleet::set_platform_partitioned(std::size_t data_centre, bool partitioned)
 {
-    cut ? (void)platform_cut_.insert(data_centre) : (void)platform_cut_.erase(data_centre);
+    partitioned ? (void)platform_partitioned_.insert(data_centre)
+                : (void)platform_partitioned_.erase(data_centre);
     for (auto& [number, it] : nodes_) {
         if (it->data_centre == data_centre) {
-            it->platform->set_log_cut(cut);
+            it->platform->set_log_partitioned(partitioned);
         }
     }
 }
@@ -262,7 +263,7 @@
     return instance.is_ready() ? std::optional(instance.jobs()->issue_prefix()) : std::nullopt;
 }
 
-void fleet::serve(std::size_t number, job_request request, const reply& done)
+void fleet::serve(std::size_t number, job_request request, const reply_callback& done)
 {
     if (!is_running(number) || nodes_.at(number)->paused) {
         return;
@@ -281,7 +282,7 @@
         return entry.second->address == place.address;
     });
     if (owner == nodes_.end() || owner->second->paused ||
-        !can_talk(owner->second->data_centre, it.data_centre)) {
+        !is_connected(owner->second->data_centre, it.data_centre)) {
         return; // the forwarded request is lost, so the caller gets no reply
     }
     if (owner->second->instance->locate(request.id).place != submission_place::local) {
@@ -291,7 +292,7 @@
     serve_here(*owner->second, std::move(request), done);
 }
 
-void fleet::serve_here(node& it, job_request request, const reply& done)
+void fleet::serve_here(node& it, job_request request, const reply_callback& done)
 {
     job_service* jobs = it.instance->jobs();
     if (jobs == nullptr) {
@@ -334,8 +335,8 @@
     for (auto& [number, it] : nodes_) {
         const config_in_force& now = it->instance->configuration().in_force();
         if (now.version < it->newest_version) {
-            faults_.push_back(fmt::format("{} went back from version {} to {}", it->name,
-                                          it->newest_version, now.version));
+            violations_.push_back(fmt::format("{} went back from version {} to {}", it->name,
+                                              it->newest_version, now.version));
         }
         it->newest_version = now.version;
     }
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -37,12 +37,12 @@
         log_offset newest_version = 0;
     };
 
-    struct outcome {
+    struct job_reply {
         job_state state = job_state::unknown;
         std::string reason;
         std::vector<std::string> answers;
     };
-    using reply = std::function<void(outcome)>;
+    using reply_callback = std::function<void(job_reply)>;
 
     explicit fleet(std::uint64_t seed);
     ~fleet();
@@ -52,12 +52,12 @@
     void kill(std::size_t number);
     void set_paused(std::size_t number, bool paused);
     void shut_down(std::size_t number);
-    void set_data_centre_cut(std::size_t data_centre, bool cut);
-    void set_platform_cut(std::size_t data_centre, bool cut);
+    void set_data_centre_partitioned(std::size_t data_centre, bool partitioned);
+    void set_platform_partitioned(std::size_t data_centre, bool partitioned);
 
     // Passes a submission to instance `number`. `done` does not run if that instance is dead,
     // paused or dies first; the caller then sees a lost connection.
-    void serve(std::size_t number, job_request request, const reply& done);
+    void serve(std::size_t number, job_request request, const reply_callback& done);
     std::optional<std::string> prefix_of(std::size_t number);
 
     void run(duration span);
@@ -75,11 +75,11 @@
     fake_workers& workers() { return workers_; }
 
     // Invariant violations that were detected while running.
-    std::vector<std::string>& faults() { return faults_; }
+    std::vector<std::string>& violations() { return violations_; }
 
 private:
-    bool can_talk(std::size_t a, std::size_t b) const;
-    void serve_here(node& it, job_request request, const reply& done);
+    bool is_connected(std::size_t a, std::size_t b) const;
+    void serve_here(node& it, job_request request, const reply_callback& done);
     void retire(std::size_t number);
 
     void check_versions();
@@ -87,14 +87,14 @@
     virtual_timer_service timers_;
     memory_log log_{timers_};
     fake_workers workers_{timers_, worker_count};
-    std::vector<std::string> faults_;
+    std::vector<std::string> violations_;
     std::uint64_t edits_ = 0;
     memory_peer_network network_{std::chrono::milliseconds{1}};
     std::uint64_t seed_;
     std::uint64_t incarnations_ = 0;
-    std::set<std::size_t> cut_;
-    std::set<std::size_t> platform_cut_;
-    std::map<std::string, std::size_t> centre_of_address_;
+    std::set<std::size_t> partitioned_;
+    std::set<std::size_t> platform_partitioned_;
+    std::map<std::string, std::size_t> data_centre_by_address_;
     std::vector<std::unique_ptr<node>> retired_;
     std::map<std::size_t, std::unique_ptr<node>> nodes_;
 };
--- a/tests/system/random_faults_test.cpp
+++ b/tests/system/random_faults_test.cpp
@@ -23,13 +23,13 @@
     void run(std::size_t steps)
     {
         for (std::size_t n = 0; n < steps; ++n) {
-            callers_.submit_some(3);
+            callers_.submit_random(3);
             if (draw(4) == 0) {
-                disturb();
+                inject_fault();
             }
             fleet_.run(250ms);
         }
-        heal();
+        clear_faults();
         fleet_.run(90s);
     }
 
@@ -39,7 +39,7 @@
 private:
     std::uint32_t draw(std::uint32_t bound) { return callers_.draw(bound); }
 
-    void note(std::string event)
+    void record_event(std::string event)
     {
         events_.push_back(fmt::format(
             "{:8.2f} s {}",
@@ -47,14 +47,16 @@
             std::move(event)));
     }
 
-    void disturb()
+    void inject_fault()
     {
         using event = void (random_run::*)();
         static constexpr event events[] = {
-            &random_run::kill_one,     &random_run::pause_one,    &random_run::replace_one,
-            &random_run::cut_centre,   &random_run::cut_platform, &random_run::stop_log,
-            &random_run::lose_replies, &random_run::break_worker, &random_run::race_edits,
-            &random_run::race_edits,   &random_run::lose_appends,
+            &random_run::kill_one,           &random_run::pause_one,
+            &random_run::replace_one,        &random_run::partition_data_centre,
+            &random_run::partition_platform, &random_run::stop_log,
+            &random_run::lose_replies,       &random_run::break_worker,
+            &random_run::race_edits,         &random_run::race_edits,
+            &random_run::lose_appends,
         };
         (this->*events[draw(std::size(events))])();
     }
@@ -63,7 +65,7 @@
     {
         fleet_.timers().schedule(duration{1s} * (1 + draw(8)), [this, number] {
             if (!fleet_.is_running(number)) {
-                note(fmt::format("start i{}", number));
+                record_event(fmt::format("start i{}", number));
                 fleet_.start(number);
             }
         });
@@ -73,7 +75,7 @@
     {
         const std::size_t number = draw(instances);
         if (fleet_.is_running(number)) {
-            note(fmt::format("kill i{}", number));
+            record_event(fmt::format("kill i{}", number));
             fleet_.kill(number);
             restart_later(number);
         }
@@ -85,12 +87,12 @@
         if (!fleet_.is_running(number) || fleet_[number].paused) {
             return;
         }
-        note(fmt::format("pause i{}", number));
+        record_event(fmt::format("pause i{}", number));
         fleet_.set_paused(number, true);
         const auto* paused = &fleet_[number];
         fleet_.timers().schedule(duration{1s} * (1 + draw(15)), [this, number, paused] {
             if (fleet_.is_running(number) && &fleet_[number] == paused && paused->paused) {
-                note(fmt::format("resume i{}", number));
+                record_event(fmt::format("resume i{}", number));
                 fleet_.set_paused(number, false);
             }
         });
@@ -102,7 +104,7 @@
         if (!fleet_.is_running(number) || fleet_[number].paused) {
             return;
         }
-        note(fmt::format("shut down i{}", number));
+        record_event(fmt::format("shut down i{}", number));
         fleet_.shut_down(number);
         const auto* leaving = &fleet_[number];
         fleet_.timers().schedule(20s, [this, number, leaving] {
@@ -113,30 +115,31 @@
         });
     }
 
-    void cut_centre()
+    void partition_data_centre()
     {
-        const std::size_t centre = draw(data_centres);
-        note(fmt::format("cut dc{}", centre));
-        fleet_.set_data_centre_cut(centre, true);
-        fleet_.timers().schedule(duration{1s} * (1 + draw(20)), [this, centre] {
-            note(fmt::format("join dc{}", centre));
-            fleet_.set_data_centre_cut(centre, false);
+        const std::size_t data_centre = draw(data_centres);
+        record_event(fmt::format("partition dc{}", data_centre));
+        fleet_.set_data_centre_partitioned(data_centre, true);
+        fleet_.timers().schedule(duration{1s} * (1 + draw(20)), [this, data_centre] {
+            record_event(fmt::format("reconnect dc{}", data_centre));
+            fleet_.set_data_centre_partitioned(data_centre, false);
         });
     }
 
-    void cut_platform()
+    void partition_platform()
     {
-        const std::size_t centre = draw(data_centres);
-        note(fmt::format("cut dc{} from the log", centre));
-        fleet_.set_platform_cut(centre, true);
-        fleet_.timers().schedule(duration{1s} * (1 + draw(30)),
-                                 [this, centre] { fleet_.set_platform_cut(centre, false); });
+        const std::size_t data_centre = draw(data_centres);
+        record_event(fmt::format("partition dc{} from the log", data_centre));
+        fleet_.set_platform_partitioned(data_centre, true);
+        fleet_.timers().schedule(duration{1s} * (1 + draw(30)), [this, data_centre] {
+            fleet_.set_platform_partitioned(data_centre, false);
+        });
     }
 
     void stop_log()
     {
         const bool silent = draw(2) == 0;
-        note(silent ? "log silent" : "log down");
+        record_event(silent ? "log silent" : "log down");
         silent ? fleet_.log().set_silent(true) : fleet_.log().set_down(true);
         fleet_.timers().schedule(duration{1s} * (1 + draw(20)), [this] {
             fleet_.log().set_silent(false);
@@ -146,13 +149,13 @@
 
     void lose_replies()
     {
-        note("lose append replies");
+        record_event("lose append replies");
         fleet_.log().lose_append_replies(1 + draw(4));
     }
 
     void lose_appends()
     {
-        note("lose append requests");
+        record_event("lose append requests");
         fleet_.log().lose_append_requests(1 + draw(4));
     }
 
@@ -160,7 +163,7 @@
     {
         const worker_id id = draw(worker_count);
         const bool dies = draw(2) == 0;
-        note(fmt::format("worker w{} {}", id, dies ? "dies" : "fails all tasks"));
+        record_event(fmt::format("worker w{} {}", id, dies ? "dies" : "fails all tasks"));
         fleet_.workers()[id].state =
             dies ? fake_workers::health::dead : fake_workers::health::fails_all;
         fleet_.timers().schedule(duration{1s} * (1 + draw(10)), [this, id] {
@@ -170,7 +173,7 @@
 
     void race_edits()
     {
-        note("two instances edit the profile");
+        record_event("two instances edit the profile");
         for (int n = 0; n < 2; ++n) {
             fleet_.edit(draw(instances), "profile", "dispatch",
                         fmt::format("[profile]\nresponse_time_weight = 0.5\n"
@@ -181,13 +184,13 @@
         }
     }
 
-    void heal()
+    void clear_faults()
     {
-        note("heal everything");
+        record_event("clear all faults");
         fleet_.log().set_silent(false);
         fleet_.log().set_down(false);
         for (std::size_t n = 0; n < data_centres; ++n) {
-            fleet_.set_data_centre_cut(n, false);
+            fleet_.set_data_centre_partitioned(n, false);
         }
         for (worker_id id = 0; id < worker_count; ++id) {
             fleet_.workers()[id].state = fake_workers::health::good;
@@ -222,17 +225,17 @@
         random_run it(seed);
         it.run(240);
         const callers& load = it.load();
-        completed += load.count_told(job_state::completed);
-        BOOST_TEST_MESSAGE("seed " << seed << ": " << load.count_told(job_state::completed)
-                                   << " completed, " << load.count_told(job_state::failed_not_run)
-                                   << " not run, " << load.count_told(job_state::failed_after_run)
-                                   << " failed after run, " << load.count_told(job_state::unknown)
-                                   << " unknown");
-        const std::vector<std::string> faults = it.load().check();
-        for (const std::string& fault : faults) {
-            BOOST_ERROR("seed " << seed << ": " << fault);
+        completed += load.count_replies(job_state::completed);
+        BOOST_TEST_MESSAGE(
+            "seed " << seed << ": " << load.count_replies(job_state::completed) << " completed, "
+                    << load.count_replies(job_state::failed_not_run) << " not run, "
+                    << load.count_replies(job_state::failed_after_run) << " failed after run, "
+                    << load.count_replies(job_state::unknown) << " unknown");
+        const std::vector<std::string> violations = it.load().check();
+        for (const std::string& violation : violations) {
+            BOOST_ERROR("seed " << seed << ": " << violation);
         }
-        if (!faults.empty()) {
+        if (!violations.empty()) {
             for (const std::string& event : it.events()) {
                 BOOST_TEST_MESSAGE("seed " << seed << ": " << event);
             }
