--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -737,9 +737,9 @@
     std::erase_if(update_queue_, [&](const queued_update& it) { return it.sent >= limit; });
 
     const auto& others = table_.others();
-    const auto room =
+    const auto free_slots =
         std::min(table_updates_per_message, max_updates_per_message - gossip.updates.size());
-    for (std::size_t i = 0; i < room && !others.empty(); ++i) {
+    for (std::size_t i = 0; i < free_slots && !others.empty(); ++i) {
         auto it = others.upper_bound(repeat_cursor_);
         if (it == others.end()) {
             it = others.begin();
@@ -783,7 +783,7 @@
     }
 }
 
-// One of them is in the target's own data centre if possible: it can tell a dead member from a
+// One prober is in the target's own data centre if possible: it can tell a dead member from a
 // partition between data centres.
 std::vector<std::string> failure_detector::choose_indirect_probers(const member& target)
 {
