--- a/tests/account/account_test.cpp
+++ b/tests/account/account_test.cpp
@@ -337,7 +337,7 @@
          BOOST_TEST(statement.records.size() == 30U);
          BOOST_TEST(statement.duplicate_answers.empty());
      }},
-    {"export is late: a hole between archive and log",
+    {"export is late: a gap between archive and log",
      [](account_fixture& it) {
          it.run_requests(10);
          it.timers.advance(1s);
@@ -417,7 +417,7 @@
          BOOST_TEST(statement.is_complete());
          BOOST_TEST(statement.records.size() == 20U);
      }},
-    {"doubled answer and doubled start",
+    {"duplicate answer and duplicate start",
      [](account_fixture& it) {
          it.writer->ended(it.end("twice.1"));
          it.timers.advance(1s);
--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -42,7 +42,7 @@
 
         bool is(config_log_state state) const { return follower->log_state() == state; }
         const deployment& settings() const { return *follower->in_force().settings; }
-        void cut_off(bool from_log, bool from_peers)
+        void set_disconnected(bool from_log, bool from_peers)
         {
             link.set_partitioned(from_log);
             has_peers = !from_peers;
@@ -65,7 +65,7 @@
     instance& add(bool with_peers = true, bool with_log = true)
     {
         instances.push_back(std::make_unique<instance>(*this, instances.size() + 1));
-        instances.back()->cut_off(!with_log, !with_peers);
+        instances.back()->set_disconnected(!with_log, !with_peers);
         instances.back()->follower->start();
         return *instances.back();
     }
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -312,7 +312,7 @@
          auto& fresh = c.add(false, false);
          c.run(1min);
          BOOST_TEST(!fresh.follower->is_ready());
-         fresh.cut_off(false, true);
+         fresh.set_disconnected(false, true);
          c.run(in_force_target);
          BOOST_TEST(fresh.follower->is_ready());
      }},
@@ -323,11 +323,11 @@
          }
          auto& fresh = c.add(false);
          c.timers.advance(1500us);
-         fresh.cut_off(true, true);
+         fresh.set_disconnected(true, true);
          c.run(10s);
          BOOST_TEST(fresh.follower->state_machine().has_document());
          BOOST_TEST(!fresh.follower->is_ready());
-         fresh.cut_off(false, true);
+         fresh.set_disconnected(false, true);
          c.run(in_force_target);
          BOOST_TEST(fresh.follower->is_ready());
      }},
@@ -335,38 +335,38 @@
      [](config_cluster& c) {
          c.log.drop_before("config", c.log.page("config").end);
          c.append_raw(raw_edit("a", c.reference.version_of("account"), 10));
-         c.at(0).cut_off(true, true);
+         c.at(0).set_disconnected(true, true);
          auto& fresh = c.add(false);
          c.run(500ms);
          BOOST_TEST(!fresh.follower->is_ready());
          BOOST_TEST(fresh.is(state::gap));
-         fresh.cut_off(false, false);
-         c.at(0).cut_off(false, false);
+         fresh.set_disconnected(false, false);
+         c.at(0).set_disconnected(false, false);
          c.run(in_force_target);
          BOOST_TEST(fresh.settings().account_appends_per_second == 10U);
      }},
     {"instance lags behind what is retained",
      [](config_cluster& c) {
-         c.at(2).cut_off(true, true);
+         c.at(2).set_disconnected(true, true);
          for (int n = 1; n < 100; ++n) {
              c.append_raw(raw_edit(fmt::format("x{}", n), c.reference.version_of("account"), n));
          }
          c.log.drop_before("config", c.log.page("config").end - 5);
          c.run(1min);
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 100U);
-         c.at(2).cut_off(false, true);
+         c.at(2).set_disconnected(false, true);
          c.run(in_force_target);
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 99U);
      }},
-    {"instance cut off from the log but not from its peers",
+    {"instance disconnected from the log but not from its peers",
      [](config_cluster& c) {
-         c.at(2).cut_off(true, false);
+         c.at(2).set_disconnected(true, false);
          c.run(1min);
          c.submit_rate(0, "a", 10);
          c.run(in_force_target);
          BOOST_TEST(c.at(2).is(state::down));
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 10U);
-         c.at(2).cut_off(false, false);
+         c.at(2).set_disconnected(false, false);
          c.run(in_force_target);
      }},
     {"cold start on a log longer than two snapshot distances",
@@ -439,7 +439,8 @@
                     c.log.set_down(draw_below(random, 3) == 0);
                     break;
                 case 1:
-                    c.at(n).cut_off(draw_below(random, 2) == 0, draw_below(random, 2) == 0);
+                    c.at(n).set_disconnected(draw_below(random, 2) == 0,
+                                             draw_below(random, 2) == 0);
                     break;
                 case 2:
                     c.log.lose_append_replies(1 + draw_below(random, 3));
@@ -483,7 +484,7 @@
             c.log.set_down(false);
             c.log.set_latency(5ms, 1ms);
             for (const auto& it : c.instances) {
-                it->cut_off(false, false);
+                it->set_disconnected(false, false);
             }
             c.run(10s);
             if (is_log_kept) {
--- a/tests/membership/failure_detector_test.cpp
+++ b/tests/membership/failure_detector_test.cpp
@@ -90,7 +90,7 @@
          BOOST_TEST(it["i002"].deaths_seen == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"cut off from all for 4 s, then paused for a minute, then both end",
+    {"partitioned from all for 4 s, then paused for a minute, then both end",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return from != "10.0.0.2:80" && to != "10.0.0.2:80";
@@ -136,7 +136,7 @@
          BOOST_TEST((it["i001"].detector->members().find("i002", 7) != nullptr));
          BOOST_TEST(it.views_agree());
      }},
-    {"one-way cut between two instances",
+    {"one-way partition between two instances",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return from != "10.0.0.1:80" || to != "10.0.0.2:80";
@@ -147,7 +147,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"two-way cut between two instances",
+    {"two-way partition between two instances",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return !is_between(from, to, "10.0.0.1:80", "10.0.0.2:80");
@@ -158,7 +158,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"one instance cut off from all",
+    {"one instance partitioned from all",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return from != "10.0.0.1:80" && to != "10.0.0.1:80";
@@ -197,7 +197,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"data centre cut off for two minutes",
+    {"data centre partitioned for two minutes",
      [](cluster& it) {
          it.network().set_rule(partition_around(it, "dc3"));
          it.run(2min);
@@ -222,9 +222,9 @@
      }},
     {"data centre flaps every 15 s",
      [](cluster& it) {
-         const auto cut = partition_around(it, "dc3");
-         it.network().set_rule([&it, cut](std::string_view from, std::string_view to) {
-             return it.now().time_since_epoch() / 15s % 2 == 0 || cut(from, to);
+         const auto rule = partition_around(it, "dc3");
+         it.network().set_rule([&it, rule](std::string_view from, std::string_view to) {
+             return it.now().time_since_epoch() / 15s % 2 == 0 || rule(from, to);
          });
          it.run(3min);
          it.network().set_rule({});
@@ -234,7 +234,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"data centre cut off and an instance dies on this side",
+    {"data centre partitioned and an instance dies on this side",
      [](cluster& it) {
          it.network().set_rule(partition_around(it, "dc3"));
          it.run(20s);
@@ -246,7 +246,7 @@
          it.run(40s);
      },
      [](cluster& it) { BOOST_TEST(it.views_agree()); }},
-    {"data centre cut off while an instance of it is restarted",
+    {"data centre partitioned while an instance of it is restarted",
      [](cluster& it) {
          it.network().set_rule(partition_around(it, "dc3"));
          it.run(20s);
@@ -292,7 +292,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.view("i001", "i002") == "left");
      }},
-    {"all instances replaced one after another, with goodbye, list never updated",
+    {"all instances replaced one after another, with leave notices, list never updated",
      [](cluster& it) {
          for (unsigned n = 1; n <= 9; ++n) {
              it.start(n + 10, n % 3 + 1);
@@ -307,9 +307,9 @@
      }},
     {"all instances killed and restarted one after another during a flapping data centre",
      [](cluster& it) {
-         const auto cut = partition_around(it, "dc3");
-         it.network().set_rule([&it, cut](std::string_view from, std::string_view to) {
-             return it.now().time_since_epoch() / 15s % 2 == 0 || cut(from, to);
+         const auto rule = partition_around(it, "dc3");
+         it.network().set_rule([&it, rule](std::string_view from, std::string_view to) {
+             return it.now().time_since_epoch() / 15s % 2 == 0 || rule(from, to);
          });
          for (unsigned n = 1; n <= 9; ++n) {
              restart(it, n, 2);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,8 +16,8 @@
 // Runs one seed: daemons as separate processes against a platform stand-in in this process, with
 // overlapping faults. Daemons are killed, stopped, paused and restarted, the store is unavailable,
 // and workers lose replies, execute messages late, fail tasks or hang. Connections between
-// instances and to workers and the store pass through proxies, which delay, cut one way, close or
-// silence them. Checks the replies to callers and the starts on workers.
+// instances and to workers and the store pass through proxies, which delay, block one direction,
+// close or blackhole them. Checks the replies to callers and the starts on workers.
 class soak {
 public:
     // Seeds that failed before the proxies existed are run without network faults.
@@ -81,8 +81,8 @@
     void fail_tasks(const fault_target& on);
     void reload_instance(const fault_target& on);
     void delay_connections(const fault_target& on);
-    void cut_one_way(const fault_target& on);
-    void silence_connections(const fault_target& on);
+    void block_one_direction(const fault_target& on);
+    void blackhole_connections(const fault_target& on);
     void close_connections(const fault_target& on);
     void clear_all_faults();
     void check_configuration();
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -30,13 +30,13 @@
     timers_.schedule(inject_interval, [this] { inject(); });
     // A seed selects faults by index, so the order must not change. Network faults come last.
     constexpr std::array<fault, 15> faults = {
-        &soak::kill_instance,     &soak::stop_instance,
-        &soak::pause_instance,    &soak::kill_several_instances,
-        &soak::silence_store,     &soak::refuse_at_store,
-        &soak::silence_worker,    &soak::lose_replies,
-        &soak::delay_starts,      &soak::fail_tasks,
-        &soak::reload_instance,   &soak::delay_connections,
-        &soak::cut_one_way,       &soak::silence_connections,
+        &soak::kill_instance,       &soak::stop_instance,
+        &soak::pause_instance,      &soak::kill_several_instances,
+        &soak::silence_store,       &soak::refuse_at_store,
+        &soak::silence_worker,      &soak::lose_replies,
+        &soak::delay_starts,        &soak::fail_tasks,
+        &soak::reload_instance,     &soak::delay_connections,
+        &soak::block_one_direction, &soak::blackhole_connections,
         &soak::close_connections,
     };
     constexpr std::uint32_t without_network = 11;
@@ -132,14 +132,14 @@
     timers_.schedule(on.length, [&proxy] { proxy.heal(); });
 }
 
-void soak::cut_one_way(const fault_target& on)
+void soak::block_one_direction(const fault_target& on)
 {
     auto& proxy = any_proxy();
     draw(2) == 0 ? proxy.block_to_target() : proxy.block_to_client();
     timers_.schedule(on.length, [&proxy] { proxy.heal(); });
 }
 
-void soak::silence_connections(const fault_target& /*on*/)
+void soak::blackhole_connections(const fault_target& /*on*/)
 {
     any_proxy().blackhole_open_connections();
 }
--- a/tests/system/callers.cpp
+++ b/tests/system/callers.cpp
@@ -121,8 +121,8 @@
     if (reply.state == job_state::failed_not_run) {
         for (const std::string& payload : it.payloads) {
             if (starts_of(payload) > 0) {
-                violations_.push_back(fmt::format("{} was told not run ({}) but task {} ran", it.id,
-                                                  reply.reason, payload));
+                violations_.push_back(fmt::format("{} was reported as not run ({}) but task {} ran",
+                                                  it.id, reply.reason, payload));
             }
         }
     }
--- a/tests/system/fault_table_test.cpp
+++ b/tests/system/fault_table_test.cpp
@@ -227,7 +227,7 @@
     }
 }
 
-void data_centre_is_cut_off(scenario& it)
+void data_centre_is_partitioned(scenario& it)
 {
     it.entry.set_data_centre_partitioned(1, true);
     it.entry.run(10s);
@@ -248,7 +248,7 @@
     BOOST_TEST(it.starts(inside) == 1);
 }
 
-void data_centre_is_cut_off_from_the_platform_only(scenario& it)
+void data_centre_is_partitioned_from_the_platform_only(scenario& it)
 {
     it.entry.set_platform_partitioned(2, true);
     it.edit_profile(0, 5);
@@ -286,7 +286,7 @@
     it.run(10s);
 }
 
-void data_centre_is_cut_off_while_one_is_paused(scenario& it)
+void data_centre_is_partitioned_while_one_is_paused(scenario& it)
 {
     it.entry.set_paused(0, true);
     it.entry.set_data_centre_partitioned(2, true);
@@ -313,13 +313,13 @@
     {"log is down for an hour", log_is_down_for_an_hour},
     {"log is truncated by retention", log_is_truncated},
     {"log comes back rewound", log_comes_back_rewound},
-    {"data centre is cut off", data_centre_is_cut_off},
-    {"data centre is cut off from the platform only",
-     data_centre_is_cut_off_from_the_platform_only},
+    {"data centre is partitioned", data_centre_is_partitioned},
+    {"data centre is partitioned from the platform only",
+     data_centre_is_partitioned_from_the_platform_only},
     {"all instances are replaced under load", all_instances_are_replaced_under_load},
     {"instance is killed while the log is down", instance_is_killed_while_the_log_is_down},
-    {"data centre is cut off while one instance is paused",
-     data_centre_is_cut_off_while_one_is_paused},
+    {"data centre is partitioned while one instance is paused",
+     data_centre_is_partitioned_while_one_is_paused},
 };
 
 } // namespace
