--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -10,35 +10,35 @@
 namespace cactusloom {
 namespace {
 
-// Updates beyond recent changes that a message repeats from the table. They repair what lost
-// messages left out, at a fixed cost for any number of members.
+// Table entries that a message repeats in addition to recent changes. They make up for lost
+// messages at a fixed cost for any number of members.
 constexpr std::size_t table_updates_per_message = 2;
 
-// Outdated entries of a peer that one reply puts right, so that room for rumours remains.
+// Stale entries of a peer that one reply corrects, so that room for queued updates remains.
 constexpr std::size_t max_corrections = 4;
 
-// Members with unconfirmed misses that are probed again each period, beside the regular one.
+// Suspects and members with failed probes that are probed each period, besides the regular probe.
 constexpr std::size_t max_unconfirmed_probes = 2;
 
-// One dead member is pinged every so many periods, so that the sides of a long partition that
-// declared each other dead meet again without the platform's list.
+// A dead member is pinged every so many periods, so that the sides of a long partition that
+// declared each other dead find each other again without the platform's list.
 constexpr std::uint64_t dead_probe_interval = 5;
 
-// Each update is sent this many times the logarithm of the number of members, which reaches all
-// of them with high probability in a push protocol.
+// Each update is sent this many times the logarithm of the number of members, which reaches all of
+// them with high probability in a push protocol.
 constexpr unsigned retransmit_factor = 2;
 
-// Sends that hearing a rumour back counts for. A rumour that returns is known widely; without
-// this, the rumours of a start of all instances fill the messages for minutes.
+// Number of sends that receiving the same update from a peer counts as. Such an update is widely
+// known; without this, the updates of a simultaneous start fill the messages for minutes.
 constexpr unsigned echo_weight = 2;
 
-// Members that are told of a goodbye directly.
+// Members that leave() notifies directly.
 constexpr std::size_t max_leave_messages = 5;
 
-// Hints tried each period until one answers. A stale list may name many that are gone.
-constexpr unsigned seeds_while_joining = 4;
+// Seed peers pinged each period until one replies. A stale list may name many that are gone.
+constexpr unsigned seed_pings_while_joining = 4;
 
-// A member that came back this often is as unsteady as it gets.
+// Further flaps of a member do not lengthen its suspicion any more.
 constexpr unsigned max_flaps = 3;
 
 } // namespace
@@ -61,7 +61,7 @@
 void failure_detector::start()
 {
     last_tick_ = timers_.monotonic_now();
-    // A random phase keeps instances that start together from pinging in step.
+    // A random phase keeps instances that start together from pinging at the same time.
     const auto phase =
         duration{draw_below(random_, static_cast<std::uint32_t>(settings_.period.count()))};
     tick_timer_ = timers_.schedule(phase, [this] { tick(); });
@@ -76,7 +76,7 @@
                        : draw_below(random_, static_cast<std::uint32_t>(seed_peers_.size()));
     std::erase_if(seed_attempts_, [this](const auto& it) {
         return std::none_of(seed_peers_.begin(), seed_peers_.end(),
-                            [&](const seed_peer& hint) { return hint.name == it.first; });
+                            [&](const seed_peer& seed) { return seed.name == it.first; });
     });
 }
 
@@ -132,11 +132,11 @@
         timers_.schedule(duration::zero(), std::move(done));
         return;
     }
-    auto open = std::make_shared<std::size_t>(n);
+    auto pending_replies = std::make_shared<std::size_t>(n);
     auto finish = std::make_shared<std::function<void()>>(std::move(done));
     for (const auto& name : names) {
-        ping(table_.find(name)->info.address, name, [open, finish](const auto&) {
-            if (--*open == 0) {
+        ping(table_.find(name)->info.address, name, [pending_replies, finish](const auto&) {
+            if (--*pending_replies == 0) {
                 (*finish)();
             }
         });
@@ -161,13 +161,13 @@
     probe_seeds();
 }
 
-// After a pause of this process the silence of others is its own. Suspicions get the lost time
-// back.
+// Missing replies prove nothing after a pause of this process, so suspicions are extended by the
+// lost time and failed probes are cleared.
 void failure_detector::extend_after_pause(duration lost)
 {
     for (auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::suspect) {
-            entry.deadline += lost;
+            entry.suspicion_deadline += lost;
         }
         entry.failed_probes = 0;
     }
@@ -190,7 +190,7 @@
         ++it.live;
         if (entry.info.state == member_state::suspect) {
             ++it.suspects;
-            if (entry.deadline <= now) {
+            if (entry.suspicion_deadline <= now) {
                 expired.push_back(&entry);
             }
         }
@@ -206,13 +206,14 @@
             continue;
         }
         const auto& it = counts[data_centre];
-        // This instance is itself an answering member of its own data centre.
+        // This instance itself is a responsive member of its own data centre.
         const bool is_own = data_centre == table_.self().data_centre;
         switch (is_own ? partition_detector::verdict::members_died
                        : partition_detector_.classify(data_centre, it.live, it.suspects, now)) {
         case partition_detector::verdict::members_died:
-            // Without an own failed probe the suspicion is hearsay; the next period probes it. An
-            // instance that hears nobody is itself cut off and declares nobody dead.
+            // Without a failed probe of our own the suspicion is only relayed; the next period
+            // probes the member. An instance without any contact is itself partitioned and declares
+            // no member dead.
             if (!isolated && entry->failed_probes > 0) {
                 declare_dead(*entry);
             }
@@ -244,8 +245,8 @@
     });
 }
 
-// Shuffled round-robin: every member is pinged once a round, so the time until a dead member is
-// noticed by somebody is bounded.
+// Shuffled round-robin: every member is probed once a round, so the time until some instance
+// detects a dead member is bounded.
 void failure_detector::probe_next()
 {
     for (int rounds = 0; rounds < 2; ++rounds) {
@@ -270,44 +271,45 @@
     }
 }
 
-// Probes suspects and members with misses again, longest unheard first. A live suspect is told
-// about the suspicion by the ping itself and refutes it in the reply.
+// Probes suspects and members with failed probes again, fewest failures and longest without contact
+// first. The ping itself carries the suspicion, which a live suspect refutes in its reply.
 void failure_detector::probe_unconfirmed()
 {
-    std::vector<const member_entry*> doubtful;
+    std::vector<const member_entry*> unconfirmed;
     for (const auto& [name, entry] : table_.others()) {
         if (is_live(entry.info.state) &&
             (entry.info.state == member_state::suspect || entry.failed_probes > 0) &&
             table_.is_reachable(entry.info.data_centre)) {
-            doubtful.push_back(&entry);
+            unconfirmed.push_back(&entry);
         }
     }
-    // Members without an own miss go first: their suspicion is hearsay until they are probed.
-    std::sort(doubtful.begin(), doubtful.end(), [](const auto* a, const auto* b) {
-        return std::pair(a->failed_probes, a->heard) < std::pair(b->failed_probes, b->heard);
+    // Members without a failed probe of our own go first: their suspicion is only relayed so far.
+    std::sort(unconfirmed.begin(), unconfirmed.end(), [](const auto* a, const auto* b) {
+        return std::pair(a->failed_probes, a->last_contact) <
+               std::pair(b->failed_probes, b->last_contact);
     });
-    for (std::size_t i = 0; i < std::min(doubtful.size(), max_unconfirmed_probes); ++i) {
-        probe_member(doubtful[i]->info.name);
+    for (std::size_t i = 0; i < std::min(unconfirmed.size(), max_unconfirmed_probes); ++i) {
+        probe_member(unconfirmed[i]->info.name);
     }
 }
 
-// Pings one member beside a suspect in its data centre, to tell a death from a cut before the
-// suspicion ends.
+// Pings another member of a suspect's data centre, to tell a death from a partition before the
+// suspicion expires.
 void failure_detector::probe_suspect_data_centres()
 {
-    std::vector<std::string_view> in_question;
+    std::vector<std::string_view> suspect_data_centres;
     for (const auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::suspect &&
             table_.is_reachable(entry.info.data_centre) &&
-            std::find(in_question.begin(), in_question.end(), entry.info.data_centre) ==
-                in_question.end()) {
-            in_question.emplace_back(entry.info.data_centre);
+            std::find(suspect_data_centres.begin(), suspect_data_centres.end(),
+                      entry.info.data_centre) == suspect_data_centres.end()) {
+            suspect_data_centres.emplace_back(entry.info.data_centre);
         }
     }
-    if (in_question.empty()) {
+    if (suspect_data_centres.empty()) {
         return;
     }
-    const auto data_centre = in_question[ticks_ % in_question.size()];
+    const auto data_centre = suspect_data_centres[ticks_ % suspect_data_centres.size()];
     std::vector<const std::string*> names;
     for (const auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::alive && entry.failed_probes == 0 &&
@@ -323,18 +325,19 @@
 void failure_detector::probe_seeds()
 {
     const auto now = timers_.monotonic_now();
-    auto budget = joined_ ? 1U : seeds_while_joining;
+    auto budget = joined_ ? 1U : seed_pings_while_joining;
     for (std::size_t i = 0; i < seed_peers_.size() && budget > 0; ++i) {
-        const auto& hint = seed_peers_[seed_cursor_++ % seed_peers_.size()];
-        if (hint.name == table_.self().name || table_.find(hint.name) != nullptr) {
+        const auto& seed = seed_peers_[seed_cursor_++ % seed_peers_.size()];
+        if (seed.name == table_.self().name || table_.find(seed.name) != nullptr) {
             continue;
         }
-        const auto tried = seed_attempts_.find(hint.name);
-        if (tried != seed_attempts_.end() && now - tried->second < settings_.seed_retry_interval) {
+        const auto last_attempt = seed_attempts_.find(seed.name);
+        if (last_attempt != seed_attempts_.end() &&
+            now - last_attempt->second < settings_.seed_retry_interval) {
             continue;
         }
-        seed_attempts_[hint.name] = now;
-        ping(hint.address, hint.name, [](const auto&) {});
+        seed_attempts_[seed.name] = now;
+        ping(seed.address, seed.name, [](const auto&) {});
         --budget;
     }
     if (ticks_ % dead_probe_interval != 0) {
@@ -399,7 +402,7 @@
     auto it = std::make_shared<probe>(probe{name, entry.info.incarnation, 0, false});
     const auto sent = timers_.monotonic_now();
     ping(entry.info.address, name, [this, it, sent](const result<membership_reply>& reply) {
-        // The address may have passed to another instance, whose answer proves nothing.
+        // The address may have been reassigned to another instance, whose reply proves nothing.
         if (reply && reply.value().gossip.from.name == it->name) {
             finish_probe(*it, true);
         }
@@ -415,26 +418,26 @@
     if (stopped_ || entry == nullptr) {
         return;
     }
-    // Indirect probes into a data centre that is cut off would cost six messages a period for
-    // hours without a new finding.
-    const auto helpers = table_.is_reachable(entry->info.data_centre)
+    // Indirect probes into a partitioned data centre would cost six messages a period for hours
+    // without new information.
+    const auto probers = table_.is_reachable(entry->info.data_centre)
                              ? choose_indirect_probers(entry->info)
                              : std::vector<std::string>{};
-    if (helpers.empty()) {
+    if (probers.empty()) {
         finish_probe(*it, false);
         return;
     }
-    it->open = static_cast<unsigned>(helpers.size());
+    it->pending_replies = static_cast<unsigned>(probers.size());
     const auto sent = timers_.monotonic_now();
-    for (const auto& helper : helpers) {
+    for (const auto& prober : probers) {
         membership_request request;
         request.call = membership_request::method::ping_request;
-        request.gossip = make_gossip(helper);
+        request.gossip = make_gossip(prober);
         request.target = it->name;
         request.target_address = entry->info.address;
-        send(table_.find(helper)->info.address, std::move(request), settings_.indirect_timeout,
+        send(table_.find(prober)->info.address, std::move(request), settings_.indirect_timeout,
              [this, it, sent](const result<membership_reply>& reply) {
-                 --it->open;
+                 --it->pending_replies;
                  if (reply && reply.value().reached) {
                      if (reply.value().target && reply.value().target->name == it->name) {
                          apply(*reply.value().target, update_source::first_hand);
@@ -444,7 +447,7 @@
                          finish_probe(*it, true);
                      }
                  }
-                 else if (it->open == 0 && !it->reached &&
+                 else if (it->pending_replies == 0 && !it->reached &&
                           !was_paused(sent, settings_.indirect_timeout)) {
                      finish_probe(*it, false);
                  }
@@ -470,7 +473,7 @@
     }
 }
 
-// Reads the whole table of a member in order of name. Pages keep each message bounded.
+// Reads the whole table of a member page by page in order of name, so that messages stay bounded.
 void failure_detector::copy_table(const std::string& address, const std::string& name,
                                   const std::string& after)
 {
@@ -482,7 +485,7 @@
     send(address, std::move(request), settings_.ping_timeout,
          [this, address, name, after](const result<membership_reply>& reply) {
              if (!reply) {
-                 joining_ = false; // the next contact starts over
+                 joining_ = false; // the next contact starts the copy again
                  return;
              }
              const auto& updates = reply.value().gossip.updates;
@@ -523,11 +526,12 @@
         return;
     }
     ping(request.target_address, request.target,
-         [this, answer, id = request.id, asker = request.gossip.from.name, target = request.target,
+         [this, answer, id = request.id, requester = request.gossip.from.name,
+          target = request.target,
           reply = std::move(reply)](const result<membership_reply>& found) {
              membership_reply out;
              out.id = id;
-             out.gossip = make_gossip(asker);
+             out.gossip = make_gossip(requester);
              out.reached = found && found.value().gossip.from.name == target;
              if (out.reached) {
                  out.target = found.value().gossip.from;
@@ -538,12 +542,12 @@
 
 void failure_detector::receive(const gossip_payload& gossip, bool is_table_copy)
 {
-    // What a page brings is known to the others already. Spreading it again from every joining
-    // instance would fill their messages for minutes.
-    const auto how = is_table_copy ? update_source::page : update_source::rumour;
-    outdated_.clear();
+    // The others already know the entries of a table copy. Gossiping them again from every joining
+    // instance would fill the messages for minutes.
+    const auto source = is_table_copy ? update_source::table_copy : update_source::relayed;
+    stale_at_sender_.clear();
     for (const auto& update : gossip.updates) {
-        apply(update, how);
+        apply(update, source);
     }
     apply(gossip.from, update_source::first_hand);
     if (gossip.from.name == table_.self().name) {
@@ -573,12 +577,12 @@
     }
     const auto* known = table_.find(update.name);
     if (from != update_source::first_hand) {
-        // Hearsay about a data centre that is cut off cannot come from its members.
+        // A relayed death in a partitioned data centre cannot come from its members.
         if (update.state == member_state::dead && known != nullptr &&
             partition_detector_.is_partitioned(known->info.data_centre)) {
             return;
         }
-        // An unknown member that is gone needs no entry.
+        // An unknown member that is dead or has left needs no entry.
         if (known == nullptr && !is_live(update.state)) {
             return;
         }
@@ -586,21 +590,22 @@
     if (const auto change = table_.apply(update, timers_.monotonic_now())) {
         auto& entry = *table_.find(update.name);
         if (entry.info.state == member_state::suspect) {
-            entry.deadline = timers_.monotonic_now() + suspicion_time(entry);
+            entry.suspicion_deadline = timers_.monotonic_now() + suspicion_time(entry);
         }
-        if (from != update_source::page) {
+        if (from != update_source::table_copy) {
             queue_update(update.name);
         }
         notify_change(*change);
     }
-    else if (from == update_source::rumour && known != nullptr && supersedes(known->info, update)) {
-        if (outdated_.size() < max_corrections) {
-            outdated_.push_back(update.name);
+    else if (from == update_source::relayed && known != nullptr &&
+             supersedes(known->info, update)) {
+        if (stale_at_sender_.size() < max_corrections) {
+            stale_at_sender_.push_back(update.name);
         }
     }
-    else if (from == update_source::rumour && known != nullptr && known->info == update) {
+    else if (from == update_source::relayed && known != nullptr && known->info == update) {
         const auto it = std::find_if(update_queue_.begin(), update_queue_.end(),
-                                     [&](const rumour& r) { return r.name == update.name; });
+                                     [&](const queued_update& r) { return r.name == update.name; });
         if (it != update_queue_.end()) {
             it->sent += echo_weight;
         }
@@ -611,11 +616,11 @@
 {
     auto& entry = *table_.find(name);
     const auto now = timers_.monotonic_now();
-    entry.heard = now;
+    entry.last_contact = now;
     entry.has_contact = true;
     entry.failed_probes = 0;
     const auto& data_centre = entry.info.data_centre;
-    if (!partition_detector_.heard(data_centre, now)) {
+    if (!partition_detector_.record_contact(data_centre, now)) {
         return;
     }
     const bool was_cut_off = !table_.is_reachable(data_centre);
@@ -623,7 +628,7 @@
     for (auto& [other, it] : table_.others()) {
         if (it.info.data_centre == data_centre && it.info.state == member_state::suspect) {
             it.failed_probes = 0;
-            it.deadline = now + suspicion_time(it);
+            it.suspicion_deadline = now + suspicion_time(it);
         }
     }
     for (const auto& fn : reachability_callbacks_) {
@@ -637,7 +642,7 @@
 {
     auto update = entry.info;
     update.state = member_state::suspect;
-    apply(update, update_source::rumour);
+    apply(update, update_source::relayed);
 }
 
 void failure_detector::declare_dead(member_entry& entry)
@@ -647,8 +652,8 @@
     apply(update, update_source::first_hand);
 }
 
-// Contradicts a claim about this instance. Two processes with one name are told apart by the
-// incarnation; the earlier one gives way.
+// Refutes an update about this instance. Of two processes with one name, the one with the earlier
+// incarnation is superseded.
 void failure_detector::refute(const member& claim)
 {
     auto& self = table_.self();
@@ -671,7 +676,7 @@
 
 void failure_detector::queue_update(std::string_view name)
 {
-    std::erase_if(update_queue_, [&](const rumour& it) { return it.name == name; });
+    std::erase_if(update_queue_, [&](const queued_update& it) { return it.name == name; });
     update_queue_.push_back({std::string(name), 0});
 }
 
@@ -684,7 +689,7 @@
 {
     gossip_payload gossip{table_.self(), summary_, {}};
     const auto add = [&](std::string_view name) {
-        // The message names this instance anyway, and the receiver knows itself.
+        // The sender's entry is in every message, and the receiver knows its own.
         if (name == table_.self().name || name == receiver) {
             return false;
         }
@@ -695,13 +700,13 @@
         gossip.updates.push_back(entry->info);
         return true;
     };
-    // The receiver learns at once what is believed about it, so that it can refute.
-    const auto* believed = table_.find(receiver);
-    if (believed != nullptr && believed->info.state != member_state::alive) {
-        gossip.updates.push_back(believed->info);
+    // The receiver's own entry comes first if it is not alive, so that it can refute it.
+    const auto* known_receiver = table_.find(receiver);
+    if (known_receiver != nullptr && known_receiver->info.state != member_state::alive) {
+        gossip.updates.push_back(known_receiver->info);
     }
-    // A peer that told outdated news is put right on the next message to it, the reply.
-    for (const auto& name : std::exchange(outdated_, {})) {
+    // A peer that sent stale entries gets the current ones in the next message, the reply.
+    for (const auto& name : std::exchange(stale_at_sender_, {})) {
         const bool already = !gossip.updates.empty() && gossip.updates.front().name == name;
         if (!already) {
             add(name);
@@ -711,9 +716,10 @@
         return std::any_of(gossip.updates.begin(), gossip.updates.end(),
                            [&](const member& update) { return update.name == name; });
     };
-    // Least spread first; a stable order keeps newer changes behind older ones of equal count.
-    std::stable_sort(update_queue_.begin(), update_queue_.end(),
-                     [](const rumour& a, const rumour& b) { return a.sent < b.sent; });
+    // Least sent first; a stable order keeps newer changes behind older ones of equal count.
+    std::stable_sort(
+        update_queue_.begin(), update_queue_.end(),
+        [](const queued_update& a, const queued_update& b) { return a.sent < b.sent; });
     const auto limit = retransmit_limit();
     for (auto& it : update_queue_) {
         if (gossip.updates.size() >= max_updates_per_message) {
@@ -728,19 +734,19 @@
         }
         it.sent += add(it.name) ? 1 : limit;
     }
-    std::erase_if(update_queue_, [&](const rumour& it) { return it.sent >= limit; });
+    std::erase_if(update_queue_, [&](const queued_update& it) { return it.sent >= limit; });
 
     const auto& others = table_.others();
-    const auto room =
+    const auto free_slots =
         std::min(table_updates_per_message, max_updates_per_message - gossip.updates.size());
-    for (std::size_t i = 0; i < room && !others.empty(); ++i) {
+    for (std::size_t i = 0; i < free_slots && !others.empty(); ++i) {
         auto it = others.upper_bound(repeat_cursor_);
         if (it == others.end()) {
             it = others.begin();
         }
         repeat_cursor_ = it->first;
-        // Gone members are repeated as well: who missed a goodbye would hold the member until its
-        // own probes fail.
+        // Dead and departed members are repeated as well: an instance that missed the leave notice
+        // would keep the member until its own probes fail.
         if (!is_named(it->first)) {
             add(it->first);
         }
@@ -748,7 +754,7 @@
     return gossip;
 }
 
-// An earlier process whose name has been taken over learns that from the first answer.
+// Tells an earlier process whose name has been taken over about its successor in the first reply.
 void failure_detector::add_successor(const member& sender, gossip_payload& gossip) const
 {
     const auto* entry = table_.find(sender.name);
@@ -777,36 +783,37 @@
     }
 }
 
-// One helper stands in the target's own data centre if possible: it can tell a dead member from a
-// cut between data centres.
+// One prober is in the target's own data centre if possible: it can tell a dead member from a
+// partition between data centres.
 std::vector<std::string> failure_detector::choose_indirect_probers(const member& target)
 {
-    std::vector<std::string> near;
+    std::vector<std::string> same_data_centre;
     std::vector<std::string> names;
     for (const auto& [name, entry] : table_.others()) {
         if (entry.info.state == member_state::alive && entry.failed_probes == 0 &&
             name != target.name && table_.is_reachable(entry.info.data_centre)) {
-            (entry.info.data_centre == target.data_centre ? near : names).push_back(name);
+            (entry.info.data_centre == target.data_centre ? same_data_centre : names)
+                .push_back(name);
         }
     }
-    std::vector<std::string> helpers;
+    std::vector<std::string> probers;
     const auto draw = [&](std::vector<std::string>& from) {
         const auto i = draw_below(random_, static_cast<std::uint32_t>(from.size()));
-        helpers.push_back(std::move(from[i]));
+        probers.push_back(std::move(from[i]));
         from.erase(from.begin() + i);
     };
-    if (!near.empty()) {
-        draw(near);
+    if (!same_data_centre.empty()) {
+        draw(same_data_centre);
     }
-    names.insert(names.end(), near.begin(), near.end());
-    while (helpers.size() < settings_.indirect_peers && !names.empty()) {
+    names.insert(names.end(), same_data_centre.begin(), same_data_centre.end());
+    while (probers.size() < settings_.indirect_peers && !names.empty()) {
         draw(names);
     }
-    return helpers;
+    return probers;
 }
 
-// A member that returned from suspicion or death is given more time at the next silence, so that
-// a link that flaps does not move its state back and forth.
+// A member that returned from suspect or dead gets a longer suspicion the next time, so that a
+// flapping link does not toggle its state.
 duration failure_detector::suspicion_time(const member_entry& entry) const
 {
     return settings_.period * settings_.suspicion_periods *
@@ -818,7 +825,7 @@
     return 2 * std::min(entry.flap_count, max_flaps);
 }
 
-// A loss reported much later than its limit means that this process was paused.
+// A timeout that is reported much later than its limit means that this process was paused.
 bool failure_detector::was_paused(monotonic_time sent, duration limit) const
 {
     return timers_.monotonic_now() - sent > limit + settings_.period / 2;
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -18,7 +18,7 @@
 const std::string customers_with_office = "[customers]\nlist = [{ id = \"desk\", team = "
                                           "\"office\" }]\n";
 
-// Everything is stored under other ids: an edit that another editor wrote into the log.
+// The record of an edit that another process appended to the log.
 std::string raw_edit(std::string id, log_offset base, int rate)
 {
     return encode(
@@ -149,7 +149,7 @@
          c.log.set_retention(c.options.retention);
          for (auto left = 2 * c.options.retention; left > 0s; left -= 250ms) {
              c.run(250ms);
-             // A new instance without peers could start at any time.
+             // A new instance without peers must be able to start at any time.
              BOOST_REQUIRE(c.log.page("config").first_retained <=
                            c.reference.newest_snapshot()->next);
          }
@@ -185,7 +185,7 @@
          BOOST_TEST(c.at(0).follower->counts().differing_snapshots == 1U);
          BOOST_TEST(c.at(1).settings().account_appends_per_second == 100U);
      }},
-    {"records that are no records",
+    {"malformed records",
      [](config_cluster& c) {
          c.append_raw("");
          c.append_raw("{\"type\":\"edit\"}");
@@ -312,7 +312,7 @@
          auto& fresh = c.add(false, false);
          c.run(1min);
          BOOST_TEST(!fresh.follower->is_ready());
-         fresh.cut_off(false, true);
+         fresh.set_disconnected(false, true);
          c.run(in_force_target);
          BOOST_TEST(fresh.follower->is_ready());
      }},
@@ -323,11 +323,11 @@
          }
          auto& fresh = c.add(false);
          c.timers.advance(1500us);
-         fresh.cut_off(true, true);
+         fresh.set_disconnected(true, true);
          c.run(10s);
          BOOST_TEST(fresh.follower->state_machine().has_document());
          BOOST_TEST(!fresh.follower->is_ready());
-         fresh.cut_off(false, true);
+         fresh.set_disconnected(false, true);
          c.run(in_force_target);
          BOOST_TEST(fresh.follower->is_ready());
      }},
@@ -335,38 +335,38 @@
      [](config_cluster& c) {
          c.log.drop_before("config", c.log.page("config").end);
          c.append_raw(raw_edit("a", c.reference.version_of("account"), 10));
-         c.at(0).cut_off(true, true);
+         c.at(0).set_disconnected(true, true);
          auto& fresh = c.add(false);
          c.run(500ms);
          BOOST_TEST(!fresh.follower->is_ready());
          BOOST_TEST(fresh.is(state::gap));
-         fresh.cut_off(false, false);
-         c.at(0).cut_off(false, false);
+         fresh.set_disconnected(false, false);
+         c.at(0).set_disconnected(false, false);
          c.run(in_force_target);
          BOOST_TEST(fresh.settings().account_appends_per_second == 10U);
      }},
     {"instance lags behind what is retained",
      [](config_cluster& c) {
-         c.at(2).cut_off(true, true);
+         c.at(2).set_disconnected(true, true);
          for (int n = 1; n < 100; ++n) {
              c.append_raw(raw_edit(fmt::format("x{}", n), c.reference.version_of("account"), n));
          }
          c.log.drop_before("config", c.log.page("config").end - 5);
          c.run(1min);
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 100U);
-         c.at(2).cut_off(false, true);
+         c.at(2).set_disconnected(false, true);
          c.run(in_force_target);
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 99U);
      }},
-    {"instance cut off from the log but not from its peers",
+    {"instance disconnected from the log but not from its peers",
      [](config_cluster& c) {
-         c.at(2).cut_off(true, false);
+         c.at(2).set_disconnected(true, false);
          c.run(1min);
          c.submit_rate(0, "a", 10);
          c.run(in_force_target);
          BOOST_TEST(c.at(2).is(state::down));
          BOOST_TEST(c.at(2).settings().account_appends_per_second == 10U);
-         c.at(2).cut_off(false, false);
+         c.at(2).set_disconnected(false, false);
          c.run(in_force_target);
      }},
     {"cold start on a log longer than two snapshot distances",
@@ -416,15 +416,15 @@
     }
 }
 
-// Guards against combinations of faults that no row names.
+// Guards against combinations of faults that the table does not list.
 BOOST_AUTO_TEST_CASE(random_faults)
 {
     for (std::uint32_t seed = 1; seed <= 30; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             random_engine random(seed * 7919U);
-            // With a log that loses records, instances that started after the loss may disagree
-            // with older ones, which is reported; what must still hold is that none goes back.
+            // If the log loses records, instances that started after the loss may disagree with
+            // older ones, which is reported. Even then none may go back to an older version.
             const bool is_log_kept = seed % 3 != 0;
             const auto cluster = make_cluster();
             auto& c = *cluster;
@@ -439,7 +439,8 @@
                     c.log.set_down(draw_below(random, 3) == 0);
                     break;
                 case 1:
-                    c.at(n).cut_off(draw_below(random, 2) == 0, draw_below(random, 2) == 0);
+                    c.at(n).set_disconnected(draw_below(random, 2) == 0,
+                                             draw_below(random, 2) == 0);
                     break;
                 case 2:
                     c.log.lose_append_replies(1 + draw_below(random, 3));
@@ -451,7 +452,7 @@
                     c.log.set_latency(5ms, draw_below(random, 4) == 0 ? 2800ms : 1ms);
                     break;
                 case 5:
-                    // Only what a snapshot covers: more would be lost for good.
+                    // Only records that a snapshot covers; others would be lost permanently.
                     if (const auto mark = c.reference.newest_snapshot()) {
                         c.log.drop_before("config", mark->next);
                     }
@@ -483,7 +484,7 @@
             c.log.set_down(false);
             c.log.set_latency(5ms, 1ms);
             for (const auto& it : c.instances) {
-                it->cut_off(false, false);
+                it->set_disconnected(false, false);
             }
             c.run(10s);
             if (is_log_kept) {
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -12,7 +12,7 @@
 
 namespace cactusloom {
 
-// Timers of one instance, which can be paused while time goes on for the others.
+// Timer service of one instance, which can be paused while time advances for the others.
 class pausable_timer_service final : public timer_service {
 public:
     explicit pausable_timer_service(timer_service& inner) : inner_(inner) {}
@@ -23,7 +23,7 @@
     {
         return inner_.schedule(delay, [this, fn = std::move(fn)]() mutable {
             if (paused_) {
-                held_.push_back(std::move(fn));
+                deferred_.push_back(std::move(fn));
             }
             else {
                 fn();
@@ -36,7 +36,7 @@
     void resume()
     {
         paused_ = false;
-        for (auto& fn : std::exchange(held_, {})) {
+        for (auto& fn : std::exchange(deferred_, {})) {
             inner_.schedule(duration::zero(), std::move(fn));
         }
     }
@@ -44,7 +44,7 @@
 private:
     timer_service& inner_;
     bool paused_ = false;
-    std::vector<std::function<void()>> held_;
+    std::vector<std::function<void()>> deferred_;
 };
 
 // Instances of several data centres in virtual time.
@@ -57,7 +57,7 @@
         std::unique_ptr<pausable_timer_service> timers;
         std::unique_ptr<peer_transport> transport;
         std::unique_ptr<failure_detector> detector;
-        unsigned deaths_seen = 0; // changes of any member to dead, as this node saw them
+        unsigned deaths_seen = 0; // changes of any member to dead that this node observed
     };
 
     explicit cluster(std::uint32_t seed) : seed_(seed) {}
@@ -71,23 +71,23 @@
         return start_unlisted(list_[name], incarnation);
     }
 
-    node& start_unlisted(const seed_peer& place, std::uint64_t incarnation)
+    node& start_unlisted(const seed_peer& peer, std::uint64_t incarnation)
     {
-        auto& it = nodes_[place.name];
+        auto& it = nodes_[peer.name];
         if (it) {
-            // A process at another address runs on, as if its replacement was started too early.
+            // The old process keeps running at its address, as if its replacement came too early.
             retired_.push_back(std::move(it));
         }
         it = std::make_unique<node>();
-        it->name = place.name;
-        it->data_centre = place.data_centre;
-        it->address = place.address;
+        it->name = peer.name;
+        it->data_centre = peer.data_centre;
+        it->address = peer.address;
         it->timers = std::make_unique<pausable_timer_service>(timers_);
         it->transport = network_.connect(it->address, *it->timers);
         member self;
-        self.name = place.name;
-        self.data_centre = place.data_centre;
-        self.address = place.address;
+        self.name = peer.name;
+        self.data_centre = peer.data_centre;
+        self.address = peer.address;
         self.incarnation = incarnation;
         it->detector = std::make_unique<failure_detector>(*it->timers, *it->transport, self, seed_);
         auto* detector = it->detector.get();
@@ -102,7 +102,7 @@
         return *it;
     }
 
-    // Ends a process without a goodbye.
+    // Ends a process without a leave notice.
     void kill(const std::string& name)
     {
         auto it = std::move(nodes_[name]);
@@ -112,7 +112,7 @@
         retired_.push_back(std::move(it));
     }
 
-    // Announces, says goodbye and ends.
+    // Announces that the instance leaves, sends leave notices and ends the process.
     void leave(const std::string& name)
     {
         (*this)[name].detector->announce_leaving();
@@ -136,7 +136,7 @@
     node& operator[](const std::string& name) { return *nodes_.at(name); }
     std::map<std::string, std::unique_ptr<node>>& nodes() { return nodes_; }
 
-    // What `observer` holds of `name`: a state, or "unknown".
+    // The state of `name` in the table of `observer`, or "unknown".
     std::string view(const std::string& observer, const std::string& name)
     {
         const auto* entry = (*this)[observer].detector->members().find(name);
--- a/tests/membership/failure_detector_test.cpp
+++ b/tests/membership/failure_detector_test.cpp
@@ -13,8 +13,8 @@
     return (from == a && to == b) || (from == b && to == a);
 }
 
-// Cuts one data centre off from all others.
-memory_peer_network::link_rule cut_around(cluster& it, const std::string& data_centre)
+// Partitions one data centre from all others.
+memory_peer_network::link_rule partition_around(cluster& it, const std::string& data_centre)
 {
     std::map<std::string, bool, std::less<>> inside;
     for (const auto& [name, node] : it.nodes()) {
@@ -33,8 +33,8 @@
     it.start(number, (number - 1) % 3 + 1, incarnation);
 }
 
-// A fault, what is done, and what must be seen. The cluster has nine instances i001 to i009 in
-// turn over dc1 to dc3 and has run for 30 s.
+// A fault, the actions that cause it and the checks afterwards. The cluster has nine instances,
+// i001 to i009, assigned in turn to dc1, dc2 and dc3, and has run for 30 s.
 struct fault_case {
     const char* fault;
     void (*act)(cluster&);
@@ -90,7 +90,7 @@
          BOOST_TEST(it["i002"].deaths_seen == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"cut off from all for 4 s, then paused for a minute, then both end",
+    {"partitioned from all for 4 s, then paused for a minute, then both end",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return from != "10.0.0.2:80" && to != "10.0.0.2:80";
@@ -136,7 +136,7 @@
          BOOST_TEST((it["i001"].detector->members().find("i002", 7) != nullptr));
          BOOST_TEST(it.views_agree());
      }},
-    {"one-way cut between two instances",
+    {"one-way partition between two instances",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return from != "10.0.0.1:80" || to != "10.0.0.2:80";
@@ -147,7 +147,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"two-way cut between two instances",
+    {"two-way partition between two instances",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return !is_between(from, to, "10.0.0.1:80", "10.0.0.2:80");
@@ -158,7 +158,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"one instance cut off from all",
+    {"one instance partitioned from all",
      [](cluster& it) {
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return from != "10.0.0.1:80" && to != "10.0.0.1:80";
@@ -178,8 +178,8 @@
              return up || (from != "10.0.0.2:80" && to != "10.0.0.2:80");
          });
          it.run(3min);
-         // Nine interruptions; only the first ones, before the link is known to be unsteady,
-         // may remove the instance.
+         // Of the nine interruptions only the first ones, before flaps have lengthened the
+         // suspicion, may remove the instance.
          BOOST_TEST(it.deaths_seen() <= 2U * 8U);
          it.network().set_rule({});
          it.run(30s);
@@ -197,9 +197,9 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"data centre cut off for two minutes",
+    {"data centre partitioned for two minutes",
      [](cluster& it) {
-         it.network().set_rule(cut_around(it, "dc3"));
+         it.network().set_rule(partition_around(it, "dc3"));
          it.run(2min);
          BOOST_TEST(it.deaths_seen() == 0U);
          for (const auto& [name, node] : it.nodes()) {
@@ -222,9 +222,9 @@
      }},
     {"data centre flaps every 15 s",
      [](cluster& it) {
-         const auto cut = cut_around(it, "dc3");
-         it.network().set_rule([&it, cut](std::string_view from, std::string_view to) {
-             return it.now().time_since_epoch() / 15s % 2 == 0 || cut(from, to);
+         const auto rule = partition_around(it, "dc3");
+         it.network().set_rule([&it, rule](std::string_view from, std::string_view to) {
+             return it.now().time_since_epoch() / 15s % 2 == 0 || rule(from, to);
          });
          it.run(3min);
          it.network().set_rule({});
@@ -234,9 +234,9 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.views_agree());
      }},
-    {"data centre cut off and an instance dies on this side",
+    {"data centre partitioned and an instance dies on this side",
      [](cluster& it) {
-         it.network().set_rule(cut_around(it, "dc3"));
+         it.network().set_rule(partition_around(it, "dc3"));
          it.run(20s);
          it.kill("i002");
          it.run(20s);
@@ -246,9 +246,9 @@
          it.run(40s);
      },
      [](cluster& it) { BOOST_TEST(it.views_agree()); }},
-    {"data centre cut off while an instance of it is restarted",
+    {"data centre partitioned while an instance of it is restarted",
      [](cluster& it) {
-         it.network().set_rule(cut_around(it, "dc3"));
+         it.network().set_rule(partition_around(it, "dc3"));
          it.run(20s);
          restart(it, 3, 2);
          it.run(20s);
@@ -292,7 +292,7 @@
          BOOST_TEST(it.deaths_seen() == 0U);
          BOOST_TEST(it.view("i001", "i002") == "left");
      }},
-    {"all instances replaced one after another, with goodbye, list never updated",
+    {"all instances replaced one after another, with leave notices, list never updated",
      [](cluster& it) {
          for (unsigned n = 1; n <= 9; ++n) {
              it.start(n + 10, n % 3 + 1);
@@ -307,9 +307,9 @@
      }},
     {"all instances killed and restarted one after another during a flapping data centre",
      [](cluster& it) {
-         const auto cut = cut_around(it, "dc3");
-         it.network().set_rule([&it, cut](std::string_view from, std::string_view to) {
-             return it.now().time_since_epoch() / 15s % 2 == 0 || cut(from, to);
+         const auto rule = partition_around(it, "dc3");
+         it.network().set_rule([&it, rule](std::string_view from, std::string_view to) {
+             return it.now().time_since_epoch() / 15s % 2 == 0 || rule(from, to);
          });
          for (unsigned n = 1; n <= 9; ++n) {
              restart(it, n, 2);
@@ -331,7 +331,7 @@
      }},
     {"two halves declare each other dead and heal",
      [](cluster& it) {
-         // Cuts inside each data centre look like deaths, since other members there answer.
+         // Partitions inside each data centre look like deaths, since other members there respond.
          it.network().set_rule([](std::string_view from, std::string_view to) {
              return (from < "10.0.0.5") == (to < "10.0.0.5");
          });
@@ -347,7 +347,7 @@
 
 BOOST_AUTO_TEST_SUITE(membership)
 
-// Guards against wrong removals, missed deaths and views that never agree again.
+// Guards against removed live members, undetected deaths and tables that do not converge again.
 BOOST_AUTO_TEST_CASE(faults)
 {
     for (const auto& row : cases) {
@@ -369,8 +369,8 @@
     }
 }
 
-// Guards against a cut data centre of the design size whose members are declared dead before
-// enough of them have been probed.
+// Guards against a partitioned data centre of the design size whose members are declared dead
+// before enough of them have been probed.
 BOOST_AUTO_TEST_CASE(large_data_centre_is_cut_off)
 {
     cluster it(5);
@@ -380,7 +380,7 @@
     it.publish_list();
     it.run(40s);
     BOOST_TEST(it.views_agree());
-    it.network().set_rule(cut_around(it, "dc3"));
+    it.network().set_rule(partition_around(it, "dc3"));
     it.run(60s);
     BOOST_TEST(it.deaths_seen() == 0U);
     BOOST_TEST(!it["i001"].detector->members().is_reachable("dc3"));
@@ -390,7 +390,7 @@
     BOOST_TEST(it.deaths_seen() == 0U);
 }
 
-// Guards against control traffic that grows with the number of instances or passes 9 KB/s.
+// Guards against control traffic that grows with the number of instances or exceeds 9 KB/s.
 BOOST_AUTO_TEST_CASE(bytes_stay_flat)
 {
     const auto bytes_per_second = [](unsigned n) {
@@ -410,7 +410,7 @@
     BOOST_TEST(large < small + small / 4);
 }
 
-// Guards against a peer with a newer configuration that stays unknown.
+// Guards against a summary, such as the configuration's offset, that does not reach a peer.
 BOOST_AUTO_TEST_CASE(summary_reaches_others)
 {
     cluster it(1);
@@ -426,7 +426,7 @@
     BOOST_TEST(seen == "i001 4711");
 }
 
-// Guards against texts that are accepted although they do not fit, or that end the process.
+// Guards against malformed messages that are accepted or crash the process.
 BOOST_AUTO_TEST_CASE(codec_rejects_wrong_texts)
 {
     membership_request request;
