Give two pairs of types that shared a name names of their own

Cause: job_request (dispatch, cell) and task_state (dispatch, cell) each named two different types of one namespace in one program. Change: the dispatcher's types are submission_request and task_phase now. Nothing but the names changes.

--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -87,7 +87,7 @@
     // Submits one job and registers a wait for its answer.
     void submit(std::size_t tasks)
     {
-        job_request request;
+        submission_request request;
         request.id = fmt::format("{}.{:012}", service->issue_prefix(), ++last);
         request.customer = settings.customers[last % 77].id;
         request.kind = "stamp_check";
--- a/include/dispatch/dispatcher.h
+++ b/include/dispatch/dispatcher.h
@@ -47,7 +47,7 @@
     // The new settings must have been applied to the router first, since it is queried about new
     // kinds at once.
     void apply(const deployment& settings) override;
-    result<void> submit(job_request request) override;
+    result<void> submit(submission_request request) override;
     void wait(std::string_view id, duration limit, answer_callback done) override;
     result<job_status> status(std::string_view id) const override;
     result<void> cancel(std::string_view id) override;
--- a/include/dispatch/job_service.h
+++ b/include/dispatch/job_service.h
@@ -15,7 +15,7 @@
 struct deployment;
 
 // A submission as received by the instance that owns its id. Size limits were already checked.
-struct job_request {
+struct submission_request {
     std::string id; // submission id, "<prefix>.<suffix>"
     std::string customer;
     std::string kind;
@@ -68,7 +68,7 @@
     // unknown kind or customer, no worker can ever run it), `unavailable` (refused and certainly
     // not run: overload, full queue, too many ids, shutting down), `not_found` (prefix expired or
     // of another incarnation, or answer dropped: the outcome is not known here).
-    virtual result<void> submit(job_request request) = 0;
+    virtual result<void> submit(submission_request request) = 0;
 
     // Calls `done` once with the answer, or with state `running` if `limit` passes first, or with
     // state `unknown` for an unknown id. Never calls it from inside wait().
--- a/include/http/caller_codec.h
+++ b/include/http/caller_codec.h
@@ -16,8 +16,8 @@
 // Parses the body of a submission: {"id", "customer", "kind", "deadline_ms"} and either "payload"
 // (`single`, one request) or "tasks" (a job). The default deadline is that of the kind.
 // Errors: `invalid_argument`, `limit_exceeded`.
-result<job_request> parse_submission(std::string_view body, bool single,
-                                     const deployment& settings);
+result<submission_request> parse_submission(std::string_view body, bool single,
+                                            const deployment& settings);
 
 // JSON bodies of replies. Each has "state" and "reason".
 std::string format_answer(std::string_view id, const job_answer& answer, bool single);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -34,7 +34,7 @@
     engine_->apply(settings);
 }
 
-result<void> dispatcher::submit(job_request request)
+result<void> dispatcher::submit(submission_request request)
 {
     return engine_->submit(std::move(request));
 }
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -29,7 +29,7 @@
 
 // Digest of the content that must be equal when a submission is repeated. It excludes the deadline,
 // since a caller that repeats a submission has less time left.
-std::uint64_t digest_of(const job_request& request)
+std::uint64_t digest_of(const submission_request& request)
 {
     std::uint64_t digest = hash64(request.customer, request.payloads.size());
     digest = hash64(request.kind, digest);
@@ -123,7 +123,7 @@
     timers_.cancel(deferred_work_timer_);
 }
 
-result<void> dispatcher::engine::submit(job_request request)
+result<void> dispatcher::engine::submit(submission_request request)
 {
     const auto parsed = parse_submission_id(request.id, options_.checksum_key);
     if (!parsed) {
@@ -172,7 +172,7 @@
 }
 
 // Returns the reason for refusing a new submission, if there is one.
-result<void> dispatcher::engine::check(const job_request& request) const
+result<void> dispatcher::engine::check(const submission_request& request) const
 {
     const auto kind = kinds_by_name_.find(request.kind);
     if (kind == kinds_by_name_.end()) {
@@ -229,7 +229,7 @@
     return boost::outcome_v2::success();
 }
 
-result<void> dispatcher::engine::refuse(const job_request& request, error reason)
+result<void> dispatcher::engine::refuse(const submission_request& request, error reason)
 {
     ++counts_.jobs_refused;
     if (observer_ != nullptr) {
@@ -240,7 +240,8 @@
     return boost::outcome_v2::failure(std::move(reason));
 }
 
-void dispatcher::engine::accept(job_request request, std::uint64_t id_hash, std::uint64_t digest)
+void dispatcher::engine::accept(submission_request request, std::uint64_t id_hash,
+                                std::uint64_t digest)
 {
     const std::uint32_t job_index = add_job();
     job_record& job = jobs_[job_index];
@@ -504,7 +505,7 @@
         ++job.open_tasks;
     }
     task.attempts[task.attempts[0] == no_index ? 0 : 1] = attempt_index;
-    task.state = task_state::running;
+    task.state = task_phase::running;
     task.last_worker = worker;
     ++task.starts;
 
@@ -609,7 +610,7 @@
 {
     job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
-    task.state = task_state::completed;
+    task.state = task_phase::completed;
     ++job.completed;
     ++kinds_[job.kind].samples;
     job.payloads_or_answers[task_number] = std::move(answer);
@@ -656,7 +657,7 @@
         retry_later(job_index, task_number);
         return;
     }
-    task.state = task_state::ended;
+    task.state = task_phase::ended;
     if (!job.is_failing) {
         const std::string_view what = task.is_unknown ? "no reply from the worker"
                                       : task.has_run  ? "the task failed"
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -23,7 +23,7 @@
     ~engine();
 
     void apply(const deployment& settings);
-    result<void> submit(job_request request);
+    result<void> submit(submission_request request);
     void wait(std::string_view id, duration limit, answer_callback done);
     result<job_status> status(std::string_view id) const;
     result<void> cancel(std::string_view id);
@@ -64,9 +64,9 @@
     };
 
     // Submission.
-    result<void> check(const job_request& request) const;
-    result<void> refuse(const job_request& request, error reason);
-    void accept(job_request request, std::uint64_t id_hash, std::uint64_t digest);
+    result<void> check(const submission_request& request) const;
+    result<void> refuse(const submission_request& request, error reason);
+    void accept(submission_request request, std::uint64_t id_hash, std::uint64_t digest);
     std::uint32_t find(std::string_view id) const;
     std::uint32_t add_job();
 
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -91,7 +91,7 @@
             }
             ++counts_.replies_missing;
             task.is_unknown = true;
-            task.state = task_state::ended;
+            task.state = task_phase::ended;
             // Reports a lost reply to the router, unless a stop was sent and the slot was released
             // then.
             release_slot(attempts_[attempt_index], {});
@@ -166,7 +166,7 @@
 void dispatcher::engine::retry_later(std::uint32_t job_index, std::uint32_t task_number)
 {
     task_record& task = jobs_[job_index].tasks[task_number];
-    task.state = task_state::backing_off;
+    task.state = task_phase::backing_off;
     task.backoffs = static_cast<std::uint8_t>(std::min(task.backoffs + 1, 255));
     task.retry_timer = wheel_.add(now() + retries_.backoff(task.backoffs),
                                   timer_key(timer_kind::retry, job_index, task_number));
@@ -182,7 +182,7 @@
         return; // handled by the timer of the job
     }
     if (time >= job.received + std::chrono::milliseconds{task.lease_end_ms}) {
-        task.state = task_state::ended;
+        task.state = task_phase::ended;
         fail_job(job_index, "not retried after the end of the lease");
         return;
     }
@@ -192,7 +192,7 @@
         retry_later(job_index, task_number);
         return;
     }
-    task.state = task_state::waiting;
+    task.state = task_phase::waiting;
     job.retry_queue.push_back(task_number);
     queues_[job.queue].push_retry(job_index, job.team, refreshed_state(job.kind, time).median);
     dispatch_queued();
@@ -226,8 +226,8 @@
         bool has_run = false;
         bool is_unknown = false;
         for (const task_record& task : job.tasks) {
-            has_run = has_run || task.has_run || task.state == task_state::completed;
-            is_unknown = is_unknown || (task.is_unknown && task.state != task_state::completed);
+            has_run = has_run || task.has_run || task.state == task_phase::completed;
+            is_unknown = is_unknown || (task.is_unknown && task.state != task_phase::completed);
         }
         answer->state = is_unknown ? job_state::unknown
                         : has_run  ? job_state::failed_after_run
--- a/src/dispatch/job_record.h
+++ b/src/dispatch/job_record.h
@@ -13,7 +13,7 @@
 
 inline constexpr std::uint32_t no_index = ~std::uint32_t{0};
 
-enum class task_state : std::uint8_t { waiting, running, backing_off, completed, ended };
+enum class task_phase : std::uint8_t { waiting, running, backing_off, completed, ended };
 
 // A task of a job. Kept to 28 bytes, since an instance may hold hundreds of thousands.
 struct task_record {
@@ -23,7 +23,7 @@
     timer_wheel::handle retry_timer = timer_wheel::none;
     // Milliseconds from the receipt of the job to the end of the lease of the last attempt.
     std::uint32_t lease_end_ms = 0;
-    task_state state = task_state::waiting;
+    task_phase state = task_phase::waiting;
     std::uint8_t starts = 0;
     std::uint8_t backoffs = 0;
     bool has_run = false;    // a reply proves that it ran, at least in part
--- a/src/http/caller_codec.cpp
+++ b/src/http/caller_codec.cpp
@@ -94,7 +94,8 @@
            });
 }
 
-result<job_request> parse_submission(std::string_view body, bool single, const deployment& settings)
+result<submission_request> parse_submission(std::string_view body, bool single,
+                                            const deployment& settings)
 {
     auto root = parse_json(body);
     if (!root) {
@@ -110,7 +111,7 @@
             return failure(errc::invalid_argument, fmt::format("unknown field '{}'", name));
         }
     }
-    job_request request;
+    submission_request request;
     auto id = parse_string(fields, "id", max_submission_id_length);
     if (!id) {
         return id.error();
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -239,14 +239,14 @@
             dispatcher::dependencies{client, task_router, timers, &observer, &metrics});
     }
 
-    job_request request(std::string kind, std::size_t tasks = 1, duration deadline = 2s,
-                        const std::string& customer = "anna")
+    submission_request request(std::string kind, std::size_t tasks = 1, duration deadline = 2s,
+                               const std::string& customer = "anna")
     {
-        job_request it{service->issue_prefix() + ".s" + std::to_string(++last_),
-                       customer,
-                       std::move(kind),
-                       {},
-                       deadline};
+        submission_request it{service->issue_prefix() + ".s" + std::to_string(++last_),
+                              customer,
+                              std::move(kind),
+                              {},
+                              deadline};
         for (std::size_t n = 0; n < tasks; ++n) {
             it.payloads.push_back(customer + std::to_string(last_) + "/" + std::to_string(n));
         }
@@ -254,7 +254,7 @@
     }
 
     // Submits a job, waits for its answer and records it.
-    result<void> send(const job_request& it)
+    result<void> send(const submission_request& it)
     {
         auto outcome = service->submit(it);
         if (outcome) {
@@ -299,7 +299,7 @@
         BOOST_TEST(service->queued_tasks() == 0U, what);
     }
 
-    void check_answer(std::string_view what, const job_request& job, const job_answer& it)
+    void check_answer(std::string_view what, const submission_request& job, const job_answer& it)
     {
         const bool is_complete = it.state == job_state::completed;
         BOOST_TEST(it.answers.size() == (is_complete ? job.payloads.size() : 0U), what);
@@ -323,7 +323,7 @@
     fake_workers client;
     counters metrics;
     recording_observer observer;
-    std::map<std::string, job_request> sent;
+    std::map<std::string, submission_request> sent;
     std::map<std::string, std::vector<job_answer>> answers;
     std::map<std::string, monotonic_time> answered;
     std::unique_ptr<dispatcher> service;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -171,24 +171,26 @@
     struct row {
         const char* what;
         duration pause; // between the two submissions
-        std::function<void(fixture&, job_request&)> change;
+        std::function<void(fixture&, submission_request&)> change;
         std::optional<errc> expected;
         std::size_t starts;
     };
-    const auto same = [](fixture& /*f*/, job_request& /*it*/) {};
-    const auto new_suffix = [](fixture& /*f*/, job_request& it) { it.id += "x"; };
-    const auto other_body = [](fixture& /*f*/, job_request& it) { it.payloads[0] += "x"; };
-    const auto moved_bytes = [](fixture& /*f*/, job_request& it) {
+    const auto same = [](fixture& /*f*/, submission_request& /*it*/) {};
+    const auto new_suffix = [](fixture& /*f*/, submission_request& it) { it.id += "x"; };
+    const auto other_body = [](fixture& /*f*/, submission_request& it) { it.payloads[0] += "x"; };
+    const auto moved_bytes = [](fixture& /*f*/, submission_request& it) {
         it.payloads = {it.payloads[0] + it.payloads[1], ""};
     };
-    const auto mangled = [](fixture& /*f*/, job_request& it) { it.id[0] = 'x'; };
-    const auto restarted = [](fixture& f, job_request& /*it*/) { f.service = f.make(2); };
-    const auto shut_down = [](fixture& f, job_request& /*it*/) { f.service->shut_down([] {}); };
+    const auto mangled = [](fixture& /*f*/, submission_request& it) { it.id[0] = 'x'; };
+    const auto restarted = [](fixture& f, submission_request& /*it*/) { f.service = f.make(2); };
+    const auto shut_down = [](fixture& f, submission_request& /*it*/) {
+        f.service->shut_down([] {});
+    };
     const row rows[] = {
         {"same while running", 10ms, same, std::nullopt, 2},
         {"same when finished", 1s, same, std::nullopt, 2},
         {"same, shorter deadline", 10ms,
-         [](fixture& /*f*/, job_request& it) { it.deadline = 500ms; }, std::nullopt, 2},
+         [](fixture& /*f*/, submission_request& it) { it.deadline = 500ms; }, std::nullopt, 2},
         {"same at the end of the retention", 60s, same, std::nullopt, 2},
         {"same after the retention", 65s, same, errc::not_found, 2},
         {"same after the prefix expired", 130s, same, errc::not_found, 2},
@@ -201,7 +203,7 @@
         {"id of an earlier incarnation", 1s, restarted, errc::not_found, 2},
         {"same while shutting down", 10ms, shut_down, std::nullopt, 2},
         {"other id while shutting down", 10ms,
-         [](fixture& f, job_request& it) {
+         [](fixture& f, submission_request& it) {
              f.service->shut_down([] {});
              it.id += "x";
          },
@@ -228,7 +230,7 @@
 {
     struct row {
         const char* what;
-        std::function<void(fixture&, job_request&)> change;
+        std::function<void(fixture&, submission_request&)> change;
         errc expected;
         const char* reason;
     };
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -200,7 +200,7 @@
     }
     f.task_router.run_time = 60ms; // the p99 of these run times
     f.task_router.wait_per_task = is_predicted ? duration{50ms} / 32 : 0s; // 640 tasks a second
-    std::vector<job_request> jobs;
+    std::vector<submission_request> jobs;
     std::size_t accepted = 0;
     const auto begin = f.timers.monotonic_now();
     for (int ms = 0; ms < 4000; ++ms) {
--- a/tests/system/callers.cpp
+++ b/tests/system/callers.cpp
@@ -36,7 +36,7 @@
 void callers::send(std::size_t number, std::size_t entry_index)
 {
     const submission& it = submissions_[number];
-    job_request request;
+    submission_request request;
     request.id = it.id;
     request.customer = it.customer;
     request.kind = it.kind;
--- a/tests/system/fault_table_test.cpp
+++ b/tests/system/fault_table_test.cpp
@@ -76,7 +76,7 @@
 {
     const auto prefix = it.entry.prefix_of(0);
     it.entry.kill(0);
-    job_request request;
+    submission_request request;
     request.id = *prefix + ".never-sent";
     request.customer = "shop-0";
     request.kind = "van_booking";
--- a/tests/system/fleet.cpp
+++ b/tests/system/fleet.cpp
@@ -263,7 +263,7 @@
     return instance.is_ready() ? std::optional(instance.jobs()->issue_prefix()) : std::nullopt;
 }
 
-void fleet::serve(std::size_t number, job_request request, const reply_callback& done)
+void fleet::serve(std::size_t number, submission_request request, const reply_callback& done)
 {
     if (!is_running(number) || nodes_.at(number)->paused) {
         return;
@@ -292,7 +292,7 @@
     serve_here(*owner->second, std::move(request), done);
 }
 
-void fleet::serve_here(node& it, job_request request, const reply_callback& done)
+void fleet::serve_here(node& it, submission_request request, const reply_callback& done)
 {
     job_service* jobs = it.instance->jobs();
     if (jobs == nullptr) {
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -57,7 +57,7 @@
 
     // Passes a submission to instance `number`. `done` does not run if that instance is dead,
     // paused or dies first; the caller then sees a lost connection.
-    void serve(std::size_t number, job_request request, const reply_callback& done);
+    void serve(std::size_t number, submission_request request, const reply_callback& done);
     std::optional<std::string> prefix_of(std::size_t number);
 
     void run(duration span);
@@ -79,7 +79,7 @@
 
 private:
     bool is_connected(std::size_t a, std::size_t b) const;
-    void serve_here(node& it, job_request request, const reply_callback& done);
+    void serve_here(node& it, submission_request request, const reply_callback& done);
     void retire(std::size_t number);
 
     void check_versions();
