Name the backoff base of the configuration follower

first_backoff is the base of the exponential backoff, not the first delay: a failed poll waits twice as long. Name and comment in src/config say so now. The whole tree builds; membership_tests, account_tests, config_tests and system_tests pass.

--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -13,8 +13,8 @@
 // A written snapshot is read with the next poll; until then another one is not needed.
 constexpr auto min_snapshot_interval = std::chrono::seconds{30};
 
-// Delay before the first retry of a failed request, jittered.
-constexpr auto first_backoff = std::chrono::milliseconds{500};
+// Base of the exponential backoff of polls and edits.
+constexpr auto backoff_base = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -149,7 +149,7 @@
     constexpr std::uint32_t max_doublings = 8;
     failed_polls_ = std::min(failed_polls_ + 1, max_doublings);
     poll_after(
-        jittered(std::min<duration>(options_.max_backoff, first_backoff * (1U << failed_polls_))));
+        jittered(std::min<duration>(options_.max_backoff, backoff_base * (1U << failed_polls_))));
     put_in_force();
 }
 
@@ -546,7 +546,7 @@
     constexpr std::uint64_t max_doublings = 3;
     const auto doublings = std::min(edit.attempt - 1, max_doublings);
     const auto delay =
-        jittered(std::min<duration>(options_.max_backoff, first_backoff * (1U << doublings)));
+        jittered(std::min<duration>(options_.max_backoff, backoff_base * (1U << doublings)));
     if (timers_.monotonic_now() + delay >= edit.deadline ||
         log_state_ == config_log_state::regressed) {
         finish_edit(edit.id, edit.may_be_stored
