--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -1,11 +1,11 @@
-// Cost of configuration at the size of design.md section 1.7, and the time until an edit is in
-// force.
+// Measures the cost of the configuration modules at the size of design.md section 1.7, and the time
+// until an edit is applied by all instances.
 
 #include "base/random.h"
 #include "config/config_follower.h"
 #include "config/config_record_codec.h"
-#include "stand_in/log_link.h"
 #include "stand_in/memory_log.h"
+#include "stand_in/partitionable_log.h"
 #include "stand_in/virtual_timer_service.h"
 
 #include <algorithm>
@@ -22,7 +22,7 @@
 
 constexpr int worker_count = 1000;
 constexpr int team_count = 77;
-constexpr int customer_count = 2000; // assumed; the design page states no number
+constexpr int customer_count = 2000; // not specified in the design page
 constexpr double changes_per_day = 4300;
 constexpr double seconds_per_day = 86400;
 
@@ -102,29 +102,31 @@
                                      {"customers", customers_text},
                                      {"account", account_text}};
 
-config_edit make_edit(const config_ledger& ledger, const section_kind& section, int n)
+config_edit make_edit(const config_state_machine& state_machine, const section_kind& section, int n)
 {
-    return {fmt::format("edit-{}", n), "platform", section.name, ledger.version_of(section.name),
-            section.text(n)};
+    return {fmt::format("edit-{}", n), "platform", section.name,
+            state_machine.version_of(section.name), section.text(n)};
 }
 
-config_ledger make_ledger()
+config_state_machine make_state_machine()
 {
-    config_ledger ledger;
+    config_state_machine state_machine;
     const config_edit first{"first", "platform", std::string(whole_document), 0, first_document()};
-    const auto effect = ledger.apply({0, {}, encode(first)});
+    const auto effect = state_machine.apply({0, {}, encode(first)});
     if (!effect.document_changed) {
         fmt::print("the first document was refused: {}\n", effect.edit->detail);
         std::exit(1);
     }
-    return ledger;
+    return state_machine;
 }
 
-void apply_edit(config_ledger& ledger, const section_kind& section, int n, double& seconds)
+void apply_edit(config_state_machine& state_machine, const section_kind& section, int n,
+                double& seconds)
 {
-    const log_record record{ledger.next_offset(), {}, encode(make_edit(ledger, section, n))};
+    const log_record record{
+        state_machine.next_offset(), {}, encode(make_edit(state_machine, section, n))};
     const auto start = cpu_seconds();
-    const bool changed = ledger.apply(record).document_changed;
+    const bool changed = state_machine.apply(record).document_changed;
     seconds += cpu_seconds() - start;
     if (!changed) {
         fmt::print("an edit was refused\n");
@@ -132,35 +134,36 @@
     }
 }
 
-// CPU and bytes of one accepted edit, by section, and the memory of the ledger.
-void measure_ledger()
+// Measures CPU time and bytes of an accepted edit, by section, and the memory of the state machine.
+void measure_state_machine()
 {
     const auto heap_before = heap_megabytes();
-    auto ledger = make_ledger();
+    auto state_machine = make_state_machine();
     int n = 0;
     for (const auto& section : sections) {
         constexpr int edits = 200;
         double seconds = 0;
         for (int i = 0; i < edits; ++i) {
-            apply_edit(ledger, section, ++n, seconds);
+            apply_edit(state_machine, section, ++n, seconds);
         }
-        const auto bytes = encode(make_edit(ledger, section, n)).size();
+        const auto bytes = encode(make_edit(state_machine, section, n)).size();
         fmt::print("ledger section={} edits={} cpu_us_per_edit={:.0f} record_bytes={}\n",
                    section.name, edits, seconds / edits * 1e6, bytes);
     }
     const auto heap = heap_megabytes() - heap_before;
     const auto start = cpu_seconds();
-    const auto text = encode(ledger.snapshot());
+    const auto text = encode(state_machine.snapshot());
     const auto encoded = cpu_seconds();
     const auto decoded = decode_config_record(text);
-    const auto restored = config_ledger::from_snapshot(std::get<config_snapshot>(decoded.value()));
+    const auto restored =
+        config_state_machine::from_snapshot(std::get<config_snapshot>(decoded.value()));
     fmt::print("ledger heap_mb={:.2f} history={} document_bytes={}\n", heap,
-               ledger.history().size(), ledger.current().text().size());
+               state_machine.history().size(), state_machine.current().text().size());
     fmt::print("snapshot bytes={} encode_ms={:.1f} restore_ms={:.1f} restored={}\n", text.size(),
                (encoded - start) * 1e3, (cpu_seconds() - encoded) * 1e3, restored.has_value());
 }
 
-// Nine followers on one log in virtual time.
+// Nine instances that follow one log in virtual time.
 class fleet {
 public:
     static constexpr int instance_count = 9;
@@ -170,7 +173,7 @@
         for (int n = 0; n < instance_count; ++n) {
             auto own = options;
             own.seed = static_cast<std::uint64_t>(n);
-            links.push_back(std::make_unique<log_link>(log));
+            links.push_back(std::make_unique<partitionable_log>(log));
             followers.push_back(
                 std::make_unique<config_follower>(*links.back(), timers, nullptr, own));
             followers.back()->set_rank(static_cast<std::size_t>(n));
@@ -179,7 +182,7 @@
                     in_force_at = timers.monotonic_now();
                 }
             });
-            // Instances start at different times, so their polls are spread over the interval.
+            // Instances start at different times, so that their polls are spread over the interval.
             timers.schedule(n * options.poll_interval / instance_count,
                             [this, n] { followers[static_cast<std::size_t>(n)]->start(); });
         }
@@ -190,7 +193,7 @@
 
     void submit(std::size_t n, const config_edit& edit)
     {
-        awaited = followers[0]->ledger().next_offset();
+        awaited = followers[0]->state_machine().next_offset();
         in_force_count = 0;
         followers[n]->submit_edit(edit, [](const result<edit_outcome>& reply) {
             if (!reply || reply.value().verdict != edit_verdict::accepted) {
@@ -202,7 +205,7 @@
 
     virtual_timer_service timers;
     memory_log log{timers};
-    std::vector<std::unique_ptr<log_link>> links;
+    std::vector<std::unique_ptr<partitionable_log>> links;
     std::vector<std::unique_ptr<config_follower>> followers;
     log_offset awaited = 0;
     int in_force_count = 0;
@@ -211,21 +214,22 @@
 
 void measure_time_until_in_force()
 {
-    fleet all({});
+    fleet instances({});
     random_engine random(1);
     std::vector<double> times;
     constexpr int edits = 500;
     for (int n = 0; n < edits; ++n) {
-        all.timers.advance(duration{2'000'000 + draw_below(random, 4096) * 1000});
-        const auto start = all.timers.monotonic_now();
+        instances.timers.advance(duration{2'000'000 + draw_below(random, 4096) * 1000});
+        const auto start = instances.timers.monotonic_now();
         const auto instance = draw_below(random, fleet::instance_count);
-        all.submit(instance, make_edit(all.followers[0]->ledger(), sections[3], n));
-        all.timers.advance(7s);
-        if (all.in_force_count != fleet::instance_count) {
+        instances.submit(instance,
+                         make_edit(instances.followers[0]->state_machine(), sections[3], n));
+        instances.timers.advance(7s);
+        if (instances.in_force_count != fleet::instance_count) {
             fmt::print("edit {} was not in force everywhere after 7 s\n", n);
             std::exit(1);
         }
-        times.push_back(static_cast<double>((all.in_force_at - start).count()) * 1e-6);
+        times.push_back(static_cast<double>((instances.in_force_at - start).count()) * 1e-6);
     }
     std::sort(times.begin(), times.end());
     fmt::print("in_force instances={} edits={} p50_s={:.3f} p99_s={:.3f} max_s={:.3f}\n",
@@ -233,36 +237,36 @@
                times.back());
 }
 
-// Control cost of one node. The CPU includes the in-memory log, so it is an upper bound; the bytes
-// are contents of records, to which each request adds its headers.
+// Measures the configuration traffic and CPU time per node. The CPU time includes the in-memory
+// log, so it is an upper bound; the bytes are record contents without request headers.
 void measure_node(const char* mix, std::span<const section_kind> kinds)
 {
     const auto heap_before = heap_megabytes();
-    fleet all({});
+    fleet instances({});
     std::size_t bytes = 0;
-    for (const auto& it : all.links) {
+    for (const auto& it : instances.links) {
         bytes += it->bytes_received() + it->bytes_sent();
     }
-    const auto reads = all.log.read_count();
+    const auto reads = instances.log.read_count();
     constexpr int edits = 360;
     const auto interval =
         duration{static_cast<std::int64_t>(seconds_per_day / changes_per_day * 1e6)};
     const auto start = cpu_seconds();
     for (int n = 0; n < edits; ++n) {
         const auto& section = kinds[static_cast<std::size_t>(n) % kinds.size()];
-        all.submit(static_cast<std::size_t>(n) % fleet::instance_count,
-                   make_edit(all.followers[0]->ledger(), section, n));
-        all.timers.advance(interval);
+        instances.submit(static_cast<std::size_t>(n) % fleet::instance_count,
+                         make_edit(instances.followers[0]->state_machine(), section, n));
+        instances.timers.advance(interval);
     }
     const auto cpu = cpu_seconds() - start;
     const auto seconds = edits * seconds_per_day / changes_per_day;
     std::size_t bytes_after = 0;
-    for (const auto& it : all.links) {
+    for (const auto& it : instances.links) {
         bytes_after += it->bytes_received() + it->bytes_sent();
     }
     const auto heap = heap_megabytes() - heap_before;
     std::size_t log_bytes = 0;
-    for (const auto& it : all.log.page("config").records) {
+    for (const auto& it : instances.log.page("config").records) {
         log_bytes += it.content.size();
     }
     constexpr double node_count = fleet::instance_count;
@@ -271,37 +275,38 @@
                "(limit 32)\n",
                mix, changes_per_day, cpu / seconds / node_count * 100,
                static_cast<double>(bytes_after - bytes) / seconds / node_count,
-               static_cast<double>(all.log.read_count() - reads) / seconds / node_count,
+               static_cast<double>(instances.log.read_count() - reads) / seconds / node_count,
                (heap - static_cast<double>(log_bytes) / (1 << 20)) / node_count);
 }
 
-// CPU time of a new instance that reads a log alone.
+// Measures the start of an instance that reads the whole log without the help of peers.
 void measure_cold_start()
 {
-    fleet all({});
+    fleet instances({});
     for (int n = 0; n < 4300; ++n) {
-        all.submit(0, make_edit(all.followers[0]->ledger(), sections[n % 50 == 0 ? 0 : 3], n));
-        all.timers.advance(2s);
+        instances.submit(0, make_edit(instances.followers[0]->state_machine(),
+                                      sections[n % 50 == 0 ? 0 : 3], n));
+        instances.timers.advance(2s);
     }
-    log_link link(all.log);
-    config_follower fresh(link, all.timers, nullptr, {});
+    partitionable_log link(instances.log);
+    config_follower new_follower(link, instances.timers, nullptr, {});
     const auto start = cpu_seconds();
-    const auto virtual_start = all.timers.monotonic_now();
-    fresh.start();
-    while (!fresh.is_ready()) {
-        all.timers.run_next();
+    const auto virtual_start = instances.timers.monotonic_now();
+    new_follower.start();
+    while (!new_follower.is_ready()) {
+        instances.timers.run_next();
     }
     fmt::print("cold_start records={} cpu_ms={:.0f} virtual_ms={} bytes={} applied={}\n",
-               all.log.page("config").end, (cpu_seconds() - start) * 1e3,
-               (all.timers.monotonic_now() - virtual_start).count() / 1000, link.bytes_received(),
-               fresh.counts().records_applied);
+               instances.log.page("config").end, (cpu_seconds() - start) * 1e3,
+               (instances.timers.monotonic_now() - virtual_start).count() / 1000,
+               link.bytes_received(), new_follower.counts().records_applied);
 }
 
 } // namespace
 
 int main()
 {
-    measure_ledger();
+    measure_state_machine();
     measure_time_until_in_force();
     measure_node("even", sections);
     measure_node("workers_only", std::span(sections).first(1));
--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -1,7 +1,7 @@
-// Compares routing strategies with an ideal that has one queue and full, instant knowledge.
-// Everything runs in virtual time from fixed seeds, so two runs print the same table.
-#include "decision_ideal.h"
-#include "decision_run.h"
+// Compares the routing strategies with an ideal scheduler that has a single queue and complete,
+// instantaneous knowledge. Runs in virtual time with fixed seeds, so the output is reproducible.
+#include "ideal_scheduler.h"
+#include "routing_simulation.h"
 
 #include <fmt/format.h>
 #include <popt.h>
@@ -17,7 +17,7 @@
     "random",      "round_robin",        "fewest_outstanding",
     "two_choices", "two_choices_finish", "predicted_finish"};
 
-// A profile as the deployments set it.
+// A dispatch profile as set by the deployments.
 struct profile {
     const char* name;
     double message_budget;
@@ -72,7 +72,7 @@
         next.load = kind == fault::burst ? 0.5 : 0.8;
         next.jobs = kind == fault::cancellation;
         if (kind == fault::declared) {
-            next.warm_up = 0; // what matters is the time before anything is learned
+            next.warm_up = 0; // measures the time before run times are learned
         }
         made.push_back(next);
     }
@@ -114,8 +114,8 @@
 
 void print_scenario(const scenario& settings, const options& chosen)
 {
-    const trace input = make_trace(settings);
-    const summary ideal(ideal_run(settings, input, 2 * one_way).run().responses);
+    const workload_trace input = make_trace(settings);
+    const summary ideal(ideal_scheduler(settings, input, 2 * one_way_latency).run().responses);
     fmt::print("| {} | ideal | {:.0f} ms | {:.0f} ms | {:.0f} ms | {:.0f} ms | 2 | | |\n",
                settings.name, ideal.mean * 1e3, ideal.median * 1e3, ideal.p99 * 1e3,
                ideal.p999 * 1e3);
@@ -126,18 +126,20 @@
         for (const profile& it : profiles) {
             const bool is_main = std::string_view(strategy) == "predicted_finish";
             if (!is_main && it.message_budget < 2.1) {
-                continue; // the baselines know no profile
+                continue; // the baselines ignore the message budget
             }
-            const outcome result = decision_run(settings, input, strategy, it.message_budget).run();
-            const summary mine(result.responses);
-            const double touched =
-                result.tasks_late > 0 ? 100 * result.touched_late / result.tasks_late : 0;
+            const outcome result =
+                routing_simulation(settings, input, strategy, it.message_budget).run();
+            const summary measured(result.responses);
+            const double touched = result.tasks_after_fault > 0
+                                       ? 100 * result.late_fault_hits / result.tasks_after_fault
+                                       : 0;
             fmt::print("| | {}{}{} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.0f} | {:.3f} "
                        "|\n",
                        strategy, is_main ? ", " : "", is_main ? it.name : "",
-                       mine.mean / ideal.mean, mine.median / ideal.median, mine.p99 / ideal.p99,
-                       mine.p999 / ideal.p999, result.messages / std::max(result.tasks, 1.0),
-                       result.failed, touched);
+                       measured.mean / ideal.mean, measured.median / ideal.median,
+                       measured.p99 / ideal.p99, measured.p999 / ideal.p999,
+                       result.messages / std::max(result.tasks, 1.0), result.failed, touched);
             std::fflush(stdout);
         }
     }
--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -8,16 +8,16 @@
 #include <fmt/format.h>
 #include <vector>
 
-// CPU per task through the dispatcher with a worker client that answers from memory, so that
-// neither HTTP nor the router's decision is part of the figure; and bytes held.
+// Measures the CPU time per task of the dispatcher and its memory. An in-memory worker client and a
+// trivial router keep HTTP and routing decisions out of the result.
 
 using namespace cactusloom;
 using namespace std::chrono_literals;
 
 namespace {
 
-// Always has room; the cost of a real decision is measured in the benchmark of the router.
-class open_router final : public router {
+// Router that always picks worker 0; router_bench measures real decisions.
+class trivial_router final : public router {
 public:
     bool has_room = true;
 
@@ -42,8 +42,8 @@
     duration expected_wait(std::size_t /*position*/) const override { return duration::zero(); }
 };
 
-// Keeps the callbacks until they are asked for.
-class instant_workers final : public worker_client {
+// Worker client that completes all open starts when answer_all() is called.
+class fake_workers final : public worker_client {
 public:
     void start(worker_id /*worker*/, const start_request& request, callback done) override
     {
@@ -69,8 +69,8 @@
     std::vector<callback> open_;
 };
 
-struct bench_setup {
-    bench_setup()
+struct bench_fixture {
+    bench_fixture()
     {
         settings.kinds = {{"stamp_check", false, false, 50ms, 2s, {}}};
         for (int n = 0; n < 77; ++n) {
@@ -81,13 +81,13 @@
         timers.advance(1s);
         service = std::make_unique<dispatcher>(
             settings, dispatcher_options{"lahore-1", "lhe", 0x18c2f3a4b5U, 7, 1},
-            dispatcher::parts{workers, routes, timers, nullptr, &metrics});
+            dispatcher::dependencies{workers, task_router, timers, nullptr, &metrics});
     }
 
-    // Submits one job and waits for its answer.
+    // Submits one job and registers a wait for its answer.
     void submit(std::size_t tasks)
     {
-        job_request request;
+        submission_request request;
         request.id = fmt::format("{}.{:012}", service->issue_prefix(), ++last);
         request.customer = settings.customers[last % 77].id;
         request.kind = "stamp_check";
@@ -103,18 +103,18 @@
 
     deployment settings;
     virtual_timer_service timers;
-    instant_workers workers;
-    open_router routes;
+    fake_workers workers;
+    trivial_router task_router;
     counters metrics;
     std::unique_ptr<dispatcher> service;
     std::uint64_t last = 0;
     std::uint64_t answered = 0;
 };
 
-// Submission, start, reply, answer and, later, the end of the retention.
+// Measures a task from submission to answer, including the later end of the answer's retention.
 void through_the_dispatcher(benchmark::State& state)
 {
-    bench_setup it;
+    bench_fixture it;
     const auto tasks = static_cast<std::size_t>(state.range(0));
     const std::size_t jobs = std::max<std::size_t>(1, 100 / tasks);
     for ([[maybe_unused]] auto _ : state) {
@@ -136,20 +136,20 @@
 }
 BENCHMARK(through_the_dispatcher)->Arg(1)->Arg(10)->Arg(700);
 
-// Memory of jobs that wait, and of their answers.
+// Measures the memory of queued jobs and of retained answers.
 void memory(benchmark::State& state)
 {
     const auto tasks = static_cast<std::size_t>(state.range(0));
     const std::size_t jobs = 100'000 / tasks;
     for ([[maybe_unused]] auto _ : state) {
-        bench_setup it;
-        it.routes.has_room = false;
+        bench_fixture it;
+        it.task_router.has_room = false;
         const std::size_t empty = it.service->bytes();
         for (std::size_t n = 0; n < jobs; ++n) {
             it.submit(tasks);
         }
         const std::size_t open = it.service->bytes();
-        it.routes.has_room = true;
+        it.task_router.has_room = true;
         while (it.service->open_jobs() > 0) {
             it.timers.advance(1ms);
             it.workers.answer_all();
@@ -162,7 +162,7 @@
 }
 BENCHMARK(memory)->Arg(1)->Arg(700)->Iterations(1);
 
-// Ids as they come at 9,000 a second until the first of them expire.
+// Measures the id registry at 9,000 ids a second for longer than a prefix is valid.
 void remembered_ids(benchmark::State& state)
 {
     for ([[maybe_unused]] auto _ : state) {
@@ -172,7 +172,7 @@
             const monotonic_time now{std::chrono::milliseconds{ms}};
             for (int n = 0; n < 9; ++n) {
                 id = id * 6364136223846793005U + 1442695040888963407U;
-                registry.claim(id ^ (id >> 32U), 1, now, now);
+                registry.try_insert(id ^ (id >> 32U), 1, now, now);
             }
         }
         state.counters["ids"] = static_cast<double>(registry.size());
--- a/bench/decision_ideal.h
+++ b/bench/ideal_scheduler.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include "decision_trace.h"
+#include "workload_trace.h"
 
 #include <limits>
 
 namespace cactusloom::bench {
 
-// One queue with full and instant knowledge of workers and run times: each task in order of arrival
-// goes to the slot with the least wait, faster workers and longer tasks first among near equals.
-// Faults are known at the moment they happen.
-class ideal_run {
+// Ideal scheduler: one queue with complete, instantaneous knowledge of workers and run times. Each
+// task, in order of arrival, takes the slot with the least wait plus a small weight of its run
+// time, which prefers faster workers among similar waits. Faults are known the moment they happen.
+class ideal_scheduler {
 public:
-    ideal_run(const scenario& settings, const trace& input, double round_trip)
+    ideal_scheduler(const scenario& settings, const workload_trace& input, double round_trip)
         : settings_(&settings), trace_(&input), round_trip_(round_trip), speed_(input.speed),
           free_at_(input.speed.size() * slots_per_worker, 0.0), finish_(input.work.size(), 0.0)
     {
@@ -23,7 +23,7 @@
         for (const trace_request& request : trace_->requests) {
             if (before_fault && request.at >= trace_->fault_at) {
                 before_fault = false;
-                strike();
+                inject_fault();
             }
             for (std::uint32_t i = 0; i < request.tasks; ++i) {
                 place(request.first_task + i, request.at);
@@ -45,10 +45,10 @@
 
 private:
     static constexpr double never = 1e18;
-    // Weight of the run time against the wait when a slot is chosen. With 1 each task takes the
-    // slot where it finishes first, which fills the fast workers' queues at the cost of all later
-    // tasks: at 80 % load the mean is then 18 % and p99 14 % higher than with 0.1. With 0 the
-    // mean is 1 % lower but p99 31 % higher, since long tasks start on slow workers.
+    // Weight of the run time relative to the wait when a slot is chosen. With 1 each task takes the
+    // slot where it finishes first, which fills the queues of fast workers at the expense of later
+    // tasks: at 80 % load the mean is 18 % and p99 14 % higher than with 0.1. With 0 the mean is
+    // 1 % lower but p99 31 % higher, since long tasks start on slow workers.
     static constexpr double run_weight = 0.1;
 
     struct assignment {
@@ -79,8 +79,8 @@
         }
     }
 
-    // Applies the fault and places the tasks that have not started again.
-    void strike()
+    // Applies the fault and places all tasks again that have not started yet.
+    void inject_fault()
     {
         const double now = trace_->fault_at;
         if (settings_->kind == fault::none || settings_->kind == fault::burst ||
@@ -101,30 +101,30 @@
             }
         }
         std::fill(free_at_.begin(), free_at_.end(), now);
-        std::vector<std::uint32_t> again;
+        std::vector<std::uint32_t> unstarted;
         for (const assignment& it : assignments_) {
             const bool is_dead = it.slot / slots_per_worker < dead;
             if (finish_[it.task] <= now || cancelled[it.task]) {
                 continue;
             }
             if (it.start > now) {
-                again.push_back(it.task);
+                unstarted.push_back(it.task);
             }
             else if (is_dead) {
-                finish_[it.task] = never; // ran when the worker was lost
+                finish_[it.task] = never; // was running when its worker was lost
             }
             else {
                 free_at_[it.slot] = finish_[it.task];
             }
         }
         std::fill_n(free_at_.begin(), dead * slots_per_worker, never * 2);
-        for (const std::uint32_t task : again) {
+        for (const std::uint32_t task : unstarted) {
             place(task, now);
         }
     }
 
     const scenario* settings_;
-    const trace* trace_;
+    const workload_trace* trace_;
     double round_trip_;
     std::vector<double> speed_;
     std::vector<double> free_at_;
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -3,9 +3,9 @@
 #include "base/timer_service.h"
 #include "cell/cell_controller.h"
 #include "cell/claim_probe.h"
-#include "cell/cut_watch.h"
 #include "cell/instance_mesh.h"
-#include "cell/side_watch.h"
+#include "cell/isolation_tracker.h"
+#include "cell/minority_tracker.h"
 
 #include <functional>
 #include <map>
@@ -17,20 +17,20 @@
 
 namespace cactusloom {
 
-// How closely an instance follows the list of workers.
-enum class worker_interest {
-    none,    // it brings jobs to others
+// How an instance reads the list of workers.
+enum class worker_list_mode {
+    none,    // not at all: it only forwards jobs to other instances
     standby, // it may have to take control
     control,
 };
 
-// One instance's part in the dispatch: it controls cells if elected, and brings the submissions of
-// its callers to whoever controls the cells.
+// Dispatch logic of one instance: controls cells when elected, and forwards its callers' jobs to
+// the instances that control the cells.
 class cell_service {
 public:
     using answer = std::function<void(const job_outcome&)>;
 
-    cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
+    cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                  const cell_settings& settings);
     ~cell_service();
     cell_service(const cell_service&) = delete;
@@ -39,79 +39,80 @@
     // Replaces the list of all workers.
     void set_workers(std::vector<worker_report> workers);
 
-    // Says that all instances that the platform lists are known to the mesh.
+    // Reports that the mesh knows every instance in the platform's list.
     void note_instances_known();
 
-    // Says that the list is as the platform had it at `asked_at` or later.
-    void note_workers_read(monotonic_time asked_at);
+    // Sets the time of the list of workers: it is as the platform had it at `read_started_at` or
+    // later.
+    void set_worker_list_time(monotonic_time read_started_at);
 
-    // Called when this instance has claimed a cell and needs the newest list.
+    // Called when this instance has claimed a cell and needs the current list of workers.
     std::function<void()> on_claim;
 
-    // Called when the interest changes; it is `none` at first.
-    std::function<void(worker_interest)> on_interest;
+    // Called when the mode changes; it starts as `none`.
+    std::function<void(worker_list_mode)> on_worker_list_mode;
 
-    // Tells the other instances which configuration is in force here.
+    // Announces to the other instances which configuration version is in force here.
     void set_config_version(std::int64_t version);
 
-    // Takes a caller's job. `fn` runs exactly once, unless the job is abandoned.
+    // Accepts a caller's job. `fn` runs exactly once, unless the job is abandoned.
     void submit(job_request job, answer fn);
     void abandon(const std::string& job_id);
 
-    // Stops a job at its caller's wish; its submission is answered `failed`. False if it is not
-    // under way here.
+    // Cancels a job at its caller's request; its submission is answered `failed`. Returns false if
+    // the job is not open here.
     bool cancel(const std::string& job_id);
 
-    // Answers all jobs of callers here with `outcome` and stops what runs of them.
-    void end_jobs(const job_outcome& outcome);
+    // Answers all open jobs of this instance's callers with `outcome` and stops their tasks.
+    void end_all_jobs(const job_outcome& outcome);
     bool has_job(std::string_view job_id) const { return jobs_.contains(job_id); }
 
-    // Hands control over and announces that this instance leaves.
+    // Releases all cells and announces that this instance is leaving.
     void leave();
 
     bool controls_any() const;
 
-    // True if some instance in touch controls workers.
+    // True if this instance or one in contact controls workers.
     bool has_controller() const;
 
     std::size_t pending_jobs(std::string_view queue) const;
     std::size_t open_jobs() const { return jobs_.size(); }
     cell_counts counts() const;
 
-    // Messages of peers that are not about jobs.
+    // Receives messages of peers that are not about jobs.
     instance_mesh::message_handler on_other_message;
 
 private:
-    struct desk_job;
-    struct own_cell;
+    struct submitted_job;
+    struct controlled_cell;
 
     void tick();
     void evaluate();
-    void update_interest();
+    void update_worker_list_mode();
     void evaluate_cell(const std::string& cell, const std::vector<instance_view>& views);
     void probe(const std::string& cell, std::uint64_t above);
     void claim(const std::string& cell, std::uint64_t above);
     std::uint64_t next_token(std::uint64_t above) const;
-    void give_up(const std::string& cell);
+    void release_cell(const std::string& cell);
     void on_fenced(const std::string& cell);
     void announce();
-    bool is_settled() const;
+    bool is_ready_to_claim() const;
     bool is_contested(std::string_view cell) const;
-    std::vector<std::string> cells(cut_watch::phase cut) const;
-    std::vector<std::string> own_names() const;
+    std::vector<std::string> cells_to_control(isolation_tracker::phase partition_phase) const;
+    std::vector<std::string> controlled_cell_names() const;
     std::vector<worker_report> workers_of(std::string_view cell) const;
-    void check_requesters();
+    void drop_lost_requesters();
 
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
-    void dispatch(desk_job& job, std::span<const instance_view> holders);
+    void dispatch(submitted_job& job, std::span<const instance_view> claim_holders);
     void redispatch();
     void on_outcome(const std::string& job_id, const std::string& controller,
                     const std::string& cell, const job_outcome& outcome);
     void finish(const std::string& job_id, const job_outcome& outcome);
     using ended_job = std::pair<std::string, job_outcome>;
-    std::vector<ended_job> hopeless_jobs() const;
+    std::vector<ended_job> unassigned_jobs_to_fail() const;
     std::vector<ended_job> overdue_jobs() const;
-    void give_up_jobs(const std::vector<ended_job>& jobs);
+    void fail_jobs(const std::vector<ended_job>& jobs);
     void on_message(const std::string& peer, const Json::Value& message,
                     const instance_mesh::sender& reply);
     void on_submit(const std::string& peer, const Json::Value& message,
@@ -119,19 +120,19 @@
 
     timer_service& timers_;
     instance_mesh& mesh_;
-    worker_orders& orders_;
+    worker_commands& commands_;
     cell_settings settings_;
     std::vector<worker_report> workers_;
-    std::map<std::string, std::unique_ptr<own_cell>, std::less<>> own_cells_;
-    std::map<std::string, std::unique_ptr<desk_job>, std::less<>> jobs_;
+    std::map<std::string, std::unique_ptr<controlled_cell>, std::less<>> controlled_cells_;
+    std::map<std::string, std::unique_ptr<submitted_job>, std::less<>> jobs_;
     monotonic_time started_at_;
     std::int64_t config_version_ = -1;
     bool instances_known_ = false;
-    worker_interest interest_ = worker_interest::none;
+    worker_list_mode worker_list_mode_ = worker_list_mode::none;
     bool leaving_ = false;
-    bool split_ = false;
-    cut_watch cut_;
-    side_watch side_;
+    bool split_by_data_centre_ = false;
+    isolation_tracker isolation_;
+    minority_tracker minority_;
     std::map<std::string, std::unique_ptr<claim_probe>, std::less<>> probes_; // by cell
     timer_id tick_timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/cell/claim_probe.h
+++ b/include/cell/claim_probe.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <cstdint>
 #include <functional>
@@ -10,39 +10,41 @@
 
 namespace cactusloom {
 
-// Finds out whether somebody out of touch controls workers, at the price of a few of them: it makes
-// these obey a new token and looks again after the time in which a controller that is alive has
-// raised its own. Nothing is started or stopped.
+// Detects whether an unreachable controller holds workers, at the cost of a few of them: makes
+// these accept a new token, and polls them again after the time within which a live controller
+// raises its own. No task is started or stopped.
 class claim_probe {
 public:
-    enum class finding {
-        nobody,   // the workers still obey the probe: they are free to be claimed
-        somebody, // they obey a higher token by now
+    enum class probe_result {
+        unclaimed, // the workers still accept the token of the probe, so they can be claimed
+        claimed_elsewhere, // they have accepted a higher token in the meantime
         no_reply,
     };
 
-    // `done` runs once, later on the loop, with a token that the workers of the probe obeyed.
-    claim_probe(timer_service& timers, worker_orders& orders, std::vector<worker_report> workers,
-                std::uint64_t token, std::function<void(finding result, std::uint64_t token)> done);
+    // `done` runs once, later on the event loop, with the token that the workers were last probed
+    // with.
+    claim_probe(timer_service& timers, worker_commands& commands,
+                std::vector<worker_report> workers, std::uint64_t token,
+                std::function<void(probe_result result, std::uint64_t token)> done);
     ~claim_probe();
     claim_probe(const claim_probe&) = delete;
     claim_probe& operator=(const claim_probe&) = delete;
 
 private:
-    void look(void (claim_probe::*next)());
-    void after_first_look();
-    void after_second_look();
-    void finish(finding result);
+    void poll(void (claim_probe::*next)());
+    void on_first_replies();
+    void on_second_replies();
+    void finish(probe_result result);
 
     timer_service& timers_;
-    worker_orders& orders_;
+    worker_commands& commands_;
     std::vector<worker_report> workers_;
     std::uint64_t token_;
-    std::function<void(finding, std::uint64_t)> done_;
-    std::size_t unanswered_ = 0;
+    std::function<void(probe_result, std::uint64_t)> done_;
+    std::size_t pending_replies_ = 0;
     std::size_t fenced_ = 0;
     std::vector<worker_report> accepted_;
-    int raises_ = 0;
+    int token_raises_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/include/cell/dispatch_metrics.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cactusloom {
+
+class cell_service;
+class caller_request_handler;
+
+// Counters of the network layer.
+struct network_counts {
+    std::uint64_t caller_connections = 0;
+    std::uint64_t open_requests = 0;
+    std::uint64_t connections_opened = 0; // to workers and the store
+};
+
+// Formats all counters and histograms of an instance in the Prometheus text exposition format.
+std::string format_dispatch_metrics(const cell_service& cells,
+                                    const caller_request_handler& handler,
+                                    const network_counts& network);
+
+} // namespace cactusloom
--- a/src/account/account_writer.cpp
+++ b/src/account/account_writer.cpp
@@ -35,7 +35,7 @@
 
 void account_writer::start()
 {
-    // A phase by name spreads the appends of instances that start together.
+    // A phase derived from the name spreads the appends of instances that start together.
     const auto phase = duration{static_cast<duration::rep>(
         hash64(settings_.instance) % static_cast<std::uint64_t>(interval().count()))};
     schedule(phase);
@@ -62,16 +62,16 @@
     if (buffered_bytes_ + bytes > settings_.max_buffer_bytes ||
         open_.contains(receipt.submission_id)) {
         // Without a receipt the request still gets its record at the end; if the instance dies
-        // before, the reader sees a writer without a closing batch.
+        // before, readers see a writer without a closing batch.
         return;
     }
     buffered_bytes_ += bytes;
     auto id = receipt.submission_id;
-    const auto it =
-        open_.emplace(std::move(id), open_request{std::move(receipt), bytes,
-                                                  timers_.monotonic_now(), unwritten_.end()});
+    const auto it = open_.emplace(std::move(id),
+                                  open_request{std::move(receipt), bytes, timers_.monotonic_now(),
+                                               unwritten_receipts_.end()});
     auto& request = it.first->second;
-    request.place = unwritten_.insert(unwritten_.end(), &request);
+    request.queue_position = unwritten_receipts_.insert(unwritten_receipts_.end(), &request);
 }
 
 void account_writer::ended(account_record record)
@@ -81,14 +81,14 @@
     }
     if (const auto it = open_.find(record.receipt.submission_id); it != open_.end()) {
         buffered_bytes_ -= it->second.bytes;
-        if (it->second.place != unwritten_.end()) {
-            unwritten_.erase(it->second.place);
+        if (it->second.queue_position != unwritten_receipts_.end()) {
+            unwritten_receipts_.erase(it->second.queue_position);
         }
         open_.erase(it);
     }
     const auto bytes = record.memory_size();
     if (buffered_bytes_ + bytes > settings_.max_buffer_bytes) {
-        // The newest is dropped, not the oldest: the records kept stay one span without holes.
+        // The newest record is dropped, not the oldest, so that the kept ones have no gap.
         dropped_.add(record.receipt.received, timers_.wall_now());
         ++stats_.dropped;
         return;
@@ -123,9 +123,9 @@
 
 bool account_writer::has_due_receipt() const
 {
-    return !unwritten_.empty() &&
+    return !unwritten_receipts_.empty() &&
            (closing_ ||
-            timers_.monotonic_now() - unwritten_.front()->since >= settings_.receipt_age);
+            timers_.monotonic_now() - unwritten_receipts_.front()->since >= settings_.receipt_age);
 }
 
 void account_writer::flush()
@@ -134,9 +134,9 @@
         return;
     }
     if (!in_flight_) {
-        const bool is_due =
+        const bool is_heartbeat_due =
             !has_stored_ || timers_.monotonic_now() - last_stored_ >= settings_.idle_interval;
-        if (!has_work() && !is_due && !closing_) {
+        if (!has_work() && !is_heartbeat_due && !closing_) {
             schedule(interval());
             return;
         }
@@ -170,20 +170,21 @@
         ends_.pop_front();
     }
     while (has_due_receipt() && has_room()) {
-        const auto& receipt = unwritten_.front()->receipt;
+        const auto& receipt = unwritten_receipts_.front()->receipt;
         encoder.add(receipt);
         ++out.receipts;
-        open_.find(receipt.submission_id)->second.place = unwritten_.end();
-        unwritten_.pop_front();
+        open_.find(receipt.submission_id)->second.queue_position = unwritten_receipts_.end();
+        unwritten_receipts_.pop_front();
     }
-    header.settled = header.written;
+    header.watermark = header.written;
     for (const auto& it : ends_) {
-        header.settled = std::min(header.settled, it.receipt.received);
+        header.watermark = std::min(header.watermark, it.receipt.received);
     }
-    if (!unwritten_.empty()) {
-        header.settled = std::min(header.settled, unwritten_.front()->receipt.received);
+    if (!unwritten_receipts_.empty()) {
+        header.watermark =
+            std::min(header.watermark, unwritten_receipts_.front()->receipt.received);
     }
-    out.is_last = closing_ && ends_.empty() && unwritten_.empty();
+    out.is_last = closing_ && ends_.empty() && unwritten_receipts_.empty();
     header.is_last = out.is_last;
     out.content = std::move(encoder).finish();
     return out;
@@ -206,7 +207,7 @@
 
 void account_writer::finish_attempt(std::uint64_t attempt, const result<log_offset>& stored)
 {
-    // A reply that comes after its time limit is ignored: the batch is repeated under its number.
+    // A reply after the timeout is ignored, since the batch is retried under the same number.
     if (awaiting_reply_ && attempt == stats_.appends) {
         timers_.cancel(append_timer_);
         finish(stored);
@@ -222,11 +223,11 @@
     if (!stored) {
         const auto code = stored.error().code;
         if (code == errc::invalid_argument || code == errc::limit_exceeded) {
-            give_up_batch();
+            drop_batch();
         }
         else {
-            // The batch may be stored. It is repeated with the same number and the same content,
-            // and readers drop the copy.
+            // The batch may have been stored. It is retried with the same number and content, and
+            // readers drop the duplicate.
             ++failures_;
         }
         schedule(backoff());
@@ -249,9 +250,9 @@
     schedule(closing_ ? duration::zero() : interval());
 }
 
-// A batch that the log refuses for its content would block all later ones. Its number stays unused,
-// and its records are reported as dropped.
-void account_writer::give_up_batch()
+// A batch that the log rejects for its content would block all later ones, so its number stays
+// unused and its records are reported as dropped.
+void account_writer::drop_batch()
 {
     const auto count = in_flight_->ends + in_flight_->receipts;
     for (std::size_t i = 0; i < count; ++i) {
@@ -281,8 +282,8 @@
     }
 }
 
-// Doubles from the batch interval, so that instances which wait for a log that is down do not
-// spend more than their budget on it.
+// Exponential backoff that starts at the batch interval, so that retries while the log is down stay
+// within the append budget.
 duration account_writer::backoff() const
 {
     const auto doublings = std::min(failures_, 6U);
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// State of the one output; the process has one thread.
+// Process-wide state; not synchronized because the process is single-threaded.
 struct log_output {
     std::uint64_t dropped = 0;
     std::uint64_t reported = 0;
@@ -69,7 +69,7 @@
 {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0 && fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0) {
-        log_event("log_may_block", "reason=\"cannot change standard output\"");
+        log_event("log_may_block", "reason=\"cannot make standard output nonblocking\"");
     }
 }
 
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -1,7 +1,7 @@
 #include "cell/cell_service.h"
 
 #include "cell/mesh_codec.h"
-#include "cell_service_parts.h"
+#include "cell_service_internal.h"
 
 namespace cactusloom {
 
@@ -11,11 +11,11 @@
 
 } // namespace
 
-cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_orders& orders,
+cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                            const cell_settings& settings)
-    : on_claim([] {}), on_interest([](worker_interest) {}),
+    : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
       on_other_message([](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
-      timers_(timers), mesh_(mesh), orders_(orders), settings_(settings),
+      timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
       started_at_(timers.monotonic_now())
 {
     mesh_.on_change = [this] { evaluate(); };
@@ -29,7 +29,7 @@
     mesh_.on_reconnect = [this](const std::string& peer) {
         for (auto& [id, job] : jobs_) {
             if (job->controller == peer) {
-                // Its outcome may have been lost with the old link.
+                // An outcome may have been lost with the old link.
                 job->lose_controller(timers_.monotonic_now(), "link replaced");
             }
         }
@@ -46,10 +46,10 @@
 {
     tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
     evaluate();
-    announce(); // the number of workers that obey changes after a claim
-    check_requesters();
-    give_up_jobs(hopeless_jobs());
-    give_up_jobs(overdue_jobs());
+    announce(); // the set of workers that accepted the token changes after a claim
+    drop_lost_requesters();
+    fail_jobs(unassigned_jobs_to_fail());
+    fail_jobs(overdue_jobs());
 }
 
 cell_service::~cell_service()
@@ -61,21 +61,21 @@
 void cell_service::set_workers(std::vector<worker_report> workers)
 {
     workers_ = std::move(workers);
-    for (auto& [cell, own] : own_cells_) {
-        own->controller->set_workers(workers_of(cell));
+    for (auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->set_workers(workers_of(cell));
     }
 }
 
 void cell_service::note_instances_known()
 {
     instances_known_ = true;
-    update_interest();
+    update_worker_list_mode();
 }
 
-void cell_service::note_workers_read(monotonic_time asked_at)
+void cell_service::set_worker_list_time(monotonic_time read_started_at)
 {
-    for (auto& [cell, own] : own_cells_) {
-        own->controller->note_workers_read(asked_at);
+    for (auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->set_worker_list_time(read_started_at);
     }
 }
 
@@ -93,9 +93,9 @@
         on_submit(peer, message, reply);
     }
     else if (kind == "abandon") {
-        const auto own = own_cells_.find(message["cell"].asString());
-        if (own != own_cells_.end()) {
-            own->second->controller->abandon(message["id"].asString());
+        const auto controlled = controlled_cells_.find(message["cell"].asString());
+        if (controlled != controlled_cells_.end()) {
+            controlled->second->controller->abandon(message["id"].asString());
         }
     }
     else if (kind == "outcome") {
@@ -121,20 +121,20 @@
         out["outcome"] = encode_outcome(outcome);
         reply(out);
     };
-    const auto own = own_cells_.find(cell);
-    if (own == own_cells_.end()) {
+    const auto controlled = controlled_cells_.find(cell);
+    if (controlled == controlled_cells_.end()) {
         respond({job_end::moved, {}, "not in control"});
         return;
     }
-    own->second->requesters.insert(peer);
-    own->second->controller->submit(std::move(request), peer, std::move(respond));
+    controlled->second->requesters.insert(peer);
+    controlled->second->controller->submit(std::move(request), peer, std::move(respond));
 }
 
 std::size_t cell_service::pending_jobs(std::string_view queue) const
 {
     std::size_t n = 0;
-    for (const auto& [cell, own] : own_cells_) {
-        n += own->controller->pending_jobs(queue);
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        n += controlled->controller->pending_jobs(queue);
     }
     return n;
 }
@@ -142,8 +142,8 @@
 cell_counts cell_service::counts() const
 {
     cell_counts sum;
-    for (const auto& [cell, own] : own_cells_) {
-        sum += own->controller->counts();
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        sum += controlled->controller->counts();
     }
     return sum;
 }
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -10,26 +10,29 @@
 
 namespace {
 
-// A waiting look is answered by an end or after this time. It must leave room in the lease for a
-// lost reply and a second look.
-constexpr duration look_wait = std::chrono::milliseconds{250};
-// An end that is this late may have been reported on a connection that went silent.
-// A sound worker replies to a start within a round trip of a few ms.
-constexpr duration start_patience = std::chrono::milliseconds{20};
+// A worker replies to a long poll when a run ends or after this time. The rest of the lease must be
+// long enough for a lost reply and a second poll.
+constexpr duration long_poll_wait = std::chrono::milliseconds{250};
+// A healthy worker replies to a start within a round trip of a few ms.
+constexpr duration start_reply_limit = std::chrono::milliseconds{20};
+// The end of a run that is this late may have been reported on a connection that no longer delivers
+// data.
 constexpr duration overdue_slack = std::chrono::milliseconds{20};
-constexpr duration overdue_interval = std::chrono::milliseconds{60};
-constexpr duration claim_retry = std::chrono::milliseconds{300};
-constexpr duration stop_retry = std::chrono::milliseconds{120};
-// A front resubmits within a round trip of a takeover.
+constexpr duration overdue_poll_interval = std::chrono::milliseconds{60};
+constexpr duration poll_retry_interval = std::chrono::milliseconds{300};
+constexpr duration stop_retry_interval = std::chrono::milliseconds{120};
+// A requester resubmits its jobs within a round trip of a takeover; orphans that are still without
+// a job after this time are stopped.
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
-constexpr duration first_closing = std::chrono::milliseconds{800};
-constexpr duration longest_closing = std::chrono::seconds{4};
-// Progress below this share of the prediction marks a straggler.
+constexpr duration min_suspension = std::chrono::milliseconds{800};
+constexpr duration max_suspension = std::chrono::seconds{4};
+// A run that takes more than this multiple of its predicted time is checked as a straggler.
 constexpr double straggler_ratio = 2.5;
-constexpr duration straggler_floor = std::chrono::milliseconds{60};
+constexpr duration min_straggler_time = std::chrono::milliseconds{60};
 constexpr std::uint32_t max_moves = 2;
-// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms; looks come every 250 ms.
-constexpr duration standstill_limit = std::chrono::milliseconds{300};
+// One percent of the longest tasks (3.6 s at 1.7 times) takes 60 ms, and progress is polled every
+// 250 ms.
+constexpr duration no_progress_limit = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -42,9 +45,9 @@
         if (!entry) {
             entry = std::make_unique<claimed_worker>();
             entry->report = report;
-            entry->born_ms = report.born_ms;
+            entry->started_at_ms = report.started_at_ms;
             if (token != 0) {
-                look(*entry, true);
+                poll(*entry, true);
             }
             continue;
         }
@@ -65,12 +68,12 @@
             worker.unlisted_at = timers.monotonic_now();
             log_event("worker_unlisted", "worker={} runs={}", it->first, worker.runs.size());
         }
-        it = worker.is_forgettable(timers.monotonic_now()) ? workers.erase(it) : std::next(it);
+        it = worker.is_removable(timers.monotonic_now()) ? workers.erase(it) : std::next(it);
     }
-    schedule_pump();
+    schedule_start_pass();
 }
 
-void cell_controller::state::note_clock(claimed_worker& worker, std::int64_t clock_ms)
+void cell_controller::state::update_clock(claimed_worker& worker, std::int64_t clock_ms)
 {
     if (clock_ms >= 0) {
         worker.clock_ms = clock_ms;
@@ -78,117 +81,121 @@
     }
 }
 
-// The worker has started anew: nothing of its former life runs.
-void cell_controller::state::forget_life(claimed_worker& worker, std::int64_t born_ms)
+// Resets the state of a worker whose process has restarted; none of its earlier runs goes on.
+void cell_controller::state::reset_restarted_worker(claimed_worker& worker,
+                                                    std::int64_t started_at_ms)
 {
     log_event("worker_restarted", "worker={} runs={}", worker.report.id, worker.runs.size());
-    lose_runs(worker, "worker restarted");
+    end_lost_runs(worker, "worker restarted");
     worker.orphans.clear();
-    worker.seen = 0;
+    worker.last_seen_end = 0;
     worker.clock_ms = -1;
     worker.lease_end_ms = -1;
-    worker.born_ms = born_ms;
+    worker.started_at_ms = started_at_ms;
     worker.slowness = 1.0;
 }
 
-void cell_controller::state::look(claimed_worker& worker, bool quick)
+void cell_controller::state::poll(claimed_worker& worker, bool quick)
 {
-    bool& pending = quick ? worker.quick_look_pending : worker.look_pending;
+    bool& pending = quick ? worker.quick_poll_pending : worker.long_poll_pending;
     if (pending || token == 0) {
         return;
     }
     pending = true;
-    ++counts.looks;
+    ++counts.polls;
     const auto now = timers.monotonic_now();
-    look_order order;
-    order.token = token;
-    order.seen = worker.seen;
-    order.wait = quick ? duration::zero() : look_wait;
-    // A worker that does not answer gets no longer lease: its runs must lapse at a known time. Nor
-    // does one with runs of an earlier controller, which may be counting on their lapse.
-    if (worker.clock_ms >= 0 && worker.held && worker.unanswered_looks == 0 &&
+    poll_command command;
+    command.token = token;
+    command.last_seen_end = worker.last_seen_end;
+    command.wait = quick ? duration::zero() : long_poll_wait;
+    // The lease of a worker that does not answer is not extended, so that its runs expire at a
+    // known time. Nor is that of a worker with runs of an earlier controller, which may rely on
+    // their expiry.
+    if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
         worker.orphans.empty()) {
-        order.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
-        worker.lease_end_ms = std::max(worker.lease_end_ms, order.deadline_ms);
-    }
-    orders.look(worker.report, order,
-                [this, alive = alive, id = worker.report.id, sent = token, now,
-                 quick](const look_reply& reply) {
-                    if (*alive) {
-                        on_look(id, sent, now, quick, reply);
-                    }
-                });
+        command.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
+        worker.lease_end_ms = std::max(worker.lease_end_ms, command.deadline_ms);
+    }
+    commands.poll(worker.report, command,
+                  [this, alive = alive, id = worker.report.id, sent = token, now,
+                   quick](const poll_reply& reply) {
+                      if (*alive) {
+                          on_poll_reply(id, sent, now, quick, reply);
+                      }
+                  });
 }
 
-void cell_controller::state::on_look(const std::string& id, std::uint64_t sent_token,
-                                     monotonic_time sent_at, bool quick, const look_reply& reply)
+void cell_controller::state::on_poll_reply(const std::string& id, std::uint64_t sent_token,
+                                           monotonic_time sent_at, bool quick,
+                                           const poll_reply& reply)
 {
     const auto found = workers.find(id);
     if (found == workers.end()) {
         return;
     }
     auto& worker = *found->second;
-    (quick ? worker.quick_look_pending : worker.look_pending) = false;
+    (quick ? worker.quick_poll_pending : worker.long_poll_pending) = false;
     if (token == 0) {
         return;
     }
     const auto now = timers.monotonic_now();
-    if (reply.status == order_status::accepted && sent_token == token) {
-        if (reply.born_ms != 0 && worker.born_ms != 0 && reply.born_ms != worker.born_ms) {
-            forget_life(worker, reply.born_ms);
+    if (reply.status == command_status::accepted && sent_token == token) {
+        if (reply.started_at_ms != 0 && worker.started_at_ms != 0 &&
+            reply.started_at_ms != worker.started_at_ms) {
+            reset_restarted_worker(worker, reply.started_at_ms);
         }
-        if (reply.born_ms != 0) {
-            worker.born_ms = reply.born_ms;
+        if (reply.started_at_ms != 0) {
+            worker.started_at_ms = reply.started_at_ms;
         }
         worker.last_reply = now;
-        worker.accepted_look_sent_at = std::max(worker.accepted_look_sent_at, sent_at);
-        worker.unanswered_looks = 0;
-        note_clock(worker, reply.clock_ms);
-        const bool first = !std::exchange(worker.held, true);
-        apply_look(worker, sent_at, reply);
+        worker.accepted_poll_sent_at = std::max(worker.accepted_poll_sent_at, sent_at);
+        worker.unanswered_polls = 0;
+        update_clock(worker, reply.clock_ms);
+        const bool first = !std::exchange(worker.token_accepted, true);
+        apply_poll_reply(worker, sent_at, reply);
         if (first || quick) {
-            schedule_pump();
+            schedule_start_pass();
         }
-        look(worker, false);
+        poll(worker, false);
         return;
     }
-    if (reply.status == order_status::fenced && sent_token == token) {
-        worker.held = false;
-        worker.next_look = now + claim_retry;
+    if (reply.status == command_status::fenced && sent_token == token) {
+        worker.token_accepted = false;
+        worker.next_poll = now + poll_retry_interval;
         self.on_fenced();
         return;
     }
-    if (reply.status == order_status::wrong_incarnation) {
-        forget_life(worker, 0);
+    if (reply.status == command_status::wrong_incarnation) {
+        reset_restarted_worker(worker, 0);
     }
     if (sent_token != token) {
-        look(worker, true);
+        poll(worker, true);
         return;
     }
-    ++worker.unanswered_looks;
-    if (worker.unanswered_looks == 1) {
-        worker.next_look = now;
-        look(worker, true); // on another connection: the first may have gone silent
+    ++worker.unanswered_polls;
+    if (worker.unanswered_polls == 1) {
+        worker.next_poll = now;
+        poll(worker, true); // on another connection, as the first may no longer deliver data
     }
     else {
-        worker.next_look = now + claim_retry;
+        worker.next_poll = now + poll_retry_interval;
     }
 }
 
-void cell_controller::state::apply_look(claimed_worker& worker, monotonic_time sent_at,
-                                        const look_reply& reply)
+void cell_controller::state::apply_poll_reply(claimed_worker& worker, monotonic_time sent_at,
+                                              const poll_reply& reply)
 {
     const auto now = timers.monotonic_now();
     for (const auto& row : reply.finished) {
-        if (row.number > worker.seen) {
-            worker.seen = row.number;
+        if (row.number > worker.last_seen_end) {
+            worker.last_seen_end = row.number;
             apply_finished(worker, row, now);
         }
     }
     for (const auto& row : reply.running) {
         apply_running(worker, row, now);
     }
-    drop_vanished(worker, sent_at, reply);
+    end_missing_runs(worker, sent_at, reply);
 }
 
 void cell_controller::state::apply_finished(claimed_worker& worker, const finished_row& row,
@@ -199,9 +206,9 @@
     if (it == worker.runs.end()) {
         task_ref ref;
         if (row.how == run_end::done && parse_task_name(row.task, ref)) {
-            orphan_ends.push_back({ref, now});
+            orphan_completions.push_back({ref, now});
         }
-        schedule_pump();
+        schedule_start_pass();
         return;
     }
     auto& run = it->second;
@@ -219,17 +226,17 @@
         }
         const double ratio = static_cast<double>(actual.count()) * worker.slowness /
                              static_cast<double>(std::max<duration::rep>(run.predicted.count(), 1));
-        // Run times spread by half either way; only a ratio beyond that speaks of the worker.
+        // Run times vary by half either way, so only a higher ratio is attributed to the worker.
         const double sample = ratio > 2.0 ? ratio : 1.0;
         worker.slowness = std::clamp(worker.slowness * 0.7 + sample * 0.3, 1.0, 20.0);
         worker.failure_streak = 0;
-        worker.closing_time = {};
+        worker.suspension_time = {};
         end_run(worker, row.task, task_state::phase::done);
         return;
     }
     if (row.how == run_end::failed) {
         ++counts.task_failures;
-        note_task_failure(worker, job, task);
+        record_task_failure(worker, job, task);
         ++task.failures;
         task.avoid_worker = worker.report.id;
         if (!job.ended && task.failures >= job.request.terms.attempts) {
@@ -249,7 +256,7 @@
     const auto it = worker.runs.find(row.task);
     if (it != worker.runs.end() && it->second.run == row.run) {
         auto& run = it->second;
-        if (run.at == task_run::phase::starting || run.at == task_run::phase::unsettled) {
+        if (run.at == task_run::phase::starting || run.at == task_run::phase::unconfirmed) {
             run.at = task_run::phase::running;
             run.confirmed_at = now;
         }
@@ -259,7 +266,7 @@
         return;
     }
     if (it != worker.runs.end() && it->second.run > row.run) {
-        return; // an older list
+        return; // the reply predates the newer run
     }
     auto& orphan = worker.orphans[row.task];
     if (orphan.seen_at == monotonic_time{}) {
@@ -276,10 +283,10 @@
     }
 }
 
-// A run that a look sent after its confirmation does not list is over without an end: the list is
-// complete, so the worker has lost it.
-void cell_controller::state::drop_vanished(claimed_worker& worker, monotonic_time sent_at,
-                                           const look_reply& reply)
+// Ends runs that the worker has lost. A confirmed run that a later reply lists neither as running
+// nor as finished is over, provided that the reply lists all finished runs.
+void cell_controller::state::end_missing_runs(claimed_worker& worker, monotonic_time sent_at,
+                                              const poll_reply& reply)
 {
     std::set<std::string_view> running;
     for (const auto& row : reply.running) {
@@ -288,7 +295,7 @@
     if (reply.finished_complete) {
         std::erase_if(worker.orphans, [&](const auto& it) { return !running.contains(it.first); });
     }
-    std::vector<std::string> over;
+    std::vector<std::string> missing;
     for (const auto& [name, run] : worker.runs) {
         if (running.contains(name) || !reply.finished_complete) {
             continue;
@@ -299,16 +306,16 @@
             run.confirmed_at == monotonic_time{} && reply.clock_ms > run.latest_start_ms;
         const bool stopped = run.stop_confirmed && sent_at >= run.stop_confirmed_at;
         if (confirmed_before || refused_by_now || stopped) {
-            over.push_back(name);
+            missing.push_back(name);
         }
     }
-    for (const auto& name : over) {
+    for (const auto& name : missing) {
         log_event("run_vanished", "worker={} task={}", worker.report.id, name);
         end_run(worker, name, task_state::phase::pending);
     }
     for (auto& [name, run] : worker.runs) {
-        if (run.at == task_run::phase::unsettled && sent_at > run.sent_at) {
-            stop(worker, name, run); // settles it sooner than the end of its lease
+        if (run.at == task_run::phase::unconfirmed && sent_at > run.sent_at) {
+            stop(worker, name, run); // resolves it before its lease expires
         }
     }
 }
@@ -321,17 +328,17 @@
         run.progress_at = now;
     }
     const auto elapsed = now - std::max(run.sent_at, run.confirmed_at);
-    const auto patience = std::max(
-        straggler_floor, duration{static_cast<duration::rep>(
-                             static_cast<double>(run.predicted.count()) * straggler_ratio)});
-    if (elapsed < patience || percent >= 100) {
+    const auto time_limit = std::max(
+        min_straggler_time, duration{static_cast<duration::rep>(
+                                static_cast<double>(run.predicted.count()) * straggler_ratio)});
+    if (elapsed < time_limit || percent >= 100) {
         return;
     }
     auto& job = *run.job;
     auto& task = job.steps[run.task.step][run.task.index];
-    const bool stands_still = now - run.progress_at > standstill_limit;
-    // A run much longer than predicted is either a large task or on a slow worker. Beyond a factor
-    // of five it is the worker.
+    const bool is_stalled = now - run.progress_at > no_progress_limit;
+    // A run far longer than predicted is either a large task or on a slow worker. Beyond a factor
+    // of five the worker is taken to be slow.
     const double rate = std::max(percent, 1) / static_cast<double>(elapsed.count());
     const auto total = static_cast<double>(elapsed.count()) + (100 - percent) / rate;
     const auto remaining = total - static_cast<double>(elapsed.count());
@@ -340,17 +347,17 @@
     if (ratio > 2 * straggler_ratio) {
         worker.slowness = std::clamp(ratio, worker.slowness, 20.0);
     }
-    const auto shortest =
-        static_cast<double>(policy.shortest(job, job.request.steps[run.task.step]).count());
-    const double elsewhere =
-        stands_still
-            ? shortest
-            : std::max(shortest, total * times.fastest_factor() /
-                                     (times.kind_factor(worker.report.kind) * worker.slowness));
-    const auto stop_time = static_cast<double>(settings.stop_time.count());
+    const auto min_run_time =
+        static_cast<double>(policy.min_run_time(job, job.request.steps[run.task.step]).count());
+    const double time_elsewhere =
+        is_stalled
+            ? min_run_time
+            : std::max(min_run_time, total * times.fastest_factor() /
+                                         (times.kind_factor(worker.report.kind) * worker.slowness));
+    const auto stop_timeout = static_cast<double>(settings.stop_timeout.count());
     if (job.ended || task.moves >= max_moves ||
-        (!stands_still && remaining < 2 * elsewhere + stop_time) ||
-        now + duration{static_cast<duration::rep>(elsewhere)} > job.deadline) {
+        (!is_stalled && remaining < 2 * time_elsewhere + stop_timeout) ||
+        now + duration{static_cast<duration::rep>(time_elsewhere)} > job.deadline) {
         return;
     }
     ++task.moves;
@@ -359,34 +366,34 @@
     log_event("straggler_moved",
               "task={} worker={} percent={} elapsed_ms={} predicted_ms={} slowness={:.1f} still={}",
               to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
-              run.predicted.count() / 1000, worker.slowness, stands_still);
-    if (stands_still) {
-        note_task_failure(worker, job, task);
+              run.predicted.count() / 1000, worker.slowness, is_stalled);
+    if (is_stalled) {
+        record_task_failure(worker, job, task);
     }
     stop(worker, to_task_name(run.task), run);
 }
 
-void cell_controller::state::note_task_failure(claimed_worker& worker, const active_job& job,
-                                               const task_state& task)
+void cell_controller::state::record_task_failure(claimed_worker& worker, const active_job& job,
+                                                 const task_state& task)
 {
-    // A task that failed elsewhere too says nothing of the worker.
+    // A task that has failed before says nothing about this worker.
     if (task.failures != 0 || worker.last_failed_job == job.request.id) {
         return;
     }
     worker.last_failed_job = job.request.id;
-    if (++worker.failure_streak < failures_to_close) {
+    if (++worker.failure_streak < failures_to_suspend) {
         return;
     }
-    worker.closing_time = worker.closing_time == duration{}
-                              ? first_closing
-                              : std::min(2 * worker.closing_time, longest_closing);
-    worker.closed_until = timers.monotonic_now() + worker.closing_time;
+    worker.suspension_time = worker.suspension_time == duration{}
+                                 ? min_suspension
+                                 : std::min(2 * worker.suspension_time, max_suspension);
+    worker.suspended_until = timers.monotonic_now() + worker.suspension_time;
     log_event("worker_closed", "worker={} streak={} for_ms={}", worker.report.id,
-              worker.failure_streak, worker.closing_time.count() / 1000);
+              worker.failure_streak, worker.suspension_time.count() / 1000);
 }
 
-// Everything that ran there is over: the leases have lapsed or the worker has started anew.
-void cell_controller::state::lose_runs(claimed_worker& worker, const char* reason)
+// Ends all runs of a worker whose leases have expired or whose process has restarted.
+void cell_controller::state::end_lost_runs(claimed_worker& worker, const char* reason)
 {
     if (worker.runs.empty()) {
         return;
@@ -403,27 +410,28 @@
     }
 }
 
-// A late reply to a start: a look on another connection tells sooner than the reply's time limit
-// whether the start has arrived.
-void cell_controller::state::look_for_late_start(claimed_worker& worker, monotonic_time now)
+// Polls a worker whose reply to a start is late. A poll on another connection tells whether the
+// start arrived before the start command times out.
+void cell_controller::state::poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now)
 {
     bool late = false;
     for (auto& [name, run] : worker.runs) {
-        if (run.at == task_run::phase::starting && now - run.sent_at > start_patience) {
-            run.at = task_run::phase::unsettled;
+        if (run.at == task_run::phase::starting && now - run.sent_at > start_reply_limit) {
+            run.at = task_run::phase::unconfirmed;
         }
-        late |= run.at == task_run::phase::unsettled;
+        late |= run.at == task_run::phase::unconfirmed;
     }
-    if (late && worker.held) {
-        look(worker, true);
+    if (late && worker.token_accepted) {
+        poll(worker, true);
     }
 }
 
-// A task that should have ended points to a look whose reply is lost: another connection tells
-// sooner than the look's time limit.
-void cell_controller::state::look_for_overdue_end(claimed_worker& worker, monotonic_time now)
+// Polls a worker with a run that should have ended, as the reply to a poll may have been lost.
+// Another connection tells before that poll times out.
+void cell_controller::state::poll_if_end_overdue(claimed_worker& worker, monotonic_time now)
 {
-    if (!worker.held || worker.quick_look_pending || now - worker.last_reply < overdue_interval) {
+    if (!worker.token_accepted || worker.quick_poll_pending ||
+        now - worker.last_reply < overdue_poll_interval) {
         return;
     }
     const bool overdue = std::ranges::any_of(worker.runs, [&](const auto& row) {
@@ -433,44 +441,46 @@
                 now > std::max(run.sent_at, run.confirmed_at) + run.predicted + overdue_slack);
     });
     if (overdue) {
-        look(worker, true);
+        poll(worker, true);
     }
 }
 
 void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
 {
     if (worker.slowness > 1.0) {
-        // Fades, so that the worker gets tasks again and is measured anew.
+        // Decays, so that the worker gets tasks again and its speed is measured again.
         worker.slowness = std::max(1.0, worker.slowness * 0.995);
     }
-    look_for_late_start(worker, now);
-    look_for_overdue_end(worker, now);
-    const bool silent = !worker.held || worker.unanswered_looks != 0;
-    if (silent && worker.clock_ms >= 0 && !worker.runs.empty() && now > worker.lapsed_at()) {
-        lose_runs(worker, "leases lapsed");
-        worker.held = false;
+    poll_if_start_unconfirmed(worker, now);
+    poll_if_end_overdue(worker, now);
+    const bool silent = !worker.token_accepted || worker.unanswered_polls != 0;
+    if (silent && worker.clock_ms >= 0 && !worker.runs.empty() &&
+        now > worker.leases_expired_at()) {
+        end_lost_runs(worker, "leases lapsed");
+        worker.token_accepted = false;
     }
-    if (silent && now >= worker.next_look && worker.listed) {
-        look(worker, true);
-        worker.next_look = now + claim_retry;
+    if (silent && now >= worker.next_poll && worker.listed) {
+        poll(worker, true);
+        worker.next_poll = now + poll_retry_interval;
     }
-    if (!worker.held) {
+    if (!worker.token_accepted) {
         return;
     }
     for (auto& [name, run] : worker.runs) {
         if (run.at == task_run::phase::stopping && !run.stop_confirmed &&
-            now - run.stop_sent_at > stop_retry) {
+            now - run.stop_sent_at > stop_retry_interval) {
             stop(worker, name, run);
         }
     }
     for (auto& [name, orphan] : worker.orphans) {
-        if (now - orphan.seen_at > orphan_grace && now - orphan.stop_sent_at > stop_retry) {
+        if (now - orphan.seen_at > orphan_grace &&
+            now - orphan.stop_sent_at > stop_retry_interval) {
             if (orphan.stop_sent_at == monotonic_time{}) {
                 ++counts.orphans_stopped;
             }
             orphan.stop_sent_at = now;
-            orders.stop(worker.report, name, orphan.run, token, [](const order_reply&) {
-                // The next look tells; until then the stop is repeated.
+            commands.stop(worker.report, name, orphan.run, token, [](const command_reply&) {
+                // The next poll shows the result; until then the stop is repeated.
             });
         }
     }
--- a/src/cell/dispatch_report.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -1,16 +1,17 @@
-#include "cell/dispatch_report.h"
+#include "cell/dispatch_metrics.h"
 
 #include "base/log.h"
+#include "cell/caller_request_handler.h"
 #include "cell/cell_service.h"
-#include "cell/front_desk.h"
 
 #include <fmt/format.h>
 #include <iterator>
 
 namespace cactusloom {
 
-std::string format_dispatch_metrics(const cell_service& cells, const front_desk& desk,
-                                    const network_figures& network)
+std::string format_dispatch_metrics(const cell_service& cells,
+                                    const caller_request_handler& handler,
+                                    const network_counts& network)
 {
     std::string out;
     const auto add = [&out](std::string_view name, auto value) {
@@ -26,19 +27,19 @@
     add("task_failures_total", counts.task_failures);
     add("task_stops_total", counts.stops);
     add("stragglers_moved_total", counts.stragglers_moved);
-    add("worker_looks_total", counts.looks);
+    add("worker_looks_total", counts.polls);
     add("workers_lost_total", counts.workers_lost);
     add("orphans_adopted_total", counts.orphans_adopted);
     add("orphans_stopped_total", counts.orphans_stopped);
     add("controls_cells", cells.controls_any() ? 1 : 0);
     add("has_controller", cells.has_controller() ? 1 : 0);
     add("open_jobs", cells.open_jobs());
-    add("config_version", desk.version());
+    add("config_version", handler.version());
     add("caller_connections", network.caller_connections);
     add("open_requests", network.open_requests);
     add("connections_opened_total", network.connections_opened);
     add("log_lines_dropped_total", dropped_log_lines());
-    desk.format_latencies(out);
+    handler.format_latencies(out);
     return out;
 }
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -1,7 +1,7 @@
-// The links of an instance: beats, silence, second connections, and their replacement.
+// Links of an instance: heartbeats, silence, probe connections and link replacement.
 #include "base/log.h"
 #include "http/json_text.h"
-#include "instance_mesh_parts.h"
+#include "instance_mesh_internal.h"
 
 #include <algorithm>
 
@@ -9,74 +9,74 @@
 
 namespace {
 
-constexpr int checks_per_beat = 2;
-// A job's caller waits no longer for its controller.
-constexpr duration use_time = std::chrono::seconds{5};
-// A reply takes a round trip (24 ms between regions) and a turn of the peer's loop.
-constexpr duration reply_patience = std::chrono::milliseconds{60};
-// Two beats and their replies are missing: a second connection tells a slow process from a lost
-// machine.
-constexpr duration suspicion_limit = std::chrono::milliseconds{250};
-// The system of a reachable machine opens a connection within one round trip (24 ms between
-// regions), however busy its process is.
-constexpr duration handshake_limit = std::chrono::milliseconds{120};
-constexpr duration connect_limit = std::chrono::milliseconds{400};
-constexpr duration introduction_limit = std::chrono::seconds{2};
+constexpr int checks_per_heartbeat = 2;
+// No caller waits longer than this for the outcome of its job.
+constexpr duration max_job_wait = std::chrono::seconds{5};
+// Allows for a round trip (24 ms between regions) and an iteration of the peer's event loop.
+constexpr duration reply_timeout = std::chrono::milliseconds{60};
+// Two heartbeats and their replies are missing: a second connection then tells a slow process from
+// a lost machine.
+constexpr duration suspicion_timeout = std::chrono::milliseconds{250};
+// The kernel of a reachable machine accepts a connection within one round trip (24 ms between
+// regions), however busy the process is.
+constexpr duration handshake_timeout = std::chrono::milliseconds{120};
+constexpr duration connect_timeout = std::chrono::milliseconds{400};
+constexpr duration discovery_timeout = std::chrono::seconds{2};
 
 } // namespace
 
 bool instance_mesh::is_alive(const peer& it) const
 {
-    if (it.refused || it.unreachable || it.last_pong == monotonic_time{}) {
+    if (it.connection_refused || it.unreachable || it.last_pong == monotonic_time{}) {
         return false;
     }
-    // After a pause of this process, its replies wait unread: the last check counts until the next.
-    const auto as_of = std::min(timers_.monotonic_now(), checked_at_ + 2 * link_check_interval);
-    return as_of - it.last_pong < silence_limit + slack_of(it);
+    // After a pause of this process, replies wait unread: the time of the last check counts until
+    // the next check.
+    const auto as_of = std::min(timers_.monotonic_now(), last_check_at_ + 2 * link_check_interval);
+    return as_of - it.last_pong < silence_limit + extra_silence_allowed(it);
 }
 
-// True if much depends on the peer's liveness: this instance may have to take over from it, or its
-// jobs go there.
-bool instance_mesh::is_close(const peer& it) const
+// True if this instance may have to take over from the peer, or sends its jobs there.
+bool instance_mesh::is_monitored_closely(const peer& it) const
 {
     return is_candidate() ||
-           (!it.claims.empty() &&
-            (it.address.data_centre == self_.data_centre ||
-             (it.used_at != monotonic_time{} && timers_.monotonic_now() - it.used_at < use_time)));
+           (!it.claims.empty() && (it.address.data_centre == self_.data_centre ||
+                                   (it.last_message_at != monotonic_time{} &&
+                                    timers_.monotonic_now() - it.last_message_at < max_job_wait)));
 }
 
-duration instance_mesh::slack_of(const peer& it) const
+duration instance_mesh::extra_silence_allowed(const peer& it) const
 {
-    return is_close(it) ? duration::zero() : slow_beat_slack;
+    return is_monitored_closely(it) ? duration::zero() : slow_heartbeat_slack;
 }
 
-bool instance_mesh::owes_reply(const peer& it) const
+bool instance_mesh::reply_overdue(const peer& it) const
 {
     return it.unanswered_since != monotonic_time{} &&
-           timers_.monotonic_now() - it.unanswered_since > reply_patience;
+           timers_.monotonic_now() - it.unanswered_since > reply_timeout;
 }
 
-bool instance_mesh::owes_reply(std::string_view name) const
+bool instance_mesh::reply_overdue(std::string_view name) const
 {
     const auto it = peers_.find(name);
-    return it != peers_.end() && owes_reply(*it->second);
+    return it != peers_.end() && reply_overdue(*it->second);
 }
 
 void instance_mesh::check()
 {
     check_timer_ = timers_.schedule(link_check_interval, [this] { check(); });
     const auto now = timers_.monotonic_now();
-    const auto last = std::exchange(checked_at_, now);
+    const auto last = std::exchange(last_check_at_, now);
     bool changed = false;
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
         if (late > link_check_interval) {
-            excuse_pause(late);
+            discount_pause(late);
         }
-        changed = note_strain(late, now - last);
+        changed = update_overload(late, now - last);
     }
-    std::erase_if(introductions_,
-                  [now](const auto& it) { return now - it.first > introduction_limit; });
+    std::erase_if(discovery_links_,
+                  [now](const auto& it) { return now - it.first > discovery_timeout; });
     for (const auto& [name, it] : peers_) {
         if (!candidates().contains(name)) {
             it->link.reset();
@@ -86,17 +86,18 @@
             update_link(*it);
         }
         const bool alive = is_alive(*it);
-        changed |= note_lost(*it, alive);
-        if (alive != it->alive_before) {
-            it->alive_before = alive;
+        changed |= update_lost(*it, alive);
+        if (alive != it->was_alive) {
+            it->was_alive = alive;
             changed = true;
             log_event(alive ? "instance_up" : "instance_down",
-                      "instance={} refused={} unreachable={} silent_ms={}", name, it->refused,
-                      it->unreachable, (now - it->last_pong).count() / 1000);
+                      "instance={} refused={} unreachable={} silent_ms={}", name,
+                      it->connection_refused, it->unreachable,
+                      (now - it->last_pong).count() / 1000);
         }
     }
     const bool promoted = !std::exchange(was_candidate_, is_candidate()) && is_candidate();
-    if (checks_++ % checks_per_beat == 0 || promoted) {
+    if (checks_++ % checks_per_heartbeat == 0 || promoted) {
         send_pings();
     }
     if (changed) {
@@ -104,35 +105,35 @@
     }
 }
 
-// A beat or its reply. The state goes along only if it has changed since it was sent on the link,
-// as beats are most of what idle instances say.
-std::string instance_mesh::beat_text(const char* kind, std::uint64_t& told_number) const
+// Returns a ping or its reply. It includes the state only if that has changed since it was last
+// sent on the link, because heartbeats are most of the traffic of idle instances.
+std::string instance_mesh::heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const
 {
-    Json::Value beat;
-    beat["t"] = kind;
-    if (std::exchange(told_number, state_number_) == state_number_) {
-        return write_json(beat);
+    Json::Value heartbeat;
+    heartbeat["t"] = kind;
+    if (std::exchange(sent_state_number, state_number_) == state_number_) {
+        return write_json(heartbeat);
     }
-    // The same text goes out on every link.
-    if (std::exchange(beats_as_of_, state_number_) != state_number_) {
-        beats_with_state_.clear();
+    // The same text is sent on every link.
+    if (std::exchange(heartbeat_cache_number_, state_number_) != state_number_) {
+        heartbeat_cache_.clear();
     }
-    auto& text = beats_with_state_[kind];
+    auto& text = heartbeat_cache_[kind];
     if (text.empty()) {
-        beat = own_state();
-        beat["t"] = kind;
-        text = write_json(beat);
+        heartbeat = own_state();
+        heartbeat["t"] = kind;
+        text = write_json(heartbeat);
     }
     return text;
 }
 
 void instance_mesh::send_pings()
 {
-    // Half a check less, so that the timer's lateness does not skip a turn.
-    constexpr auto least_pause = slow_beat_interval - link_check_interval / 2;
+    // Shorter by half a check interval, so that timer lateness does not skip a turn.
+    constexpr auto min_ping_interval = slow_heartbeat_interval - link_check_interval / 2;
     const auto now = timers_.monotonic_now();
     for (const auto& [name, it] : peers_) {
-        if (is_close(*it) || now - it->beaten_at >= least_pause) {
+        if (is_monitored_closely(*it) || now - it->pinged_at >= min_ping_interval) {
             ping(*it);
         }
     }
@@ -143,44 +144,45 @@
     if (!it.link || it.closed || !it.link->is_connected()) {
         return;
     }
-    it.link->send(beat_text("ping", it.told_number));
-    it.beaten_at = timers_.monotonic_now();
+    it.link->send(heartbeat_text("ping", it.sent_state_number));
+    it.pinged_at = timers_.monotonic_now();
     if (it.unanswered_since == monotonic_time{}) {
-        it.unanswered_since = it.beaten_at;
+        it.unanswered_since = it.pinged_at;
     }
 }
 
-// Tells everybody, on links of either direction, without waiting for the next beat.
+// Sends the state on links of both directions without waiting for the next heartbeat.
 void instance_mesh::send_state()
 {
     for (const auto& [name, it] : peers_) {
         ping(*it);
     }
     for (const auto& it : inbound_) {
-        if (it->told_number != state_number_) {
-            it->link->send(beat_text("pong", it->told_number));
+        if (it->sent_state_number != state_number_) {
+            it->link->send(heartbeat_text("pong", it->sent_state_number));
         }
     }
 }
 
-// Returns true if it changes whether this instance is strained.
-bool instance_mesh::note_strain(duration late, duration elapsed)
+// Returns true if this instance has become overloaded or has recovered.
+bool instance_mesh::update_overload(duration late, duration elapsed)
 {
-    const bool before = strain_.is_strained();
-    strain_.note(late, elapsed, checked_at_);
-    if (strain_.is_strained() == before) {
+    const bool before = overload_detector_.is_overloaded();
+    overload_detector_.add_sample(late, elapsed, last_check_at_);
+    if (overload_detector_.is_overloaded() == before) {
         return false;
     }
     log_event(before ? "strain_over" : "strained", "late_ms={} of_ms={}", late.count() / 1000,
               elapsed.count() / 1000);
     ++state_number_;
-    send_state(); // who controls what must not wait for the next beat
+    send_state(); // a change of control must not wait for the next heartbeat
     return true;
 }
 
-// Replies wait unread after a pause of this process, so its time counts as nobody's silence. For
-// the peers it did pass: what they may have given up meanwhile (`hears`) is not excused.
-void instance_mesh::excuse_pause(duration pause)
+// Replies wait unread after a pause of this process, so the pause does not count as silence of the
+// peers. For the peers the time did pass: what they may have dropped meanwhile (`has_heard_from`)
+// is not restored.
+void instance_mesh::discount_pause(duration pause)
 {
     log_event("paused", "for_ms={}", pause.count() / 1000);
     for (const auto& row : peers_) {
@@ -192,12 +194,12 @@
             it.last_pong += pause;
         }
         if (pause > silence_limit / 2) {
-            it.closed = true; // the peer may have dropped what it was asked for on this link
+            it.closed = true; // the peer may have dropped requests that were sent on this link
         }
     }
 }
 
-// Replaces a link that is closed, silent or cannot be opened in time.
+// Replaces a link that is closed, silent or not opened in time.
 void instance_mesh::update_link(peer& it)
 {
     const auto now = timers_.monotonic_now();
@@ -206,16 +208,16 @@
         return;
     }
     if (!it.link->is_connected()) {
-        if (now - it.opened_at > handshake_limit) {
+        if (now - it.opened_at > handshake_timeout) {
             it.unreachable = true;
         }
-        if (now - it.opened_at > connect_limit) {
+        if (now - it.opened_at > connect_timeout) {
             open(it);
         }
         return;
     }
     const auto silence = now - std::max(it.last_pong, it.opened_at);
-    if (silence <= suspicion_limit + slack_of(it)) {
+    if (silence <= suspicion_timeout + extra_silence_allowed(it)) {
         it.probe.reset();
         return;
     }
@@ -223,29 +225,29 @@
         probe(it);
         return;
     }
-    it.unreachable = !it.probe->is_connected() && now - it.probed_at > handshake_limit;
-    // A process that was only paused answers on both connections in one go.
+    it.unreachable = !it.probe->is_connected() && now - it.probed_at > handshake_timeout;
+    // A process that was only paused answers on both connections at the same time.
     const bool broken = it.probe_answered_at != monotonic_time{} &&
                         now - it.probe_answered_at >= link_check_interval;
-    if (it.unreachable || broken || silence > silence_limit + slack_of(it)) {
+    if (it.unreachable || broken || silence > silence_limit + extra_silence_allowed(it)) {
         log_event("link_given_up", "instance={} silent_ms={} unreachable={} probe_answered={}",
                   it.address.name, silence.count() / 1000, it.unreachable, broken);
         open(it);
     }
 }
 
-// A peer that has just been heard can be reached again: an attempt to connect from before, whose
-// opening packet was lost, would be repeated by the system after a second only.
-void instance_mesh::hurry_link(peer& it)
+// Reopens a connection attempt that has stalled, since the peer has just been heard from and can be
+// reached again. If its SYN packet was lost, the kernel would repeat it only after a second.
+void instance_mesh::reconnect_if_stalled(peer& it)
 {
     if (it.link && !it.link->is_connected() &&
-        timers_.monotonic_now() - it.opened_at > handshake_limit) {
+        timers_.monotonic_now() - it.opened_at > handshake_timeout) {
         open(it);
     }
 }
 
-// Opens a second connection beside a silent link. It tells a lost machine, which does not open it,
-// from a busy process, which does not reply, and from a broken link beside which it does.
+// Opens a second connection beside a silent link. A lost machine does not accept it, a busy process
+// accepts it but does not reply, and behind a broken link the process replies.
 void instance_mesh::probe(peer& it)
 {
     it.probed_at = timers_.monotonic_now();
@@ -257,14 +259,14 @@
         return;
     }
     it.probe = std::make_shared<frame_link>(stream.value());
-    it.probe->on_connected = [this, own = &it] {
-        std::uint64_t nothing_told = 0;
-        own->probe->send(beat_text("ping", nothing_told));
+    it.probe->on_connected = [this, linked_peer = &it] {
+        std::uint64_t no_state_sent = 0;
+        linked_peer->probe->send(heartbeat_text("ping", no_state_sent));
     };
-    it.probe->on_message = [this, own = &it](std::string_view) {
-        own->probe_answered_at = timers_.monotonic_now();
+    it.probe->on_message = [this, linked_peer = &it](std::string_view) {
+        linked_peer->probe_answered_at = timers_.monotonic_now();
     };
-    it.probe->on_closed = [own = &it] { own->closed = true; };
+    it.probe->on_closed = [linked_peer = &it] { linked_peer->closed = true; };
 }
 
 void instance_mesh::open(peer& it)
@@ -282,38 +284,39 @@
         return;
     }
     it.link = std::make_shared<frame_link>(stream.value());
-    auto* own = &it;
-    it.link->on_connected = [this, own] {
-        own->was_connected = true;
-        own->refused = false;
-        own->unreachable = false;
-        own->told_number = 0;
-        own->link->send(beat_text("ping", own->told_number));
-        on_reconnect(own->address.name);
+    auto* linked_peer = &it;
+    it.link->on_connected = [this, linked_peer] {
+        linked_peer->was_connected = true;
+        linked_peer->connection_refused = false;
+        linked_peer->unreachable = false;
+        linked_peer->sent_state_number = 0;
+        linked_peer->link->send(heartbeat_text("ping", linked_peer->sent_state_number));
+        on_reconnect(linked_peer->address.name);
     };
-    it.link->on_message = [this, own](std::string_view text) {
+    it.link->on_message = [this, linked_peer](std::string_view text) {
         const auto message = parse_json(text);
         if (!message) {
-            log_event("peer_message_unreadable", "instance={} reason=\"{}\"", own->address.name,
-                      message.error().message);
+            log_event("peer_message_unreadable", "instance={} reason=\"{}\"",
+                      linked_peer->address.name, message.error().message);
             return;
         }
         if (message.value()["t"].asString() == "pong") {
-            on_pong(*own, message.value());
+            on_pong(*linked_peer, message.value());
             return;
         }
-        on_message(own->address.name, message.value(), [](const Json::Value&) {});
+        on_message(linked_peer->address.name, message.value(), [](const Json::Value&) {});
     };
-    it.link->on_closed = [this, own] {
-        own->closed = true;
-        const bool opened = own->was_connected;
+    it.link->on_closed = [this, linked_peer] {
+        linked_peer->closed = true;
+        const bool opened = linked_peer->was_connected;
         if (!opened) {
-            // A reset of the opening packet: no process listens there.
-            own->refused = true;
+            // The SYN packet was reset: no process listens there.
+            linked_peer->connection_refused = true;
         }
-        // A closed link says little; whether a new one opens tells if the process lives.
+        // A closed link alone does not show whether the process is alive; the attempt to open a new
+        // one does.
         timers_.schedule(duration::zero(),
-                         [this, opened, name = own->address.name, alive = alive_] {
+                         [this, opened, name = linked_peer->address.name, alive = alive_] {
                              if (!*alive) {
                                  return;
                              }
--- a/src/cell/instance_registry.cpp
+++ b/src/cell/instance_registry.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-constexpr duration write_retry = std::chrono::milliseconds{300};
+constexpr duration write_retry_delay = std::chrono::milliseconds{300};
 constexpr duration refresh_interval = std::chrono::seconds{8};
-// Three refreshes may be missed before an instance that does not answer is taken as removed.
-constexpr duration forget_after = std::chrono::seconds{25};
-// Instances also learn of each other when they link; this only finds what nobody links to.
-constexpr keyed_follower::pace read_pace = {{}, std::chrono::milliseconds{1500}};
+// Three refreshes may be missed before an instance that does not answer is removed.
+constexpr duration removal_delay = std::chrono::seconds{25};
+// Instances also learn of each other when they link; this read only finds those without any link.
+constexpr keyed_follower::poll_policy read_policy = {{}, std::chrono::milliseconds{1500}};
 
 } // namespace
 
 instance_registry::instance_registry(timer_service& timers, keyed_log& log, instance_mesh& mesh)
     : timers_(timers), log_(log), mesh_(mesh),
-      follower_(timers, log, keyed_topic::instances, read_pace)
+      follower_(timers, log, keyed_topic::instances, read_policy)
 {
     follower_.on_record = [this](const keyed_record& record) {
         if (!record.value) {
@@ -31,8 +31,8 @@
                       value.error().message);
             return;
         }
-        mesh_.learn({decode_instance(value.value())});
-        refreshed_[record.key] = timers_.monotonic_now();
+        mesh_.update_instances({decode_instance(value.value())});
+        last_refresh_[record.key] = timers_.monotonic_now();
     };
     follower_.on_read = [this] {
         check();
@@ -57,8 +57,8 @@
     log_.put(keyed_topic::instances, mesh_.self().name, write_json(encode_instance(mesh_.self())),
              [this, alive = alive_](bool ok) {
                  if (*alive) {
-                     write_timer_ =
-                         timers_.schedule(ok ? refresh_interval : write_retry, [this] { write(); });
+                     write_timer_ = timers_.schedule(ok ? refresh_interval : write_retry_delay,
+                                                     [this] { write(); });
                  }
              });
 }
@@ -66,12 +66,12 @@
 void instance_registry::check()
 {
     const auto now = timers_.monotonic_now();
-    std::erase_if(refreshed_, [&](const auto& it) {
-        // While the store was away nobody could refresh.
-        if (now - std::max(it.second, follower_.calm_since()) <= forget_after) {
+    std::erase_if(last_refresh_, [&](const auto& it) {
+        // No instance could refresh while the platform's store was unavailable.
+        if (now - std::max(it.second, follower_.healthy_since()) <= removal_delay) {
             return false;
         }
-        mesh_.forget(it.first);
+        mesh_.remove_if_dead(it.first);
         return true;
     });
 }
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Fields of a message of another version may have another type; those count as absent.
+// A field of a message from another version may have another type; it then counts as absent.
 std::string text_of(const Json::Value& value)
 {
     return value.isString() ? value.asString() : std::string();
@@ -56,7 +56,7 @@
     out["name"] = it.name;
     out["address"] = it.address;
     out["data_centre"] = it.data_centre;
-    out["strength"] = it.strength;
+    out["strength"] = it.cpu_share;
     out["incarnation"] = Json::Int64{it.incarnation};
     return out;
 }
--- a/src/cell/worker_registry.cpp
+++ b/src/cell/worker_registry.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-// The platform promises lapsed entries back about 2 s after its store's return.
+// The platform promises that lapsed entries are back about 2 s after its store has returned.
 constexpr duration missing_limit = std::chrono::milliseconds{2500};
 
 bool same_for_placement(const worker_report& a, const worker_report& b)
 {
     return a.address == b.address && a.service == b.service && a.data_centre == b.data_centre &&
-           a.labels == b.labels && a.draining == b.draining && a.born_ms == b.born_ms &&
+           a.labels == b.labels && a.draining == b.draining && a.started_at_ms == b.started_at_ms &&
            a.capacity.cpu_millis == b.capacity.cpu_millis &&
            a.capacity.memory_mb == b.capacity.memory_mb && a.capacity.gpus == b.capacity.gpus;
 }
@@ -36,7 +36,7 @@
     if (it == entries_.end()) {
         return false;
     }
-    if (it->second.report.draining) { // it has left as announced
+    if (it->second.report.draining) { // it has left after draining
         entries_.erase(it);
         return true;
     }
@@ -48,13 +48,14 @@
     return false;
 }
 
-bool worker_registry::expire(monotonic_time store_calm_since)
+bool worker_registry::expire(monotonic_time store_healthy_since)
 {
     const auto now = timers_.monotonic_now();
     return std::erase_if(entries_, [&](const auto& row) {
                const auto& it = row.second;
                const bool gone =
-                   it.missing && now - std::max(it.missing_since, store_calm_since) > missing_limit;
+                   it.missing &&
+                   now - std::max(it.missing_since, store_healthy_since) > missing_limit;
                if (gone) {
                    log_event("worker_gone", "worker={}", row.first);
                }
--- a/src/config/section_reader.cpp
+++ b/src/config/section_reader.cpp
@@ -18,7 +18,7 @@
 
 const toml::node* section_reader::find(std::string_view key, bool required)
 {
-    known_.push_back(key);
+    read_keys_.push_back(key);
     const auto* node = table_.get(key);
     if (node == nullptr && required) {
         findings_.push_back({section_, path_ + std::string(key), line(), "is missing"});
@@ -71,7 +71,7 @@
 {
     if (const auto* node = find(key, required)) {
         const auto value = node->is_number() ? node->value<double>() : std::nullopt;
-        // The negated form also refuses nan.
+        // The negated comparison also rejects NaN.
         if (!value || !(*value >= low && *value <= high)) {
             report(key, *node, fmt::format("must be a number from {} to {}", low, high));
         }
@@ -122,7 +122,7 @@
 void section_reader::finish()
 {
     for (const auto& [key, node] : table_) {
-        if (std::find(known_.begin(), known_.end(), key.str()) == known_.end()) {
+        if (std::find(read_keys_.begin(), read_keys_.end(), key.str()) == read_keys_.end()) {
             findings_.push_back(
                 {section_, path_ + std::string(key.str()), key.source().begin.line, "unknown key"});
         }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -21,8 +21,9 @@
     return "unknown";
 }
 
-dispatcher::dispatcher(const deployment& settings, dispatcher_options options, const parts& with)
-    : engine_(std::make_unique<engine>(settings, std::move(options), with))
+dispatcher::dispatcher(const deployment& settings, dispatcher_options options,
+                       const dependencies& deps)
+    : engine_(std::make_unique<engine>(settings, std::move(options), deps))
 {
 }
 
@@ -33,7 +34,7 @@
     engine_->apply(settings);
 }
 
-result<void> dispatcher::submit(job_request request)
+result<void> dispatcher::submit(submission_request request)
 {
     return engine_->submit(std::move(request));
 }
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -9,27 +9,27 @@
 namespace cactusloom {
 namespace {
 
-// Waiting tasks are offered to the router again this often, because room can also appear without
-// a reply: a load report ages, a worker returns from ejection.
-constexpr duration pump_interval = std::chrono::milliseconds{10};
+// Interval at which queued tasks are offered to the router again, since room can also appear
+// without a reply: a load report ages, an ejected worker returns.
+constexpr duration dispatch_interval = std::chrono::milliseconds{10};
 
-// Bound on starts in one turn of the loop.
-constexpr int max_starts_per_turn = 256;
+// Bound on starts in one iteration of the event loop.
+constexpr int max_starts_per_iteration = 256;
 
-// Completed tasks of a kind from which on its learned run time decides about shedding. Declared
-// run times are often far off, and shedding by them would keep the true ones from being learned.
+// Completed tasks of a kind before its run times are used for shedding. Declared run times are
+// often far off, and shedding by them would prevent the true ones from being learned.
 constexpr std::uint64_t min_samples = 20;
 
-// A prediction is taken to be an eighth too low: at ten times the capacity 2.2 % of the accepted
-// tasks had to be shed without it, because the run times vary.
+// Predicted waits are increased by an eighth (1 / prediction_slack) because run times vary. Without
+// it, 2.2 % of the accepted tasks are shed at ten times the capacity.
 constexpr int prediction_slack = 8;
 
-constexpr duration refresh_interval = std::chrono::milliseconds{50};
-constexpr duration shortest_deadline = std::chrono::milliseconds{1};
+constexpr duration quantile_refresh_interval = std::chrono::milliseconds{50};
+constexpr duration min_deadline = std::chrono::milliseconds{1};
 
-// Digest of what a repeated submission must have in common with the first one. The deadline is
-// not part of it, since a caller that repeats a submission has less time left.
-std::uint64_t digest_of(const job_request& request)
+// Digest of the content that must be equal when a submission is repeated. It excludes the deadline,
+// since a caller that repeats a submission has less time left.
+std::uint64_t digest_of(const submission_request& request)
 {
     std::uint64_t digest = hash64(request.customer, request.payloads.size());
     digest = hash64(request.kind, digest);
@@ -41,11 +41,11 @@
 
 std::vector<double> weights_of(const std::vector<team_quota>& teams)
 {
-    constexpr double least_weight = 0.001;
+    constexpr double min_weight = 0.001;
     std::vector<double> weights;
     weights.reserve(teams.size());
     for (const team_quota& it : teams) {
-        weights.push_back(std::max(it.weight, least_weight));
+        weights.push_back(std::max(it.weight, min_weight));
     }
     return weights;
 }
@@ -53,13 +53,13 @@
 } // namespace
 
 dispatcher::engine::engine(const deployment& settings, dispatcher_options options,
-                           const parts& with)
-    : options_(std::move(options)), workers_(with.workers), routes_(with.routes),
-      timers_(with.timers), observer_(with.observer),
-      counts_(with.metrics != nullptr ? *with.metrics : own_counters_), quotas_({}, options_.share),
+                           const dependencies& deps)
+    : options_(std::move(options)), workers_(deps.workers), router_(deps.task_router),
+      timers_(deps.timers), observer_(deps.observer),
+      counts_(deps.metrics != nullptr ? *deps.metrics : own_counters_), quotas_({}, options_.share),
       retries_(settings.profile.retry_ratio, static_cast<std::uint32_t>(options_.seed) + 1),
       hedges_(settings.profile), registry_(options_.max_remembered_ids),
-      wheel_(with.timers, [this](std::uint64_t key) { on_due(key); })
+      wheel_(deps.timers, [this](std::uint64_t key) { on_due(key); })
 {
     apply(settings);
 }
@@ -70,9 +70,9 @@
     retries_.set_ratio(settings.profile.retry_ratio);
     hedges_.apply(settings.profile);
 
-    // Waiting and running tasks refer to teams by position, so positions are kept.
+    // Queued and running tasks refer to teams by position, so positions must not change.
     std::unordered_map<std::string_view, team_index> positions;
-    const auto place = [this](const team_quota& team) {
+    const auto find_or_add = [this](const team_quota& team) {
         const auto it = std::find_if(teams_.begin(), teams_.end(),
                                      [&](const auto& known) { return known.name == team.name; });
         const auto n = static_cast<team_index>(it - teams_.begin());
@@ -85,9 +85,9 @@
         return n;
     };
     for (const team_quota& team : settings_->teams) {
-        positions.emplace(team.name, place(team));
+        positions.emplace(team.name, find_or_add(team));
     }
-    const team_index fallback = settings_->teams.empty() ? place({}) : 0;
+    const team_index fallback = settings_->teams.empty() ? find_or_add({}) : 0;
     quotas_.update(teams_);
     const auto weights = weights_of(teams_);
     for (fair_queue& queue : queues_) {
@@ -120,10 +120,10 @@
 
 dispatcher::engine::~engine()
 {
-    timers_.cancel(turn_);
+    timers_.cancel(deferred_work_timer_);
 }
 
-result<void> dispatcher::engine::submit(job_request request)
+result<void> dispatcher::engine::submit(submission_request request)
 {
     const auto parsed = parse_submission_id(request.id, options_.checksum_key);
     if (!parsed) {
@@ -163,16 +163,16 @@
     if (auto checked = check(request); !checked) {
         return refuse(request, checked.error());
     }
-    // Refused submissions are not remembered: nothing of them ran, so they may be tried again.
-    if (registry_.claim(id_hash, digest, prefix.issued, now()) != verdict::fresh) {
+    // Refused submissions are not recorded: none of their tasks ran, so they may be repeated.
+    if (registry_.try_insert(id_hash, digest, prefix.issued, now()) != verdict::fresh) {
         return refuse(request, {errc::unavailable, "too many submissions are remembered"});
     }
     accept(std::move(request), id_hash, digest);
     return boost::outcome_v2::success();
 }
 
-// Looks for a reason not to run a new submission.
-result<void> dispatcher::engine::check(const job_request& request) const
+// Returns the reason for refusing a new submission, if there is one.
+result<void> dispatcher::engine::check(const submission_request& request) const
 {
     const auto kind = kinds_by_name_.find(request.kind);
     if (kind == kinds_by_name_.end()) {
@@ -190,14 +190,13 @@
                                    settings_->limits.max_tasks_per_job, tasks));
     }
     if (request.deadline != duration::zero() &&
-        (request.deadline < shortest_deadline ||
-         request.deadline > settings_->limits.max_deadline)) {
+        (request.deadline < min_deadline || request.deadline > settings_->limits.max_deadline)) {
         return failure(errc::invalid_argument,
                        fmt::format("a deadline is 1 to {} ms",
                                    settings_->limits.max_deadline / std::chrono::milliseconds{1}));
     }
     const request_kind& settings = settings_->kinds[kind->second];
-    if (!routes_.can_ever_run(kind->second)) {
+    if (!router_.can_ever_run(kind->second)) {
         return failure(errc::invalid_argument,
                        fmt::format("no worker can ever run '{}', which needs [{}]", settings.name,
                                    fmt::join(settings.needs, ", ")));
@@ -218,18 +217,19 @@
         const auto position = queue.estimate_position(team->second, tasks);
         const duration margin =
             state.samples < min_samples ? duration::zero() : std::min(state.p99, limit / 2);
-        const duration start = routes_.expected_wait(position);
-        if (start > duration::zero() && start + start / prediction_slack + margin > limit) {
+        const duration predicted_wait = router_.expected_wait(position);
+        if (predicted_wait > duration::zero() &&
+            predicted_wait + predicted_wait / prediction_slack + margin > limit) {
             return failure(errc::unavailable,
                            fmt::format("overload: predicted start after {} ms, deadline {} ms",
-                                       start / std::chrono::milliseconds{1},
+                                       predicted_wait / std::chrono::milliseconds{1},
                                        limit / std::chrono::milliseconds{1}));
         }
     }
     return boost::outcome_v2::success();
 }
 
-result<void> dispatcher::engine::refuse(const job_request& request, error reason)
+result<void> dispatcher::engine::refuse(const submission_request& request, error reason)
 {
     ++counts_.jobs_refused;
     if (observer_ != nullptr) {
@@ -240,10 +240,11 @@
     return boost::outcome_v2::failure(std::move(reason));
 }
 
-void dispatcher::engine::accept(job_request request, std::uint64_t id_hash, std::uint64_t digest)
+void dispatcher::engine::accept(submission_request request, std::uint64_t id_hash,
+                                std::uint64_t digest)
 {
-    const std::uint32_t slot = add_job();
-    job_record& job = jobs_[slot];
+    const std::uint32_t job_index = add_job();
+    job_record& job = jobs_[job_index];
     const kind_index kind = kinds_by_name_.find(request.kind)->second;
     const request_kind& settings = settings_->kinds[kind];
     duration limit = request.deadline;
@@ -261,11 +262,11 @@
     job.deadline = job.received + limit;
     job.kind = kind;
     job.queue = kinds_[kind].queue;
-    job.rules = settings_;
+    job.accepted_settings = settings_;
     job.team = teams_by_customer_.find(request.customer)->second;
     job.size = static_cast<std::uint32_t>(request.payloads.size());
     job.tasks.resize(job.size);
-    job.timer = wheel_.add(job.deadline, to_key(event::job, slot));
+    job.timer = wheel_.add(job.deadline, timer_key(timer_kind::job, job_index));
     ++open_jobs_;
     ++counts_.jobs_accepted;
     if (observer_ != nullptr) {
@@ -273,12 +274,13 @@
             job.number, {request.id, request.customer, request.kind, job.size, job.received_wall});
     }
     job.id = std::move(request.id);
-    job.texts = std::move(request.payloads);
-    jobs_by_id_.emplace(id_hash, slot);
-    queues_[job.queue].push(slot, job.team, learned(kind, job.received).median, job.size);
-    pump();
+    job.payloads_or_answers = std::move(request.payloads);
+    jobs_by_id_.emplace(id_hash, job_index);
+    queues_[job.queue].push(job_index, job.team, refreshed_state(kind, job.received).median,
+                            job.size);
+    dispatch_queued();
     if (!deliveries_.empty()) {
-        schedule_turn();
+        schedule_deferred_work();
     }
 }
 
@@ -294,41 +296,41 @@
         jobs_.emplace_back();
         return static_cast<std::uint32_t>(jobs_.size() - 1);
     }
-    const std::uint32_t slot = free_jobs_.back();
+    const std::uint32_t job_index = free_jobs_.back();
     free_jobs_.pop_back();
-    return slot;
+    return job_index;
 }
 
 void dispatcher::engine::wait(std::string_view id, duration limit, answer_callback done)
 {
-    const std::uint32_t slot = find(id);
-    if (slot == no_index) {
+    const std::uint32_t job_index = find(id);
+    if (job_index == no_index) {
         auto answer = std::make_shared<job_answer>();
         answer->reason = "the id is not known here";
         deliveries_.push_back({std::move(done), std::move(answer)});
-        schedule_turn();
+        schedule_deferred_work();
         return;
     }
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     if (job.is_finished()) {
         deliveries_.push_back({std::move(done), job.answer});
-        schedule_turn();
+        schedule_deferred_work();
         return;
     }
-    // The number is unique among the waiters of a job and fits into the key of its timer.
+    // The number identifies a waiter of the job and fits into the key of its timer.
     constexpr std::uint32_t number_mask = (1U << 28U) - 1;
     const std::uint32_t number = ++job.last_waiter & number_mask;
-    const auto timer = wheel_.add(now() + limit, to_key(event::wait, slot, number));
+    const auto timer = wheel_.add(now() + limit, timer_key(timer_kind::wait, job_index, number));
     job.waiters.push_back({number, timer, std::move(done)});
 }
 
 result<job_status> dispatcher::engine::status(std::string_view id) const
 {
-    const std::uint32_t slot = find(id);
-    if (slot == no_index) {
+    const std::uint32_t job_index = find(id);
+    if (job_index == no_index) {
         return failure(errc::not_found, "the id is not known here");
     }
-    const job_record& job = jobs_[slot];
+    const job_record& job = jobs_[job_index];
     job_status status;
     status.state = job.is_finished() ? job.answer->state : job_state::running;
     status.tasks = job.size;
@@ -340,28 +342,28 @@
 
 result<void> dispatcher::engine::cancel(std::string_view id)
 {
-    const std::uint32_t slot = find(id);
-    if (slot == no_index) {
+    const std::uint32_t job_index = find(id);
+    if (job_index == no_index) {
         return failure(errc::not_found, "the id is not known here");
     }
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     if (job.is_finished() || job.is_failing) {
         return boost::outcome_v2::success();
     }
     ++counts_.jobs_cancelled;
-    // The stops are sent in later turns, a bounded number in each, so that a wave of
-    // cancellations does not hold up the loop.
+    // Stops are sent in later iterations of the event loop, a bounded number in each, so that many
+    // cancellations at once do not block the loop.
     for (const task_record& task : job.tasks) {
-        for (const std::uint32_t index : task.attempts) {
-            if (index != no_index) {
-                stops_.emplace_back(index, attempts_[index].generation);
+        for (const std::uint32_t attempt_index : task.attempts) {
+            if (attempt_index != no_index) {
+                pending_stops_.emplace_back(attempt_index, attempts_[attempt_index].generation);
             }
         }
     }
     wheel_.cancel(job.timer);
-    job.timer = wheel_.add(now() + options_.reply_grace, to_key(event::job, slot));
-    fail(slot, "cancelled");
-    schedule_turn();
+    job.timer = wheel_.add(now() + options_.reply_grace, timer_key(timer_kind::job, job_index));
+    fail_job(job_index, "cancelled");
+    schedule_deferred_work();
     return boost::outcome_v2::success();
 }
 
@@ -375,7 +377,7 @@
 {
     is_shutting_down_ = true;
     drained_ = std::move(drained);
-    schedule_turn();
+    schedule_deferred_work();
 }
 
 void dispatcher::engine::set_share(double share)
@@ -397,73 +399,75 @@
 
 std::size_t dispatcher::engine::bytes() const
 {
-    constexpr std::size_t map_node = 40; // next pointer, value and the overhead of malloc
+    constexpr std::size_t map_node_bytes = 40; // next pointer, value and malloc overhead
     std::size_t sum = sizeof(*this) + registry_.bytes() + wheel_.bytes() +
-                      jobs_.size() * sizeof(job_record) + jobs_by_id_.size() * map_node +
+                      jobs_.size() * sizeof(job_record) + jobs_by_id_.size() * map_node_bytes +
                       jobs_by_id_.bucket_count() * sizeof(void*) +
                       attempts_.capacity() * sizeof(attempt_record);
     for (const job_record& job : jobs_) {
-        sum += job.id.capacity() + job.texts.capacity() * sizeof(std::string) +
+        sum += job.id.capacity() + job.payloads_or_answers.capacity() * sizeof(std::string) +
                (job.tasks.capacity() > 1 ? job.tasks.capacity() * sizeof(task_record) : 0) +
                job.waiters.capacity() * sizeof(answer_waiter) +
                (job.answer ? sizeof(job_answer) : 0);
-        const auto& texts = job.answer ? job.answer->answers : job.texts;
-        for (const std::string& text : texts) {
+        const auto& payloads_or_answers =
+            job.answer ? job.answer->answers : job.payloads_or_answers;
+        for (const std::string& text : payloads_or_answers) {
             sum += text.capacity();
         }
     }
     return sum;
 }
 
-// Starts waiting tasks while the router finds workers with room, up to the bound of a turn.
-void dispatcher::engine::pump()
+// Starts queued tasks while the router finds workers with room, up to max_starts_per_iteration.
+void dispatcher::engine::dispatch_queued()
 {
-    int starts_left = max_starts_per_turn;
-    bool is_waiting = false;
+    int starts_left = max_starts_per_iteration;
+    bool has_queued = false;
     for (fair_queue& queue : queues_) {
-        is_waiting = pump_queue(queue, starts_left) || is_waiting;
+        has_queued = dispatch_from(queue, starts_left) || has_queued;
     }
     if (starts_left == 0) {
-        schedule_turn();
+        schedule_deferred_work();
     }
-    else if (is_waiting && pump_timer_ == timer_wheel::none) {
-        pump_timer_ = wheel_.add(now() + pump_interval, to_key(event::pump, 0));
+    else if (has_queued && dispatch_timer_ == timer_wheel::none) {
+        dispatch_timer_ =
+            wheel_.add(now() + dispatch_interval, timer_key(timer_kind::dispatch_queued, 0));
     }
 }
 
-// Returns whether tasks are left waiting.
-bool dispatcher::engine::pump_queue(fair_queue& queue, int& starts_left)
+// Returns whether tasks are left in the queue.
+bool dispatcher::engine::dispatch_from(fair_queue& queue, int& starts_left)
 {
-    while (const auto slot = queue.front()) {
+    while (const auto job_index = queue.front()) {
         if (starts_left == 0) {
             return true;
         }
-        const job_record& job = jobs_[*slot];
-        if (is_hopeless(job, now())) {
-            fail(*slot, "shed: would not finish within its deadline");
+        const job_record& job = jobs_[*job_index];
+        if (would_miss_deadline(job, now())) {
+            fail_job(*job_index, "shed: would not finish within its deadline");
             --starts_left;
             continue;
         }
         routing_query query{job.kind, job.number, std::nullopt};
-        if (!job.again.empty()) {
-            query.excluded = job.tasks[job.again.back()].last_worker;
+        if (!job.retry_queue.empty()) {
+            query.excluded = job.tasks[job.retry_queue.back()].last_worker;
         }
-        const auto worker = routes_.pick(query);
+        const auto worker = router_.pick(query);
         if (!worker) {
             return true;
         }
         queue.pop();
-        start_next(*slot, *worker);
+        start_next(*job_index, *worker);
         --starts_left;
     }
     return false;
 }
 
-void dispatcher::engine::start_next(std::uint32_t slot, worker_id worker)
+void dispatcher::engine::start_next(std::uint32_t job_index, worker_id worker)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     std::uint32_t task = 0;
-    if (job.again.empty()) {
+    if (job.retry_queue.empty()) {
         task = job.next_waiting++;
         ++job.started;
         retries_.record_first_start();
@@ -473,154 +477,157 @@
         }
     }
     else {
-        task = job.again.back();
-        job.again.pop_back();
+        task = job.retry_queue.back();
+        job.retry_queue.pop_back();
         ++counts_.task_retries;
         hedges_.record_extra_messages(hedge_policy::messages_per_retry);
     }
-    start_attempt(slot, task, worker);
+    start_attempt(job_index, task, worker);
 }
 
-void dispatcher::engine::start_attempt(std::uint32_t slot, std::uint32_t task_number,
+void dispatcher::engine::start_attempt(std::uint32_t job_index, std::uint32_t task_number,
                                        worker_id worker)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
-    const request_kind& kind = job.rules->kinds[job.kind];
+    const request_kind& kind = job.accepted_settings->kinds[job.kind];
     const monotonic_time time = now();
-    std::uint32_t index = 0;
+    std::uint32_t attempt_index = 0;
     if (free_attempts_.empty()) {
-        index = static_cast<std::uint32_t>(attempts_.size());
+        attempt_index = static_cast<std::uint32_t>(attempts_.size());
         attempts_.emplace_back();
     }
     else {
-        index = free_attempts_.back();
+        attempt_index = free_attempts_.back();
         free_attempts_.pop_back();
     }
     if (!task.is_open()) {
-        ++job.open;
+        ++job.open_tasks;
     }
-    task.attempts[task.attempts[0] == no_index ? 0 : 1] = index;
-    task.state = task_state::running;
+    task.attempts[task.attempts[0] == no_index ? 0 : 1] = attempt_index;
+    task.state = task_phase::running;
     task.last_worker = worker;
     ++task.starts;
 
-    attempt_record& attempt = attempts_[index];
-    attempt.job = slot;
+    attempt_record& attempt = attempts_[attempt_index];
+    attempt.job = job_index;
     attempt.task = task_number;
     attempt.worker = worker;
     attempt.start_number = task.starts;
     attempt.is_open = true;
     attempt.holds_slot = true;
-    attempt.was_stopped = false;
+    attempt.stop_sent = false;
     attempt.started = time;
-    attempt.lease_end = time + job.rules->lease;
-    attempt.renew_at = time + job.rules->lease / 2;
+    attempt.lease_end = time + job.accepted_settings->lease;
+    attempt.renew_at = time + job.accepted_settings->lease / 2;
     attempt.hedge_at = monotonic_time::max();
     task.lease_end_ms = static_cast<std::uint32_t>((attempt.lease_end - job.received) /
                                                    std::chrono::milliseconds{1});
     if (task.starts == 1 && kind.second_start) {
-        const kind_state& state = learned(job.kind, time);
+        const kind_state& state = refreshed_state(job.kind, time);
         if (const auto delay = hedges_.delay(kind, state.hedge_after, state.samples)) {
             attempt.hedge_at = time + *delay;
         }
     }
-    arm(attempt, index);
+    arm_timer(attempt, attempt_index);
 
     ++counts_.task_starts;
     quotas_.record_start(job.team);
     update_quota(job.team);
-    routes_.record_start(worker, job.kind);
+    router_.record_start(worker, job.kind);
     if (observer_ != nullptr) {
         observer_->task_started(job.number, task_number, worker);
     }
-    const start_request request{task_id(job, attempt), kind.name, job.texts[task_number],
-                                job.rules->lease, std::max(job.deadline - time, duration::zero())};
-    // The capture fits into the function's own storage, so a start allocates nothing here.
+    const start_request request{task_id(job, attempt), kind.name,
+                                job.payloads_or_answers[task_number], job.accepted_settings->lease,
+                                std::max(job.deadline - time, duration::zero())};
+    // The capture fits into the small-object buffer of std::function, so no memory is allocated.
     const std::uint32_t generation = attempt.generation;
-    workers_.start(worker, request, [this, index, generation](start_reply reply) {
-        on_reply(index, generation, std::move(reply));
+    workers_.start(worker, request, [this, attempt_index, generation](start_reply reply) {
+        on_reply(attempt_index, generation, std::move(reply));
     });
 }
 
-// True if a task that had to wait would start too late to finish within its deadline. Tasks that
-// start without waiting always get their chance.
-bool dispatcher::engine::is_hopeless(const job_record& job, monotonic_time time)
+// True if a queued task would start too late to finish within its deadline. False for a task that
+// starts at the time of receipt.
+bool dispatcher::engine::would_miss_deadline(const job_record& job, monotonic_time time)
 {
     if (time == job.received) {
         return false;
     }
-    const duration left = job.deadline - time;
-    const kind_state& state = learned(job.kind, time);
+    const duration time_left = job.deadline - time;
+    const kind_state& state = refreshed_state(job.kind, time);
     const duration margin = state.samples < min_samples
                                 ? duration::zero()
                                 : std::min(state.p99, (job.deadline - job.received) / 2);
-    return left <= duration::zero() || left < margin;
+    return time_left <= duration::zero() || time_left < margin;
 }
 
-const dispatcher::engine::kind_state& dispatcher::engine::learned(kind_index kind,
-                                                                  monotonic_time time)
+const dispatcher::engine::kind_state& dispatcher::engine::refreshed_state(kind_index kind,
+                                                                          monotonic_time time)
 {
     kind_state& state = kinds_[kind];
-    // Quantiles change slowly and are looked up for each task, so they are kept for a while.
-    if (state.median == duration::zero() || time - state.refreshed >= refresh_interval) {
+    // Quantiles change slowly and are needed for each task, so they are cached.
+    if (state.median == duration::zero() || time - state.refreshed >= quantile_refresh_interval) {
         state.refreshed = time;
-        state.median = routes_.run_time_quantile(kind, 0.5);
-        state.p99 = routes_.run_time_quantile(kind, 0.99);
-        state.hedge_after = routes_.run_time_quantile(kind, hedges_.quantile());
+        state.median = router_.run_time_quantile(kind, 0.5);
+        state.p99 = router_.run_time_quantile(kind, 0.99);
+        state.hedge_after = router_.run_time_quantile(kind, hedges_.quantile());
     }
     return state;
 }
 
-void dispatcher::engine::on_reply(std::uint32_t index, std::uint32_t generation, start_reply reply)
+void dispatcher::engine::on_reply(std::uint32_t attempt_index, std::uint32_t generation,
+                                  start_reply reply)
 {
     ++counts_.replies;
-    if (!attempts_[index].is_open || attempts_[index].generation != generation) {
+    if (!attempts_[attempt_index].is_open || attempts_[attempt_index].generation != generation) {
         ++counts_.late_replies;
         return;
     }
-    attempt_record& attempt = attempts_[index];
-    const std::uint32_t slot = attempt.job;
+    attempt_record& attempt = attempts_[attempt_index];
+    const std::uint32_t job_index = attempt.job;
     const std::uint32_t task = attempt.task;
     const monotonic_time lease_end = attempt.lease_end;
-    const bool is_hedge = attempt.start_number > 1 && jobs_[slot].tasks[task].attempts[1] == index;
+    const bool is_hedge =
+        attempt.start_number > 1 && jobs_[job_index].tasks[task].attempts[1] == attempt_index;
     release_slot(attempt, reply);
-    close(index, reply.status);
+    close_attempt(attempt_index, reply.status);
     if (reply.status == start_status::completed) {
         counts_.hedges_won += is_hedge ? 1 : 0;
-        complete_task(slot, task, std::move(reply.payload));
+        complete_task(job_index, task, std::move(reply.payload));
     }
     else {
-        attempt_failed(slot, task, reply, lease_end);
+        attempt_failed(job_index, task, reply, lease_end);
     }
-    settle(slot);
-    pump();
+    finish_if_done(job_index);
+    dispatch_queued();
     deliver();
 }
 
-void dispatcher::engine::complete_task(std::uint32_t slot, std::uint32_t task_number,
+void dispatcher::engine::complete_task(std::uint32_t job_index, std::uint32_t task_number,
                                        std::string answer)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
-    task.state = task_state::completed;
+    task.state = task_phase::completed;
     ++job.completed;
     ++kinds_[job.kind].samples;
-    job.texts[task_number] = std::move(answer);
+    job.payloads_or_answers[task_number] = std::move(answer);
     for (const std::uint32_t other : task.attempts) {
         if (other != no_index) {
-            give_up(other, start_status::stopped);
+            abandon_attempt(other, start_status::stopped);
         }
     }
 }
 
-// Decides what becomes of a task after an attempt that did not complete it.
-void dispatcher::engine::attempt_failed(std::uint32_t slot, std::uint32_t task_number,
+// Retries or ends a task after an attempt that did not complete it.
+void dispatcher::engine::attempt_failed(std::uint32_t job_index, std::uint32_t task_number,
                                         const start_reply& reply, monotonic_time lease_end)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
-    const request_kind& kind = job.rules->kinds[job.kind];
+    const request_kind& kind = job.accepted_settings->kinds[job.kind];
     bool may_retry = false;
     switch (reply.status) {
     case start_status::refused_busy:
@@ -635,44 +642,44 @@
         break;
     case start_status::completed:
     case start_status::reply_lost:
-    default: // a status that no version of the protocol has proves nothing
+    default: // an unknown status does not prove whether the task ran
         task.is_unknown = true;
         may_retry = kind.second_start && !task.has_run &&
                     hedges_.can_afford(hedge_policy::messages_per_retry);
         break;
     }
     if (task.is_open()) {
-        return; // its other attempt may still complete
+        return; // the other attempt may still complete
     }
     const monotonic_time time = now();
     if (may_retry && !job.is_failing && task.starts < max_starts_per_task && time < lease_end &&
         time < job.deadline) {
-        retry_later(slot, task_number);
+        retry_later(job_index, task_number);
         return;
     }
-    task.state = task_state::ended;
+    task.state = task_phase::ended;
     if (!job.is_failing) {
         const std::string_view what = task.is_unknown ? "no reply from the worker"
                                       : task.has_run  ? "the task failed"
                                                       : "no worker took the task";
-        fail(slot, reply.payload.empty() ? std::string{what}
-                                         : fmt::format("{}: {}", what, reply.payload));
+        fail_job(job_index, reply.payload.empty() ? std::string{what}
+                                                  : fmt::format("{}: {}", what, reply.payload));
     }
 }
 
-// Ends an attempt without its reply, which will be ignored. The worker is asked to stop.
-void dispatcher::engine::give_up(std::uint32_t index, start_status status)
+// Stops an attempt and closes it without a reply; a later reply is ignored.
+void dispatcher::engine::abandon_attempt(std::uint32_t attempt_index, start_status status)
 {
-    send_stop(attempts_[index]);
-    close(index, status);
+    send_stop(attempts_[attempt_index]);
+    close_attempt(attempt_index, status);
 }
 
-// Sends the stop and counts the worker's slot as free at once. If the stop is slow, the worker
-// refuses the next task as busy, and that task has certainly not run.
+// Sends a stop and releases the worker's slot at once. If the worker has not stopped the task yet,
+// it refuses the next one as busy, and that one has certainly not run.
 void dispatcher::engine::send_stop(attempt_record& attempt)
 {
-    if (!attempt.was_stopped) {
-        attempt.was_stopped = true;
+    if (!attempt.stop_sent) {
+        attempt.stop_sent = true;
         ++counts_.stops;
         hedges_.record_extra_messages(1.0);
         workers_.stop(attempt.worker, task_id(jobs_[attempt.job], attempt));
@@ -689,25 +696,25 @@
     }
     attempt.holds_slot = false;
     const job_record& job = jobs_[attempt.job];
-    routes_.record_end(attempt.worker, job.kind, reply, now() - attempt.started);
+    router_.record_end(attempt.worker, job.kind, reply, now() - attempt.started);
     quotas_.record_end(job.team);
     update_quota(job.team);
 }
 
-// Frees the record of an attempt. The new generation makes a later reply to it recognisable.
-void dispatcher::engine::close(std::uint32_t index, start_status status)
+// Frees the record of an attempt and changes its generation, so that a late reply is recognised.
+void dispatcher::engine::close_attempt(std::uint32_t attempt_index, start_status status)
 {
-    attempt_record& attempt = attempts_[index];
+    attempt_record& attempt = attempts_[attempt_index];
     assert(attempt.is_open && !attempt.holds_slot);
     job_record& job = jobs_[attempt.job];
     task_record& task = job.tasks[attempt.task];
     for (std::uint32_t& it : task.attempts) {
-        if (it == index) {
+        if (it == attempt_index) {
             it = no_index;
         }
     }
     if (!task.is_open()) {
-        --job.open;
+        --job.open_tasks;
     }
     if (observer_ != nullptr) {
         observer_->task_ended(job.number, attempt.task, attempt.worker, status);
@@ -715,32 +722,32 @@
     wheel_.cancel(attempt.timer);
     attempt.is_open = false;
     ++attempt.generation;
-    free_attempts_.push_back(index);
+    free_attempts_.push_back(attempt_index);
 }
 
-// Marks a job as failed: what waits is dropped at once, what runs is waited for, so that the
-// answer can tell truthfully what ran.
-void dispatcher::engine::fail(std::uint32_t slot, std::string_view reason)
+// Marks a job as failed. Queued tasks are dropped at once, but the ends of running tasks are
+// awaited so that the answer states correctly what ran.
+void dispatcher::engine::fail_job(std::uint32_t job_index, std::string_view reason)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     if (job.is_failing) {
         return;
     }
     job.is_failing = true;
     job.reason = reason;
-    counts_.tasks_shed += queues_[job.queue].remove(slot);
+    counts_.tasks_shed += queues_[job.queue].remove(job_index);
     for (task_record& task : job.tasks) {
         wheel_.cancel(task.retry_timer);
     }
-    settle(slot);
+    finish_if_done(job_index);
 }
 
-void dispatcher::engine::settle(std::uint32_t slot)
+void dispatcher::engine::finish_if_done(std::uint32_t job_index)
 {
-    const job_record& job = jobs_[slot];
+    const job_record& job = jobs_[job_index];
     if (job.number != 0 && !job.is_finished() &&
-        (job.completed == job.size || (job.is_failing && job.open == 0))) {
-        finish(slot);
+        (job.completed == job.size || (job.is_failing && job.open_tasks == 0))) {
+        finish(job_index);
     }
 }
 
--- a/src/dispatch/engine_timers.cpp
+++ b/src/dispatch/engine_timers.cpp
@@ -6,11 +6,11 @@
 namespace cactusloom {
 namespace {
 
-// A timer that runs this much too late shows that the process was paused.
+// A timer that runs late by more than this indicates that the process was paused.
 constexpr duration pause_threshold = std::chrono::milliseconds{100};
 
-constexpr std::size_t max_stops_per_turn = 256;
-constexpr std::size_t max_drops_per_turn = 512;
+constexpr std::size_t max_stops_per_iteration = 256;
+constexpr std::size_t max_drops_per_iteration = 512;
 constexpr duration retention_interval = std::chrono::milliseconds{100};
 
 template<typename Container>
@@ -35,24 +35,24 @@
 {
     const auto first = static_cast<std::uint32_t>(key);
     const std::uint32_t second = static_cast<std::uint32_t>(key >> 32U) & ((1U << 28U) - 1);
-    switch (static_cast<event>(key >> 60U)) {
-    case event::job:
+    switch (static_cast<timer_kind>(key >> 60U)) {
+    case timer_kind::job:
         on_job_due(first);
         break;
-    case event::attempt:
+    case timer_kind::attempt:
         on_attempt_due(first);
         break;
-    case event::retry:
+    case timer_kind::retry:
         on_retry_due(first, second);
         break;
-    case event::wait:
+    case timer_kind::wait:
         on_wait_due(first, second);
         break;
-    case event::pump:
-        pump_timer_ = timer_wheel::none;
-        pump();
+    case timer_kind::dispatch_queued:
+        dispatch_timer_ = timer_wheel::none;
+        dispatch_queued();
         break;
-    case event::retention:
+    case timer_kind::retention:
         retention_timer_ = timer_wheel::none;
         drop_old_answers(false);
         break;
@@ -60,93 +60,95 @@
     deliver();
 }
 
-// The deadline of a job has passed, or the time that its last replies were given.
-void dispatcher::engine::on_job_due(std::uint32_t slot)
+// Handles the deadline of a job, and later the end of the grace for its last replies.
+void dispatcher::engine::on_job_due(std::uint32_t job_index)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     job.timer = timer_wheel::none;
     const monotonic_time time = now();
     const monotonic_time limit = job.deadline + options_.reply_grace;
     const bool is_cancelled = job.is_failing && time < job.deadline;
-    if (!is_cancelled && !job.is_failing && job.completed + job.open < job.size) {
-        fail(slot, "the deadline passed before a worker took the task");
+    if (!is_cancelled && !job.is_failing && job.completed + job.open_tasks < job.size) {
+        fail_job(job_index, "the deadline passed before a worker took the task");
         if (job.is_finished() || job.number == 0) {
             return;
         }
     }
-    // After a pause the replies may be waiting in the sockets, so they get their time once more.
-    const bool was_paused = time > limit + pause_threshold && !job.had_pause;
-    job.had_pause = job.had_pause || was_paused;
+    // After a pause of the process, replies may be waiting in the sockets, so the grace is granted
+    // once more.
+    const bool was_paused = time > limit + pause_threshold && !job.grace_extended;
+    job.grace_extended = job.grace_extended || was_paused;
     if (!is_cancelled && (time < limit || was_paused)) {
-        job.timer =
-            wheel_.add(was_paused ? time + options_.reply_grace : limit, to_key(event::job, slot));
+        job.timer = wheel_.add(was_paused ? time + options_.reply_grace : limit,
+                               timer_key(timer_kind::job, job_index));
         return;
     }
     for (std::size_t n = 0; n < job.tasks.size(); ++n) {
         task_record& task = job.tasks[n];
-        for (const std::uint32_t index : task.attempts) {
-            if (index == no_index) {
+        for (const std::uint32_t attempt_index : task.attempts) {
+            if (attempt_index == no_index) {
                 continue;
             }
             ++counts_.replies_missing;
             task.is_unknown = true;
-            task.state = task_state::ended;
-            // The router learns that the worker was silent, unless it was asked to stop.
-            release_slot(attempts_[index], {});
-            give_up(index, start_status::reply_lost);
+            task.state = task_phase::ended;
+            // Reports a lost reply to the router, unless a stop was sent and the slot was released
+            // then.
+            release_slot(attempts_[attempt_index], {});
+            abandon_attempt(attempt_index, start_status::reply_lost);
         }
     }
     if (job.is_failing) {
-        settle(slot);
+        finish_if_done(job_index);
     }
     else {
-        fail(slot, "no reply from the worker within the deadline");
+        fail_job(job_index, "no reply from the worker within the deadline");
     }
-    pump();
+    dispatch_queued();
 }
 
-void dispatcher::engine::on_attempt_due(std::uint32_t index)
+void dispatcher::engine::on_attempt_due(std::uint32_t attempt_index)
 {
-    attempt_record& attempt = attempts_[index];
+    attempt_record& attempt = attempts_[attempt_index];
     attempt.timer = timer_wheel::none;
-    if (attempt.was_stopped) {
+    if (attempt.stop_sent) {
         return;
     }
     const monotonic_time time = now();
     if (time >= attempt.lease_end) {
-        // The process was paused past the lease. The worker has stopped the task or will, and
-        // another holder may act on it, so this one only waits for the reply.
+        // The process was paused past the end of the lease. The worker stops the task by itself and
+        // another holder may act on it, so the lease is not renewed and only the reply is awaited.
         ++counts_.leases_lapsed;
         return;
     }
     if (time >= attempt.hedge_at) {
         attempt.hedge_at = monotonic_time::max();
-        try_hedge(index);
+        try_hedge(attempt_index);
     }
-    // A hedge may have moved the records.
-    attempt_record& it = attempts_[index];
+    // try_hedge() may have reallocated the records.
+    attempt_record& it = attempts_[attempt_index];
     if (time >= it.renew_at) {
         ++counts_.lease_renewals;
         hedges_.record_extra_messages(1.0);
-        const duration lease = jobs_[it.job].rules->lease;
+        const duration lease = jobs_[it.job].accepted_settings->lease;
         workers_.renew(it.worker, task_id(jobs_[it.job], it), lease);
         it.lease_end = time + lease;
         it.renew_at = time + lease / 2;
     }
-    arm(it, index);
+    arm_timer(it, attempt_index);
 }
 
-void dispatcher::engine::try_hedge(std::uint32_t index)
+void dispatcher::engine::try_hedge(std::uint32_t attempt_index)
 {
-    const attempt_record& attempt = attempts_[index];
+    const attempt_record& attempt = attempts_[attempt_index];
     const job_record& job = jobs_[attempt.job];
-    // Tasks that have not run at all need a free slot more than a second start does.
+    // A queued task has not run at all and needs a free slot more than a hedge does.
     if (job.is_failing || job.tasks[attempt.task].starts >= max_starts_per_task ||
         now() >= job.deadline || queues_[job.queue].size() > 0 ||
         !hedges_.can_afford(hedge_policy::messages_per_hedge)) {
         return;
     }
-    const auto worker = routes_.pick({job.kind, job.number, attempt.worker});
+    const auto worker = router_.pick({job.kind, job.number, attempt.worker});
     if (!worker || *worker == attempt.worker) {
         return;
     }
@@ -155,50 +157,50 @@
     start_attempt(attempt.job, attempt.task, *worker);
 }
 
-void dispatcher::engine::arm(attempt_record& attempt, std::uint32_t index)
+void dispatcher::engine::arm_timer(attempt_record& attempt, std::uint32_t attempt_index)
 {
-    attempt.timer =
-        wheel_.add(std::min(attempt.renew_at, attempt.hedge_at), to_key(event::attempt, index));
+    attempt.timer = wheel_.add(std::min(attempt.renew_at, attempt.hedge_at),
+                               timer_key(timer_kind::attempt, attempt_index));
 }
 
-void dispatcher::engine::retry_later(std::uint32_t slot, std::uint32_t task_number)
+void dispatcher::engine::retry_later(std::uint32_t job_index, std::uint32_t task_number)
 {
-    task_record& task = jobs_[slot].tasks[task_number];
-    task.state = task_state::backing_off;
+    task_record& task = jobs_[job_index].tasks[task_number];
+    task.state = task_phase::backing_off;
     task.backoffs = static_cast<std::uint8_t>(std::min(task.backoffs + 1, 255));
     task.retry_timer = wheel_.add(now() + retries_.backoff(task.backoffs),
-                                  to_key(event::retry, slot, task_number));
+                                  timer_key(timer_kind::retry, job_index, task_number));
 }
 
-void dispatcher::engine::on_retry_due(std::uint32_t slot, std::uint32_t task_number)
+void dispatcher::engine::on_retry_due(std::uint32_t job_index, std::uint32_t task_number)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     task_record& task = job.tasks[task_number];
     task.retry_timer = timer_wheel::none;
     const monotonic_time time = now();
     if (time >= job.deadline) {
-        return; // the timer of the job deals with it
+        return; // handled by the timer of the job
     }
     if (time >= job.received + std::chrono::milliseconds{task.lease_end_ms}) {
-        task.state = task_state::ended;
-        fail(slot, "not retried after the end of the lease");
+        task.state = task_phase::ended;
+        fail_job(job_index, "not retried after the end of the lease");
         return;
     }
-    // Waiting for a token sends nothing, so it cannot add to an overload.
-    if (!retries_.take()) {
+    // Waiting for a token sends no messages, so it does not add to an overload.
+    if (!retries_.try_take()) {
         ++counts_.retry_budget_empty;
-        retry_later(slot, task_number);
+        retry_later(job_index, task_number);
         return;
     }
-    task.state = task_state::waiting;
-    job.again.push_back(task_number);
-    queues_[job.queue].push_again(slot, job.team, learned(job.kind, time).median);
-    pump();
+    task.state = task_phase::waiting;
+    job.retry_queue.push_back(task_number);
+    queues_[job.queue].push_retry(job_index, job.team, refreshed_state(job.kind, time).median);
+    dispatch_queued();
 }
 
-void dispatcher::engine::on_wait_due(std::uint32_t slot, std::uint32_t number)
+void dispatcher::engine::on_wait_due(std::uint32_t job_index, std::uint32_t number)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     const auto it = std::find_if(job.waiters.begin(), job.waiters.end(),
                                  [number](const auto& waiter) { return waiter.number == number; });
     if (it == job.waiters.end()) {
@@ -210,13 +212,13 @@
     job.waiters.erase(it);
 }
 
-void dispatcher::engine::finish(std::uint32_t slot)
+void dispatcher::engine::finish(std::uint32_t job_index)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     auto answer = std::make_shared<job_answer>();
     if (job.completed == job.size) {
         answer->state = job_state::completed;
-        answer->answers = std::move(job.texts);
+        answer->answers = std::move(job.payloads_or_answers);
         job.reason.clear();
         ++counts_.jobs_completed;
     }
@@ -224,8 +226,8 @@
         bool has_run = false;
         bool is_unknown = false;
         for (const task_record& task : job.tasks) {
-            has_run = has_run || task.has_run || task.state == task_state::completed;
-            is_unknown = is_unknown || (task.is_unknown && task.state != task_state::completed);
+            has_run = has_run || task.has_run || task.state == task_phase::completed;
+            is_unknown = is_unknown || (task.is_unknown && task.state != task_phase::completed);
         }
         answer->state = is_unknown ? job_state::unknown
                         : has_run  ? job_state::failed_after_run
@@ -235,10 +237,10 @@
            : has_run  ? counts_.jobs_failed_after_run
                       : counts_.jobs_failed_not_run);
     }
-    // Only the answer is kept; a retained job must be small.
-    release_memory(job.texts);
-    release_memory(job.again);
-    job.rules.reset();
+    // Only the answer is kept, so that retained jobs are small.
+    release_memory(job.payloads_or_answers);
+    release_memory(job.retry_queue);
+    job.accepted_settings.reset();
     job.tasks.clear();
     job.tasks.shrink_to_fit();
     wheel_.cancel(job.timer);
@@ -262,75 +264,75 @@
                                  job.started > 0 ? to_wall(job.first_start) : wall_time{},
                                  to_wall(job.finished_at)});
     }
-    retained_.push_back(slot);
+    retained_.push_back(job_index);
     retained_bytes_ += retained_size(job);
     drop_old_answers(true);
     if (is_shutting_down_ && open_jobs_ == 0) {
-        schedule_turn();
+        schedule_deferred_work();
     }
 }
 
-// Forgets answers whose retention has ended, or only those that exceed the bound of memory. The
-// registry still knows their ids, so they are never run again.
+// Drops answers in excess of the memory bound and, unless `only_excess`, those whose retention has
+// ended. The registry still knows their ids, so that they are never run again.
 void dispatcher::engine::drop_old_answers(bool only_excess)
 {
     const monotonic_time time = now();
     const duration retention = settings_->limits.answer_retention;
-    for (std::size_t n = 0; n < max_drops_per_turn && !retained_.empty(); ++n) {
+    for (std::size_t n = 0; n < max_drops_per_iteration && !retained_.empty(); ++n) {
         const job_record& oldest = jobs_[retained_.front()];
         const bool is_excess = retained_bytes_ > options_.max_retained_bytes;
         if (!is_excess && (only_excess || time < oldest.finished_at + retention)) {
             break;
         }
         counts_.answers_dropped += is_excess ? 1 : 0;
-        drop(retained_.front());
+        drop_job(retained_.front());
         retained_.pop_front();
     }
     if (!retained_.empty() && retention_timer_ == timer_wheel::none) {
         const monotonic_time due = jobs_[retained_.front()].finished_at + retention;
-        retention_timer_ =
-            wheel_.add(std::max(due, time + retention_interval), to_key(event::retention, 0));
+        retention_timer_ = wheel_.add(std::max(due, time + retention_interval),
+                                      timer_key(timer_kind::retention, 0));
     }
 }
 
-void dispatcher::engine::drop(std::uint32_t slot)
+void dispatcher::engine::drop_job(std::uint32_t job_index)
 {
-    job_record& job = jobs_[slot];
+    job_record& job = jobs_[job_index];
     retained_bytes_ -= retained_size(job);
     jobs_by_id_.erase(job.id_hash);
     job = job_record{};
-    free_jobs_.push_back(slot);
+    free_jobs_.push_back(job_index);
 }
 
-void dispatcher::engine::schedule_turn()
+void dispatcher::engine::schedule_deferred_work()
 {
-    if (turn_ == 0) {
-        turn_ = timers_.schedule(duration::zero(), [this] { run_turn(); });
+    if (deferred_work_timer_ == 0) {
+        deferred_work_timer_ = timers_.schedule(duration::zero(), [this] { run_deferred_work(); });
     }
 }
 
-void dispatcher::engine::run_turn()
+void dispatcher::engine::run_deferred_work()
 {
-    turn_ = 0;
-    for (std::size_t n = 0; n < max_stops_per_turn && !stops_.empty(); ++n) {
-        const auto [index, generation] = stops_.front();
-        stops_.pop_front();
-        if (attempts_[index].is_open && attempts_[index].generation == generation) {
-            send_stop(attempts_[index]);
+    deferred_work_timer_ = 0;
+    for (std::size_t n = 0; n < max_stops_per_iteration && !pending_stops_.empty(); ++n) {
+        const auto [attempt_index, generation] = pending_stops_.front();
+        pending_stops_.pop_front();
+        if (attempts_[attempt_index].is_open && attempts_[attempt_index].generation == generation) {
+            send_stop(attempts_[attempt_index]);
         }
     }
-    pump();
+    dispatch_queued();
     deliver();
-    if (!stops_.empty()) {
-        schedule_turn();
+    if (!pending_stops_.empty()) {
+        schedule_deferred_work();
     }
     if (is_shutting_down_ && open_jobs_ == 0 && deliveries_.empty() && drained_) {
         std::exchange(drained_, nullptr)();
     }
 }
 
-// Hands out what was ready when it was called; what callers cause meanwhile waits for a later
-// turn, so that a caller that waits again at once cannot hold up the loop.
+// Calls the callbacks that are ready now. Those added meanwhile are left to a later iteration of
+// the event loop, so that a caller that waits again at once cannot block the loop.
 void dispatcher::engine::deliver()
 {
     if (deliveries_.empty()) {
@@ -342,13 +344,13 @@
         it.done(*it.answer);
     }
     if (!deliveries_.empty()) {
-        schedule_turn();
+        schedule_deferred_work();
     }
 }
 
 std::string_view dispatcher::engine::task_id(const job_record& job, const attempt_record& attempt)
 {
-    // A suffix may contain dots too, but exactly two fields follow it, so no two starts share one.
+    // The id may contain dots too, but exactly two fields follow it, so the task id is unique.
     task_id_.clear();
     fmt::format_to(std::back_inserter(task_id_), "{}.{}.{}", job.id, attempt.task,
                    attempt.start_number);
--- a/src/http/caller_codec.cpp
+++ b/src/http/caller_codec.cpp
@@ -17,43 +17,43 @@
     return {text.data(), text.data() + text.size()};
 }
 
-result<std::string> take_text(const Json::Value& root, const char* name, std::size_t longest)
+result<std::string> parse_string(const Json::Value& root, const char* name, std::size_t max_bytes)
 {
     const Json::Value& value = root[name];
     if (!value.isString()) {
         return failure(errc::invalid_argument, fmt::format("'{}' must be a text", name));
     }
     std::string text = value.asString();
-    if (text.empty() || text.size() > longest) {
+    if (text.empty() || text.size() > max_bytes) {
         return failure(errc::invalid_argument,
-                       fmt::format("'{}' must have 1 to {} bytes", name, longest));
+                       fmt::format("'{}' must have 1 to {} bytes", name, max_bytes));
     }
     return text;
 }
 
-result<duration> take_deadline(const Json::Value& root, std::string_view kind,
-                               const deployment& settings)
+result<duration> parse_deadline(const Json::Value& root, std::string_view kind,
+                                const deployment& settings)
 {
     const Json::Value& value = root["deadline_ms"];
     if (value.isNull()) {
         const auto it = std::find_if(settings.kinds.begin(), settings.kinds.end(),
                                      [&](const auto& entry) { return entry.name == kind; });
-        // An unknown kind is refused by the dispatcher; any deadline serves until then.
+        // The dispatcher rejects an unknown kind, so any deadline will do.
         return it == settings.kinds.end() || it->default_deadline <= duration::zero()
                    ? settings.limits.max_deadline
                    : it->default_deadline;
     }
-    const auto most =
+    const auto max_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(settings.limits.max_deadline).count();
-    if (!value.isInt64() || value.asInt64() < 1 || value.asInt64() > most) {
+    if (!value.isInt64() || value.asInt64() < 1 || value.asInt64() > max_ms) {
         return failure(errc::invalid_argument,
-                       fmt::format("'deadline_ms' must be a whole number from 1 to {}", most));
+                       fmt::format("'deadline_ms' must be a whole number from 1 to {}", max_ms));
     }
     return duration{std::chrono::milliseconds{value.asInt64()}};
 }
 
-result<std::vector<std::string>> take_tasks(const Json::Value& root, bool single,
-                                            const deployment& settings)
+result<std::vector<std::string>> parse_tasks(const Json::Value& root, bool single,
+                                             const deployment& settings)
 {
     std::vector<std::string> payloads;
     if (single) {
@@ -94,7 +94,8 @@
            });
 }
 
-result<job_request> parse_submission(std::string_view body, bool single, const deployment& settings)
+result<submission_request> parse_submission(std::string_view body, bool single,
+                                            const deployment& settings)
 {
     auto root = parse_json(body);
     if (!root) {
@@ -110,8 +111,8 @@
             return failure(errc::invalid_argument, fmt::format("unknown field '{}'", name));
         }
     }
-    job_request request;
-    auto id = take_text(fields, "id", max_submission_id_length);
+    submission_request request;
+    auto id = parse_string(fields, "id", max_submission_id_length);
     if (!id) {
         return id.error();
     }
@@ -121,22 +122,22 @@
                        "'id' must be a prefix of an instance, a dot, and a suffix of letters, "
                        "digits, '-', '_', '~' or '.'");
     }
-    auto customer = take_text(fields, "customer", max_name_length);
+    auto customer = parse_string(fields, "customer", max_name_length);
     if (!customer) {
         return customer.error();
     }
     request.customer = std::move(customer).value();
-    auto kind = take_text(fields, "kind", max_name_length);
+    auto kind = parse_string(fields, "kind", max_name_length);
     if (!kind) {
         return kind.error();
     }
     request.kind = std::move(kind).value();
-    auto payloads = take_tasks(fields, single, settings);
+    auto payloads = parse_tasks(fields, single, settings);
     if (!payloads) {
         return payloads.error();
     }
     request.payloads = std::move(payloads).value();
-    auto deadline = take_deadline(fields, request.kind, settings);
+    auto deadline = parse_deadline(fields, request.kind, settings);
     if (!deadline) {
         return deadline.error();
     }
@@ -198,7 +199,7 @@
     case errc::not_ready:
         return job_state::failed_not_run;
     default:
-        // A conflict proves nothing about the first submission with this id, which may be running.
+        // A conflict proves nothing about the first submission with this id; it may be running.
         return job_state::unknown;
     }
 }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -14,7 +14,7 @@
 namespace cactusloom {
 namespace {
 
-// How often connections that are too slow are looked for. It adds at most this to each limit.
+// Interval of the search for slow connections. Adds at most this to each time limit.
 constexpr duration sweep_interval = std::chrono::seconds{1};
 constexpr int listen_backlog = 1024;
 
@@ -23,9 +23,9 @@
 struct connection {
     connection_phase phase = connection_phase::header;
     monotonic_time since{};
-    GSocket* socket = nullptr; // owned by the library's stream
+    GSocket* socket = nullptr; // owned by libsoup's stream
     bool closed = false;
-    bool refused = false; // answered already; what still arrives is dropped
+    bool refused = false; // answered already; further input is discarded
 };
 
 object_ptr<GSocketAddress> parse_address(const std::string& text)
@@ -120,7 +120,7 @@
                                          body.data(), body.size());
         soup_server_message_unpause(message_.get());
     }
-    void hang_up() override
+    void close_without_reply() override
     {
         if (std::exchange(replied_, true) || finished_ || !*server_open_) {
             return;
@@ -144,20 +144,21 @@
     bool finished_ = false;
 };
 
-// The library keeps connections alive only while it has a listener of its own. It gets a datagram
-// socket that is connected to itself, so nothing ever arrives there.
-bool add_quiet_listener(SoupServer* server, GError** ec)
+// libsoup keeps connections alive only while it has a listener of its own. It gets a datagram
+// socket that is connected to itself, so that nothing ever arrives there.
+bool add_keep_alive_listener(SoupServer* server, GError** ec)
 {
     const object_ptr<GSocketAddress> loopback(
         g_inet_socket_address_new_from_string("127.0.0.1", 0));
-    const object_ptr<GSocket> quiet(
+    const object_ptr<GSocket> datagram_socket(
         g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, ec));
-    if (!quiet || !g_socket_bind(quiet.get(), loopback.get(), FALSE, ec)) {
+    if (!datagram_socket || !g_socket_bind(datagram_socket.get(), loopback.get(), FALSE, ec)) {
         return false;
     }
-    const object_ptr<GSocketAddress> own(g_socket_get_local_address(quiet.get(), ec));
-    return own && g_socket_connect(quiet.get(), own.get(), nullptr, ec) != FALSE &&
-           soup_server_listen_socket(server, quiet.get(), SoupServerListenOptions{}, ec) != FALSE;
+    const object_ptr<GSocketAddress> own(g_socket_get_local_address(datagram_socket.get(), ec));
+    return own && g_socket_connect(datagram_socket.get(), own.get(), nullptr, ec) != FALSE &&
+           soup_server_listen_socket(server, datagram_socket.get(), SoupServerListenOptions{},
+                                     ec) != FALSE;
 }
 
 } // namespace
@@ -169,8 +170,8 @@
     object_ptr<SoupServer> server;
     object_ptr<GSocket> listener;
     GSource* accept_source = nullptr;
-    // By the remote address object, which is what a message of the library gives. The library has
-    // no socket for connections that it did not accept itself.
+    // Keyed by the remote address object, which libsoup's messages provide. They provide no socket
+    // for connections that libsoup did not accept itself.
     std::unordered_map<GSocketAddress*, connection> connections;
     std::shared_ptr<bool> open = std::make_shared<bool>(true);
     std::uint64_t refused = 0;
@@ -182,8 +183,8 @@
     void set_phase(SoupServerMessage* message, connection_phase phase);
     void watch(SoupServerMessage* message);
     void watch_stream(GSocketConnection* stream, GSocketAddress* remote);
-    void refuse_body(SoupServerMessage* message);
-    bool was_refused(SoupServerMessage* message) const;
+    void reject_body(SoupServerMessage* message);
+    bool was_rejected(SoupServerMessage* message) const;
     void stop_accepting();
     ~state();
 };
@@ -209,7 +210,8 @@
 
 void http_server::state::accept_all()
 {
-    // A bound on accepts in one turn keeps open connections served during a connection storm.
+    // The limit of accepts per loop iteration keeps open connections served during a connection
+    // storm.
     for (int n = 0; n < 64; ++n) {
         glib_error ec;
         object_ptr<GSocket> socket(g_socket_accept(listener.get(), nullptr, ec.out()));
@@ -227,7 +229,7 @@
         object_ptr<GSocketAddress> local(g_socket_get_local_address(socket.get(), nullptr));
         object_ptr<GSocketAddress> remote(g_socket_get_remote_address(socket.get(), nullptr));
         if (!local || !remote) {
-            continue; // the caller has gone already
+            continue; // the caller has disconnected already
         }
         watch_stream(stream.get(), remote.get());
         if (!soup_server_accept_iostream(server.get(), G_IO_STREAM(stream.get()), local.get(),
@@ -241,8 +243,9 @@
 {
     connections[remote] = {connection_phase::header, timers->monotonic_now(),
                            g_socket_connection_get_socket(stream), false, false};
-    // The entry goes when the library drops the stream, which may be after this server has gone.
-    struct link {
+    // Erases the entry when libsoup releases the stream, which may be after this server is
+    // destroyed.
+    struct stream_entry {
         state* owner;
         std::shared_ptr<bool> open;
         object_ptr<GSocketAddress> remote;
@@ -250,13 +253,14 @@
     g_object_weak_ref(
         G_OBJECT(stream),
         [](gpointer data, GObject*) {
-            const std::unique_ptr<link> it(static_cast<link*>(data));
+            const std::unique_ptr<stream_entry> it(static_cast<stream_entry*>(data));
             if (*it->open) {
                 it->owner->connections.erase(it->remote.get());
             }
         },
-        new link{this, open,
-                 object_ptr<GSocketAddress>(static_cast<GSocketAddress*>(g_object_ref(remote)))});
+        new stream_entry{
+            this, open,
+            object_ptr<GSocketAddress>(static_cast<GSocketAddress*>(g_object_ref(remote)))});
 }
 
 void http_server::state::sweep()
@@ -264,8 +268,8 @@
     const auto now = timers->monotonic_now();
     for (auto& [remote, it] : connections) {
         const bool slow =
-            (it.phase == connection_phase::header && now - it.since > limits.idle_limit) ||
-            (it.phase == connection_phase::body && now - it.since > limits.body_limit);
+            (it.phase == connection_phase::header && now - it.since > limits.header_timeout) ||
+            (it.phase == connection_phase::body && now - it.since > limits.body_timeout);
         if (slow && !std::exchange(it.closed, true)) {
             ++closed_slow;
             g_socket_shutdown(it.socket, TRUE, TRUE, nullptr);
@@ -283,10 +287,10 @@
     }
 }
 
-// The library has no way to answer before it read the whole body, so the reply goes to the socket
-// directly. The rest of the body is read and dropped until the caller closes or the body's time
-// limit ends; closing at once would reset the connection, and the caller might lose the reply.
-void http_server::state::refuse_body(SoupServerMessage* message)
+// libsoup cannot answer before it has read the whole body, so the reply is written directly to the
+// socket. The rest of the body is read and discarded until the caller closes or the body times out;
+// an immediate close would reset the connection, and the caller could lose the reply.
+void http_server::state::reject_body(SoupServerMessage* message)
 {
     const auto it = connections.find(soup_server_message_get_remote_address(message));
     if (it == connections.end() || std::exchange(it->second.refused, true)) {
@@ -301,7 +305,7 @@
     g_socket_shutdown(it->second.socket, FALSE, TRUE, nullptr);
 }
 
-bool http_server::state::was_refused(SoupServerMessage* message) const
+bool http_server::state::was_rejected(SoupServerMessage* message) const
 {
     const auto it = connections.find(soup_server_message_get_remote_address(message));
     return it != connections.end() && it->second.refused;
@@ -315,7 +319,7 @@
                          const auto size = soup_message_headers_get_content_length(
                              soup_server_message_get_request_headers(msg));
                          if (size > static_cast<goffset>(self->limits.max_body_bytes)) {
-                             self->refuse_body(msg);
+                             self->reject_body(msg);
                          }
                      }),
                      this);
@@ -324,7 +328,7 @@
                          auto* self = static_cast<state*>(data);
                          const auto* body = soup_server_message_get_request_body(msg);
                          if (body->length > static_cast<goffset>(self->limits.max_body_bytes)) {
-                             self->refuse_body(msg);
+                             self->reject_body(msg);
                          }
                      }),
                      this);
@@ -360,8 +364,9 @@
         return failure(errc::unavailable,
                        fmt::format("cannot listen on {}: {}", address, ec.message()));
     }
-    if (!add_quiet_listener(self->server.get(), ec.out())) {
-        return failure(errc::unavailable, fmt::format("cannot keep connections: {}", ec.message()));
+    if (!add_keep_alive_listener(self->server.get(), ec.out())) {
+        return failure(errc::unavailable,
+                       fmt::format("cannot create the keep-alive listener: {}", ec.message()));
     }
     auto* raw = self.get();
     g_signal_connect(self->server.get(), "request-started",
@@ -376,7 +381,7 @@
                          static_cast<state*>(data)->set_phase(message, connection_phase::answering);
                      }),
                      raw);
-    // The library reports the next request only once its first byte arrives.
+    // libsoup reports the next request only when its first byte arrives.
     g_signal_connect(self->server.get(), "request-finished",
                      G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
                          static_cast<state*>(data)->set_phase(message, connection_phase::header);
@@ -386,7 +391,7 @@
         self->server.get(), nullptr,
         [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
             auto* owner = static_cast<state*>(data);
-            if (owner->was_refused(message)) {
+            if (owner->was_rejected(message)) {
                 soup_server_message_set_status(message, 413, nullptr);
                 return;
             }
--- a/src/http/http_worker_client.cpp
+++ b/src/http/http_worker_client.cpp
@@ -9,7 +9,7 @@
 namespace cactusloom {
 namespace {
 
-// A worker may answer a little after the deadline; beyond this the connection is given up.
+// A worker may reply slightly after the deadline; after this time the connection is closed.
 constexpr duration reply_grace = std::chrono::seconds{1};
 constexpr duration control_limit = std::chrono::seconds{2};
 
@@ -22,20 +22,20 @@
         total += it.max_connections;
         most = std::max(most, it.max_connections);
     }
-    // A share of the process's descriptors stays free for callers.
+    // Leaves file descriptors of the process for callers.
     options.max_connections = std::clamp<std::size_t>(total, 64, 16384);
     options.max_connections_per_address = most > 0 ? most : 64;
     return options;
 }
 
-// Reads the reply of a worker to a start. Whatever does not follow the protocol proves nothing, so
-// it counts as a lost reply.
+// Reads a worker's reply to a start. A reply that violates the protocol proves nothing and counts
+// as lost.
 start_reply read_reply(const http_reply& reply, std::string_view encoded_id)
 {
     start_reply found;
-    if (reply.end != http_end::replied) {
+    if (reply.end != http_outcome::replied) {
         found.status =
-            reply.end == http_end::not_sent ? start_status::not_sent : start_status::reply_lost;
+            reply.end == http_outcome::not_sent ? start_status::not_sent : start_status::reply_lost;
         found.payload = reply.reason;
         return found;
     }
@@ -78,13 +78,13 @@
 void http_worker_client::start(worker_id worker, const start_request& request, callback done)
 {
     http_call call;
-    const std::string encoded_id = encode_token(request.task_id);
+    const std::string encoded_id = percent_encode(request.task_id);
     call.method = "POST";
     call.address = worker < addresses_.size() ? addresses_[worker] : "";
     call.target = "/v1/tasks";
     call.headers = {
         {worker_header::task_id, encoded_id},
-        {worker_header::kind, encode_token(request.kind)},
+        {worker_header::kind, percent_encode(request.kind)},
         {worker_header::lease, std::to_string(request.lease.count())},
         {worker_header::time_left, std::to_string(request.time_left.count())},
     };
@@ -103,7 +103,7 @@
     http_call call;
     call.method = "PUT";
     call.address = addresses_[worker];
-    call.target = fmt::format("/v1/tasks/{}/lease", encode_token(task_id));
+    call.target = fmt::format("/v1/tasks/{}/lease", percent_encode(task_id));
     call.headers = {{worker_header::lease, std::to_string(lease.count())}};
     call.limit = control_limit;
     client_.send(call, [](const http_reply&) {});
@@ -117,7 +117,7 @@
     http_call call;
     call.method = "DELETE";
     call.address = addresses_[worker];
-    call.target = fmt::format("/v1/tasks/{}", encode_token(task_id));
+    call.target = fmt::format("/v1/tasks/{}", percent_encode(task_id));
     call.limit = control_limit;
     client_.send(call, [](const http_reply&) {});
 }
--- a/src/http/worker_codec.cpp
+++ b/src/http/worker_codec.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-std::string encode_token(std::string_view text)
+std::string percent_encode(std::string_view text)
 {
     std::string buf;
     buf.reserve(text.size());
@@ -46,7 +46,7 @@
     return buf;
 }
 
-std::optional<std::string> decode_token(std::string_view text)
+std::optional<std::string> percent_decode(std::string_view text)
 {
     std::string buf;
     for (std::size_t n = 0; n < text.size(); ++n) {
@@ -79,7 +79,7 @@
 std::optional<start_status> parse_start_status(std::string_view text)
 {
     for (const auto& it : status_names) {
-        // A worker cannot know that its own message was lost or not sent.
+        // A worker cannot know that its own reply was lost or the request was not sent.
         if (it.name == text && it.status != start_status::reply_lost &&
             it.status != start_status::not_sent) {
             return it.status;
--- a/stand_in/loopback_proxy.h
+++ b/stand_in/loopback_proxy.h
@@ -9,27 +9,27 @@
 
 namespace cactusloom {
 
-// Relays TCP connections to a target and harms them as a network does: delays, cuts in one or both
-// directions, closed connections, and connections that go silent for good while new ones work.
+// Relays TCP connections to a target and injects network faults: delays, partitions in one or both
+// directions, closed connections, and dead connections while new ones work.
 class loopback_proxy {
 public:
-    // Listens on "ip:port". Error: the address cannot be used.
+    // Listens on `address` and relays to `target`, both "ip:port". Error: `address` cannot be used.
     static result<std::unique_ptr<loopback_proxy>>
     start(poller& events, timer_service& timers, std::string_view address, std::string target);
     ~loopback_proxy();
     loopback_proxy(const loopback_proxy&) = delete;
     loopback_proxy& operator=(const loopback_proxy&) = delete;
 
-    // Connections that are open now carry nothing any more, without being closed.
-    void silence_open_connections();
+    // Drops all further traffic on the currently open connections without closing them.
+    void blackhole_open_connections();
     void close_open_connections();
 
-    // Holds back what flows towards the target or towards the client until `heal`.
-    void cut_to_target() { is_cut_to_target_ = true; }
-    void cut_to_client() { is_cut_to_client_ = true; }
+    // Hold back all data towards the target or towards the client until heal().
+    void block_to_target() { blocks_to_target_ = true; }
+    void block_to_client() { blocks_to_client_ = true; }
     void delay(duration by) { delay_ = by; }
 
-    // Ends cuts and delays and delivers what was held back.
+    // Removes partitions and delays and delivers the held data.
     void heal();
 
     std::size_t relayed_bytes() const { return relayed_bytes_; }
@@ -49,8 +49,8 @@
     std::string target_;
     std::unique_ptr<tcp_listener> listener_;
     std::set<std::shared_ptr<connection>> connections_;
-    bool is_cut_to_target_ = false;
-    bool is_cut_to_client_ = false;
+    bool blocks_to_target_ = false;
+    bool blocks_to_client_ = false;
     duration delay_{};
     std::size_t relayed_bytes_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr duration hop = std::chrono::milliseconds{1};
-constexpr std::int64_t longest_lease_ms = 1000;
+constexpr duration hop_latency = std::chrono::milliseconds{1};
+constexpr std::int64_t max_lease_ms = 1000;
 constexpr duration reply_limit = std::chrono::milliseconds{80};
-constexpr duration late_by = std::chrono::seconds{3};
+constexpr duration start_delay = std::chrono::seconds{3};
 
 } // namespace
 
@@ -26,7 +26,7 @@
     it.report.kind = kind;
     it.report.labels = {kind};
     it.report.capacity = capacity;
-    it.report.born_ms = 1;
+    it.report.started_at_ms = 1;
     it.speed = speed;
     it.born = timers_.monotonic_now();
     return it.report;
@@ -46,11 +46,11 @@
     auto& it = workers_.at(id);
     for (const auto& [task, run] : it.runs) {
         timers_.cancel(run.end_timer);
-        places_[task].erase(id);
+        running_on_[task].erase(id);
     }
     worker fresh;
     fresh.report = it.report;
-    fresh.report.born_ms = it.report.born_ms + 1;
+    fresh.report.started_at_ms = it.report.started_at_ms + 1;
     fresh.fault = it.fault;
     fresh.speed = it.speed;
     fresh.born = timers_.monotonic_now();
@@ -68,17 +68,17 @@
     return (timers_.monotonic_now() - it.born).count() / 1000;
 }
 
-// A fixed sequence that spreads evenly, so that a share is met without a seed.
-bool memory_worker_fleet::draw(double share)
+// Deterministic low-discrepancy sequence: true for the given share of calls, without a seed.
+bool memory_worker_fleet::sample(double share)
 {
     constexpr std::uint32_t golden = 2654435769U;
-    draws_ += golden;
-    return static_cast<double>(draws_) / 4294967296.0 < share;
+    sample_state_ += golden;
+    return static_cast<double>(sample_state_) / 4294967296.0 < share;
 }
 
 void memory_worker_fleet::extend_lease(worker& it, std::int64_t deadline_ms)
 {
-    const auto latest = clock_of(it) + longest_lease_ms;
+    const auto latest = clock_of(it) + max_lease_ms;
     it.lease_end_ms = std::max(it.lease_end_ms, std::min(deadline_ms, latest));
 }
 
@@ -108,26 +108,27 @@
     highest = std::max(highest, run->second.run);
     it.finished.push_back({++it.last_number, task, run->second.run, how});
     it.runs.erase(run);
-    places_[task].erase(it.report.id);
-    answer_waiting(it);
+    running_on_[task].erase(it.report.id);
+    complete_pending_polls(it);
 }
 
-order_status memory_worker_fleet::carry_out(worker& it, const std::string& task, std::uint32_t run,
-                                            std::int64_t deadline_ms, std::uint64_t token)
+command_status memory_worker_fleet::execute_start(worker& it, const std::string& task,
+                                                  std::uint32_t run, std::int64_t deadline_ms,
+                                                  std::uint64_t token)
 {
     if (token < it.token) {
-        return order_status::fenced;
+        return command_status::fenced;
     }
     it.token = token;
     const auto ended = it.highest_ended.find(task);
     if (ended != it.highest_ended.end() && run <= ended->second) {
-        return order_status::superseded;
+        return command_status::superseded;
     }
     if (deadline_ms < clock_of(it)) {
-        return order_status::too_late;
+        return command_status::too_late;
     }
     if (it.runs.contains(task)) {
-        return order_status::accepted;
+        return command_status::accepted;
     }
     extend_lease(it, deadline_ms);
     run_entry entry;
@@ -152,14 +153,14 @@
         used += row.demand.cpu_millis;
     }
     if (used > it.report.capacity.cpu_millis) {
-        violations_.push_back(
-            fmt::format("{} over its room: {} of {}", id, used, it.report.capacity.cpu_millis));
+        violations_.push_back(fmt::format("{} over its capacity: {} of {} CPU millis", id, used,
+                                          it.report.capacity.cpu_millis));
     }
-    auto& places = places_[task];
-    if (!places.empty()) {
-        violations_.push_back(fmt::format("{} on {} and {}", task, *places.begin(), id));
+    auto& running_workers = running_on_[task];
+    if (!running_workers.empty()) {
+        violations_.push_back(fmt::format("{} on {} and {}", task, *running_workers.begin(), id));
     }
-    places.insert(id);
+    running_workers.insert(id);
     ++starts_[task];
     ++total_starts_;
     const bool first = it.runs.empty();
@@ -167,49 +168,49 @@
     if (first) {
         check_lease(id);
     }
-    return order_status::accepted;
+    return command_status::accepted;
 }
 
-void memory_worker_fleet::start(const worker_report& target, const start_order& order,
-                                std::function<void(order_reply)> fn)
+void memory_worker_fleet::start(const worker_report& target, const start_command& command,
+                                std::function<void(command_reply)> fn)
 {
-    const start_order copy{order.task, order.run, {}, order.deadline_ms, order.token};
-    timers_.schedule(hop, [this, id = target.id, copy, fn = std::move(fn)] {
+    const start_command copy{command.task, command.run, {}, command.deadline_ms, command.token};
+    timers_.schedule(hop_latency, [this, id = target.id, copy, fn = std::move(fn)] {
         auto& it = workers_.at(id);
         const auto lose = [&] { timers_.schedule(reply_limit, [fn] { fn({}); }); };
         if (it.fault.silent) {
             lose();
             return;
         }
-        if (draw(it.fault.late_orders)) {
-            timers_.schedule(late_by, [this, id, copy] {
-                carry_out(workers_.at(id), copy.task, copy.run, copy.deadline_ms, copy.token);
+        if (sample(it.fault.delayed_starts)) {
+            timers_.schedule(start_delay, [this, id, copy] {
+                execute_start(workers_.at(id), copy.task, copy.run, copy.deadline_ms, copy.token);
             });
             lose();
             return;
         }
-        const auto status = carry_out(it, copy.task, copy.run, copy.deadline_ms, copy.token);
-        if (draw(it.fault.lost_replies)) {
+        const auto status = execute_start(it, copy.task, copy.run, copy.deadline_ms, copy.token);
+        if (sample(it.fault.lost_replies)) {
             lose();
             return;
         }
-        timers_.schedule(hop, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
+        timers_.schedule(hop_latency, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
     });
 }
 
 void memory_worker_fleet::stop(const worker_report& target, const std::string& task,
                                std::uint32_t run, std::uint64_t token,
-                               std::function<void(order_reply)> fn)
+                               std::function<void(command_reply)> fn)
 {
-    timers_.schedule(hop, [this, id = target.id, task, run, token, fn = std::move(fn)] {
+    timers_.schedule(hop_latency, [this, id = target.id, task, run, token, fn = std::move(fn)] {
         auto& it = workers_.at(id);
         if (it.fault.silent || it.fault.ignores_stops) {
             timers_.schedule(reply_limit, [fn] { fn({}); });
             return;
         }
-        auto status = order_status::accepted;
+        auto status = command_status::accepted;
         if (token < it.token) {
-            status = order_status::fenced;
+            status = command_status::fenced;
         }
         else {
             it.token = token;
@@ -220,16 +221,16 @@
                 end(it, task, run_end::stopped);
             }
         }
-        timers_.schedule(hop, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
+        timers_.schedule(hop_latency, [fn, status, clock = clock_of(it)] { fn({status, clock}); });
     });
 }
 
-look_reply memory_worker_fleet::list(const worker& it) const
+poll_reply memory_worker_fleet::list(const worker& it) const
 {
-    look_reply out;
-    out.status = order_status::accepted;
+    poll_reply out;
+    out.status = command_status::accepted;
     out.clock_ms = clock_of(it);
-    out.born_ms = it.report.born_ms;
+    out.started_at_ms = it.report.started_at_ms;
     out.finished = it.finished;
     for (const auto& [task, run] : it.runs) {
         const auto elapsed = timers_.monotonic_now() - run.began;
@@ -241,48 +242,48 @@
     return out;
 }
 
-void memory_worker_fleet::answer_waiting(worker& it)
+void memory_worker_fleet::complete_pending_polls(worker& it)
 {
     const auto waiting = std::exchange(it.waiting, {});
     for (const auto& row : waiting) {
-        timers_.schedule(hop, [fn = row.fn, reply = list(it)] { fn(reply); });
+        timers_.schedule(hop_latency, [fn = row.fn, reply = list(it)] { fn(reply); });
     }
 }
 
-void memory_worker_fleet::look(const worker_report& target, const look_order& order,
-                               std::function<void(look_reply)> fn)
+void memory_worker_fleet::poll(const worker_report& target, const poll_command& command,
+                               std::function<void(poll_reply)> fn)
 {
-    timers_.schedule(hop, [this, id = target.id, order, fn = std::move(fn)] {
+    timers_.schedule(hop_latency, [this, id = target.id, command, fn = std::move(fn)] {
         auto& it = workers_.at(id);
-        if (it.fault.silent || draw(it.fault.lost_replies)) {
-            timers_.schedule(order.wait + reply_limit, [fn] { fn({}); });
+        if (it.fault.silent || sample(it.fault.lost_replies)) {
+            timers_.schedule(command.wait + reply_limit, [fn] { fn({}); });
             return;
         }
-        if (order.token < it.token) {
-            look_reply fenced;
-            fenced.status = order_status::fenced;
-            timers_.schedule(hop, [fn, fenced] { fn(fenced); });
+        if (command.token < it.token) {
+            poll_reply fenced;
+            fenced.status = command_status::fenced;
+            timers_.schedule(hop_latency, [fn, fenced] { fn(fenced); });
             return;
         }
-        it.token = order.token;
+        it.token = command.token;
         std::erase_if(it.finished,
-                      [&](const finished_row& row) { return row.number <= order.seen; });
-        if (order.deadline_ms >= 0) {
-            extend_lease(it, order.deadline_ms);
+                      [&](const finished_row& row) { return row.number <= command.last_seen_end; });
+        if (command.deadline_ms >= 0) {
+            extend_lease(it, command.deadline_ms);
         }
-        if (!it.finished.empty() || order.wait == duration::zero()) {
-            timers_.schedule(hop, [fn, reply = list(it)] { fn(reply); });
+        if (!it.finished.empty() || command.wait == duration::zero()) {
+            timers_.schedule(hop_latency, [fn, reply = list(it)] { fn(reply); });
             return;
         }
-        const auto number = ++last_look_;
+        const auto number = ++last_poll_;
         it.waiting.push_back({number, fn});
-        timers_.schedule(order.wait, [this, id, number] {
+        timers_.schedule(command.wait, [this, id, number] {
             auto& worker = workers_.at(id);
-            const auto row = std::ranges::find(worker.waiting, number, &waiting_look::id);
+            const auto row = std::ranges::find(worker.waiting, number, &pending_poll::id);
             if (row != worker.waiting.end()) {
                 const auto answer = row->fn;
                 worker.waiting.erase(row);
-                timers_.schedule(hop, [answer, reply = list(worker)] { answer(reply); });
+                timers_.schedule(hop_latency, [answer, reply = list(worker)] { answer(reply); });
             }
         });
     });
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
-#include "cell/worker_orders.h"
+#include "cell/worker_commands.h"
 
 #include <functional>
 #include <map>
@@ -12,20 +12,20 @@
 
 namespace cactusloom {
 
-// Workers in memory that follow the platform's contract for leased runs: fencing tokens, leases on
-// their own clock, ends kept until they are taken note of, no check of their room. It records what
-// a dispatcher must never do: start beyond a worker's room, or run a task twice at the same time.
-class memory_worker_fleet final : public worker_orders {
+// In-memory workers that implement the platform's contract for leased runs: fencing tokens, leases
+// on the worker's own clock, ends kept until acknowledged, no check of their capacity. It records
+// violations by the dispatcher: exceeding a worker's capacity, or running a task twice at once.
+class memory_worker_fleet final : public worker_commands {
 public:
-    // What goes wrong at one worker.
+    // Injected faults of one worker.
     struct faults {
-        bool silent = false;     // neither takes orders nor answers; runs go on
-        double lost_replies = 0; // share of orders that are carried out without a reply
-        double late_orders = 0;  // share of starts without a reply that run seconds later
+        bool silent = false;       // ignores requests; runs continue
+        double lost_replies = 0;   // share of requests that are executed without a reply
+        double delayed_starts = 0; // share of starts that get no reply and run seconds later
         bool fails_all = false;
         bool hangs = false;         // runs make no progress
-        bool ignores_stops = false; // stops are lost on their way
-        double slowness = 1;        // run times are multiplied
+        bool ignores_stops = false; // stop requests are lost
+        double slowness = 1;        // factor of run times
     };
 
     explicit memory_worker_fleet(timer_service& timers) : timers_(timers) {}
@@ -38,12 +38,12 @@
     std::vector<worker_report> reports() const;
     faults& fault(const std::string& id) { return workers_.at(id).fault; }
 
-    // Loses everything that runs there; the worker comes back empty under the same id.
+    // Restarts a worker under the same id; all its runs are lost.
     void restart(const std::string& id);
 
-    // Work of a task at speed 1; the default is 100 ms for every task.
+    // Run time of a task at speed 1; 100 ms if unset.
     std::function<duration(const std::string& task)> work;
-    // Needs of a task, for the check of the room.
+    // Resource demand of a task, for the capacity check; one CPU if unset.
     std::function<task_demand(const std::string& task)> demand;
 
     std::size_t starts_of(const std::string& task) const;
@@ -51,12 +51,12 @@
     std::size_t total_starts() const { return total_starts_; }
     const std::vector<std::string>& violations() const { return violations_; }
 
-    void start(const worker_report& worker, const start_order& order,
-               std::function<void(order_reply)> fn) override;
+    void start(const worker_report& worker, const start_command& command,
+               std::function<void(command_reply)> fn) override;
     void stop(const worker_report& worker, const std::string& task, std::uint32_t run,
-              std::uint64_t token, std::function<void(order_reply)> fn) override;
-    void look(const worker_report& worker, const look_order& order,
-              std::function<void(look_reply)> fn) override;
+              std::uint64_t token, std::function<void(command_reply)> fn) override;
+    void poll(const worker_report& worker, const poll_command& command,
+              std::function<void(poll_reply)> fn) override;
 
 private:
     struct run_entry {
@@ -66,9 +66,9 @@
         task_demand demand;
         timer_id end_timer = 0;
     };
-    struct waiting_look {
+    struct pending_poll {
         std::uint64_t id = 0;
-        std::function<void(look_reply)> fn;
+        std::function<void(poll_reply)> fn;
     };
     struct worker {
         worker_report report;
@@ -81,27 +81,27 @@
         std::map<std::string, std::uint32_t> highest_ended;
         std::vector<finished_row> finished;
         std::uint64_t last_number = 0;
-        std::vector<waiting_look> waiting;
+        std::vector<pending_poll> waiting;
     };
 
     std::int64_t clock_of(const worker& it) const;
-    order_status carry_out(worker& it, const std::string& task, std::uint32_t run,
-                           std::int64_t deadline_ms, std::uint64_t token);
+    command_status execute_start(worker& it, const std::string& task, std::uint32_t run,
+                                 std::int64_t deadline_ms, std::uint64_t token);
     void end(worker& it, const std::string& task, run_end how);
     void extend_lease(worker& it, std::int64_t deadline_ms);
     void check_lease(const std::string& id);
-    look_reply list(const worker& it) const;
-    void answer_waiting(worker& it);
-    bool draw(double share);
+    poll_reply list(const worker& it) const;
+    void complete_pending_polls(worker& it);
+    bool sample(double share);
 
     timer_service& timers_;
     std::map<std::string, worker> workers_;
     std::map<std::string, std::size_t> starts_;
-    std::map<std::string, std::set<std::string>> places_; // task -> workers that run it
+    std::map<std::string, std::set<std::string>> running_on_; // task -> workers that run it
     std::vector<std::string> violations_;
     std::size_t total_starts_ = 0;
-    std::uint64_t last_look_ = 0;
-    std::uint32_t draws_ = 0;
+    std::uint64_t last_poll_ = 0;
+    std::uint32_t sample_state_ = 0;
 };
 
 } // namespace cactusloom
--- a/stand_in/platform_stand_in_server.cpp
+++ b/stand_in/platform_stand_in_server.cpp
@@ -8,10 +8,9 @@
 
 void reply_error(const http_exchange_ptr& exchange, const error& reason)
 {
-    // What the caller must not learn as certain is shown the way the real service shows it: by a
-    // connection that breaks.
+    // A lost reply appears to the caller as with the real service: as a closed connection.
     if (reason.code == errc::reply_lost) {
-        exchange->hang_up();
+        exchange->close_without_reply();
         return;
     }
     const unsigned status = reason.code == errc::unavailable ? 503 : 400;
--- a/tests/cell/claim_probe_test.cpp
+++ b/tests/cell/claim_probe_test.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 struct probe_fixture : cell_fixture {
-    std::optional<claim_probe::finding> found;
+    std::optional<claim_probe::probe_result> found;
     std::uint64_t token = 0;
 
     std::unique_ptr<claim_probe> probe(std::uint64_t first_token)
     {
         return std::make_unique<claim_probe>(
             timers, fleet, std::vector{fleet.reports().at(0), fleet.reports().at(1)}, first_token,
-            [this](claim_probe::finding result, std::uint64_t used) {
+            [this](claim_probe::probe_result result, std::uint64_t used) {
                 found = result;
                 token = used;
             });
@@ -26,20 +26,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(probes, probe_fixture)
 
-// Guards against workers that nobody takes over after all other instances have lost power.
-BOOST_AUTO_TEST_CASE(workers_of_a_lost_controller_are_free)
+// Guards against workers that no instance takes over after all others have lost power.
+BOOST_AUTO_TEST_CASE(workers_of_a_lost_controller_are_unclaimed)
 {
     add_workers(4);
     take_control(7);
     controller.reset();
     const auto it = probe(8);
     timers.advance(1s);
-    BOOST_TEST((found == claim_probe::finding::nobody));
+    BOOST_TEST((found == claim_probe::probe_result::unclaimed));
     BOOST_TEST(token == 8U);
 }
 
-// Guards against a token that an earlier controller has raised far ahead.
-BOOST_AUTO_TEST_CASE(the_token_rises_until_the_workers_obey)
+// Guards against a probe that stops below a token which an earlier controller has raised far ahead.
+BOOST_AUTO_TEST_CASE(the_token_is_raised_until_the_workers_accept_it)
 {
     add_workers(4);
     constexpr std::uint64_t raised = 20'000'000;
@@ -47,13 +47,13 @@
     controller.reset();
     const auto it = probe(1);
     timers.advance(1s);
-    BOOST_TEST((found == claim_probe::finding::nobody));
+    BOOST_TEST((found == claim_probe::probe_result::unclaimed));
     BOOST_TEST(token > raised);
 }
 
-// Guards against jobs that are interrupted since another part of the deployment, out of touch,
-// claims their workers.
-BOOST_AUTO_TEST_CASE(a_living_controller_is_noticed_and_loses_no_run)
+// Guards against jobs being interrupted because another part of the deployment, without contact to
+// theirs, claims their workers.
+BOOST_AUTO_TEST_CASE(a_live_controller_is_detected_and_loses_no_run)
 {
     add_workers(4);
     fleet.work = [](const std::string&) { return duration{900ms}; };
@@ -65,7 +65,7 @@
     timers.advance(100ms);
     const auto it = probe(8);
     timers.advance(1s);
-    BOOST_TEST((found == claim_probe::finding::somebody));
+    BOOST_TEST((found == claim_probe::probe_result::claimed_elsewhere));
     BOOST_TEST(ended("j", job_end::completed));
     BOOST_TEST(fleet.total_starts() == 8U);
     check_no_violation();
