--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -1,7 +1,7 @@
 #include "cell/instance_mesh.h"
 
 #include "base/glib_timer_service.h"
-#include "dead_port.h"
+#include "black_hole_port.h"
 #include "stand_in/loopback_proxy.h"
 
 #include <boost/test/unit_test.hpp>
@@ -39,7 +39,7 @@
         a->on_change = [this] { was_down |= !sees_b(); };
         BOOST_REQUIRE(a->listen(a_address));
         BOOST_REQUIRE(b->listen(b_address));
-        a->learn({address_of("b", relay_address)});
+        a->update_instances({address_of("b", relay_address)});
         BOOST_REQUIRE(run_until([this] { return sees_b(); }, 1s));
         run_for(200ms);
         was_down = false;
@@ -77,11 +77,11 @@
 
 BOOST_FIXTURE_TEST_SUITE(mesh, linked_instances)
 
-// Guards against jobs that stay with a controller whose link went silent until the whole silence
-// limit has passed, although its process answers on a new connection.
+// Guards against jobs that stay with a controller whose link has become silent until the whole
+// silence limit has passed, although its process answers on a new connection.
 BOOST_AUTO_TEST_CASE(a_silent_link_is_replaced_while_its_process_answers)
 {
-    relay->silence_open_connections();
+    relay->blackhole_open_connections();
     BOOST_TEST(run_until([this] { return reconnects != 0; }, 500ms));
     BOOST_TEST(!was_down);
     run_for(300ms);
@@ -89,7 +89,7 @@
     BOOST_TEST(reconnects == 1);
 }
 
-// Guards against a slow process that is taken for a lost one: its machine opens connections.
+// Guards against a slow process counting as lost: its machine still accepts connections.
 BOOST_AUTO_TEST_CASE(a_process_that_is_slow_to_reply_stays_alive)
 {
     relay->delay(200ms); // 400 ms for a round trip
@@ -99,29 +99,30 @@
     BOOST_TEST(!was_down);
 }
 
-// Guards against 600 ms without control when a machine has lost power or is cut off: it does not
-// even open connections.
-BOOST_AUTO_TEST_CASE(a_machine_that_opens_no_connection_is_down_before_the_silence_limit)
+// Guards against 600 ms without a controller when a machine has lost power or is partitioned: it
+// does not even accept connections.
+BOOST_AUTO_TEST_CASE(a_machine_that_accepts_no_connection_is_down_before_the_silence_limit)
 {
     relay.reset();
-    const dead_port port(17503);
+    const black_hole_port port(17503);
     BOOST_TEST(run_until([this] { return !sees_b(); }, 300ms));
     BOOST_TEST(a->knows_state_of_all());
 }
 
-// Guards against a process that judges others by a pause of its own, and claims control then.
-BOOST_AUTO_TEST_CASE(a_pause_of_this_process_is_nobodys_silence)
+// Guards against a process that counts its own pause as silence of its peers, and then claims
+// control.
+BOOST_AUTO_TEST_CASE(a_pause_of_this_process_does_not_count_as_silence_of_peers)
 {
     std::this_thread::sleep_for(1s);
-    BOOST_TEST(sees_b()); // before anything that has arrived is read, too
+    BOOST_TEST(sees_b()); // even before anything that has arrived is read
     run_for(300ms);
     BOOST_TEST(!was_down);
-    BOOST_TEST(reconnects == 1); // b may have dropped what it was asked for
+    BOOST_TEST(reconnects == 1); // b may have dropped pending requests
 }
 
-// Guards against beats that take more than what an instance may spend on control, 9 KB/s, with
+// Guards against heartbeats that take more than what an instance may spend on control, 9 KB/s, with
 // links to the eleven others of a full mesh. Changes must still arrive.
-BOOST_AUTO_TEST_CASE(beats_without_news_are_small)
+BOOST_AUTO_TEST_CASE(heartbeats_without_changes_are_small)
 {
     constexpr std::size_t bytes_per_s_and_link = 9000 / 11;
     b->announce({{"*", 7, {1, 2, 3}}}, false, 3);
@@ -137,23 +138,23 @@
 }
 
 // Guards against a candidate that answers each instance of a large deployment ten times a second,
-// and against claims that reach those that beat less often late: their jobs wait for them.
-BOOST_AUTO_TEST_CASE(instances_that_cannot_get_control_beat_less_but_hear_of_claims_at_once)
+// and against claims that reach the instances with slow heartbeats late: their jobs wait for them.
+BOOST_AUTO_TEST_CASE(non_candidates_ping_less_often_but_learn_of_claims_at_once)
 {
     constexpr std::size_t bytes_per_s_and_link = 9000 / 11 / 4; // a quarter of a full mesh's
     std::vector<instance_address> stronger;
     stronger.reserve(60);
-    for (int i = 0; i < 60; ++i) { // the last of them counts as lost after some seconds only
+    for (int i = 0; i < 60; ++i) { // the last of them counts as lost only after some seconds
         stronger.push_back(
             {fmt::format("s{}", i), fmt::format("127.0.0.1:{}", 17600 + i), "dc", 2.0, 1});
     }
     auto other = address_of("b", relay_address);
-    other.strength = 3.0;
+    other.cpu_share = 3.0;
     other.incarnation = 2;
     b = nullptr;
     b = std::make_unique<instance_mesh>(events, timers, other);
     BOOST_REQUIRE(b->listen(b_address));
-    a->learn(stronger);
+    a->update_instances(stronger);
     BOOST_REQUIRE(run_until([this] { return !a->is_candidate(); }, 1s));
     BOOST_REQUIRE(run_until([this] { return sees_b(); }, 1s));
     run_for(600ms);
@@ -163,7 +164,7 @@
     run_for(1s);
     BOOST_TEST(relay->relayed_bytes() - before <= bytes_per_s_and_link);
     b->announce({{"dc", 7, {1, 2, 3}}}, false, 3);
-    BOOST_TEST(run_until([this] { return !a->holders().empty(); }, 50ms));
+    BOOST_TEST(run_until([this] { return !a->claim_holders().empty(); }, 50ms));
     run_for(1500ms);
     BOOST_TEST(!was_down);
 }
--- a/tests/config/config_cluster.h
+++ b/tests/config/config_cluster.h
@@ -3,8 +3,8 @@
 #include "config/config_follower.h"
 #include "config/config_record_codec.h"
 #include "config/example_text.h"
-#include "stand_in/log_link.h"
 #include "stand_in/memory_log.h"
+#include "stand_in/partitionable_log.h"
 #include "stand_in/virtual_timer_service.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,7 +12,7 @@
 
 namespace cactusloom {
 
-// Some followers on one log in virtual time, and the checks that hold after every fault.
+// Followers of one log in virtual time, and the checks that must hold after every fault.
 class config_cluster {
 public:
     struct instance final : config_peer_source {
@@ -42,14 +42,14 @@
 
         bool is(config_log_state state) const { return follower->log_state() == state; }
         const deployment& settings() const { return *follower->in_force().settings; }
-        void cut_off(bool from_log, bool from_peers)
+        void set_disconnected(bool from_log, bool from_peers)
         {
-            link.set_cut_off(from_log);
+            link.set_partitioned(from_log);
             has_peers = !from_peers;
         }
 
         config_cluster& cluster;
-        log_link link;
+        partitionable_log link;
         bool has_peers = true;
         log_offset newest = 0;
         std::optional<log_offset> first; // version that was in force first
@@ -65,14 +65,15 @@
     instance& add(bool with_peers = true, bool with_log = true)
     {
         instances.push_back(std::make_unique<instance>(*this, instances.size() + 1));
-        instances.back()->cut_off(!with_log, !with_peers);
+        instances.back()->set_disconnected(!with_log, !with_peers);
         instances.back()->follower->start();
         return *instances.back();
     }
 
     instance& at(std::size_t n) { return *instances[n]; }
 
-    // Runs virtual time in steps, so that the reference sees records before retention drops them.
+    // Advances virtual time in steps, so that the reference reads records before retention drops
+    // them.
     void run(duration span)
     {
         constexpr duration step = std::chrono::milliseconds{250};
@@ -89,7 +90,7 @@
     void submit(std::size_t n, const std::string& id, std::string author,
                 const std::string& section, std::string content)
     {
-        const auto base = at(n).follower->ledger().version_of(section);
+        const auto base = at(n).follower->state_machine().version_of(section);
         at(n).follower->submit_edit(
             {id, std::move(author), section, base, std::move(content)},
             [this, id](result<edit_outcome> reply) { replies.insert_or_assign(id, reply); });
@@ -120,25 +121,25 @@
         run(std::chrono::milliseconds{250});
     }
 
-    // All verdicts that two instances know of the same offset are equal, and equal to the verdicts
-    // of the whole log; equal prefixes give equal documents.
+    // Checks that all instances and the reference have equal verdicts for the same offset, and
+    // equal documents after the same records.
     void check_agreement() const
     {
         for (const auto& it : instances) {
-            check_equal(it->follower->ledger(), reference);
+            check_equal(it->follower->state_machine(), reference);
             for (const auto& other : instances) {
-                check_equal(it->follower->ledger(), other->follower->ledger());
+                check_equal(it->follower->state_machine(), other->follower->state_machine());
             }
             BOOST_TEST(it->follower->counts().refused_states == 0U);
         }
     }
 
-    // All instances have read everything and have the same document in force.
+    // Checks that all instances have read the whole log and have the same document in force.
     void check_convergence() const
     {
         for (const auto& it : instances) {
             BOOST_TEST(it->is(config_log_state::following));
-            BOOST_TEST(it->follower->ledger().chain_digest() == reference.chain_digest());
+            BOOST_TEST(it->follower->state_machine().chain_digest() == reference.chain_digest());
             BOOST_TEST(it->follower->in_force().version == reference.document_version());
         }
     }
@@ -148,10 +149,10 @@
     config_follower_options options;
     std::vector<std::unique_ptr<instance>> instances;
     std::map<std::string, result<edit_outcome>> replies;
-    config_ledger reference; // has read every record that was ever stored
+    config_state_machine reference; // has read every record that was ever stored
 
 private:
-    static void check_equal(const config_ledger& a, const config_ledger& b)
+    static void check_equal(const config_state_machine& a, const config_state_machine& b)
     {
         const bool at_same_offset = a.next_offset() == b.next_offset();
         auto y = b.history().begin();
--- a/tests/http/no_resend_test.cpp
+++ b/tests/http/no_resend_test.cpp
@@ -12,9 +12,9 @@
 using namespace cactusloom;
 using namespace std::chrono_literals;
 
-// Guards against the HTTP library sending a start again by itself: a non-idempotent task would run
-// twice (invariants 1 and 5). The library may do so on kept-alive connections, so every row
-// first makes one that is known to be good.
+// Guards against libsoup resending a start on its own: a non-idempotent task would run twice
+// (invariants 1 and 5). It may do so on keep-alive connections, so every row first establishes a
+// working one.
 namespace no_resend {
 
 struct resend_case {
@@ -74,7 +74,7 @@
 
 BOOST_AUTO_TEST_SUITE(no_resend)
 
-BOOST_DATA_TEST_CASE(broken_kept_alive_connection, boost::unit_test::data::make(resend_cases))
+BOOST_DATA_TEST_CASE(broken_keep_alive_connection, boost::unit_test::data::make(resend_cases))
 {
     glib_timer_service timers;
     raw_peer peer([&](int n, const std::string&) {
@@ -86,23 +86,22 @@
     start(client, "first", first);
     run_until([&] { return first.done; });
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::completed));
-    const int begun = peer.heads_begun();
+    const int begun = peer.requests_begun();
     peer.reset_after_bytes(sample.reset_after);
     outcome second;
     start(client, "second", second);
     run_until([&] { return second.done; });
-    // A second sending would reach the peer on a later turn of the loop.
+    // A resend would reach the peer in a later loop iteration.
     bool settled = false;
     timers.schedule(50ms, [&] { settled = true; });
     run_until([&] { return settled; });
     BOOST_TEST(static_cast<int>(second.reply.status) == static_cast<int>(start_status::reply_lost));
-    BOOST_TEST(peer.heads_begun() - begun == 1);
+    BOOST_TEST(peer.requests_begun() - begun == 1);
     BOOST_TEST(count_of(peer, "second") <= 1);
-    BOOST_TEST(peer.connections() == 1); // the second start did go over the kept connection
+    BOOST_TEST(peer.connections() == 1); // the second start used the keep-alive connection
 }
 
-// The library treats methods that HTTP calls idempotent differently, so they have rows of their
-// own.
+// libsoup treats methods that HTTP defines as idempotent differently, so they have their own rows.
 BOOST_DATA_TEST_CASE(idempotent_methods,
                      boost::unit_test::data::make({"GET", "PUT", "DELETE"}) *
                          boost::unit_test::data::make({raw_peer::action::close,
@@ -118,7 +117,7 @@
     call.address = peer.address();
     call.target = "/";
     int ends = 0;
-    http_end last = http_end::replied;
+    http_outcome last = http_outcome::replied;
     const auto note = [&](const http_reply& reply) {
         ++ends;
         last = reply.end;
@@ -130,11 +129,12 @@
     bool settled = false;
     timers.schedule(50ms, [&] { settled = true; });
     run_until([&] { return settled; });
-    BOOST_TEST(static_cast<int>(last) == static_cast<int>(http_end::reply_lost));
-    BOOST_TEST(peer.heads_begun() == 2);
+    BOOST_TEST(static_cast<int>(last) == static_cast<int>(http_outcome::reply_lost));
+    BOOST_TEST(peer.requests_begun() == 2);
 }
 
-// Replies that make some clients ask again: a redirect, a request for credentials, a time-out.
+// Replies that make some clients send another request: redirects, an authentication request, a
+// timeout, a retry hint.
 BOOST_DATA_TEST_CASE(replies_that_invite_a_second_request,
                      boost::unit_test::data::make({"301 Moved Permanently\r\nLocation: /v1/tasks",
                                                    "308 Permanent Redirect\r\n"
@@ -153,11 +153,11 @@
     start(client, "first", first);
     run_until([&] { return first.done; });
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
-    BOOST_TEST(peer.heads_begun() == 1);
+    BOOST_TEST(peer.requests_begun() == 1);
 }
 
-// The connection goes stale between requests: the peer closes it and the client sends before its
-// loop has seen that. The start may arrive on a new connection, but only once.
+// The peer closes the connection between requests, and the client sends before its loop has
+// noticed. The start may arrive on a new connection, but only once.
 BOOST_AUTO_TEST_CASE(stale_connection)
 {
     glib_timer_service timers;
@@ -175,8 +175,8 @@
     BOOST_TEST(count_of(peer, "second") <= 1);
 }
 
-// A refused connection proves that nothing was sent, so the task may go to another worker.
-BOOST_AUTO_TEST_CASE(nobody_listens)
+// A refused connection proves that nothing was sent, so that the task can go to another worker.
+BOOST_AUTO_TEST_CASE(connection_refused)
 {
     glib_timer_service timers;
     std::vector<worker_settings> workers;
@@ -191,7 +191,7 @@
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::not_sent));
 }
 
-// A worker that never replies must not hold the caller beyond the limit.
+// A worker that never replies must not block the caller beyond the time limit.
 BOOST_AUTO_TEST_CASE(silent_worker)
 {
     glib_timer_service timers;
@@ -206,9 +206,9 @@
     BOOST_TEST(static_cast<int>(first.reply.status) == static_cast<int>(start_status::reply_lost));
 }
 
-// Guards against a call that outlives its client and the timers: its end used to cancel a timer of
-// a service that was gone.
-BOOST_AUTO_TEST_CASE(client_and_timers_go_first)
+// Guards against a request that outlives its client and the timers: its completion used to cancel a
+// timer of a destroyed service.
+BOOST_AUTO_TEST_CASE(request_outlives_client_and_timers)
 {
     const raw_peer peer([](int, const std::string&) { return raw_peer::action::silence; });
     bool reported = false;
--- a/tests/net/pooled_http_client_test.cpp
+++ b/tests/net/pooled_http_client_test.cpp
@@ -25,16 +25,16 @@
     void call(const std::string& address, duration limit)
     {
         outcome.reset();
-        http_call request;
+        http_request request;
         request.target = "/";
         client.call(address, request, limit, [this](auto it) { outcome = std::move(it); });
     }
 
-    bool replied() const { return std::holds_alternative<http_reply>(*outcome); }
+    bool replied() const { return std::holds_alternative<http_response>(*outcome); }
 };
 
-// Takes one connection and answers its requests, or none, from a thread of its own, so that replies
-// arrive while the loop of the test stands still.
+// Accepts one connection and answers all or none of its requests in its own thread, so that replies
+// arrive while the event loop of the test is blocked.
 class blocking_peer {
 public:
     explicit blocking_peer(bool replies) : replies_(replies)
@@ -62,7 +62,7 @@
             if (!replies_) {
                 continue;
             }
-            std::this_thread::sleep_for(20ms); // the loop of the test stands still by then
+            std::this_thread::sleep_for(20ms); // the event loop is blocked by then
             constexpr std::string_view reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
             g_socket_send(socket, reply.data(), reply.size(), nullptr, nullptr);
         }
@@ -78,8 +78,8 @@
 
 BOOST_AUTO_TEST_SUITE(pooled_client)
 
-// Guards against replies that count as lost because this process was paused while they arrived.
-BOOST_AUTO_TEST_CASE(a_reply_that_waits_unread_after_a_pause_is_taken)
+// Guards against counting a reply as lost that arrived while this process was paused.
+BOOST_AUTO_TEST_CASE(a_reply_received_during_a_pause_is_delivered)
 {
     std::optional<client_fixture> own(std::in_place);
     const blocking_peer peer(true);
@@ -94,8 +94,8 @@
     own.reset(); // closes the connection, which ends the peer
 }
 
-// Guards against calls that never end: a peer that says nothing costs the limit, not more.
-BOOST_AUTO_TEST_CASE(a_silent_peer_costs_the_limit)
+// Guards against requests that never time out.
+BOOST_AUTO_TEST_CASE(a_silent_peer_times_out)
 {
     std::optional<client_fixture> own(std::in_place);
     const blocking_peer peer(false);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -9,7 +9,7 @@
 
 BOOST_AUTO_TEST_SUITE(messages)
 
-// Guards against a job whose needs are read wrongly.
+// Guards against a job whose requirements are decoded wrongly.
 BOOST_AUTO_TEST_CASE(a_job_is_decoded_with_all_its_steps)
 {
     const auto job = decode_job_body(
@@ -28,8 +28,8 @@
     BOOST_TEST(it.request.steps[1].max_per_worker == 2U);
 }
 
-// Guards against jobs that are accepted although their kind is not offered.
-BOOST_AUTO_TEST_CASE(features_that_are_not_offered_are_named)
+// Guards against accepting jobs that need unsupported features.
+BOOST_AUTO_TEST_CASE(unsupported_features_are_reported)
 {
     struct row {
         const char* body;
@@ -49,7 +49,7 @@
     }
 }
 
-// Guards against malformed bodies that end the process or run as something else.
+// Guards against malformed bodies that crash the process or are decoded as something else.
 BOOST_AUTO_TEST_CASE(malformed_jobs_are_errors)
 {
     const char* bodies[] = {"",
@@ -67,7 +67,7 @@
     }
 }
 
-// Guards against entries of other writers being taken for workers.
+// Guards against treating entries of other writers as workers.
 BOOST_AUTO_TEST_CASE(entries_that_name_no_worker_are_ignored)
 {
     const auto good = decode_worker_entry(
@@ -76,7 +76,7 @@
     BOOST_REQUIRE(good.has_value());
     BOOST_TEST(good->draining);
     BOOST_TEST(good->kind == "a");
-    BOOST_TEST(good->born_ms == 12);
+    BOOST_TEST(good->started_at_ms == 12);
     const char* bad[] = {"",
                          "\xff\xfe",
                          "{}",
@@ -90,25 +90,25 @@
     }
 }
 
-// Guards against replies that are taken as "not run" although they say nothing of that.
-BOOST_AUTO_TEST_CASE(replies_of_workers_map_to_what_is_certain)
+// Guards against treating replies as "not run" that do not prove it.
+BOOST_AUTO_TEST_CASE(replies_of_workers_map_to_certain_outcomes)
 {
     struct row {
         int status;
         const char* body;
-        order_status expected;
+        command_status expected;
     };
     const row rows[] = {
-        {200, R"({"clockMs":5})", order_status::accepted},
-        {409, R"({"clockMs":5,"reason":"fence"})", order_status::fenced},
-        {409, R"({"clockMs":5,"reason":"old"})", order_status::superseded},
-        {409, R"({"clockMs":5,"reason":"late"})", order_status::too_late},
-        {409, R"({"clockMs":5,"reason":"room"})", order_status::no_room},
-        {421, "", order_status::wrong_incarnation},
-        {503, "", order_status::unhealthy},
-        {400, "", order_status::invalid},
-        {500, "", order_status::reply_lost},
-        {502, "", order_status::reply_lost},
+        {200, R"({"clockMs":5})", command_status::accepted},
+        {409, R"({"clockMs":5,"reason":"fence"})", command_status::fenced},
+        {409, R"({"clockMs":5,"reason":"old"})", command_status::superseded},
+        {409, R"({"clockMs":5,"reason":"late"})", command_status::too_late},
+        {409, R"({"clockMs":5,"reason":"room"})", command_status::no_room},
+        {421, "", command_status::wrong_incarnation},
+        {503, "", command_status::unhealthy},
+        {400, "", command_status::invalid},
+        {500, "", command_status::reply_lost},
+        {502, "", command_status::reply_lost},
     };
     for (const auto& it : rows) {
         BOOST_TEST(static_cast<int>(decode_order_reply(it.status, it.body).status) ==
@@ -117,24 +117,24 @@
     BOOST_TEST(decode_order_reply(200, R"({"clockMs":5})").clock_ms == 5);
 }
 
-// Guards against a list of runs that is read wrongly, or taken as empty when it cannot be read.
-BOOST_AUTO_TEST_CASE(a_look_lists_runs_and_ends)
+// Guards against a list of runs that is decoded wrongly, or treated as empty if it is unreadable.
+BOOST_AUTO_TEST_CASE(a_poll_lists_runs_and_ends)
 {
     const auto it =
-        decode_look_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
+        decode_poll_reply(200, R"({"clockMs":9,"born":3,"running":[["a.0.1.17",2,"",41]],
         "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",1,"lapsed",""]]})");
-    BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(order_status::accepted));
+    BOOST_TEST(static_cast<int>(it.status) == static_cast<int>(command_status::accepted));
     BOOST_REQUIRE(it.running.size() == 1U);
     BOOST_TEST(it.running[0].percent == 41);
     BOOST_REQUIRE(it.finished.size() == 2U);
     BOOST_TEST(it.finished[0].number == 58U);
     BOOST_TEST(static_cast<int>(it.finished[1].how) == static_cast<int>(run_end::lapsed));
     BOOST_TEST(it.finished_complete);
-    const auto cut = decode_look_reply(200, R"({"clockMs":9,"run)");
-    BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(order_status::reply_lost));
+    const auto cut = decode_poll_reply(200, R"({"clockMs":9,"run)");
+    BOOST_TEST(static_cast<int>(cut.status) == static_cast<int>(command_status::reply_lost));
 }
 
-// Guards against a configuration that is applied in part.
+// Guards against a configuration that is applied partially.
 BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_or_refused)
 {
     const auto table = decode_queue_table(
@@ -153,8 +153,8 @@
 
 BOOST_AUTO_TEST_SUITE(store)
 
-// Guards against records that are cut at the wrong place, and against reading records again that
-// concern nobody.
+// Guards against records that are split at the wrong place, and against a next offset that would
+// read them again.
 BOOST_AUTO_TEST_CASE(records_are_read_back_as_written)
 {
     std::string body(16, '\0');
@@ -188,7 +188,7 @@
 
 BOOST_AUTO_TEST_SUITE(settings)
 
-// Guards against a start with settings that lack something, and against finding faults one by one.
+// Guards against a start with missing settings, and against reporting only the first error.
 BOOST_AUTO_TEST_CASE(all_findings_are_reported_together)
 {
     const auto empty = parse_node_settings("[limits]\ncpuShare = -1\n");
@@ -225,7 +225,7 @@
 address = "10.0.0.9:1"
 )");
     BOOST_REQUIRE(settings);
-    BOOST_TEST(settings.value().shutdown_time.count() == 6000000);
+    BOOST_TEST(settings.value().shutdown_timeout.count() == 6000000);
     BOOST_TEST(settings.value().metrics_address == "10.0.0.1:9464");
     BOOST_TEST(settings.value().seeds.size() == 1U);
 }
--- a/tests/system/fake_platform.h
+++ b/tests/system/fake_platform.h
@@ -21,7 +21,7 @@
 }
 
 // Workers shared by all instances. They count starts by payload, which the test makes unique for
-// each task, so the count does not depend on what the instances claim.
+// each task, so the count is independent of what the instances report.
 class fake_workers {
 public:
     enum class health { good, fails_all, dead };
@@ -40,7 +40,7 @@
     worker& operator[](worker_id id) { return workers_[id]; }
     std::size_t size() const { return workers_.size(); }
 
-    // `done` gets the reply; it does not run if the worker is or becomes dead.
+    // `done` receives the reply; it does not run if the worker is or becomes dead.
     void start(worker_id id, std::string payload, const std::function<void(start_reply)>& done)
     {
         worker& it = workers_[id];
@@ -101,8 +101,8 @@
     std::map<std::string, int> starts_;
 };
 
-// One instance's way to the platform. Replies reach the instance through its own timers, so a
-// paused instance sees them when it goes on; after detach() nothing reaches it any more.
+// One instance's connection to the platform. Replies are delivered by the instance's own timers, so
+// a paused instance receives them when it resumes; after detach() it receives none.
 class platform_link final : public worker_client, public log_service {
 public:
     using reach_rule = std::function<bool(worker_id)>;
@@ -112,7 +112,7 @@
     {
     }
 
-    void set_log_cut(bool cut) { log_cut_ = cut; }
+    void set_log_partitioned(bool partitioned) { log_partitioned_ = partitioned; }
     void set_rule(reach_rule rule) { rule_ = std::move(rule); }
     void detach() { *alive_ = false; }
 
@@ -123,7 +123,7 @@
             if (!*alive) {
                 return;
             }
-            timers_.schedule(one_way, [alive, once, it] {
+            timers_.schedule(network_delay, [alive, once, it] {
                 if (*alive && *once) {
                     std::exchange(*once, nullptr)(it);
                 }
@@ -133,8 +133,8 @@
             reply(reply_with(start_status::not_sent));
             return;
         }
-        // A connection that broke on the way back looks like silence until the time limit.
-        timers_.schedule(request.time_left + one_way, [alive = alive_, once] {
+        // A connection that broke before the reply shows only as a timeout.
+        timers_.schedule(request.time_left + network_delay, [alive = alive_, once] {
             if (*alive && *once) {
                 std::exchange(*once, nullptr)(reply_with(start_status::reply_lost));
             }
@@ -152,7 +152,7 @@
 
     void append(std::string_view stream, std::string content, append_callback done) override
     {
-        if (!log_cut_) {
+        if (!log_partitioned_) {
             log_.append(stream, std::move(content), guarded<result<log_offset>>(std::move(done)));
         }
     }
@@ -160,19 +160,19 @@
     void read(std::string_view stream, log_offset from, std::size_t max_records,
               read_callback done) override
     {
-        if (!log_cut_) {
+        if (!log_partitioned_) {
             log_.read(stream, from, max_records, guarded<result<log_page>>(std::move(done)));
         }
     }
 
 private:
-    static constexpr duration one_way = std::chrono::milliseconds{1};
+    static constexpr duration network_delay = std::chrono::milliseconds{1};
 
     template<typename Reply>
     std::function<void(Reply)> guarded(std::function<void(Reply)> done)
     {
         return [this, alive = alive_, done = std::move(done)](Reply reply) {
-            if (*alive && !log_cut_) {
+            if (*alive && !log_partitioned_) {
                 timers_.schedule(duration::zero(), [alive, done, reply] {
                     if (*alive) {
                         done(reply);
@@ -186,7 +186,7 @@
     fake_workers& workers_;
     log_service& log_;
     reach_rule rule_;
-    bool log_cut_ = false;
+    bool log_partitioned_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tools/cactusloomctl/account.cpp
+++ b/tools/cactusloomctl/account.cpp
@@ -11,7 +11,7 @@
 namespace cactusloom::ctl {
 namespace {
 
-// Runs the loop until `fill` has put something into its argument.
+// Calls `start` with a callback and runs the event loop until the callback has received a result.
 template<typename T, typename Start>
 result<T> wait_for(Start start)
 {
@@ -50,7 +50,7 @@
     return done.value().missed == 0 ? exit_ok : exit_failed;
 }
 
-// Reads log and archive here, so that an operator needs no instance for it.
+// Reads log and archive directly, so that no instance is needed.
 int read_log(const options& given)
 {
     std::unique_ptr<account_archive> archive;
@@ -95,9 +95,9 @@
     }
     http_call call;
     call.address = given.address;
-    call.target = "/v1/accounts/" + encode_token(given.customer);
+    call.target = "/v1/accounts/" + percent_encode(given.customer);
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "account: no reply from {}: {}\n", given.address, answer.reason);
         return exit_unreachable;
     }
--- a/tools/cactusloomctl/config.cpp
+++ b/tools/cactusloomctl/config.cpp
@@ -15,7 +15,7 @@
     std::uint64_t version = 0;
 };
 
-// The document in force, or nothing after printing why.
+// The active document; `code` is not exit_ok if it could not be fetched and the reason was printed.
 struct document_in_force {
     int code = exit_ok;
     std::map<std::string, section_in_force> sections;
@@ -29,7 +29,7 @@
     call.address = given.address;
     call.target = "/v1/config";
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "config: no reply from {}: {}\n", given.address, answer.reason);
         found.code = exit_unreachable;
         return found;
@@ -37,7 +37,7 @@
     const auto root = parse_json(answer.body);
     if (answer.status != 200 || !root || !root.value().isObject() ||
         !root.value()["sections"].isArray()) {
-        fmt::print(stderr, "config: the reply is not a document: {}\n", answer.body);
+        fmt::print(stderr, "config: the reply contains no document: {}\n", answer.body);
         found.code = exit_failed;
         return found;
     }
@@ -48,7 +48,7 @@
     return found;
 }
 
-// Parses a file as a whole document, or prints its faults.
+// Parses a file as a complete document; prints its errors and returns nullopt on failure.
 std::optional<document> parse_file(const std::string& path)
 {
     const auto text = read_file(path);
@@ -130,7 +130,7 @@
     if (found.code != exit_ok) {
         return found.code;
     }
-    // The file may be a whole document or the text of one section.
+    // The file may be a complete document or a single section.
     std::string content = *text;
     if (const auto whole = document::parse(*text); whole && given.section != whole_document) {
         content = whole.value().section_text(given.section);
@@ -150,10 +150,10 @@
     call.body = write_json(edit);
     call.limit = std::chrono::seconds{40};
     const auto answer = exchange(call);
-    if (answer.end != http_end::replied) {
+    if (answer.end != http_outcome::replied) {
         fmt::print(stderr, "config publish: no reply: {}; look at 'config history' for {}\n",
                    answer.reason, edit["id"].asString());
-        return answer.end == http_end::not_sent ? exit_unreachable : exit_unknown;
+        return answer.end == http_outcome::not_sent ? exit_unreachable : exit_unknown;
     }
     print_reply(answer.body, given.json);
     const auto root = parse_json(answer.body);
@@ -171,7 +171,7 @@
 struct action {
     std::string_view name;
     int (*run)(const options&);
-    std::size_t arguments; // with the action's own name
+    std::size_t arguments; // number, including the name of the action
 };
 
 constexpr action actions[] = {
