Log and measure what a late configuration is due to, and tests that show it

Change: at most 300 lines a second about single jobs; events reply_cut_off, configuration_awaited and queue_unknown; histograms of the lateness of the event loop and of the delay of a version. No logic is changed.

--- a/include/base/log.h
+++ b/include/base/log.h
@@ -7,13 +7,21 @@
 
 namespace cactusloom {
 
-// Writes one key=value line to standard output without ever blocking. If the pipe is full or more
-// than `max_log_lines_per_second` lines were written in this second, the line is dropped and
-// counted; the next line that is written is preceded by the count.
-void write_log_line(std::string_view event, std::string_view fields);
+// What a log line is about.
+enum class log_scope {
+    instance, // the state of this process
+    request,  // a single job or task
+};
 
 // At 20 us a line (docs/MEASUREMENTS.md) this is less than 1 % of a core.
 inline constexpr std::uint32_t max_log_lines_per_second = 400;
+// A flood of lines about requests must not displace those that explain it.
+inline constexpr std::uint32_t max_request_log_lines_per_second = 300;
+
+// Writes one key=value line to standard output without ever blocking. If the pipe is full or the
+// limit of this second is reached, the line is dropped and counted; the next line that is written
+// is preceded by the count.
+void write_log_line(log_scope scope, std::string_view event, std::string_view fields);
 
 // Makes standard output nonblocking. Without this call a full pipe would block the process.
 void make_log_nonblocking();
@@ -25,7 +33,14 @@
 template<typename... Args>
 void log_event(std::string_view event, fmt::format_string<Args...> format, Args&&... args)
 {
-    write_log_line(event, fmt::format(format, std::forward<Args>(args)...));
+    write_log_line(log_scope::instance, event, fmt::format(format, std::forward<Args>(args)...));
+}
+
+// Does the same for a line about a single job or task.
+template<typename... Args>
+void log_request_event(std::string_view event, fmt::format_string<Args...> format, Args&&... args)
+{
+    write_log_line(log_scope::request, event, fmt::format(format, std::forward<Args>(args)...));
 }
 
 } // namespace cactusloom
--- a/include/cell/configuration_exchange.h
+++ b/include/cell/configuration_exchange.h
@@ -2,10 +2,12 @@
 
 #include "base/timer_service.h"
 #include "cell/instance_mesh.h"
+#include "metrics/latency_histogram.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cactusloom {
@@ -28,6 +30,9 @@
     bool on_message(const std::string& peer, const Json::Value& message,
                     const instance_mesh::sender& reply);
 
+    // Time from a peer's announcement of a newer version until one was in force here.
+    const latency_histogram& delays() const { return delays_; }
+
     // Called with a configuration received from a peer; the platform's records before `next_offset`
     // are not newer.
     std::function<void(const std::string& text, std::uint64_t next_offset)> on_configuration;
@@ -41,8 +46,10 @@
     std::int64_t version_ = -1;
     std::string text_;
     std::uint64_t next_offset_ = 0;
-    std::uint64_t attempts_ = 0; // since the version in force was set
-    timer_id timer_ = 0;         // 0: no request is scheduled
+    std::uint64_t attempts_ = 0;                 // since the version in force was set
+    std::optional<monotonic_time> announced_at_; // of a newer version than the one in force
+    latency_histogram delays_;
+    timer_id timer_ = 0; // 0: no request is scheduled
 };
 
 } // namespace cactusloom
--- a/include/cell/dispatch_metrics.h
+++ b/include/cell/dispatch_metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "metrics/latency_histogram.h"
+
 #include <cstdint>
 #include <string>
 
@@ -8,8 +10,10 @@
 class cell_service;
 class caller_request_handler;
 
-// Counters of the network layer.
+// Counters of the network layer and of the event loop.
 struct network_counts {
+    const latency_histogram& event_loop_lateness;
+    const latency_histogram& configuration_delay; // since a peer announced the version
     std::uint64_t caller_connections = 0;
     std::uint64_t open_requests = 0;
     std::uint64_t connections_opened = 0; // to workers and the store
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -4,6 +4,7 @@
 #include "cell/cell_election.h"
 #include "cell/control_candidates.h"
 #include "cell/overload_detector.h"
+#include "metrics/latency_histogram.h"
 #include "net/frame_link.h"
 #include "net/poller.h"
 
@@ -95,6 +96,9 @@
     // Peers in contact that have a newer configuration than `version`.
     std::vector<std::string> peers_with_newer_config(std::int64_t version) const;
 
+    // How late the event loop has run a periodic timer, since the start.
+    const latency_histogram& event_loop_lateness() const { return event_loop_lateness_; }
+
     message_handler on_message;
     std::function<void()> on_change;                         // claims or liveness of a peer
     std::function<void()> on_newer_config;                   // a peer has a newer configuration
@@ -151,6 +155,7 @@
     int checks_ = 0;
     monotonic_time last_check_at_;
     overload_detector overload_detector_;
+    latency_histogram event_loop_lateness_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -17,6 +17,7 @@
     std::uint64_t reported = 0;
     std::int64_t second = 0;
     std::uint32_t lines_this_second = 0;
+    std::uint32_t request_lines_this_second = 0;
 };
 
 log_output& output()
@@ -37,7 +38,7 @@
 
 } // namespace
 
-void write_log_line(std::string_view event, std::string_view fields)
+void write_log_line(log_scope scope, std::string_view event, std::string_view fields)
 {
     auto& it = output();
     const auto now = std::chrono::system_clock::now();
@@ -45,11 +46,16 @@
     if (second != it.second) {
         it.second = second;
         it.lines_this_second = 0;
+        it.request_lines_this_second = 0;
     }
-    if (++it.lines_this_second > max_log_lines_per_second) {
+    const bool about_request = scope == log_scope::request;
+    if (it.lines_this_second >= max_log_lines_per_second ||
+        (about_request && it.request_lines_this_second >= max_request_log_lines_per_second)) {
         ++it.dropped;
         return;
     }
+    ++it.lines_this_second;
+    it.request_lines_this_second += about_request ? 1 : 0;
     std::string text;
     if (it.dropped != it.reported) {
         append_line(text, now, "log_lines_dropped",
--- a/src/cell/caller_request_handler.cpp
+++ b/src/cell/caller_request_handler.cpp
@@ -75,6 +75,8 @@
     }
     const auto* route = table_.find(host, path);
     if (route == nullptr) {
+        log_request_event("queue_unknown", "host={} path={} version={}", host, path,
+                          table_.version);
         return {false, 0, {caller_reply::kind::no_such_queue}};
     }
     return {true, route->path_prefix.size(), {}};
@@ -89,14 +91,14 @@
         return;
     }
     if (const auto* defect = find_job_defect(submitted.request)) {
-        log_event("job_malformed", "id={} reason=\"{}\"", submitted.request.id, defect);
+        log_request_event("job_malformed", "id={} reason=\"{}\"", submitted.request.id, defect);
         fn({caller_reply::kind::malformed});
         return;
     }
     if (!submitted.answer_at_end || !submitted.unsupported.empty()) {
-        log_event("job_refused", "id={} queue={} reason=\"not offered: {}\"", submitted.request.id,
-                  route->terms.queue,
-                  submitted.answer_at_end ? submitted.unsupported : "stored jobs");
+        log_request_event("job_refused", "id={} queue={} reason=\"not offered: {}\"",
+                          submitted.request.id, route->terms.queue,
+                          submitted.answer_at_end ? submitted.unsupported : "stored jobs");
         fn(not_run(unsupported_retry));
         return;
     }
@@ -109,8 +111,8 @@
     if (exit_at_) {
         request.time_left = std::min(request.time_left, *exit_at_ - arrived - exit_margin);
         if (request.time_left <= duration::zero()) {
-            log_event("job_refused", "id={} queue={} reason=\"the instance stops\"", request.id,
-                      route->terms.queue);
+            log_request_event("job_refused", "id={} queue={} reason=\"the instance stops\"",
+                              request.id, route->terms.queue);
             fn(not_run(other_instance_retry));
             return;
         }
--- a/src/cell/cell_service_internal.h
+++ b/src/cell/cell_service_internal.h
@@ -34,8 +34,9 @@
 
     void lose_controller(monotonic_time now, const char* reason)
     {
-        log_event("job_lost_controller", "id={} controller={} cell={} reason=\"{}\" age_ms={}",
-                  request.id, controller, cell, reason, (now - arrived).count() / 1000);
+        log_request_event("job_lost_controller",
+                          "id={} controller={} cell={} reason=\"{}\" age_ms={}", request.id,
+                          controller, cell, reason, (now - arrived).count() / 1000);
         controller.clear();
         former_workers.insert(sent_workers.get().begin(), sent_workers.get().end());
         sent_workers = {};
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -58,7 +58,7 @@
         message["id"] = job_id;
         message["cell"] = cell;
         if (!mesh_.send(controller, message)) {
-            log_event("abandon_unsent", "id={} controller={}", job_id, controller);
+            log_request_event("abandon_unsent", "id={} controller={}", job_id, controller);
         }
     }
 }
@@ -89,8 +89,8 @@
         if (!has_job(id)) {
             continue;
         }
-        log_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
-                  outcome.reason);
+        log_request_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
+                          outcome.reason);
         stop_and_answer(id, outcome);
     }
 }
@@ -116,9 +116,10 @@
     job.request.resumed = bound;
     job.request.former_workers = job.former_workers;
     if (job.may_have_run) {
-        log_event("job_sent_again", "id={} controller={} cell={} resumed={} time_left_ms={}",
-                  job.request.id, target->name, target_claim->cell, bound,
-                  (job.deadline - now).count() / 1000);
+        log_request_event("job_sent_again",
+                          "id={} controller={} cell={} resumed={} time_left_ms={}", job.request.id,
+                          target->name, target_claim->cell, bound,
+                          (job.deadline - now).count() / 1000);
     }
     job.request.age = now - job.arrived;
     job.request.time_left = job.deadline - now;
@@ -263,8 +264,8 @@
 void cell_service::fail_jobs(const std::vector<ended_job>& jobs)
 {
     for (const auto& [id, outcome] : jobs) {
-        log_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
-                  outcome.reason);
+        log_request_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
+                          outcome.reason);
         finish(id, outcome);
     }
 }
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -20,6 +20,9 @@
     : on_configuration([](const std::string&, std::uint64_t) {}), timers_(timers), mesh_(mesh)
 {
     mesh_.on_newer_config = [this] {
+        if (!announced_at_) {
+            announced_at_ = timers_.monotonic_now();
+        }
         if (timer_ == 0) {
             schedule_request(request_delay);
         }
@@ -35,6 +38,12 @@
 void configuration_exchange::set_current(std::int64_t version, std::string text,
                                          std::uint64_t offset)
 {
+    if (const auto announced_at = std::exchange(announced_at_, std::nullopt)) {
+        const auto delay = timers_.monotonic_now() - *announced_at;
+        delays_.record(delay);
+        log_event("configuration_awaited", "version={} for_ms={} requests={} bytes={}", version,
+                  delay.count() / 1000, attempts_, text.size());
+    }
     version_ = version;
     text_ = std::move(text);
     next_offset_ = offset + 1;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -167,9 +167,10 @@
             job.deadline) {
         return false;
     }
-    log_event("job_too_late", "id={} queue={} work_ahead_ms={} speed={:.1f} wait_ms={} due_ms={}",
-              job.request.id, job.request.terms.queue, static_cast<std::int64_t>(work / 1000),
-              speed, wait.count() / 1000, (job.due - now).count() / 1000);
+    log_request_event(
+        "job_too_late", "id={} queue={} work_ahead_ms={} speed={:.1f} wait_ms={} due_ms={}",
+        job.request.id, job.request.terms.queue, static_cast<std::int64_t>(work / 1000), speed,
+        wait.count() / 1000, (job.due - now).count() / 1000);
     finish(job, {job_end::not_run, retry_after(job, now), "no room before its objective"});
     return true;
 }
@@ -307,24 +308,26 @@
             break;
         }
         if (outcome.end != job_end::completed) {
-            log_event("job_ended", "id={} end={} reason=\"{}\" age_ms={} started={} pending={} {}",
-                      job.request.id, to_string(outcome.end), outcome.reason,
-                      (timers.monotonic_now() - job.arrived).count() / 1000, job.started,
-                      job.pending_tasks, describe_runs(job));
+            log_request_event("job_ended",
+                              "id={} end={} reason=\"{}\" age_ms={} started={} pending={} {}",
+                              job.request.id, to_string(outcome.end), outcome.reason,
+                              (timers.monotonic_now() - job.arrived).count() / 1000, job.started,
+                              job.pending_tasks, describe_runs(job));
         }
         if (outcome.end == job_end::completed || outcome.end == job_end::failed) {
             recent_outcomes[job.request.id] = {outcome, timers.monotonic_now()};
         }
         const auto now = timers.monotonic_now();
         if (outcome.end == job_end::completed && (now > job.due || is_sampled(job.request.id))) {
-            log_event("job_completed",
-                      "id={} queue={} late={} age_ms={} due_ms={} first_start_ms={} "
-                      "last_start_ms={} run_ms={}",
-                      job.request.id, job.request.terms.queue, now > job.due,
-                      (now - job.arrived).count() / 1000, (job.due - job.arrived).count() / 1000,
-                      (job.first_start_at - job.arrived).count() / 1000,
-                      (job.last_start_at - job.arrived).count() / 1000,
-                      policy.longest_run_time(job).count() / 1000);
+            log_request_event("job_completed",
+                              "id={} queue={} late={} age_ms={} due_ms={} first_start_ms={} "
+                              "last_start_ms={} run_ms={}",
+                              job.request.id, job.request.terms.queue, now > job.due,
+                              (now - job.arrived).count() / 1000,
+                              (job.due - job.arrived).count() / 1000,
+                              (job.first_start_at - job.arrived).count() / 1000,
+                              (job.last_start_at - job.arrived).count() / 1000,
+                              policy.longest_run_time(job).count() / 1000);
         }
         fn(outcome);
     }
@@ -467,10 +470,10 @@
         const auto limit = std::min(job->deadline, policy.useful_until(*job));
         if (now + wait + policy.optimistic_run_time(policy.longest_remaining_run_time(*job)) >
             limit) {
-            log_event("job_hopeless",
-                      "id={} queue={} wait_ms={} arriving_cores={:.1f} cores={:.1f}",
-                      job->request.id, job->request.terms.queue, wait.count() / 1000,
-                      demand.rate(now), cores);
+            log_request_event("job_hopeless",
+                              "id={} queue={} wait_ms={} arriving_cores={:.1f} cores={:.1f}",
+                              job->request.id, job->request.terms.queue, wait.count() / 1000,
+                              demand.rate(now), cores);
             finish(*job,
                    {job_end::not_run, retry_after(*job, now), "no room while an answer is of use"});
         }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -311,7 +311,7 @@
     }
     if (reply.status == command_status::reply_lost) {
         ++counts.starts_without_reply;
-        log_event("start_unanswered", "task={} run={} worker={}", name, number, worker_id);
+        log_request_event("start_unanswered", "task={} run={} worker={}", name, number, worker_id);
         if (run.at == task_run::phase::starting) {
             run.at = task_run::phase::unconfirmed;
         }
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -306,7 +306,8 @@
     auto& orphan = worker.orphans[row.task];
     if (orphan.seen_at == monotonic_time{}) {
         orphan.seen_at = now;
-        log_event("orphan_found", "worker={} task={} run={}", worker.report.id, row.task, row.run);
+        log_request_event("orphan_found", "worker={} task={} run={}", worker.report.id, row.task,
+                          row.run);
     }
     orphan.run = row.run;
     task_ref ref;
@@ -345,7 +346,7 @@
         }
     }
     for (const auto& name : missing) {
-        log_event("run_vanished", "worker={} task={}", worker.report.id, name);
+        log_request_event("run_vanished", "worker={} task={}", worker.report.id, name);
         end_run(worker, name, task_state::phase::pending);
     }
     for (auto& [name, run] : worker.runs) {
@@ -397,10 +398,11 @@
     ++task.moves;
     ++counts.stragglers_moved;
     task.avoid_worker = worker.report.id;
-    log_event("straggler_moved",
-              "task={} worker={} percent={} elapsed_ms={} predicted_ms={} slowness={:.1f} still={}",
-              to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
-              run.predicted.count() / 1000, worker.slowness, is_stalled);
+    log_request_event(
+        "straggler_moved",
+        "task={} worker={} percent={} elapsed_ms={} predicted_ms={} slowness={:.1f} still={}",
+        to_task_name(run.task), worker.report.id, percent, elapsed.count() / 1000,
+        run.predicted.count() / 1000, worker.slowness, is_stalled);
     if (is_stalled) {
         record_task_failure(worker, job, task);
     }
--- a/src/cell/dispatch_metrics.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -40,6 +40,8 @@
     add("connections_opened_total", network.connections_opened);
     add("log_lines_dropped_total", dropped_log_lines());
     handler.format_latencies(out);
+    network.event_loop_lateness.format(out, "cactusloom_event_loop_late_seconds", "");
+    network.configuration_delay.format(out, "cactusloom_configuration_delay_seconds", "");
     return out;
 }
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -70,6 +70,7 @@
     bool changed = false;
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
+        event_loop_lateness_.record(std::max(late, duration::zero()));
         if (late > link_check_interval) {
             discount_pause(late);
         }
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -70,6 +70,8 @@
     void send(const std::string& text, duration limit, callback fn)
     {
         fn_ = std::move(fn);
+        received_ = 0;
+        sent_at_ = client_.timers_.monotonic_now();
         parser_.emplace();
         parser_->eager(true);
         parser_->body_limit(max_reply_bytes);
@@ -101,8 +103,10 @@
     callback fn_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::string input_;
+    std::size_t received_ = 0; // bytes of the current reply
     bool connected_ = false;
     timer_id limit_timer_ = 0;
+    monotonic_time sent_at_{};
     monotonic_time idle_since_{};
 };
 
@@ -118,6 +122,7 @@
         on_closed();
         return;
     }
+    received_ += data.size();
     input_.append(data);
     boost::system::error_code ec;
     const auto n = parser_->put(boost::asio::const_buffer(input_.data(), input_.size()), ec);
@@ -137,6 +142,10 @@
 void pooled_http_client::connection::on_timeout()
 {
     limit_timer_ = 0;
+    if (received_ != 0) {
+        log_event("reply_cut_off", "received_bytes={} after_ms={}", received_,
+                  (client_.timers_.monotonic_now() - sent_at_).count() / 1000);
+    }
     stream_->close();
     on_closed();
 }
--- a/tests/cell/configuration_exchange_test.cpp
+++ b/tests/cell/configuration_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <glib.h>
+#include <thread>
 
 using namespace cactusloom;
 using namespace std::chrono_literals;
@@ -45,18 +46,19 @@
             own.exchange->on_configuration = [this, &own](const std::string& text,
                                                           std::uint64_t next) {
                 own.next_offset = next;
-                set_version(own, std::stoll(text), next - 1);
+                set_version(own, std::stoll(text), next - 1, text.substr(text.find(' ')));
             };
             BOOST_REQUIRE(own.mesh->listen(it.address));
             own.mesh->update_instances(addresses);
         }
     }
 
-    static void set_version(member& own, std::int64_t version, std::uint64_t offset)
+    static void set_version(member& own, std::int64_t version, std::uint64_t offset,
+                            const std::string& content = " ")
     {
         if (version > own.version) {
             own.version = version;
-            own.exchange->set_current(version, std::to_string(version), offset);
+            own.exchange->set_current(version, std::to_string(version) + content, offset);
             own.mesh->announce({}, false, version);
         }
     }
@@ -109,4 +111,19 @@
                          members["i2"].requests_received}) <= 3);
 }
 
+// Guards against an overloaded instance that learns of a version and never receives it, because it
+// gives up the transfer in every iteration of its event loop. A change must be in force within 3 s.
+BOOST_AUTO_TEST_CASE(a_version_arrives_although_every_iteration_is_late)
+{
+    start(3);
+    run_until([] { return false; }, 200ms);
+    const auto sent = timers.monotonic_now();
+    set_version(members["i0"], 5, 41, std::string(200000, ' '));
+    while (!all_have(5) && timers.monotonic_now() - sent < 3s) {
+        std::this_thread::sleep_for(500ms);
+        run_until([] { return false; }, 5ms);
+    }
+    BOOST_TEST(all_have(5));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -120,6 +120,18 @@
     BOOST_TEST(reconnects == 1); // b may have dropped pending requests
 }
 
+// Guards against an overloaded instance that replaces its links in every iteration of its event
+// loop, and with them loses what is on its way and sends all its jobs again.
+BOOST_AUTO_TEST_CASE(late_iterations_that_the_peer_tolerates_keep_the_link)
+{
+    for (int i = 0; i < 8; ++i) {
+        std::this_thread::sleep_for(350ms);
+        run_for(20ms);
+    }
+    BOOST_TEST(reconnects == 0);
+    BOOST_TEST(!was_down);
+}
+
 // Guards against heartbeats that take more than what an instance may spend on control, 9 KB/s, with
 // links to the eleven others of a full mesh. Changes must still arrive.
 BOOST_AUTO_TEST_CASE(heartbeats_without_changes_are_small)
--- a/tests/net/pooled_http_client_test.cpp
+++ b/tests/net/pooled_http_client_test.cpp
@@ -74,6 +74,53 @@
     std::thread thread_;
 };
 
+// Sends one reply in pieces with pauses between them, so that the whole takes longer than a time
+// limit that each pause is well within.
+class piecemeal_peer {
+public:
+    static constexpr std::size_t piece_bytes = 16384;
+
+    piecemeal_peer(std::size_t pieces, duration pause) : pieces_(pieces), pause_(pause)
+    {
+        port_ = g_socket_listener_add_any_inet_port(listener_.get(), nullptr, nullptr);
+        BOOST_REQUIRE(port_ != 0);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~piecemeal_peer() { thread_.join(); }
+    piecemeal_peer(const piecemeal_peer&) = delete;
+    piecemeal_peer& operator=(const piecemeal_peer&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+private:
+    void serve()
+    {
+        const object_ptr<GSocketConnection> link(
+            g_socket_listener_accept(listener_.get(), nullptr, nullptr, nullptr));
+        GSocket* socket = g_socket_connection_get_socket(link.get());
+        std::array<char, 1024> buf{};
+        g_socket_receive(socket, buf.data(), buf.size(), nullptr, nullptr);
+        std::string reply =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces_ * piece_bytes) +
+            "\r\n\r\n";
+        for (std::size_t i = 0; i < pieces_; ++i) {
+            reply.append(piece_bytes, 'x');
+            if (g_socket_send(socket, reply.data(), reply.size(), nullptr, nullptr) < 0) {
+                return;
+            }
+            reply.clear();
+            std::this_thread::sleep_for(pause_);
+        }
+    }
+
+    std::size_t pieces_;
+    duration pause_;
+    object_ptr<GSocketListener> listener_{g_socket_listener_new()};
+    guint16 port_ = 0;
+    std::thread thread_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(pooled_client)
@@ -106,4 +153,19 @@
     BOOST_TEST((own->timers.monotonic_now() - sent >= 100ms));
 }
 
+// Guards against a large reply that is given up, and fetched again from its first byte, although
+// its bytes keep arriving.
+BOOST_AUTO_TEST_CASE(a_reply_that_keeps_arriving_outlasts_the_limit)
+{
+    constexpr std::size_t pieces = 8;
+    std::optional<client_fixture> own(std::in_place);
+    const piecemeal_peer peer(pieces, 100ms);
+    own->call(peer.address(), 400ms);
+    run_until([&] { return own->outcome.has_value(); });
+    BOOST_REQUIRE(own->replied());
+    BOOST_TEST(std::get<http_response>(*own->outcome).body.size() ==
+               pieces * piecemeal_peer::piece_bytes);
+    own.reset();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
