Give up a reply only if its bytes stop arriving

Cause: the time limit of a call covered the whole transfer, and a transfer that was given up began again at its first byte. A configuration of 124 KB takes several iterations of the event loop, as one iteration reads at most 64 KB of a connection; with iterations of 0.4 s no read within 600 ms completes. A late iteration got 2 ms more, which is one turn of 128 sockets. Change: the limit counts from the last sign of the peer: the established connection or received bytes. When it expires, the socket is looked at first, in place of a fixed grace for the loop.

--- a/include/net/pooled_http_client.h
+++ b/include/net/pooled_http_client.h
@@ -26,8 +26,9 @@
     pooled_http_client(const pooled_http_client&) = delete;
     pooled_http_client& operator=(const pooled_http_client&) = delete;
 
-    // Sends a request to `address`, an "ip:port". `fn` runs later on the event loop, exactly once
-    // unless the client is destroyed first.
+    // Sends a request to `address`, an "ip:port". The request fails if the peer neither opens the
+    // connection nor sends a byte of the reply for `limit`. `fn` runs later on the event loop,
+    // exactly once unless the client is destroyed first.
     void call(const std::string& address, const http_request& request, duration limit, callback fn);
 
     // Closes the idle connections to an address.
--- a/include/net/tcp_stream.h
+++ b/include/net/tcp_stream.h
@@ -28,6 +28,10 @@
     // established.
     void write(std::string_view data);
 
+    // Handles at once what the event loop would handle at its next iteration: an established
+    // connection, received bytes or a close.
+    void handle_pending();
+
     // Closes the connection and discards queued bytes. on_closed is not called.
     void close();
 
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -20,10 +20,6 @@
 // Peers close idle connections after 15 s by default; a shorter limit avoids sending a request
 // while the peer closes the connection.
 constexpr duration idle_limit = std::chrono::seconds{9};
-// A timeout that fires this late means that the process was paused and replies may wait unread.
-constexpr duration pause_threshold = std::chrono::milliseconds{10};
-// Lets the loop read its sockets before the timeout takes effect.
-constexpr duration read_grace = std::chrono::milliseconds{2};
 constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
 std::string serialize(const std::string& address, const http_request& request)
@@ -62,7 +58,10 @@
 
     void set_handlers()
     {
-        stream_->on_connected = [this] { connected_ = true; };
+        stream_->on_connected = [this] {
+            connected_ = true;
+            progress_at_ = client_.timers_.monotonic_now();
+        };
         stream_->on_data = [this](std::string_view data) { receive(data); };
         stream_->on_closed = [this] { on_closed(); };
     }
@@ -72,18 +71,13 @@
         fn_ = std::move(fn);
         received_ = 0;
         sent_at_ = client_.timers_.monotonic_now();
+        progress_at_ = sent_at_;
+        limit_ = limit;
         parser_.emplace();
         parser_->eager(true);
         parser_->body_limit(max_reply_bytes);
         stream_->write(text);
-        const auto due = client_.timers_.monotonic_now() + limit;
-        limit_timer_ = client_.timers_.schedule(limit, [this, due] {
-            if (client_.timers_.monotonic_now() - due < pause_threshold) {
-                on_timeout();
-                return;
-            }
-            limit_timer_ = client_.timers_.schedule(read_grace, [this] { on_timeout(); });
-        });
+        limit_timer_ = client_.timers_.schedule(limit_, [this] { check_limit(); });
     }
 
     bool is_usable(monotonic_time now) const
@@ -93,7 +87,7 @@
 
 private:
     void receive(std::string_view data);
-    void on_timeout();
+    void check_limit();
     void on_closed();
     void finish(outcome value, bool keep_alive);
 
@@ -106,7 +100,9 @@
     std::size_t received_ = 0; // bytes of the current reply
     bool connected_ = false;
     timer_id limit_timer_ = 0;
+    duration limit_{};
     monotonic_time sent_at_{};
+    monotonic_time progress_at_{}; // when the peer was last known to respond
     monotonic_time idle_since_{};
 };
 
@@ -123,6 +119,7 @@
         return;
     }
     received_ += data.size();
+    progress_at_ = client_.timers_.monotonic_now();
     input_.append(data);
     boost::system::error_code ec;
     const auto n = parser_->put(boost::asio::const_buffer(input_.data(), input_.size()), ec);
@@ -139,9 +136,20 @@
     }
 }
 
-void pooled_http_client::connection::on_timeout()
+void pooled_http_client::connection::check_limit()
 {
+    const auto self = shared_from_this(); // the reply may end the last use of the connection
     limit_timer_ = 0;
+    // A late event loop may not have come to this socket since the reply arrived.
+    stream_->handle_pending();
+    if (!fn_ || limit_timer_ != 0) { // answered, and perhaps in use for the next request
+        return;
+    }
+    const auto left = progress_at_ + limit_ - client_.timers_.monotonic_now();
+    if (left > duration::zero()) {
+        limit_timer_ = client_.timers_.schedule(left, [this] { check_limit(); });
+        return;
+    }
     if (received_ != 0) {
         log_event("reply_cut_off", "received_bytes={} after_ms={}", received_,
                   (client_.timers_.monotonic_now() - sent_at_).count() / 1000);
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -163,6 +164,14 @@
     }
 }
 
+void tcp_stream::handle_pending()
+{
+    pollfd pending{descriptor_, static_cast<short>(connected_ ? POLLIN : POLLOUT), 0};
+    if (descriptor_ >= 0 && ::poll(&pending, 1, 0) > 0) {
+        handle(static_cast<std::uint32_t>(pending.revents)); // the same values as those of epoll
+    }
+}
+
 void tcp_stream::read_available()
 {
     std::array<char, read_chunk> buf{};
