Keep the links of an instance whose event loop is late

Seen: versions in force 4 to 5 s late on overloaded instances, and callers without an answer for 9 s after a slowdown had ended. Cause: after a pause of over 300 ms an instance closed all its links, as peers might have dropped its requests. In overload every iteration is such a pause. So each iteration threw away what was on its way, requests for the configuration among it, and sent all open jobs again, which made the next iteration late: the late event loop was taken for a fault of the connections. Pings also came only with every second check, so that a tolerable lateness became a silence that the peers did not tolerate. Requests were not old when their route was looked up: the refused one of 12.491 s was answered after 37 ms. Change: links stay; on_own_silence tells that no ping was sent for as long as peers tolerate, and only then are jobs sent again, on the same link. Submissions of a job are numbered, so that the outcome of an earlier one is not taken. A request for the configuration goes to the next peer at once if a link is not open, and is repeated less often, as a large reply may be on its way; a version that is in force already is not decoded again.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -106,8 +106,8 @@
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
     void dispatch(submitted_job& job, std::span<const instance_view> claim_holders);
     void redispatch();
-    void on_outcome(const std::string& job_id, const std::string& controller,
-                    const std::string& cell, const job_outcome& outcome);
+    struct job_submission;
+    void on_outcome(const job_submission& submission, const job_outcome& outcome);
     void finish(const std::string& job_id, const job_outcome& outcome);
     using ended_job = std::pair<std::string, job_outcome>;
     std::vector<ended_job> unassigned_jobs_to_fail() const;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -103,7 +104,10 @@
     std::function<void()> on_change;                         // claims or liveness of a peer
     std::function<void()> on_newer_config;                   // a peer has a newer configuration
     std::function<void(const std::string& peer)> on_restart; // a peer has lost its state
+    // A new link to the peer is open. What was sent on the old one may have been lost.
     std::function<void(const std::string& peer)> on_reconnect;
+    // This instance has been silent for so long that these peers may have dropped its requests.
+    std::function<void(std::span<const std::string> peers)> on_own_silence;
 
 private:
     struct peer;
@@ -111,6 +115,7 @@
 
     void check();
     void discount_pause(duration pause);
+    std::vector<std::string> peers_without_recent_ping() const;
     bool update_overload(duration late, duration elapsed);
     void update_link(peer& peer);
     void probe(peer& peer);
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -3,6 +3,8 @@
 #include "cell/mesh_codec.h"
 #include "cell_service_internal.h"
 
+#include <algorithm>
+
 namespace cactusloom {
 
 namespace {
@@ -35,6 +37,14 @@
         }
         redispatch();
     };
+    mesh_.on_own_silence = [this](std::span<const std::string> peers) {
+        for (auto& [id, job] : jobs_) {
+            if (std::ranges::find(peers, job->controller) != peers.end()) {
+                job->lose_controller(timers_.monotonic_now(), "own silence");
+            }
+        }
+        redispatch();
+    };
     mesh_.on_message = [this](const std::string& peer, const Json::Value& message,
                               const instance_mesh::sender& reply) {
         on_message(peer, message, reply);
@@ -99,7 +109,9 @@
         }
     }
     else if (kind == "outcome") {
-        on_outcome(message["id"].asString(), peer, message["cell"].asString(),
+        const auto& number = message["submission"];
+        on_outcome({message["id"].asString(), peer, message["cell"].asString(),
+                    number.isUInt() ? number.asUInt() : 0},
                    decode_outcome(message["outcome"]));
     }
     else {
@@ -113,9 +125,10 @@
     const auto cell = message["cell"].asString();
     auto request = decode_job(message["job"]);
     const auto id = request.id;
-    auto respond = [reply, id, cell](const job_outcome& outcome) {
+    auto respond = [reply, id, cell, number = message["submission"]](const job_outcome& outcome) {
         Json::Value out;
         out["t"] = "outcome";
+        out["submission"] = number;
         out["id"] = id;
         out["cell"] = cell;
         out["outcome"] = encode_outcome(outcome);
--- a/src/cell/cell_service_internal.h
+++ b/src/cell/cell_service_internal.h
@@ -7,6 +7,15 @@
 
 namespace cactusloom {
 
+// One submission of a job to a controller. `number` rises with each submission of the job; 0 if the
+// controller runs an earlier release and does not return it.
+struct cell_service::job_submission {
+    std::string job_id;
+    std::string controller;
+    std::string cell;
+    std::uint32_t number = 0;
+};
+
 // A caller's job, from its submission to this instance until its answer.
 struct cell_service::submitted_job {
     job_request request;
@@ -17,12 +26,20 @@
     monotonic_time arrived;
     monotonic_time deadline;
     bool sent = false;              // a controller may have started tasks
+    std::uint32_t submissions = 0;  // to controllers
     std::string sent_cell;          // the cell whose workers may run them
     shared_worker_set sent_workers; // newest set that its controller has announced
     worker_set former_workers;      // worker sets of earlier controllers
     monotonic_time lost_at;         // when contact with the controller, or its claim, was lost
     bool may_have_run = false;      // a lost controller may have started tasks
 
+    // True if `it` is the newest submission, whose outcome counts.
+    bool is_current(const job_submission& it) const
+    {
+        return controller == it.controller && cell == it.cell &&
+               (it.number == 0 || it.number == submissions);
+    }
+
     void send_to(const std::string& name, const cell_claim& claim)
     {
         controller = name;
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -124,6 +124,7 @@
     job.request.age = now - job.arrived;
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
+    const auto number = ++job.submissions;
     if (target->name == self.name) {
         const auto controlled = controlled_cells_.find(target_claim->cell);
         if (controlled == controlled_cells_.end()) {
@@ -132,9 +133,10 @@
         job.send_to(target->name, *target_claim);
         controlled->second->controller->submit(
             job.request, self.name,
-            [this, alive = alive_, id, cell = target_claim->cell](const job_outcome& outcome) {
+            [this, alive = alive_, id, number,
+             cell = target_claim->cell](const job_outcome& outcome) {
                 if (*alive) {
-                    on_outcome(id, mesh_.self().name, cell, outcome);
+                    on_outcome({id, mesh_.self().name, cell, number}, outcome);
                 }
             });
         return;
@@ -142,6 +144,7 @@
     Json::Value message;
     message["t"] = "submit";
     message["cell"] = target_claim->cell;
+    message["submission"] = number;
     message["job"] = encode_job(job.request);
     if (mesh_.send(target->name, message)) {
         job.send_to(target->name, *target_claim);
@@ -182,11 +185,11 @@
     }
 }
 
-void cell_service::on_outcome(const std::string& job_id, const std::string& controller,
-                              const std::string& cell, const job_outcome& outcome)
+void cell_service::on_outcome(const job_submission& submission, const job_outcome& outcome)
 {
+    const auto& job_id = submission.job_id;
     const auto it = jobs_.find(job_id);
-    if (it == jobs_.end() || it->second->controller != controller || it->second->cell != cell) {
+    if (it == jobs_.end() || !it->second->is_current(submission)) {
         return; // outcome of an earlier submission
     }
     auto& job = *it->second;
@@ -200,7 +203,7 @@
         return;
     }
     if (outcome.end == job_end::not_run) {
-        job.refused_by.insert(cell);
+        job.refused_by.insert(submission.cell);
         job.controller.clear();
         job.sent = false;                     // no task has run there
         dispatch(job, mesh_.claim_holders()); // may end the job synchronously
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusloom {
@@ -13,6 +14,7 @@
 constexpr duration request_delay = std::chrono::milliseconds{50};
 // A large configuration takes 80 ms on the slowest link, of 20 Mbit/s.
 constexpr duration reply_timeout = std::chrono::milliseconds{300};
+constexpr std::uint64_t max_reply_timeout_doublings = 2;
 
 } // namespace
 
@@ -62,13 +64,19 @@
     if (peers.empty()) {
         return;
     }
-    const auto& peer = peers[(hash64(mesh_.self().name) + attempts_++) % peers.size()];
     Json::Value request;
     request["t"] = "config_request";
-    if (!mesh_.send(peer, request)) {
-        log_event("config_request_unsent", "instance={}", peer);
+    const auto first = hash64(mesh_.self().name) + attempts_;
+    bool sent = false;
+    for (std::size_t i = 0; i < peers.size() && !sent; ++i) {
+        sent = mesh_.send(peers[(first + i) % peers.size()], request);
     }
-    schedule_request(reply_timeout);
+    if (!sent) {
+        log_event("config_request_unsent", "peers={}", peers.size());
+    }
+    // A large reply may be on its way over a slow link; another one would delay it.
+    schedule_request(reply_timeout * (1 << std::min(attempts_, max_reply_timeout_doublings)));
+    ++attempts_;
 }
 
 bool configuration_exchange::on_message(const std::string& peer, const Json::Value& message,
@@ -79,6 +87,7 @@
         if (!text_.empty()) {
             Json::Value out;
             out["t"] = "config";
+            out["version"] = Json::Int64{version_};
             out["text"] = text_;
             out["next_offset"] = Json::UInt64{next_offset_};
             reply(out);
@@ -92,6 +101,9 @@
         log_event("config_message_unreadable", "instance={}", peer);
         return true;
     }
+    if (message["version"].isInt64() && message["version"].asInt64() <= version_) {
+        return true; // arrived on another way meanwhile
+    }
     on_configuration(message["text"].asString(),
                      message["next_offset"].isUInt64() ? message["next_offset"].asUInt64() : 0);
     return true;
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -22,8 +22,8 @@
 instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
     : on_message([](const std::string&, const Json::Value&, const sender&) {}), on_change([] {}),
       on_newer_config([] {}), on_restart([](const std::string&) {}),
-      on_reconnect([](const std::string&) {}), events_(events), timers_(timers),
-      self_(std::move(self))
+      on_reconnect([](const std::string&) {}), on_own_silence([](std::span<const std::string>) {}),
+      events_(events), timers_(timers), self_(std::move(self))
 {
 }
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -21,6 +21,8 @@
 // regions), however busy the process is.
 constexpr duration handshake_timeout = std::chrono::milliseconds{120};
 constexpr duration connect_timeout = std::chrono::milliseconds{400};
+// Upper bound of the time from the end of a pause until a ping arrives.
+constexpr duration ping_delivery_time = std::chrono::milliseconds{100};
 constexpr duration discovery_timeout = std::chrono::seconds{2};
 
 } // namespace
@@ -68,11 +70,15 @@
     const auto now = timers_.monotonic_now();
     const auto last = std::exchange(last_check_at_, now);
     bool changed = false;
+    bool paused = false;
+    std::vector<std::string> unpinged;
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
         event_loop_lateness_.record(std::max(late, duration::zero()));
-        if (late > link_check_interval) {
+        paused = late > link_check_interval;
+        if (paused) {
             discount_pause(late);
+            unpinged = peers_without_recent_ping();
         }
         changed = update_overload(late, now - last);
     }
@@ -98,12 +104,15 @@
         }
     }
     const bool promoted = !std::exchange(was_candidate_, is_candidate()) && is_candidate();
-    if (checks_++ % checks_per_heartbeat == 0 || promoted) {
+    if (checks_++ % checks_per_heartbeat == 0 || promoted || paused) {
         send_pings();
     }
     if (changed) {
         on_change();
     }
+    if (!unpinged.empty()) {
+        on_own_silence(unpinged);
+    }
 }
 
 // Returns a ping or its reply. It includes the state only if that has changed since it was last
@@ -181,8 +190,7 @@
 }
 
 // Replies wait unread after a pause of this process, so the pause does not count as silence of the
-// peers. For the peers the time did pass: what they may have dropped meanwhile (`has_heard_from`)
-// is not restored.
+// peers. The links stay: what is on its way on them still arrives.
 void instance_mesh::discount_pause(duration pause)
 {
     log_event("paused", "for_ms={}", pause.count() / 1000);
@@ -194,10 +202,21 @@
         if (it.last_pong != monotonic_time{}) {
             it.last_pong += pause;
         }
-        if (pause > silence_limit / 2) {
-            it.closed = true; // the peer may have dropped requests that were sent on this link
+    }
+}
+
+// Peers that may not have heard from this instance for their silence limit.
+std::vector<std::string> instance_mesh::peers_without_recent_ping() const
+{
+    const auto now = timers_.monotonic_now();
+    std::vector<std::string> names;
+    for (const auto& [name, it] : peers_) {
+        if (it->link && is_monitored_closely(*it) &&
+            now - it->pinged_at > silence_limit - ping_delivery_time) {
+            names.push_back(name);
         }
     }
+    return names;
 }
 
 // Replaces a link that is closed, silent or not opened in time.
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -7,6 +7,8 @@
 
 #include <glib.h>
 #include <limits>
+#include <span>
+#include <thread>
 
 using namespace cactusloom;
 using namespace std::chrono_literals;
@@ -165,6 +167,29 @@
     }
 }
 
+// Guards against jobs that are lost, or answered by the outcome of an earlier submission, if they
+// are sent again on the same link after a pause during which their controller has dropped them.
+BOOST_AUTO_TEST_CASE(a_job_is_sent_again_after_a_pause_and_gets_the_outcome_of_the_last_submission)
+{
+    fleet.work = [](const std::string&) { return duration{300ms}; };
+    start("a", 17404);
+    start("b", 17405);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto owner = controller();
+    const std::string submitter = owner == "a" ? "b" : "a";
+    submit(submitter, cell_fixture::job("j", 4, 300ms));
+    run_until([&] { return fleet.total_starts() == 4; }, 1s);
+    std::this_thread::sleep_for(700ms);
+    for (int i = 0; i < 30; ++i) {
+        run_until([] { return false; }, 2ms);
+        members[submitter].mesh->on_own_silence(std::span(&owner, 1));
+    }
+    BOOST_TEST(run_until([&] { return completed("j"); }, 3s));
+    for (const auto& it : fleet.violations()) {
+        BOOST_ERROR(it);
+    }
+}
+
 // Guards against reporting `not_run` for a job that an earlier controller may have run.
 BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_controller_is_unknown)
 {
