Do not hand cells from one overloaded instance to the next

Seen: after a slowdown callers had no answer for 9 s, and controllers put versions in force 3 s late under five times the traffic. Cause: a controller whose event loop is late gave its cell away, which is right for a slow machine. Under too much traffic the load follows the cell: the next holder got all open jobs (700 to 1,700) again, was late within half a second and gave the cell on. Late peers were also taken for lost after 600 ms, and lost all jobs once more. Change: an instance that claims a cell while a peer is overloaded keeps its cells for 5 s; a peer that has announced its overload may be silent for 600 ms more, unless its machine opens no connection. The new test of the election does not compile without the change; its last check is the earlier behaviour.

--- a/include/cell/cell_election.h
+++ b/include/cell/cell_election.h
@@ -32,6 +32,7 @@
     bool linked = true;      // this instance has its own link to it and judges its liveness by that
     bool connection_refused = false; // its machine is reachable, but no process listens
     bool reply_overdue = false;      // its reply to a ping is late
+    bool keeps_cells = false; // although overloaded: its load would follow them to the next holder
 };
 
 // Name of the cell of all workers, used while one controller can handle them all.
@@ -41,7 +42,7 @@
 // Two controllers of a cell are resolved by the workers, which accept the higher token only, and
 // this rule makes all instances in contact agree on the holder of the highest token. A live holder
 // keeps its cell, so that a returning instance causes no change; but an overloaded one yields it to
-// an instance that is not overloaded, unless that one is much weaker.
+// an instance that is not overloaded, unless that one is much weaker, or it keeps its cells.
 class cell_election {
 public:
     struct decision {
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -97,6 +97,7 @@
     void on_fenced(const std::string& cell);
     void announce();
     bool is_ready_to_claim() const;
+    bool is_any_peer_overloaded() const;
     bool is_contested(std::string_view cell) const;
     std::vector<std::string> cells_to_control(isolation_tracker::phase partition_phase) const;
     std::vector<std::string> controlled_cell_names() const;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -62,6 +62,9 @@
     // Sets what this instance announces, and sends it at once if it has changed.
     void announce(std::vector<cell_claim> claims, bool leaving, std::int64_t config_version);
 
+    // Announces that this instance keeps its cells until then, even if it becomes overloaded.
+    void keep_cells_until(monotonic_time end);
+
     // Sends on the own link; returns false if that link is not open.
     bool send(std::string_view peer, const Json::Value& message);
 
@@ -117,6 +120,7 @@
     void discount_pause(duration pause);
     std::vector<std::string> peers_without_recent_ping() const;
     bool update_overload(duration late, duration elapsed);
+    bool keeps_cells() const;
     void update_link(peer& peer);
     void probe(peer& peer);
     void reconnect_if_stalled(peer& peer);
@@ -128,6 +132,7 @@
     void ping(peer& peer);
     bool is_monitored_closely(const peer& peer) const;
     duration extra_silence_allowed(const peer& peer) const;
+    duration silence_limit_of(const peer& peer) const;
     void accept(std::shared_ptr<tcp_stream> stream);
     void on_inbound(inbound& link, std::string_view text);
     bool is_alive(const peer& peer) const;
@@ -160,6 +165,8 @@
     int checks_ = 0;
     monotonic_time last_check_at_;
     overload_detector overload_detector_;
+    monotonic_time keeps_cells_until_;
+    bool announced_keeping_cells_ = false;
     latency_histogram event_loop_lateness_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/cell_election.cpp
+++ b/src/cell/cell_election.cpp
@@ -70,8 +70,8 @@
             best = &it;
         }
     }
-    const bool should_yield = holder != nullptr && holder->overloaded && best != nullptr &&
-                              !best->overloaded &&
+    const bool should_yield = holder != nullptr && holder->overloaded && !holder->keeps_cells &&
+                              best != nullptr && !best->overloaded &&
                               best->cpu_share >= min_relief_cpu_ratio * holder->cpu_share;
     if (holder != nullptr && !should_yield) {
         out.controller = holder->name;
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -12,6 +12,9 @@
 // Allows for a connection setup and two heartbeats, after which the claims of the peers are known.
 constexpr duration election_grace = std::chrono::milliseconds{700};
 constexpr duration fence_reaction_delay = std::chrono::milliseconds{200};
+// After a change of control every open job is sent again, which overloads the next holder for a
+// while.
+constexpr duration min_time_between_reliefs = std::chrono::seconds{5};
 // A controller of the weakest deployed kind (a quarter of a core) handles about 60 workers at peak;
 // a fleet with more workers than this limit is split into one cell per data centre.
 constexpr std::size_t max_workers_of_single_cell = 120;
@@ -214,6 +217,15 @@
                     above + 1 + instance_bits);
 }
 
+// If so, the cell may come from an instance that yielded it. When this one becomes overloaded as
+// well, the load is the cause and not the machine.
+bool cell_service::is_any_peer_overloaded() const
+{
+    return std::ranges::any_of(mesh_.linked_views(), [this](const auto& it) {
+        return it.name != mesh_.self().name && it.alive && it.overloaded;
+    });
+}
+
 void cell_service::claim(const std::string& cell, std::uint64_t above)
 {
     const auto token = next_token(above);
@@ -227,6 +239,9 @@
     }
     controlled->token = token;
     controlled->controller->claim(token);
+    if (is_any_peer_overloaded()) {
+        mesh_.keep_cells_until(timers_.monotonic_now() + min_time_between_reliefs);
+    }
     announce();
     update_worker_list_mode();
     on_claim();
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -125,6 +125,18 @@
     }
 }
 
+void instance_mesh::keep_cells_until(monotonic_time end)
+{
+    keeps_cells_until_ = std::max(keeps_cells_until_, end);
+    announced_keeping_cells_ = keeps_cells();
+    ++state_number_; // goes out with the announcement of the claim
+}
+
+bool instance_mesh::keeps_cells() const
+{
+    return timers_.monotonic_now() < keeps_cells_until_;
+}
+
 bool instance_mesh::send(std::string_view name, const Json::Value& message)
 {
     const auto it = peers_.find(name);
@@ -182,7 +194,11 @@
             true,
             leaving_ || !is_candidate(),
             claims_,
-            overload_detector_.is_overloaded()};
+            overload_detector_.is_overloaded(),
+            true,
+            false,
+            false,
+            announced_keeping_cells_};
 }
 
 instance_view instance_mesh::view_of(const std::string& name, const peer& it) const
@@ -200,6 +216,7 @@
     out.overloaded = it.overloaded;
     out.connection_refused = it.connection_refused;
     out.reply_overdue = reply_overdue(it);
+    out.keeps_cells = it.keeps_cells;
     return out;
 }
 
@@ -292,6 +309,7 @@
     message["number"] = Json::UInt64{state_number_};
     message["leaving"] = leaving_;
     message["strained"] = overload_detector_.is_overloaded();
+    message["keeps_cells"] = announced_keeping_cells_;
     message["config"] = Json::Int64{config_version_};
     return message;
 }
@@ -314,12 +332,15 @@
     auto claims = decode_claims(message["claims"]);
     const bool leaving = message["leaving"].asBool();
     const bool overloaded = message["strained"].asBool();
+    const auto& keeps = message["keeps_cells"];
+    const bool keeps_cells = keeps.isBool() && keeps.asBool();
     const bool changed = leaving != it.leaving || overloaded != it.overloaded ||
-                         !std::ranges::equal(claims, it.claims);
+                         keeps_cells != it.keeps_cells || !std::ranges::equal(claims, it.claims);
     candidates_valid_ &= claims.empty() == it.claims.empty();
     it.claims = std::move(claims);
     it.leaving = leaving;
     it.overloaded = overloaded;
+    it.keeps_cells = keeps_cells;
     it.config_version = message["config"].asInt64();
     if (it.config_version > config_version_) {
         on_newer_config();
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -7,6 +7,8 @@
 // Silence after which a process counts as lost even though its machine answers. Six heartbeats: a
 // lost packet is retransmitted within one to two hundred ms.
 inline constexpr duration silence_limit = std::chrono::milliseconds{600};
+// Additional silence allowed to a process that has announced that it is overloaded.
+inline constexpr duration overload_slack = std::chrono::milliseconds{600};
 inline constexpr duration link_check_interval = std::chrono::milliseconds{50};
 // An instance that cannot become controller pings less often those peers that its jobs do not
 // depend on, because a candidate answers every instance of the deployment.
@@ -38,6 +40,7 @@
     std::vector<cell_claim> claims;
     bool leaving = false;
     bool overloaded = false;
+    bool keeps_cells = false;
     std::int64_t config_version = -1;
 };
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -35,7 +35,7 @@
     // After a pause of this process, replies wait unread: the time of the last check counts until
     // the next check.
     const auto as_of = std::min(timers_.monotonic_now(), last_check_at_ + 2 * link_check_interval);
-    return as_of - it.last_pong < silence_limit + extra_silence_allowed(it);
+    return as_of - it.last_pong < silence_limit_of(it);
 }
 
 // True if this instance may have to take over from the peer, or sends its jobs there.
@@ -52,6 +52,13 @@
     return is_monitored_closely(it) ? duration::zero() : slow_heartbeat_slack;
 }
 
+// An instance that has announced its overload is slow, not lost: its machine accepts connections.
+duration instance_mesh::silence_limit_of(const peer& it) const
+{
+    return silence_limit + extra_silence_allowed(it) +
+           (it.overloaded ? overload_slack : duration::zero());
+}
+
 bool instance_mesh::reply_overdue(const peer& it) const
 {
     return it.unanswered_since != monotonic_time{} &&
@@ -179,8 +186,13 @@
 {
     const bool before = overload_detector_.is_overloaded();
     overload_detector_.add_sample(late, elapsed, last_check_at_);
+    const bool kept = std::exchange(announced_keeping_cells_, keeps_cells()) && !keeps_cells();
     if (overload_detector_.is_overloaded() == before) {
-        return false;
+        if (kept) {
+            ++state_number_;
+            send_state();
+        }
+        return kept;
     }
     log_event(before ? "strain_over" : "strained", "late_ms={} of_ms={}", late.count() / 1000,
               elapsed.count() / 1000);
@@ -249,7 +261,7 @@
     // A process that was only paused answers on both connections at the same time.
     const bool broken = it.probe_answered_at != monotonic_time{} &&
                         now - it.probe_answered_at >= link_check_interval;
-    if (it.unreachable || broken || silence > silence_limit + extra_silence_allowed(it)) {
+    if (it.unreachable || broken || silence > silence_limit_of(it)) {
         log_event("link_given_up", "instance={} silent_ms={} unreachable={} probe_answered={}",
                   it.address.name, silence.count() / 1000, it.unreachable, broken);
         open(it);
--- a/tests/cell/cell_election_test.cpp
+++ b/tests/cell/cell_election_test.cpp
@@ -111,6 +111,20 @@
     BOOST_TEST(cell_election::decide("*", "b", views).controller == "a");
 }
 
+// Guards against control that moves from one instance to the next while too much traffic, and not
+// the machine, is the cause of the overload: every move sends all open jobs again.
+BOOST_AUTO_TEST_CASE(an_overloaded_holder_that_has_just_taken_over_keeps_its_cell)
+{
+    std::vector<instance_view> views = {
+        view("first", "x", true, {{std::string(all_workers_cell), 7}}), view("second", "x")};
+    views[0].overloaded = true;
+    views[0].keeps_cells = true;
+    BOOST_TEST(cell_election::decide(all_workers_cell, "first", views).controller == "first");
+    BOOST_TEST(!cell_election::decide(all_workers_cell, "second", views).should_claim);
+    views[0].keeps_cells = false;
+    BOOST_TEST(cell_election::decide(all_workers_cell, "second", views).should_claim);
+}
+
 // Guards against control that moves at every short pause, or back and forth.
 BOOST_AUTO_TEST_CASE(overload_needs_several_late_ticks_and_ends_after_a_recovery_time)
 {
