Bound the time of an iteration of the event loop

Cause: one iteration handled up to 128 sockets and 256 timers whatever that took. A controller reads 64 KB of jobs from each of 29 links in it, several hundred jobs of 0.4 ms of a core; with 0.3 or 0.5 of a core an iteration took one to two seconds. Heartbeats, the configuration and answers that were ready waited behind it, peers took the instance for lost and sent all jobs again. Change: an iteration takes new events, eight at a time, for 10 ms, and timers for 10 ms. A pass that starts tasks waits as long as the one before took, 20 ms at most, since there are more iterations now. A log line beyond the limit is not formatted any more.

--- a/src/base/glib_timer_service.cpp
+++ b/src/base/glib_timer_service.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// Limits the callbacks per loop iteration, so that sockets are served while many timers are due.
-constexpr int max_callbacks_per_turn = 256;
+// Bounds the work of one loop iteration, so that sockets are served while many timers are due.
+constexpr duration max_turn_time = std::chrono::milliseconds{10};
 
 gint64 to_ready_time(monotonic_time time)
 {
@@ -38,8 +38,9 @@
         state_->source,
         [](gpointer data) -> gboolean {
             auto* service = static_cast<glib_timer_service*>(data);
-            for (int n = 0; n < max_callbacks_per_turn; ++n) {
-                const auto fn = service->state_->queue.take_due(service->monotonic_now());
+            const auto begin = service->monotonic_now();
+            for (auto now = begin; now - begin < max_turn_time; now = service->monotonic_now()) {
+                const auto fn = service->state_->queue.take_due(now);
                 if (!fn) {
                     break;
                 }
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -38,11 +38,10 @@
 
 } // namespace
 
-void write_log_line(log_scope scope, std::string_view event, std::string_view fields)
+bool reserve_log_line(log_scope scope)
 {
     auto& it = output();
-    const auto now = std::chrono::system_clock::now();
-    const auto second = std::chrono::system_clock::to_time_t(now);
+    const auto second = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     if (second != it.second) {
         it.second = second;
         it.lines_this_second = 0;
@@ -52,10 +51,17 @@
     if (it.lines_this_second >= max_log_lines_per_second ||
         (about_request && it.request_lines_this_second >= max_request_log_lines_per_second)) {
         ++it.dropped;
-        return;
+        return false;
     }
     ++it.lines_this_second;
     it.request_lines_this_second += about_request ? 1 : 0;
+    return true;
+}
+
+void write_log_line(std::string_view event, std::string_view fields)
+{
+    auto& it = output();
+    const auto now = std::chrono::system_clock::now();
     std::string text;
     if (it.dropped != it.reported) {
         append_line(text, now, "log_lines_dropped",
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -24,6 +24,9 @@
 constexpr int overdue_divisor = 10;
 // A worker whose speed is within this ratio of the fastest kind counts as fast.
 constexpr double fast_ratio = 1.1;
+// A pass follows the one before after as long as that took, so that passes over a long backlog
+// leave half of the processor time to other work.
+constexpr duration max_start_pass_delay = std::chrono::milliseconds{20};
 constexpr duration idle_log_interval = std::chrono::milliseconds{250};
 constexpr duration unknown_wait = std::chrono::seconds{3600};
 
@@ -35,10 +38,12 @@
         return;
     }
     start_pass_scheduled = true;
-    timers.schedule(duration::zero(), [this, alive = alive] {
+    timers.schedule(std::min(start_pass_time, max_start_pass_delay), [this, alive = alive] {
         if (*alive) {
             start_pass_scheduled = false;
+            const auto begin = timers.monotonic_now();
             start_pending_tasks();
+            start_pass_time = timers.monotonic_now() - begin;
         }
     });
 }
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -62,6 +62,7 @@
     monotonic_time idle_logged_at;
     std::map<std::string, recent_outcome, std::less<>> recent_outcomes;
     bool start_pass_scheduled = false;
+    duration start_pass_time{}; // of the last pass
     timer_id tick_timer = 0;
     // Callbacks of commands and timers may run after the controller has been destroyed.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -12,7 +12,10 @@
 
 namespace {
 
-constexpr int max_events_per_turn = 128;
+// Few, so that the time is checked often: one event can bring dozens of jobs.
+constexpr int max_events_per_wait = 8;
+// Bounds the work of one loop iteration, so that timers run on time while many sockets are ready.
+constexpr gint64 max_turn_us = 10000;
 
 struct epoll_source {
     GSource base;
@@ -65,16 +68,21 @@
         }
     };
     it->run_events = [](poller* self) {
-        std::array<epoll_event, max_events_per_turn> events{};
-        const int n = epoll_wait(self->state_->epoll, events.data(), max_events_per_turn, 0);
-        for (int i = 0; i < n; ++i) {
-            const auto& event = events[static_cast<std::size_t>(i)];
-            const auto found = self->state_->handlers.find(event.data.fd);
-            if (found != self->state_->handlers.end()) {
-                const auto fn = found->second;
-                (*fn)(event.events);
+        std::array<epoll_event, max_events_per_wait> events{};
+        const auto end = g_get_monotonic_time() + max_turn_us;
+        int n = 0;
+        do {
+            // Ready descriptors are reported in turn, so those left over come first next time.
+            n = epoll_wait(self->state_->epoll, events.data(), max_events_per_wait, 0);
+            for (int i = 0; i < n; ++i) {
+                const auto& event = events[static_cast<std::size_t>(i)];
+                const auto found = self->state_->handlers.find(event.data.fd);
+                if (found != self->state_->handlers.end()) {
+                    const auto fn = found->second;
+                    (*fn)(event.events);
+                }
             }
-        }
+        } while (n == max_events_per_wait && g_get_monotonic_time() < end);
     };
     g_source_add_unix_fd(state_->source, state_->epoll, G_IO_IN);
     g_source_attach(state_->source, context);
