Refuse submissions that waited unread until they were outdated

Cause: a requester that loses its controller sends the job to another cell after lost_job_quarantine (1.1 s), by when no run of it should be left. A controller whose event loop is late by seconds reads the submission after that and takes it for a new one. Change: replies to pings carry the clock of the replying instance, submissions return the newest one, and a controller answers one that is over 900 ms old as not run. Measured: the new test of the service fails without the check (one start) and passes with it.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -105,6 +105,8 @@
     void drop_lost_requesters();
 
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
+    void abandon_at(const std::string& controller, const std::string& cell,
+                    const std::string& job_id);
     void dispatch(submitted_job& job, std::span<const instance_view> claim_holders);
     void redispatch();
     struct job_submission;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -88,6 +88,13 @@
     // True if a peer's reply to a ping is overdue. What is sent to it now may arrive late or never.
     bool reply_overdue(std::string_view peer) const;
 
+    // Time of an instance's steady clock, in ms. A message that returns the clock which its
+    // receiver last sent to the peer cannot be older than that.
+    std::int64_t own_clock_ms() const;
+
+    // Clock in the newest reply of a peer; -1 if it has not replied yet.
+    std::int64_t peer_clock_ms(std::string_view peer) const;
+
     // True if every known candidate for control is in contact, has no process (its machine refuses
     // connections), or cannot be reached. Then no unknown claim of an instance in contact can
     // exist.
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{50};
+// A submission that has waited unread for longer may have been sent elsewhere meanwhile: the
+// requester does so after lost_job_quarantine. Replies to slow heartbeats are 500 ms apart.
+constexpr duration max_submission_age = std::chrono::milliseconds{900};
+constexpr duration outdated_retry_after = std::chrono::seconds{2};
 
 } // namespace
 
@@ -139,6 +143,16 @@
         respond({job_end::moved, {}, "not in control"});
         return;
     }
+    const auto& as_of = message["as_of"];
+    if (as_of.isInt64() && as_of.asInt64() >= 0) {
+        const auto age = std::chrono::milliseconds{mesh_.own_clock_ms() - as_of.asInt64()};
+        if (age > max_submission_age) {
+            log_request_event("submission_outdated", "id={} requester={} age_ms={}", id, peer,
+                              age.count());
+            respond({job_end::not_run, outdated_retry_after, "the submission arrived late"});
+            return;
+        }
+    }
     controlled->second->requesters.insert(peer);
     controlled->second->controller->submit(std::move(request), peer, std::move(respond));
 }
--- a/src/cell/cell_service_internal.h
+++ b/src/cell/cell_service_internal.h
@@ -4,6 +4,7 @@
 #include "cell/cell_service.h"
 
 #include <set>
+#include <utility>
 
 namespace cactusloom {
 
@@ -22,6 +23,7 @@
     answer fn;
     std::string controller; // empty: waiting for one
     std::string cell;
+    std::string former_controller;    // lost, and not told that the job goes elsewhere
     std::set<std::string> refused_by; // cells that had no capacity
     monotonic_time arrived;
     monotonic_time deadline;
@@ -54,7 +56,7 @@
         log_request_event("job_lost_controller",
                           "id={} controller={} cell={} reason=\"{}\" age_ms={}", request.id,
                           controller, cell, reason, (now - arrived).count() / 1000);
-        controller.clear();
+        former_controller = std::exchange(controller, {});
         former_workers.insert(sent_workers.get().begin(), sent_workers.get().end());
         sent_workers = {};
         lost_at = now;
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -46,20 +46,29 @@
     const auto controller = it->second->controller;
     const auto cell = it->second->cell;
     jobs_.erase(it);
+    if (!controller.empty()) {
+        abandon_at(controller, cell, job_id);
+    }
+}
+
+// Tells a controller that nobody waits for the job any more.
+void cell_service::abandon_at(const std::string& controller, const std::string& cell,
+                              const std::string& job_id)
+{
     if (controller == mesh_.self().name) {
         if (const auto controlled = controlled_cells_.find(cell);
             controlled != controlled_cells_.end()) {
             controlled->second->controller->abandon(job_id);
         }
+        return;
     }
-    else if (!controller.empty()) {
-        Json::Value message;
-        message["t"] = "abandon";
-        message["id"] = job_id;
-        message["cell"] = cell;
-        if (!mesh_.send(controller, message)) {
-            log_request_event("abandon_unsent", "id={} controller={}", job_id, controller);
-        }
+    Json::Value message;
+    message["t"] = "abandon";
+    message["id"] = job_id;
+    message["cell"] = cell;
+    if (!mesh_.send(controller,
+                    message)) { // it drops the jobs of requesters that are out of contact
+        log_request_event("abandon_unsent", "id={} controller={}", job_id, controller);
     }
 }
 
@@ -112,6 +121,10 @@
     }
     if (!bound) {
         job.former_workers.clear(); // no task of an earlier submission runs any more
+        const auto former = std::exchange(job.former_controller, {});
+        if (!former.empty() && (former != target->name || job.sent_cell != target_claim->cell)) {
+            abandon_at(former, job.sent_cell, job.request.id); // it may still read the submission
+        }
     }
     job.request.resumed = bound;
     job.request.former_workers = job.former_workers;
@@ -145,6 +158,7 @@
     message["t"] = "submit";
     message["cell"] = target_claim->cell;
     message["submission"] = number;
+    message["as_of"] = Json::Int64{mesh_.peer_clock_ms(target->name)};
     message["job"] = encode_job(job.request);
     if (mesh_.send(target->name, message)) {
         job.send_to(target->name, *target_claim);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -359,6 +359,9 @@
     it.unreachable = false;
     const bool was_late = reply_overdue(it);
     it.unanswered_since = {};
+    if (message["clock"].isInt64()) {
+        it.clock_ms = message["clock"].asInt64();
+    }
     const bool changed = message.isMember("from") && apply_state(it, message);
     if (changed || was_late || !it.was_alive) {
         it.was_alive = true;
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -128,22 +128,35 @@
 {
     Json::Value heartbeat;
     heartbeat["t"] = kind;
+    heartbeat["clock"] = Json::Int64{own_clock_ms()};
     if (std::exchange(sent_state_number, state_number_) == state_number_) {
         return write_json(heartbeat);
     }
-    // The same text is sent on every link.
+    // The same text is sent on every link, so the clock may be a little behind.
     if (std::exchange(heartbeat_cache_number_, state_number_) != state_number_) {
         heartbeat_cache_.clear();
     }
     auto& text = heartbeat_cache_[kind];
     if (text.empty()) {
-        heartbeat = own_state();
-        heartbeat["t"] = kind;
-        text = write_json(heartbeat);
+        auto state = own_state();
+        state["t"] = kind;
+        state["clock"] = heartbeat["clock"];
+        text = write_json(state);
     }
     return text;
 }
 
+std::int64_t instance_mesh::own_clock_ms() const
+{
+    return timers_.monotonic_now().time_since_epoch().count() / 1000;
+}
+
+std::int64_t instance_mesh::peer_clock_ms(std::string_view name) const
+{
+    const auto it = peers_.find(name);
+    return it == peers_.end() ? -1 : it->second->clock_ms;
+}
+
 void instance_mesh::send_pings()
 {
     // Shorter by half a check interval, so that timer lateness does not skip a turn.
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -2,6 +2,7 @@
 #include "black_hole_port.h"
 #include "cell/caller_request_handler.h"
 #include "cell/cell_service.h"
+#include "cell/mesh_codec.h"
 #include "cell_fixture.h"
 #include "stand_in/loopback_proxy.h"
 
@@ -190,6 +191,30 @@
     }
 }
 
+// Guards against a second run of a job whose submission its controller reads seconds late: the
+// requester has sent it elsewhere meanwhile.
+BOOST_AUTO_TEST_CASE(a_submission_that_has_waited_unread_for_long_starts_nothing)
+{
+    start("a", 17406);
+    start("b", 17407);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto owner = controller();
+    auto& requester = *members[owner == "a" ? "b" : "a"].mesh;
+    BOOST_REQUIRE(run_until([&] { return requester.peer_clock_ms(owner) >= 0; }, 1s));
+    Json::Value message;
+    message["t"] = "submit";
+    message["cell"] = std::string(all_workers_cell);
+    message["job"] = encode_job(cell_fixture::job("late", 1));
+    message["as_of"] = Json::Int64{requester.peer_clock_ms(owner) - 1100};
+    BOOST_REQUIRE(requester.send(owner, message));
+    run_until([] { return false; }, 300ms);
+    BOOST_TEST(fleet.total_starts() == 0U);
+    message["job"] = encode_job(cell_fixture::job("fresh", 1));
+    message["as_of"] = Json::Int64{requester.peer_clock_ms(owner)};
+    BOOST_REQUIRE(requester.send(owner, message));
+    BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
+}
+
 // Guards against reporting `not_run` for a job that an earlier controller may have run.
 BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_controller_is_unknown)
 {
