--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -443,6 +443,8 @@
         names.push_back(name);
     }
     for (const auto& name : names) {
+        log_request_event("task_lost", "task={} run={} worker={} beside={}", name,
+                          worker.runs.at(name).run, worker.report.id, names.size() - 1);
         end_run(worker, name, task_state::phase::pending);
     }
 }
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -57,6 +57,14 @@
     it = std::move(fresh);
 }
 
+void memory_worker_fleet::crash(const std::string& id)
+{
+    ++crashes_;
+    restart(id);
+    workers_.at(id).fault.silent = true;
+    timers_.schedule(crash_downtime, [this, id] { workers_.at(id).fault.silent = false; });
+}
+
 std::size_t memory_worker_fleet::starts_of(const std::string& task) const
 {
     const auto it = starts_.find(task);
@@ -139,7 +147,11 @@
     entry.length = duration{static_cast<duration::rep>(static_cast<double>(base.count()) *
                                                        it.speed * it.fault.slowness)};
     const auto id = it.report.id;
-    if (it.fault.fails_all) {
+    if (crashes_worker && crashes_worker(task)) {
+        entry.end_timer =
+            timers_.schedule(std::chrono::milliseconds{20}, [this, id] { crash(id); });
+    }
+    else if (it.fault.fails_all) {
         entry.end_timer = timers_.schedule(std::chrono::milliseconds{5}, [this, id, task] {
             end(workers_.at(id), task, run_end::failed);
         });
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -41,6 +41,18 @@
     // Restarts a worker under the same id; all its runs are lost.
     void restart(const std::string& id);
 
+    // Changes the capacity of a worker while it runs.
+    void resize(const std::string& id, task_demand capacity)
+    {
+        workers_.at(id).report.capacity = capacity;
+    }
+
+    // True for a task that crashes its worker 20 ms after its start. The worker is silent for
+    // `crash_downtime` and then restarts. No task crashes its worker if unset.
+    std::function<bool(const std::string& task)> crashes_worker;
+    duration crash_downtime = std::chrono::seconds{3};
+    std::size_t crashes() const { return crashes_; }
+
     // Run time of a task at speed 1; 100 ms if unset.
     std::function<duration(const std::string& task)> work;
     // Resource demand of a task, for the capacity check; one CPU if unset.
@@ -88,6 +100,7 @@
     command_status execute_start(worker& it, const std::string& task, std::uint32_t run,
                                  std::int64_t deadline_ms, std::uint64_t token);
     void end(worker& it, const std::string& task, run_end how);
+    void crash(const std::string& id);
     void extend_lease(worker& it, std::int64_t deadline_ms);
     void check_lease(const std::string& id);
     poll_reply list(const worker& it) const;
@@ -100,6 +113,7 @@
     std::map<std::string, std::set<std::string>> running_on_; // task -> workers that run it
     std::vector<std::string> violations_;
     std::size_t total_starts_ = 0;
+    std::size_t crashes_ = 0;
     std::uint64_t last_poll_ = 0;
     std::uint32_t sample_state_ = 0;
 };
--- /dev/null
+++ b/tests/cell/crash_test.cpp
@@ -0,0 +1,104 @@
+#include "cell_fixture.h"
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Tasks of jobs whose id begins with "bad" crash each worker that starts them.
+struct crash_fixture : cell_fixture {
+    // Starts of a task after three workers have crashed under it that are not allowed any more.
+    static constexpr std::size_t forbidden_starts = 3 + 3;
+
+    crash_fixture()
+    {
+        fleet.crashes_worker = [](const std::string& name) { return name.starts_with("bad"); };
+    }
+
+    static job_request patient_job(const std::string& id, std::uint32_t tasks,
+                                   duration estimate = 100ms)
+    {
+        auto out = job(id, tasks, estimate);
+        out.time_left = 60s;
+        out.terms.target_latency = 30s; // late, but of use all the time
+        return out;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(crashes, crash_fixture)
+
+// Guards against one task that crashes worker after worker until its job runs out of time.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_is_given_up)
+{
+    add_workers(12);
+    take_control();
+    submit(patient_job("bad", 1));
+    timers.advance(30s);
+    BOOST_TEST(fleet.starts_of("bad.0.0.0") < forbidden_starts);
+    BOOST_TEST(fleet.crashes() <= 3U);
+    BOOST_TEST(ended("bad", job_end::failed));
+    check_no_violation();
+}
+
+// Guards against giving up tasks that shared a worker with the one that crashed it.
+BOOST_AUTO_TEST_CASE(tasks_beside_one_that_crashes_its_workers_complete)
+{
+    add_workers(4);
+    take_control();
+    fleet.work = [](const std::string&) { return duration{400ms}; };
+    for (int i = 0; i < 4; ++i) {
+        submit(patient_job(fmt::format("bad{}", i), 1));
+        submit(patient_job(fmt::format("good{}", i), 1));
+    }
+    timers.advance(40s);
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(ended(fmt::format("good{}", i), job_end::completed));
+        BOOST_TEST(ended(fmt::format("bad{}", i), job_end::failed));
+    }
+    check_no_violation();
+}
+
+// Guards against a job that is sent again after its end, and starts to crash workers anew.
+BOOST_AUTO_TEST_CASE(a_job_sent_again_after_its_workers_crashed_starts_nothing)
+{
+    add_workers(12);
+    take_control();
+    submit(patient_job("bad", 1));
+    timers.advance(30s);
+    const auto starts = fleet.starts_of("bad.0.0.0");
+    outcomes.clear();
+    submit(patient_job("bad", 1));
+    timers.advance(30s);
+    BOOST_TEST(ended("bad", job_end::failed));
+    BOOST_TEST(fleet.starts_of("bad.0.0.0") == starts);
+}
+
+// Guards against starts over a capacity that has shrunk while tasks run.
+BOOST_AUTO_TEST_CASE(a_worker_whose_capacity_has_shrunk_gets_no_start_over_it)
+{
+    fleet.work = [](const std::string& name) {
+        return duration{name.starts_with("long") ? 2s : 200ms};
+    };
+    add_workers(1);
+    take_control();
+    submit(patient_job("long", 1, 2s));
+    submit(patient_job("short", 1));
+    timers.advance(50ms);
+    BOOST_REQUIRE(fleet.running("w0") == 2U);
+    fleet.resize("w0", {1000, 1000, 0});
+    controller->set_workers(fleet.reports());
+    submit(patient_job("next", 1));
+    timers.advance(1s);
+    BOOST_TEST(fleet.starts_of("next.0.0.0") == 0U);
+    fleet.resize("w0", two_cores);
+    controller->set_workers(fleet.reports());
+    timers.advance(100ms);
+    BOOST_TEST(fleet.starts_of("next.0.0.0") == 1U);
+    timers.advance(4s);
+    BOOST_TEST(ended("next", job_end::completed));
+    check_no_violation();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
