Count the workers that are lost under a task, and give it up

With a job of 60 s one task crashed 25 workers in 30 s. Cause: a lost run set its task back to pending without a trace. Neither the task, nor the job when it was sent again, nor the next controller knew of earlier losses. Change: crash_ledger keeps the losses for two minutes, announced to all candidates. A task with a loss gets a worker of its own where one is free. Its job fails at the second loss if no other task there can be the cause, at the third in any case; one that is sent again fails at once. Why it works: the count is where each start is decided, and after three losses there is none.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
+#include "cell/crash_ledger.h"
 #include "cell/job.h"
 #include "cell/scheduling_policies.h"
 #include "cell/worker_commands.h"
@@ -50,8 +51,9 @@
 public:
     using answer = std::function<void(const job_outcome&)>;
 
-    cell_controller(timer_service& timers, worker_commands& commands,
-                    const cell_settings& settings);
+    // Controllers that follow each other share `losses`; without it the controller has its own.
+    cell_controller(timer_service& timers, worker_commands& commands, const cell_settings& settings,
+                    std::shared_ptr<crash_ledger> losses = nullptr);
     ~cell_controller();
     cell_controller(const cell_controller&) = delete;
     cell_controller& operator=(const cell_controller&) = delete;
@@ -85,6 +87,9 @@
     // requester receives only if it is reachable after all.
     void abandon_all_of(std::string_view requester);
 
+    // Applies a loss that another controller has noticed, and that the ledger already has.
+    void apply_loss(const worker_loss& loss);
+
     // Workers that have accepted the claim's token and are listed, or that have tracked runs.
     worker_set used_workers() const;
 
@@ -93,6 +98,9 @@
 
     const cell_counts& counts() const;
 
+    // Called with each loss of a worker that this controller notices, once for each of its tasks.
+    std::function<void(const worker_loss&)> on_worker_loss;
+
     // Called when a worker refuses a command because it has seen a higher token.
     std::function<void()> on_fenced;
 
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -105,6 +105,8 @@
     void drop_lost_requesters();
 
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
+    void announce_loss(const worker_loss& loss);
+    void apply_loss(const worker_loss& loss);
     void abandon_at(const std::string& controller, const std::string& cell,
                     const std::string& job_id);
     void dispatch(submitted_job& job, std::span<const instance_view> claim_holders);
@@ -125,6 +127,7 @@
     instance_mesh& mesh_;
     worker_commands& commands_;
     cell_settings settings_;
+    std::shared_ptr<crash_ledger> losses_; // of all controllers, as far as known here
     std::vector<worker_report> workers_;
     std::map<std::string, std::unique_ptr<controlled_cell>, std::less<>> controlled_cells_;
     std::map<std::string, std::unique_ptr<submitted_job>, std::less<>> jobs_;
--- a/include/cell/mesh_codec.h
+++ b/include/cell/mesh_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/crash_ledger.h"
 #include "cell/instance_mesh.h"
 #include "cell/job.h"
 
@@ -19,5 +20,7 @@
 job_request decode_job(const Json::Value& value);
 Json::Value encode_outcome(const job_outcome& outcome);
 job_outcome decode_outcome(const Json::Value& value);
+Json::Value encode_loss(const worker_loss& loss);
+worker_loss decode_loss(const Json::Value& value);
 
 } // namespace cactusloom
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -32,10 +32,12 @@
 }
 
 cell_controller::cell_controller(timer_service& timers, worker_commands& commands,
-                                 const cell_settings& settings)
-    : on_fenced([] {}), on_used_workers_changed([] {}),
+                                 const cell_settings& settings,
+                                 std::shared_ptr<crash_ledger> losses)
+    : on_worker_loss([](const worker_loss&) {}), on_fenced([] {}), on_used_workers_changed([] {}),
       state_(std::make_unique<state>(timers, commands, settings, *this))
 {
+    state_->losses = losses ? std::move(losses) : std::make_shared<crash_ledger>(timers);
 }
 
 cell_controller::~cell_controller()
@@ -133,6 +135,11 @@
     }
 }
 
+void cell_controller::apply_loss(const worker_loss& loss)
+{
+    state_->apply_loss(loss);
+}
+
 worker_set cell_controller::used_workers() const
 {
     worker_set out;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -22,7 +22,7 @@
     : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
       on_other_message([](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
-      started_at_(timers.monotonic_now())
+      losses_(std::make_shared<crash_ledger>(timers)), started_at_(timers.monotonic_now())
 {
     mesh_.on_change = [this] { evaluate(); };
     mesh_.on_restart = [this](const std::string& peer) {
@@ -112,6 +112,9 @@
             controlled->second->controller->abandon(message["id"].asString());
         }
     }
+    else if (kind == "worker_lost") {
+        apply_loss(decode_loss(message["loss"]));
+    }
     else if (kind == "outcome") {
         const auto& number = message["submission"];
         on_outcome({message["id"].asString(), peer, message["cell"].asString(),
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -1,5 +1,6 @@
 // Claims, takeovers and handovers of the cells that this instance controls.
 #include "base/hash.h"
+#include "cell/mesh_codec.h"
 #include "cell_service_internal.h"
 #include "claim_token.h"
 
@@ -232,9 +233,13 @@
     auto& controlled = controlled_cells_[cell];
     if (!controlled) {
         controlled = std::make_unique<controlled_cell>();
-        controlled->controller = std::make_unique<cell_controller>(timers_, commands_, settings_);
+        controlled->controller =
+            std::make_unique<cell_controller>(timers_, commands_, settings_, losses_);
         controlled->controller->on_fenced = [this, cell] { on_fenced(cell); };
         controlled->controller->on_used_workers_changed = [this] { announce(); };
+        controlled->controller->on_worker_loss = [this](const worker_loss& it) {
+            announce_loss(it);
+        };
         controlled->controller->set_workers(workers_of(cell));
     }
     controlled->token = token;
@@ -247,6 +252,30 @@
     on_claim();
 }
 
+// Tells all instances that may control workers after this one. A message that is lost costs one
+// more worker.
+void cell_service::announce_loss(const worker_loss& loss)
+{
+    Json::Value message;
+    message["t"] = "worker_lost";
+    message["loss"] = encode_loss(loss);
+    for (const auto& it : mesh_.linked_views()) {
+        if (it.name != mesh_.self().name && it.alive && !mesh_.send(it.name, message)) {
+            log_request_event("loss_unsent", "task={} instance={}", loss.task, it.name);
+        }
+    }
+}
+
+void cell_service::apply_loss(const worker_loss& loss)
+{
+    if (!losses_->add(loss)) {
+        return;
+    }
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->apply_loss(loss);
+    }
+}
+
 // A worker has accepted a higher token. If the holder is in contact, the election resolves the
 // conflict; if not, the token is left over from an earlier controller or belongs to the minority
 // side of a partition.
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -31,6 +31,7 @@
     duration predicted{};
     int percent = -1;           // reported progress
     monotonic_time progress_at; // last time that `percent` changed
+    bool isolated = false;      // no other task may join it, as a worker was lost under its task
     bool adopted = false;       // started by an earlier controller, at an unknown time
     bool stop_confirmed = false;
     monotonic_time stop_sent_at;
@@ -58,6 +59,7 @@
     std::map<std::string, task_run> runs;
     std::map<std::string, orphan_run> orphans;
     task_demand used;
+    std::uint32_t isolated_runs = 0;
 
     std::int64_t clock_ms = -1;      // the worker's clock when it sent the last reply
     monotonic_time clock_at;         // local time at which that reply arrived
@@ -111,7 +113,7 @@
     bool has_capacity(const task_demand& it) const
     {
         const bool on_probation = failure_streak >= failures_to_suspend;
-        return (!on_probation || runs.empty()) &&
+        return (!on_probation || runs.empty()) && isolated_runs == 0 &&
                used.cpu_millis + it.cpu_millis <= report.capacity.cpu_millis &&
                used.memory_mb + it.memory_mb <= report.capacity.memory_mb &&
                used.gpus + it.gpus <= report.capacity.gpus;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -94,6 +94,9 @@
     job.done_of_step.resize(job.request.steps.size());
     const std::string id = job.request.id;
     jobs[id] = std::move(owned);
+    if (apply_known_losses(job)) {
+        return;
+    }
     if (!job.request.resumed) {
         demand.record(policy.pending_work(job), now);
     }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -270,6 +270,8 @@
     run.latest_start_ms = worker.clock_estimate(now) + start_lease.count() / 1000;
     worker.lease_end_ms = std::max(worker.lease_end_ms, run.latest_start_ms);
     worker.reserve_capacity(run.demand);
+    run.isolated = task.losses != 0;
+    worker.isolated_runs += run.isolated ? 1 : 0;
     task.at = task_state::phase::placed;
     --job.pending_tasks;
     ++job.placed_tasks;
@@ -406,6 +408,7 @@
     const auto step = it->second.task.step;
     auto& task = job.steps[step][it->second.task.index];
     worker.release_capacity(it->second.demand);
+    worker.isolated_runs -= it->second.isolated ? 1 : 0;
     worker.runs.erase(it);
     --job.placed_tasks;
     task.at = next;
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -31,7 +31,7 @@
 };
 
 // Implementation of cell_controller. The functions are in controller_jobs.cpp,
-// controller_workers.cpp and controller_starts.cpp.
+// controller_workers.cpp, controller_losses.cpp and controller_starts.cpp.
 struct cell_controller::state {
     state(timer_service& timer_source, worker_commands& command_sink, const cell_settings& limits,
           cell_controller& owner)
@@ -61,6 +61,7 @@
     double cores = 0;                      // usable_speed() at the last tick
     monotonic_time idle_logged_at;
     std::map<std::string, recent_outcome, std::less<>> recent_outcomes;
+    std::shared_ptr<crash_ledger> losses;
     bool start_pass_scheduled = false;
     duration start_pass_time{}; // of the last pass
     timer_id tick_timer = 0;
@@ -95,7 +96,6 @@
     void apply_finished(claimed_worker& worker, const finished_row& row, monotonic_time now);
     void end_missing_runs(claimed_worker& worker, monotonic_time sent_at, const poll_reply& reply);
     void check_progress(claimed_worker& worker, task_run& run, int percent, monotonic_time now);
-    void end_lost_runs(claimed_worker& worker, const char* reason);
     void poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now);
     void poll_if_end_overdue(claimed_worker& worker, monotonic_time now);
     void check_worker(claimed_worker& worker, monotonic_time now);
@@ -104,6 +104,12 @@
     void record_task_failure(claimed_worker& worker, const active_job& job, const task_state& task);
     bool accepts_starts(const claimed_worker& worker, monotonic_time now) const;
 
+    // Lost workers.
+    void end_lost_runs(claimed_worker& worker, const char* reason);
+    std::vector<worker_loss> record_losses(const claimed_worker& worker);
+    void apply_loss(const worker_loss& loss);
+    bool apply_known_losses(active_job& job);
+
     // Starts and stops.
     void schedule_start_pass();
     void announce_used_workers(std::span<claimed_worker* const> available);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -429,26 +429,6 @@
               worker.failure_streak, worker.suspension_time.count() / 1000);
 }
 
-// Ends all runs of a worker whose leases have expired or whose process has restarted.
-void cell_controller::state::end_lost_runs(claimed_worker& worker, const char* reason)
-{
-    if (worker.runs.empty()) {
-        return;
-    }
-    ++counts.workers_lost;
-    log_event("runs_lost", "worker={} runs={} reason=\"{}\"", worker.report.id, worker.runs.size(),
-              reason);
-    std::vector<std::string> names;
-    for (const auto& [name, run] : worker.runs) {
-        names.push_back(name);
-    }
-    for (const auto& name : names) {
-        log_request_event("task_lost", "task={} run={} worker={} beside={}", name,
-                          worker.runs.at(name).run, worker.report.id, names.size() - 1);
-        end_run(worker, name, task_state::phase::pending);
-    }
-}
-
 // Polls a worker whose reply to a start is late. A poll on another connection tells whether the
 // start arrived before the start command times out.
 void cell_controller::state::poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now)
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -205,4 +205,19 @@
     return out;
 }
 
+Json::Value encode_loss(const worker_loss& loss)
+{
+    Json::Value out;
+    out["task"] = loss.task;
+    out["worker"] = Json::UInt64{loss.worker};
+    out["sole_suspect"] = loss.sole_suspect;
+    return out;
+}
+
+worker_loss decode_loss(const Json::Value& value)
+{
+    return {text_of(value["task"]), value["worker"].isUInt64() ? value["worker"].asUInt64() : 0,
+            value["sole_suspect"].isBool() && value["sole_suspect"].asBool()};
+}
+
 } // namespace cactusloom
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -209,6 +209,9 @@
     duration best_time{};
     bool best_meets = false;
     std::int64_t best_left = 0;
+    // Alone on a worker, a task takes no other one down, and a second loss shows that it is the
+    // cause.
+    const bool isolate = task.losses != 0;
     for (auto* it : available) {
         if (!it->has_capacity(wanted.demand) || it->report.service != job.request.terms.service ||
             (it->report.id == task.avoid_worker && available.size() > 1) ||
@@ -232,7 +235,10 @@
         const auto a = static_cast<double>(time.count());
         const auto b = static_cast<double>(best_time.count());
         bool better = false;
-        if (best == nullptr || meets != best_meets) {
+        if (best != nullptr && isolate && it->runs.empty() != best->runs.empty()) {
+            better = it->runs.empty();
+        }
+        else if (best == nullptr || meets != best_meets) {
             better = best == nullptr || meets;
         }
         else if (a > b * same_speed_ratio) {
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -215,6 +215,26 @@
     BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
 }
 
+// Guards against a task that goes on to crash workers because a takeover forgets the earlier
+// crashes.
+BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
+{
+    fleet.crashes_worker = [](const std::string&) { return true; };
+    start("a", 17408);
+    start("b", 17409);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto first = controller();
+    auto request = cell_fixture::job("bad", 1);
+    request.time_left = 20s;
+    request.terms.target_latency = 20s;
+    submit(first == "a" ? "b" : "a", request);
+    BOOST_REQUIRE(run_until([&] { return fleet.crashes() == 2; }, 4s));
+    members[first].cells->leave();
+    BOOST_TEST(run_until([&] { return outcomes.contains("bad"); }, 6s));
+    BOOST_TEST(to_string(outcomes["bad"].end) == to_string(job_end::failed));
+    BOOST_TEST(fleet.crashes() <= 3U);
+}
+
 // Guards against reporting `not_run` for a job that an earlier controller may have run.
 BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_controller_is_unknown)
 {
