--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -88,8 +88,8 @@
     // True if a peer's reply to a ping is overdue. What is sent to it now may arrive late or never.
     bool reply_overdue(std::string_view peer) const;
 
-    // Time of an instance's steady clock, in ms. A message that returns the clock which its
-    // receiver last sent to the peer cannot be older than that.
+    // Steady clock of this instance, in ms. Each reply to a ping carries it. A message in which a
+    // peer returns it was sent later than that.
     std::int64_t own_clock_ms() const;
 
     // Clock in the newest reply of a peer; -1 if it has not replied yet.
