Fail a job only if the workers lost under its task have crashed

Cause: a worker that is silent until its leases have lapsed counted as crashed. Behind a partition it is not. Change: a loss counts as a crash when another process answers at the worker's address, and is forgotten when the same one answers. After as many losses as before a task is not started again, so BUDGET holds; its job fails once they are known to be crashes. The new tests: a task whose workers were only silent completes; another process at the address shows a crash.

--- a/include/cell/crash_ledger.h
+++ b/include/cell/crash_ledger.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -11,12 +12,21 @@
 
 namespace cactusloom {
 
-// Loss of a worker's process while it ran a task: it restarted, or it fell silent until its leases
-// had lapsed.
+// Loss of a worker while it ran a task. A worker that restarts has crashed. One that was silent
+// until its leases had lapsed may have crashed, or may be partitioned.
 struct worker_loss {
-    std::string task;          // name of the task
-    std::uint64_t worker = 0;  // identifies the process of the worker
-    bool sole_suspect = false; // ran alone, or was the only task there with an earlier loss
+    std::string task;
+    std::string worker;
+    std::int64_t started_at_ms = 0; // identifies the lost process of the worker
+    bool sole_suspect = false;      // ran alone, or was the only task there with an earlier loss
+    bool crashed = false;           // the worker is known to have restarted
+};
+
+// What the losses under a task mean for it.
+struct loss_verdict {
+    std::uint32_t losses = 0;
+    bool may_start = true; // false: it is the likely cause, if all these workers have crashed
+    bool is_cause = false; // it has crashed workers; its job cannot be done
 };
 
 // Remembers under which tasks workers were lost, for longer than jobs, submissions and controllers
@@ -25,11 +35,14 @@
 public:
     explicit crash_ledger(timer_service& timers) : timers_(timers) {}
 
-    // Adds a loss. Returns false if it is known.
+    // Adds a loss, or that its worker has crashed. Returns false if nothing of it is new.
     bool add(const worker_loss& loss);
 
-    // True if a worker was lost under the task before.
-    bool is_suspect(std::string_view task) const;
+    // Records that a process of the worker answers. Its silence was no crash if it is the process
+    // that was lost; an earlier process has crashed. Returns the losses that this decides.
+    std::vector<worker_loss> resolve(std::string_view worker, std::int64_t started_at_ms);
+
+    loss_verdict verdict_on(std::string_view task) const;
 
     // Losses under the tasks of a job.
     std::span<const worker_loss> losses_of(std::string_view job) const;
@@ -44,12 +57,8 @@
 
     timer_service& timers_;
     std::map<std::string, job_losses, std::less<>> jobs_;
+    std::set<std::string, std::less<>> silent_workers_; // of losses that may not be crashes
     monotonic_time forgotten_at_;
 };
 
-// True if a task is the likely cause of the losses under it and must not be started again. Tasks
-// that ran beside it are lost with it, so two losses count only if no other task there may be the
-// cause of the second.
-bool is_given_up(std::size_t losses, bool sole_suspect);
-
 } // namespace cactusloom
--- a/src/cell/controller_losses.cpp
+++ b/src/cell/controller_losses.cpp
@@ -1,32 +1,19 @@
 // Workers that are lost while they run tasks, and the tasks that are the likely cause.
-#include "base/hash.h"
 #include "base/log.h"
 #include "controller_state.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace cactusloom {
 
-namespace {
-
-constexpr const char* given_up_reason = "workers were lost under a task";
-
-std::uint64_t process_of(const claimed_worker& worker)
-{
-    return hash64(fmt::format("{}", worker.started_at_ms), hash64(worker.report.id));
-}
-
-} // namespace
-
 // Ends all runs of a worker whose leases have expired or whose process has restarted.
-void cell_controller::state::end_lost_runs(claimed_worker& worker, const char* reason)
+void cell_controller::state::end_lost_runs(claimed_worker& worker, bool crashed)
 {
-    const auto new_losses = record_losses(worker);
+    const auto new_losses = record_losses(worker, crashed);
     if (!worker.runs.empty()) {
         ++counts.workers_lost;
         log_event("runs_lost", "worker={} runs={} reason=\"{}\"", worker.report.id,
-                  worker.runs.size(), reason);
+                  worker.runs.size(), crashed ? "worker restarted" : "leases lapsed");
         std::vector<std::string> names;
         for (const auto& [name, run] : worker.runs) {
             names.push_back(name);
@@ -41,36 +28,54 @@
 }
 
 // Adds the loss of a worker under each of its tasks to the ledger. Returns those that are new.
-std::vector<worker_loss> cell_controller::state::record_losses(const claimed_worker& worker)
+std::vector<worker_loss> cell_controller::state::record_losses(const claimed_worker& worker,
+                                                               bool crashed)
 {
     std::vector<worker_loss> out;
     if (worker.report.draining) {
         return out; // its process ends as planned
     }
-    const auto tasks = worker.runs.size() + worker.orphans.size();
-    const auto is_suspect = [this](const auto& it) { return losses->is_suspect(it.first); };
-    const auto suspects = std::ranges::count_if(worker.runs, is_suspect) +
-                          std::ranges::count_if(worker.orphans, is_suspect);
-    const auto add = [&](const std::string& name, std::uint32_t run) {
-        const bool sole = tasks == 1 || (suspects == 1 && losses->is_suspect(name));
-        const worker_loss loss{name, process_of(worker), sole};
+    std::vector<std::pair<std::string_view, std::uint32_t>> tasks;
+    for (const auto& [name, run] : worker.runs) {
+        tasks.emplace_back(name, run.run);
+    }
+    for (const auto& [name, orphan] : worker.orphans) {
+        tasks.emplace_back(name, orphan.run);
+    }
+    const auto is_suspect = [this](const auto& it) {
+        return losses->verdict_on(it.first).losses != 0;
+    };
+    const auto suspects = std::ranges::count_if(tasks, is_suspect);
+    for (const auto& it : tasks) {
+        const bool sole = tasks.size() == 1 || (suspects == 1 && is_suspect(it));
+        const worker_loss loss{std::string(it.first), worker.report.id, worker.started_at_ms, sole,
+                               crashed};
         if (losses->add(loss)) {
-            log_request_event("task_lost", "task={} run={} worker={} beside={} sole_suspect={}",
-                              name, run, worker.report.id, tasks - 1, sole);
+            log_request_event("task_lost",
+                              "task={} run={} worker={} beside={} sole_suspect={} crashed={}",
+                              loss.task, it.second, loss.worker, tasks.size() - 1, sole, crashed);
             self.on_worker_loss(loss);
             out.push_back(loss);
         }
-    };
-    for (const auto& [name, run] : worker.runs) {
-        add(name, run.run);
-    }
-    for (const auto& [name, orphan] : worker.orphans) {
-        add(name, orphan.run);
     }
     return out;
 }
 
-// Counts a loss that is in the ledger, and fails the job if that makes the task its likely cause.
+// Learns from a reply of the process at a lost worker's address whether the worker had crashed.
+void cell_controller::state::resolve_losses(const claimed_worker& worker,
+                                            std::int64_t started_at_ms)
+{
+    for (const auto& loss : losses->resolve(worker.report.id, started_at_ms)) {
+        log_request_event("loss_resolved", "task={} worker={} crashed={}", loss.task, loss.worker,
+                          loss.crashed);
+        if (loss.crashed) {
+            self.on_worker_loss(loss);
+        }
+        apply_loss(loss);
+    }
+}
+
+// Applies what the ledger says of a task, and fails the job if the task has crashed workers.
 void cell_controller::state::apply_loss(const worker_loss& loss)
 {
     task_ref ref;
@@ -83,9 +88,12 @@
         return;
     }
     auto& job = *it->second;
-    const auto count = ++job.steps[ref.step][ref.index].losses;
-    if (!job.ended && is_given_up(count, loss.sole_suspect)) {
-        finish(job, {job_end::failed, {}, given_up_reason});
+    auto& task = job.steps[ref.step][ref.index];
+    const auto verdict = losses->verdict_on(loss.task);
+    task.losses = verdict.losses;
+    task.may_start = verdict.may_start;
+    if (!job.ended && verdict.is_cause) {
+        finish(job, {job_end::failed, {}, "workers crash under a task"});
     }
 }
 
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -125,6 +125,7 @@
             }
             for (std::size_t i = 0; i < job->steps[step].size() && placed_all; ++i) {
                 if (job->steps[step][i].at != task_state::phase::pending ||
+                    !job->steps[step][i].may_start ||
                     (!orphaned.empty() && orphaned.contains(to_task_name(
                                               {job->request.id, static_cast<std::uint32_t>(step),
                                                static_cast<std::uint32_t>(i)})))) {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -105,8 +105,9 @@
     bool accepts_starts(const claimed_worker& worker, monotonic_time now) const;
 
     // Lost workers.
-    void end_lost_runs(claimed_worker& worker, const char* reason);
-    std::vector<worker_loss> record_losses(const claimed_worker& worker);
+    void end_lost_runs(claimed_worker& worker, bool crashed);
+    std::vector<worker_loss> record_losses(const claimed_worker& worker, bool crashed);
+    void resolve_losses(const claimed_worker& worker, std::int64_t started_at_ms);
     void apply_loss(const worker_loss& loss);
     bool apply_known_losses(active_job& job);
 
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -24,6 +24,8 @@
 // A requester resubmits its jobs within a round trip of a takeover; orphans that are still without
 // a job after this time are stopped.
 constexpr duration orphan_grace = std::chrono::milliseconds{150};
+// Start time of a process that runs at a worker's address under another id.
+constexpr std::int64_t unknown_start_time = -1;
 constexpr duration min_suspension = std::chrono::milliseconds{800};
 constexpr duration max_suspension = std::chrono::seconds{4};
 // A run that takes more than this multiple of its predicted time is checked as a straggler.
@@ -86,7 +88,7 @@
                                                     std::int64_t started_at_ms)
 {
     log_event("worker_restarted", "worker={} runs={}", worker.report.id, worker.runs.size());
-    end_lost_runs(worker, "worker restarted");
+    end_lost_runs(worker, true);
     worker.orphans.clear();
     worker.last_seen_end = 0;
     worker.clock_ms = -1;
@@ -94,6 +96,7 @@
     worker.started_at_ms = started_at_ms;
     worker.slowness = 1.0;
     worker.speed = {};
+    resolve_losses(worker, started_at_ms == 0 ? unknown_start_time : started_at_ms);
 }
 
 void cell_controller::state::poll(claimed_worker& worker, bool quick)
@@ -148,6 +151,7 @@
         if (reply.started_at_ms != 0) {
             worker.started_at_ms = reply.started_at_ms;
         }
+        resolve_losses(worker, worker.started_at_ms);
         worker.last_reply = now;
         worker.accepted_poll_sent_at = std::max(worker.accepted_poll_sent_at, sent_at);
         worker.unanswered_polls = 0;
@@ -475,7 +479,7 @@
     const bool silent = !worker.token_accepted || worker.unanswered_polls != 0;
     if (silent && worker.clock_ms >= 0 && !worker.runs.empty() &&
         now > worker.leases_expired_at()) {
-        end_lost_runs(worker, "leases lapsed");
+        end_lost_runs(worker, false);
         worker.token_accepted = false;
     }
     if (silent && now >= worker.next_poll && worker.listed) {
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -209,15 +209,20 @@
 {
     Json::Value out;
     out["task"] = loss.task;
-    out["worker"] = Json::UInt64{loss.worker};
+    out["worker"] = loss.worker;
+    out["started_at"] = Json::Int64{loss.started_at_ms};
     out["sole_suspect"] = loss.sole_suspect;
+    out["crashed"] = loss.crashed;
     return out;
 }
 
 worker_loss decode_loss(const Json::Value& value)
 {
-    return {text_of(value["task"]), value["worker"].isUInt64() ? value["worker"].asUInt64() : 0,
-            value["sole_suspect"].isBool() && value["sole_suspect"].asBool()};
+    const auto flag_of = [&value](const char* name) {
+        return value[name].isBool() && value[name].asBool();
+    };
+    return {text_of(value["task"]), text_of(value["worker"]), number_of(value["started_at"]),
+            flag_of("sole_suspect"), flag_of("crashed")};
 }
 
 } // namespace cactusloom
--- a/tests/cell/crash_test.cpp
+++ b/tests/cell/crash_test.cpp
@@ -60,6 +60,31 @@
     check_no_violation();
 }
 
+// Guards against reporting `failed` for a job whose workers were partitioned and have not crashed.
+BOOST_AUTO_TEST_CASE(a_task_whose_workers_were_only_silent_completes)
+{
+    fleet.crashes_worker = nullptr;
+    fleet.work = [](const std::string&) { return duration{2s}; };
+    add_workers(4);
+    take_control();
+    submit(patient_job("j", 1, 2s));
+    for (int losses = 0; losses < 3; ++losses) {
+        timers.advance(100ms);
+        for (int i = 0; i < 4; ++i) {
+            const auto id = fmt::format("w{}", i);
+            if (fleet.running(id) != 0) {
+                fleet.fault(id).silent = true;
+                timers.schedule(3500ms, [this, id] { fleet.fault(id).silent = false; });
+            }
+        }
+        timers.advance(1300ms);
+    }
+    BOOST_TEST(!outcomes.contains("j"));
+    timers.advance(10s);
+    BOOST_TEST(ended("j", job_end::completed));
+    check_no_violation();
+}
+
 // Guards against a job that is sent again after its end, and starts to crash workers anew.
 BOOST_AUTO_TEST_CASE(a_job_sent_again_after_its_workers_crashed_starts_nothing)
 {
@@ -75,6 +100,21 @@
     BOOST_TEST(fleet.starts_of("bad.0.0.0") == starts);
 }
 
+// Guards against losses that stay undecided, or count as no crash, because the worker came back
+// under another id and the lost process never answers again.
+BOOST_AUTO_TEST_CASE(another_process_at_the_address_of_a_lost_worker_shows_a_crash)
+{
+    crash_ledger ledger(timers);
+    BOOST_TEST(ledger.add({"j.0.0.0", "w1", 100, true, false}));
+    BOOST_TEST(ledger.add({"j.0.0.0", "w2", 200, true, false}));
+    BOOST_TEST(!ledger.verdict_on("j.0.0.0").may_start);
+    BOOST_TEST(!ledger.verdict_on("j.0.0.0").is_cause);
+    constexpr std::int64_t other_process = -1;
+    BOOST_TEST(ledger.resolve("w1", other_process).size() == 1U);
+    BOOST_TEST(ledger.resolve("w2", 201).size() == 1U);
+    BOOST_TEST(ledger.verdict_on("j.0.0.0").is_cause);
+}
+
 // Guards against starts over a capacity that has shrunk while tasks run.
 BOOST_AUTO_TEST_CASE(a_worker_whose_capacity_has_shrunk_gets_no_start_over_it)
 {
