--- a/tests/cell/cell_election_test.cpp
+++ b/tests/cell/cell_election_test.cpp
@@ -111,8 +111,7 @@
     BOOST_TEST(cell_election::decide("*", "b", views).controller == "a");
 }
 
-// Guards against control that moves from one instance to the next while too much traffic, and not
-// the machine, is the cause of the overload: every move sends all open jobs again.
+// Guards against control that moves on and on while traffic is the cause of the overload.
 BOOST_AUTO_TEST_CASE(an_overloaded_holder_that_has_just_taken_over_keeps_its_cell)
 {
     std::vector<instance_view> views = {
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -168,8 +168,7 @@
     }
 }
 
-// Guards against jobs that are lost, or answered by the outcome of an earlier submission, if they
-// are sent again on the same link after a pause during which their controller has dropped them.
+// Guards against jobs that end with the outcome of a submission that was given up.
 BOOST_AUTO_TEST_CASE(a_job_is_sent_again_after_a_pause_and_gets_the_outcome_of_the_last_submission)
 {
     fleet.work = [](const std::string&) { return duration{300ms}; };
@@ -191,8 +190,7 @@
     }
 }
 
-// Guards against a second run of a job whose submission its controller reads seconds late: the
-// requester has sent it elsewhere meanwhile.
+// Guards against a second run of a job that its requester has sent elsewhere meanwhile.
 BOOST_AUTO_TEST_CASE(a_submission_that_has_waited_unread_for_long_starts_nothing)
 {
     start("a", 17406);
@@ -215,8 +213,7 @@
     BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
 }
 
-// Guards against a task that goes on to crash workers because a takeover forgets the earlier
-// crashes.
+// Guards against a takeover that forgets the workers that a task has crashed.
 BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
 {
     fleet.crashes_worker = [](const std::string&) { return true; };
--- a/tests/cell/configuration_exchange_test.cpp
+++ b/tests/cell/configuration_exchange_test.cpp
@@ -111,8 +111,7 @@
                          members["i2"].requests_received}) <= 3);
 }
 
-// Guards against an overloaded instance that learns of a version and never receives it, because it
-// gives up the transfer in every iteration of its event loop. A change must be in force within 3 s.
+// Guards against an overloaded instance without a version that it knows of; 3 s are allowed.
 BOOST_AUTO_TEST_CASE(a_version_arrives_although_every_iteration_is_late)
 {
     start(3);
--- a/tests/cell/crash_test.cpp
+++ b/tests/cell/crash_test.cpp
@@ -100,8 +100,7 @@
     BOOST_TEST(fleet.starts_of("bad.0.0.0") == starts);
 }
 
-// Guards against losses that stay undecided, or count as no crash, because the worker came back
-// under another id and the lost process never answers again.
+// Guards against losses that stay undecided if the worker comes back under another id.
 BOOST_AUTO_TEST_CASE(another_process_at_the_address_of_a_lost_worker_shows_a_crash)
 {
     crash_ledger ledger(timers);
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -133,8 +133,7 @@
     BOOST_TEST(reconnects == 0); // what is on its way on the link still arrives
 }
 
-// Guards against an overloaded instance that replaces its links in every iteration of its event
-// loop, and with them loses what is on its way and sends all its jobs again.
+// Guards against an overloaded instance that replaces its links in every iteration.
 BOOST_AUTO_TEST_CASE(late_iterations_that_the_peer_tolerates_keep_the_link)
 {
     int long_sleeps = 0; // on a busy machine
@@ -149,8 +148,7 @@
     BOOST_TEST(!was_down);
 }
 
-// Guards against submissions that count as outdated because the first reply on a new link carries
-// the clock of the last change of state.
+// Guards against submissions that count as outdated on a link that has just been opened.
 BOOST_AUTO_TEST_CASE(the_first_reply_on_a_new_link_carries_the_current_clock)
 {
     run_for(1200ms); // without a change of state
--- a/tests/net/poller_test.cpp
+++ b/tests/net/poller_test.cpp
@@ -18,8 +18,7 @@
 
 BOOST_AUTO_TEST_SUITE(event_loop)
 
-// Guards against iterations that take as long as all ready sockets together need: heartbeats and
-// the configuration then wait for every request that has arrived.
+// Guards against heartbeats that wait for every request that has arrived.
 BOOST_AUTO_TEST_CASE(timers_run_on_time_while_many_sockets_are_ready)
 {
     constexpr std::size_t sockets = 100;
--- a/tests/net/pooled_http_client_test.cpp
+++ b/tests/net/pooled_http_client_test.cpp
@@ -153,8 +153,7 @@
     BOOST_TEST((own->timers.monotonic_now() - sent >= 100ms));
 }
 
-// Guards against a large reply that is given up, and fetched again from its first byte, although
-// its bytes keep arriving.
+// Guards against a large reply that is fetched again and again from its first byte.
 BOOST_AUTO_TEST_CASE(a_reply_that_keeps_arriving_outlasts_the_limit)
 {
     constexpr std::size_t pieces = 8;
