--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -24,8 +24,8 @@
 constexpr int overdue_divisor = 10;
 // A worker whose speed is within this ratio of the fastest kind counts as fast.
 constexpr double fast_ratio = 1.1;
-// A pass follows the one before after as long as that took, so that passes over a long backlog
-// leave half of the processor time to other work.
+// The pause before a pass equals the run time of the last one, up to this limit, so that passes
+// over a long backlog leave processor time to other work.
 constexpr duration max_start_pass_delay = std::chrono::milliseconds{20};
 constexpr duration idle_log_interval = std::chrono::milliseconds{250};
 constexpr duration unknown_wait = std::chrono::seconds{3600};
