Review: each script names its record and writes it line by line

Cause: run.sh did not show where record.txt comes from, and the shared module wrote it only at the end, so that a run that was broken off left none, or that of an earlier run.

--- a/review/common/stand_in.py
+++ b/review/common/stand_in.py
@@ -50,21 +50,18 @@
 
 
 class Record:
-    """What was sent, answered and run, with the time since the start of the script."""
+    """What was sent, answered and run, with the time since the start of the script. Each line is
+    written at once, so that a run that is broken off leaves what it has seen."""
 
     def __init__(self, path):
-        self.path = pathlib.Path(path)
+        self.file = open(path, "a", buffering=1)
         self.began = time.monotonic()
-        self.lines = []
 
     def now(self):
         return time.monotonic() - self.began
 
     def add(self, text):
-        self.lines.append(f"{self.now():9.4f} {text}")
-
-    def write(self):
-        self.path.write_text("\n".join(self.lines) + "\n")
+        self.file.write(f"{self.now():9.4f} {text}\n")
 
 
 async def read_message(reader):
@@ -366,9 +363,9 @@
 class World:
     """A small deployment: a few instances and workers in one or more zones, one queue."""
 
-    def __init__(self, folder, instances=3, workers=12, spares=0, link_proxies=False, zones=1,
+    def __init__(self, record, instances=3, workers=12, spares=0, link_proxies=False, zones=1,
                  restart_s=0.5):
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cactusloom-review-"))
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.net = free_net()
@@ -555,7 +552,6 @@
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
-        self.record.write()
 
 
 def reset(writer):
@@ -589,14 +585,17 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run(scenario, folder, **options):
-    """Runs scenario(world, trouble) and exits with 1 if it returns a broken rule, 0 if none."""
+def run(scenario, **options):
+    """Runs scenario(world, trouble) and exits with 1 if it returns a broken rule, 0 if none.
+
+    The record is written to the file that the first argument of the program names.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, asyncio.current_task().cancel)
-        world = World(folder, **options)
+        world = World(sys.argv[1], **options)
         code = 2
         try:
             await world.start()
@@ -609,6 +608,7 @@
                 world.record.add(f"BROKEN {text}")
                 print(text)
             code = 1 if broken else 0
+            world.record.add(f"result: {code}, with TROUBLE={int(trouble)}")
         except BaseException as problem:
             world.record.add(f"could not run: {problem!r}")
             print(f"could not run: {problem!r}", file=sys.stderr)
