Jobs belong to a process of a requester, not to its name

Callers saw: after the instance that had their job was killed and started again within half a second, the tasks ran twice at the same time: the first runs went on in one cell while the callers' next submission, 1.3 s later, started them in another.

Cause: a controller judged its requesters by the name of the instance. The new process was heard from under the name of the killed one within the silence limit of 600 ms, so the jobs of a process that was gone were kept until their deadline.

Change: messages carry the process (name and incarnation) they are from, and jobs belong to it. A controller ends the jobs of a process that it has not heard from for 600 ms, or whose successor it hears from; a late submission of a former process starts nothing. A successor of a job is given up with its own requester.

Why it works: the killed process is silent from the kill on, whoever uses its name, so its jobs end 600 ms later and its runs 50 ms after that; callers return after 1,300 ms.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -2,6 +2,7 @@
 
 #include "base/timer_service.h"
 #include "cell/crash_ledger.h"
+#include "cell/instance_process.h"
 #include "cell/job.h"
 #include "cell/scheduling_policies.h"
 #include "cell/worker_commands.h"
@@ -76,16 +77,16 @@
     void set_worker_list_time(monotonic_time read_started_at);
 
     // Accepts a job and calls `fn` once with its outcome. A second submission of an id joins the
-    // first, and only the newest `fn` is called. `requester` is the instance that forwarded the
-    // job; `abandon_all_of` stops its jobs when it is no longer reachable.
-    void submit(job_request job, const std::string& requester, answer fn);
+    // first, and only the newest `fn` is called. `requester` is the process that forwarded the
+    // job; `abandon_all_of` stops its jobs when it is gone or no longer reachable.
+    void submit(job_request job, const instance_process& requester, answer fn);
 
     // Stops the running tasks of a job whose caller has disconnected and drops the others.
     void abandon(std::string_view job_id);
 
-    // Abandons all jobs of a requester that is unreachable. They are answered `moved`, which the
-    // requester receives only if it is reachable after all.
-    void abandon_all_of(std::string_view requester);
+    // Abandons all jobs of a requester that is gone or unreachable. They are answered `moved`,
+    // which the requester receives only if it is reachable after all.
+    void abandon_all_of(const instance_process& requester);
 
     // Applies a loss that another controller has noticed, and that the ledger already has.
     void apply_loss(const worker_loss& loss);
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -118,9 +118,9 @@
     std::vector<ended_job> unassigned_jobs_to_fail() const;
     std::vector<ended_job> overdue_jobs() const;
     void fail_jobs(const std::vector<ended_job>& jobs);
-    void on_message(const std::string& peer, const Json::Value& message,
+    void on_message(const instance_process& from, const Json::Value& message,
                     const instance_mesh::sender& reply);
-    void on_submit(const std::string& peer, const Json::Value& message,
+    void on_submit(const instance_process& requester, const Json::Value& message,
                    const instance_mesh::sender& reply);
 
     timer_service& timers_;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -3,6 +3,7 @@
 #include "base/timer_service.h"
 #include "cell/cell_election.h"
 #include "cell/control_candidates.h"
+#include "cell/instance_process.h"
 #include "cell/overload_detector.h"
 #include "metrics/latency_histogram.h"
 #include "net/frame_link.h"
@@ -34,10 +35,10 @@
 // judged only from replies on the own link, so that a partition of one direction is detected.
 class instance_mesh {
 public:
-    // Receives a message of a peer; `reply` sends on the same link.
+    // Receives a message of the process `from`; `reply` sends on the same link.
     using sender = std::function<void(const Json::Value&)>;
     using message_handler =
-        std::function<void(const std::string& peer, const Json::Value& message, sender reply)>;
+        std::function<void(const instance_process& from, const Json::Value& message, sender reply)>;
 
     instance_mesh(poller& events, timer_service& timers, instance_address self);
     ~instance_mesh();
@@ -81,10 +82,18 @@
     bool is_candidate() const;
     std::vector<instance_address> known_instances() const;
     const instance_address& self() const { return self_; }
+    instance_process own_process() const { return {self_.name, self_.incarnation}; }
 
-    // True if a peer has sent something on its own link to this instance within the silence limit.
+    // True if any process of a peer has sent something on its own link to this instance within the
+    // silence limit.
     bool has_heard_from(std::string_view peer) const;
 
+    // The same for one process.
+    bool has_heard_from(const instance_process& process) const;
+
+    // True if a process that was started later has been heard from under the same name.
+    bool is_replaced(const instance_process& process) const;
+
     // True if a peer's reply to a ping is overdue. What is sent to it now may arrive late or never.
     bool reply_overdue(std::string_view peer) const;
 
@@ -143,6 +152,8 @@
     void accept(std::shared_ptr<tcp_stream> stream);
     void on_inbound(inbound& link, std::string_view text);
     bool is_alive(const peer& peer) const;
+    duration requester_silence_limit() const;
+    void forget_silent_processes();
     bool reply_overdue(const peer& peer) const;
     const std::set<std::string, std::less<>>& candidates() const;
     instance_view own_view() const;
@@ -161,7 +172,7 @@
     mutable bool candidates_valid_ = false;
     bool was_candidate_ = false;
     std::set<std::shared_ptr<inbound>> inbound_;
-    std::map<std::string, monotonic_time, std::less<>> last_heard_;
+    std::map<instance_process, monotonic_time> last_heard_;
     std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> discovery_links_;
     std::vector<cell_claim> claims_;
     std::uint64_t state_number_ = 1;                             // rises with each announced change
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -111,7 +111,7 @@
     state_->schedule_start_pass();
 }
 
-void cell_controller::submit(job_request job, const std::string& requester, answer fn)
+void cell_controller::submit(job_request job, const instance_process& requester, answer fn)
 {
     state_->submit(std::move(job), requester, std::move(fn));
 }
@@ -124,14 +124,19 @@
     }
 }
 
-void cell_controller::abandon_all_of(std::string_view requester)
+void cell_controller::abandon_all_of(const instance_process& requester)
 {
+    // If this reaches the requester after all, it submits the job again.
+    const job_outcome moved{job_end::moved, {}, "requester out of touch"};
     for (const auto& [id, job] : state_->jobs) {
         if (job->requester == requester && !job->ended) {
-            // If this reaches the requester after all, it submits the job again.
-            job->answer({job_end::moved, {}, "requester out of touch"});
+            job->answer(moved);
             state_->abandon(*job);
         }
+        if (job->next && job->next->requester == requester) {
+            job->next->answer(moved);
+            job->next.reset();
+        }
     }
 }
 
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -20,7 +20,8 @@
 cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                            const cell_settings& settings)
     : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
-      on_other_message([](const std::string&, const Json::Value&, const instance_mesh::sender&) {}),
+      on_other_message(
+          [](const instance_process&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
       losses_(std::make_shared<crash_ledger>(timers)), started_at_(timers.monotonic_now())
 {
@@ -49,9 +50,9 @@
         }
         redispatch();
     };
-    mesh_.on_message = [this](const std::string& peer, const Json::Value& message,
+    mesh_.on_message = [this](const instance_process& from, const Json::Value& message,
                               const instance_mesh::sender& reply) {
-        on_message(peer, message, reply);
+        on_message(from, message, reply);
     };
     tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
 }
@@ -99,12 +100,12 @@
     announce();
 }
 
-void cell_service::on_message(const std::string& peer, const Json::Value& message,
+void cell_service::on_message(const instance_process& from, const Json::Value& message,
                               const instance_mesh::sender& reply)
 {
     const auto kind = message["t"].asString();
     if (kind == "submit") {
-        on_submit(peer, message, reply);
+        on_submit(from, message, reply);
     }
     else if (kind == "abandon") {
         const auto controlled = controlled_cells_.find(message["cell"].asString());
@@ -117,16 +118,16 @@
     }
     else if (kind == "outcome") {
         const auto& number = message["submission"];
-        on_outcome({message["id"].asString(), peer, message["cell"].asString(),
+        on_outcome({message["id"].asString(), from.name, message["cell"].asString(),
                     number.isUInt() ? number.asUInt() : 0},
                    decode_outcome(message["outcome"]));
     }
     else {
-        on_other_message(peer, message, reply);
+        on_other_message(from, message, reply);
     }
 }
 
-void cell_service::on_submit(const std::string& peer, const Json::Value& message,
+void cell_service::on_submit(const instance_process& requester, const Json::Value& message,
                              const instance_mesh::sender& reply)
 {
     const auto cell = message["cell"].asString();
@@ -146,18 +147,25 @@
         respond({job_end::moved, {}, "not in control"});
         return;
     }
+    if (mesh_.is_replaced(requester)) {
+        // Read late. If the clocks are wrong and this is the newer process, it submits again.
+        log_request_event("submission_of_former_process", "id={} requester={} incarnation={}", id,
+                          requester.name, requester.incarnation);
+        respond({job_end::moved, {}, "the process has been replaced"});
+        return;
+    }
     const auto& as_of = message["as_of"];
     if (as_of.isInt64() && as_of.asInt64() >= 0) {
         const auto age = std::chrono::milliseconds{mesh_.own_clock_ms() - as_of.asInt64()};
         if (age > max_submission_age) {
-            log_request_event("submission_outdated", "id={} requester={} age_ms={}", id, peer,
-                              age.count());
+            log_request_event("submission_outdated", "id={} requester={} age_ms={}", id,
+                              requester.name, age.count());
             respond({job_end::not_run, outdated_retry_after, "the submission arrived late"});
             return;
         }
     }
-    controlled->second->requesters.insert(peer);
-    controlled->second->controller->submit(std::move(request), peer, std::move(respond));
+    controlled->second->requesters.insert(requester);
+    controlled->second->controller->submit(std::move(request), requester, std::move(respond));
 }
 
 std::size_t cell_service::pending_jobs(std::string_view queue) const
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -363,17 +363,20 @@
     return !mesh_.claim_holders().empty();
 }
 
-// Stops the jobs of requesting instances that are out of contact. Such an instance waits longer
-// than this (lost_job_quarantine) before it lets the tasks of its jobs start elsewhere.
+// Stops the jobs of requesting processes that are out of contact or have been replaced. A process
+// that is only out of contact waits longer than this (lost_job_quarantine) before it lets the tasks
+// of its jobs start elsewhere; the callers of one that is gone send their jobs again elsewhere.
 void cell_service::drop_lost_requesters()
 {
     for (auto& row : controlled_cells_) {
         auto& controlled = *row.second;
-        std::erase_if(controlled.requesters, [&](const std::string& requester) {
-            if (mesh_.has_heard_from(requester)) {
+        std::erase_if(controlled.requesters, [&](const instance_process& requester) {
+            const bool replaced = mesh_.is_replaced(requester);
+            if (!replaced && mesh_.has_heard_from(requester)) {
                 return false;
             }
-            log_event("requester_lost", "instance={} cell={}", requester, row.first);
+            log_event("requester_lost", "instance={} incarnation={} cell={} replaced={}",
+                      requester.name, requester.incarnation, row.first, replaced);
             controlled.controller->abandon_all_of(requester);
             return true;
         });
--- a/src/cell/cell_service_internal.h
+++ b/src/cell/cell_service_internal.h
@@ -69,7 +69,7 @@
     std::unique_ptr<cell_controller> controller;
     std::uint64_t token = 0;
     bool fenced = false;
-    std::set<std::string> requesters;
+    std::set<instance_process> requesters;
 };
 
 } // namespace cactusloom
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -145,7 +145,7 @@
         }
         job.send_to(target->name, *target_claim);
         controlled->second->controller->submit(
-            job.request, self.name,
+            job.request, mesh_.own_process(),
             [this, alive = alive_, id, number,
              cell = target_claim->cell](const job_outcome& outcome) {
                 if (*alive) {
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -30,7 +30,8 @@
 
 } // namespace
 
-void cell_controller::state::submit(job_request request, const std::string& requester, answer fn)
+void cell_controller::state::submit(job_request request, const instance_process& requester,
+                                    answer fn)
 {
     if (token == 0) {
         fn({job_end::moved, {}, "not in control"});
@@ -64,7 +65,8 @@
     job.next = active_job::successor{std::move(request), requester, std::move(fn)};
 }
 
-void cell_controller::state::accept(job_request request, const std::string& requester, answer fn)
+void cell_controller::state::accept(job_request request, const instance_process& requester,
+                                    answer fn)
 {
     const auto now = timers.monotonic_now();
     auto owned = std::make_unique<active_job>();
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -69,8 +69,8 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     // Jobs.
-    void submit(job_request request, const std::string& requester, answer fn);
-    void accept(job_request request, const std::string& requester, answer fn);
+    void submit(job_request request, const instance_process& requester, answer fn);
+    void accept(job_request request, const instance_process& requester, answer fn);
     bool reject_if_too_late(active_job& job);
     bool adopt_orphans(active_job& job);
     bool may_start_resumed(const active_job& job);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -6,6 +6,7 @@
 #include "instance_mesh_internal.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cactusloom {
 
@@ -20,8 +21,8 @@
 } // namespace
 
 instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
-    : on_message([](const std::string&, const Json::Value&, const sender&) {}), on_change([] {}),
-      on_newer_config([] {}), on_restart([](const std::string&) {}),
+    : on_message([](const instance_process&, const Json::Value&, const sender&) {}),
+      on_change([] {}), on_newer_config([] {}), on_restart([](const std::string&) {}),
       on_reconnect([](const std::string&) {}), on_own_silence([](std::span<const std::string>) {}),
       events_(events), timers_(timers), self_(std::move(self))
 {
@@ -149,12 +150,49 @@
     return true;
 }
 
+// Instances that may have jobs here ping at the full rate.
+duration instance_mesh::requester_silence_limit() const
+{
+    return silence_limit + (claims_.empty() ? slow_heartbeat_slack : duration::zero());
+}
+
 bool instance_mesh::has_heard_from(std::string_view name) const
 {
-    const auto it = last_heard_.find(name);
-    // Instances that may have jobs here ping at the full rate.
-    const auto limit = silence_limit + (claims_.empty() ? slow_heartbeat_slack : duration::zero());
-    return it != last_heard_.end() && timers_.monotonic_now() - it->second < limit;
+    constexpr auto earliest = std::numeric_limits<std::int64_t>::min();
+    auto it = last_heard_.lower_bound({std::string(name), earliest});
+    for (; it != last_heard_.end() && it->first.name == name; ++it) {
+        if (has_heard_from(it->first)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool instance_mesh::has_heard_from(const instance_process& process) const
+{
+    const auto it = last_heard_.find(process);
+    return it != last_heard_.end() &&
+           timers_.monotonic_now() - it->second < requester_silence_limit();
+}
+
+// Only processes in contact count: a clock that was set back makes the next process of an instance
+// look older than a lost one.
+bool instance_mesh::is_replaced(const instance_process& process) const
+{
+    auto it = last_heard_.upper_bound(process);
+    for (; it != last_heard_.end() && it->first.name == process.name; ++it) {
+        if (has_heard_from(it->first)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void instance_mesh::forget_silent_processes()
+{
+    std::erase_if(last_heard_, [this, now = timers_.monotonic_now()](const auto& it) {
+        return now - it.second > 2 * requester_silence_limit();
+    });
 }
 
 std::vector<instance_view> instance_mesh::views() const
@@ -393,7 +431,7 @@
 {
     const auto parsed = parse_json(text);
     if (!parsed) {
-        log_event("peer_message_unreadable", "instance={} reason=\"{}\"", link.name,
+        log_event("peer_message_unreadable", "instance={} reason=\"{}\"", link.process.name,
                   parsed.error().message);
         return;
     }
@@ -401,17 +439,17 @@
     const auto kind = message["t"].asString();
     if (message.isMember("from")) {
         const auto from = decode_instance(message["from"]);
-        link.name = from.name;
+        link.process = {from.name, from.incarnation};
         update_instances({from});
         const auto known_peer = peers_.find(from.name);
         if (known_peer != peers_.end() && apply_state(*known_peer->second, message)) {
             on_change();
         }
     }
-    if (const auto known_peer = peers_.find(link.name); known_peer != peers_.end()) {
+    if (const auto known_peer = peers_.find(link.process.name); known_peer != peers_.end()) {
         reconnect_if_stalled(*known_peer->second);
     }
-    last_heard_[link.name] = timers_.monotonic_now();
+    last_heard_[link.process] = timers_.monotonic_now();
     if (kind == "ping") {
         link.link->send(heartbeat_text("pong", link.sent_state_number));
         return;
@@ -429,7 +467,7 @@
             weak = it;
         }
     }
-    on_message(link.name, message, [weak](const Json::Value& reply) {
+    on_message(link.process, message, [weak](const Json::Value& reply) {
         if (const auto it = weak.lock()) {
             it->link->send(write_json(reply));
         }
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -48,7 +48,7 @@
 
 struct instance_mesh::inbound {
     std::unique_ptr<frame_link> link;
-    std::string name;
+    instance_process process;            // that has opened the link; empty until its first message
     std::uint64_t sent_state_number = 0; // newest own state that was sent on this link
 };
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -90,6 +90,7 @@
         }
         changed = update_overload(late, now - last);
     }
+    forget_silent_processes();
     std::erase_if(discovery_links_,
                   [now](const auto& it) { return now - it.first > discovery_timeout; });
     for (const auto& [name, it] : peers_) {
@@ -358,7 +359,8 @@
             on_pong(*linked_peer, message.value());
             return;
         }
-        on_message(linked_peer->address.name, message.value(), [](const Json::Value&) {});
+        on_message({linked_peer->address.name, linked_peer->incarnation}, message.value(),
+                   [](const Json::Value&) {});
     };
     it.link->on_closed = [this, linked_peer] {
         linked_peer->closed = true;
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -216,7 +216,7 @@
     for (int i = 0; i < n; ++i) {
         const auto id = fmt::format("j{}", i);
         const auto sent = timers.monotonic_now();
-        controller->submit(job(id, 1, 60ms), "requester", [&, sent](const job_outcome& it) {
+        controller->submit(job(id, 1, 60ms), {"requester"}, [&, sent](const job_outcome& it) {
             BOOST_TEST(to_string(it.end) == to_string(job_end::completed));
             late += timers.monotonic_now() - sent > 156ms ? 1 : 0;
         });
@@ -241,7 +241,7 @@
     timers.advance(2s); // from 1 s after the claim on jobs may be refused
     std::optional<duration> answered;
     const auto began = timers.monotonic_now();
-    controller->submit(job("first", 8, 100ms), "requester", [&](const job_outcome& it) {
+    controller->submit(job("first", 8, 100ms), {"requester"}, [&](const job_outcome& it) {
         if (it.end == job_end::completed) {
             answered = timers.monotonic_now() - began;
         }
@@ -311,7 +311,7 @@
     submit(job("a", 2, 1s), "requester-1");
     submit(job("b", 1, 1s), "requester-2");
     timers.advance(50ms);
-    controller->abandon_all_of("requester-1");
+    controller->abandon_all_of({"requester-1"});
     timers.advance(100ms);
     BOOST_TEST(fleet.starts_of("b.0.0.0") == 1U);
     BOOST_TEST(ended("a", job_end::moved)); // in case the requester is reachable after all
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -30,12 +30,40 @@
     std::map<std::string, member> members;
     std::map<std::string, instance_address> addresses;
     std::map<std::string, job_outcome> outcomes;
+    std::vector<worker_report> workers; // as the platform lists them
 
     instances_fixture()
     {
         for (int i = 0; i < 4; ++i) {
             fleet.add(fmt::format("w{}", i), cell_fixture::two_cores);
         }
+        workers = fleet.reports();
+    }
+
+    // Adds workers so that there are too many for one cell, half of them in "dc-2".
+    void split_workers()
+    {
+        for (int i = 0; i < 130; ++i) {
+            fleet.add(fmt::format("more-{}", i), cell_fixture::two_cores);
+        }
+        workers = fleet.reports();
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            workers[i].data_centre = i % 2 == 0 ? "dc" : "dc-2";
+        }
+    }
+
+    // The instance that controls a cell, or empty.
+    std::string controller_of(const std::string& cell) const
+    {
+        for (const auto& [name, it] : members) {
+            for (const auto& view : it.mesh->claim_holders()) {
+                if (std::ranges::any_of(view.claims,
+                                        [&](const auto& claim) { return claim.cell == cell; })) {
+                    return view.name;
+                }
+            }
+        }
+        return {};
     }
 
     // If `relay_port` is set, the other instances reach this one through a relay.
@@ -69,7 +97,7 @@
             known.push_back(address);
         }
         it.mesh->update_instances(known);
-        it.cells->set_workers(fleet.reports());
+        it.cells->set_workers(workers);
         it.cells->note_instances_known();
     }
 
@@ -213,6 +241,60 @@
     BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
 }
 
+// Guards against the jobs of a killed instance running on because the process that replaces it is
+// heard from under the same name; its callers send them again, in another cell.
+BOOST_AUTO_TEST_CASE(the_jobs_of_a_restarted_requester_end_before_its_callers_return_elsewhere)
+{
+    fleet.work = [](const std::string&) { return duration{1600ms}; };
+    split_workers();
+    start("a", 17413);
+    start("b", 17414);
+    start("c", 17415, "dc-2");
+    BOOST_REQUIRE(run_until(
+        [&] { return !controller_of("dc").empty() && controller_of("dc-2") == "c"; }, 4s));
+    run_until([] { return false; }, 300ms); // for all links and claims to be known
+    const std::string requester = controller_of("dc") == "a" ? "b" : "a";
+    submit(requester, cell_fixture::job("j", 2, 1600ms));
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 2; }, 1s));
+
+    stop(requester);
+    run_until([] { return false; }, 400ms);
+    start(requester, requester == "a" ? 17413 : 17414);
+    run_until([] { return false; }, 900ms);
+    submit("c", cell_fixture::job("j", 2, 1600ms));
+    BOOST_TEST(run_until([&] { return fleet.total_starts() == 4; }, 300ms));
+    for (const auto& it : fleet.violations()) {
+        BOOST_ERROR(it);
+    }
+}
+
+// Guards against a submission that is read only after its process has been replaced: nobody waits
+// for its outcome, and its caller may have sent the job elsewhere.
+BOOST_AUTO_TEST_CASE(a_submission_of_a_replaced_process_starts_nothing)
+{
+    start("a", 17416);
+    start("b", 17417);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto owner = controller();
+    const std::string name = owner == "a" ? "b" : "a";
+    auto successor = addresses[name];
+    successor.address = "127.0.0.1:17418";
+    ++successor.incarnation;
+    instance_mesh replacement(events, timers, successor);
+    BOOST_REQUIRE(replacement.listen(successor.address));
+    replacement.update_instances({addresses[owner]});
+    const auto& former = *members[name].mesh;
+    BOOST_REQUIRE(
+        run_until([&] { return members[owner].mesh->is_replaced(former.own_process()); }, 1s));
+    Json::Value message;
+    message["t"] = "submit";
+    message["cell"] = std::string(all_workers_cell);
+    message["job"] = encode_job(cell_fixture::job("late", 1));
+    BOOST_REQUIRE(members[name].mesh->send(owner, message));
+    run_until([] { return false; }, 300ms);
+    BOOST_TEST(fleet.total_starts() == 0U);
+}
+
 // Guards against a takeover that forgets the workers that a task has crashed.
 BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
 {
@@ -322,18 +404,10 @@
         unreachable_ports.push_back(std::make_unique<black_hole_port>(port));
         addresses[name] = {name, fmt::format("127.0.0.1:{}", port), "dc-3", 1.0, 1};
     }
-    for (int i = 0; i < 130; ++i) { // too many for one cell
-        fleet.add(fmt::format("more-{}", i), cell_fixture::two_cores);
-    }
-    auto workers = fleet.reports();
-    for (std::size_t i = 0; i < workers.size(); i += 2) {
-        workers[i].data_centre = "dc-2";
-    }
+    split_workers();
     start("a", 17488);
-    members["a"].cells->set_workers(workers);
     run_until([] { return false; }, 100ms);
     start("b", 17489, "dc-2");
-    members["b"].cells->set_workers(workers);
     members["a"].mesh->update_instances({addresses["b"]});
     BOOST_TEST(run_until(
         [&] { return members["a"].cells->controls_any() && members["b"].cells->controls_any(); },
