Read fields of other programs' records by type and range

Worker entries with a port of 70000 or a negative capacity were taken as workers.

Cause: decoders indexed values before their type was known and converted numbers before their range was. jsoncpp throws in the first case, which ends the process; the second is undefined or wraps.

Change: json_fields reads typed, ranged fields for the platform's records, callers' jobs, replies of workers and messages of peers. An entry or a configuration with a defect is refused whole, logged with the field's name and counted in metrics. Jobs of more than 100,000 tasks are invalid.

Why it works: no decoder touches a value of jsoncpp before its type is known, and the ranges leave room for sums and conversions of units.

--- a/include/cell/dispatch_metrics.h
+++ b/include/cell/dispatch_metrics.h
@@ -17,6 +17,8 @@
     std::uint64_t caller_connections = 0;
     std::uint64_t open_requests = 0;
     std::uint64_t connections_opened = 0; // to workers and the store
+    std::uint64_t unreadable_configurations = 0;
+    std::uint64_t unreadable_worker_entries = 0;
 };
 
 // Formats all counters and histograms of an instance in the Prometheus text exposition format.
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -111,6 +111,9 @@
     const char* reason = ""; // for the log
 };
 
+// Larger jobs are invalid: the state of their tasks would not fit into a controller's memory.
+inline constexpr std::uint32_t max_tasks_per_job = 100000;
+
 // Identifies a task of a job. Its name is ID.OCCURRENCE.STEP.INDEX; the occurrence is always 0.
 struct task_ref {
     std::string job;
--- a/include/net/tcp_stream.h
+++ b/include/net/tcp_stream.h
@@ -9,6 +9,9 @@
 
 namespace cactusloom {
 
+// True if the text is an IPv4 address with a port, "ip:port".
+bool is_socket_address(std::string_view text);
+
 // A nonblocking TCP connection. Callbacks run on the event loop; on_closed is the last one. The
 // poller holds only a weak reference: the owners keep the stream alive.
 class tcp_stream final : public std::enable_shared_from_this<tcp_stream> {
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/mesh_codec.h"
 #include "cell_service_internal.h"
+#include "http/json_fields.h"
 
 #include <algorithm>
 
@@ -103,24 +104,23 @@
 void cell_service::on_message(const instance_process& from, const Json::Value& message,
                               const instance_mesh::sender& reply)
 {
-    const auto kind = message["t"].asString();
+    json_fields in(message);
+    const auto kind = in.text("t");
     if (kind == "submit") {
         on_submit(from, message, reply);
     }
     else if (kind == "abandon") {
-        const auto controlled = controlled_cells_.find(message["cell"].asString());
+        const auto controlled = controlled_cells_.find(in.text("cell"));
         if (controlled != controlled_cells_.end()) {
-            controlled->second->controller->abandon(message["id"].asString());
+            controlled->second->controller->abandon(in.text("id"));
         }
     }
     else if (kind == "worker_lost") {
-        apply_loss(decode_loss(message["loss"]));
+        apply_loss(decode_loss(in.value("loss")));
     }
     else if (kind == "outcome") {
-        const auto& number = message["submission"];
-        on_outcome({message["id"].asString(), from.name, message["cell"].asString(),
-                    number.isUInt() ? number.asUInt() : 0},
-                   decode_outcome(message["outcome"]));
+        on_outcome({in.text("id"), from.name, in.text("cell"), in.count("submission")},
+                   decode_outcome(in.value("outcome")));
     }
     else {
         on_other_message(from, message, reply);
@@ -130,10 +130,11 @@
 void cell_service::on_submit(const instance_process& requester, const Json::Value& message,
                              const instance_mesh::sender& reply)
 {
-    const auto cell = message["cell"].asString();
-    auto request = decode_job(message["job"]);
+    json_fields in(message);
+    const auto cell = in.text("cell");
+    auto request = decode_job(in.value("job"));
     const auto id = request.id;
-    auto respond = [reply, id, cell, number = message["submission"]](const job_outcome& outcome) {
+    auto respond = [reply, id, cell, number = in.value("submission")](const job_outcome& outcome) {
         Json::Value out;
         out["t"] = "outcome";
         out["submission"] = number;
@@ -154,9 +155,9 @@
         respond({job_end::moved, {}, "the process has been replaced"});
         return;
     }
-    const auto& as_of = message["as_of"];
-    if (as_of.isInt64() && as_of.asInt64() >= 0) {
-        const auto age = std::chrono::milliseconds{mesh_.own_clock_ms() - as_of.asInt64()};
+    const auto as_of = in.integer("as_of", any_clock, -1);
+    if (as_of >= 0) {
+        const auto age = std::chrono::milliseconds{mesh_.own_clock_ms() - as_of};
         if (age > max_submission_age) {
             log_request_event("submission_outdated", "id={} requester={} age_ms={}", id,
                               requester.name, age.count());
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -2,8 +2,10 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "http/json_fields.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace cactusloom {
@@ -82,7 +84,8 @@
 bool configuration_exchange::on_message(const std::string& peer, const Json::Value& message,
                                         const instance_mesh::sender& reply)
 {
-    const auto kind = message["t"].asString();
+    json_fields in(message);
+    const auto kind = in.text("t");
     if (kind == "config_request") {
         if (!text_.empty()) {
             Json::Value out;
@@ -97,15 +100,16 @@
     if (kind != "config") {
         return false;
     }
-    if (!message["text"].isString()) {
+    const auto text = in.text("text");
+    if (text.empty()) {
         log_event("config_message_unreadable", "instance={}", peer);
         return true;
     }
-    if (message["version"].isInt64() && message["version"].asInt64() <= version_) {
+    if (in.integer("version", {0, std::numeric_limits<std::int64_t>::max()},
+                   std::numeric_limits<std::int64_t>::max()) <= version_) {
         return true; // arrived on another way meanwhile
     }
-    on_configuration(message["text"].asString(),
-                     message["next_offset"].isUInt64() ? message["next_offset"].asUInt64() : 0);
+    on_configuration(text, in.number("next_offset"));
     return true;
 }
 
--- a/src/cell/dispatch_metrics.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -38,6 +38,8 @@
     add("caller_connections", network.caller_connections);
     add("open_requests", network.open_requests);
     add("connections_opened_total", network.connections_opened);
+    add("configurations_unreadable_total", network.unreadable_configurations);
+    add("worker_entries_unreadable_total", network.unreadable_worker_entries);
     add("log_lines_dropped_total", dropped_log_lines());
     handler.format_latencies(out);
     network.event_loop_lateness.format(out, "cactusloom_event_loop_late_seconds", "");
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "cell/mesh_codec.h"
+#include "http/json_fields.h"
 #include "http/json_text.h"
 #include "instance_mesh_internal.h"
 
@@ -18,6 +19,8 @@
 // each other; the rest allows for clock differences.
 constexpr duration cold_start_window = std::chrono::milliseconds{800};
 
+constexpr value_range<std::int64_t> any_version{-1, std::numeric_limits<std::int64_t>::max()};
+
 } // namespace
 
 instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
@@ -90,9 +93,14 @@
     }
     auto link = std::make_unique<frame_link>(stream.value());
     link->on_message = [this](std::string_view text) {
-        const auto message = parse_json(text);
-        if (message && message.value()["t"].asString() == "instances") {
-            update_instances(decode_instances(message.value()["instances"]));
+        const auto message = parse_json_object(text);
+        if (!message) {
+            log_event("introduction_unreadable", "reason=\"{}\"", message.error().message);
+            return;
+        }
+        json_fields in(message.value());
+        if (in.text("t") == "instances") {
+            update_instances(decode_instances(in.array("instances")));
         }
     };
     auto request = own_state();
@@ -356,8 +364,9 @@
 // Returns true if that may change who controls what.
 bool instance_mesh::apply_state(peer& it, const Json::Value& message)
 {
-    const auto from = decode_instance(message["from"]);
-    const auto number = message["number"].asUInt64();
+    json_fields in(message);
+    const auto from = decode_instance(in.value("from"));
+    const auto number = in.number("number");
     if (from.incarnation < it.incarnation ||
         (from.incarnation == it.incarnation && number < it.state_number)) {
         return false;
@@ -370,11 +379,10 @@
     it.state_number = number;
     it.address = from;
     candidates_valid_ &= !restarted;
-    auto claims = decode_claims(message["claims"]);
-    const bool leaving = message["leaving"].asBool();
-    const bool overloaded = message["strained"].asBool();
-    const auto& keeps = message["keeps_cells"];
-    const bool keeps_cells = keeps.isBool() && keeps.asBool();
+    auto claims = decode_claims(in.array("claims"));
+    const bool leaving = in.flag("leaving");
+    const bool overloaded = in.flag("strained");
+    const bool keeps_cells = in.flag("keeps_cells");
     const bool changed = leaving != it.leaving || overloaded != it.overloaded ||
                          keeps_cells != it.keeps_cells || !std::ranges::equal(claims, it.claims);
     candidates_valid_ &= claims.empty() == it.claims.empty();
@@ -382,7 +390,7 @@
     it.leaving = leaving;
     it.overloaded = overloaded;
     it.keeps_cells = keeps_cells;
-    it.config_version = message["config"].asInt64();
+    it.config_version = in.integer("config", any_version, -1);
     if (it.config_version > config_version_) {
         on_newer_config();
     }
@@ -401,7 +409,7 @@
     const bool was_late = reply_overdue(it);
     it.unanswered_since = {};
     const bool changed = message.isMember("from") && apply_state(it, message);
-    it.clock_ms = message["clock"].isInt64() ? message["clock"].asInt64() : -1;
+    it.clock_ms = json_fields(message).integer("clock", any_clock, -1);
     it.clock_at = timers_.monotonic_now();
     if (changed || was_late || !it.was_alive) {
         it.was_alive = true;
@@ -429,14 +437,14 @@
 
 void instance_mesh::on_inbound(inbound& link, std::string_view text)
 {
-    const auto parsed = parse_json(text);
+    const auto parsed = parse_json_object(text);
     if (!parsed) {
         log_event("peer_message_unreadable", "instance={} reason=\"{}\"", link.process.name,
                   parsed.error().message);
         return;
     }
     const auto& message = parsed.value();
-    const auto kind = message["t"].asString();
+    const auto kind = json_fields(message).text("t");
     if (message.isMember("from")) {
         const auto from = decode_instance(message["from"]);
         link.process = {from.name, from.incarnation};
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -1,5 +1,6 @@
 // Links of an instance: heartbeats, silence, probe connections and link replacement.
 #include "base/log.h"
+#include "http/json_fields.h"
 #include "http/json_text.h"
 #include "instance_mesh_internal.h"
 
@@ -349,13 +350,13 @@
         on_reconnect(linked_peer->address.name);
     };
     it.link->on_message = [this, linked_peer](std::string_view text) {
-        const auto message = parse_json(text);
+        const auto message = parse_json_object(text);
         if (!message) {
             log_event("peer_message_unreadable", "instance={} reason=\"{}\"",
                       linked_peer->address.name, message.error().message);
             return;
         }
-        if (message.value()["t"].asString() == "pong") {
+        if (json_fields(message.value()).text("t") == "pong") {
             on_pong(*linked_peer, message.value());
             return;
         }
--- a/src/cell/job.cpp
+++ b/src/cell/job.cpp
@@ -68,11 +68,16 @@
     if (job.steps.empty()) {
         return "no steps";
     }
+    std::uint64_t tasks = 0;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         const auto& step = job.steps[i];
         if (step.count == 0) {
             return "a step without tasks";
         }
+        tasks += step.count;
+        if (tasks > max_tasks_per_job) {
+            return "too many tasks";
+        }
         if (step.demand.cpu_millis < 0 || step.demand.memory_mb < 0 || step.demand.gpus < 0) {
             return "a demand below zero";
         }
--- a/src/cell/mesh_codec.cpp
+++ b/src/cell/mesh_codec.cpp
@@ -1,28 +1,20 @@
 #include "cell/mesh_codec.h"
 
+#include "http/json_fields.h"
+
+#include <limits>
+
 namespace cactusloom {
 
 namespace {
 
-// A field of a message from another version may have another type; it then counts as absent.
-std::string text_of(const Json::Value& value)
-{
-    return value.isString() ? value.asString() : std::string();
-}
-
-std::int64_t number_of(const Json::Value& value)
-{
-    return value.isInt64() ? value.asInt64() : 0;
-}
+// Time spans are written in us.
+constexpr duration time_unit{1};
+constexpr value_range<std::int64_t> any_time{-(std::int64_t{1} << 50), std::int64_t{1} << 50};
 
-double real_of(const Json::Value& value)
+duration time_of(json_fields& in, const char* name)
 {
-    return value.isNumeric() ? value.asDouble() : 0;
-}
-
-duration duration_of(const Json::Value& value)
-{
-    return duration{number_of(value)};
+    return in.integer(name, any_time) * time_unit;
 }
 
 Json::Int64 to_json(duration value)
@@ -43,7 +35,9 @@
 {
     worker_set out;
     for (const auto& it : value) {
-        out.insert(it.asUInt());
+        if (it.isUInt()) {
+            out.insert(it.asUInt());
+        }
     }
     return out;
 }
@@ -63,11 +57,15 @@
 
 instance_address decode_instance(const Json::Value& value)
 {
-    if (!value.isObject()) {
-        return {};
-    }
-    return {text_of(value["name"]), text_of(value["address"]), text_of(value["data_centre"]),
-            real_of(value["strength"]), number_of(value["incarnation"])};
+    constexpr double max_cpu_share = 1e6;
+    json_fields in(value);
+    instance_address out;
+    out.name = in.text("name");
+    out.address = in.text("address");
+    out.data_centre = in.text("data_centre");
+    out.cpu_share = in.real("strength", {0, max_cpu_share});
+    out.incarnation = in.integer("incarnation", any_time);
+    return out;
 }
 
 Json::Value encode_instances(const std::vector<instance_address>& instances)
@@ -105,8 +103,9 @@
 {
     std::vector<cell_claim> out;
     for (const auto& it : value) {
-        out.push_back({text_of(it["cell"]), static_cast<std::uint64_t>(number_of(it["token"])),
-                       decode_workers(it["workers"])});
+        json_fields in(it);
+        const auto cell = in.text("cell");
+        out.push_back({cell, in.number("token"), decode_workers(in.array("workers"))});
     }
     return out;
 }
@@ -155,31 +154,39 @@
 
 job_request decode_job(const Json::Value& value)
 {
+    constexpr value_range<std::int64_t> any_priority{std::numeric_limits<int>::min(),
+                                                     std::numeric_limits<int>::max()};
+    constexpr double max_stretch = 1e6;
+    json_fields in(value);
     job_request job;
-    job.id = text_of(value["id"]);
-    job.payload = text_of(value["payload"]);
-    job.terms.queue = text_of(value["queue"]);
-    job.terms.service = text_of(value["service"]);
-    job.terms.priority = static_cast<int>(number_of(value["priority"]));
-    job.terms.attempts = static_cast<std::uint32_t>(number_of(value["attempts"]));
-    job.terms.stretch = real_of(value["stretch"]);
-    job.terms.target_latency = duration_of(value["target_latency"]);
-    job.time_left = duration_of(value["time_left"]);
-    job.age = duration_of(value["age"]);
-    job.run_base = static_cast<std::uint32_t>(number_of(value["run_base"]));
-    job.resumed = value["resumed"].isBool() && value["resumed"].asBool();
-    job.former_workers = decode_workers(value["former_workers"]);
-    for (const auto& it : value["steps"]) {
+    job.id = in.text("id");
+    job.payload = in.text("payload");
+    job.terms.queue = in.text("queue");
+    job.terms.service = in.text("service");
+    job.terms.priority = static_cast<int>(in.integer("priority", any_priority));
+    job.terms.attempts = in.count("attempts");
+    job.terms.stretch = in.real("stretch", {0, max_stretch});
+    job.terms.target_latency = time_of(in, "target_latency");
+    job.time_left = time_of(in, "time_left");
+    job.age = time_of(in, "age");
+    job.run_base = in.count("run_base");
+    job.resumed = in.flag("resumed");
+    job.former_workers = decode_workers(in.array("former_workers"));
+    for (const auto& it : in.array("steps")) {
+        json_fields fields(it);
         job_step step;
-        step.count = static_cast<std::uint32_t>(number_of(it["count"]));
-        step.demand = {number_of(it["cpu"]), number_of(it["memory"]), number_of(it["gpus"])};
-        step.estimate = duration_of(it["estimate"]);
-        for (const auto& after : it["after"]) {
-            step.after.push_back(static_cast<std::uint32_t>(number_of(after)));
+        step.count = fields.count("count");
+        step.demand = {fields.integer("cpu", any_amount), fields.integer("memory", any_amount),
+                       fields.integer("gpus", any_amount)};
+        step.estimate = time_of(fields, "estimate");
+        for (const auto& after : fields.array("after")) {
+            step.after.push_back(static_cast<std::uint32_t>(
+                integer_of(after, {0, std::numeric_limits<std::uint32_t>::max()},
+                           std::numeric_limits<std::uint32_t>::max())));
         }
-        step.required_label = text_of(it["label"]);
-        step.data_rack = text_of(it["rack"]);
-        step.max_per_worker = static_cast<std::uint32_t>(number_of(it["max_per_worker"]));
+        step.required_label = fields.text("label");
+        step.data_rack = fields.text("rack");
+        step.max_per_worker = fields.count("max_per_worker");
         job.steps.push_back(std::move(step));
     }
     return job;
@@ -195,12 +202,11 @@
 
 job_outcome decode_outcome(const Json::Value& value)
 {
+    json_fields in(value);
     job_outcome out;
-    const auto end = number_of(value["end"]);
-    if (value["end"].isInt() && end >= 0 && end <= static_cast<int>(job_end::moved)) {
-        out.end = static_cast<job_end>(end);
-    }
-    out.retry_after = duration_of(value["retry_after"]);
+    out.end = static_cast<job_end>(
+        in.integer("end", {0, static_cast<int>(job_end::moved)}, static_cast<int>(out.end)));
+    out.retry_after = time_of(in, "retry_after");
     out.reason = "told by the controller";
     return out;
 }
@@ -218,11 +224,14 @@
 
 worker_loss decode_loss(const Json::Value& value)
 {
-    const auto flag_of = [&value](const char* name) {
-        return value[name].isBool() && value[name].asBool();
-    };
-    return {text_of(value["task"]), text_of(value["worker"]), number_of(value["started_at"]),
-            flag_of("sole_suspect"), flag_of("crashed")};
+    json_fields in(value);
+    worker_loss out;
+    out.task = in.text("task");
+    out.worker = in.text("worker");
+    out.started_at_ms = in.integer("started_at", any_time);
+    out.sole_suspect = in.flag("sole_suspect");
+    out.crashed = in.flag("crashed");
+    return out;
 }
 
 } // namespace cactusloom
--- a/src/http/json_text.cpp
+++ b/src/http/json_text.cpp
@@ -28,6 +28,15 @@
     return root;
 }
 
+result<Json::Value> parse_json_object(std::string_view text)
+{
+    auto value = parse_json(text);
+    if (value && !value.value().isObject()) {
+        return failure(errc::invalid_argument, "not a JSON object");
+    }
+    return value;
+}
+
 std::string write_json(const Json::Value& value)
 {
     static const Json::StreamWriterBuilder builder = [] {
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -57,6 +57,12 @@
 
 } // namespace
 
+bool is_socket_address(std::string_view text)
+{
+    const auto address = parse_address(text);
+    return address && address->sin_port != 0;
+}
+
 result<std::shared_ptr<tcp_stream>> tcp_stream::connect(poller& events, std::string_view text)
 {
     const auto address = parse_address(text);
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -4,6 +4,7 @@
 #include "cell/cell_service.h"
 #include "cell/mesh_codec.h"
 #include "cell_fixture.h"
+#include "json_mutation.h"
 #include "stand_in/loopback_proxy.h"
 
 #include <glib.h>
@@ -295,6 +296,46 @@
     BOOST_TEST(fleet.total_starts() == 0U);
 }
 
+// Guards against a controller whose process ends because of a message of an odd form.
+BOOST_AUTO_TEST_CASE(a_controller_survives_mutated_messages_of_a_peer)
+{
+    start("a", 17419);
+    start("b", 17420);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto owner = controller();
+    const std::string peer = owner == "a" ? "b" : "a";
+    Json::Value submit_message;
+    submit_message["t"] = "submit";
+    submit_message["cell"] = std::string(all_workers_cell);
+    submit_message["submission"] = 1;
+    submit_message["as_of"] = 1;
+    submit_message["job"] = encode_job(cell_fixture::job("j", 1));
+    Json::Value outcome_message;
+    outcome_message["t"] = "outcome";
+    outcome_message["id"] = "j";
+    outcome_message["outcome"] = encode_outcome({job_end::completed});
+    Json::Value loss_message;
+    loss_message["t"] = "worker_lost";
+    loss_message["loss"] = encode_loss({"j.0.0.0", "w0", 5, true, false});
+    Json::Value abandon_message;
+    abandon_message["t"] = "abandon";
+    abandon_message["id"] = "j";
+    abandon_message["cell"] = std::string(all_workers_cell);
+    const auto state_message = parse_json(
+        R"({"t":"ping","number":4,"claims":[{"cell":"dc","token":3,"workers":[1]}],"config":2})");
+    const Json::Value messages[] = {submit_message, outcome_message, loss_message, abandon_message,
+                                    state_message.value()};
+    json_mutator mutator(33);
+    for (int i = 0; i < 1000; ++i) {
+        members[peer].mesh->send(owner, mutator.mutate(messages[mutator.below(5)]));
+        if (i % 50 == 0) {
+            run_until([] { return false; }, 5ms);
+        }
+    }
+    submit(peer, cell_fixture::job("after", 1));
+    BOOST_TEST(run_until([&] { return outcomes.contains("after"); }, 5s));
+}
+
 // Guards against a takeover that forgets the workers that a task has crashed.
 BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
 {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -52,16 +52,18 @@
 // Guards against malformed bodies that crash the process or are decoded as something else.
 BOOST_AUTO_TEST_CASE(malformed_jobs_are_errors)
 {
-    const char* bodies[] = {"",
-                            "[]",
-                            "{",
-                            R"({"spec":"x"})",
-                            R"({"spec":1,"steps":[]})",
-                            R"({"spec":"x","steps":[1]})",
-                            R"({"spec":"x","steps":[{}]})",
-                            R"({"spec":"x","steps":[{"count":-1}]})",
-                            R"({"spec":"x","steps":[{"count":"4"}]})",
-                            R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})"};
+    const char* bodies[] = {
+        "",
+        "[]",
+        "{",
+        R"({"spec":"x"})",
+        R"({"spec":1,"steps":[]})",
+        R"({"spec":"x","steps":[1]})",
+        R"({"spec":"x","steps":[{}]})",
+        R"({"spec":"x","steps":[{"count":-1}]})",
+        R"({"spec":"x","steps":[{"count":"4"}]})",
+        R"({"spec":"x","steps":[{"count":1,"estimateMs":9223372036854775807}]})",
+        R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})"};
     for (const char* it : bodies) {
         BOOST_TEST(!decode_job_body(it), it);
     }
@@ -72,11 +74,11 @@
 {
     const auto good = decode_worker_entry(
         "i-1", R"({"service":"s","address":"10.0.0.1:8080","zone":"z","state":"draining",
-        "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"born":12})");
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"born":1796453147000})");
     BOOST_REQUIRE(good.has_value());
     BOOST_TEST(good->draining);
     BOOST_TEST(good->kind == "a");
-    BOOST_TEST(good->started_at_ms == 12);
+    BOOST_TEST(good->started_at_ms == 1796453147000);
     const char* bad[] = {"",
                          "\xff\xfe",
                          "{}",
@@ -84,7 +86,17 @@
                          "capacity":{"cpu":1,"memMb":1}})",
                          R"({"service":7,"address":"a","zone":"z","state":"ready",
                          "capacity":{"cpu":1,"memMb":1}})",
-                         R"({"service":"s","address":"a","zone":"z","state":"ready"})"};
+                         R"({"service":"s","address":"a","zone":"z","state":"ready"})",
+                         R"({"service":"s","address":"10.0.0.1:70000","zone":"z","state":"ready",
+                         "capacity":{"cpu":1,"memMb":1}})",
+                         R"({"service":"s","address":"10.0.0.1:1\n","zone":"z","state":"ready",
+                         "capacity":{"cpu":1,"memMb":1}})",
+                         R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready",
+                         "capacity":{"cpu":9223372036854775807,"memMb":1}})",
+                         R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready",
+                         "capacity":{"cpu":-1,"memMb":1}})",
+                         R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready",
+                         "capacity":{"cpu":1,"memMb":1},"born":1e300})"};
     for (const char* it : bad) {
         BOOST_TEST(!decode_worker_entry("i-1", it).has_value(), it);
     }
@@ -146,6 +158,10 @@
     BOOST_TEST(table.value().limits.body_bytes == 1000U);
     BOOST_TEST(table.value().routes.at(0).terms.attempts == 3U);
     BOOST_TEST(!decode_queue_table("{}"));
+    BOOST_TEST(!decode_queue_table(R"({"version":7,"routes":[1]})"));
+    BOOST_TEST(!decode_queue_table(R"({"version":7,"routes":[{"attempts":-1}]})"));
+    BOOST_TEST(
+        !decode_queue_table(R"({"version":7,"routes":[{"timeoutMs":9223372036854775807}]})"));
     BOOST_TEST(!decode_queue_table(R"({"version":"7","routes":[]})"));
 }
 
