--- a/include/cell/keyed_follower.h
+++ b/include/cell/keyed_follower.h
@@ -61,6 +61,7 @@
     void finish_read();
     void start_read();
     void read_newest(const std::string& after);
+    void continue_listing(const std::string& last_key);
     void on_newest(const keyed_page& page);
     void on_page(const keyed_page& page);
     void apply(const keyed_record& record);
@@ -76,6 +77,7 @@
     std::uint64_t position_ = 0;
     std::map<std::string, std::uint64_t, std::less<>> offsets_;
     std::set<std::string> listed_; // keys in the pages of the current listing
+    std::string listed_until_;     // last key of its newest page
     bool listing_in_progress_ = false;
     std::uint64_t listing_end_ = 0;
     monotonic_time healthy_since_;
--- a/include/cell/keyed_log.h
+++ b/include/cell/keyed_log.h
@@ -26,7 +26,8 @@
     std::vector<keyed_record> records;
     std::uint64_t end = 0;  // offset after the last record of the topic
     std::uint64_t next = 0; // read() only: offset after the last record of this page
-    bool has_more = false;  // newest() only: continue after the last key
+    bool has_more = false;  // newest() only: continue after `last_key`
+    std::string last_key;   // newest() only: of the page, even if its record cannot be read
 };
 
 // Access to the platform's log of keyed records. Callbacks run exactly once, later on the event
@@ -44,7 +45,7 @@
     // requested records have been deleted.
     virtual void read(keyed_topic topic, std::uint64_t from, duration wait, callback fn) = 0;
 
-    // Reads the newest record of each key, in pages ordered by key.
+    // Reads the newest record of each key after `after`, in pages ordered by key.
     virtual void newest(keyed_topic topic, const std::string& after, callback fn) = 0;
 
     // Sets the value of a key; `fn` gets true once it is stored.
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -117,6 +117,19 @@
     });
 }
 
+// A page that ends where it was asked to continue from would be read for ever.
+void keyed_follower::continue_listing(const std::string& last_key)
+{
+    if (!last_key.empty() && last_key != listed_until_) {
+        listed_until_ = last_key;
+        read_newest(last_key);
+        return;
+    }
+    log_event("listing_stuck", "topic={} after=\"{}\" last_key=\"{}\"", name_of(topic_),
+              listed_until_, last_key);
+    schedule_read(retry_delay);
+}
+
 void keyed_follower::on_newest(const keyed_page& page)
 {
     note_result(page.state == keyed_page::status::ok);
@@ -126,6 +139,7 @@
     }
     if (!listing_in_progress_) {
         listing_in_progress_ = true;
+        listed_until_.clear();
         listed_.clear();
         // Later pages are of a later state of the topic; reading on from here covers what they
         // miss.
@@ -135,8 +149,8 @@
         listed_.insert(record.key);
         apply(record);
     }
-    if (page.has_more && !page.records.empty()) {
-        read_newest(page.records.back().key);
+    if (page.has_more) {
+        continue_listing(page.last_key);
         return;
     }
     std::vector<std::string> gone;
--- a/tests/cell/registry_test.cpp
+++ b/tests/cell/registry_test.cpp
@@ -59,6 +59,8 @@
                 }
             }
             page.end = log_.size();
+            page.has_more = repeats_pages;
+            page.last_key = last.empty() ? "" : last.rbegin()->first;
         }
         ++reads;
         records_sent += page.records.size();
@@ -73,7 +75,8 @@
     }
 
     bool down = false;
-    std::uint64_t trimmed = 0; // records before this offset have been deleted
+    bool repeats_pages = false; // each page of the newest records is the first one
+    std::uint64_t trimmed = 0;  // records before this offset have been deleted
     std::size_t reads = 0;
     std::size_t records_sent = 0;
 
@@ -122,6 +125,23 @@
     BOOST_TEST(values.at("b") == "1");
 }
 
+// Guards against requests without end to a store that repeats a page, and against taking the keys
+// of the pages that are missing for removed.
+BOOST_AUTO_TEST_CASE(a_listing_without_progress_is_given_up_for_a_while)
+{
+    topic.append("a", "1");
+    topic.repeats_pages = true;
+    bool complete = false;
+    follower.on_read = [&complete] { complete = true; };
+    follower.start();
+    timers.advance(1s);
+    BOOST_TEST(!complete);
+    BOOST_TEST(topic.reads <= 10U);
+    topic.repeats_pages = false;
+    timers.advance(300ms);
+    BOOST_TEST(complete);
+}
+
 // Guards against a follower that stalls, or keeps removed keys, after older records were deleted.
 BOOST_AUTO_TEST_CASE(deleted_history_is_replaced_by_the_newest_records)
 {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -193,10 +193,12 @@
 BOOST_AUTO_TEST_CASE(newest_records_are_decoded)
 {
     const auto page = decode_newest(
-        R"({"items":[{"key":"config","value":"YWJj","offset":4},{"key":1}],"hasMore":true,"end":6})");
+        R"({"items":[{"key":"config","value":"YWJj","offset":4},{"key":1},{"key":"x"}],
+        "hasMore":true,"end":6})");
     BOOST_REQUIRE(page.records.size() == 1U);
     BOOST_TEST(*page.records[0].value == "abc");
     BOOST_TEST(page.has_more);
+    BOOST_TEST(page.last_key == "x"); // the next page begins after it, readable or not
     BOOST_TEST(page.end == 6U);
 }
 
