--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -190,6 +190,21 @@
                static_cast<int>(keyed_page::status::failed));
 }
 
+// Guards against a list that stays where it was because of a record without a key.
+BOOST_AUTO_TEST_CASE(records_without_a_key_are_passed_over)
+{
+    std::string body(16, '\0');
+    body[7] = 4;
+    body += std::string("\0\0\0\0", 4);         // no content
+    body += std::string("\0\0\0\x02\x09k", 6); // shorter than its key
+    body += encode_keyed_record("a", "value");
+    const auto page = decode_log_records(body, 0);
+    BOOST_TEST(page.next == 3U);
+    BOOST_REQUIRE(page.records.size() == 1U);
+    BOOST_TEST(page.records[0].key == "a");
+    BOOST_TEST(page.records[0].offset == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(newest_records_are_decoded)
 {
     const auto page = decode_newest(
