Escape control characters in log lines

Seen: with mutated messages of a peer the log of a test had a line "event=forged", which no part of the program had written.

Cause: fields of log lines held texts of other programs as they came; a line end in a key, a name or a reason ends the line.

Evidence: the line above; it is gone with the change (0 lines in the same test).

Change: write_log_line replaces control characters by \xNN.

Why it works: all lines are written by this function.

--- a/include/base/log.h
+++ b/include/base/log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <fmt/format.h>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -22,6 +23,9 @@
 // limit is reached.
 bool reserve_log_line(log_scope scope);
 
+// Text with its control characters replaced by \xNN, as two hexadecimal digits.
+std::string escape_control_characters(std::string_view text);
+
 // Writes one key=value line to standard output without ever blocking. If the pipe is full, the line
 // is dropped and counted; the next line that is written is preceded by the count.
 void write_log_line(std::string_view event, std::string_view fields);
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -58,6 +58,24 @@
     return true;
 }
 
+std::string escape_control_characters(std::string_view text)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    std::string out;
+    out.reserve(text.size());
+    for (const char it : text) {
+        const auto byte = static_cast<unsigned char>(it);
+        if (byte < first_printable || byte == del) {
+            fmt::format_to(std::back_inserter(out), "\\x{:02x}", byte);
+        }
+        else {
+            out += it;
+        }
+    }
+    return out;
+}
+
 void write_log_line(std::string_view event, std::string_view fields)
 {
     auto& it = output();
@@ -67,7 +85,8 @@
         append_line(text, now, "log_lines_dropped",
                     fmt::format("lines={}", it.dropped - it.reported));
     }
-    append_line(text, now, event, fields);
+    // Fields may hold text of other programs; a line end in it would forge a line.
+    append_line(text, now, event, escape_control_characters(fields));
     const auto n = write(STDOUT_FILENO, text.data(), text.size());
     if (n == static_cast<ssize_t>(text.size())) {
         it.reported = it.dropped;
