Jobs belong to a link of their requester, so that a lost abandon ends them too

Cause: a controller took contact with a requester for agreement on its jobs. "abandon" is sent once, and what is lost with a link does not come again with the next one, while contact does.

Evidence: with the link reset or silent the new test sees no stop before the deadline; over a whole link the runs end at once.

Change: links are numbered by the process that opens them, and a job belongs to the link on which it was last submitted. 300 ms after a newer link the controller ends the jobs that were not submitted again. "abandon" counts only if it is from the last submitter; it reaches a submission that waits for its former run, and a controller that was lost and is in contact again.

Why it works: a message is lost only with its link, and a requester submits all jobs that it still wants on the next one. No message is added, and nothing grows with the number of open jobs.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -2,8 +2,8 @@
 
 #include "base/timer_service.h"
 #include "cell/crash_ledger.h"
-#include "cell/instance_process.h"
 #include "cell/job.h"
+#include "cell/peer_link.h"
 #include "cell/scheduling_policies.h"
 #include "cell/worker_commands.h"
 
@@ -77,14 +77,19 @@
     void set_worker_list_time(monotonic_time read_started_at);
 
     // Accepts a job and calls `fn` once with its outcome. A second submission of an id joins the
-    // first, and only the newest `fn` is called. `requester` is the process that forwarded the
-    // job; `abandon_all_of` stops its jobs when it is gone or no longer reachable.
-    void submit(job_request job, const instance_process& requester, answer fn);
+    // first, and only the newest `fn` is called. `requester` is the link on which the job
+    // was forwarded.
+    void submit(job_request job, const peer_link& requester, answer fn);
 
-    // Stops the running tasks of a job whose caller has disconnected and drops the others.
-    void abandon(std::string_view job_id);
+    // Stops the running tasks of a job whose caller has disconnected and drops the others. Has no
+    // effect if another process has submitted the job since, or the same one on a newer link.
+    void abandon(std::string_view job_id, const peer_link& requester);
 
-    // Abandons all jobs of a requester that is gone or unreachable. They are answered `moved`,
+    // Abandons the jobs that the process has not submitted again since it opened the link: it has
+    // given them up, and its message about that was lost with an earlier link.
+    void abandon_not_resubmitted(const peer_link& newest);
+
+    // Abandons all jobs of a process that is gone or unreachable. They are answered `moved`,
     // which the requester receives only if it is reachable after all.
     void abandon_all_of(const instance_process& requester);
 
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -118,10 +118,12 @@
     std::vector<ended_job> unassigned_jobs_to_fail() const;
     std::vector<ended_job> overdue_jobs() const;
     void fail_jobs(const std::vector<ended_job>& jobs);
-    void on_message(const instance_process& from, const Json::Value& message,
+    void on_message(const peer_link& from, const Json::Value& message,
                     const instance_mesh::sender& reply);
-    void on_submit(const instance_process& requester, const Json::Value& message,
+    void on_submit(const peer_link& requester, const Json::Value& message,
                    const instance_mesh::sender& reply);
+    void await_resubmissions(const peer_link& newest);
+    peer_link own_link() const { return {mesh_.own_process()}; }
 
     timer_service& timers_;
     instance_mesh& mesh_;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -3,8 +3,8 @@
 #include "base/timer_service.h"
 #include "cell/cell_election.h"
 #include "cell/control_candidates.h"
-#include "cell/instance_process.h"
 #include "cell/overload_detector.h"
+#include "cell/peer_link.h"
 #include "metrics/latency_histogram.h"
 #include "net/frame_link.h"
 #include "net/poller.h"
@@ -35,10 +35,10 @@
 // judged only from replies on the own link, so that a partition of one direction is detected.
 class instance_mesh {
 public:
-    // Receives a message of the process `from`; `reply` sends on the same link.
+    // Receives a message on the link `from`; `reply` sends on the same link.
     using sender = std::function<void(const Json::Value&)>;
     using message_handler =
-        std::function<void(const instance_process& from, const Json::Value& message, sender reply)>;
+        std::function<void(const peer_link& from, const Json::Value& message, sender reply)>;
 
     instance_mesh(poller& events, timer_service& timers, instance_address self);
     ~instance_mesh();
@@ -125,6 +125,9 @@
     std::function<void(const std::string& peer)> on_restart; // a peer has lost its state
     // A new link to the peer is open. What was sent on the old one may have been lost.
     std::function<void(const std::string& peer)> on_reconnect;
+    // A peer has opened a new link to this instance. What it sent on the earlier one may have been
+    // lost.
+    std::function<void(const peer_link& link)> on_peer_reconnect;
     // This instance has been silent for so long that these peers may have dropped its requests.
     std::function<void(std::span<const std::string> peers)> on_own_silence;
 
@@ -161,6 +164,7 @@
     bool update_lost(peer& peer, bool alive);
     Json::Value own_state() const;
     std::string heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const;
+    std::string first_ping_text(peer& peer) const;
     std::string with_clock(std::string_view object) const;
 
     poller& events_;
@@ -175,6 +179,7 @@
     std::map<instance_process, monotonic_time> last_heard_;
     std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> discovery_links_;
     std::vector<cell_claim> claims_;
+    std::uint64_t opened_links_ = 0;
     std::uint64_t state_number_ = 1;                             // rises with each announced change
     mutable std::map<std::string, std::string> heartbeat_cache_; // texts by kind, of one state
     mutable std::uint64_t heartbeat_cache_number_ = 0;           // number of that state
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -23,7 +23,7 @@
 // A job from its submission until its last run has ended.
 struct active_job {
     job_request request;
-    instance_process requester;
+    peer_link requester;
     cell_controller::answer answer; // empty once answered
     monotonic_time arrived;         // at the instance that the caller is connected to
     monotonic_time accepted_at;     // at this controller
@@ -42,7 +42,7 @@
     // A new submission of the same id, accepted once the last run of this job has ended.
     struct successor {
         job_request request;
-        instance_process requester;
+        peer_link requester;
         cell_controller::answer answer;
     };
     std::optional<successor> next;
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -111,32 +111,40 @@
     state_->schedule_start_pass();
 }
 
-void cell_controller::submit(job_request job, const instance_process& requester, answer fn)
+void cell_controller::submit(job_request job, const peer_link& requester, answer fn)
 {
     state_->submit(std::move(job), requester, std::move(fn));
 }
 
-void cell_controller::abandon(std::string_view job_id)
+void cell_controller::abandon(std::string_view job_id, const peer_link& requester)
 {
     const auto it = state_->jobs.find(job_id);
-    if (it != state_->jobs.end() && !it->second->ended) {
-        state_->abandon(*it->second);
+    if (it == state_->jobs.end()) {
+        return;
+    }
+    const auto is_submitter = [&requester](const peer_link& submitter) {
+        return submitter.is_of(requester.process) && !requester.is_replaced_by(submitter);
+    };
+    state_->abandon_if(*it->second, is_submitter, false);
+}
+
+void cell_controller::abandon_not_resubmitted(const peer_link& newest)
+{
+    const auto is_submitter = [&newest](const peer_link& submitter) {
+        return submitter.is_replaced_by(newest);
+    };
+    for (const auto& [id, job] : state_->jobs) {
+        state_->abandon_if(*job, is_submitter, true);
     }
 }
 
 void cell_controller::abandon_all_of(const instance_process& requester)
 {
-    // If this reaches the requester after all, it submits the job again.
-    const job_outcome moved{job_end::moved, {}, "requester out of touch"};
+    const auto is_submitter = [&requester](const peer_link& submitter) {
+        return submitter.is_of(requester);
+    };
     for (const auto& [id, job] : state_->jobs) {
-        if (job->requester == requester && !job->ended) {
-            job->answer(moved);
-            state_->abandon(*job);
-        }
-        if (job->next && job->next->requester == requester) {
-            job->next->answer(moved);
-            job->next.reset();
-        }
+        state_->abandon_if(*job, is_submitter, true);
     }
 }
 
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -14,6 +14,9 @@
 // A submission that has waited unread for longer may have been sent elsewhere meanwhile: the
 // requester does so after lost_job_quarantine.
 constexpr duration max_submission_age = std::chrono::milliseconds{900};
+// A requester submits its open jobs again as soon as its new link is connected and the controller's
+// claim is known there, which takes a round trip and a tick.
+constexpr duration resubmission_time = std::chrono::milliseconds{300};
 constexpr duration outdated_retry_after = std::chrono::seconds{2};
 
 } // namespace
@@ -21,8 +24,7 @@
 cell_service::cell_service(timer_service& timers, instance_mesh& mesh, worker_commands& commands,
                            const cell_settings& settings)
     : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
-      on_other_message(
-          [](const instance_process&, const Json::Value&, const instance_mesh::sender&) {}),
+      on_other_message([](const peer_link&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
       losses_(std::make_shared<crash_ledger>(timers)), started_at_(timers.monotonic_now())
 {
@@ -43,6 +45,7 @@
         }
         redispatch();
     };
+    mesh_.on_peer_reconnect = [this](const peer_link& link) { await_resubmissions(link); };
     mesh_.on_own_silence = [this](std::span<const std::string> peers) {
         for (auto& [id, job] : jobs_) {
             if (std::ranges::find(peers, job->controller) != peers.end()) {
@@ -51,7 +54,7 @@
         }
         redispatch();
     };
-    mesh_.on_message = [this](const instance_process& from, const Json::Value& message,
+    mesh_.on_message = [this](const peer_link& from, const Json::Value& message,
                               const instance_mesh::sender& reply) {
         on_message(from, message, reply);
     };
@@ -101,7 +104,7 @@
     announce();
 }
 
-void cell_service::on_message(const instance_process& from, const Json::Value& message,
+void cell_service::on_message(const peer_link& from, const Json::Value& message,
                               const instance_mesh::sender& reply)
 {
     json_fields in(message);
@@ -112,14 +115,14 @@
     else if (kind == "abandon") {
         const auto controlled = controlled_cells_.find(in.text("cell"));
         if (controlled != controlled_cells_.end()) {
-            controlled->second->controller->abandon(in.text("id"));
+            controlled->second->controller->abandon(in.text("id"), from);
         }
     }
     else if (kind == "worker_lost") {
         apply_loss(decode_loss(in.value("loss")));
     }
     else if (kind == "outcome") {
-        on_outcome({in.text("id"), from.name, in.text("cell"), in.count("submission")},
+        on_outcome({in.text("id"), from.process.name, in.text("cell"), in.count("submission")},
                    decode_outcome(in.value("outcome")));
     }
     else {
@@ -127,7 +130,7 @@
     }
 }
 
-void cell_service::on_submit(const instance_process& requester, const Json::Value& message,
+void cell_service::on_submit(const peer_link& requester, const Json::Value& message,
                              const instance_mesh::sender& reply)
 {
     json_fields in(message);
@@ -148,10 +151,10 @@
         respond({job_end::moved, {}, "not in control"});
         return;
     }
-    if (mesh_.is_replaced(requester)) {
+    if (mesh_.is_replaced(requester.process)) {
         // Read late. If the clocks are wrong and this is the newer process, it submits again.
         log_request_event("submission_of_former_process", "id={} requester={} incarnation={}", id,
-                          requester.name, requester.incarnation);
+                          requester.process.name, requester.process.incarnation);
         respond({job_end::moved, {}, "the process has been replaced"});
         return;
     }
@@ -160,15 +163,32 @@
         const auto age = std::chrono::milliseconds{mesh_.own_clock_ms() - as_of};
         if (age > max_submission_age) {
             log_request_event("submission_outdated", "id={} requester={} age_ms={}", id,
-                              requester.name, age.count());
+                              requester.process.name, age.count());
             respond({job_end::not_run, outdated_retry_after, "the submission arrived late"});
             return;
         }
     }
-    controlled->second->requesters.insert(requester);
+    controlled->second->requesters.insert(requester.process);
     controlled->second->controller->submit(std::move(request), requester, std::move(respond));
 }
 
+// Messages of a requester are lost only with a link. The jobs that it still wants come again on the
+// next one; the others it has given up.
+void cell_service::await_resubmissions(const peer_link& newest)
+{
+    if (controlled_cells_.empty()) {
+        return;
+    }
+    timers_.schedule(resubmission_time, [this, newest, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        for (const auto& [cell, controlled] : controlled_cells_) {
+            controlled->controller->abandon_not_resubmitted(newest);
+        }
+    });
+}
+
 std::size_t cell_service::pending_jobs(std::string_view queue) const
 {
     std::size_t n = 0;
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -43,8 +43,10 @@
     if (it == jobs_.end()) {
         return;
     }
-    const auto controller = it->second->controller;
-    const auto cell = it->second->cell;
+    // A controller that was lost may be in contact again, and still have the job.
+    const auto& job = *it->second;
+    const auto controller = job.controller.empty() ? job.former_controller : job.controller;
+    const auto cell = job.sent_cell;
     jobs_.erase(it);
     if (!controller.empty()) {
         abandon_at(controller, cell, job_id);
@@ -58,7 +60,7 @@
     if (controller == mesh_.self().name) {
         if (const auto controlled = controlled_cells_.find(cell);
             controlled != controlled_cells_.end()) {
-            controlled->second->controller->abandon(job_id);
+            controlled->second->controller->abandon(job_id, own_link());
         }
         return;
     }
@@ -66,7 +68,7 @@
     message["t"] = "abandon";
     message["id"] = job_id;
     message["cell"] = cell;
-    // A controller drops the jobs of requesters that are out of contact.
+    // The controller drops the job once it is out of contact, or misses it on the next link.
     if (!mesh_.send(controller, message)) {
         log_request_event("abandon_unsent", "id={} controller={}", job_id, controller);
     }
@@ -145,7 +147,7 @@
         }
         job.send_to(target->name, *target_claim);
         controlled->second->controller->submit(
-            job.request, mesh_.own_process(),
+            job.request, own_link(),
             [this, alive = alive_, id, number,
              cell = target_claim->cell](const job_outcome& outcome) {
                 if (*alive) {
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -30,8 +30,7 @@
 
 } // namespace
 
-void cell_controller::state::submit(job_request request, const instance_process& requester,
-                                    answer fn)
+void cell_controller::state::submit(job_request request, const peer_link& requester, answer fn)
 {
     if (token == 0) {
         fn({job_end::moved, {}, "not in control"});
@@ -65,8 +64,7 @@
     job.next = active_job::successor{std::move(request), requester, std::move(fn)};
 }
 
-void cell_controller::state::accept(job_request request, const instance_process& requester,
-                                    answer fn)
+void cell_controller::state::accept(job_request request, const peer_link& requester, answer fn)
 {
     const auto now = timers.monotonic_now();
     auto owned = std::make_unique<active_job>();
@@ -358,6 +356,28 @@
     }
 }
 
+// Abandons a job, and the submission that waits for its end, if their requesters match. If
+// `answers` is true, the requesters are told; one that waits after all submits the job again.
+void cell_controller::state::abandon_if(active_job& job,
+                                        const std::function<bool(const peer_link&)>& is_submitter,
+                                        bool answers)
+{
+    const job_outcome moved{job_end::moved, {}, "abandoned"};
+    if (job.next && is_submitter(job.next->requester)) {
+        const auto next = std::move(*job.next);
+        job.next.reset();
+        if (answers) {
+            next.answer(moved);
+        }
+    }
+    if (!job.ended && is_submitter(job.requester)) {
+        if (answers) {
+            job.answer(moved);
+        }
+        abandon(job);
+    }
+}
+
 // The removal is deferred because callers hold references into `jobs`.
 void cell_controller::state::schedule_job_removal(const std::string& id)
 {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -69,14 +69,16 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     // Jobs.
-    void submit(job_request request, const instance_process& requester, answer fn);
-    void accept(job_request request, const instance_process& requester, answer fn);
+    void submit(job_request request, const peer_link& requester, answer fn);
+    void accept(job_request request, const peer_link& requester, answer fn);
     bool reject_if_too_late(active_job& job);
     bool adopt_orphans(active_job& job);
     bool may_start_resumed(const active_job& job);
     void finish(active_job& job, const job_outcome& outcome);
     std::string describe_runs(const active_job& job) const;
     void abandon(active_job& job);
+    void abandon_if(active_job& job, const std::function<bool(const peer_link&)>& is_submitter,
+                    bool answers);
     void schedule_job_removal(const std::string& id);
     void remove_ended_job(const std::string& id);
     void expire_jobs(monotonic_time now);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -24,10 +24,11 @@
 } // namespace
 
 instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
-    : on_message([](const instance_process&, const Json::Value&, const sender&) {}),
-      on_change([] {}), on_newer_config([] {}), on_restart([](const std::string&) {}),
-      on_reconnect([](const std::string&) {}), on_own_silence([](std::span<const std::string>) {}),
-      events_(events), timers_(timers), self_(std::move(self))
+    : on_message([](const peer_link&, const Json::Value&, const sender&) {}), on_change([] {}),
+      on_newer_config([] {}), on_restart([](const std::string&) {}),
+      on_reconnect([](const std::string&) {}), on_peer_reconnect([](const peer_link&) {}),
+      on_own_silence([](std::span<const std::string>) {}), events_(events), timers_(timers),
+      self_(std::move(self))
 {
 }
 
@@ -439,7 +440,7 @@
 {
     const auto parsed = parse_json_object(text);
     if (!parsed) {
-        log_event("peer_message_unreadable", "instance={} reason=\"{}\"", link.process.name,
+        log_event("peer_message_unreadable", "instance={} reason=\"{}\"", link.from.process.name,
                   parsed.error().message);
         return;
     }
@@ -447,17 +448,21 @@
     const auto kind = json_fields(message).text("t");
     if (message.isMember("from")) {
         const auto from = decode_instance(message["from"]);
-        link.process = {from.name, from.incarnation};
+        link.from.process = {from.name, from.incarnation};
         update_instances({from});
         const auto known_peer = peers_.find(from.name);
         if (known_peer != peers_.end() && apply_state(*known_peer->second, message)) {
             on_change();
         }
     }
-    if (const auto known_peer = peers_.find(link.process.name); known_peer != peers_.end()) {
+    if (const auto known_peer = peers_.find(link.from.process.name); known_peer != peers_.end()) {
         reconnect_if_stalled(*known_peer->second);
     }
-    last_heard_[link.process] = timers_.monotonic_now();
+    last_heard_[link.from.process] = timers_.monotonic_now();
+    if (const auto number = json_fields(message).number("link"); number > link.from.number) {
+        link.from.number = number;
+        on_peer_reconnect(link.from);
+    }
     if (kind == "ping") {
         link.link->send(heartbeat_text("pong", link.sent_state_number));
         return;
@@ -475,7 +480,7 @@
             weak = it;
         }
     }
-    on_message(link.process, message, [weak](const Json::Value& reply) {
+    on_message(link.from, message, [weak](const Json::Value& reply) {
         if (const auto it = weak.lock()) {
             it->link->send(write_json(reply));
         }
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -26,6 +26,7 @@
     bool connection_refused = false;  // no process listened at the last attempt
     bool unreachable = false;         // the last attempt was not answered at all
     bool was_connected = false;
+    std::uint64_t link_number = 0; // of `link`, among all that this process has opened
     bool was_alive = false;
     monotonic_time no_contact_since; // zero: alive, or no candidate
     bool lost = false; // out of contact for so long that another candidate replaces it
@@ -48,7 +49,7 @@
 
 struct instance_mesh::inbound {
     std::unique_ptr<frame_link> link;
-    instance_process process;            // that has opened the link; empty until its first message
+    peer_link from;                      // empty until the first message
     std::uint64_t sent_state_number = 0; // newest own state that was sent on this link
 };
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -147,6 +147,15 @@
     return with_clock(text);
 }
 
+// The number tells the peer which link is the newest. Probes and introductions have none, because
+// no message about a job is sent on them.
+std::string instance_mesh::first_ping_text(peer& it) const
+{
+    const auto ping = heartbeat_text("ping", it.sent_state_number);
+    return fmt::format("{},\"link\":{}}}", std::string_view(ping).substr(0, ping.rfind('}')),
+                       it.link_number);
+}
+
 // Adds the current clock to the text of a JSON object.
 std::string instance_mesh::with_clock(std::string_view object) const
 {
@@ -332,6 +341,7 @@
     it.was_connected = false;
     it.unanswered_since = {};
     it.opened_at = timers_.monotonic_now();
+    it.link_number = ++opened_links_;
     auto stream = tcp_stream::connect(events_, it.address.address);
     if (!stream) {
         log_event("link_failed", "instance={} reason=\"{}\"", it.address.name,
@@ -346,7 +356,7 @@
         linked_peer->connection_refused = false;
         linked_peer->unreachable = false;
         linked_peer->sent_state_number = 0;
-        linked_peer->link->send(heartbeat_text("ping", linked_peer->sent_state_number));
+        linked_peer->link->send(first_ping_text(*linked_peer));
         on_reconnect(linked_peer->address.name);
     };
     it.link->on_message = [this, linked_peer](std::string_view text) {
@@ -360,7 +370,7 @@
             on_pong(*linked_peer, message.value());
             return;
         }
-        on_message({linked_peer->address.name, linked_peer->incarnation}, message.value(),
+        on_message({{linked_peer->address.name, linked_peer->incarnation}}, message.value(),
                    [](const Json::Value&) {});
     };
     it.link->on_closed = [this, linked_peer] {
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -216,7 +216,7 @@
     for (int i = 0; i < n; ++i) {
         const auto id = fmt::format("j{}", i);
         const auto sent = timers.monotonic_now();
-        controller->submit(job(id, 1, 60ms), {"requester"}, [&, sent](const job_outcome& it) {
+        controller->submit(job(id, 1, 60ms), {{"requester"}}, [&, sent](const job_outcome& it) {
             BOOST_TEST(to_string(it.end) == to_string(job_end::completed));
             late += timers.monotonic_now() - sent > 156ms ? 1 : 0;
         });
@@ -241,7 +241,7 @@
     timers.advance(2s); // from 1 s after the claim on jobs may be refused
     std::optional<duration> answered;
     const auto began = timers.monotonic_now();
-    controller->submit(job("first", 8, 100ms), {"requester"}, [&](const job_outcome& it) {
+    controller->submit(job("first", 8, 100ms), {{"requester"}}, [&](const job_outcome& it) {
         if (it.end == job_end::completed) {
             answered = timers.monotonic_now() - began;
         }
@@ -302,6 +302,46 @@
     }
 }
 
+// Guards against a late message of a former requester that ends the job of a caller who has come
+// back through another instance.
+BOOST_AUTO_TEST_CASE(only_the_newest_submitter_can_abandon_a_job)
+{
+    add_workers(1);
+    take_control();
+    const peer_link first{{"a", 1}, 4};
+    const peer_link restarted{{"a", 2}, 1};
+    const peer_link second_link{{"a", 2}, 2};
+    for (const auto& it : {first, restarted, second_link}) {
+        controller->submit(job("j", 1, 200ms), it,
+                           [this](const job_outcome& out) { outcomes["j"] = out; });
+    }
+    controller->abandon("j", first);
+    controller->abandon("j", restarted); // sent before the second link, read after it
+    controller->abandon_not_resubmitted(second_link);
+    timers.advance(500ms);
+    BOOST_TEST(ended("j", job_end::completed));
+}
+
+// Guards against a submission that waits for the end of its former run, and starts although its
+// caller has cancelled it meanwhile.
+BOOST_AUTO_TEST_CASE(a_submission_that_waits_for_the_former_run_can_be_abandoned)
+{
+    add_workers(1);
+    take_control();
+    const peer_link requester{{"a", 1}, 1};
+    const auto submit_again = [&] {
+        controller->submit(job("j", 1, 1s), requester, [](const job_outcome&) {});
+    };
+    submit_again();
+    timers.advance(50ms);
+    BOOST_REQUIRE(fleet.total_starts() == 1U);
+    controller->abandon("j", requester);
+    submit_again();
+    controller->abandon("j", requester);
+    timers.advance(1s);
+    BOOST_TEST(fleet.total_starts() == 1U);
+}
+
 // Guards against capacity that is used for requesters that are unreachable.
 BOOST_AUTO_TEST_CASE(abandoned_jobs_release_their_capacity)
 {
--- a/tests/cell/cell_fixture.h
+++ b/tests/cell/cell_fixture.h
@@ -112,7 +112,7 @@
     void submit(job_request request, const std::string& requester = "requester")
     {
         const auto id = request.id;
-        controller->submit(std::move(request), {requester},
+        controller->submit(std::move(request), {{requester}},
                            [this, id](const job_outcome& it) { outcomes[id] = it; });
     }
 
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -336,6 +336,55 @@
     BOOST_TEST(run_until([&] { return outcomes.contains("after"); }, 5s));
 }
 
+// Guards against jobs that run on although nobody waits for them, because the message that gives
+// them up is lost with a link: one that is reset, and one that goes silent.
+BOOST_AUTO_TEST_CASE(a_job_given_up_on_a_lost_link_ends)
+{
+    fleet.work = [](const std::string&) { return duration{5s}; };
+    start("b", 17425, "dc", 17426);
+    BOOST_REQUIRE(run_until([&] { return controller() == "b"; }, 2s));
+    start("a", 17427);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    struct row {
+        const char* job;
+        bool silent;
+        duration limit; // silence is noticed after 0.6 s
+    };
+    for (const auto& it : {row{"reset", false, 600ms}, row{"silent", true, 1500ms}}) {
+        const auto running = [this] {
+            return std::ranges::any_of(workers,
+                                       [this](const auto& w) { return fleet.running(w.id) != 0; });
+        };
+        submit("a", cell_fixture::job(it.job, 2, 5s));
+        BOOST_REQUIRE(run_until(running, 1s));
+        if (it.silent) {
+            relays["b"]->blackhole_open_connections();
+        }
+        else {
+            relays["b"]->close_open_connections();
+        }
+        members["a"].cells->abandon(it.job);
+        BOOST_TEST(run_until([&] { return !running(); }, it.limit), it.job);
+        run_until([] { return false; }, 500ms);
+    }
+}
+
+// Guards against a job that is still wanted being stopped, or started twice, when its link is
+// reset.
+BOOST_AUTO_TEST_CASE(a_job_that_is_still_wanted_runs_on_after_its_link_is_reset)
+{
+    fleet.work = [](const std::string&) { return duration{900ms}; };
+    start("b", 17428, "dc", 17429);
+    BOOST_REQUIRE(run_until([&] { return controller() == "b"; }, 2s));
+    start("a", 17430);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    submit("a", cell_fixture::job("j", 2, 900ms));
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 2; }, 1s));
+    relays["b"]->close_open_connections();
+    BOOST_TEST(run_until([&] { return completed("j"); }, 2s));
+    BOOST_TEST(fleet.total_starts() == 2U);
+}
+
 // Guards against a takeover that forgets the workers that a task has crashed.
 BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
 {
--- a/tests/cell/configuration_exchange_test.cpp
+++ b/tests/cell/configuration_exchange_test.cpp
@@ -38,10 +38,10 @@
             auto& own = members[it.name];
             own.mesh = std::make_unique<instance_mesh>(events, timers, it);
             own.exchange = std::make_unique<configuration_exchange>(timers, *own.mesh);
-            own.mesh->on_message = [&own](const instance_process& from, const Json::Value& message,
+            own.mesh->on_message = [&own](const peer_link& from, const Json::Value& message,
                                           const instance_mesh::sender& reply) {
                 own.requests_received += message["t"].asString() == "config_request" ? 1 : 0;
-                BOOST_TEST(own.exchange->on_message(from.name, message, reply));
+                BOOST_TEST(own.exchange->on_message(from.process.name, message, reply));
             };
             own.exchange->on_configuration = [this, &own](const std::string& text,
                                                           std::uint64_t next) {
--- a/tests/cell/load_player.h
+++ b/tests/cell/load_player.h
@@ -154,7 +154,7 @@
             ++results_[kind.queue].submitted;
         }
         fixture_.controller->submit(
-            std::move(request), {"requester"},
+            std::move(request), {{"requester"}},
             [this, id, queue = std::string(kind.queue), tasks = kind.tasks](const job_outcome& it) {
                 on_end(jobs_.at(id), queue, tasks, it);
             });
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -52,7 +52,7 @@
     take_control(2);
     job_outcome outcome;
     bool answered = false;
-    old->submit(job("j", 2), {"requester"}, [&](const job_outcome& it) {
+    old->submit(job("j", 2), {{"requester"}}, [&](const job_outcome& it) {
         outcome = it;
         answered = true;
     });
@@ -184,7 +184,7 @@
     timers.advance(10ms);
     BOOST_REQUIRE(fleet.total_starts() == 1U);
     controller.reset();
-    ours->submit(resumed(job("j", 1)), {"requester"}, [](const job_outcome&) {});
+    ours->submit(resumed(job("j", 1)), {{"requester"}}, [](const job_outcome&) {});
     timers.advance(400ms);
     BOOST_TEST(fleet.total_starts() == 1U);
     timers.advance(3s);
