Know the claims of a process whose start time is earlier than its predecessor's

Callers would see: jobs sent to an instance that no longer controls their cell, and a cell that no other instance takes over, after an instance was started twice within a jump of its clock back.

Cause: peers ordered processes of one name by their start times only and dropped the state of the later process as that of a former one.

Evidence: in the new test a claim of a process with a start time one second earlier is never seen; with a later one it is seen at once.

Change: state on an own link that was opened after the known process was first seen is applied whatever its start time.

Why it works: such a link leads to the process that runs now; late reads from links that were open before are still dropped.

Measured: the test fails without the change and passes; tests of mesh and service pass.

--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -145,7 +145,7 @@
     void reconnect_if_stalled(peer& peer);
     void open(peer& peer);
     void on_pong(peer& peer, const Json::Value& message);
-    bool apply_state(peer& peer, const Json::Value& message);
+    bool apply_state(peer& peer, const Json::Value& message, std::uint64_t own_link = 0);
     void send_pings();
     void send_state();
     void ping(peer& peer);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -362,20 +362,26 @@
 }
 
 // Applies the state that a peer announces, unless a newer one has already arrived on another link.
-// Returns true if that may change who controls what.
-bool instance_mesh::apply_state(peer& it, const Json::Value& message)
+// `own_link` is the number of the own link on which it was received, or 0. Returns true if that may
+// change who controls what.
+bool instance_mesh::apply_state(peer& it, const Json::Value& message, std::uint64_t own_link)
 {
     json_fields in(message);
     const auto from = decode_instance(in.value("from"));
     const auto number = in.number("number");
-    if (from.incarnation < it.incarnation ||
-        (from.incarnation == it.incarnation && number < it.state_number)) {
+    // A link that was opened since leads to the process that runs now, even if its clock was set
+    // back and its start time is the earlier one.
+    const bool is_former = from.incarnation < it.incarnation && own_link <= it.incarnation_link;
+    if (is_former || (from.incarnation == it.incarnation && number < it.state_number)) {
         return false;
     }
     const bool restarted = it.incarnation != 0 && from.incarnation != it.incarnation;
     if (restarted) {
         it.clock_ms = -1; // another machine may have taken the name
     }
+    if (from.incarnation != it.incarnation) {
+        it.incarnation_link = own_link != 0 ? own_link : opened_links_;
+    }
     it.incarnation = from.incarnation;
     it.state_number = number;
     it.address = from;
@@ -409,7 +415,7 @@
     it.unreachable = false;
     const bool was_late = reply_overdue(it);
     it.unanswered_since = {};
-    const bool changed = message.isMember("from") && apply_state(it, message);
+    const bool changed = message.isMember("from") && apply_state(it, message, it.link_number);
     it.clock_ms = json_fields(message).integer("clock", any_clock, -1);
     it.clock_at = timers_.monotonic_now();
     if (changed || was_late || !it.was_alive) {
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -38,6 +38,7 @@
     std::int64_t clock_ms = -1;      // in its newest reply; -1: none yet
     monotonic_time clock_at;         // when that reply was read
     std::int64_t incarnation = 0;
+    std::uint64_t incarnation_link = 0;  // newest own link when `incarnation` was first seen
     std::uint64_t state_number = 0;      // newest state received from it
     std::uint64_t sent_state_number = 0; // newest own state that was sent on this link
     std::vector<cell_claim> claims;
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -52,6 +52,25 @@
         reconnects = 0;
     }
 
+    // Replaces the process of b by one that has started at `incarnation` and holds a claim.
+    void restart_b(std::int64_t incarnation, std::uint64_t token)
+    {
+        b.reset();
+        run_for(100ms);
+        auto self = address_of("b", relay_address);
+        self.incarnation = incarnation;
+        b = std::make_unique<instance_mesh>(events, timers, self);
+        b->announce({{"dc", token, {}}}, false, 1);
+        BOOST_REQUIRE(b->listen(b_address));
+    }
+
+    bool a_sees_claim(std::uint64_t token) const
+    {
+        return std::ranges::any_of(a->claim_holders(), [token](const auto& it) {
+            return it.name == "b" && it.claims.front().token == token;
+        });
+    }
+
     static instance_address address_of(const std::string& name, const std::string& address)
     {
         return {name, address, "dc", 1.0, 1};
@@ -86,6 +105,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(mesh, linked_instances)
 
+// Guards against peers that ignore the claims of an instance whose clock was set back before it was
+// restarted, because they take its state for that of a former process.
+BOOST_AUTO_TEST_CASE(the_claims_of_a_process_with_an_earlier_start_time_are_known)
+{
+    restart_b(5000, 1);
+    BOOST_REQUIRE(run_until([this] { return a_sees_claim(1); }, 2s));
+    restart_b(4000, 2);
+    BOOST_TEST(run_until([this] { return a_sees_claim(2); }, 2s));
+}
+
 // Guards against jobs that stay with a controller whose link has become silent until the whole
 // silence limit has passed, although its process answers on a new connection.
 BOOST_AUTO_TEST_CASE(a_silent_link_is_replaced_while_its_process_answers)
