Only confirmed runs count as crashes, and crashes do not make a job failed

Change: only confirmed runs count; a job that is given up after crashes is answered unknown.

Why it works: nothing but runs that ended as failed leads to the answer failed.

--- a/include/cell/crash_ledger.h
+++ b/include/cell/crash_ledger.h
@@ -26,7 +26,7 @@
 struct loss_verdict {
     std::uint32_t losses = 0;
     bool may_start = true; // false: it is the likely cause, if all these workers have crashed
-    bool is_cause = false; // it has crashed workers; its job cannot be done
+    bool is_cause = false; // it has crashed workers; its job is given up
 };
 
 // Remembers under which tasks workers were lost, for longer than jobs, submissions and controllers
--- a/src/cell/controller_losses.cpp
+++ b/src/cell/controller_losses.cpp
@@ -27,7 +27,9 @@
     }
 }
 
-// Adds the loss of a worker under each of its tasks to the ledger. Returns those that are new.
+// Adds the loss of a worker under each of its tasks to the ledger. Returns those that are new. A
+// start without a confirmation may have been sent to a worker that was dead already, so it does not
+// count, but it may be what crashed the worker.
 std::vector<worker_loss> cell_controller::state::record_losses(const claimed_worker& worker,
                                                                bool crashed)
 {
@@ -36,7 +38,12 @@
         return out; // its process ends as planned
     }
     std::vector<std::pair<std::string_view, std::uint32_t>> tasks;
+    std::size_t unconfirmed = 0;
     for (const auto& [name, run] : worker.runs) {
+        if (run.confirmed_at == monotonic_time{}) {
+            ++unconfirmed;
+            continue;
+        }
         tasks.emplace_back(name, run.run);
     }
     for (const auto& [name, orphan] : worker.orphans) {
@@ -47,7 +54,8 @@
     };
     const auto suspects = std::ranges::count_if(tasks, is_suspect);
     for (const auto& it : tasks) {
-        const bool sole = tasks.size() == 1 || (suspects == 1 && is_suspect(it));
+        const bool sole =
+            unconfirmed == 0 && (tasks.size() == 1 || (suspects == 1 && is_suspect(it)));
         const worker_loss loss{std::string(it.first), worker.report.id, worker.started_at_ms, sole,
                                crashed};
         if (losses->add(loss)) {
@@ -75,7 +83,8 @@
     }
 }
 
-// Applies what the ledger says of a task, and fails the job if the task has crashed workers.
+// Applies what the ledger says of a task, and gives the job up if the task has crashed workers.
+// Only runs that end as failed count as attempts, so it is not answered `failed`.
 void cell_controller::state::apply_loss(const worker_loss& loss)
 {
     task_ref ref;
@@ -93,7 +102,7 @@
     task.losses = verdict.losses;
     task.may_start = verdict.may_start;
     if (!job.ended && verdict.is_cause) {
-        finish(job, {job_end::failed, {}, "workers crash under a task"});
+        finish(job, {job_end::unknown, {}, "workers crash under a task"});
     }
 }
 
