A cancelled job stays cancelled when its submission arrives once more

Cause: instances and controllers forgot a job with its answer; a cancellation ended what was open and said nothing of what was to come.

Evidence: without the lookup the new test sees the task started again through every instance, also the one that had answered.

Change: the instance that answers tells all candidates for control, and tells them again on each new link.

Why it works: every controller is a candidate, so whichever instance gets the copy, the controller that would start it knows the id, after a takeover and a restart too.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -85,6 +85,9 @@
     // effect if another process has submitted the job since, or the same one on a newer link.
     void abandon(std::string_view job_id, const peer_link& requester);
 
+    // Ends a job that its caller has cancelled, whoever has submitted it, and answers it `failed`.
+    void cancel(std::string_view job_id);
+
     // Abandons the jobs that the process has not submitted again since it opened the link: it has
     // given them up, and its message about that was lost with an earlier link.
     void abandon_not_resubmitted(const peer_link& newest);
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
+#include "cell/cancelled_jobs.h"
 #include "cell/cell_controller.h"
 #include "cell/claim_probe.h"
 #include "cell/instance_mesh.h"
@@ -59,8 +60,8 @@
     void submit(job_request job, answer fn);
     void abandon(const std::string& job_id);
 
-    // Cancels a job at its caller's request; its submission is answered `failed`. Returns false if
-    // the job is not open here.
+    // Cancels a job at its caller's request; its submission is answered `failed`, and so are those
+    // that arrive later. Returns false if the job is not open here.
     bool cancel(const std::string& job_id);
 
     // Answers all open jobs of this instance's callers with `outcome` and stops their tasks.
@@ -105,6 +106,8 @@
     void drop_lost_requesters();
 
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
+    void send_cancelled(const std::string& peer, std::span<const std::string> job_ids);
+    void apply_cancelled(const std::string& job_id);
     void announce_loss(const worker_loss& loss);
     void apply_loss(const worker_loss& loss);
     void abandon_at(const std::string& controller, const std::string& cell,
@@ -130,6 +133,7 @@
     worker_commands& commands_;
     cell_settings settings_;
     std::shared_ptr<crash_ledger> losses_; // of all controllers, as far as known here
+    cancelled_jobs cancelled_;             // as far as known here
     std::vector<worker_report> workers_;
     std::map<std::string, std::unique_ptr<controlled_cell>, std::less<>> controlled_cells_;
     std::map<std::string, std::unique_ptr<submitted_job>, std::less<>> jobs_;
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -128,6 +128,14 @@
     state_->abandon_if(*it->second, is_submitter, false);
 }
 
+void cell_controller::cancel(std::string_view job_id)
+{
+    const auto it = state_->jobs.find(job_id);
+    if (it != state_->jobs.end()) {
+        state_->cancel(*it->second);
+    }
+}
+
 void cell_controller::abandon_not_resubmitted(const peer_link& newest)
 {
     const auto is_submitter = [&newest](const peer_link& submitter) {
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -26,7 +26,8 @@
     : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
       on_other_message([](const peer_link&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
-      losses_(std::make_shared<crash_ledger>(timers)), started_at_(timers.monotonic_now())
+      losses_(std::make_shared<crash_ledger>(timers)), cancelled_(timers),
+      started_at_(timers.monotonic_now())
 {
     mesh_.on_change = [this] { evaluate(); };
     mesh_.on_restart = [this](const std::string& peer) {
@@ -43,6 +44,8 @@
                 job->lose_controller(timers_.monotonic_now(), "link replaced");
             }
         }
+        // The peer may have missed them, or may be a new process.
+        send_cancelled(peer, cancelled_.acknowledged_here());
         redispatch();
     };
     mesh_.on_peer_reconnect = [this](const peer_link& link) { await_resubmissions(link); };
@@ -118,6 +121,11 @@
             controlled->second->controller->abandon(in.text("id"), from);
         }
     }
+    else if (kind == "cancelled") {
+        for (const auto& it : in.array("ids")) {
+            apply_cancelled(text_of(it));
+        }
+    }
     else if (kind == "worker_lost") {
         apply_loss(decode_loss(in.value("loss")));
     }
@@ -151,6 +159,12 @@
         respond({job_end::moved, {}, "not in control"});
         return;
     }
+    if (cancelled_.contains(id)) {
+        log_request_event("submission_of_cancelled_job", "id={} requester={}", id,
+                          requester.process.name);
+        respond({job_end::failed, {}, "cancelled before"});
+        return;
+    }
     if (mesh_.is_replaced(requester.process)) {
         // Read late. If the clocks are wrong and this is the newer process, it submits again.
         log_request_event("submission_of_former_process", "id={} requester={} incarnation={}", id,
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -18,6 +18,11 @@
 
 void cell_service::submit(job_request request, answer fn)
 {
+    if (cancelled_.contains(request.id)) {
+        log_request_event("submission_of_cancelled_job", "id={}", request.id);
+        fn({job_end::failed, {}, "cancelled before"});
+        return;
+    }
     const auto now = timers_.monotonic_now();
     auto& job = jobs_[request.id];
     if (job) {
@@ -79,10 +84,46 @@
     if (!has_job(job_id)) {
         return false;
     }
+    cancelled_.add(job_id, true);
     stop_and_answer(job_id, {job_end::failed, {}, "cancelled"});
+    for (const auto& it : mesh_.linked_views()) {
+        if (it.name != mesh_.self().name && it.alive) {
+            send_cancelled(it.name, std::span(&job_id, 1));
+        }
+    }
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->cancel(job_id);
+    }
     return true;
 }
 
+// Tells an instance that may control workers now or later. What is lost with a link is sent again
+// on the next one.
+void cell_service::send_cancelled(const std::string& peer, std::span<const std::string> job_ids)
+{
+    if (job_ids.empty()) {
+        return;
+    }
+    Json::Value message;
+    message["t"] = "cancelled";
+    for (const auto& it : job_ids) {
+        message["ids"].append(it);
+    }
+    if (!mesh_.send(peer, message)) {
+        log_request_event("cancellation_unsent", "instance={} jobs={}", peer, job_ids.size());
+    }
+}
+
+void cell_service::apply_cancelled(const std::string& job_id)
+{
+    if (!cancelled_.add(job_id, false)) {
+        return;
+    }
+    for (const auto& [cell, controlled] : controlled_cells_) {
+        controlled->controller->cancel(job_id);
+    }
+}
+
 void cell_service::stop_and_answer(const std::string& job_id, const job_outcome& outcome)
 {
     const auto fn = jobs_.at(job_id)->fn;
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -378,6 +378,19 @@
     }
 }
 
+void cell_controller::state::cancel(active_job& job)
+{
+    const job_outcome cancelled{job_end::failed, {}, "cancelled"};
+    if (job.next) {
+        const auto next = std::move(*job.next);
+        job.next.reset();
+        next.answer(cancelled);
+    }
+    if (!job.ended) {
+        finish(job, cancelled);
+    }
+}
+
 // The removal is deferred because callers hold references into `jobs`.
 void cell_controller::state::schedule_job_removal(const std::string& id)
 {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -79,6 +79,7 @@
     void abandon(active_job& job);
     void abandon_if(active_job& job, const std::function<bool(const peer_link&)>& is_submitter,
                     bool answers);
+    void cancel(active_job& job);
     void schedule_job_removal(const std::string& id);
     void remove_ended_job(const std::string& id);
     void expire_jobs(monotonic_time now);
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -385,6 +385,41 @@
     BOOST_TEST(fleet.total_starts() == 2U);
 }
 
+// Guards against a cancelled job that runs when its submission arrives once more: at another
+// instance, after control has moved, or at an instance that was restarted since.
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stays_cancelled)
+{
+    fleet.work = [](const std::string&) { return duration{2s}; };
+    start("a", 17433);
+    start("b", 17434);
+    start("c", 17435);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto first = controller();
+    const std::string front = first == "c" ? "b" : "c";
+    submit(front, cell_fixture::job("j", 1, 2s));
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 1; }, 1s));
+    BOOST_TEST(members[front].cells->cancel("j"));
+    run_until([] { return false; }, 300ms);
+    const auto check_copies = [&](const char* when) {
+        for (const auto& [name, it] : members) {
+            outcomes.clear();
+            submit(name, cell_fixture::job("j", 1, 2s));
+            BOOST_TEST(run_until([&] { return outcomes.contains("j"); }, 1s), when);
+            BOOST_TEST(to_string(outcomes["j"].end) == to_string(job_end::failed), when);
+        }
+        BOOST_TEST(fleet.total_starts() == 1U, when);
+    };
+    check_copies("at once");
+    members[first].cells->leave();
+    BOOST_REQUIRE(run_until([&] { return controller().size() == 1 && controller() != first; }, 3s));
+    check_copies("after control has moved");
+    stop(first);
+    run_until([] { return false; }, 200ms);
+    start(first, first == "a" ? 17433 : 17434 + (first == "c" ? 1 : 0));
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    check_copies("after a restart");
+}
+
 // Guards against a takeover that forgets the workers that a task has crashed.
 BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
 {
