Give a late controller time to read jobs that were submitted again

Found by reading: a controller whose event loop is late by 300 ms or more runs the timer that ends the jobs of a former link before it reads the submissions that follow the new link. The jobs would be stopped and run again from the start, which makes a late controller later.

Change: the wait counts three iterations of the event loop, at least 100 ms each, instead of one timer of 300 ms.

Measured: not reproduced under load; tests of service, mesh and controller pass.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -125,7 +125,7 @@
                     const instance_mesh::sender& reply);
     void on_submit(const peer_link& requester, const Json::Value& message,
                    const instance_mesh::sender& reply);
-    void await_resubmissions(const peer_link& newest);
+    void await_resubmissions(const peer_link& newest, int rounds);
     peer_link own_link() const { return {mesh_.own_process()}; }
 
     timer_service& timers_;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -16,7 +16,10 @@
 constexpr duration max_submission_age = std::chrono::milliseconds{900};
 // A requester submits its open jobs again as soon as its new link is connected and the controller's
 // claim is known there, which takes a round trip and a tick.
-constexpr duration resubmission_time = std::chrono::milliseconds{300};
+constexpr duration resubmission_round = std::chrono::milliseconds{100};
+// Each round is an iteration of the event loop of its own, so that a late loop reads what has
+// arrived before it ends jobs.
+constexpr int resubmission_rounds = 3;
 constexpr duration outdated_retry_after = std::chrono::seconds{2};
 
 } // namespace
@@ -48,7 +51,11 @@
         send_cancelled(peer, cancelled_.acknowledged_here());
         redispatch();
     };
-    mesh_.on_peer_reconnect = [this](const peer_link& link) { await_resubmissions(link); };
+    mesh_.on_peer_reconnect = [this](const peer_link& link) {
+        if (!controlled_cells_.empty()) {
+            await_resubmissions(link, resubmission_rounds);
+        }
+    };
     mesh_.on_own_silence = [this](std::span<const std::string> peers) {
         for (auto& [id, job] : jobs_) {
             if (std::ranges::find(peers, job->controller) != peers.end()) {
@@ -188,15 +195,16 @@
 
 // Messages of a requester are lost only with a link. The jobs that it still wants come again on the
 // next one; the others it has given up.
-void cell_service::await_resubmissions(const peer_link& newest)
+void cell_service::await_resubmissions(const peer_link& newest, int rounds)
 {
-    if (controlled_cells_.empty()) {
-        return;
-    }
-    timers_.schedule(resubmission_time, [this, newest, alive = alive_] {
+    timers_.schedule(resubmission_round, [this, newest, rounds, alive = alive_] {
         if (!*alive) {
             return;
         }
+        if (rounds > 1) {
+            await_resubmissions(newest, rounds - 1);
+            return;
+        }
         for (const auto& [cell, controlled] : controlled_cells_) {
             controlled->controller->abandon_not_resubmitted(newest);
         }
