Find jobs at any instance for DELETE and GET

Cause: an instance looked only at its own open jobs and answered 410 for all others.

Change: the instance asks the controllers in contact, one message each. The first that has the job cancels it and answers its requester. 410 is answered only if all of them say that they do not have it; without a reply within 500 ms, or without a controller, the answer is 503 with Retry-After.

Why it works: every job that has started anything is at a controller, and a cancellation that is answered 200 is passed on to all candidates.

--- a/include/cell/caller_request_handler.h
+++ b/include/cell/caller_request_handler.h
@@ -64,8 +64,10 @@
 
     void submit(std::string_view host, std::string_view path, submission submitted, answer fn);
     void on_caller_disconnected(const std::string& job_id);
-    caller_reply state_of(const std::string& job_id) const;
-    caller_reply cancel(const std::string& job_id);
+    // Both find the job at any instance. `fn` runs once, at once or within 500 ms; it gets
+    // `not_run` if it is not known whether the job is open somewhere.
+    void state_of(const std::string& job_id, answer fn);
+    void cancel(const std::string& job_id, answer fn);
     caller_reply pending(std::string_view host, std::string_view path) const;
 
     // Announces that the instance stops at `exit_at`. New jobs get a deadline before that time.
--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -85,6 +85,9 @@
     // effect if another process has submitted the job since, or the same one on a newer link.
     void abandon(std::string_view job_id, const peer_link& requester);
 
+    // True if a job, or a submission that waits for its end, has not been answered yet.
+    bool has_open_job(std::string_view job_id) const;
+
     // Ends a job that its caller has cancelled, whoever has submitted it, and answers it `failed`.
     void cancel(std::string_view job_id);
 
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <utility>
@@ -25,6 +26,13 @@
     control,
 };
 
+// What the controllers in contact say of a job.
+enum class job_presence {
+    open,
+    absent,  // at all of them
+    unknown, // one of them has not replied, or there is none
+};
+
 // Dispatch logic of one instance: controls cells when elected, and forwards its callers' jobs to
 // the instances that control the cells.
 class cell_service {
@@ -64,6 +72,11 @@
     // that arrive later. Returns false if the job is not open here.
     bool cancel(const std::string& job_id);
 
+    // Looks for a job that a caller may have submitted to any instance, and cancels it if `cancels`
+    // is true. Calls `fn` once, within 500 ms.
+    using search_handler = std::function<void(job_presence)>;
+    void find_job(const std::string& job_id, bool cancels, search_handler fn);
+
     // Answers all open jobs of this instance's callers with `outcome` and stops their tasks.
     void end_all_jobs(const job_outcome& outcome);
     bool has_job(std::string_view job_id) const { return jobs_.contains(job_id); }
@@ -106,6 +119,17 @@
     void drop_lost_requesters();
 
     void stop_and_answer(const std::string& job_id, const job_outcome& outcome);
+    struct job_search {
+        std::string job_id;
+        bool cancels = false;
+        std::set<std::string, std::less<>> awaited; // instances that have not replied
+        search_handler fn;
+    };
+    bool controls_open_job(std::string_view job_id) const;
+    void end_search(std::uint64_t number, job_presence presence);
+    void on_find_job(const Json::Value& message, const instance_mesh::sender& reply);
+    void on_job_found(const std::string& peer, const Json::Value& message);
+    void cancel_everywhere(const std::string& job_id);
     void send_cancelled(const std::string& peer, std::span<const std::string> job_ids);
     void apply_cancelled(const std::string& job_id);
     void announce_loss(const worker_loss& loss);
@@ -132,8 +156,10 @@
     instance_mesh& mesh_;
     worker_commands& commands_;
     cell_settings settings_;
-    std::shared_ptr<crash_ledger> losses_; // of all controllers, as far as known here
-    cancelled_jobs cancelled_;             // as far as known here
+    std::shared_ptr<crash_ledger> losses_;         // of all controllers, as far as known here
+    cancelled_jobs cancelled_;                     // as far as known here
+    std::map<std::uint64_t, job_search> searches_; // by number
+    std::uint64_t last_search_ = 0;
     std::vector<worker_report> workers_;
     std::map<std::string, std::unique_ptr<controlled_cell>, std::less<>> controlled_cells_;
     std::map<std::string, std::unique_ptr<submitted_job>, std::less<>> jobs_;
--- a/src/cell/caller_request_handler.cpp
+++ b/src/cell/caller_request_handler.cpp
@@ -39,6 +39,20 @@
     }
 }
 
+// `if_open`: what is said of a job that was found.
+caller_reply to_reply(job_presence presence, caller_reply::kind if_open)
+{
+    switch (presence) {
+    case job_presence::open:
+        return {if_open};
+    case job_presence::absent:
+        return {caller_reply::kind::no_such_job};
+    case job_presence::unknown:
+        break;
+    }
+    return not_run(other_instance_retry);
+}
+
 caller_reply to_reply(const job_outcome& outcome)
 {
     switch (outcome.end) {
@@ -142,15 +156,22 @@
     cells_.abandon(job_id);
 }
 
-caller_reply caller_request_handler::state_of(const std::string& job_id) const
+void caller_request_handler::state_of(const std::string& job_id, answer fn)
 {
-    return {cells_.has_job(job_id) ? caller_reply::kind::running : caller_reply::kind::no_such_job};
+    cells_.find_job(job_id, false, [fn = std::move(fn)](job_presence presence) {
+        fn(to_reply(presence, caller_reply::kind::running));
+    });
 }
 
-caller_reply caller_request_handler::cancel(const std::string& job_id)
+void caller_request_handler::cancel(const std::string& job_id, answer fn)
 {
-    return {cells_.cancel(job_id) ? caller_reply::kind::cancelled
-                                  : caller_reply::kind::no_such_job};
+    if (cells_.cancel(job_id)) {
+        fn({caller_reply::kind::cancelled});
+        return;
+    }
+    cells_.find_job(job_id, true, [fn = std::move(fn)](job_presence presence) {
+        fn(to_reply(presence, caller_reply::kind::cancelled));
+    });
 }
 
 caller_reply caller_request_handler::pending(std::string_view host, std::string_view path) const
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -128,6 +128,12 @@
     state_->abandon_if(*it->second, is_submitter, false);
 }
 
+bool cell_controller::has_open_job(std::string_view job_id) const
+{
+    const auto it = state_->jobs.find(job_id);
+    return it != state_->jobs.end() && (!it->second->ended || it->second->next);
+}
+
 void cell_controller::cancel(std::string_view job_id)
 {
     const auto it = state_->jobs.find(job_id);
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -128,6 +128,12 @@
             controlled->second->controller->abandon(in.text("id"), from);
         }
     }
+    else if (kind == "find_job") {
+        on_find_job(message, reply);
+    }
+    else if (kind == "job_found") {
+        on_job_found(from.process.name, message);
+    }
     else if (kind == "cancelled") {
         for (const auto& it : in.array("ids")) {
             apply_cancelled(text_of(it));
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -84,8 +84,15 @@
     if (!has_job(job_id)) {
         return false;
     }
-    cancelled_.add(job_id, true);
     stop_and_answer(job_id, {job_end::failed, {}, "cancelled"});
+    cancel_everywhere(job_id);
+    return true;
+}
+
+// Ends a job that this instance answers as cancelled wherever it may be, now or later.
+void cell_service::cancel_everywhere(const std::string& job_id)
+{
+    cancelled_.add(job_id, true);
     for (const auto& it : mesh_.linked_views()) {
         if (it.name != mesh_.self().name && it.alive) {
             send_cancelled(it.name, std::span(&job_id, 1));
@@ -94,7 +101,6 @@
     for (const auto& [cell, controlled] : controlled_cells_) {
         controlled->controller->cancel(job_id);
     }
-    return true;
 }
 
 // Tells an instance that may control workers now or later. What is lost with a link is sent again
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 #include <limits>
+#include <optional>
 #include <span>
 #include <thread>
 
@@ -420,6 +421,40 @@
     check_copies("after a restart");
 }
 
+// Guards against a cancellation that is answered "no such job" by an instance that has just taken
+// over a caller, while the job runs on; and against saying so if a controller does not reply.
+BOOST_AUTO_TEST_CASE(a_job_is_found_and_cancelled_at_any_instance)
+{
+    fleet.work = [](const std::string&) { return duration{3s}; };
+    start("b", 17436, "dc", 17437);
+    BOOST_REQUIRE(run_until([&] { return controller() == "b"; }, 2s));
+    start("a", 17438);
+    start("c", 17439);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto find = [&](const std::string& name, const std::string& id, bool cancels) {
+        std::optional<job_presence> found;
+        members[name].cells->find_job(id, cancels, [&](job_presence it) { found = it; });
+        BOOST_REQUIRE(run_until([&] { return found.has_value(); }, 1s));
+        return static_cast<int>(*found);
+    };
+    for (const char* id : {"j-at-front", "j-at-controller"}) {
+        submit("c", cell_fixture::job(id, 1, 3s));
+        BOOST_REQUIRE(run_until([&] { return fleet.running("w0") != 0; }, 1s));
+        const std::string asked = id == std::string_view("j-at-front") ? "a" : "b";
+        BOOST_TEST(find(asked, id, false) == static_cast<int>(job_presence::open));
+        BOOST_TEST(find(asked, id, true) == static_cast<int>(job_presence::open));
+        BOOST_TEST(run_until([&] { return outcomes.contains(id); }, 1s));
+        BOOST_TEST(to_string(outcomes[id].end) == to_string(job_end::failed));
+        BOOST_TEST(run_until([&] { return fleet.running("w0") == 0; }, 300ms));
+        BOOST_TEST(find(asked, id, false) == static_cast<int>(job_presence::absent));
+        BOOST_TEST(find(asked, id, true) ==
+                   static_cast<int>(job_presence::open)); // cancelled once more
+    }
+    BOOST_TEST(find("a", "never-sent", true) == static_cast<int>(job_presence::absent));
+    relays["b"]->block_to_client();
+    BOOST_TEST(find("a", "never-sent", true) == static_cast<int>(job_presence::unknown));
+}
+
 // Guards against a takeover that forgets the workers that a task has crashed.
 BOOST_AUTO_TEST_CASE(a_new_controller_knows_the_crashes_under_a_task)
 {
