A submission on a replaced link starts nothing

Found by reading the change that binds jobs to links: a controller that reads late may take a submission from a former link after the newer link and its submissions. It would start a job that has been given up, or bind one that was submitted again to the former link and then end it.

Change: a submission is void if its process has opened a newer link, as it is if the process has been replaced.

Measured: service/a_submission_on_a_replaced_link_starts_nothing fails without the check of the link and passes; tests of service, mesh and controller pass.

--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -94,6 +94,9 @@
     // True if a process that was started later has been heard from under the same name.
     bool is_replaced(const instance_process& process) const;
 
+    // The same, or the process has opened a newer link.
+    bool is_replaced(const peer_link& link) const;
+
     // True if a peer's reply to a ping is overdue. What is sent to it now may arrive late or never.
     bool reply_overdue(std::string_view peer) const;
 
@@ -134,6 +137,10 @@
 private:
     struct peer;
     struct inbound;
+    struct heard_process {
+        monotonic_time at;             // of its last message
+        std::uint64_t newest_link = 0; // number of its newest link
+    };
 
     void check();
     void discount_pause(duration pause);
@@ -176,7 +183,7 @@
     mutable bool candidates_valid_ = false;
     bool was_candidate_ = false;
     std::set<std::shared_ptr<inbound>> inbound_;
-    std::map<instance_process, monotonic_time> last_heard_;
+    std::map<instance_process, heard_process> heard_;
     std::vector<std::pair<monotonic_time, std::unique_ptr<frame_link>>> discovery_links_;
     std::vector<cell_claim> claims_;
     std::uint64_t opened_links_ = 0;
--- a/include/cell/peer_link.h
+++ b/include/cell/peer_link.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace cactusloom {
 
@@ -12,7 +12,13 @@
     std::string name;
     std::int64_t incarnation = 0; // start time of the process, Unix ms
 
-    auto operator<=>(const instance_process&) const = default;
+    bool operator==(const instance_process&) const = default;
+
+    // By name, then by start time.
+    bool operator<(const instance_process& other) const
+    {
+        return std::tie(name, incarnation) < std::tie(other.name, other.incarnation);
+    }
 };
 
 // A link on which a process sends messages. Whatever was sent on an earlier link of the process may
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -178,11 +178,12 @@
         respond({job_end::failed, {}, "cancelled before"});
         return;
     }
-    if (mesh_.is_replaced(requester.process)) {
+    if (mesh_.is_replaced(requester)) {
         // Read late. If the clocks are wrong and this is the newer process, it submits again.
-        log_request_event("submission_of_former_process", "id={} requester={} incarnation={}", id,
-                          requester.process.name, requester.process.incarnation);
-        respond({job_end::moved, {}, "the process has been replaced"});
+        log_request_event("submission_on_former_link", "id={} requester={} incarnation={} link={}",
+                          id, requester.process.name, requester.process.incarnation,
+                          requester.number);
+        respond({job_end::moved, {}, "the process or its link has been replaced"});
         return;
     }
     const auto as_of = in.integer("as_of", any_clock, -1);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -168,8 +168,8 @@
 bool instance_mesh::has_heard_from(std::string_view name) const
 {
     constexpr auto earliest = std::numeric_limits<std::int64_t>::min();
-    auto it = last_heard_.lower_bound({std::string(name), earliest});
-    for (; it != last_heard_.end() && it->first.name == name; ++it) {
+    auto it = heard_.lower_bound({std::string(name), earliest});
+    for (; it != heard_.end() && it->first.name == name; ++it) {
         if (has_heard_from(it->first)) {
             return true;
         }
@@ -179,17 +179,17 @@
 
 bool instance_mesh::has_heard_from(const instance_process& process) const
 {
-    const auto it = last_heard_.find(process);
-    return it != last_heard_.end() &&
-           timers_.monotonic_now() - it->second < requester_silence_limit();
+    const auto it = heard_.find(process);
+    return it != heard_.end() &&
+           timers_.monotonic_now() - it->second.at < requester_silence_limit();
 }
 
 // Only processes in contact count: a clock that was set back makes the next process of an instance
 // look older than a lost one.
 bool instance_mesh::is_replaced(const instance_process& process) const
 {
-    auto it = last_heard_.upper_bound(process);
-    for (; it != last_heard_.end() && it->first.name == process.name; ++it) {
+    auto it = heard_.upper_bound(process);
+    for (; it != heard_.end() && it->first.name == process.name; ++it) {
         if (has_heard_from(it->first)) {
             return true;
         }
@@ -197,10 +197,17 @@
     return false;
 }
 
+bool instance_mesh::is_replaced(const peer_link& link) const
+{
+    const auto it = heard_.find(link.process);
+    return is_replaced(link.process) ||
+           (it != heard_.end() && link.number < it->second.newest_link);
+}
+
 void instance_mesh::forget_silent_processes()
 {
-    std::erase_if(last_heard_, [this, now = timers_.monotonic_now()](const auto& it) {
-        return now - it.second > 2 * requester_silence_limit();
+    std::erase_if(heard_, [this, now = timers_.monotonic_now()](const auto& it) {
+        return now - it.second.at > 2 * requester_silence_limit();
     });
 }
 
@@ -464,9 +471,11 @@
     if (const auto known_peer = peers_.find(link.from.process.name); known_peer != peers_.end()) {
         reconnect_if_stalled(*known_peer->second);
     }
-    last_heard_[link.from.process] = timers_.monotonic_now();
+    auto& heard = heard_[link.from.process];
+    heard.at = timers_.monotonic_now();
     if (const auto number = json_fields(message).number("link"); number > link.from.number) {
         link.from.number = number;
+        heard.newest_link = std::max(heard.newest_link, number);
         on_peer_reconnect(link.from);
     }
     if (kind == "ping") {
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -337,6 +337,41 @@
     BOOST_TEST(run_until([&] { return outcomes.contains("after"); }, 5s));
 }
 
+// Guards against a submission that is read only after its link has been replaced: the process has
+// given the job up, or has submitted it again.
+BOOST_AUTO_TEST_CASE(a_submission_on_a_replaced_link_starts_nothing)
+{
+    start("a", 17440);
+    BOOST_REQUIRE(run_until([&] { return controller() == "a"; }, 2s));
+    const instance_address requester{"b", "127.0.0.1:17443", "dc", 1.0, 7};
+    const auto open_link = [&](int number) {
+        auto stream = tcp_stream::connect(events, addresses["a"].address);
+        BOOST_REQUIRE(stream);
+        auto link = std::make_unique<frame_link>(stream.value());
+        bool connected = false;
+        link->on_connected = [&connected] { connected = true; };
+        BOOST_REQUIRE(run_until([&] { return connected; }, 1s));
+        Json::Value ping;
+        ping["t"] = "ping";
+        ping["from"] = encode_instance(requester);
+        ping["link"] = number;
+        link->send(write_json(ping));
+        run_until([] { return false; }, 20ms);
+        return link;
+    };
+    const auto former = open_link(1);
+    const auto newest = open_link(2);
+    Json::Value message;
+    message["t"] = "submit";
+    message["cell"] = std::string(all_workers_cell);
+    message["job"] = encode_job(cell_fixture::job("late", 1));
+    former->send(write_json(message));
+    run_until([] { return false; }, 100ms);
+    BOOST_TEST(fleet.total_starts() == 0U);
+    newest->send(write_json(message));
+    BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
+}
+
 // Guards against jobs that run on although nobody waits for them, because the message that gives
 // them up is lost with a link: one that is reset, and one that goes silent.
 BOOST_AUTO_TEST_CASE(a_job_given_up_on_a_lost_link_ends)
