--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -208,7 +208,7 @@
 BOOST_AUTO_TEST_CASE(newest_records_are_decoded)
 {
     const auto page = decode_newest(
-        R"({"items":[{"key":"config","value":"YWJj","offset":4},{"key":1},{"key":"x"}],
+        R"({"items":[{"key":"config","value":"YWJj","offset":4},{"key":"x"},{"key":1}],
         "hasMore":true,"end":6})");
     BOOST_REQUIRE(page.records.size() == 1U);
     BOOST_TEST(*page.records[0].value == "abc");
