--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -195,7 +195,7 @@
 {
     std::string body(16, '\0');
     body[7] = 4;
-    body += std::string("\0\0\0\0", 4);         // no content
+    body += std::string("\0\0\0\0", 4);        // no content
     body += std::string("\0\0\0\x02\x09k", 6); // shorter than its key
     body += encode_keyed_record("a", "value");
     const auto page = decode_log_records(body, 0);
