Log by which way a job reaches a second controller, and runs that outlive their job

A controller logs a further submission of a job (job_received_again), an instance logs a job that it gives up (job_abandoned), and lapsed leases and ends of orphans are logged. job_sent_again names the former controller and the time since it was lost; cell_released says how many runs are left and until when their leases last. No logic changes.

--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "controller_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusloom {
@@ -71,7 +72,9 @@
     if (state_->token == 0) {
         return;
     }
-    log_event("cell_released", "token={} jobs={}", state_->token, state_->jobs.size());
+    log_event("cell_released", "token={} jobs={} runs={} leases_end_ms={}", state_->token,
+              state_->jobs.size(), state_->run_count(),
+              (state_->latest_lease_end() - state_->timers.monotonic_now()).count() / 1000);
     state_->token = 0;
     state_->timers.cancel(state_->tick_timer);
     const auto jobs = std::exchange(state_->jobs, {});
@@ -194,6 +197,26 @@
     return state_->counts;
 }
 
+std::size_t cell_controller::state::run_count() const
+{
+    std::size_t n = 0;
+    for (const auto& [id, worker] : workers) {
+        n += worker->runs.size();
+    }
+    return n;
+}
+
+monotonic_time cell_controller::state::latest_lease_end() const
+{
+    auto latest = timers.monotonic_now();
+    for (const auto& [id, worker] : workers) {
+        if (!worker->runs.empty()) {
+            latest = std::max(latest, worker->leases_expired_at());
+        }
+    }
+    return latest;
+}
+
 void cell_controller::state::tick()
 {
     if (token == 0) {
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -196,6 +196,12 @@
             return;
         }
     }
+    if (const auto number = in.count("submission"); number > 1) {
+        log_request_event("job_received_again",
+                          "id={} requester={} incarnation={} link={} submission={} resumed={}", id,
+                          requester.process.name, requester.process.incarnation, requester.number,
+                          number, request.resumed);
+    }
     controlled->second->requesters.insert(requester.process);
     controlled->second->controller->submit(std::move(request), requester, std::move(respond));
 }
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -52,6 +52,8 @@
     const auto& job = *it->second;
     const auto controller = job.controller.empty() ? job.former_controller : job.controller;
     const auto cell = job.sent_cell;
+    log_request_event("job_abandoned", "id={} controller={} cell={} age_ms={}", job_id, controller,
+                      cell, (timers_.monotonic_now() - job.arrived).count() / 1000);
     jobs_.erase(it);
     if (!controller.empty()) {
         abandon_at(controller, cell, job_id);
@@ -168,6 +170,13 @@
     if (target == nullptr || mesh_.reply_overdue(target->name)) {
         return;
     }
+    if (job.may_have_run) {
+        log_request_event(
+            "job_sent_again",
+            "id={} controller={} cell={} former={} lost_ms={} resumed={} time_left_ms={}",
+            job.request.id, target->name, target_claim->cell, job.former_controller,
+            (now - job.lost_at).count() / 1000, bound, (job.deadline - now).count() / 1000);
+    }
     if (!bound) {
         job.former_workers.clear(); // no task of an earlier submission runs any more
         const auto former = std::exchange(job.former_controller, {});
@@ -177,12 +186,6 @@
     }
     job.request.resumed = bound;
     job.request.former_workers = job.former_workers;
-    if (job.may_have_run) {
-        log_request_event("job_sent_again",
-                          "id={} controller={} cell={} resumed={} time_left_ms={}", job.request.id,
-                          target->name, target_claim->cell, bound,
-                          (job.deadline - now).count() / 1000);
-    }
     job.request.age = now - job.arrived;
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -90,6 +90,9 @@
     duration fast_wait(std::size_t tasks_ahead, monotonic_time now);
 
     // Workers.
+    std::size_t run_count() const;
+    // Now, if no task runs.
+    monotonic_time latest_lease_end() const;
     void set_workers(std::span<const worker_report> reports);
     void poll(claimed_worker& worker, bool quick);
     void on_poll_reply(const std::string& id, std::uint64_t sent_token, monotonic_time sent_at,
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -36,6 +36,23 @@
 // 250 ms.
 constexpr duration no_progress_limit = std::chrono::milliseconds{300};
 
+const char* to_string(run_end how)
+{
+    switch (how) {
+    case run_end::done:
+        return "done";
+    case run_end::failed:
+        return "failed";
+    case run_end::stopped:
+        return "stopped";
+    case run_end::lapsed:
+        return "lapsed";
+    case run_end::broken:
+        return "broken";
+    }
+    return "";
+}
+
 } // namespace
 
 void cell_controller::state::set_workers(std::span<const worker_report> reports)
@@ -206,9 +223,18 @@
 void cell_controller::state::apply_finished(claimed_worker& worker, const finished_row& row,
                                             monotonic_time now)
 {
-    worker.orphans.erase(row.task);
+    if (row.how == run_end::lapsed) {
+        log_request_event("run_lapsed", "worker={} task={} run={}", worker.report.id, row.task,
+                          row.run);
+    }
+    const auto orphan = worker.orphans.extract(row.task);
     const auto it = worker.runs.find(row.task);
     if (it == worker.runs.end()) {
+        if (!orphan.empty()) {
+            log_request_event("orphan_ended", "worker={} task={} run={} how={} seen_ms={}",
+                              worker.report.id, row.task, row.run, to_string(row.how),
+                              (now - orphan.mapped().seen_at).count() / 1000);
+        }
         task_ref ref;
         if (row.how == run_end::done && parse_task_name(row.task, ref)) {
             orphan_completions.push_back({ref, now});
