A job sent on while its lost controller's runs go on runs twice: failing test

The requester loses its controller at once, as the controller's machine does not answer, and sends the job to another cell 1.1 s later. The controller goes on renewing leases until it gives up its cell 0.5 s after the loss, and leaves the runs to lapse 1 s after that.

--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -1,4 +1,5 @@
 // Agreement of instances on the jobs that one has asked another for.
+#include "black_hole_port.h"
 #include "cell/mesh_codec.h"
 #include "http/json_text.h"
 #include "instances_fixture.h"
@@ -140,6 +141,39 @@
     BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
 }
 
+// Guards against a second run of a job that is sent on while the runs of its lost controller go on:
+// that one renewed their leases until it gave up its cell, after the requester had lost it.
+BOOST_AUTO_TEST_CASE(the_runs_of_a_lost_controller_end_before_its_jobs_are_sent_elsewhere)
+{
+    fleet.work = [](const std::string&) { return duration{3s}; };
+    split_workers();
+    start("b", 17444, "dc", 17445);
+    // No other instance can claim the cell of b, so the job has to go to another one.
+    std::erase_if(workers, [](const auto& it) { return it.data_centre == "dc"; });
+    for (int i = 0; i < 130; ++i) {
+        workers.push_back(fleet.add(fmt::format("far-{}", i), cell_fixture::two_cores));
+        workers.back().data_centre = "dc-2";
+    }
+    start("a", 17446);
+    start("c", 17447, "dc-2");
+    BOOST_REQUIRE(
+        run_until([&] { return controller_of("dc") == "b" && controller_of("dc-2") == "c"; }, 4s));
+    run_until([] { return false; }, 300ms); // for all links and claims to be known
+    auto request = cell_fixture::job("j", 2, 3s);
+    request.time_left = 10s;
+    submit("a", request);
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 2; }, 1s));
+
+    relays.erase("b");
+    black_hole_port unreachable(17445);
+    run_until([] { return false; }, 500ms);
+    members["b"].cells->leave();
+    run_until([] { return false; }, 1200ms);
+    for (const auto& it : fleet.violations()) {
+        BOOST_ERROR(it);
+    }
+}
+
 // Guards against jobs that run on although nobody waits for them, because the message that gives
 // them up is lost with a link: one that is reset, and one that goes silent.
 BOOST_AUTO_TEST_CASE(a_job_given_up_on_a_lost_link_ends)
