No run outlives the lease that its job's requester renews

Cause: a requester sends a job on 1.1 s after it lost the controller. That bound took the larger of two times, 800 ms until the controller gives up a silent requester and 1,020 ms until a lease lapses. A controller that goes on renewing leases for its own silence limit and then does not stop the runs (it releases the cell, its process is paused, a stop is lost) needs both, one after the other. The requester's clock started earlier than assumed, too: a machine that accepts no connection counts as down after 0.4 s.

Change: a job is leased by its requester. Heartbeats to a controller that has jobs of the instance say when they are sent, on the controller's clock; leases at workers, and the latest time of a start, end 1,150 ms after the newest of them. They count for the jobs submitted on the same link only, and a requester replaces the link to a controller that it takes jobs away from without telling it. An ended job is not renewed. lost_job_quarantine is this lease and what clocks and killing a task add (1,250 ms).

Why it works: the worker's clock ends the run, whatever the controller does, hears or fails to do after the last renewal, and the requester knows when that was sent. It covers the related paths by the same rule: a controller that is late when its requester is killed (callers return after 1,300 ms), failed stops of ended and abandoned jobs, adopted runs, submissions that are read late, and jobs that the requester has answered as overdue.

The test of the clock in replies left out that it is unknown until the first reply on a new link; it now requires that it becomes known, with the same bound.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -138,6 +138,7 @@
                     const std::string& job_id);
     void dispatch(submitted_job& job, std::span<const instance_view> claim_holders);
     void redispatch();
+    void submit_again_after_silence(std::span<const std::string> controllers);
     struct job_submission;
     void on_outcome(const job_submission& submission, const job_outcome& outcome);
     void finish(const std::string& job_id, const job_outcome& outcome);
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -103,10 +103,17 @@
     // Steady clock of this instance, in ms. Each reply to a ping carries it.
     std::int64_t own_clock_ms() const;
 
-    // Lower estimate of a peer's clock now: that in its newest reply and the time since then; -1 if
-    // it has not replied yet. It tells the peer how old a message with it is at most.
+    // Lower estimate of a peer's clock now, in ms; -1 if it has not replied on the current link. A
+    // message with it tells the peer when it was sent at the earliest.
     std::int64_t peer_clock_ms(std::string_view peer) const;
 
+    // Replaces the link to a peer, so that no ping on it renews the leases of jobs that this
+    // instance has given up there.
+    void replace_link(std::string_view peer);
+
+    // True if this instance or a peer that replies on the own link.
+    bool is_in_contact(std::string_view instance) const;
+
     // True if every known candidate for control is in contact, has no process (its machine refuses
     // connections), or cannot be reached. Then no unknown claim of an instance in contact can
     // exist.
@@ -122,6 +129,9 @@
     // How late the event loop has run a periodic timer, since the start.
     const latency_histogram& event_loop_lateness() const { return event_loop_lateness_; }
 
+    // Returns the peers that control jobs of this instance; pings renew the leases of these jobs.
+    std::function<std::set<std::string>()> controllers_of_own_jobs;
+
     message_handler on_message;
     std::function<void()> on_change;                         // claims or liveness of a peer
     std::function<void()> on_newer_config;                   // a peer has a newer configuration
@@ -173,6 +183,7 @@
     std::string heartbeat_text(const char* kind, std::uint64_t& sent_state_number) const;
     std::string first_ping_text(peer& peer) const;
     std::string with_clock(std::string_view object) const;
+    void note_renewal(inbound& link, const Json::Value& message) const;
 
     poller& events_;
     timer_service& timers_;
--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -88,10 +88,23 @@
     worker_set former_workers;  // workers on which tasks of a resumed job may run
 };
 
+// A requester leases its jobs to their controller, and renews that lease with each heartbeat, from
+// the moment at which the heartbeat is sent. Leases at workers end with those of the jobs that run
+// there, so no task outlives its job's lease, whatever the controller does. Callers of a killed
+// requester return elsewhere after 1,300 ms (resendMs); a run has to end before.
+inline constexpr duration job_lease = std::chrono::milliseconds{1150};
+
+// With less time left no task is started, as it might lapse before the next renewal: a heartbeat
+// may be lost.
+inline constexpr duration min_start_lease = std::chrono::milliseconds{200};
+
+// Allows for a worker's clock that is 2 % slow during a lease of 1 s, an estimate of that clock
+// that is 2 % of the time since the last reply ahead, and 50 ms that killing a task takes.
+inline constexpr duration lease_uncertainty = std::chrono::milliseconds{100};
+
 // Time after a requester lost a controller until no task that the controller started for it still
-// runs. The controller stops the jobs of a requester that it has not heard from for 600 ms, within
-// another 200 ms, and a lease expires after 1 s on a clock that is 2 % slow.
-inline constexpr duration lost_job_quarantine = std::chrono::milliseconds{1100};
+// runs.
+inline constexpr duration lost_job_quarantine = job_lease + lease_uncertainty;
 
 // How a job ended.
 enum class job_end {
--- a/include/cell/peer_link.h
+++ b/include/cell/peer_link.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/time.h"
 #include "cell/instance_process.h"
 
 #include <cstdint>
+#include <memory>
 
 namespace cactusloom {
 
@@ -11,6 +13,9 @@
 struct peer_link {
     instance_process process;
     std::uint64_t number = 0; // rises with each link that the process opens
+    // When the newest message that renews the leases of jobs was sent on this link, on the clock of
+    // the receiver; null for the own process, whose jobs need no renewal.
+    std::shared_ptr<const monotonic_time> renewed_at{};
 
     bool is_of(const instance_process& other) const { return process == other; }
 
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -37,7 +37,8 @@
     std::size_t pending_tasks = 0;
     std::size_t placed_tasks = 0;
     bool started = false;
-    bool ended = false; // answered or abandoned; no further task is started
+    bool ended = false;           // answered or abandoned; no further task is started
+    monotonic_time ended_renewal; // newest renewal of its lease when it ended
 
     // A new submission of the same id, accepted once the last run of this job has ended.
     struct successor {
@@ -54,6 +55,24 @@
         });
     }
 
+    // When its requester last renewed its lease; an ended job is not renewed any more.
+    monotonic_time renewed_at(monotonic_time now) const
+    {
+        if (ended) {
+            return ended_renewal;
+        }
+        return requester.renewed_at ? std::min(*requester.renewed_at, now) : now;
+    }
+
+    // No run of the job may go on after this.
+    monotonic_time lease_end(monotonic_time now) const { return renewed_at(now) + job_lease; }
+
+    void end(monotonic_time now)
+    {
+        ended_renewal = renewed_at(now);
+        ended = true;
+    }
+
     bool all_done() const { return pending_tasks == 0 && placed_tasks == 0; }
 };
 
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -23,6 +23,7 @@
     starts += other.starts;
     starts_without_reply += other.starts_without_reply;
     polls += other.polls;
+    leases_shortened += other.leases_shortened;
     stops += other.stops;
     task_failures += other.task_failures;
     stragglers_moved += other.stragglers_moved;
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -11,9 +11,10 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{50};
-// A submission that has waited unread for longer may have been sent elsewhere meanwhile: the
-// requester does so after lost_job_quarantine.
+// A submission that has waited unread for longer leaves too little of the job's lease to start its
+// tasks.
 constexpr duration max_submission_age = std::chrono::milliseconds{900};
+static_assert(max_submission_age + min_start_lease <= job_lease);
 // A requester submits its open jobs again as soon as its new link is connected and the controller's
 // claim is known there, which takes a round trip and a tick.
 constexpr duration resubmission_round = std::chrono::milliseconds{100};
@@ -57,12 +58,14 @@
         }
     };
     mesh_.on_own_silence = [this](std::span<const std::string> peers) {
-        for (auto& [id, job] : jobs_) {
-            if (std::ranges::find(peers, job->controller) != peers.end()) {
-                job->lose_controller(timers_.monotonic_now(), "own silence");
-            }
+        submit_again_after_silence(peers);
+    };
+    mesh_.controllers_of_own_jobs = [this] {
+        std::set<std::string> out;
+        for (const auto& [id, job] : jobs_) {
+            out.insert(job->controller);
         }
-        redispatch();
+        return out;
     };
     mesh_.on_message = [this](const peer_link& from, const Json::Value& message,
                               const instance_mesh::sender& reply) {
@@ -71,6 +74,26 @@
     tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
 }
 
+// The controllers may have dropped the jobs of this instance. A job that does not go back to its
+// controller must not be renewed there any more.
+void cell_service::submit_again_after_silence(std::span<const std::string> controllers)
+{
+    std::vector<std::pair<std::string, std::string>> lost; // job and controller
+    for (auto& [id, job] : jobs_) {
+        if (std::ranges::find(controllers, job->controller) != controllers.end()) {
+            lost.emplace_back(id, job->controller);
+            job->lose_controller(timers_.monotonic_now(), "own silence");
+        }
+    }
+    redispatch();
+    for (const auto& [id, controller] : lost) {
+        const auto it = jobs_.find(id);
+        if (it == jobs_.end() || it->second->controller != controller) {
+            mesh_.replace_link(controller);
+        }
+    }
+}
+
 void cell_service::tick()
 {
     tick_timer_ = timers_.schedule(tick_interval, [this] { tick(); });
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -234,6 +234,9 @@
         if (!job->controller.empty()) {
             const auto holder = claimed.find({job->controller, job->cell});
             if (holder == claimed.end()) {
+                if (!mesh_.is_in_contact(job->controller)) {
+                    mesh_.replace_link(job->controller);
+                }
                 job->lose_controller(timers_.monotonic_now(), "not in control or out of touch");
             }
             else {
@@ -335,7 +338,12 @@
     for (const auto& [id, outcome] : jobs) {
         log_request_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
                           outcome.reason);
-        finish(id, outcome);
+        if (jobs_.at(id)->controller.empty()) {
+            finish(id, outcome);
+        }
+        else {
+            stop_and_answer(id, outcome); // else heartbeats would go on renewing its lease
+        }
     }
 }
 
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -340,7 +340,9 @@
 void cell_controller::state::abandon(active_job& job)
 {
     job.answer = nullptr;
-    job.ended = true;
+    if (!job.ended) {
+        job.end(timers.monotonic_now());
+    }
     job.pending_tasks = 0;
     if (job.placed_tasks != 0) {
         for (auto& [id, worker] : workers) {
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -52,7 +52,7 @@
 {
     return worker.token_accepted && worker.listed && !worker.report.draining &&
            worker.clock_ms >= 0 && worker.orphans.empty() && worker.unanswered_polls == 0 &&
-           worker.suspended_until <= now;
+           worker.suspended_until <= now && worker.job_leases_end - now >= min_start_lease;
 }
 
 // Reports newly used workers to the requesters before anything is started on them.
@@ -110,7 +110,8 @@
     const int max_unplaced = settings.policies.deep_passes ? max_unplaced_jobs_per_deep_pass
                                                            : max_unplaced_jobs_per_pass;
     for (auto* job : waiting) {
-        if (job->request.resumed && !may_start_resumed(*job)) {
+        if ((job->request.resumed && !may_start_resumed(*job)) ||
+            job->lease_end(now) - now < min_start_lease) {
             continue;
         }
         bool placed_all = true;
@@ -268,7 +269,9 @@
     run.demand = job.request.steps[step].demand;
     run.sent_at = now;
     run.predicted = policy.predict(job, job.request.steps[step], worker);
-    run.latest_start_ms = worker.clock_estimate(now) + start_lease.count() / 1000;
+    worker.job_leases_end = std::min(worker.job_leases_end, job.lease_end(now));
+    const auto lease = std::min(start_lease, worker.job_leases_end - now);
+    run.latest_start_ms = worker.clock_estimate(now) + lease.count() / 1000;
     worker.lease_end_ms = std::max(worker.lease_end_ms, run.latest_start_ms);
     worker.reserve_capacity(run.demand);
     run.isolated = task.losses != 0;
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -108,6 +108,7 @@
     void update_clock(claimed_worker& worker, std::int64_t clock_ms);
     void reset_restarted_worker(claimed_worker& worker, std::int64_t started_at_ms);
     void record_task_failure(claimed_worker& worker, const active_job& job, const task_state& task);
+    void update_job_leases(claimed_worker& worker, monotonic_time now);
     bool accepts_starts(const claimed_worker& worker, monotonic_time now) const;
 
     // Lost workers.
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -116,6 +116,15 @@
     resolve_losses(worker, started_at_ms == 0 ? unknown_start_time : started_at_ms);
 }
 
+// A lease at a worker holds for all its runs, so the first job's lease to end limits it.
+void cell_controller::state::update_job_leases(claimed_worker& worker, monotonic_time now)
+{
+    worker.job_leases_end = monotonic_time::max();
+    for (const auto& [name, run] : worker.runs) {
+        worker.job_leases_end = std::min(worker.job_leases_end, run.job->lease_end(now));
+    }
+}
+
 void cell_controller::state::poll(claimed_worker& worker, bool quick)
 {
     bool& pending = quick ? worker.quick_poll_pending : worker.long_poll_pending;
@@ -132,9 +141,12 @@
     // The lease of a worker that does not answer is not extended, so that its runs expire at a
     // known time. Nor is that of a worker with runs of an earlier controller, which may rely on
     // their expiry.
+    update_job_leases(worker, now);
+    const auto lease = std::min(settings.lease, worker.job_leases_end - now);
     if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
-        worker.orphans.empty()) {
-        command.deadline_ms = worker.clock_estimate(now) + settings.lease.count() / 1000;
+        worker.orphans.empty() && lease > duration::zero()) {
+        counts.leases_shortened += lease < settings.lease ? 1 : 0;
+        command.deadline_ms = worker.clock_estimate(now) + lease.count() / 1000;
         worker.lease_end_ms = std::max(worker.lease_end_ms, command.deadline_ms);
     }
     commands.poll(worker.report, command,
@@ -500,6 +512,7 @@
         // Decays, so that the worker gets tasks again and its speed is measured again.
         worker.slowness = std::max(1.0, worker.slowness * 0.995);
     }
+    update_job_leases(worker, now);
     poll_if_start_unconfirmed(worker, now);
     poll_if_end_overdue(worker, now);
     const bool silent = !worker.token_accepted || worker.unanswered_polls != 0;
--- a/src/cell/dispatch_metrics.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -28,6 +28,7 @@
     add("task_stops_total", counts.stops);
     add("stragglers_moved_total", counts.stragglers_moved);
     add("worker_looks_total", counts.polls);
+    add("leases_shortened_total", counts.leases_shortened);
     add("workers_lost_total", counts.workers_lost);
     add("orphans_adopted_total", counts.orphans_adopted);
     add("orphans_stopped_total", counts.orphans_stopped);
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 instance_mesh::instance_mesh(poller& events, timer_service& timers, instance_address self)
-    : on_message([](const peer_link&, const Json::Value&, const sender&) {}), on_change([] {}),
+    : controllers_of_own_jobs([] { return std::set<std::string>(); }),
+      on_message([](const peer_link&, const Json::Value&, const sender&) {}), on_change([] {}),
       on_newer_config([] {}), on_restart([](const std::string&) {}),
       on_reconnect([](const std::string&) {}), on_peer_reconnect([](const peer_link&) {}),
       on_own_silence([](std::span<const std::string>) {}), events_(events), timers_(timers),
@@ -384,7 +385,7 @@
     }
     const bool restarted = it.incarnation != 0 && from.incarnation != it.incarnation;
     if (restarted) {
-        it.clock_ms = -1; // another machine may have taken the name
+        it.clock = {}; // another machine may have taken the name
     }
     if (from.incarnation != it.incarnation) {
         it.incarnation_link = own_link != 0 ? own_link : opened_links_;
@@ -423,8 +424,14 @@
     const bool was_late = reply_overdue(it);
     it.unanswered_since = {};
     const bool changed = message.isMember("from") && apply_state(it, message, it.link_number);
-    it.clock_ms = json_fields(message).integer("clock", any_clock, -1);
-    it.clock_at = timers_.monotonic_now();
+    if (const auto clock_ms = json_fields(message).integer("clock", any_clock, -1); clock_ms >= 0) {
+        const bool is_first = !it.clock.is_known();
+        it.clock.add_reply(clock_ms, timers_.monotonic_now());
+        if (is_first) {
+            it.has_own_jobs = controllers_of_own_jobs().contains(it.address.name);
+            ping(it); // jobs that were submitted on the new link wait for a renewal
+        }
+    }
     if (changed || was_late || !it.was_alive) {
         it.was_alive = true;
         on_change();
@@ -435,6 +442,7 @@
 {
     const auto it = std::make_shared<inbound>();
     it->link = std::make_unique<frame_link>(std::move(stream));
+    it->from.renewed_at = it->renewed_at;
     inbound_.insert(it);
     it->link->on_message = [this, inbound_link = it.get()](std::string_view text) {
         on_inbound(*inbound_link, text);
@@ -475,9 +483,11 @@
     heard.at = timers_.monotonic_now();
     if (const auto number = json_fields(message).number("link"); number > link.from.number) {
         link.from.number = number;
+        link.has_dated_messages = message.isMember("as_of");
         heard.newest_link = std::max(heard.newest_link, number);
         on_peer_reconnect(link.from);
     }
+    note_renewal(link, message);
     if (kind == "ping") {
         link.link->send(heartbeat_text("pong", link.sent_state_number));
         return;
@@ -502,4 +512,14 @@
     });
 }
 
+// Instances of an earlier release do not say when they sent a message.
+void instance_mesh::note_renewal(inbound& link, const Json::Value& message) const
+{
+    const auto now = timers_.monotonic_now();
+    const monotonic_time sent_at{
+        std::chrono::milliseconds{json_fields(message).integer("as_of", any_clock)}};
+    *link.renewed_at =
+        std::max(*link.renewed_at, link.has_dated_messages ? std::min(sent_at, now) : now);
+}
+
 } // namespace cactusloom
--- a/src/cell/instance_mesh_internal.h
+++ b/src/cell/instance_mesh_internal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/instance_mesh.h"
+#include "peer_clock.h"
 
 namespace cactusloom {
 
@@ -35,8 +36,8 @@
     monotonic_time pinged_at;
     monotonic_time last_message_at;  // when a message other than a ping was sent to it
     monotonic_time unanswered_since; // oldest ping without a reply; zero: none
-    std::int64_t clock_ms = -1;      // in its newest reply; -1: none yet
-    monotonic_time clock_at;         // when that reply was read
+    peer_clock clock;                // by its replies on this link
+    bool has_own_jobs = false;       // it controls jobs of this instance
     std::int64_t incarnation = 0;
     std::uint64_t incarnation_link = 0;  // newest own link when `incarnation` was first seen
     std::uint64_t state_number = 0;      // newest state received from it
@@ -50,7 +51,9 @@
 
 struct instance_mesh::inbound {
     std::unique_ptr<frame_link> link;
-    peer_link from;                      // empty until the first message
+    peer_link from; // empty until the first message
+    std::shared_ptr<monotonic_time> renewed_at = std::make_shared<monotonic_time>();
+    bool has_dated_messages = true;      // the peer says when it sends them
     std::uint64_t sent_state_number = 0; // newest own state that was sent on this link
 };
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -27,6 +27,12 @@
 constexpr duration ping_delivery_time = std::chrono::milliseconds{100};
 constexpr duration discovery_timeout = std::chrono::seconds{2};
 
+// Adds a number to the text of a JSON object that is not empty.
+std::string with_field(std::string_view object, std::string_view name, std::int64_t value)
+{
+    return fmt::format("{},\"{}\":{}}}", object.substr(0, object.rfind('}')), name, value);
+}
+
 } // namespace
 
 bool instance_mesh::is_alive(const peer& it) const
@@ -43,7 +49,7 @@
 // True if this instance may have to take over from the peer, or sends its jobs there.
 bool instance_mesh::is_monitored_closely(const peer& it) const
 {
-    return is_candidate() ||
+    return is_candidate() || it.has_own_jobs ||
            (!it.claims.empty() && (it.address.data_centre == self_.data_centre ||
                                    (it.last_message_at != monotonic_time{} &&
                                     timers_.monotonic_now() - it.last_message_at < max_job_wait)));
@@ -148,18 +154,18 @@
 }
 
 // The number tells the peer which link is the newest. Probes and introductions have none, because
-// no message about a job is sent on them.
+// no message about a job is sent on them. A ping that is sent as of 0 renews nothing.
 std::string instance_mesh::first_ping_text(peer& it) const
 {
-    const auto ping = heartbeat_text("ping", it.sent_state_number);
-    return fmt::format("{},\"link\":{}}}", std::string_view(ping).substr(0, ping.rfind('}')),
-                       it.link_number);
+    return with_field(with_field(heartbeat_text("ping", it.sent_state_number), "link",
+                                 static_cast<std::int64_t>(it.link_number)),
+                      "as_of", 0);
 }
 
 // Adds the current clock to the text of a JSON object.
 std::string instance_mesh::with_clock(std::string_view object) const
 {
-    return fmt::format("{},\"clock\":{}}}", object.substr(0, object.rfind('}')), own_clock_ms());
+    return with_field(object, "clock", own_clock_ms());
 }
 
 std::int64_t instance_mesh::own_clock_ms() const
@@ -169,12 +175,10 @@
 
 std::int64_t instance_mesh::peer_clock_ms(std::string_view name) const
 {
-    const auto found = peers_.find(name);
-    if (found == peers_.end() || found->second->clock_ms < 0) {
-        return -1;
-    }
-    const auto& it = *found->second;
-    return it.clock_ms + (timers_.monotonic_now() - it.clock_at).count() / 1000;
+    const auto it = peers_.find(name);
+    return it != peers_.end() && it->second->clock.is_known()
+               ? it->second->clock.at(timers_.monotonic_now())
+               : -1;
 }
 
 void instance_mesh::send_pings()
@@ -182,7 +186,9 @@
     // Shorter by half a check interval, so that timer lateness does not skip a turn.
     constexpr auto min_ping_interval = slow_heartbeat_interval - link_check_interval / 2;
     const auto now = timers_.monotonic_now();
+    const auto controllers = controllers_of_own_jobs();
     for (const auto& [name, it] : peers_) {
+        it->has_own_jobs = controllers.contains(name);
         if (is_monitored_closely(*it) || now - it->pinged_at >= min_ping_interval) {
             ping(*it);
         }
@@ -194,8 +200,12 @@
     if (!it.link || it.closed || !it.link->is_connected()) {
         return;
     }
-    it.link->send(heartbeat_text("ping", it.sent_state_number));
     it.pinged_at = timers_.monotonic_now();
+    auto text = heartbeat_text("ping", it.sent_state_number);
+    if (it.has_own_jobs && is_alive(it) && it.clock.is_known()) {
+        text = with_field(text, "as_of", it.clock.at(it.pinged_at));
+    }
+    it.link->send(text);
     if (it.unanswered_since == monotonic_time{}) {
         it.unanswered_since = it.pinged_at;
     }
@@ -311,6 +321,20 @@
     }
 }
 
+void instance_mesh::replace_link(std::string_view name)
+{
+    const auto it = peers_.find(name);
+    if (it != peers_.end() && it->second->link && it->second->link->is_connected()) {
+        it->second->closed = true; // the next check opens a new one
+    }
+}
+
+bool instance_mesh::is_in_contact(std::string_view name) const
+{
+    const auto it = peers_.find(name);
+    return name == self_.name || (it != peers_.end() && is_alive(*it->second));
+}
+
 // Opens a second connection beside a silent link. A lost machine does not accept it, a busy process
 // accepts it but does not reply, and behind a broken link the process replies.
 void instance_mesh::probe(peer& it)
@@ -340,6 +364,7 @@
     it.closed = false;
     it.was_connected = false;
     it.unanswered_since = {};
+    it.clock = {}; // another process may reply
     it.opened_at = timers_.monotonic_now();
     it.link_number = ++opened_links_;
     auto stream = tcp_stream::connect(events_, it.address.address);
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -64,6 +64,22 @@
         BOOST_REQUIRE(b->listen(b_address));
     }
 
+    // Lets a have jobs at b, and returns the link on which b gets them.
+    peer_link link_of_jobs()
+    {
+        peer_link link;
+        b->on_message = [&link](const peer_link& from, const Json::Value&,
+                                const instance_mesh::sender&) { link = from; };
+        a->controllers_of_own_jobs = [] { return std::set<std::string>{"b"}; };
+        run_for(200ms);
+        Json::Value message;
+        message["t"] = "submit";
+        BOOST_REQUIRE(a->send("b", message));
+        BOOST_REQUIRE(run_until([&link] { return link.number != 0; }, 100ms));
+        b->on_message = [](const peer_link&, const Json::Value&, const instance_mesh::sender&) {};
+        return link;
+    }
+
     bool a_sees_claim(std::uint64_t token) const
     {
         return std::ranges::any_of(a->claim_holders(), [token](const auto& it) {
@@ -189,11 +205,50 @@
     const auto end = timers.monotonic_now() + 300ms;
     while (timers.monotonic_now() < end) {
         step();
-        max_age_ms = std::max(max_age_ms, b->own_clock_ms() - a->peer_clock_ms("b"));
+        if (a->peer_clock_ms("b") >= 0) { // unknown until the first reply
+            max_age_ms = std::max(max_age_ms, b->own_clock_ms() - a->peer_clock_ms("b"));
+        }
     }
+    BOOST_TEST(a->peer_clock_ms("b") >= 0);
     BOOST_TEST(max_age_ms < 500);
 }
 
+// Guards against heartbeats that renew the leases of jobs from when they are read: the requester
+// may have sent the jobs elsewhere meanwhile.
+BOOST_AUTO_TEST_CASE(a_ping_that_is_read_late_renews_leases_from_when_it_was_sent)
+{
+    const auto link = link_of_jobs();
+    const auto blocked_at = timers.monotonic_now();
+    BOOST_TEST((blocked_at - *link.renewed_at < 150ms));
+    relay->block_to_target();
+    run_for(100ms);
+    a->controllers_of_own_jobs = [] { return std::set<std::string>(); };
+    const auto last_renewal = timers.monotonic_now() + 100ms; // at the next heartbeat
+    run_for(400ms);
+    relay->heal();
+    run_for(100ms);
+    BOOST_TEST((*link.renewed_at >= blocked_at));
+    BOOST_TEST((*link.renewed_at <= last_renewal));
+}
+
+// Guards against jobs that are renewed on a link on which they were not submitted: their requester
+// may have given them up with the former one.
+BOOST_AUTO_TEST_CASE(a_new_link_does_not_renew_the_jobs_of_the_former_one)
+{
+    const auto link = link_of_jobs();
+    relay->close_open_connections();
+    BOOST_REQUIRE(run_until([this] { return reconnects != 0; }, 1s));
+    const auto replaced_at = timers.monotonic_now();
+    run_for(300ms);
+    BOOST_TEST((*link.renewed_at < replaced_at));
+    const auto newest = link_of_jobs();
+    BOOST_TEST(newest.number > link.number);
+    BOOST_TEST((timers.monotonic_now() - *newest.renewed_at < 150ms));
+    a->replace_link("b");
+    reconnects = 0;
+    BOOST_TEST(run_until([this] { return reconnects != 0; }, 100ms));
+}
+
 // Guards against heartbeats that take more than what an instance may spend on control, 9 KB/s, with
 // links to the eleven others of a full mesh. Changes must still arrive.
 BOOST_AUTO_TEST_CASE(heartbeats_without_changes_are_small)
--- /dev/null
+++ b/tests/cell/job_lease_test.cpp
@@ -0,0 +1,165 @@
+// Leases of jobs: a controller may run a job only as long as its requester renews it.
+#include "cell_fixture.h"
+
+#include "../../src/cell/peer_clock.h"
+
+using namespace cactusloom;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct job_lease_fixture : cell_fixture {
+    std::shared_ptr<monotonic_time> renewed_at = std::make_shared<monotonic_time>();
+
+    job_lease_fixture()
+    {
+        fleet.work = [](const std::string&) { return duration{4s}; };
+    }
+
+    static job_request long_job(const std::string& id, std::uint32_t tasks)
+    {
+        auto out = job(id, tasks, 4s);
+        out.time_left = 20s;
+        return out;
+    }
+
+    // Submits a job whose lease ends unless it is renewed.
+    void submit_leased(job_request request)
+    {
+        const auto id = request.id;
+        *renewed_at = timers.monotonic_now();
+        controller->submit(std::move(request), {{"leasing"}, 1, renewed_at},
+                           [this, id](const job_outcome& it) { outcomes[id] = it; });
+    }
+
+    void run_with_renewals(duration span)
+    {
+        for (const auto end = timers.monotonic_now() + span; timers.monotonic_now() < end;) {
+            *renewed_at = timers.monotonic_now();
+            timers.advance(100ms);
+        }
+    }
+
+    std::size_t running() const
+    {
+        std::size_t n = 0;
+        for (const auto& it : fleet.reports()) {
+            n += fleet.running(it.id);
+        }
+        return n;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(job_leases, job_lease_fixture)
+
+// Guards against runs that go on after their requester has sent the job elsewhere, whatever their
+// controller does meanwhile.
+BOOST_AUTO_TEST_CASE(no_run_outlives_the_lease_of_its_job)
+{
+    struct row {
+        const char* what;
+        std::function<void()> act; // 500 ms after the last renewal
+    };
+    const row rows[] = {{"goes on polling", [] {}},
+                        {"releases the cell", [this] { controller->release(); }},
+                        {"cannot stop the runs",
+                         [this] {
+                             controller->abandon_all_of({"leasing", 0});
+                         }},
+                        {"is replaced by one that adopts the runs", [this] {
+                             controller.reset();
+                             take_control(2);
+                             const auto last = *renewed_at;
+                             submit_leased(resumed(long_job("j", 4)));
+                             *renewed_at = last;
+                         }}};
+    add_workers(2);
+    fleet.fault("w0").ignores_stops = true;
+    fleet.fault("w1").ignores_stops = true;
+    for (const auto& it : rows) {
+        take_control(1);
+        submit_leased(long_job("j", 4));
+        run_with_renewals(1500ms);
+        BOOST_REQUIRE(running() == 4U);
+        timers.advance(400ms); // 500 ms since the last renewal
+        it.act();
+        timers.advance(job_lease + lease_uncertainty - 500ms - 1ms);
+        BOOST_TEST(running() == 0U, it.what);
+        controller.reset();
+        timers.advance(5s);
+        fleet.restart("w0");
+        fleet.restart("w1");
+    }
+    check_no_violation();
+}
+
+// Guards against runs that lapse although their requester waits for them.
+BOOST_AUTO_TEST_CASE(a_job_that_is_renewed_runs_to_its_end)
+{
+    add_workers(2);
+    take_control();
+    submit_leased(long_job("j", 4));
+    run_with_renewals(5s);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.total_starts() == 4U);
+}
+
+// Guards against a lost requester whose runs take those of others on the same worker with them.
+BOOST_AUTO_TEST_CASE(stopped_runs_of_a_lost_requester_leave_the_others_on_the_worker)
+{
+    add_workers(1);
+    take_control();
+    submit(long_job("other", 1));
+    submit_leased(long_job("j", 1));
+    run_with_renewals(500ms);
+    timers.advance(650ms);
+    controller->abandon_all_of({"leasing", 0});
+    timers.advance(5s);
+    BOOST_TEST(ended("other", job_end::completed));
+    BOOST_TEST(fleet.starts_of("other.0.0.0") == 1U);
+}
+
+// Guards against a start whose lease ends before the requester can renew it.
+BOOST_AUTO_TEST_CASE(nothing_is_started_near_the_end_of_a_lease)
+{
+    add_workers(1);
+    take_control();
+    const auto submit_old = [this](const std::string& id, duration age) {
+        submit_leased(long_job(id, 1));
+        *renewed_at = timers.monotonic_now() - age;
+        timers.advance(20ms);
+    };
+    submit_old("old", job_lease - min_start_lease + 1ms);
+    BOOST_TEST(fleet.total_starts() == 0U);
+    *renewed_at = timers.monotonic_now();
+    timers.advance(100ms);
+    BOOST_TEST(fleet.total_starts() == 1U);
+}
+
+// Guards against an estimate that is ahead of the peer's clock, which would make an old message
+// look new, and against one that a late reply sets back.
+BOOST_AUTO_TEST_CASE(the_estimate_of_a_peers_clock_is_never_ahead_of_it)
+{
+    for (const double rate : {0.98, 1.0, 1.02}) {
+        peer_clock clock;
+        BOOST_TEST(!clock.is_known());
+        const auto peer_ms = [rate](monotonic_time at) {
+            return 5000 + static_cast<std::int64_t>(
+                              rate * static_cast<double>(at.time_since_epoch().count()) / 1000);
+        };
+        for (int i = 0; i < 200; ++i) {
+            const monotonic_time sent_at{100ms * i};
+            const auto read_at = sent_at + (i % 7 == 0 ? 1ms : 400ms);
+            clock.add_reply(peer_ms(sent_at), read_at);
+            for (const auto wait : {0ms, 50ms, 300ms}) {
+                const auto now = read_at + wait;
+                BOOST_TEST(clock.at(now) <= peer_ms(now));
+                BOOST_TEST(clock.at(now) >= peer_ms(now) - 60);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -168,7 +168,7 @@
     black_hole_port unreachable(17445);
     run_until([] { return false; }, 500ms);
     members["b"].cells->leave();
-    run_until([] { return false; }, 1200ms);
+    BOOST_TEST(run_until([&] { return fleet.total_starts() == 4; }, 2s));
     for (const auto& it : fleet.violations()) {
         BOOST_ERROR(it);
     }
