After raising its token a controller starts only jobs that are still its own

Cause: a job sent again is started once all workers have accepted the next controller's token, as the former one can start nothing then.

Evidence: the log of a-2 has token_raised at 4.2105 s and the start at 4.219 s; its requester had sent the job to a-1 at 4.007 s, which started the task at 4.048 s.

Change: after a raise, only jobs whose requester has renewed the lease since are started.

Why it works: a requester does not renew what it has sent elsewhere. If it sends the job elsewhere after renewing it, the next controller needs a token above the raised one, and this one is fenced again.

--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -67,6 +67,16 @@
     self.on_used_workers_changed();
 }
 
+// True if the requester leaves the job to this controller for long enough to start a task. Another
+// controller may have had the workers before the token was raised, and the requester may have sent
+// the job there, so it has to renew the lease once more.
+bool cell_controller::state::is_leased(const active_job& job, monotonic_time now) const
+{
+    const bool had_all_workers = claimed_at == first_claimed_at;
+    return job.lease_end(now) - now >= min_start_lease &&
+           (had_all_workers || job.renewed_at(now) >= claimed_at);
+}
+
 void cell_controller::state::start_pending_tasks()
 {
     if (token == 0) {
@@ -110,8 +120,7 @@
     const int max_unplaced = settings.policies.deep_passes ? max_unplaced_jobs_per_deep_pass
                                                            : max_unplaced_jobs_per_pass;
     for (auto* job : waiting) {
-        if ((job->request.resumed && !may_start_resumed(*job)) ||
-            job->lease_end(now) - now < min_start_lease) {
+        if (!is_leased(*job, now) || (job->request.resumed && !may_start_resumed(*job))) {
             continue;
         }
         bool placed_all = true;
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -121,6 +121,7 @@
     // Starts and stops.
     void schedule_start_pass();
     void announce_used_workers(std::span<claimed_worker* const> available);
+    bool is_leased(const active_job& job, monotonic_time now) const;
     void start_pending_tasks();
     bool is_overloaded(monotonic_time now) const;
     bool may_begin(const active_job& job, std::span<claimed_worker* const> available,
--- a/tests/cell/job_lease_test.cpp
+++ b/tests/cell/job_lease_test.cpp
@@ -138,6 +138,41 @@
     BOOST_TEST(fleet.total_starts() == 1U);
 }
 
+// Guards against tasks that a controller starts once more because it takes its workers back from
+// another one, to which the requester has sent the job meanwhile.
+BOOST_AUTO_TEST_CASE(
+    after_its_token_was_raised_a_controller_starts_only_jobs_that_are_still_its_own)
+{
+    fleet.work = [](const std::string& name) {
+        return name.starts_with("short") ? duration{300ms} : duration{4s};
+    };
+    add_workers(2);
+    take_control(1);
+    submit(job("short", 2, 300ms));
+    submit_leased(long_job("j", 4));
+    timers.advance(50ms);
+    BOOST_REQUIRE(fleet.total_starts() == 4U);
+    const auto former = std::move(controller);
+    const auto former_renewal = std::exchange(renewed_at, std::make_shared<monotonic_time>());
+    take_control(2);
+    submit(resumed(job("short", 2, 300ms)));
+    submit_leased(resumed(long_job("j", 4)));
+    run_with_renewals(500ms);
+    BOOST_REQUIRE(fleet.total_starts() == 6U);
+
+    fleet.add("w2", two_cores);
+    former->set_workers(fleet.reports());
+    fleet.fault("w0").silent = true;
+    fleet.fault("w1").silent = true;
+    former->claim(3);
+    timers.advance(200ms);
+    BOOST_TEST(fleet.total_starts() == 6U);
+    check_no_violation();
+    *former_renewal = timers.monotonic_now();
+    timers.advance(100ms);
+    BOOST_TEST(fleet.total_starts() == 8U); // the requester says that the job is here
+}
+
 // Guards against an estimate that is ahead of the peer's clock, which would make an old message
 // look new, and against one that a late reply sets back.
 BOOST_AUTO_TEST_CASE(the_estimate_of_a_peers_clock_is_never_ahead_of_it)
