Pass cancelled ids on to restarted instances from all that know them

Cause: only the instance that had acknowledged a cancellation passed the id on. Once it and the controller had been restarted, the controller did not know the id, although other candidates did.

--- a/include/cell/cancelled_jobs.h
+++ b/include/cell/cancelled_jobs.h
@@ -22,7 +22,7 @@
     explicit cancelled_jobs(const timer_service& timers) : timers_(timers) {}
 
     // Adds an id. `acknowledged_here`: its caller has been answered by this instance, which passes
-    // the id on. Returns false if it is known.
+    // the id on whenever a message may have been lost. Returns false if it is known.
     bool add(std::string_view id, bool acknowledged_here);
 
     bool contains(std::string_view id) const;
@@ -30,15 +30,20 @@
     // Newest ids that were acknowledged here.
     std::vector<std::string> acknowledged_here() const;
 
+    // Newest of all ids, for a process that knows none.
+    std::vector<std::string> all() const;
+
     std::size_t size() const { return entries_.size(); }
 
 private:
     struct entry {
         std::uint64_t hash = 0;
         monotonic_time added_at;
-        std::string id; // only of those acknowledged here
+        std::string id;
+        bool acknowledged_here = false;
     };
 
+    std::vector<std::string> newest(bool only_acknowledged_here) const;
     void forget_old();
 
     const timer_service& timers_;
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -159,6 +159,7 @@
     cell_settings settings_;
     std::shared_ptr<crash_ledger> losses_;         // of all controllers, as far as known here
     cancelled_jobs cancelled_;                     // as far as known here
+    std::set<std::string> restarted_peers_;        // not reconnected since
     std::map<std::uint64_t, job_search> searches_; // by number
     std::uint64_t last_search_ = 0;
     std::vector<worker_report> workers_;
--- a/src/cell/cancelled_jobs.cpp
+++ b/src/cell/cancelled_jobs.cpp
@@ -18,8 +18,7 @@
     if (!hashes_.insert(hash).second) {
         return false;
     }
-    entries_.push_back(
-        {hash, timers_.monotonic_now(), acknowledged_here ? std::string(id) : std::string()});
+    entries_.push_back({hash, timers_.monotonic_now(), std::string(id), acknowledged_here});
     return true;
 }
 
@@ -29,10 +28,20 @@
 }
 
 std::vector<std::string> cancelled_jobs::acknowledged_here() const
+{
+    return newest(true);
+}
+
+std::vector<std::string> cancelled_jobs::all() const
+{
+    return newest(false);
+}
+
+std::vector<std::string> cancelled_jobs::newest(bool only_acknowledged_here) const
 {
     std::vector<std::string> out;
     for (auto it = entries_.rbegin(); it != entries_.rend() && out.size() < max_passed_on; ++it) {
-        if (!it->id.empty()) {
+        if (it->acknowledged_here || !only_acknowledged_here) {
             out.push_back(it->id);
         }
     }
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -40,6 +40,9 @@
                 job->lose_controller(timers_.monotonic_now(), "restarted");
             }
         }
+        // Who acknowledged a cancellation may have been restarted as well.
+        send_cancelled(peer, cancelled_.all());
+        restarted_peers_.insert(peer);
     };
     mesh_.on_reconnect = [this](const std::string& peer) {
         for (auto& [id, job] : jobs_) {
@@ -48,8 +51,10 @@
                 job->lose_controller(timers_.monotonic_now(), "link replaced");
             }
         }
-        // The peer may have missed them, or may be a new process.
-        send_cancelled(peer, cancelled_.acknowledged_here());
+        // The peer may have missed them. A restart that was learned of on its link to this instance
+        // may have been answered on a dead one.
+        send_cancelled(peer, restarted_peers_.erase(peer) != 0 ? cancelled_.all()
+                                                               : cancelled_.acknowledged_here());
         redispatch();
     };
     mesh_.on_peer_reconnect = [this](const peer_link& link) {
--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -258,6 +258,34 @@
     check_copies("after a restart");
 }
 
+// Guards against a cancelled job that runs once every instance that has acknowledged the
+// cancellation, or was told of it, has been replaced.
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stays_cancelled_while_all_instances_are_replaced)
+{
+    const std::map<std::string, int> ports = {{"a", 17448}, {"b", 17449}, {"c", 17450}};
+    for (const auto& [name, port] : ports) {
+        start(name, port);
+    }
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    submit("a", cell_fixture::job("j", 1));
+    BOOST_TEST(members["a"].cells->cancel("j"));
+    run_until([] { return false; }, 100ms);
+    const auto starts = fleet.total_starts();
+    for (const auto& [name, port] : ports) {
+        stop(name);
+        run_until([] { return false; }, 100ms);
+        start(name, port);
+        BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+        run_until([] { return false; }, 300ms);
+    }
+    for (const auto& [name, port] : ports) {
+        outcomes.clear();
+        submit(name, cell_fixture::job("j", 1));
+        BOOST_TEST(run_until([&] { return outcomes.contains("j"); }, 1s), name);
+    }
+    BOOST_TEST(fleet.total_starts() == starts);
+}
+
 // Guards against a cancellation that is answered "no such job" by an instance that has just taken
 // over a caller, while the job runs on; and against saying so if a controller does not reply.
 BOOST_AUTO_TEST_CASE(a_job_is_found_and_cancelled_at_any_instance)
