Soak: check refused jobs at the end as well, and take only 503 for a refusal

A task of a refused job that starts after the answer was not seen. 429 counted as a refusal in the new form; it is an unexpected answer again, as before.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -286,11 +286,20 @@
     return false;
 }
 
+// No task may start of a job of which every submission was refused as not run.
+void soak::check_refused(const std::string& id)
+{
+    if (const auto starts = starts_of(id); jobs_.at(id).rejected && starts != 0) {
+        violations_.push_back(
+            fmt::format("{} {} refused as not run after {} starts", now_text(), id, starts));
+    }
+}
+
 void soak::on_answer(const std::string& id, const pooled_http_client::outcome& outcome)
 {
     auto& job = jobs_[id];
     const auto* reply = std::get_if<http_response>(&outcome);
-    const bool is_refused = reply != nullptr && (reply->status == 503 || reply->status == 429);
+    const bool is_refused = reply != nullptr && reply->status == 503;
     job.rejected = job.rejected && is_refused;
     if (reply == nullptr || reply->status == 504) {
         ++unknown_;
@@ -311,10 +320,7 @@
     }
     else if (is_refused) {
         ++refused_;
-        if (job.rejected && starts_of(id) != 0) {
-            violations_.push_back(fmt::format("{} {} answered \"not run\" after {} starts",
-                                              now_text(), id, starts_of(id)));
-        }
+        check_refused(id);
     }
     else {
         violations_.push_back(fmt::format("{} {} answered {}", now_text(), id, reply->status));
@@ -394,6 +400,9 @@
         violations_.push_back(fmt::format("{} of {} jobs completed after the last fault",
                                           completed_after_faults_, sent_after_faults_));
     }
+    for (const auto& [id, job] : jobs_) {
+        check_refused(id); // a task may have started after the answer
+    }
     check_configuration();
     violations_.insert(violations_.end(), world_.fleet().violations().begin(),
                        world_.fleet().violations().end());
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -78,6 +78,7 @@
     void submit();
     void send(const std::string& id, const process& target);
     void on_answer(const std::string& id, const pooled_http_client::outcome& outcome);
+    void check_refused(const std::string& id);
     void send_again(const std::string& id);
     void cancel(const std::string& id);
     void check_cancelled(const std::string& id);
