A task is not started where a granted lease outlasts that of its job

Found by a new test of the leases of jobs: a task that was started 0.85 s after its requester's last heartbeat ran for up to a second more.

Cause: a lease at a worker is never shortened. Polls renewed the leases of workers without runs, and a worker with runs of other jobs has a lease as long as theirs, so a start with a short lease inherited the longer one. With a controller that is cut off after that, the run would have gone on after the job's lease.

Change: leases of workers without runs are not renewed, and a job whose lease has less left than the longest lease of a worker is placed only on workers whose granted lease ends before it.

--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -77,6 +77,19 @@
            (had_all_workers || job.renewed_at(now) >= claimed_at);
 }
 
+// Returns the workers whose granted lease ends before that of the job. A lease is never shortened,
+// so a task of the job could go on for too long on the others.
+std::vector<claimed_worker*> cell_controller::state::leased_no_longer_than(
+    const active_job& job, std::span<claimed_worker* const> available, monotonic_time now) const
+{
+    const auto left = (job.lease_end(now) - now).count() / 1000;
+    std::vector<claimed_worker*> out;
+    std::ranges::copy_if(available, std::back_inserter(out), [&](const claimed_worker* it) {
+        return it->lease_end_ms - it->clock_estimate(now) <= left;
+    });
+    return out;
+}
+
 void cell_controller::state::start_pending_tasks()
 {
     if (token == 0) {
@@ -141,8 +154,13 @@
                                                static_cast<std::uint32_t>(i)})))) {
                     continue;
                 }
-                auto* worker = policy.choose(*job, step, job->steps[step][i], available, now,
-                                             fast_wait(waiting_tasks, now));
+                const auto choose = [&](std::span<claimed_worker* const> from) {
+                    return policy.choose(*job, step, job->steps[step][i], from, now,
+                                         fast_wait(waiting_tasks, now));
+                };
+                auto* worker = job->lease_end(now) - now >= settings.lease
+                                   ? choose(available)
+                                   : choose(leased_no_longer_than(*job, available, now));
                 placed_all = worker != nullptr && place(*job, step, i, *worker, now);
                 if (placed_all && !worker->has_capacity({min_cpu, 0, 0})) {
                     std::erase(available, worker);
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -122,6 +122,9 @@
     void schedule_start_pass();
     void announce_used_workers(std::span<claimed_worker* const> available);
     bool is_leased(const active_job& job, monotonic_time now) const;
+    std::vector<claimed_worker*> leased_no_longer_than(const active_job& job,
+                                                       std::span<claimed_worker* const> available,
+                                                       monotonic_time now) const;
     void start_pending_tasks();
     bool is_overloaded(monotonic_time now) const;
     bool may_begin(const active_job& job, std::span<claimed_worker* const> available,
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -140,11 +140,11 @@
     command.wait = quick ? duration::zero() : long_poll_wait;
     // The lease of a worker that does not answer is not extended, so that its runs expire at a
     // known time. Nor is that of a worker with runs of an earlier controller, which may rely on
-    // their expiry.
+    // their expiry, or of one without runs, where a start would inherit it.
     update_job_leases(worker, now);
     const auto lease = std::min(settings.lease, worker.job_leases_end - now);
     if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
-        worker.orphans.empty() && lease > duration::zero()) {
+        worker.orphans.empty() && !worker.runs.empty() && lease > duration::zero()) {
         counts.leases_shortened += lease < settings.lease ? 1 : 0;
         command.deadline_ms = worker.clock_estimate(now) + lease.count() / 1000;
         worker.lease_end_ms = std::max(worker.lease_end_ms, command.deadline_ms);
--- a/tests/cell/job_lease_test.cpp
+++ b/tests/cell/job_lease_test.cpp
@@ -138,6 +138,20 @@
     BOOST_TEST(fleet.total_starts() == 1U);
 }
 
+// Guards against a start that sets a longer lease than that of its job.
+BOOST_AUTO_TEST_CASE(a_task_that_is_started_late_in_a_lease_ends_with_it)
+{
+    constexpr auto left = 300ms;
+    add_workers(1);
+    take_control();
+    submit_leased(long_job("j", 1));
+    *renewed_at = timers.monotonic_now() - job_lease + left;
+    timers.advance(50ms);
+    BOOST_REQUIRE(running() == 1U);
+    timers.advance(left + lease_uncertainty - 50ms);
+    BOOST_TEST(running() == 0U);
+}
+
 // Guards against tasks that a controller starts once more because it takes its workers back from
 // another one, to which the requester has sent the job meanwhile.
 BOOST_AUTO_TEST_CASE(
