A start does not inherit a lease that a former controller has granted

Cause: a new controller knows nothing of the leases that its predecessor has granted, and took a worker for one without any. A start with a short lease inherited up to a second.

Evidence: job_leases/a_lease_of_a_former_controller_is_not_inherited fails on: the run goes on after its job's lease.

Change: when a worker accepts the controller's token, its lease is taken to last for the longest time that any lease may; from then on nobody else can renew it.

--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -186,6 +186,10 @@
         worker.unanswered_polls = 0;
         update_clock(worker, reply.clock_ms);
         const bool first = !std::exchange(worker.token_accepted, true);
+        if (first) { // another controller may have renewed its lease just before
+            worker.lease_end_ms =
+                std::max(worker.lease_end_ms, reply.clock_ms + settings.lease.count() / 1000);
+        }
         apply_poll_reply(worker, sent_at, reply);
         if (first || quick) {
             schedule_start_pass();
--- a/tests/cell/job_lease_test.cpp
+++ b/tests/cell/job_lease_test.cpp
@@ -144,6 +144,7 @@
     constexpr auto left = 300ms;
     add_workers(1);
     take_control();
+    timers.advance(1100ms); // leases of former controllers have ended
     submit_leased(long_job("j", 1));
     *renewed_at = timers.monotonic_now() - job_lease + left;
     timers.advance(50ms);
@@ -152,6 +153,27 @@
     BOOST_TEST(running() == 0U);
 }
 
+// Guards against a start on a worker whose lease a former controller has renewed for longer.
+BOOST_AUTO_TEST_CASE(a_lease_of_a_former_controller_is_not_inherited)
+{
+    add_workers(1);
+    take_control(1);
+    auto other = job("other", 1, 400ms);
+    fleet.work = [](const std::string& name) {
+        return name.starts_with("other") ? duration{400ms} : duration{4s};
+    };
+    submit(other);
+    timers.advance(380ms); // its lease was renewed until 1.2 s or later
+    controller.reset();
+    take_control(2);
+    timers.advance(30ms); // it has ended
+    submit_leased(long_job("j", 1));
+    const auto lease_end = timers.monotonic_now() + 250ms;
+    *renewed_at = lease_end - job_lease;
+    timers.advance(250ms + lease_uncertainty);
+    BOOST_TEST(running() == 0U);
+}
+
 // Guards against tasks that a controller starts once more because it takes its workers back from
 // another one, to which the requester has sent the job meanwhile.
 BOOST_AUTO_TEST_CASE(
