--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -336,9 +336,13 @@
 void cell_service::fail_jobs(const std::vector<ended_job>& jobs)
 {
     for (const auto& [id, outcome] : jobs) {
+        const auto it = jobs_.find(id);
+        if (it == jobs_.end()) {
+            continue; // ended by the answer to another one
+        }
         log_request_event("job_given_up", "id={} end={} reason=\"{}\"", id, to_string(outcome.end),
                           outcome.reason);
-        if (jobs_.at(id)->controller.empty()) {
+        if (it->second->controller.empty()) {
             finish(id, outcome);
         }
         else {
