--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -61,9 +61,10 @@
     task_demand used;
     std::uint32_t isolated_runs = 0;
 
-    std::int64_t clock_ms = -1;     // the worker's clock when it sent the last reply
-    monotonic_time clock_at;        // local time at which that reply arrived
-    std::int64_t lease_end_ms = -1; // on the worker's clock; latest deadline that was sent
+    std::int64_t clock_ms = -1; // the worker's clock when it sent the last reply
+    monotonic_time clock_at;    // local time at which that reply arrived
+    // On the worker's clock: latest end of a lease that any controller may have granted.
+    std::int64_t lease_end_ms = -1;
     monotonic_time job_leases_end = monotonic_time::max(); // first end of a lease of a job here
     std::uint64_t last_seen_end = 0; // finished runs up to this number have been processed
     std::int64_t started_at_ms = 0;
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -213,8 +213,7 @@
     BOOST_TEST(max_age_ms < 500);
 }
 
-// Guards against heartbeats that renew the leases of jobs from when they are read: the requester
-// may have sent the jobs elsewhere meanwhile.
+// Guards against renewals of jobs that the requester has sent elsewhere since it sent the ping.
 BOOST_AUTO_TEST_CASE(a_ping_that_is_read_late_renews_leases_from_when_it_was_sent)
 {
     const auto link = link_of_jobs();
@@ -231,8 +230,7 @@
     BOOST_TEST((*link.renewed_at <= last_renewal));
 }
 
-// Guards against jobs that are renewed on a link on which they were not submitted: their requester
-// may have given them up with the former one.
+// Guards against renewals of jobs that the requester has given up with their link.
 BOOST_AUTO_TEST_CASE(a_new_link_does_not_renew_the_jobs_of_the_former_one)
 {
     const auto link = link_of_jobs();
--- a/tests/cell/job_lease_test.cpp
+++ b/tests/cell/job_lease_test.cpp
@@ -54,8 +54,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(job_leases, job_lease_fixture)
 
-// Guards against runs that go on after their requester has sent the job elsewhere, whatever their
-// controller does meanwhile.
+// Guards against runs that go on after their requester has sent the job elsewhere.
 BOOST_AUTO_TEST_CASE(no_run_outlives_the_lease_of_its_job)
 {
     struct row {
@@ -174,8 +173,7 @@
     BOOST_TEST(running() == 0U);
 }
 
-// Guards against tasks that a controller starts once more because it takes its workers back from
-// another one, to which the requester has sent the job meanwhile.
+// Guards against starts of jobs that were sent to another controller of the same workers.
 BOOST_AUTO_TEST_CASE(
     after_its_token_was_raised_a_controller_starts_only_jobs_that_are_still_its_own)
 {
@@ -209,8 +207,7 @@
     BOOST_TEST(fleet.total_starts() == 8U); // the requester says that the job is here
 }
 
-// Guards against an estimate that is ahead of the peer's clock, which would make an old message
-// look new, and against one that a late reply sets back.
+// Guards against an estimate that makes an old message look new, or that a late reply sets back.
 BOOST_AUTO_TEST_CASE(the_estimate_of_a_peers_clock_is_never_ahead_of_it)
 {
     for (const double rate : {0.98, 1.0, 1.02}) {
--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -141,8 +141,7 @@
     BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
 }
 
-// Guards against a second run of a job that is sent on while the runs of its lost controller go on:
-// that one renewed their leases until it gave up its cell, after the requester had lost it.
+// Guards against a second run of a job whose lost controller went on renewing leases.
 BOOST_AUTO_TEST_CASE(the_runs_of_a_lost_controller_end_before_its_jobs_are_sent_elsewhere)
 {
     fleet.work = [](const std::string&) { return duration{3s}; };
@@ -258,8 +257,7 @@
     check_copies("after a restart");
 }
 
-// Guards against a cancelled job that runs once every instance that has acknowledged the
-// cancellation, or was told of it, has been replaced.
+// Guards against a cancelled job that runs once all who were told of it have been replaced.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_stays_cancelled_while_all_instances_are_replaced)
 {
     const std::map<std::string, int> ports = {{"a", 17448}, {"b", 17449}, {"c", 17450}};
