The poller knows until when all input has been handled

Cause: nothing in a process says whether it has read what its callers sent before it acts for them. Change: descriptors that are ready at one moment are handled as one batch, over several iterations if need be; read_until() is the time of the last batch that was handled to its end. Handlers that leave input ask for another call. An accepted connection reports its end together with its last data. No decision depends on it yet.

--- a/include/net/poller.h
+++ b/include/net/poller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,8 +17,9 @@
     // Receives the epoll events (EPOLLIN, EPOLLOUT, ...) of one descriptor.
     using handler = std::function<void(std::uint32_t events)>;
 
-    // Uses the default context when `context` is null.
-    explicit poller(_GMainContext* context = nullptr);
+    // Uses the default context when `context` is null. `time` is the clock of read_until(), by
+    // default the system's monotonic clock.
+    explicit poller(_GMainContext* context = nullptr, const clock* time = nullptr);
     ~poller();
     poller(const poller&) = delete;
     poller& operator=(const poller&) = delete;
@@ -33,6 +36,14 @@
     // Runs `fn` once before the loop blocks again, so that writes of one iteration are batched.
     void defer(std::function<void()> fn);
 
+    // Calls the descriptor's handler again before read_until() advances. For handlers that leave
+    // input unread.
+    void handle_again(int descriptor, std::uint32_t events);
+
+    // All input that had arrived by this time on the watched descriptors has been handled. The
+    // value behind the pointer is updated in each loop iteration, unless input is left over.
+    std::shared_ptr<const monotonic_time> read_until() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/include/net/tcp_stream.h
+++ b/include/net/tcp_stream.h
@@ -53,12 +53,15 @@
 
     void watch();
     void handle(std::uint32_t events);
-    void read_available();
+    void read_available(std::uint32_t events);
     void flush();
     void fail();
 
     poller& events_;
     int descriptor_;
+    // Accepted connections report their end together with the last data, so that it is read in the
+    // same loop iteration.
+    std::uint32_t input_events_;
     bool connected_;
     bool flush_pending_ = false;
     bool wants_output_ = false;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -96,7 +96,8 @@
 }
 
 tcp_stream::tcp_stream(poller& events, int descriptor, bool connected)
-    : events_(events), descriptor_(descriptor), connected_(connected)
+    : events_(events), descriptor_(descriptor),
+      input_events_(connected ? EPOLLIN | EPOLLRDHUP : EPOLLIN), connected_(connected)
 {
 }
 
@@ -108,7 +109,7 @@
 void tcp_stream::watch()
 {
     wants_output_ = !connected_;
-    events_.add(descriptor_, connected_ ? EPOLLIN : EPOLLOUT,
+    events_.add(descriptor_, connected_ ? input_events_ : EPOLLOUT,
                 [self = weak_from_this()](std::uint32_t events) {
                     if (const auto it = self.lock()) {
                         it->handle(events);
@@ -155,7 +156,7 @@
         }
         connected_ = true;
         wants_output_ = false;
-        events_.modify(descriptor_, EPOLLIN);
+        events_.modify(descriptor_, input_events_);
         if (const auto fn = on_connected) { // a copy: the handler may replace itself
             fn();
         }
@@ -166,7 +167,7 @@
         flush();
     }
     if (descriptor_ >= 0 && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
-        read_available();
+        read_available(events);
     }
 }
 
@@ -178,8 +179,9 @@
     }
 }
 
-void tcp_stream::read_available()
+void tcp_stream::read_available(std::uint32_t events)
 {
+    const bool has_ended = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     std::array<char, read_chunk> buf{};
     for (int i = 0; i < max_reads_per_event && descriptor_ >= 0; ++i) {
         const auto n = recv(descriptor_, buf.data(), buf.size(), 0);
@@ -187,9 +189,13 @@
             if (const auto fn = on_data) {
                 fn(std::string_view(buf.data(), static_cast<std::size_t>(n)));
             }
-            if (static_cast<std::size_t>(n) < buf.size()) {
+            if (static_cast<std::size_t>(n) == buf.size()) {
+                continue;
+            }
+            if (!has_ended) {
                 return;
             }
+            flush(); // the peer may still read the answer
             continue;
         }
         if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -198,6 +204,9 @@
         fail();
         return;
     }
+    if (descriptor_ >= 0) {
+        events_.handle_again(descriptor_, events);
+    }
 }
 
 void tcp_stream::flush()
@@ -225,7 +234,7 @@
     }
     if (pending != wants_output_) {
         wants_output_ = pending;
-        events_.modify(descriptor_, pending ? EPOLLIN | EPOLLOUT : EPOLLIN);
+        events_.modify(descriptor_, pending ? input_events_ | EPOLLOUT : input_events_);
     }
 }
 
@@ -273,6 +282,7 @@
             }
             on_accept_(tcp_stream::adopt(events_, accepted));
         }
+        events_.handle_again(descriptor_, EPOLLIN);
     });
 }
 
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -23,7 +23,7 @@
     static constexpr const char* relay_address = "127.0.0.1:17503";
 
     virtual_timer_service timers;
-    poller events;
+    poller events{nullptr, &timers};
     std::unique_ptr<loopback_proxy> relay;
     std::unique_ptr<instance_mesh> a;
     std::unique_ptr<instance_mesh> b;
--- a/tests/net/poller_test.cpp
+++ b/tests/net/poller_test.cpp
@@ -1,6 +1,7 @@
 #include "net/poller.h"
 
 #include "base/glib_timer_service.h"
+#include "net/tcp_stream.h"
 
 #include <algorithm>
 #include <array>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -53,4 +55,63 @@
     }
 }
 
+// Guards against a process that takes what waits unread for read.
+BOOST_AUTO_TEST_CASE(the_time_of_reading_stands_still_while_input_is_left)
+{
+    glib_timer_service timers;
+    poller events;
+    bool reads = true;
+    const int descriptor = eventfd(1, EFD_NONBLOCK);
+    events.add(descriptor, EPOLLIN, [&](std::uint32_t ready) {
+        std::uint64_t value = 0;
+        if (!reads || read(descriptor, &value, sizeof(value)) < 0) {
+            events.handle_again(descriptor, ready);
+        }
+    });
+    const auto run_for = [&](duration span) {
+        for (const auto end = timers.monotonic_now() + span; timers.monotonic_now() < end;) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+    };
+    const auto read_until = events.read_until();
+    run_for(50ms);
+    BOOST_TEST((timers.monotonic_now() - *read_until < 50ms));
+    reads = false;
+    const std::uint64_t one = 1;
+    BOOST_REQUIRE(write(descriptor, &one, sizeof(one)) == sizeof(one));
+    const auto left_at = timers.monotonic_now();
+    run_for(100ms);
+    BOOST_TEST((*read_until <= left_at));
+    reads = true;
+    run_for(50ms);
+    BOOST_TEST((*read_until > left_at));
+    events.remove(descriptor);
+    close(descriptor);
+}
+
+// Guards against the end of a connection that is read only after its last data, in a later
+// iteration.
+BOOST_AUTO_TEST_CASE(the_end_of_an_accepted_connection_is_read_with_its_last_data)
+{
+    poller events;
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    const auto stream = tcp_stream::adopt(events, ends[0]);
+    std::string received;
+    bool closed = false;
+    stream->on_data = [&](std::string_view data) {
+        received += data;
+        stream->write("answer");
+    };
+    stream->on_closed = [&] { closed = true; };
+    BOOST_REQUIRE(write(ends[1], "last", 4) == 4);
+    shutdown(ends[1], SHUT_WR);
+    g_main_context_iteration(nullptr, FALSE);
+    BOOST_TEST(received == "last");
+    BOOST_TEST(closed);
+    std::array<char, 16> answer{};
+    BOOST_TEST(read(ends[1], answer.data(), answer.size()) == 6);
+    close(ends[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
