Keep a history of each job and log it when runs end early or contact is lost

Change: a bounded history in memory; job_history lines for runs that lapse or are stopped with their job, and for callers that give up; job_arrivals lines when contact is lost and 2.5 s later; read_lag_ms of job_abandoned and the histogram cactusloom_read_lag_seconds. No logic changes.

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -3,6 +3,7 @@
 #include "base/timer_service.h"
 #include "cell/crash_ledger.h"
 #include "cell/job.h"
+#include "cell/job_history.h"
 #include "cell/peer_link.h"
 #include "cell/scheduling_policies.h"
 #include "cell/worker_commands.h"
@@ -37,6 +38,7 @@
     std::uint64_t leases_shortened = 0; // polls that renew leases for less than the full time
     std::uint64_t stops = 0;
     std::uint64_t task_failures = 0;
+    std::uint64_t runs_lapsed = 0; // their lease at the worker ended
     std::uint64_t stragglers_moved = 0;
     std::uint64_t workers_lost = 0;
     std::uint64_t orphans_adopted = 0;
@@ -53,9 +55,11 @@
 public:
     using answer = std::function<void(const job_outcome&)>;
 
-    // Controllers that follow each other share `losses`; without it the controller has its own.
+    // Controllers that follow each other share `losses` and `history`; without them the controller
+    // has its own.
     cell_controller(timer_service& timers, worker_commands& commands, const cell_settings& settings,
-                    std::shared_ptr<crash_ledger> losses = nullptr);
+                    std::shared_ptr<crash_ledger> losses = nullptr,
+                    std::shared_ptr<job_history> history = nullptr);
     ~cell_controller();
     cell_controller(const cell_controller&) = delete;
     cell_controller& operator=(const cell_controller&) = delete;
--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -157,7 +157,8 @@
     instance_mesh& mesh_;
     worker_commands& commands_;
     cell_settings settings_;
-    std::shared_ptr<crash_ledger> losses_;         // of all controllers, as far as known here
+    std::shared_ptr<crash_ledger> losses_; // of all controllers, as far as known here
+    std::shared_ptr<job_history> history_;
     cancelled_jobs cancelled_;                     // as far as known here
     std::set<std::string> restarted_peers_;        // not reconnected since
     std::map<std::uint64_t, job_search> searches_; // by number
--- a/include/cell/dispatch_metrics.h
+++ b/include/cell/dispatch_metrics.h
@@ -13,6 +13,7 @@
 // Counters of the network layer and of the event loop.
 struct network_counts {
     const latency_histogram& event_loop_lateness;
+    const latency_histogram& read_lag;            // of input
     const latency_histogram& configuration_delay; // since a peer announced the version
     std::uint64_t caller_connections = 0;
     std::uint64_t open_requests = 0;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -129,6 +129,12 @@
     // How late the event loop has run a periodic timer, since the start.
     const latency_histogram& event_loop_lateness() const { return event_loop_lateness_; }
 
+    // How long input has waited unread, by samples at a fixed interval.
+    const latency_histogram& read_lag() const { return read_lag_; }
+
+    // All that callers and peers had sent to this instance by then has been handled.
+    monotonic_time read_until() const { return *read_until_; }
+
     // Returns the peers that control jobs of this instance; pings renew the leases of these jobs.
     std::function<std::set<std::string>()> controllers_of_own_jobs;
 
@@ -141,6 +147,7 @@
     // A peer has opened a new link to this instance. What it sent on the earlier one may have been
     // lost.
     std::function<void(const peer_link& link)> on_peer_reconnect;
+    std::function<void()> on_contact_lost; // with any peer
     // This instance has been silent for so long that these peers may have dropped its requests.
     std::function<void(std::span<const std::string> peers)> on_own_silence;
 
@@ -210,6 +217,8 @@
     monotonic_time keeps_cells_until_;
     bool announced_keeping_cells_ = false;
     latency_histogram event_loop_lateness_;
+    latency_histogram read_lag_;
+    std::shared_ptr<const monotonic_time> read_until_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -26,6 +26,7 @@
     leases_shortened += other.leases_shortened;
     stops += other.stops;
     task_failures += other.task_failures;
+    runs_lapsed += other.runs_lapsed;
     stragglers_moved += other.stragglers_moved;
     workers_lost += other.workers_lost;
     orphans_adopted += other.orphans_adopted;
@@ -35,11 +36,13 @@
 
 cell_controller::cell_controller(timer_service& timers, worker_commands& commands,
                                  const cell_settings& settings,
-                                 std::shared_ptr<crash_ledger> losses)
+                                 std::shared_ptr<crash_ledger> losses,
+                                 std::shared_ptr<job_history> history)
     : on_worker_loss([](const worker_loss&) {}), on_fenced([] {}), on_used_workers_changed([] {}),
       state_(std::make_unique<state>(timers, commands, settings, *this))
 {
     state_->losses = losses ? std::move(losses) : std::make_shared<crash_ledger>(timers);
+    state_->history = history ? std::move(history) : std::make_shared<job_history>(timers);
 }
 
 cell_controller::~cell_controller()
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -21,6 +21,8 @@
 // Each round is an iteration of the event loop of its own, so that a late loop reads what has
 // arrived before it ends jobs.
 constexpr int resubmission_rounds = 3;
+// By then jobs of a lost controller or of callers that return (resendMs) have arrived elsewhere.
+constexpr duration second_arrivals_delay = std::chrono::milliseconds{2500};
 constexpr duration outdated_retry_after = std::chrono::seconds{2};
 
 } // namespace
@@ -30,7 +32,8 @@
     : on_claim([] {}), on_worker_list_mode([](worker_list_mode) {}),
       on_other_message([](const peer_link&, const Json::Value&, const instance_mesh::sender&) {}),
       timers_(timers), mesh_(mesh), commands_(commands), settings_(settings),
-      losses_(std::make_shared<crash_ledger>(timers)), cancelled_(timers),
+      losses_(std::make_shared<crash_ledger>(timers)),
+      history_(std::make_shared<job_history>(timers)), cancelled_(timers),
       started_at_(timers.monotonic_now())
 {
     mesh_.on_change = [this] { evaluate(); };
@@ -62,6 +65,14 @@
             await_resubmissions(link, resubmission_rounds);
         }
     };
+    mesh_.on_contact_lost = [this] {
+        history_->log_arrivals("contact lost");
+        timers_.schedule(second_arrivals_delay, [this, alive = alive_] {
+            if (*alive) {
+                history_->log_arrivals("after contact was lost");
+            }
+        });
+    };
     mesh_.on_own_silence = [this](std::span<const std::string> peers) {
         submit_again_after_silence(peers);
     };
--- a/src/cell/cell_service_control.cpp
+++ b/src/cell/cell_service_control.cpp
@@ -234,7 +234,7 @@
     if (!controlled) {
         controlled = std::make_unique<controlled_cell>();
         controlled->controller =
-            std::make_unique<cell_controller>(timers_, commands_, settings_, losses_);
+            std::make_unique<cell_controller>(timers_, commands_, settings_, losses_, history_);
         controlled->controller->on_fenced = [this, cell] { on_fenced(cell); };
         controlled->controller->on_used_workers_changed = [this] { announce(); };
         controlled->controller->on_worker_loss = [this](const worker_loss& it) {
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -24,6 +24,7 @@
         return;
     }
     const auto now = timers_.monotonic_now();
+    history_->add(job_event::submitted, request.id, request.terms.queue);
     auto& job = jobs_[request.id];
     if (job) {
         // The caller has resubmitted the job while it is open: the newer connection replaces the
@@ -52,8 +53,12 @@
     const auto& job = *it->second;
     const auto controller = job.controller.empty() ? job.former_controller : job.controller;
     const auto cell = job.sent_cell;
-    log_request_event("job_abandoned", "id={} controller={} cell={} age_ms={}", job_id, controller,
-                      cell, (timers_.monotonic_now() - job.arrived).count() / 1000);
+    log_request_event("job_abandoned", "id={} controller={} cell={} age_ms={} read_lag_ms={}",
+                      job_id, controller, cell,
+                      (timers_.monotonic_now() - job.arrived).count() / 1000,
+                      (timers_.monotonic_now() - mesh_.read_until()).count() / 1000);
+    history_->add(job_event::abandoned, job_id, controller);
+    history_->log_job(job_id, "given up");
     jobs_.erase(it);
     if (!controller.empty()) {
         abandon_at(controller, cell, job_id);
@@ -190,6 +195,7 @@
     job.request.time_left = job.deadline - now;
     const auto id = job.request.id;
     const auto number = ++job.submissions;
+    history_->add(job_event::sent, id, target->name, number);
     if (target->name == self.name) {
         const auto controlled = controlled_cells_.find(target_claim->cell);
         if (controlled == controlled_cells_.end()) {
@@ -291,6 +297,7 @@
     if (it == jobs_.end()) {
         return;
     }
+    history_->add(job_event::answered, job_id, to_string(outcome.end));
     const auto job = std::move(it->second);
     jobs_.erase(it);
     job->fn(outcome);
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -53,6 +53,8 @@
     }
     auto& job = *it->second;
     if (!job.ended) {
+        history->add(job_event::resumed, request.id, requester.process.name,
+                     static_cast<std::uint32_t>(requester.number));
         job.answer = std::move(fn);
         job.requester = requester;
         job.deadline = std::max(job.deadline, timers.monotonic_now() + request.time_left);
@@ -93,6 +95,8 @@
     }
     job.done_of_step.resize(job.request.steps.size());
     const std::string id = job.request.id;
+    history->add(job.request.resumed ? job_event::resumed : job_event::accepted, id,
+                 requester.process.name, static_cast<std::uint32_t>(requester.number));
     jobs[id] = std::move(owned);
     if (apply_known_losses(job)) {
         return;
@@ -332,6 +336,7 @@
                               (job.last_start_at - job.arrived).count() / 1000,
                               policy.longest_run_time(job).count() / 1000);
         }
+        history->add(job_event::answered, job.request.id, to_string(outcome.end));
         fn(outcome);
     }
     abandon(job);
@@ -373,6 +378,7 @@
         }
     }
     if (!job.ended && is_submitter(job.requester)) {
+        history->add(job_event::abandoned, job.request.id, job.requester.process.name);
         if (answers) {
             job.answer(moved);
         }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -311,6 +311,7 @@
     }
     job.last_start_at = now;
     ++counts.starts;
+    history->add(job_event::started, job.request.id, worker.report.id, run.run);
     const auto name = to_task_name(run.task);
     const start_command command{name, run.run, job.request.payload, run.latest_start_ms, token};
     worker.runs.insert_or_assign(name, std::move(run));
@@ -405,6 +406,7 @@
     run.at = task_run::phase::stopping;
     run.stop_sent_at = timers.monotonic_now();
     ++counts.stops;
+    history->add(job_event::stopped, run.task.job, worker.report.id, run.run);
     commands.stop(worker.report, name, run.run, token,
                   [this, alive = alive, id = worker.report.id, name,
                    number = run.run](const command_reply& reply) {
--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -62,6 +62,7 @@
     monotonic_time idle_logged_at;
     std::map<std::string, recent_outcome, std::less<>> recent_outcomes;
     std::shared_ptr<crash_ledger> losses;
+    std::shared_ptr<job_history> history;
     bool start_pass_scheduled = false;
     duration start_pass_time{}; // of the last pass
     timer_id tick_timer = 0;
@@ -100,6 +101,7 @@
     void apply_poll_reply(claimed_worker& worker, monotonic_time sent_at, const poll_reply& reply);
     void apply_running(claimed_worker& worker, const running_row& row, monotonic_time now);
     void apply_finished(claimed_worker& worker, const finished_row& row, monotonic_time now);
+    void log_history(const claimed_worker& worker, const finished_row& row);
     void end_missing_runs(claimed_worker& worker, monotonic_time sent_at, const poll_reply& reply);
     void check_progress(claimed_worker& worker, task_run& run, int percent, monotonic_time now);
     void poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -236,13 +236,30 @@
     end_missing_runs(worker, sent_at, reply);
 }
 
+// A task that was moved to another worker says nothing about its job.
+void cell_controller::state::log_history(const claimed_worker& worker, const finished_row& row)
+{
+    task_ref task;
+    const auto run = worker.runs.find(row.task);
+    const bool moved =
+        row.how == run_end::stopped && run != worker.runs.end() && !run->second.job->ended;
+    if (!moved && parse_task_name(row.task, task)) {
+        history->add(job_event::run_ended, task.job, worker.report.id, row.run);
+        history->log_job(task.job, to_string(row.how));
+    }
+}
+
 void cell_controller::state::apply_finished(claimed_worker& worker, const finished_row& row,
                                             monotonic_time now)
 {
     if (row.how == run_end::lapsed) {
+        ++counts.runs_lapsed;
         log_request_event("run_lapsed", "worker={} task={} run={}", worker.report.id, row.task,
                           row.run);
     }
+    if (row.how == run_end::lapsed || row.how == run_end::stopped) {
+        log_history(worker, row);
+    }
     const auto orphan = worker.orphans.extract(row.task);
     const auto it = worker.runs.find(row.task);
     if (it == worker.runs.end()) {
--- a/src/cell/dispatch_metrics.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -26,6 +26,7 @@
     add("task_starts_without_reply_total", counts.starts_without_reply);
     add("task_failures_total", counts.task_failures);
     add("task_stops_total", counts.stops);
+    add("runs_lapsed_total", counts.runs_lapsed);
     add("stragglers_moved_total", counts.stragglers_moved);
     add("worker_looks_total", counts.polls);
     add("leases_shortened_total", counts.leases_shortened);
@@ -44,6 +45,7 @@
     add("log_lines_dropped_total", dropped_log_lines());
     handler.format_latencies(out);
     network.event_loop_lateness.format(out, "cactusloom_event_loop_late_seconds", "");
+    network.read_lag.format(out, "cactusloom_read_lag_seconds", "");
     network.configuration_delay.format(out, "cactusloom_configuration_delay_seconds", "");
     return out;
 }
--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -28,8 +28,8 @@
       on_message([](const peer_link&, const Json::Value&, const sender&) {}), on_change([] {}),
       on_newer_config([] {}), on_restart([](const std::string&) {}),
       on_reconnect([](const std::string&) {}), on_peer_reconnect([](const peer_link&) {}),
-      on_own_silence([](std::span<const std::string>) {}), events_(events), timers_(timers),
-      self_(std::move(self))
+      on_contact_lost([] {}), on_own_silence([](std::span<const std::string>) {}), events_(events),
+      timers_(timers), self_(std::move(self)), read_until_(events.read_until())
 {
 }
 
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -85,11 +85,13 @@
     const auto now = timers_.monotonic_now();
     const auto last = std::exchange(last_check_at_, now);
     bool changed = false;
+    bool contact_lost = false;
     bool paused = false;
     std::vector<std::string> unpinged;
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
         event_loop_lateness_.record(std::max(late, duration::zero()));
+        read_lag_.record(std::max(now - read_until(), duration::zero()));
         paused = late > link_check_interval;
         if (paused) {
             discount_pause(late);
@@ -113,6 +115,7 @@
         if (alive != it->was_alive) {
             it->was_alive = alive;
             changed = true;
+            contact_lost |= !alive;
             log_event(alive ? "instance_up" : "instance_down",
                       "instance={} refused={} unreachable={} silent_ms={}", name,
                       it->connection_refused, it->unreachable,
@@ -129,6 +132,9 @@
     if (!unpinged.empty()) {
         on_own_silence(unpinged);
     }
+    if (contact_lost) {
+        on_contact_lost();
+    }
 }
 
 // Returns a ping or its reply. It includes the state only if that has changed since it was last
