--- a/tests/cell/instances_fixture.h
+++ b/tests/cell/instances_fixture.h
@@ -59,9 +59,10 @@
         return {};
     }
 
-    // If `relay_port` is set, the other instances reach this one through a relay.
+    // If `relay_port` is set, the other instances reach this one through a relay. `own_events` is
+    // the poller of the instance, by default the one that it shares with the others.
     void start(const std::string& name, int port, const std::string& data_centre = "dc",
-               int relay_port = 0)
+               int relay_port = 0, poller* own_events = nullptr)
     {
         const auto own_address = fmt::format("127.0.0.1:{}", port);
         instance_address self{name, own_address, data_centre, 1.0,
@@ -74,7 +75,8 @@
         }
         addresses[name] = self;
         auto& it = members[name];
-        it.mesh = std::make_unique<instance_mesh>(events, timers, self);
+        it.mesh = std::make_unique<instance_mesh>(own_events == nullptr ? events : *own_events,
+                                                  timers, self);
         it.cells = std::make_unique<cell_service>(timers, *it.mesh, fleet, cell_settings{});
         it.cells->on_claim = [this, name] {
             timers.schedule(std::chrono::milliseconds{5}, [this, name] {
