A renewal counts from the last reading of the callers, not from the clock

Cause: an instance renewed the leases of its callers' jobs when its timers ran, whether or not it had read that the callers had left: as a controller its own jobs had no renewal at all, and as a requester it dated its heartbeats by the clock. A caller whose connection has ended submits the job elsewhere 1.3 s later. Change: own jobs are leased like those of other requesters, and both renewals are dated by poller::read_until(). So a job's runs end 1,150 ms after the last moment at which its callers are known to wait, by the worker's clock, however late the process is. A submission's age counts from there as well.

--- a/include/cell/cell_service.h
+++ b/include/cell/cell_service.h
@@ -151,7 +151,7 @@
     void on_submit(const peer_link& requester, const Json::Value& message,
                    const instance_mesh::sender& reply);
     void await_resubmissions(const peer_link& newest, int rounds);
-    peer_link own_link() const { return {mesh_.own_process()}; }
+    peer_link own_link() const { return {mesh_.own_process(), 0, mesh_.read_until()}; }
 
     timer_service& timers_;
     instance_mesh& mesh_;
--- a/include/cell/instance_mesh.h
+++ b/include/cell/instance_mesh.h
@@ -103,9 +103,9 @@
     // Steady clock of this instance, in ms. Each reply to a ping carries it.
     std::int64_t own_clock_ms() const;
 
-    // Lower estimate of a peer's clock now, in ms; -1 if it has not replied on the current link. A
-    // message with it tells the peer when it was sent at the earliest.
-    std::int64_t peer_clock_ms(std::string_view peer) const;
+    // Lower estimate of read_until() on a peer's clock, in ms; -1 if it has not replied on the
+    // current link. A message with it tells the peer how old what this instance knows is at most.
+    std::int64_t read_until_ms(std::string_view peer) const;
 
     // Replaces the link to a peer, so that no ping on it renews the leases of jobs that this
     // instance has given up there.
@@ -132,10 +132,12 @@
     // How long input has waited unread, by samples at a fixed interval.
     const latency_histogram& read_lag() const { return read_lag_; }
 
-    // All that callers and peers had sent to this instance by then has been handled.
-    monotonic_time read_until() const { return *read_until_; }
+    // All that callers and peers had sent to this instance by then has been handled. The value
+    // behind the pointer is updated.
+    const std::shared_ptr<const monotonic_time>& read_until() const { return read_until_; }
 
-    // Returns the peers that control jobs of this instance; pings renew the leases of these jobs.
+    // Returns the peers that control jobs of this instance; pings renew the leases of these jobs,
+    // as far as the callers are read.
     std::function<std::set<std::string>()> controllers_of_own_jobs;
 
     message_handler on_message;
--- a/include/cell/peer_link.h
+++ b/include/cell/peer_link.h
@@ -13,8 +13,8 @@
 struct peer_link {
     instance_process process;
     std::uint64_t number = 0; // rises with each link that the process opens
-    // When the newest message that renews the leases of jobs was sent on this link, on the clock of
-    // the receiver; null for the own process, whose jobs need no renewal.
+    // The process waits for its jobs on this link, as far as it has read what its callers had sent
+    // by this time, on the clock of the receiver. Null if jobs are not leased.
     std::shared_ptr<const monotonic_time> renewed_at{};
 
     bool is_of(const instance_process& other) const { return process == other; }
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -55,7 +55,7 @@
         });
     }
 
-    // When its requester last renewed its lease; an ended job is not renewed any more.
+    // Until when its requester is known to wait for it; an ended job is not renewed any more.
     monotonic_time renewed_at(monotonic_time now) const
     {
         if (ended) {
--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -56,7 +56,7 @@
     log_request_event("job_abandoned", "id={} controller={} cell={} age_ms={} read_lag_ms={}",
                       job_id, controller, cell,
                       (timers_.monotonic_now() - job.arrived).count() / 1000,
-                      (timers_.monotonic_now() - mesh_.read_until()).count() / 1000);
+                      (timers_.monotonic_now() - *mesh_.read_until()).count() / 1000);
     history_->add(job_event::abandoned, job_id, controller);
     history_->log_job(job_id, "given up");
     jobs_.erase(it);
@@ -216,7 +216,7 @@
     message["t"] = "submit";
     message["cell"] = target_claim->cell;
     message["submission"] = number;
-    message["as_of"] = Json::Int64{mesh_.peer_clock_ms(target->name)};
+    message["as_of"] = Json::Int64{mesh_.read_until_ms(target->name)};
     message["job"] = encode_job(job.request);
     if (mesh_.send(target->name, message)) {
         job.send_to(target->name, *target_claim);
--- a/src/cell/instance_mesh_links.cpp
+++ b/src/cell/instance_mesh_links.cpp
@@ -91,7 +91,7 @@
     if (last != monotonic_time{}) {
         const auto late = now - last - link_check_interval;
         event_loop_lateness_.record(std::max(late, duration::zero()));
-        read_lag_.record(std::max(now - read_until(), duration::zero()));
+        read_lag_.record(std::max(now - *read_until_, duration::zero()));
         paused = late > link_check_interval;
         if (paused) {
             discount_pause(late);
@@ -179,12 +179,11 @@
     return timers_.monotonic_now().time_since_epoch().count() / 1000;
 }
 
-std::int64_t instance_mesh::peer_clock_ms(std::string_view name) const
+std::int64_t instance_mesh::read_until_ms(std::string_view name) const
 {
     const auto it = peers_.find(name);
-    return it != peers_.end() && it->second->clock.is_known()
-               ? it->second->clock.at(timers_.monotonic_now())
-               : -1;
+    return it != peers_.end() && it->second->clock.is_known() ? it->second->clock.at(*read_until_)
+                                                              : -1;
 }
 
 void instance_mesh::send_pings()
@@ -209,7 +208,8 @@
     it.pinged_at = timers_.monotonic_now();
     auto text = heartbeat_text("ping", it.sent_state_number);
     if (it.has_own_jobs && is_alive(it) && it.clock.is_known()) {
-        text = with_field(text, "as_of", it.clock.at(it.pinged_at));
+        // Not the current time: callers may have left unread, and submitted their jobs elsewhere.
+        text = with_field(text, "as_of", it.clock.at(*read_until_));
     }
     it.link->send(text);
     if (it.unanswered_since == monotonic_time{}) {
--- a/src/cell/peer_clock.h
+++ b/src/cell/peer_clock.h
@@ -24,17 +24,17 @@
         }
     }
 
-    // The estimate in ms; it must be known.
-    std::int64_t at(monotonic_time now) const
+    // The estimate in ms for a time up to now; it must be known.
+    std::int64_t at(monotonic_time time) const
     {
-        return (now.time_since_epoch() + offset_at(now)) / std::chrono::milliseconds{1};
+        return (time.time_since_epoch() + offset_at(time)) / std::chrono::milliseconds{1};
     }
 
 private:
-    duration offset_at(monotonic_time now) const
+    duration offset_at(monotonic_time time) const
     {
         constexpr int max_rate_divisor = 50; // 2 %
-        return offset_ - (now - set_at_) / max_rate_divisor;
+        return offset_ - std::chrono::abs(time - set_at_) / max_rate_divisor;
     }
 
     bool is_known_ = false;
--- a/tests/cell/cell_service_test.cpp
+++ b/tests/cell/cell_service_test.cpp
@@ -80,17 +80,17 @@
     BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
     const auto owner = controller();
     auto& requester = *members[owner == "a" ? "b" : "a"].mesh;
-    BOOST_REQUIRE(run_until([&] { return requester.peer_clock_ms(owner) >= 0; }, 1s));
+    BOOST_REQUIRE(run_until([&] { return requester.read_until_ms(owner) >= 0; }, 1s));
     Json::Value message;
     message["t"] = "submit";
     message["cell"] = std::string(all_workers_cell);
     message["job"] = encode_job(cell_fixture::job("late", 1));
-    message["as_of"] = Json::Int64{requester.peer_clock_ms(owner) - 1100};
+    message["as_of"] = Json::Int64{requester.read_until_ms(owner) - 1100};
     BOOST_REQUIRE(requester.send(owner, message));
     run_until([] { return false; }, 300ms);
     BOOST_TEST(fleet.total_starts() == 0U);
     message["job"] = encode_job(cell_fixture::job("fresh", 1));
-    message["as_of"] = Json::Int64{requester.peer_clock_ms(owner)};
+    message["as_of"] = Json::Int64{requester.read_until_ms(owner)};
     BOOST_REQUIRE(requester.send(owner, message));
     BOOST_TEST(run_until([&] { return fleet.total_starts() == 1; }, 300ms));
 }
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -205,11 +205,11 @@
     const auto end = timers.monotonic_now() + 300ms;
     while (timers.monotonic_now() < end) {
         step();
-        if (a->peer_clock_ms("b") >= 0) { // unknown until the first reply
-            max_age_ms = std::max(max_age_ms, b->own_clock_ms() - a->peer_clock_ms("b"));
+        if (a->read_until_ms("b") >= 0) { // unknown until the first reply
+            max_age_ms = std::max(max_age_ms, b->own_clock_ms() - a->read_until_ms("b"));
         }
     }
-    BOOST_TEST(a->peer_clock_ms("b") >= 0);
+    BOOST_TEST(a->read_until_ms("b") >= 0);
     BOOST_TEST(max_age_ms < 500);
 }
 
