A job whose second submission is refused is given up at its controller

Cause: after its own silence an instance submits its open jobs again on the same link. If the controller reads that submission over 900 ms late, it is refused as not run, although the controller has the job from the first. The instance answered 504 and forgot the job without a word to the controller, and its heartbeats for other jobs renewed it until its deadline; the caller comes back 1.3 s after a 504. Evidence: the test failed before: 4 tasks ran 1.3 s after the answer, 2 of them of the job that was answered 504. Change: the answer goes out together with an abandon on that link.

--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -140,6 +140,7 @@
 void cell_service::stop_and_answer(const std::string& job_id, const job_outcome& outcome)
 {
     const auto fn = jobs_.at(job_id)->fn;
+    history_->add(job_event::answered, job_id, to_string(outcome.end));
     abandon(job_id);
     fn(outcome);
 }
@@ -274,7 +275,8 @@
         return;
     }
     if (outcome.end == job_end::not_run && job.may_have_run) {
-        finish(job_id, {job_end::unknown, {}, "an earlier controller may have run it"});
+        // The controller may still have the earlier submission, which heartbeats would renew.
+        stop_and_answer(job_id, {job_end::unknown, {}, "an earlier submission of it may have run"});
         return;
     }
     if (outcome.end == job_end::not_run) {
--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -173,6 +173,42 @@
     }
 }
 
+// Guards against a job that runs on after its instance has answered 504, as heartbeats for other
+// jobs renew it.
+BOOST_AUTO_TEST_CASE(a_job_whose_second_submission_is_refused_does_not_run_on)
+{
+    fleet.work = [](const std::string&) { return duration{5s}; };
+    start("a", 17465);
+    start("b", 17466);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    const auto owner = controller();
+    const std::string requester = owner == "a" ? "b" : "a";
+    submit(requester, cell_fixture::job("j", 2, 5s));
+    BOOST_REQUIRE(run_until([&] { return fleet.total_starts() == 2; }, 1s));
+    auto& owner_mesh = *members[owner].mesh;
+    bool is_late = true; // in reading submissions
+    owner_mesh.on_message =
+        [&is_late, fn = owner_mesh.on_message](const peer_link& from, const Json::Value& message,
+                                               const instance_mesh::sender& reply) {
+            auto delayed = message;
+            if (is_late && delayed["t"] == "submit") {
+                delayed["as_of"] = delayed["as_of"].asInt64() - 2000;
+            }
+            fn(from, delayed, reply);
+        };
+    const std::string silent_to[] = {owner};
+    members[requester].mesh->on_own_silence(silent_to);
+    BOOST_REQUIRE(run_until([&] { return outcomes.contains("j"); }, 1s));
+    is_late = false;
+    submit(requester, cell_fixture::job("other", 2, 5s));
+    run_until([] { return false; }, 1300ms); // resendMs
+    std::size_t running = 0;
+    for (const auto& it : workers) {
+        running += fleet.running(it.id);
+    }
+    BOOST_TEST(running == 2U); // those of the other job
+}
+
 // Guards against jobs that run on although nobody waits for them, because the message that gives
 // them up is lost with a link: one that is reset, and one that goes silent.
 BOOST_AUTO_TEST_CASE(a_job_given_up_on_a_lost_link_ends)
