A shortened lease is renewed as soon as its jobs are

Callers saw: work done twice one after the other. Cause: a lease that was shortened waits for the reply to the pending long poll, up to 250 ms, although its jobs have been renewed since, and runs lapse. Evidence: the test failed before: 12 starts instead of 4 for a requester that is late by 0.7 to 1.04 s five times. Change: the controller polls such a worker at once on the other connection. Result: job_leases passes.

--- a/src/cell/controller_state.h
+++ b/src/cell/controller_state.h
@@ -105,6 +105,7 @@
     void end_missing_runs(claimed_worker& worker, monotonic_time sent_at, const poll_reply& reply);
     void check_progress(claimed_worker& worker, task_run& run, int percent, monotonic_time now);
     void poll_if_start_unconfirmed(claimed_worker& worker, monotonic_time now);
+    void poll_if_lease_is_short(claimed_worker& worker, monotonic_time now);
     void poll_if_end_overdue(claimed_worker& worker, monotonic_time now);
     void check_worker(claimed_worker& worker, monotonic_time now);
     void update_clock(claimed_worker& worker, std::int64_t clock_ms);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -13,6 +13,8 @@
 // A worker replies to a long poll when a run ends or after this time. The rest of the lease must be
 // long enough for a lost reply and a second poll.
 constexpr duration long_poll_wait = std::chrono::milliseconds{250};
+// Less than the rest of a lease that each long poll renews in full.
+constexpr duration short_lease = 2 * long_poll_wait;
 // A healthy worker replies to a start within a round trip of a few ms.
 constexpr duration start_reply_limit = std::chrono::milliseconds{20};
 // The end of a run that is this late may have been reported on a connection that no longer delivers
@@ -527,6 +529,22 @@
     }
 }
 
+// Polls a worker whose lease was shortened because its jobs were not renewed, once they are. The
+// reply to the pending long poll may come after the end of that lease.
+void cell_controller::state::poll_if_lease_is_short(claimed_worker& worker, monotonic_time now)
+{
+    if (!worker.token_accepted || worker.unanswered_polls != 0 || worker.runs.empty() ||
+        !worker.orphans.empty()) {
+        return;
+    }
+    const duration left =
+        std::chrono::milliseconds{worker.lease_end_ms - worker.clock_estimate(now)};
+    const auto grantable = std::min(settings.lease, worker.job_leases_end - now);
+    if (left < short_lease && grantable > left + long_poll_wait) {
+        poll(worker, true);
+    }
+}
+
 void cell_controller::state::check_worker(claimed_worker& worker, monotonic_time now)
 {
     if (worker.slowness > 1.0) {
@@ -536,6 +554,7 @@
     update_job_leases(worker, now);
     poll_if_start_unconfirmed(worker, now);
     poll_if_end_overdue(worker, now);
+    poll_if_lease_is_short(worker, now);
     const bool silent = !worker.token_accepted || worker.unanswered_polls != 0;
     if (silent && worker.clock_ms >= 0 && !worker.runs.empty() &&
         now > worker.leases_expired_at()) {
--- a/tests/cell/job_lease_test.cpp
+++ b/tests/cell/job_lease_test.cpp
@@ -105,6 +105,21 @@
     BOOST_TEST(fleet.total_starts() == 4U);
 }
 
+// Guards against runs that lapse because the controller renews them later than their requester.
+BOOST_AUTO_TEST_CASE(runs_survive_a_requester_that_is_late)
+{
+    add_workers(2);
+    take_control();
+    submit_leased(long_job("j", 4));
+    for (const auto pause : {700ms, 800ms, 900ms, 1000ms, 1040ms}) {
+        run_with_renewals(400ms);
+        timers.advance(pause);
+    }
+    run_with_renewals(2s);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.total_starts() == 4U);
+}
+
 // Guards against a lost requester whose runs take those of others on the same worker with them.
 BOOST_AUTO_TEST_CASE(stopped_runs_of_a_lost_requester_leave_the_others_on_the_worker)
 {
