No start goes out with a lease that has ended or is not known

Cause: a job that comes again on a new link has no renewal before the first dated heartbeat, and that was computed with as a time long ago. Whoever looked at a worker before the job's poll in the same pass placed a task on it with that lease: the check and the use read it at two moments. Change: lease_limit, whose end may be unknown and which gives only the time that is left, never negative; place() looks at it where it is used. What the same process said on its former link still holds for a job that it submits again, so its runs keep their lease.

--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/cell_controller.h"
+#include "lease_limit.h"
 
 #include <algorithm>
 #include <optional>
@@ -37,8 +38,9 @@
     std::size_t pending_tasks = 0;
     std::size_t placed_tasks = 0;
     bool started = false;
-    bool ended = false;           // answered or abandoned; no further task is started
-    monotonic_time ended_renewal; // newest renewal of its lease when it ended
+    bool ended = false; // answered or abandoned; no further task is started
+    // Newest renewal when the job ended, or when its requester submitted it again on a newer link.
+    std::optional<monotonic_time> former_renewal;
 
     // A new submission of the same id, accepted once the last run of this job has ended.
     struct successor {
@@ -55,21 +57,39 @@
         });
     }
 
-    // Until when its requester is known to wait for it; an ended job is not renewed any more.
-    monotonic_time renewed_at(monotonic_time now) const
+    // Until when its requester is known to wait for it; null if nothing has been heard about that.
+    // An ended job is not renewed any more.
+    std::optional<monotonic_time> renewed_at(monotonic_time now) const
     {
         if (ended) {
-            return ended_renewal;
+            return former_renewal;
         }
-        return requester.renewed_at ? std::min(*requester.renewed_at, now) : now;
+        if (!requester.renewed_at) {
+            return now;
+        }
+        if (*requester.renewed_at == monotonic_time{}) {
+            return former_renewal;
+        }
+        return std::max(former_renewal, std::optional(std::min(*requester.renewed_at, now)));
     }
 
-    // No run of the job may go on after this.
-    monotonic_time lease_end(monotonic_time now) const { return renewed_at(now) + job_lease; }
+    // No run of the job may go on after its end.
+    lease_limit lease(monotonic_time now) const
+    {
+        const auto renewal = renewed_at(now);
+        return renewal ? lease_limit::at(*renewal + job_lease) : lease_limit::unknown();
+    }
+
+    // Its requester has submitted it again. What the same process said on its former link holds.
+    void set_requester(const peer_link& link, monotonic_time now)
+    {
+        former_renewal = requester.is_of(link.process) ? renewed_at(now) : std::nullopt;
+        requester = link;
+    }
 
     void end(monotonic_time now)
     {
-        ended_renewal = renewed_at(now);
+        former_renewal = renewed_at(now);
         ended = true;
     }
 
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/worker_commands.h"
+#include "lease_limit.h"
 #include "worker_speed.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
     monotonic_time clock_at;    // local time at which that reply arrived
     // On the worker's clock: latest end of a lease that any controller may have granted.
     std::int64_t lease_end_ms = -1;
-    monotonic_time job_leases_end = monotonic_time::max(); // first end of a lease of a job here
+    lease_limit job_leases = lease_limit::none(); // of all jobs that run here
     std::uint64_t last_seen_end = 0; // finished runs up to this number have been processed
     std::int64_t started_at_ms = 0;
 
--- a/src/cell/controller_jobs.cpp
+++ b/src/cell/controller_jobs.cpp
@@ -56,7 +56,7 @@
         history->add(job_event::resumed, request.id, requester.process.name,
                      static_cast<std::uint32_t>(requester.number));
         job.answer = std::move(fn);
-        job.requester = requester;
+        job.set_requester(requester, timers.monotonic_now());
         job.deadline = std::max(job.deadline, timers.monotonic_now() + request.time_left);
         return;
     }
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -52,7 +52,7 @@
 {
     return worker.token_accepted && worker.listed && !worker.report.draining &&
            worker.clock_ms >= 0 && worker.orphans.empty() && worker.unanswered_polls == 0 &&
-           worker.suspended_until <= now && worker.job_leases_end - now >= min_start_lease;
+           worker.suspended_until <= now && worker.job_leases.left(now) >= min_start_lease;
 }
 
 // Reports newly used workers to the requesters before anything is started on them.
@@ -73,7 +73,7 @@
 bool cell_controller::state::is_leased(const active_job& job, monotonic_time now) const
 {
     const bool had_all_workers = claimed_at == first_claimed_at;
-    return job.lease_end(now) - now >= min_start_lease &&
+    return job.lease(now).left(now) >= min_start_lease &&
            (had_all_workers || job.renewed_at(now) >= claimed_at);
 }
 
@@ -82,7 +82,7 @@
 std::vector<claimed_worker*> cell_controller::state::leased_no_longer_than(
     const active_job& job, std::span<claimed_worker* const> available, monotonic_time now) const
 {
-    const auto left = (job.lease_end(now) - now).count() / 1000;
+    const auto left = job.lease(now).left(now).count() / 1000;
     std::vector<claimed_worker*> out;
     std::ranges::copy_if(available, std::back_inserter(out), [&](const claimed_worker* it) {
         return it->lease_end_ms - it->clock_estimate(now) <= left;
@@ -158,7 +158,7 @@
                     return policy.choose(*job, step, job->steps[step][i], from, now,
                                          fast_wait(waiting_tasks, now));
                 };
-                auto* worker = job->lease_end(now) - now >= settings.lease
+                auto* worker = job->lease(now).left(now) >= settings.lease
                                    ? choose(available)
                                    : choose(leased_no_longer_than(*job, available, now));
                 placed_all = worker != nullptr && place(*job, step, i, *worker, now);
@@ -287,6 +287,11 @@
 bool cell_controller::state::place(active_job& job, std::size_t step, std::size_t index,
                                    claimed_worker& worker, monotonic_time now)
 {
+    worker.job_leases = earlier(worker.job_leases, job.lease(now));
+    const auto lease = std::min(start_lease, worker.job_leases.left(now));
+    if (lease < min_start_lease) {
+        return false; // a poll since the worker was chosen has found less
+    }
     auto& task = job.steps[step][index];
     task_run run;
     run.job = &job;
@@ -296,8 +301,6 @@
     run.demand = job.request.steps[step].demand;
     run.sent_at = now;
     run.predicted = policy.predict(job, job.request.steps[step], worker);
-    worker.job_leases_end = std::min(worker.job_leases_end, job.lease_end(now));
-    const auto lease = std::min(start_lease, worker.job_leases_end - now);
     run.latest_start_ms = worker.clock_estimate(now) + lease.count() / 1000;
     worker.lease_end_ms = std::max(worker.lease_end_ms, run.latest_start_ms);
     worker.reserve_capacity(run.demand);
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -121,9 +121,9 @@
 // A lease at a worker holds for all its runs, so the first job's lease to end limits it.
 void cell_controller::state::update_job_leases(claimed_worker& worker, monotonic_time now)
 {
-    worker.job_leases_end = monotonic_time::max();
+    worker.job_leases = lease_limit::none();
     for (const auto& [name, run] : worker.runs) {
-        worker.job_leases_end = std::min(worker.job_leases_end, run.job->lease_end(now));
+        worker.job_leases = earlier(worker.job_leases, run.job->lease(now));
     }
 }
 
@@ -144,7 +144,7 @@
     // known time. Nor is that of a worker with runs of an earlier controller, which may rely on
     // their expiry, or of one without runs, where a start would inherit it.
     update_job_leases(worker, now);
-    const auto lease = std::min(settings.lease, worker.job_leases_end - now);
+    const auto lease = std::min(settings.lease, worker.job_leases.left(now));
     if (worker.clock_ms >= 0 && worker.token_accepted && worker.unanswered_polls == 0 &&
         worker.orphans.empty() && !worker.runs.empty() && lease > duration::zero()) {
         counts.leases_shortened += lease < settings.lease ? 1 : 0;
@@ -539,7 +539,7 @@
     }
     const duration left =
         std::chrono::milliseconds{worker.lease_end_ms - worker.clock_estimate(now)};
-    const auto grantable = std::min(settings.lease, worker.job_leases_end - now);
+    const auto grantable = std::min(settings.lease, worker.job_leases.left(now));
     if (left < short_lease && grantable > left + long_poll_wait) {
         poll(worker, true);
     }
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -14,7 +14,8 @@
 
 // In-memory workers that implement the platform's contract for leased runs: fencing tokens, leases
 // on the worker's own clock, ends kept until acknowledged, no check of their capacity. It records
-// violations by the dispatcher: exceeding a worker's capacity, or running a task twice at once.
+// violations by the dispatcher: exceeding a worker's capacity, running a task twice at once, or
+// starting one with a deadline in the past.
 class memory_worker_fleet final : public worker_commands {
 public:
     // Injected faults of one worker.
--- a/tests/cell/job_lease_test.cpp
+++ b/tests/cell/job_lease_test.cpp
@@ -152,6 +152,25 @@
     BOOST_TEST(fleet.total_starts() == 1U);
 }
 
+// Guards against a deadline in the past where the lease of a job on the worker is not known yet.
+BOOST_AUTO_TEST_CASE(no_task_starts_with_a_lease_that_has_ended)
+{
+    add_workers(1);
+    take_control();
+    timers.advance(3s);
+    submit_leased(long_job("j", 1));
+    run_with_renewals(500ms);
+    const auto no_renewal = std::make_shared<monotonic_time>();
+    controller->submit(resumed(long_job("j", 1)), {{"leasing"}, 2, no_renewal},
+                       [](const job_outcome&) {});
+    submit(resumed(job("polls", 1)));
+    auto other = job("other", 1);
+    other.terms.priority = 1; // after the job that polls the worker
+    submit(other);
+    timers.advance(100ms);
+    check_no_violation();
+}
+
 // Guards against a start that sets a longer lease than that of its job.
 BOOST_AUTO_TEST_CASE(a_task_that_is_started_late_in_a_lease_ends_with_it)
 {
