A start that a worker refuses as invalid does not make its job failed

Cause: the first start that a worker answered with 400, or with 409 and an unknown reason, ended the whole job as failed, although the order itself may be wrong, as it was. Only runs that end as failed may do that. Change: such a start is logged with its deadline and the worker's clock, counted (cactusloom_task_starts_invalid_total) and placed again elsewhere; after three for one task the job's outcome is unknown (504).

--- a/include/cell/cell_controller.h
+++ b/include/cell/cell_controller.h
@@ -34,6 +34,7 @@
     std::uint64_t jobs_unknown = 0;
     std::uint64_t starts = 0;
     std::uint64_t starts_without_reply = 0;
+    std::uint64_t starts_invalid = 0; // refused by the worker as invalid
     std::uint64_t polls = 0;
     std::uint64_t leases_shortened = 0; // polls that renew leases for less than the full time
     std::uint64_t stops = 0;
--- a/src/cell/active_job.h
+++ b/src/cell/active_job.h
@@ -16,6 +16,7 @@
     std::uint32_t failures = 0;
     std::uint32_t moves = 0;    // runs stopped because the worker was slow
     std::uint32_t losses = 0;   // workers lost while they ran it
+    std::uint32_t invalid = 0;  // starts that a worker refused as invalid
     bool may_start = true;      // false: it may be what crashed them
     std::uint32_t last_run = 0; // number of the newest run
     std::string avoid_worker;   // worker on which it last failed, was refused or was too slow
--- a/src/cell/cell_controller.cpp
+++ b/src/cell/cell_controller.cpp
@@ -22,6 +22,7 @@
     jobs_unknown += other.jobs_unknown;
     starts += other.starts;
     starts_without_reply += other.starts_without_reply;
+    starts_invalid += other.starts_invalid;
     polls += other.polls;
     leases_shortened += other.leases_shortened;
     stops += other.stops;
--- a/src/cell/controller_starts.cpp
+++ b/src/cell/controller_starts.cpp
@@ -27,6 +27,8 @@
 // The pause before a pass equals the run time of the last one, up to this limit, so that passes
 // over a long backlog leave processor time to other work.
 constexpr duration max_start_pass_delay = std::chrono::milliseconds{20};
+// Starts of a task that workers refuse as invalid before its job is given up.
+constexpr std::uint32_t max_invalid_starts = 3;
 constexpr duration idle_log_interval = std::chrono::milliseconds{250};
 constexpr duration unknown_wait = std::chrono::seconds{3600};
 
@@ -391,10 +393,17 @@
         poll(worker, true);
         break;
     case command_status::invalid: {
+        ++counts.starts_invalid;
+        log_request_event("start_invalid", "task={} run={} worker={} deadline_ms={} clock_ms={}",
+                          name, number, worker_id, run.latest_start_ms, reply.clock_ms);
+        record_task_failure(worker, *run.job, task);
+        task.avoid_worker = worker_id;
         auto& job = *run.job;
+        const bool gives_up = ++task.invalid >= max_invalid_starts;
         end_run(worker, name, task_state::phase::pending);
-        if (!job.ended) {
-            finish(job, {job_end::failed, {}, "a worker does not understand the task"});
+        if (gives_up && !job.ended) {
+            // Only runs that end as failed make a job failed, and the start may be at fault.
+            finish(job, {job_end::unknown, {}, "workers refuse a task as invalid"});
         }
         return;
     }
--- a/src/cell/dispatch_metrics.cpp
+++ b/src/cell/dispatch_metrics.cpp
@@ -24,6 +24,7 @@
     add("jobs_unknown_total", counts.jobs_unknown);
     add("task_starts_total", counts.starts);
     add("task_starts_without_reply_total", counts.starts_without_reply);
+    add("task_starts_invalid_total", counts.starts_invalid);
     add("task_failures_total", counts.task_failures);
     add("task_stops_total", counts.stops);
     add("runs_lapsed_total", counts.runs_lapsed);
--- a/stand_in/memory_worker_fleet.cpp
+++ b/stand_in/memory_worker_fleet.cpp
@@ -212,7 +212,10 @@
             lose();
             return;
         }
-        const auto status = execute_start(it, copy.task, copy.run, copy.deadline_ms, copy.token);
+        const auto status =
+            it.fault.finds_starts_invalid
+                ? command_status::invalid
+                : execute_start(it, copy.task, copy.run, copy.deadline_ms, copy.token);
         if (sample(it.fault.lost_replies)) {
             lose();
             return;
--- a/stand_in/memory_worker_fleet.h
+++ b/stand_in/memory_worker_fleet.h
@@ -24,6 +24,7 @@
         double lost_replies = 0;   // share of requests that are executed without a reply
         double delayed_starts = 0; // share of starts that get no reply and run seconds later
         bool fails_all = false;
+        bool finds_starts_invalid = false;
         bool hangs = false;         // runs make no progress
         bool ignores_stops = false; // stop requests are lost
         double slowness = 1;        // factor of run times
--- a/tests/cell/cell_controller_test.cpp
+++ b/tests/cell/cell_controller_test.cpp
@@ -358,4 +358,22 @@
     check_no_violation();
 }
 
+// Guards against a job that is answered `failed` although none of its runs has failed.
+BOOST_AUTO_TEST_CASE(a_start_that_a_worker_refuses_as_invalid_does_not_fail_the_job)
+{
+    add_workers(2);
+    fleet.fault("w0").finds_starts_invalid = true;
+    take_control();
+    submit(job("j", 2));
+    timers.advance(500ms);
+    BOOST_TEST(ended("j", job_end::completed));
+    BOOST_TEST(fleet.starts_of("j.0.0.0") == 1U);
+
+    fleet.fault("w1").finds_starts_invalid = true;
+    submit(job("refused-everywhere", 1));
+    timers.advance(2s);
+    BOOST_TEST(ended("refused-everywhere", job_end::unknown));
+    BOOST_TEST(fleet.starts_of("refused-everywhere.0.0.0") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
