A peer is silent only as far as its messages have been read

Callers saw: jobs that were stopped and started once more after their controller had been paused. Cause: a controller that wakes runs its timers first, takes each requester for lost after 600 ms, and ends its jobs, while the requesters' heartbeats wait in its sockets. Change: the silence of a process counts up to poller::read_until(). A process that never reads is bounded by the leases instead.

--- a/src/cell/instance_mesh.cpp
+++ b/src/cell/instance_mesh.cpp
@@ -178,11 +178,11 @@
     return false;
 }
 
+// Messages may wait unread, so the silence counts only up to the last reading.
 bool instance_mesh::has_heard_from(const instance_process& process) const
 {
     const auto it = heard_.find(process);
-    return it != heard_.end() &&
-           timers_.monotonic_now() - it->second.at < requester_silence_limit();
+    return it != heard_.end() && *read_until_ - it->second.at < requester_silence_limit();
 }
 
 // Only processes in contact count: a clock that was set back makes the next process of an instance
@@ -207,8 +207,8 @@
 
 void instance_mesh::forget_silent_processes()
 {
-    std::erase_if(heard_, [this, now = timers_.monotonic_now()](const auto& it) {
-        return now - it.second.at > 2 * requester_silence_limit();
+    std::erase_if(heard_, [this](const auto& it) {
+        return *read_until_ - it.second.at > 2 * requester_silence_limit();
     });
 }
 
--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -296,4 +296,34 @@
     BOOST_TEST(!was_down);
 }
 
+// Guards against a controller that wakes and ends the jobs of requesters whose heartbeats wait
+// unread.
+BOOST_AUTO_TEST_CASE(a_peer_is_not_silent_while_its_messages_wait_unread)
+{
+    auto* context = g_main_context_new();
+    {
+        poller late_events{context, &timers};
+        instance_mesh late(late_events, timers, address_of("c", "127.0.0.1:17504"));
+        BOOST_REQUIRE(late.listen("127.0.0.1:17504"));
+        a->update_instances({address_of("c", "127.0.0.1:17504")});
+        const auto read_for = [&](duration span) {
+            for (const auto end = timers.monotonic_now() + span; timers.monotonic_now() < end;) {
+                step();
+                while (g_main_context_iteration(context, FALSE)) {
+                }
+            }
+        };
+        read_for(500ms);
+        BOOST_REQUIRE(late.has_heard_from("a"));
+        run_for(2s); // the timers of the late instance run, and its input waits
+        BOOST_TEST(late.has_heard_from("a"));
+        read_for(100ms);
+        BOOST_TEST(late.has_heard_from("a"));
+        a.reset();
+        read_for(2s);
+        BOOST_TEST(!late.has_heard_from("a"));
+    }
+    g_main_context_unref(context);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
