Cancelled ids are also sent to peers that do not reply

Callers saw: a job that was cancelled with a 2xx answer runs when a late copy of its submission arrives (rule UNASKED). Cause: a cancellation was sent to live peers, and on each new link once it was connected. Between the connection and the first reply it was neither. Change: it is sent on every link; what is lost with a link is sent again on the next one, as before.

--- a/src/cell/cell_service_jobs.cpp
+++ b/src/cell/cell_service_jobs.cpp
@@ -101,7 +101,8 @@
 {
     cancelled_.add(job_id, true);
     for (const auto& it : mesh_.linked_views()) {
-        if (it.name != mesh_.self().name && it.alive) {
+        // Also on the link of a peer that does not reply: it may be paused, and read it later.
+        if (it.name != mesh_.self().name) {
             send_cancelled(it.name, std::span(&job_id, 1));
         }
     }
--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -293,6 +293,33 @@
     check_copies("after a restart");
 }
 
+// Guards against a cancelled job that runs at an instance that was paused when it was cancelled:
+// its machine accepts links that its process does not read.
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stays_cancelled_at_an_instance_that_was_paused)
+{
+    start("a", 17467);
+    start("b", 17468, "dc", 17469);
+    BOOST_REQUIRE(run_until([&] { return is_settled(); }, 3s));
+    relays["b"]->block_to_client();
+    const auto sees_b = [&] {
+        return std::ranges::any_of(members["a"].mesh->views(),
+                                   [](const auto& it) { return it.name == "b" && it.alive; });
+    };
+    BOOST_REQUIRE(run_until([&] { return !sees_b(); }, 2s));
+    run_until([] { return false; }, 50ms); // for a new link to be connected
+    submit("a", cell_fixture::job("j", 1));
+    BOOST_TEST(members["a"].cells->cancel("j"));
+    relays["b"]->heal();
+    BOOST_REQUIRE(run_until([&] { return sees_b(); }, 300ms));
+    run_until([] { return false; }, 100ms);
+    const auto starts = fleet.total_starts();
+    outcomes.clear();
+    submit("b", cell_fixture::job("j", 1));
+    BOOST_TEST(run_until([&] { return outcomes.contains("j"); }, 3s));
+    BOOST_TEST(to_string(outcomes["j"].end) == to_string(job_end::failed));
+    BOOST_TEST(fleet.total_starts() == starts);
+}
+
 // Guards against a cancelled job that runs once all who were told of it have been replaced.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_stays_cancelled_while_all_instances_are_replaced)
 {
