Soak with processes that run in slices

Change: a third case of the soak lets instances run for 1 to 40 ms between pauses of 0.2 to 1 s, for up to 3 s each, in overlapping series, beside the other faults, while half of the callers lose their connections and return elsewhere after 1.3 s.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -244,7 +244,8 @@
     call.body = fmt::format(R"({{"spec":"x","bestEffort":true,"steps":[{{"count":{},"cpu":1000,)"
                             R"("memMb":10,"estimateMs":{}}}]}})",
                             job.tasks, estimate.count() / 1000);
-    const bool loses_connection = layout_.callers_return && !faults_over_ && draw(5) == 0;
+    const bool loses_connection =
+        layout_.callers_return && !faults_over_ && draw(layout_.instances_in_slices ? 2 : 5) == 0;
     client_.call(
         target.caller_address, call,
         loses_connection ? duration{std::chrono::milliseconds{100 + draw(1200)}}
@@ -384,6 +385,9 @@
     run_for(std::chrono::milliseconds{1500});
     submit();
     inject();
+    if (layout_.instances_in_slices) {
+        slow_down_instance();
+    }
     run_for(length);
     sending_ = false; // ends fault injection as well
     clear_all_faults();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,9 @@
     // Callers leave, lose their connection, cancel, and send a job again at any instance; and some
     // tasks last longer than a lease.
     bool callers_return = false;
+    // Instances get processor time only in slices of a few ms for a while, and half of the callers
+    // lose their connections.
+    bool instances_in_slices = false;
 };
 
 // Runs one seed: daemons as separate processes against a platform stand-in in this process, with
@@ -96,6 +99,8 @@
     static void signal(const process& it, int number);
 
     void inject();
+    void slow_down_instance();
+    void run_next_slice(process& it, pid_t pid, monotonic_time end);
     void kill_instance(const fault_target& on);
     void stop_instance(const fault_target& on);
     void pause_instance(const fault_target& on);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr duration inject_interval = std::chrono::milliseconds{600};
+constexpr duration slow_down_interval = std::chrono::milliseconds{1000};
 constexpr std::uint32_t min_fault_ms = 300;
 constexpr std::uint32_t max_fault_ms = 2800;
 
@@ -51,6 +52,44 @@
     (this->*faults[draw(n)])(on);
 }
 
+// Each second, lets an instance run only in slices for up to 3 s.
+void soak::slow_down_instance()
+{
+    if (faults_over_ || !sending_) {
+        return;
+    }
+    timers_.schedule(slow_down_interval, [this] { slow_down_instance(); });
+    auto& it = any_process();
+    if (it.pid > 0) {
+        const duration length = std::chrono::milliseconds{500 + draw(2500)};
+        run_next_slice(it, it.pid, timers_.monotonic_now() + length);
+    }
+}
+
+void soak::run_next_slice(process& it, pid_t pid, monotonic_time end)
+{
+    constexpr std::uint32_t max_slice_ms = 40;
+    constexpr std::uint32_t min_gap_ms = 200;
+    constexpr std::uint32_t max_gap_ms = 990;
+    if (it.pid != pid) {
+        return; // it has ended
+    }
+    if (timers_.monotonic_now() >= end) {
+        signal(it, SIGCONT);
+        return;
+    }
+    signal(it, SIGSTOP);
+    const duration gap = std::chrono::milliseconds{min_gap_ms + draw(max_gap_ms - min_gap_ms)};
+    timers_.schedule(gap, [this, &it, pid, end] {
+        if (it.pid != pid) {
+            return;
+        }
+        signal(it, SIGCONT);
+        timers_.schedule(std::chrono::milliseconds{1 + draw(max_slice_ms)},
+                         [this, &it, pid, end] { run_next_slice(it, pid, end); });
+    });
+}
+
 void soak::kill_instance(const fault_target& on)
 {
     signal(*on.instance, SIGKILL);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -73,6 +73,16 @@
                true});
 }
 
+// Guards against the same where processes run in slices, so that they renew leases before they
+// read that callers have left.
+BOOST_AUTO_TEST_CASE(guarantees_hold_for_processes_in_slices)
+{
+    soak_layout layout{size_of("CACTUSLOOM_SOAK_INSTANCES", 6),
+                       size_of("CACTUSLOOM_SOAK_WORKERS", 130), 2, true};
+    layout.instances_in_slices = true;
+    run_seeds(layout);
+}
+
 // Seeds that failed in the past.
 BOOST_AUTO_TEST_CASE(former_failures_stay_fixed)
 {
