--- a/include/cell/job_history.h
+++ b/include/cell/job_history.h
@@ -34,8 +34,10 @@
     void add(job_event what, std::string_view job_id, std::string_view other,
              std::uint32_t number = 0);
 
-    // Logs all events of a job that are known, in one line. Lines above a limit per second are
-    // dropped.
+    // The newest events of a job that are known, oldest first, with their age in ms.
+    std::string events_of(std::string_view job_id) const;
+
+    // Logs them in one line. Lines above a limit per second are dropped.
     void log_job(std::string_view job_id, std::string_view reason);
 
     // Logs which jobs have reached this instance since the last call, and from where. Called
--- a/src/cell/job_history.cpp
+++ b/src/cell/job_history.cpp
@@ -84,6 +84,13 @@
     if (++lines_this_second_ > max_job_lines_per_second) {
         return;
     }
+    log_request_event("job_history", "id={} reason=\"{}\" events=\"{}\"", job_id, reason,
+                      events_of(job_id));
+}
+
+std::string job_history::events_of(std::string_view job_id) const
+{
+    const auto now = time_.monotonic_now();
     const auto job = fixed_text<16>(job_id);
     std::string text;
     std::size_t n = 0;
@@ -95,7 +102,7 @@
                             text_of(it->other), it->number, text.empty() ? "" : "; ", text);
         }
     }
-    log_request_event("job_history", "id={} reason=\"{}\" events=\"{}\"", job_id, reason, text);
+    return text;
 }
 
 void job_history::log_arrivals(std::string_view reason)
