The time of reading never goes back; names and comments after reading the diff

Cause: a handler that is called again between two batches ended a batch that was older than the last idle iteration, which set read_until() back by up to one iteration. That only shortens leases. Beside it: lease_limit::unlimited() instead of none(), which reads like unknown(); comments that still said that a renewal counts from the sending of a heartbeat.

--- a/include/cell/job.h
+++ b/include/cell/job.h
@@ -89,9 +89,9 @@
 };
 
 // A requester leases its jobs to their controller, and renews that lease with each heartbeat, from
-// the moment at which the heartbeat is sent. Leases at workers end with those of the jobs that run
-// there, so no task outlives its job's lease, whatever the controller does. Callers of a killed
-// requester return elsewhere after 1,300 ms (resendMs); a run has to end before.
+// the moment until which it has read what its callers sent. Leases at workers end with those of the
+// jobs that run there, so no task outlives its job's lease, whatever the controller does. Callers
+// of a killed requester return elsewhere after 1,300 ms (resendMs); a run has to end before.
 inline constexpr duration job_lease = std::chrono::milliseconds{1150};
 
 // With less time left no task is started, as it might lapse before the next renewal: a heartbeat
--- a/src/cell/cell_service.cpp
+++ b/src/cell/cell_service.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{50};
-// A submission that has waited unread for longer leaves too little of the job's lease to start its
-// tasks.
+// A submission whose requester has read its callers longer ago leaves too little of the job's lease
+// to start its tasks.
 constexpr duration max_submission_age = std::chrono::milliseconds{900};
 static_assert(max_submission_age + min_start_lease <= job_lease);
 // A requester submits its open jobs again as soon as its new link is connected and the controller's
--- a/src/cell/claimed_worker.h
+++ b/src/cell/claimed_worker.h
@@ -66,7 +66,7 @@
     monotonic_time clock_at;    // local time at which that reply arrived
     // On the worker's clock: latest end of a lease that any controller may have granted.
     std::int64_t lease_end_ms = -1;
-    lease_limit job_leases = lease_limit::none(); // of all jobs that run here
+    lease_limit job_leases = lease_limit::unlimited(); // of all jobs that run here
     std::uint64_t last_seen_end = 0; // finished runs up to this number have been processed
     std::int64_t started_at_ms = 0;
 
--- a/src/cell/controller_workers.cpp
+++ b/src/cell/controller_workers.cpp
@@ -121,7 +121,7 @@
 // A lease at a worker holds for all its runs, so the first job's lease to end limits it.
 void cell_controller::state::update_job_leases(claimed_worker& worker, monotonic_time now)
 {
-    worker.job_leases = lease_limit::none();
+    worker.job_leases = lease_limit::unlimited();
     for (const auto& [name, run] : worker.runs) {
         worker.job_leases = earlier(worker.job_leases, run.job->lease(now));
     }
--- a/src/cell/lease_limit.h
+++ b/src/cell/lease_limit.h
@@ -2,7 +2,6 @@
 
 #include "base/time.h"
 
-#include <algorithm>
 #include <optional>
 
 namespace cactusloom {
@@ -14,7 +13,7 @@
 public:
     static lease_limit unknown() { return lease_limit{std::nullopt}; }
     static lease_limit at(monotonic_time end) { return lease_limit{end}; }
-    static lease_limit none() { return lease_limit{monotonic_time::max()}; }
+    static lease_limit unlimited() { return lease_limit{monotonic_time::max()}; }
 
     duration left(monotonic_time now) const
     {
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -133,7 +133,7 @@
             }
         }
         if (!has_batch() && !batch_left_input) {
-            *read_until = batch_taken_at;
+            *read_until = std::max(*read_until, batch_taken_at);
         }
     }
 };
