--- a/tests/cell/instance_mesh_test.cpp
+++ b/tests/cell/instance_mesh_test.cpp
@@ -296,8 +296,7 @@
     BOOST_TEST(!was_down);
 }
 
-// Guards against a controller that wakes and ends the jobs of requesters whose heartbeats wait
-// unread.
+// Guards against a controller that wakes and ends jobs whose heartbeats wait unread.
 BOOST_AUTO_TEST_CASE(a_peer_is_not_silent_while_its_messages_wait_unread)
 {
     auto* context = g_main_context_new();
--- a/tests/cell/requester_test.cpp
+++ b/tests/cell/requester_test.cpp
@@ -173,8 +173,7 @@
     }
 }
 
-// Guards against a job that runs on after its instance has answered 504, as heartbeats for other
-// jobs renew it.
+// Guards against a job that runs on after a 504, as heartbeats for other jobs renew it.
 BOOST_AUTO_TEST_CASE(a_job_whose_second_submission_is_refused_does_not_run_on)
 {
     fleet.work = [](const std::string&) { return duration{5s}; };
@@ -293,8 +292,7 @@
     check_copies("after a restart");
 }
 
-// Guards against a cancelled job that runs at an instance that was paused when it was cancelled:
-// its machine accepts links that its process does not read.
+// Guards against a cancelled job that runs at an instance that was paused at the time.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_stays_cancelled_at_an_instance_that_was_paused)
 {
     start("a", 17467);
--- a/tests/cell/unread_input_test.cpp
+++ b/tests/cell/unread_input_test.cpp
@@ -62,8 +62,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(unread_callers, unread_input_fixture)
 
-// Guards against a second run of a job whose controller renews it before it reads that the caller
-// has left.
+// Guards against a second run of a job that is renewed before its caller's end is read.
 BOOST_AUTO_TEST_CASE(a_controller_that_does_not_read_its_callers_renews_none_of_their_jobs)
 {
     start("a", 17460, "dc", 0, &requester_events);
--- a/tests/net/poller_test.cpp
+++ b/tests/net/poller_test.cpp
@@ -89,8 +89,7 @@
     close(descriptor);
 }
 
-// Guards against the end of a connection that is read only after its last data, in a later
-// iteration.
+// Guards against an end of a connection that is read an iteration after its last data.
 BOOST_AUTO_TEST_CASE(the_end_of_an_accepted_connection_is_read_with_its_last_data)
 {
     poller events;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -73,8 +73,7 @@
                true});
 }
 
-// Guards against the same where processes run in slices, so that they renew leases before they
-// read that callers have left.
+// Guards against the same where processes renew leases before they read that callers have left.
 BOOST_AUTO_TEST_CASE(guarantees_hold_for_processes_in_slices)
 {
     soak_layout layout{size_of("CACTUSLOOM_SOAK_INSTANCES", 6),
