--- a/review/stand_in_2/deployment.py
+++ b/review/stand_in_2/deployment.py
@@ -322,6 +322,7 @@
         self.deployment, self.name, self.ip = deployment, f"edge-{number}", ip
         self.front, self.ready, self.control = (f"{ip}:{free_port(ip)}" for _ in range(3))
         self.process = None
+        self.advertised = None  # a proxy before the link address
 
     def settings(self):
         seeds = json.dumps([it.control for it in self.deployment.instances[:3]])
@@ -391,6 +392,8 @@
         self.log_path = os.path.join(self.deployment.folder, self.name + ".log")
         env = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                "GSETTINGS_BACKEND": "memory", "CACTUSLOOM_BOOT": path}
+        if self.advertised:
+            env["CACTUSLOOM_ADVERTISE_LINK"] = self.advertised
         with open(self.log_path, "a") as log:
             self.process = subprocess.Popen(
                 ["target/tools/cactusloomd", "platform"], cwd=REPOSITORY, env=env,
