--- a/review/stand_in_2/deployment.py
+++ b/review/stand_in_2/deployment.py
@@ -574,7 +574,7 @@
         return status
 
 
-def main(case, record_path, minimal_trouble=True):
+def main(case, record_path):
     """Runs `case(deployment_maker, trouble)` and exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     made = []
